--- /dev/null
+++ b/comfreydockd/caller/attempts.c
@@ -0,0 +1,398 @@
+#include "comfreydockd/caller/call.h"
+
+#include <inttypes.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/health.h"
+#include "comfreydockd/decide/pick.h"
+
+/* What an end of an attempt tells pick and health. */
+enum attempt_end {
+	ATTEMPT_ANSWERED,
+	ATTEMPT_FAILED, /* the upstream's own error, a 5xx */
+	ATTEMPT_REFUSED,
+	ATTEMPT_REFUSED_BUSY,
+	ATTEMPT_LOST,
+	ATTEMPT_TIMED_OUT,
+	ATTEMPT_CANCELLED,
+};
+
+static const struct pick_load *read_load(const Cfd__Load *load,
+					 struct pick_load *out)
+{
+	if (!load)
+		return NULL;
+	out->running = load->running;
+	out->queued = load->queued;
+	out->limit = load->limit;
+	out->expected_wait_us = load->expected_wait_us;
+	return out;
+}
+
+static enum health_outcome health_outcome_of(enum attempt_end end)
+{
+	switch (end) {
+	case ATTEMPT_FAILED:
+		return HEALTH_ERROR;
+	case ATTEMPT_LOST:
+		return HEALTH_LOST;
+	case ATTEMPT_TIMED_OUT:
+		return HEALTH_TIMEOUT;
+	default:
+		return HEALTH_OK;
+	}
+}
+
+static void tell_pick(struct entry_attempt *attempt, enum attempt_end end,
+		      const struct pick_load *load, int64_t now)
+{
+	struct pick_set *picks = &attempt->upstream->service->picks;
+	struct pick_candidate *candidate = &attempt->upstream->candidate;
+	int64_t until_us = attempt->head_us ? attempt->head_us : now;
+	int64_t latency_us = until_us - attempt->sent_us;
+
+	if (end == ATTEMPT_ANSWERED)
+		pick_note_done(picks, candidate, latency_us, load, now);
+	else if (end == ATTEMPT_REFUSED || end == ATTEMPT_REFUSED_BUSY)
+		pick_note_refused(picks, candidate, end == ATTEMPT_REFUSED_BUSY,
+				  load, now);
+	else
+		pick_note_failed(picks, candidate, latency_us, load, now);
+}
+
+static void tell_health(struct entry_attempt *attempt, enum attempt_end end,
+			int64_t now)
+{
+	struct health *health = &attempt->upstream->service->health;
+	struct health_upstream *upstream = &attempt->upstream->health;
+
+	if (end == ATTEMPT_REFUSED || end == ATTEMPT_REFUSED_BUSY)
+		health_note_refused(health, upstream, true, now);
+	else if (end == ATTEMPT_CANCELLED)
+		health_note_refused(health, upstream, false, now);
+	else
+		health_note_ended(health, upstream, health_outcome_of(end),
+				  now);
+}
+
+/* Each attempt that was sent is told to the decisions once. */
+static void tell_end(struct entry_attempt *attempt, enum attempt_end end,
+		     const Cfd__Load *load)
+{
+	struct pick_load pick_load;
+	int64_t now = clock_mono_us();
+
+	if (!attempt->upstream->listed)
+		return;
+	tell_pick(attempt, end, read_load(load, &pick_load), now);
+	tell_health(attempt, end, now);
+}
+
+static void fill_attempt(const struct call *call, Cfd__Attempt *out,
+			 const struct service_upstream *upstream)
+{
+	int64_t path_us = deadline_path_us(&upstream->path);
+
+	out->trace = (char *)call->trace;
+	out->group = call->config->group;
+	out->method = call->method;
+	out->target = call->target;
+	out->headers = call->fields.items;
+	out->n_headers = call->fields.count;
+	out->remaining_us = (uint64_t)deadline_for_hop_us(
+		call->deadline_us, path_us, clock_mono_us());
+	out->idempotent = call->rule->idempotent;
+	out->priority = call->rule->class;
+	out->fairness_key = call->fairness_key;
+	out->body.data = call->body->data;
+	out->body.len = call->body->len;
+	out->body_ends = call->body_ends;
+	out->depth = call->depth;
+}
+
+static size_t fill_shed_statuses(const struct config_service *config,
+				 uint32_t *statuses, size_t most)
+{
+	size_t count = 0;
+
+	while (config->shed_statuses && config->shed_statuses[count] &&
+	       count < most) {
+		statuses[count] = config->shed_statuses[count];
+		count++;
+	}
+	return count;
+}
+
+void entry_attempt_send(struct call *call, struct service_upstream *upstream,
+			bool may_queue, bool is_hedge)
+{
+	struct entry *entry = call->entry;
+	struct entry_attempt *attempt = g_new0(struct entry_attempt, 1);
+	const struct member *member =
+		member_table_find(entry->daemon->members, upstream->host);
+	Cfd__Attempt out = CFD__ATTEMPT__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+	uint32_t shed[16];
+
+	attempt->call = call;
+	attempt->upstream = service_upstream_ref(upstream);
+	attempt->seq = ++entry->next_seq;
+	attempt->is_hedge = is_hedge;
+	attempt->sent_us = clock_mono_us();
+	attempt->state = ENTRY_PICKED;
+	attempt->peer = peers_connect(entry->daemon->peers, member);
+	LIST_INSERT_HEAD(&call->active, attempt, link);
+	g_hash_table_insert(entry->attempts, &attempt->seq, attempt);
+	fill_attempt(call, &out, upstream);
+	out.seq = attempt->seq;
+	out.may_queue = may_queue;
+	out.shed_statuses = shed;
+	out.n_shed_statuses =
+		fill_shed_statuses(call->config, shed, G_N_ELEMENTS(shed));
+	out.time = timeline_now(&entry->daemon->timeline);
+	frame.kind_case = CFD__FRAME__KIND_ATTEMPT;
+	frame.attempt = &out;
+	attempt->position = peer_send(attempt->peer, &frame);
+	attempt_entry_step(&attempt->state, ENTRY_SEND);
+	pick_note_sent(&upstream->service->picks, &upstream->candidate);
+	health_note_sent(&upstream->service->health, &upstream->health,
+			 attempt->sent_us);
+	counters.entry_attempts++;
+	call_note_event(call, is_hedge ? EV_ENTRY_HEDGED : EV_ENTRY_SENT,
+			"seq=%" PRIu64 " to=%s may-queue=%d", attempt->seq,
+			upstream->host, may_queue);
+}
+
+void entry_attempt_cancel(struct entry_attempt *attempt)
+{
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	if (attempt->cancelled)
+		return;
+	attempt->cancelled = true;
+	cancel.seq = attempt->seq;
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	peer_send(attempt->peer, &frame);
+}
+
+void entry_attempt_time_out(struct entry_attempt *attempt)
+{
+	entry_attempt_cancel(attempt);
+	attempt_entry_step(&attempt->state, ENTRY_GIVE_UP);
+	tell_end(attempt, ATTEMPT_TIMED_OUT, NULL);
+}
+
+void entry_attempt_destroy(struct entry_attempt *attempt)
+{
+	struct call *call = attempt->call;
+
+	if (!attempt_entry_is_over(attempt->state)) {
+		bool late = call->deadline_us <= clock_mono_us();
+
+		entry_attempt_cancel(attempt);
+		attempt_entry_step(&attempt->state, ENTRY_GIVE_UP);
+		tell_end(attempt, late ? ATTEMPT_TIMED_OUT : ATTEMPT_CANCELLED,
+			 NULL);
+	}
+	if (call->answering == attempt)
+		call->answering = NULL;
+	g_hash_table_remove(call->entry->attempts, &attempt->seq);
+	LIST_REMOVE(attempt, link);
+	service_upstream_unref(attempt->upstream);
+	g_free(attempt);
+}
+
+void entry_attempt_send_body(struct entry_attempt *attempt, const void *bytes,
+			     size_t size, bool ends)
+{
+	Cfd__Body body = CFD__BODY__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	body.seq = attempt->seq;
+	body.data.data = (uint8_t *)bytes;
+	body.data.len = size;
+	body.ends = ends;
+	frame.kind_case = CFD__FRAME__KIND_BODY;
+	frame.body = &body;
+	peer_send(attempt->peer, &frame);
+}
+
+void entry_attempt_send_window(struct entry_attempt *attempt, uint32_t bytes)
+{
+	Cfd__Window window = CFD__WINDOW__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	window.seq = attempt->seq;
+	window.bytes = bytes;
+	frame.kind_case = CFD__FRAME__KIND_WINDOW;
+	frame.window = &window;
+	peer_send(attempt->peer, &frame);
+}
+
+/* RETURN VALUE: NULL, counted, for an attempt that is over: a late or doubled
+ * answer reaches nobody. */
+static struct entry_attempt *entry_find(struct entry *entry, struct peer *peer,
+					uint64_t seq)
+{
+	struct entry_attempt *attempt =
+		g_hash_table_lookup(entry->attempts, &seq);
+
+	if (attempt && attempt->peer == peer)
+		return attempt;
+	counters.peer_unmatched++;
+	return NULL;
+}
+
+static void take_not_run(struct entry *entry, struct peer *peer,
+			 const Cfd__NotRun *not_run)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, not_run->seq);
+	bool busy = not_run->reason == CFD__REASON__REASON_BUSY;
+
+	timeline_observe(&entry->daemon->timeline, not_run->time);
+	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_NOT_RUN))
+		return;
+	tell_end(attempt, busy ? ATTEMPT_REFUSED_BUSY : ATTEMPT_REFUSED,
+		 not_run->load);
+	/* A refusal does no work: its time is the way there and back. */
+	if (busy)
+		deadline_path_note(&attempt->upstream->path,
+				   clock_mono_us() - attempt->sent_us);
+	call_note_not_run(attempt, not_run->reason, false,
+			  not_run->retry_after_ms);
+}
+
+static void take_answer(struct entry *entry, struct peer *peer,
+			const Cfd__Answer *answer)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, answer->seq);
+	struct pick_load load;
+
+	timeline_observe(&entry->daemon->timeline, answer->time);
+	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_ANSWER))
+		return;
+	attempt->head_us = clock_mono_us();
+	attempt->failed = answer->status >= 500;
+	if (answer->load && attempt->upstream->listed)
+		pick_note_load(&attempt->upstream->service->picks,
+			       &attempt->upstream->candidate,
+			       read_load(answer->load, &load),
+			       attempt->head_us);
+	call_note_head(attempt, answer);
+}
+
+static void take_answer_body(struct entry *entry, struct peer *peer,
+			     const Cfd__AnswerBody *body)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, body->seq);
+	struct call *call;
+
+	if (!attempt || attempt->state != ENTRY_ANSWERING)
+		return;
+	call = attempt->call;
+	if (body->data.len)
+		call->sink->handle_body(call->sink_data, body->data.data,
+					body->data.len);
+	if (body->ends) {
+		attempt_entry_step(&attempt->state, ENTRY_GET_END);
+		tell_end(attempt,
+			 attempt->failed ? ATTEMPT_FAILED : ATTEMPT_ANSWERED,
+			 body->load);
+		call_note_end(attempt);
+	} else if (body->aborted) {
+		attempt_entry_step(&attempt->state, ENTRY_GET_FAILED);
+		tell_end(attempt, ATTEMPT_LOST, body->load);
+		call_note_unknown(attempt, true);
+	}
+}
+
+static void take_failed(struct entry *entry, struct peer *peer,
+			const Cfd__Failed *failed)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, failed->seq);
+
+	timeline_observe(&entry->daemon->timeline, failed->time);
+	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_FAILED))
+		return;
+	tell_end(attempt, attempt->cancelled ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
+		 failed->load);
+	call_note_unknown(attempt, !attempt->cancelled);
+}
+
+static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	struct entry *entry = data;
+	struct entry_attempt *attempt;
+
+	switch (frame->kind_case) {
+	case CFD__FRAME__KIND_NOT_RUN:
+		take_not_run(entry, peer, frame->not_run);
+		break;
+	case CFD__FRAME__KIND_ANSWER:
+		take_answer(entry, peer, frame->answer);
+		break;
+	case CFD__FRAME__KIND_ANSWER_BODY:
+		take_answer_body(entry, peer, frame->answer_body);
+		break;
+	case CFD__FRAME__KIND_FAILED:
+		take_failed(entry, peer, frame->failed);
+		break;
+	case CFD__FRAME__KIND_WINDOW:
+		attempt = entry_find(entry, peer, frame->window->seq);
+		if (attempt)
+			call_note_room(attempt, frame->window->bytes);
+		break;
+	default:
+		counters.peer_bad_frames++;
+		break;
+	}
+}
+
+static void attempt_lose(struct entry_attempt *attempt)
+{
+	bool left = peer_has_handed_over(attempt->peer, attempt->position);
+
+	attempt_entry_step(&attempt->state,
+			   left ? ENTRY_LINK_LOST : ENTRY_LINK_LOST_UNSENT);
+	tell_end(attempt, ATTEMPT_LOST, NULL);
+	if (attempt->state == ENTRY_NOT_RUN)
+		call_note_not_run(attempt, CFD__REASON__REASON_CONNECT, true,
+				  0);
+	else
+		call_note_unknown(attempt, true);
+}
+
+/* Whatever one loss leads to may end other attempts of the same connection,
+ * so the search starts over after each. */
+static void handle_lost(struct peer *peer, const char *error, void *data)
+{
+	struct entry *entry = data;
+	struct entry_attempt *found;
+	GHashTableIter iter;
+	gpointer value;
+
+	(void)error;
+	do {
+		found = NULL;
+		g_hash_table_iter_init(&iter, entry->attempts);
+		while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct entry_attempt *attempt = value;
+
+			if (attempt->peer == peer)
+				found = attempt;
+		}
+		if (found)
+			attempt_lose(found);
+	} while (found);
+}
+
+void entry_fill_role(struct entry *entry, struct peers_role *role)
+{
+	role->handle_frame = handle_frame;
+	role->handle_lost = handle_lost;
+	role->data = entry;
+}
--- /dev/null
+++ b/comfreydockd/caller/call.c
@@ -0,0 +1,452 @@
+#include "comfreydockd/caller/call.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "comfreydockd/caller/call_internal.h"
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/hedge.h"
+#include "comfreydockd/decide/retry.h"
+
+/*
+ * How often one call may be refused as not run by upstreams that could not
+ * take it. Such a refusal costs one round trip and does no work, so it is not
+ * counted against the rule's attempts. Two cover a busy upstream after a busy
+ * one; the third is for a drain that has not spread yet.
+ */
+#define CALL_MAX_BOUNCES 3
+
+/* Before the deadline the owners are asked to cancel, and a "not run" that
+ * comes in time makes the end certain. Half a millisecond covers a round trip
+ * within a failure domain; 10 ms one to another region's nearest. */
+#define CANCEL_LEAD_MIN_US 1000
+#define CANCEL_LEAD_MAX_US 10000
+#define CANCEL_LEAD_SHARE 20
+
+void call_note_event(struct call *call, enum event event, const char *format,
+		     ...)
+{
+	char note[TIMELINE_NOTE_MAX];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(note, sizeof(note), format, args);
+	va_end(args);
+	timeline_add(&call->entry->daemon->timeline, call->trace, event, "%s",
+		     note);
+}
+
+static void timer_start_us(struct call *call, ev_timer *timer, int64_t us)
+{
+	struct ev_loop *loop = call->entry->daemon->loop;
+
+	ev_timer_stop(loop, timer);
+	ev_timer_set(timer, (double)MAX(us, 0) / US_PER_S, 0.0);
+	ev_timer_start(loop, timer);
+}
+
+void call_free(struct call *call)
+{
+	struct ev_loop *loop = call->entry->daemon->loop;
+	struct entry_attempt *attempt;
+
+	while ((attempt = LIST_FIRST(&call->active)))
+		entry_attempt_destroy(attempt);
+	ev_timer_stop(loop, &call->deadline);
+	ev_timer_stop(loop, &call->next);
+	ev_timer_stop(loop, &call->hedge);
+	ev_timer_stop(loop, &call->patience);
+	LIST_REMOVE(call, link);
+	call->entry->count--;
+	config_snapshot_unref(call->snapshot);
+	fields_finish(&call->fields);
+	g_byte_array_unref(call->body);
+	g_free(call->method);
+	g_free(call->target);
+	g_free(call->fairness_key);
+	g_free(call);
+}
+
+static void call_finish_unanswered(struct call *call)
+{
+	if (call->may_have_run)
+		outcome_say_unknown(call);
+	else
+		outcome_say_not_run(call);
+	call_free(call);
+}
+
+static size_t call_untried(const struct call *call)
+{
+	return pick_count_untried(&call->service->picks, &call->tried);
+}
+
+static void call_arm_hedge(struct call *call)
+{
+	struct hedge_question question;
+	int64_t now = clock_mono_us();
+	int64_t delay;
+
+	call_fill_hedge_question(call, &question);
+	delay = hedge_delay_us(&call->service->hedge, &question, now);
+	if (delay >= 0)
+		timer_start_us(call, &call->hedge, delay);
+}
+
+/*
+ * An owner that is frozen answers nothing, and one whose host has lost its
+ * power takes seconds to be noticed. A call that may be repeated therefore
+ * spends at most half of its remaining time on one attempt; without this, all
+ * calls to such an upstream would end at their deadlines, though another
+ * could have answered them.
+ */
+static void call_arm_patience(struct call *call)
+{
+	int64_t left = call->deadline_us - clock_mono_us();
+
+	if (!call->rule->idempotent || call_work_attempts_left(call) == 0)
+		return;
+	timer_start_us(call, &call->patience, left / 2);
+}
+
+static void call_send_attempt(struct call *call)
+{
+	int64_t now = clock_mono_us();
+	struct service_upstream *upstream;
+	bool may_queue;
+
+	upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream) {
+		if (call->attempts == 0)
+			call->reason = CFD__REASON__REASON_NO_UPSTREAM;
+		call_finish_unanswered(call);
+		return;
+	}
+	may_queue = pick_may_queue(&call->service->picks, &upstream->candidate,
+				   &call->tried,
+				   call->bounces >= CALL_MAX_BOUNCES, now);
+	pick_tried_add(&call->tried, upstream->candidate.id);
+	call->attempts++;
+	entry_attempt_send(call, upstream, may_queue, false);
+	call_arm_hedge(call);
+	call_arm_patience(call);
+}
+
+static enum retry_outcome outcome_of(Cfd__Reason reason, bool never_sent)
+{
+	if (never_sent)
+		return RETRY_OUTCOME_NEVER_SENT;
+	switch (reason) {
+	case CFD__REASON__REASON_BUSY:
+	case CFD__REASON__REASON_DRAINING:
+	case CFD__REASON__REASON_NO_UPSTREAM:
+	case CFD__REASON__REASON_CONNECT:
+		return RETRY_OUTCOME_NOT_HERE;
+	case CFD__REASON__REASON_OVERLOAD:
+	case CFD__REASON__REASON_SHED:
+	case CFD__REASON__REASON_UNFAIR:
+	case CFD__REASON__REASON_DEADLINE:
+		return RETRY_OUTCOME_OVERLOAD;
+	default:
+		return RETRY_OUTCOME_FINAL;
+	}
+}
+
+static bool outcome_is_bounce(enum retry_outcome outcome)
+{
+	return outcome == RETRY_OUTCOME_NEVER_SENT ||
+	       outcome == RETRY_OUTCOME_NOT_HERE;
+}
+
+static void call_fill_question(const struct call *call,
+			       enum retry_outcome outcome,
+			       struct retry_question *question)
+{
+	bool bounce = outcome_is_bounce(outcome);
+
+	*question = (struct retry_question){
+		.outcome = outcome,
+		.idempotent = call->rule->idempotent,
+		.answer_begun = call->answering != NULL,
+		.attempts = bounce ? call->bounces :
+				     call->attempts - call->bounces,
+		.max_attempts = bounce ? CALL_MAX_BOUNCES + 1 :
+					 call->max_attempts,
+		.untried = call_untried(call),
+		.depth = call->depth,
+		.deadline_us = call->deadline_us,
+		.retry_after_us = (int64_t)call->come_back_ms * US_PER_MS,
+	};
+	/* A body of which more is gone than is kept can't be sent again. */
+	if (call->body_streams)
+		question->max_attempts = 0;
+}
+
+/* What follows after an attempt, where no other is out. */
+static void call_decide(struct call *call, enum retry_outcome outcome,
+			enum attempt_entry_state state)
+{
+	struct retry_question question;
+	struct retry_answer answer;
+	int64_t now = clock_mono_us();
+
+	if (outcome_is_bounce(outcome))
+		call->bounces++;
+	call_fill_question(call, outcome, &question);
+	answer = retry_decide(&call->service->retry, &question,
+			      &call->entry->random, now);
+	if (answer.verdict == RETRY_GO &&
+	    attempt_allows_another(state, call->rule->idempotent)) {
+		counters.entry_retries++;
+		timer_start_us(call, &call->next, answer.delay_us);
+		return;
+	}
+	call->come_back_ms =
+		MAX(call->come_back_ms,
+		    (uint32_t)(answer.come_back_us / US_PER_MS));
+	call_finish_unanswered(call);
+}
+
+void call_note_not_run(struct entry_attempt *attempt, Cfd__Reason reason,
+		       bool never_sent, uint32_t retry_after_ms)
+{
+	struct call *call = attempt->call;
+	enum attempt_entry_state state = attempt->state;
+	bool was_hedge = attempt->is_hedge;
+
+	call_note_event(call, EV_ENTRY_NOT_RUN, "from=%s reason=%d",
+			attempt->upstream->host, reason);
+	entry_attempt_destroy(attempt);
+	if (!LIST_EMPTY(&call->active))
+		return; /* the other one goes on */
+	if (!was_hedge || call->reason == CFD__REASON__REASON_UNSPECIFIED)
+		call->reason = reason;
+	call->come_back_ms = retry_after_ms;
+	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call_decide(call, outcome_of(reason, never_sent), state);
+}
+
+void call_note_unknown(struct entry_attempt *attempt, bool lost)
+{
+	struct call *call = attempt->call;
+	enum attempt_entry_state state = attempt->state;
+	bool answering = call->answering == attempt;
+
+	call_note_event(call, EV_ENTRY_UNKNOWN, "from=%s",
+			attempt->upstream->host);
+	entry_attempt_destroy(attempt);
+	if (answering) {
+		/* Ended here it would look whole: the connection must break. */
+		counters.caller_aborted++;
+		call->sink->handle_abort(call->sink_data);
+		call_free(call);
+		return;
+	}
+	call->may_have_run = true;
+	call->lost = lost;
+	if (!LIST_EMPTY(&call->active))
+		return;
+	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call_decide(call, RETRY_OUTCOME_UNKNOWN, state);
+}
+
+void call_note_head(struct entry_attempt *attempt, const Cfd__Answer *answer)
+{
+	struct call *call = attempt->call;
+	struct ev_loop *loop = call->entry->daemon->loop;
+	struct entry_attempt *other;
+	struct fields fields;
+
+	call->answering = attempt;
+	ev_timer_stop(loop, &call->deadline);
+	ev_timer_stop(loop, &call->hedge);
+	ev_timer_stop(loop, &call->patience);
+	hedge_note_latency(&call->service->hedge,
+			   attempt->head_us - call->began_us);
+	call_note_event(call, EV_ENTRY_ANSWERED, "from=%s status=%u",
+			attempt->upstream->host, answer->status);
+	fields_init(&fields);
+	for (size_t i = 0; i < answer->n_headers; i++)
+		fields_add_passed(&fields, answer->headers[i]->name,
+				  answer->headers[i]->value);
+	outcome_add_fields(&fields, "run", NULL, call->trace);
+	call->sink->handle_head(call->sink_data, answer->status, &fields,
+				answer->length);
+	fields_finish(&fields);
+	/* The slower of a hedged pair. */
+	while ((other = LIST_FIRST(&call->active)) != attempt ||
+	       (other = LIST_NEXT(attempt, link)))
+		entry_attempt_destroy(other);
+}
+
+void call_note_end(struct entry_attempt *attempt)
+{
+	struct call *call = attempt->call;
+
+	counters.caller_run++;
+	call_note_event(call, EV_ENTRY_ENDED, "run");
+	call->sink->handle_end(call->sink_data);
+	call_free(call);
+}
+
+void call_note_room(struct entry_attempt *attempt, uint32_t bytes)
+{
+	struct call *call = attempt->call;
+
+	call->body_room += bytes;
+	if (!call->body_ends)
+		call->sink->handle_room(call->sink_data);
+}
+
+static void handle_next(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	call_send_attempt(timer->data);
+}
+
+static void handle_hedge(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct call *call = timer->data;
+	struct service_upstream *upstream;
+	struct hedge_question question;
+	int64_t now = clock_mono_us();
+
+	(void)loop;
+	(void)events;
+	if (LIST_EMPTY(&call->active) || call->body_streams)
+		return;
+	call_fill_hedge_question(call, &question);
+	if (!hedge_take(&call->service->hedge, &question, now))
+		return;
+	upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream)
+		return;
+	pick_tried_add(&call->tried, upstream->candidate.id);
+	call->hedges++;
+	counters.entry_hedges++;
+	entry_attempt_send(call, upstream, false, true);
+}
+
+static void handle_patience(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct call *call = timer->data;
+	struct entry_attempt *attempt;
+
+	(void)loop;
+	(void)events;
+	counters.entry_impatient++;
+	call->may_have_run = true;
+	while ((attempt = LIST_FIRST(&call->active))) {
+		entry_attempt_time_out(attempt);
+		entry_attempt_destroy(attempt);
+	}
+	call_decide(call, RETRY_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+}
+
+static int64_t cancel_lead_us(const struct call *call)
+{
+	int64_t share =
+		(call->deadline_us - call->began_us) / CANCEL_LEAD_SHARE;
+
+	return CLAMP(share, CANCEL_LEAD_MIN_US, CANCEL_LEAD_MAX_US);
+}
+
+/* First shortly before the deadline, to cancel; then at it, to give up. */
+static void handle_deadline(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct call *call = timer->data;
+	struct entry_attempt *attempt;
+
+	(void)loop;
+	(void)events;
+	if (!call->cancels_sent) {
+		call->cancels_sent = true;
+		LIST_FOREACH(attempt, &call->active, link)
+			entry_attempt_cancel(attempt);
+		timer_start_us(call, timer,
+			       call->deadline_us - clock_mono_us());
+		return;
+	}
+	call->reason = CFD__REASON__REASON_DEADLINE;
+	if (!LIST_EMPTY(&call->active))
+		call->may_have_run = true;
+	call_finish_unanswered(call);
+}
+
+void call_start(struct call *call)
+{
+	call->is_started = true;
+	hedge_note_request(&call->service->hedge);
+	retry_note_request(&call->service->retry);
+	pick_note_request(&call->service->picks);
+	call_send_attempt(call);
+}
+
+void call_init_timers(struct call *call)
+{
+	ev_init(&call->deadline, handle_deadline);
+	ev_init(&call->next, handle_next);
+	ev_init(&call->hedge, handle_hedge);
+	ev_init(&call->patience, handle_patience);
+	call->deadline.data = call;
+	call->next.data = call;
+	call->hedge.data = call;
+	call->patience.data = call;
+	timer_start_us(call, &call->deadline,
+		       call->deadline_us - cancel_lead_us(call) -
+			       clock_mono_us());
+}
+
+size_t call_room(const struct call *call)
+{
+	if (!call->is_started)
+		return CALL_BODY_KEPT - MIN(call->body->len, CALL_BODY_KEPT);
+	return LIST_EMPTY(&call->active) ? 0 : call->body_room;
+}
+
+void call_add_body(struct call *call, const void *bytes, size_t size)
+{
+	if (!call->is_started) {
+		g_byte_array_append(call->body, bytes, (guint)size);
+		if (call->body->len >= CALL_BODY_KEPT)
+			call_start(call);
+		return;
+	}
+	call->body_streams = true;
+	call->body_room -= MIN(size, call->body_room);
+	entry_attempt_send_body(LIST_FIRST(&call->active), bytes, size, false);
+}
+
+void call_end_body(struct call *call)
+{
+	struct entry_attempt *attempt;
+
+	call->body_ends = true;
+	if (!call->is_started) {
+		call_start(call);
+		return;
+	}
+	LIST_FOREACH(attempt, &call->active, link)
+		entry_attempt_send_body(attempt, NULL, 0, true);
+}
+
+void call_note_consumed(struct call *call, size_t size)
+{
+	call->consumed += size;
+	if (call->consumed < CALL_CREDIT_STEP || !call->answering)
+		return;
+	entry_attempt_send_window(call->answering, (uint32_t)call->consumed);
+	call->consumed = 0;
+}
+
+void call_abandon(struct call *call)
+{
+	counters.caller_gone++;
+	call_note_event(call, EV_ENTRY_CALLER_GONE, "%s", "");
+	call_free(call);
+}
--- /dev/null
+++ b/comfreydockd/caller/entry.c
@@ -0,0 +1,270 @@
+#include "comfreydockd/caller/entry.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "comfreydockd/caller/call.h"
+#include "comfreydockd/caller/call_internal.h"
+#include "comfreydockd/config/store.h"
+#include "comfreydockd/decide/deadline.h"
+
+#define TICK_S 0.1
+#define STATUS_NO_ROUTE 404
+#define STATUS_TOO_DEEP 508
+#define STATUS_UNAVAILABLE 503
+#define COME_BACK_MS 1000
+/* For a rule without a deadline: a call can't stay for ever. */
+#define DEFAULT_DEADLINE_MS 30000
+
+static void handle_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct entry *entry = timer->data;
+
+	(void)loop;
+	(void)events;
+	services_tick(entry->services, clock_mono_us());
+}
+
+struct entry *entry_create(struct daemon *daemon)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+	struct peers_role role;
+
+	entry->daemon = daemon;
+	entry->services = services_create(daemon);
+	LIST_INIT(&entry->calls);
+	entry->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->random.state = id_random_u64();
+	ev_timer_init(&entry->tick, handle_tick, TICK_S, TICK_S);
+	entry->tick.data = entry;
+	ev_timer_start(daemon->loop, &entry->tick);
+	entry_fill_role(entry, &role);
+	peers_set_entry(daemon->peers, &role);
+	return entry;
+}
+
+void entry_destroy(struct entry *entry)
+{
+	struct peers_role none = { 0 };
+	struct call *call;
+
+	if (!entry)
+		return;
+	while ((call = LIST_FIRST(&entry->calls))) {
+		call->sink->handle_abort(call->sink_data);
+		call_free(call);
+	}
+	peers_set_entry(entry->daemon->peers, &none);
+	ev_timer_stop(entry->daemon->loop, &entry->tick);
+	g_hash_table_unref(entry->attempts);
+	services_destroy(entry->services);
+	g_free(entry);
+}
+
+/* The host without its port, in small letters; "" where there is none. */
+static void copy_host(const char *field, char *out, size_t size)
+{
+	size_t length = field ? strcspn(field, ":") : 0;
+
+	if (field && field[0] == '[')
+		length = strcspn(field, "]") + 1;
+	length = MIN(length, size - 1);
+	for (size_t i = 0; i < length; i++)
+		out[i] = (char)tolower((unsigned char)field[i]);
+	out[length] = '\0';
+}
+
+static char *copy_path(const char *target)
+{
+	return g_strndup(target, strcspn(target, "?#"));
+}
+
+/* A trace id from outside ends up in logs: nothing odd gets through. */
+static bool trace_is_sound(const char *trace)
+{
+	size_t length = trace ? strlen(trace) : 0;
+
+	if (length == 0 || length >= TIMELINE_TRACE_MAX)
+		return false;
+	for (size_t i = 0; i < length; i++) {
+		if (!isalnum((unsigned char)trace[i]) && !strchr("-_.", trace[i]))
+			return false;
+	}
+	return true;
+}
+
+static void call_set_trace(struct call *call, const struct fields *fields)
+{
+	const char *given = fields_find(fields, FIELD_TRACE);
+	char id[ID_TEXT_SIZE];
+
+	if (!trace_is_sound(given)) {
+		id_random(id);
+		given = id;
+	}
+	g_strlcpy(call->trace, given, sizeof(call->trace));
+}
+
+static int64_t read_number(const struct fields *fields, const char *name,
+			   int64_t most, int64_t missing)
+{
+	const char *text = fields_find(fields, name);
+	char *end;
+	int64_t value;
+
+	if (!text || !*text)
+		return missing;
+	value = g_ascii_strtoll(text, &end, 10);
+	if (*end || value < 0)
+		return missing;
+	return MIN(value, most);
+}
+
+static void call_set_deadline(struct call *call, const struct fields *fields)
+{
+	int64_t given_ms =
+		read_number(fields, FIELD_DEADLINE, INT32_MAX, -1);
+	uint32_t rule_ms = call->rule->deadline_ms ? call->rule->deadline_ms :
+						     DEFAULT_DEADLINE_MS;
+
+	call->began_us = clock_mono_us();
+	call->deadline_us =
+		deadline_at(given_ms < 0 ? -1 : given_ms * US_PER_MS, rule_ms,
+			    call->began_us);
+}
+
+static void call_set_fairness_key(struct call *call,
+				  const struct call_request *request)
+{
+	const char *key = NULL;
+
+	if (call->rule->fairness_header)
+		key = fields_find(request->fields, call->rule->fairness_header);
+	call->fairness_key = g_strdup(key ? key : request->caller);
+}
+
+static void call_copy_fields(struct call *call, const struct fields *fields)
+{
+	fields_init(&call->fields);
+	for (size_t i = 0; i < fields->count; i++)
+		fields_add_passed(&call->fields, fields->items[i]->name,
+				  fields->items[i]->value);
+}
+
+void call_fill_hedge_question(const struct call *call,
+			      struct hedge_question *question)
+{
+	*question = (struct hedge_question){
+		.enabled = call->rule->hedge,
+		.idempotent = call->rule->idempotent,
+		.answer_begun = call->answering != NULL,
+		.hedges = call->hedges,
+		.untried = pick_count_untried(&call->service->picks,
+					      &call->tried),
+		.depth = call->depth,
+		.deadline_us = call->deadline_us,
+	};
+}
+
+uint32_t call_work_attempts_left(const struct call *call)
+{
+	uint32_t made = call->attempts - call->bounces;
+
+	return call->max_attempts > made ? call->max_attempts - made : 0;
+}
+
+static struct call *call_create(struct entry *entry,
+				const struct call_request *request,
+				struct config_snapshot *snapshot,
+				const struct config_service *config,
+				const struct config_rule *rule, uint32_t depth)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->entry = entry;
+	call->snapshot = config_snapshot_ref(snapshot);
+	call->config = config;
+	call->rule = rule;
+	call->depth = depth;
+	call->service = services_get(entry->services, config);
+	call->method = g_strdup(request->method);
+	call->target = g_strdup(request->target);
+	call->body = g_byte_array_new();
+	call->body_ends = !request->has_body;
+	call->max_attempts = deadline_attempts(rule->max_attempts, depth);
+	call_set_trace(call, request->fields);
+	call_set_deadline(call, request->fields);
+	call_set_fairness_key(call, request);
+	call_copy_fields(call, request->fields);
+	LIST_INIT(&call->active);
+	LIST_INSERT_HEAD(&entry->calls, call, link);
+	entry->count++;
+	call_init_timers(call);
+	call_note_event(call, EV_ENTRY_TAKEN, "%s/%s rule=%s %s",
+			config->namespace, config->name,
+			rule->name ? rule->name : "-", request->method);
+	return call;
+}
+
+struct call *entry_begin(struct entry *entry, const struct call_request *request,
+			 const struct call_sink *sink, void *data)
+{
+	struct config_snapshot *snapshot =
+		config_store_current(entry->daemon->config);
+	const struct config_service *config = NULL;
+	const struct config_rule *rule = NULL;
+	uint32_t depth = (uint32_t)read_number(request->fields, FIELD_DEPTH,
+					       INT32_MAX, 0);
+	struct call *call;
+	char host[256];
+	char *path;
+	bool found;
+
+	counters.caller_requests++;
+	if (entry->draining || !config_store_is_ready(entry->daemon->config)) {
+		outcome_refuse(sink, data, STATUS_UNAVAILABLE,
+			       entry->draining ? "draining" :
+						 "no-configuration",
+			       COME_BACK_MS, "not run: not ready\n");
+		return NULL;
+	}
+	copy_host(request->host, host, sizeof(host));
+	path = copy_path(request->target);
+	found = config_snapshot_match(snapshot, host, request->method, path,
+				      &config, &rule);
+	g_free(path);
+	if (!found) {
+		counters.caller_no_route++;
+		outcome_refuse(sink, data, STATUS_NO_ROUTE,
+			       config ? "no-rule" : "no-service", 0,
+			       "not run: no service or rule matches\n");
+		return NULL;
+	}
+	if (deadline_is_too_deep(depth)) {
+		counters.caller_too_deep++;
+		outcome_refuse(sink, data, STATUS_TOO_DEEP, "too-deep", 0,
+			       "not run: calls are nested too deep\n");
+		return NULL;
+	}
+	call = call_create(entry, request, snapshot, config, rule, depth);
+	call->sink = sink;
+	call->sink_data = data;
+	if (request->has_body)
+		return call;
+	call_start(call);
+	/* Where the call ended at once it is not the newest any more. */
+	return LIST_FIRST(&entry->calls) == call ? call : NULL;
+}
+
+void entry_drain(struct entry *entry)
+{
+	entry->draining = true;
+}
+
+size_t entry_count(const struct entry *entry)
+{
+	return entry->count;
+}
--- /dev/null
+++ b/comfreydockd/caller/services.c
@@ -0,0 +1,315 @@
+#include "comfreydockd/caller/services.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "comfreydockd/decide/subset.h"
+#include "comfreydockd/decide/warm.h"
+#include "comfreydockd/settings.h"
+
+struct services {
+	struct daemon *daemon;
+	GHashTable *by_key; /* key -> struct service */
+};
+
+static void handle_member_changed(struct member *member, void *data)
+{
+	struct services *services = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	(void)member;
+	/* Brought up to date at the next call; see services_get(). */
+	g_hash_table_iter_init(&iter, services->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct service *)value)->stale = true;
+}
+
+static void service_upstream_delist(struct service_upstream *upstream)
+{
+	struct service *service = upstream->service;
+
+	TAILQ_REMOVE(&service->upstreams, upstream, link);
+	pick_set_remove(&service->picks, &upstream->candidate);
+	health_remove(&service->health, &upstream->health);
+	upstream->listed = false;
+	service_upstream_unref(upstream);
+}
+
+static void service_free(gpointer data)
+{
+	struct service *service = data;
+	struct service_upstream *upstream;
+
+	while ((upstream = TAILQ_FIRST(&service->upstreams)))
+		service_upstream_delist(upstream);
+	pick_set_finish(&service->picks);
+	g_free(service->key);
+	g_free(service->group);
+	g_free(service);
+}
+
+struct services *services_create(struct daemon *daemon)
+{
+	struct services *services = g_new0(struct services, 1);
+	struct member_observer observer = {
+		.handle_changed = handle_member_changed,
+		.handle_removed = handle_member_changed,
+		.data = services,
+	};
+
+	services->daemon = daemon;
+	services->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 service_free);
+	member_table_observe(daemon->members, &observer);
+	return services;
+}
+
+void services_destroy(struct services *services)
+{
+	if (!services)
+		return;
+	g_hash_table_unref(services->by_key);
+	g_free(services);
+}
+
+struct service_upstream *service_upstream_ref(struct service_upstream *upstream)
+{
+	upstream->references++;
+	return upstream;
+}
+
+void service_upstream_unref(struct service_upstream *upstream)
+{
+	if (--upstream->references == 0)
+		g_free(upstream);
+}
+
+static struct service_upstream *service_find(struct service *service,
+					     const char *host)
+{
+	struct service_upstream *upstream;
+
+	TAILQ_FOREACH(upstream, &service->upstreams, link) {
+		if (strcmp(upstream->host, host) == 0)
+			return upstream;
+	}
+	return NULL;
+}
+
+static struct service_upstream *service_add(struct service *service,
+					    const struct member *member)
+{
+	struct service_upstream *upstream = g_new0(struct service_upstream, 1);
+
+	upstream->service = service;
+	upstream->references = 1;
+	upstream->listed = true;
+	g_strlcpy(upstream->host, member->host, sizeof(upstream->host));
+	pick_candidate_init(&upstream->candidate, id_random_u64() | 1);
+	upstream->candidate.data = upstream;
+	TAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
+	health_add(&service->health, &upstream->health, false);
+	pick_set_add(&service->picks, &upstream->candidate);
+	return upstream;
+}
+
+static void service_update_upstream(struct service *service,
+				    const struct member *member)
+{
+	const struct settings *settings = service->services->daemon->settings;
+	struct service_upstream *upstream = service_find(service, member->host);
+	struct warm ramp;
+
+	if (!upstream)
+		upstream = service_add(service, member);
+	upstream->candidate.local =
+		strcmp(member->domain, settings->domain) == 0;
+	upstream->candidate.slots = member->slots;
+	warm_begin(&ramp, member->warm_ms, member->up_since_us);
+	upstream->candidate.warm =
+		(double)warm_weight_permille(&ramp, clock_mono_us()) /
+		WARM_FULL_PERMILLE;
+	health_set_available(&service->health, &upstream->health,
+			     member_is_usable(member));
+}
+
+/* Marks the members that this entry uses; all of them in a small service. */
+static void service_choose_subset(const struct service *service,
+				  const GPtrArray *members,
+				  struct subset_upstream *subset)
+{
+	const struct settings *settings = service->services->daemon->settings;
+	size_t count = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const struct member *member = g_ptr_array_index(members, i);
+
+		if (member->state == MEMBER_DEAD ||
+		    member->state == MEMBER_LEFT)
+			continue;
+		subset[count].host = member->host;
+		subset[count].local =
+			strcmp(member->domain, settings->domain) == 0;
+		subset[count].chosen = false;
+		count++;
+	}
+	subset_choose(settings->host, subset, count, SUBSET_SIZE);
+	subset[count].host = NULL;
+}
+
+static bool subset_has(const struct subset_upstream *subset, const char *host)
+{
+	for (; subset->host; subset++) {
+		if (subset->chosen && strcmp(subset->host, host) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void service_refresh(struct service *service)
+{
+	struct member_table *members = service->services->daemon->members;
+	const GPtrArray *group = member_table_group(members, service->group);
+	guint count = group ? group->len : 0;
+	struct subset_upstream *subset =
+		g_new0(struct subset_upstream, count + 1);
+	struct service_upstream *upstream;
+	struct service_upstream *next;
+
+	service->stale = false;
+	if (group)
+		service_choose_subset(service, group, subset);
+	for (struct subset_upstream *chosen = subset; chosen->host; chosen++) {
+		if (chosen->chosen)
+			service_update_upstream(
+				service,
+				member_table_find(members, chosen->host));
+	}
+	for (upstream = TAILQ_FIRST(&service->upstreams); upstream;
+	     upstream = next) {
+		next = TAILQ_NEXT(upstream, link);
+		if (!subset_has(subset, upstream->host))
+			service_upstream_delist(upstream);
+	}
+	g_free(subset);
+}
+
+static struct service *service_new(struct services *services, const char *key)
+{
+	struct service *service = g_new0(struct service, 1);
+
+	service->services = services;
+	service->key = g_strdup(key);
+	TAILQ_INIT(&service->upstreams);
+	pick_set_init(&service->picks, pick_default_policy, id_random_u64());
+	health_init(&service->health, &health_outlier, id_random_u64());
+	g_hash_table_insert(services->by_key, service->key, service);
+	service->stale = true;
+	retry_init(&service->retry, 0);
+	hedge_init(&service->hedge, 0);
+	return service;
+}
+
+/*
+ * One budget for a service, the largest that any of its rules allows. Were it
+ * set anew for the rule of each call, two rules that differ would fill it up
+ * again and again, and a failing service would get all the retries that the
+ * budget is there to prevent.
+ */
+static void service_configure(struct service *service,
+			      const struct config_service *config)
+{
+	uint32_t retry_percent = 0;
+	uint32_t hedge_percent = 0;
+
+	for (guint i = 0; i < config->rules->len; i++) {
+		const struct config_rule *rule =
+			g_ptr_array_index(config->rules, i);
+
+		retry_percent = MAX(retry_percent, rule->retry_budget_percent);
+		if (rule->hedge)
+			hedge_percent = MAX(hedge_percent,
+					    rule->hedge_budget_percent);
+	}
+	if (g_strcmp0(service->group, config->group) != 0) {
+		g_free(service->group);
+		service->group = g_strdup(config->group);
+		service->stale = true;
+	}
+	if (service->retry_budget_percent != retry_percent) {
+		service->retry_budget_percent = retry_percent;
+		retry_init(&service->retry, retry_percent);
+	}
+	if (service->hedge_budget_percent != hedge_percent) {
+		service->hedge_budget_percent = hedge_percent;
+		hedge_init(&service->hedge, hedge_percent);
+	}
+}
+
+struct service *services_get(struct services *services,
+			     const struct config_service *config)
+{
+	char key[256];
+	struct service *service;
+
+	g_snprintf(key, sizeof(key), "%s/%s", config->namespace, config->name);
+	service = g_hash_table_lookup(services->by_key, key);
+	if (!service)
+		service = service_new(services, key);
+	service_configure(service, config);
+	if (service->stale)
+		service_refresh(service);
+	return service;
+}
+
+struct service_upstream *service_choose(struct service *service,
+					const struct pick_tried *tried,
+					int64_t now_us)
+{
+	struct service_upstream *upstream;
+	struct pick_candidate *chosen;
+
+	TAILQ_FOREACH(upstream, &service->upstreams, link)
+		upstream->candidate.usable = health_is_usable(&upstream->health);
+	chosen = pick_choose(&service->picks, tried, now_us);
+	return chosen ? chosen->data : NULL;
+}
+
+/* The weight of an upstream that warms up grows by time alone. */
+static bool service_is_warming(const struct service *service)
+{
+	const struct service_upstream *upstream;
+
+	TAILQ_FOREACH(upstream, &service->upstreams, link) {
+		if (upstream->candidate.warm < 1.0)
+			return true;
+	}
+	return false;
+}
+
+void services_tick(struct services *services, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, services->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct service *service = value;
+
+		health_tick(&service->health, now_us);
+		service->stale |= service_is_warming(service);
+	}
+}
+
+size_t service_count_available(const struct service *service)
+{
+	const struct service_upstream *upstream;
+	size_t count = 0;
+
+	TAILQ_FOREACH(upstream, &service->upstreams, link)
+		count += upstream->health.available;
+	return count;
+}
--- /dev/null
+++ b/comfreydockd/peer/greeting.c
@@ -0,0 +1,40 @@
+#include "comfreydockd/peer/greeting.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "common/id.h"
+
+void greeting_make_nonce(uint8_t nonce[GREETING_NONCE_BYTES])
+{
+	uint64_t parts[2] = { id_random_u64(), id_random_u64() };
+
+	memcpy(nonce, parts, GREETING_NONCE_BYTES);
+}
+
+void greeting_prove(const struct greeting_key *key, const char *role,
+		    const char *host,
+		    const uint8_t theirs[GREETING_NONCE_BYTES],
+		    const uint8_t ours[GREETING_NONCE_BYTES],
+		    uint8_t proof[GREETING_PROOF_BYTES])
+{
+	GHmac *hmac = g_hmac_new(G_CHECKSUM_SHA256, key->data, key->size);
+	gsize size = GREETING_PROOF_BYTES;
+
+	/* The final 0 bytes keep role and host apart. */
+	g_hmac_update(hmac, (const guchar *)role, (gssize)strlen(role) + 1);
+	g_hmac_update(hmac, (const guchar *)host, (gssize)strlen(host) + 1);
+	g_hmac_update(hmac, theirs, GREETING_NONCE_BYTES);
+	g_hmac_update(hmac, ours, GREETING_NONCE_BYTES);
+	g_hmac_get_digest(hmac, proof, &size);
+	g_hmac_unref(hmac);
+}
+
+bool greeting_proofs_match(const uint8_t *a, const uint8_t *b, size_t size)
+{
+	unsigned char difference = 0;
+
+	for (size_t i = 0; i < size; i++)
+		difference |= a[i] ^ b[i];
+	return difference == 0;
+}
--- /dev/null
+++ b/comfreydockd/peer/link.c
@@ -0,0 +1,391 @@
+#include "comfreydockd/peer/link.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/counters.h"
+
+#define LENGTH_BYTES 4
+#define READ_CHUNK_BYTES (64 * 1024)
+/* A link reads this much in one turn, so that none holds up the others. */
+#define READ_TURN_BYTES (1024 * 1024)
+
+struct link {
+	LIST_ENTRY(link) link;
+	LIST_ENTRY(link) dirty_link;
+	struct link_group *group;
+	struct link_callbacks callbacks;
+	int fd; /* -1: through memory */
+	struct link *other; /* the memory link's far end */
+	ev_io reader;
+	ev_io writer;
+	ev_timer closer; /* also: input for a memory link */
+	GByteArray *in;
+	GByteArray *out;
+	size_t out_start;
+	uint64_t queued; /* bytes ever sent by our side */
+	uint64_t handed; /* of them, given to the kernel or the far end */
+	bool dirty;
+	bool trusted;
+	bool failed;
+	bool dispatching;
+	bool destroyed;
+	char error[64];
+};
+
+static void link_free(struct link *link)
+{
+	g_byte_array_unref(link->in);
+	g_byte_array_unref(link->out);
+	g_free(link);
+}
+
+void link_fail(struct link *link, const char *error)
+{
+	if (link->failed)
+		return;
+	link->failed = true;
+	g_strlcpy(link->error, error, sizeof(link->error));
+	ev_io_stop(link->group->loop, &link->reader);
+	ev_io_stop(link->group->loop, &link->writer);
+	ev_timer_stop(link->group->loop, &link->closer);
+	ev_timer_set(&link->closer, 0.0, 0.0);
+	ev_timer_start(link->group->loop, &link->closer);
+}
+
+static bool link_take_frame(struct link *link, const uint8_t *data, size_t size)
+{
+	Cfd__Frame *frame = cfd__frame__unpack(NULL, size, data);
+
+	if (!frame || frame->kind_case == CFD__FRAME__KIND__NOT_SET) {
+		if (frame)
+			cfd__frame__free_unpacked(frame, NULL);
+		counters.peer_bad_frames++;
+		link_fail(link, "frame can't be read");
+		return false;
+	}
+	counters.peer_frames_in++;
+	link->callbacks.handle_frame(link, frame, link->callbacks.data);
+	cfd__frame__free_unpacked(frame, NULL);
+	return !link->failed && !link->destroyed;
+}
+
+static size_t link_frame_limit(const struct link *link)
+{
+	return link->trusted ? LINK_MAX_FRAME_BYTES : LINK_MAX_HELLO_BYTES;
+}
+
+/*
+ * Hands over all whole frames in the input.
+ *
+ * RETURN VALUE: false if the link was destroyed by one of them.
+ */
+static bool link_parse(struct link *link)
+{
+	size_t at = 0;
+	uint32_t size;
+
+	link->dispatching = true;
+	while (!link->failed && !link->destroyed &&
+	       link->in->len - at >= LENGTH_BYTES) {
+		memcpy(&size, link->in->data + at, LENGTH_BYTES);
+		size = ntohl(size);
+		if (size == 0 || size > link_frame_limit(link)) {
+			counters.peer_bad_frames++;
+			link_fail(link, "frame of a wrong length");
+			break;
+		}
+		if (link->in->len - at - LENGTH_BYTES < size)
+			break;
+		at += LENGTH_BYTES + size;
+		if (!link_take_frame(link, link->in->data + at - size, size))
+			break;
+	}
+	link->dispatching = false;
+	if (link->destroyed) {
+		link_free(link);
+		return false;
+	}
+	if (at > 0)
+		g_byte_array_remove_range(link->in, 0, (guint)at);
+	return true;
+}
+
+static ssize_t link_read_chunk(struct link *link)
+{
+	guint before = link->in->len;
+	ssize_t got;
+
+	g_byte_array_set_size(link->in, before + READ_CHUNK_BYTES);
+	got = recv(link->fd, link->in->data + before, READ_CHUNK_BYTES,
+		   MSG_DONTWAIT);
+	g_byte_array_set_size(link->in, before + (guint)MAX(got, 0));
+	return got;
+}
+
+/* What came before the end of the stream or an error still counts. */
+static void link_read(struct link *link, size_t most)
+{
+	const char *error = NULL;
+	size_t total = 0;
+	ssize_t got;
+
+	do {
+		got = link_read_chunk(link);
+		if (got == 0)
+			error = "closed by the peer";
+		else if (got < 0 && errno != EAGAIN && errno != EINTR)
+			error = g_strerror(errno);
+		total += (size_t)MAX(got, 0);
+	} while (got == READ_CHUNK_BYTES && total < most);
+	if (total > 0 && !link_parse(link))
+		return;
+	if (error)
+		link_fail(link, error);
+}
+
+static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
+{
+	(void)loop;
+	(void)events;
+	link_read(io->data, READ_TURN_BYTES);
+}
+
+static void link_drop_written(struct link *link, size_t size)
+{
+	link->handed += size;
+	link->out_start += size;
+	if (link->out_start == link->out->len) {
+		g_byte_array_set_size(link->out, 0);
+		link->out_start = 0;
+	} else if (link->out_start > READ_TURN_BYTES) {
+		g_byte_array_remove_range(link->out, 0,
+					  (guint)link->out_start);
+		link->out_start = 0;
+	}
+}
+
+static void link_write(struct link *link)
+{
+	size_t left = link->out->len - link->out_start;
+	ssize_t sent;
+
+	if (left == 0)
+		return;
+	sent = send(link->fd, link->out->data + link->out_start, left,
+		    MSG_DONTWAIT | MSG_NOSIGNAL);
+	if (sent < 0 && errno != EAGAIN && errno != EINTR &&
+	    errno != ENOTCONN) {
+		link_fail(link, g_strerror(errno));
+		return;
+	}
+	if (sent > 0)
+		link_drop_written(link, (size_t)sent);
+	if (link->out->len > link->out_start)
+		ev_io_start(link->group->loop, &link->writer);
+	else
+		ev_io_stop(link->group->loop, &link->writer);
+}
+
+static void handle_writable(struct ev_loop *loop, ev_io *io, int events)
+{
+	(void)loop;
+	(void)events;
+	link_write(io->data);
+}
+
+/* The far end's owner is called from the loop, never from link_send(). */
+static void link_pass(struct link *link)
+{
+	size_t left = link->out->len - link->out_start;
+	struct link *other = link->other;
+
+	if (!other || other->failed) {
+		link_fail(link, "closed by the peer");
+		return;
+	}
+	g_byte_array_append(other->in, link->out->data + link->out_start,
+			    (guint)left);
+	link_drop_written(link, left);
+	link_parse(other);
+}
+
+static void link_clean(struct link *link)
+{
+	if (!link->dirty)
+		return;
+	link->dirty = false;
+	LIST_REMOVE(link, dirty_link);
+}
+
+static void link_group_flush(struct link_group *group)
+{
+	struct link *link;
+
+	while ((link = LIST_FIRST(&group->dirty))) {
+		link_clean(link);
+		if (link->failed)
+			continue;
+		if (link->fd < 0)
+			link_pass(link);
+		else
+			link_write(link);
+	}
+	ev_timer_stop(group->loop, &group->soon);
+}
+
+static void handle_flush(struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+	(void)loop;
+	(void)events;
+	link_group_flush(prepare->data);
+}
+
+static void handle_soon(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	link_group_flush(timer->data);
+}
+
+void link_group_init(struct link_group *group, struct ev_loop *loop)
+{
+	group->loop = loop;
+	LIST_INIT(&group->dirty);
+	LIST_INIT(&group->all);
+	ev_prepare_init(&group->flush, handle_flush);
+	ev_timer_init(&group->soon, handle_soon, 0.0, 0.0);
+	group->flush.data = group;
+	group->soon.data = group;
+	ev_prepare_start(loop, &group->flush);
+}
+
+void link_group_finish(struct link_group *group)
+{
+	ev_prepare_stop(group->loop, &group->flush);
+	ev_timer_stop(group->loop, &group->soon);
+}
+
+void link_group_drain_input(struct link_group *group)
+{
+	struct link *link = LIST_FIRST(&group->all);
+
+	while (link) {
+		struct link *next = LIST_NEXT(link, link);
+
+		if (link->fd >= 0 && !link->failed)
+			link_read(link, SIZE_MAX);
+		link = next;
+	}
+}
+
+static void handle_closer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct link *link = timer->data;
+
+	(void)loop;
+	(void)events;
+	link->callbacks.handle_closed(link, link->error, link->callbacks.data);
+}
+
+static struct link *link_new(struct link_group *group, int fd,
+			     const struct link_callbacks *callbacks)
+{
+	struct link *link = g_new0(struct link, 1);
+
+	link->group = group;
+	link->callbacks = *callbacks;
+	link->fd = fd;
+	link->in = g_byte_array_new();
+	link->out = g_byte_array_new();
+	ev_io_init(&link->reader, handle_readable, fd, EV_READ);
+	ev_io_init(&link->writer, handle_writable, fd, EV_WRITE);
+	ev_timer_init(&link->closer, handle_closer, 0.0, 0.0);
+	link->reader.data = link;
+	link->writer.data = link;
+	link->closer.data = link;
+	LIST_INSERT_HEAD(&group->all, link, link);
+	return link;
+}
+
+struct link *link_create(struct link_group *group, int fd,
+			 const struct link_callbacks *callbacks)
+{
+	struct link *link = link_new(group, fd, callbacks);
+
+	ev_io_start(group->loop, &link->reader);
+	return link;
+}
+
+void link_create_pair(struct link_group *group, struct link *ends[2],
+		      const struct link_callbacks *a,
+		      const struct link_callbacks *b)
+{
+	ends[0] = link_new(group, -1, a);
+	ends[1] = link_new(group, -1, b);
+	ends[0]->other = ends[1];
+	ends[1]->other = ends[0];
+	link_set_trusted(ends[0]);
+	link_set_trusted(ends[1]);
+}
+
+void link_destroy(struct link *link)
+{
+	if (!link || link->destroyed)
+		return;
+	ev_io_stop(link->group->loop, &link->reader);
+	ev_io_stop(link->group->loop, &link->writer);
+	ev_timer_stop(link->group->loop, &link->closer);
+	link_clean(link);
+	LIST_REMOVE(link, link);
+	if (link->other) {
+		link->other->other = NULL;
+		link_fail(link->other, "closed by the peer");
+	}
+	if (link->fd >= 0)
+		close(link->fd);
+	link->destroyed = true;
+	if (!link->dispatching)
+		link_free(link);
+}
+
+void link_set_trusted(struct link *link)
+{
+	link->trusted = true;
+}
+
+static void link_mark_dirty(struct link *link)
+{
+	if (link->dirty)
+		return;
+	link->dirty = true;
+	LIST_INSERT_HEAD(&link->group->dirty, link, dirty_link);
+	/* Keeps the loop from waiting if its prepare step is over already. */
+	ev_timer_start(link->group->loop, &link->group->soon);
+}
+
+uint64_t link_send(struct link *link, const Cfd__Frame *frame)
+{
+	uint64_t position = link->queued;
+	size_t size = cfd__frame__get_packed_size(frame);
+	uint32_t length = htonl((uint32_t)size);
+	guint at = link->out->len;
+
+	if (link->failed)
+		return position;
+	g_byte_array_set_size(link->out, at + LENGTH_BYTES + (guint)size);
+	memcpy(link->out->data + at, &length, LENGTH_BYTES);
+	cfd__frame__pack(frame, link->out->data + at + LENGTH_BYTES);
+	link->queued += LENGTH_BYTES + size;
+	counters.peer_frames_out++;
+	link_mark_dirty(link);
+	return position;
+}
+
+bool link_has_handed_over(const struct link *link, uint64_t position)
+{
+	return link->handed > position;
+}
--- /dev/null
+++ b/comfreydockd/upstream/attempts.c
@@ -0,0 +1,321 @@
+#include "comfreydockd/upstream/attempts.h"
+
+#include <inttypes.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+
+static void attempt_note(struct owner_attempt *attempt, enum event event,
+			 const char *note)
+{
+	struct daemon *daemon = owner_daemon(attempt->owner);
+
+	timeline_add(&daemon->timeline, attempt->request->trace, event,
+		     "seq=%" PRIu64 " from=%s %s", attempt->request->seq,
+		     attempt->peer ? peer_host(attempt->peer) : "-", note);
+}
+
+void attempt_destroy(struct owner_attempt *attempt)
+{
+	if (attempt->peer)
+		LIST_REMOVE(attempt, link);
+	run_destroy(attempt->run);
+	if (attempt->body)
+		g_byte_array_unref(attempt->body);
+	cfd__attempt__free_unpacked(attempt->request, NULL);
+	g_free(attempt);
+}
+
+void attempt_refuse(struct owner_attempt *attempt, Cfd__Reason reason,
+		    uint32_t retry_after_ms)
+{
+	Cfd__Load load = CFD__LOAD__INIT;
+	Cfd__NotRun not_run = CFD__NOT_RUN__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+	const ProtobufCEnumValue *name;
+
+	name = protobuf_c_enum_descriptor_get_value(&cfd__reason__descriptor,
+						    (int)reason);
+	counters.owner_refused++;
+	attempt_note(attempt, EV_OWNER_REFUSED, name ? name->name : "");
+	if (attempt->peer) {
+		owner_fill_load(attempt->owner, &load);
+		not_run.seq = attempt->request->seq;
+		not_run.reason = reason;
+		not_run.retry_after_ms = retry_after_ms;
+		not_run.load = &load;
+		not_run.time =
+			timeline_now(&owner_daemon(attempt->owner)->timeline);
+		frame.kind_case = CFD__FRAME__KIND_NOT_RUN;
+		frame.not_run = &not_run;
+		peer_send(attempt->peer, &frame);
+	}
+	attempt_destroy(attempt);
+}
+
+static void attempt_send_failed(struct owner_attempt *attempt, const char *text)
+{
+	Cfd__Load load = CFD__LOAD__INIT;
+	Cfd__Failed failed = CFD__FAILED__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	if (!attempt->peer)
+		return;
+	owner_fill_load(attempt->owner, &load);
+	failed.seq = attempt->request->seq;
+	failed.text = (char *)text;
+	failed.load = &load;
+	failed.time = timeline_now(&owner_daemon(attempt->owner)->timeline);
+	frame.kind_case = CFD__FRAME__KIND_FAILED;
+	frame.failed = &failed;
+	peer_send(attempt->peer, &frame);
+}
+
+static void attempt_send_body(struct owner_attempt *attempt, const void *bytes,
+			      size_t size, bool ends, bool aborted)
+{
+	Cfd__Load load = CFD__LOAD__INIT;
+	Cfd__AnswerBody body = CFD__ANSWER_BODY__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	if (!attempt->peer)
+		return;
+	body.seq = attempt->request->seq;
+	body.data.data = (uint8_t *)bytes;
+	body.data.len = size;
+	body.ends = ends;
+	body.aborted = aborted;
+	if (ends || aborted) {
+		owner_fill_load(attempt->owner, &load);
+		body.load = &load;
+	}
+	frame.kind_case = CFD__FRAME__KIND_ANSWER_BODY;
+	frame.answer_body = &body;
+	peer_send(attempt->peer, &frame);
+}
+
+static bool status_is_shed(const struct owner_attempt *attempt,
+			   unsigned int status)
+{
+	for (size_t i = 0; i < attempt->request->n_shed_statuses; i++) {
+		if (attempt->request->shed_statuses[i] == status)
+			return true;
+	}
+	return false;
+}
+
+static bool handle_head(void *data, unsigned int status,
+			const struct fields *fields, int64_t length)
+{
+	struct owner_attempt *attempt = data;
+	Cfd__Load load = CFD__LOAD__INIT;
+	Cfd__Answer answer = CFD__ANSWER__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	attempt->head_us = clock_mono_us();
+	attempt->status = status;
+	attempt->is_shed = status_is_shed(attempt, status);
+	if (attempt->is_shed)
+		return false;
+	if (!attempt->peer)
+		return true;
+	owner_fill_load(attempt->owner, &load);
+	answer.seq = attempt->request->seq;
+	answer.status = status;
+	answer.headers = fields->items;
+	answer.n_headers = fields->count;
+	answer.length = length;
+	answer.load = &load;
+	answer.time = timeline_now(&owner_daemon(attempt->owner)->timeline);
+	frame.kind_case = CFD__FRAME__KIND_ANSWER;
+	frame.answer = &answer;
+	peer_send(attempt->peer, &frame);
+	return true;
+}
+
+static void handle_body(void *data, const void *bytes, size_t size)
+{
+	struct owner_attempt *attempt = data;
+
+	attempt->credit -= (int64_t)size;
+	if (attempt->credit <= 0 && !attempt->stalled_since_us)
+		attempt->stalled_since_us = clock_mono_us();
+	attempt_send_body(attempt, bytes, size, false, false);
+}
+
+static void handle_taken(void *data, size_t size)
+{
+	struct owner_attempt *attempt = data;
+	Cfd__Window window = CFD__WINDOW__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	if (!attempt->peer || attempt->body_ends)
+		return;
+	window.seq = attempt->request->seq;
+	window.bytes = (uint32_t)size;
+	frame.kind_case = CFD__FRAME__KIND_WINDOW;
+	frame.window = &window;
+	peer_send(attempt->peer, &frame);
+}
+
+static void attempt_finish_whole(struct owner_attempt *attempt)
+{
+	bool failed = attempt->status >= 500;
+
+	attempt_owner_step(&attempt->state, OWNER_FINISH);
+	attempt_note(attempt, EV_OWNER_DONE, "");
+	owner_note_over(attempt->owner, attempt,
+			failed ? LIMIT_OUTCOME_FAILED : LIMIT_OUTCOME_OK);
+	attempt_send_body(attempt, NULL, 0, true, false);
+	attempt_destroy(attempt);
+}
+
+/* Nothing was written to the upstream, or it says itself that it ran nothing. */
+static void attempt_finish_not_begun(struct owner_attempt *attempt)
+{
+	struct owner *owner = attempt->owner;
+
+	attempt_owner_step(&attempt->state, OWNER_NEVER_BEGAN);
+	owner_note_over(owner, attempt, LIMIT_OUTCOME_OVERLOAD);
+	attempt_refuse(attempt,
+		       attempt->is_shed ? CFD__REASON__REASON_SHED :
+					  CFD__REASON__REASON_CONNECT,
+		       owner_retry_after_ms(owner));
+}
+
+static void attempt_finish_broken(struct owner_attempt *attempt, bool has_head,
+				  const char *why)
+{
+	attempt_owner_step(&attempt->state, OWNER_BREAK);
+	counters.owner_broken++;
+	attempt_note(attempt, EV_OWNER_BROKEN, why);
+	owner_note_over(attempt->owner, attempt, LIMIT_OUTCOME_CANCELLED);
+	if (has_head)
+		attempt_send_body(attempt, NULL, 0, false, true);
+	else
+		attempt_send_failed(attempt, why);
+	attempt_destroy(attempt);
+}
+
+static void handle_done(void *data, enum run_result result)
+{
+	struct owner_attempt *attempt = data;
+
+	if (attempt->is_shed || result == RUN_NOT_BEGUN)
+		attempt_finish_not_begun(attempt);
+	else if (result == RUN_WHOLE)
+		attempt_finish_whole(attempt);
+	else
+		attempt_finish_broken(attempt, result == RUN_CUT,
+				      "the upstream broke off");
+}
+
+void attempt_break(struct owner_attempt *attempt, const char *why)
+{
+	/* Nothing was written yet: the certain answer is the better one. */
+	if (!run_has_begun(attempt->run)) {
+		attempt_owner_step(&attempt->state, OWNER_NEVER_BEGAN);
+		owner_note_over(attempt->owner, attempt,
+				LIMIT_OUTCOME_CANCELLED);
+		attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
+		return;
+	}
+	attempt_finish_broken(attempt, attempt->head_us != 0, why);
+}
+
+void attempt_give_up(struct owner_attempt *attempt)
+{
+	if (attempt->request->idempotent || !run_has_begun(attempt->run)) {
+		attempt_break(attempt, "cancelled");
+		return;
+	}
+	/* Half a booking is worse than one that nobody waits for: it goes on to
+	 * its end, and what is left of its answer is thrown away. */
+	attempt_send_failed(attempt, "cancelled while it ran");
+	if (attempt->peer)
+		LIST_REMOVE(attempt, link);
+	attempt->peer = NULL;
+	run_add_body(attempt->run, NULL, 0, true);
+	attempt_take_window(attempt, INT32_MAX);
+}
+
+static void add_number_field(struct fields *fields, const char *name,
+			     int64_t value)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" PRId64, value);
+	fields_add(fields, name, text);
+}
+
+/* What the upstream passes on with the calls that it makes itself. */
+static void attempt_fill_fields(const struct owner_attempt *attempt,
+				struct fields *fields, int64_t remaining_us)
+{
+	const Cfd__Attempt *request = attempt->request;
+
+	fields_init(fields);
+	for (size_t i = 0; i < request->n_headers; i++)
+		fields_add(fields, request->headers[i]->name,
+			   request->headers[i]->value);
+	fields_add(fields, FIELD_TRACE, request->trace);
+	add_number_field(fields, FIELD_DEPTH, (int64_t)request->depth + 1);
+	add_number_field(fields, FIELD_DEADLINE, remaining_us / US_PER_MS);
+}
+
+void attempt_start(struct owner_attempt *attempt)
+{
+	static const struct run_callbacks callbacks = {
+		.handle_head = handle_head,
+		.handle_body = handle_body,
+		.handle_taken = handle_taken,
+		.handle_done = handle_done,
+	};
+	const Cfd__Attempt *request = attempt->request;
+	int64_t now = clock_mono_us();
+	struct fields fields;
+	struct run_request run = {
+		.method = request->method,
+		.target = request->target,
+		.fields = &fields,
+		.body = request->body.data,
+		.body_size = request->body.len,
+		.body_ends = request->body_ends,
+	};
+
+	attempt_owner_step(&attempt->state, OWNER_START);
+	attempt->started_us = now;
+	attempt->credit = ATTEMPT_ANSWER_WINDOW;
+	attempt_note(attempt, EV_OWNER_STARTED, "");
+	counters.owner_started++;
+	attempt_fill_fields(attempt, &fields, attempt->item.deadline_us - now);
+	attempt->run = run_create(owner_pool(attempt->owner), &run,
+				  ATTEMPT_ANSWER_WINDOW, &callbacks, attempt);
+	fields_finish(&fields);
+	if (attempt->body)
+		run_add_body(attempt->run, attempt->body->data,
+			     attempt->body->len, attempt->body_ends);
+}
+
+void attempt_take_body(struct owner_attempt *attempt, const Cfd__Body *body)
+{
+	attempt->body_ends |= body->ends;
+	if (attempt->run) {
+		run_add_body(attempt->run, body->data.data, body->data.len,
+			     body->ends);
+		return;
+	}
+	if (!attempt->body)
+		attempt->body = g_byte_array_new();
+	g_byte_array_append(attempt->body, body->data.data,
+			    (guint)body->data.len);
+}
+
+void attempt_take_window(struct owner_attempt *attempt, uint32_t bytes)
+{
+	attempt->credit += bytes;
+	if (attempt->credit > 0)
+		attempt->stalled_since_us = 0;
+	if (attempt->run)
+		run_add_credit(attempt->run, bytes);
+}
--- /dev/null
+++ b/comfreydockd/upstream/run.c
@@ -0,0 +1,343 @@
+#include "comfreydockd/upstream/run.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define POOL_MAX_IDLE 64
+#define CONNECT_TIMEOUT_MS 1000L
+/* A kept connection is left alone before common servers close theirs. */
+#define MAX_IDLE_CONNECTION_S 4L
+
+struct run_pool {
+	struct http_client *client;
+	char *url;
+	GPtrArray *idle; /* of CURL */
+};
+
+struct run {
+	struct run_pool *pool;
+	struct http_transfer transfer;
+	struct curl_slist *request_fields;
+	struct run_callbacks callbacks;
+	void *data;
+	GByteArray *body; /* not yet written */
+	bool body_ends;
+	bool body_paused;
+	struct fields answer_fields;
+	unsigned int status;
+	int64_t answer_length;
+	int64_t credit;
+	bool answer_paused;
+	bool begun;
+	bool has_head;
+	bool refused; /* handle_head said no */
+	bool running;
+};
+
+struct run_pool *run_pool_create(struct http_client *client,
+				 const char *address, uint16_t port)
+{
+	struct run_pool *pool = g_new0(struct run_pool, 1);
+	bool is_v6 = strchr(address, ':') != NULL;
+
+	pool->client = client;
+	pool->url = g_strdup_printf(is_v6 ? "http://[%s]:%u/" : "http://%s:%u/",
+				    address, port);
+	pool->idle = g_ptr_array_new();
+	return pool;
+}
+
+void run_pool_destroy(struct run_pool *pool)
+{
+	if (!pool)
+		return;
+	for (guint i = 0; i < pool->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(pool->idle, i));
+	g_ptr_array_unref(pool->idle);
+	g_free(pool->url);
+	g_free(pool);
+}
+
+static CURL *pool_take(struct run_pool *pool)
+{
+	if (pool->idle->len > 0)
+		return g_ptr_array_steal_index_fast(pool->idle,
+						    pool->idle->len - 1);
+	return curl_easy_init();
+}
+
+static void pool_give(struct run_pool *pool, CURL *easy)
+{
+	if (pool->idle->len >= POOL_MAX_IDLE) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_ptr_array_add(pool->idle, easy);
+}
+
+/* Called before each time a request is written: see run.h. */
+static int handle_before_request(void *data, char *primary_ip, char *local_ip,
+				 int primary_port, int local_port)
+{
+	struct run *run = data;
+
+	(void)primary_ip;
+	(void)local_ip;
+	(void)primary_port;
+	(void)local_port;
+	if (run->begun)
+		return CURL_PREREQFUNC_ABORT;
+	run->begun = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t handle_read(char *out, size_t size, size_t count, void *data)
+{
+	struct run *run = data;
+	size_t taken = MIN(size * count, run->body->len);
+
+	if (taken == 0 && !run->body_ends) {
+		run->body_paused = true;
+		return CURL_READFUNC_PAUSE;
+	}
+	if (taken == 0)
+		return 0;
+	memcpy(out, run->body->data, taken);
+	g_byte_array_remove_range(run->body, 0, (guint)taken);
+	run->callbacks.handle_taken(run->data, taken);
+	return taken;
+}
+
+static void run_take_status_line(struct run *run, const char *line)
+{
+	/* "HTTP/1.1 200 OK"; an interim answer (1xx) starts over. */
+	fields_finish(&run->answer_fields);
+	run->answer_length = -1;
+	run->status = (unsigned int)strtoul(line + strcspn(line, " "), NULL,
+					    10);
+}
+
+static void run_take_field(struct run *run, char *line)
+{
+	char *colon = strchr(line, ':');
+
+	if (!colon)
+		return;
+	*colon = '\0';
+	g_strstrip(line);
+	g_strstrip(colon + 1);
+	if (strcasecmp(line, "Content-Length") == 0)
+		run->answer_length = g_ascii_strtoll(colon + 1, NULL, 10);
+	fields_add_passed(&run->answer_fields, line, colon + 1);
+}
+
+static size_t run_take_head_end(struct run *run, size_t size)
+{
+	if (run->status < 200)
+		return size;
+	run->has_head = true;
+	if (run->callbacks.handle_head(run->data, run->status,
+				       &run->answer_fields,
+				       run->answer_length))
+		return size;
+	run->refused = true;
+	return 0;
+}
+
+static size_t handle_header(char *bytes, size_t size, size_t count, void *data)
+{
+	struct run *run = data;
+	size_t total = size * count;
+	char *line;
+
+	if (run->has_head) /* trailers are not passed on */
+		return total;
+	line = g_strndup(bytes, total);
+	g_strchomp(line);
+	if (strncmp(line, "HTTP/", 5) == 0)
+		run_take_status_line(run, line);
+	else if (*line)
+		run_take_field(run, line);
+	else
+		total = run_take_head_end(run, total);
+	g_free(line);
+	return total;
+}
+
+static size_t handle_write(char *bytes, size_t size, size_t count, void *data)
+{
+	struct run *run = data;
+	size_t total = size * count;
+
+	if (run->credit <= 0) {
+		run->answer_paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	run->credit -= (int64_t)total;
+	run->callbacks.handle_body(run->data, bytes, total);
+	return total;
+}
+
+static enum run_result run_judge(const struct run *run, CURLcode result)
+{
+	if (!run->begun)
+		return RUN_NOT_BEGUN;
+	if (result == CURLE_OK && run->has_head)
+		return RUN_WHOLE;
+	return run->has_head ? RUN_CUT : RUN_BROKEN;
+}
+
+static void handle_done(struct http_transfer *transfer, CURLcode result)
+{
+	struct run *run = transfer->data;
+
+	run->running = false;
+	run->callbacks.handle_done(run->data, run_judge(run, result));
+}
+
+static void append_field(struct run *run, const char *name, const char *value)
+{
+	/* libcurl sends an empty field only where it ends in a semicolon. */
+	char *line = *value ? g_strdup_printf("%s: %s", name, value) :
+			      g_strdup_printf("%s;", name);
+
+	run->request_fields = curl_slist_append(run->request_fields, line);
+	g_free(line);
+}
+
+static void run_set_fields(struct run *run, const struct fields *fields)
+{
+	for (size_t i = 0; i < fields->count; i++)
+		append_field(run, fields->items[i]->name,
+			     fields->items[i]->value);
+	/* What libcurl would add by itself. */
+	run->request_fields = curl_slist_append(run->request_fields, "Expect:");
+	if (!fields_find(fields, "Accept"))
+		run->request_fields =
+			curl_slist_append(run->request_fields, "Accept:");
+	if (!fields_find(fields, "Content-Type"))
+		run->request_fields =
+			curl_slist_append(run->request_fields, "Content-Type:");
+	curl_easy_setopt(run->transfer.easy, CURLOPT_HTTPHEADER,
+			 run->request_fields);
+}
+
+static bool method_has_body(const char *method)
+{
+	return strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
+	       strcmp(method, "PATCH") == 0;
+}
+
+static void run_set_body(struct run *run, const struct run_request *request)
+{
+	CURL *easy = run->transfer.easy;
+
+	g_byte_array_append(run->body, request->body, (guint)request->body_size);
+	run->body_ends = request->body_ends;
+	if (request->body_ends && request->body_size == 0) {
+		if (method_has_body(request->method)) {
+			curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+			curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+		}
+	} else {
+		curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(easy, CURLOPT_READFUNCTION, handle_read);
+		curl_easy_setopt(easy, CURLOPT_READDATA, run);
+		if (request->body_ends)
+			curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+					 (curl_off_t)request->body_size);
+	}
+	if (strcmp(request->method, "HEAD") == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	else
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static void run_set_transport(struct run *run, const char *target)
+{
+	CURL *easy = run->transfer.easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, run->pool->url);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, target);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_IDLE_CONNECTION_S);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, run);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, run);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, run);
+}
+
+struct run *run_create(struct run_pool *pool, const struct run_request *request,
+		       int64_t credit, const struct run_callbacks *callbacks,
+		       void *data)
+{
+	struct run *run = g_new0(struct run, 1);
+
+	run->pool = pool;
+	run->callbacks = *callbacks;
+	run->data = data;
+	run->credit = credit;
+	run->answer_length = -1;
+	run->body = g_byte_array_new();
+	fields_init(&run->answer_fields);
+	run->transfer.easy = pool_take(pool);
+	run->transfer.handle_done = handle_done;
+	run->transfer.data = run;
+	run_set_transport(run, request->target);
+	run_set_fields(run, request->fields);
+	run_set_body(run, request);
+	run->running = true;
+	http_client_start(pool->client, &run->transfer);
+	return run;
+}
+
+void run_destroy(struct run *run)
+{
+	if (!run)
+		return;
+	if (run->running)
+		http_client_stop(run->pool->client, &run->transfer);
+	pool_give(run->pool, run->transfer.easy);
+	curl_slist_free_all(run->request_fields);
+	fields_finish(&run->answer_fields);
+	g_byte_array_unref(run->body);
+	g_free(run);
+}
+
+static void run_unpause(struct run *run)
+{
+	run->body_paused = false;
+	run->answer_paused = false;
+	curl_easy_pause(run->transfer.easy, CURLPAUSE_CONT);
+}
+
+void run_add_body(struct run *run, const void *bytes, size_t size, bool ends)
+{
+	g_byte_array_append(run->body, bytes, (guint)size);
+	run->body_ends |= ends;
+	if (run->running && run->body_paused)
+		run_unpause(run);
+}
+
+void run_add_credit(struct run *run, uint32_t bytes)
+{
+	run->credit += bytes;
+	if (run->running && run->answer_paused && run->credit > 0)
+		run_unpause(run);
+}
+
+bool run_has_begun(const struct run *run)
+{
+	return run->begun;
+}
--- /dev/null
+++ b/include/comfreydockd/caller/call.h
@@ -0,0 +1,146 @@
+/*
+ * NAME
+ *	call - one caller's request, and its attempts
+ *
+ * DESCRIPTION
+ *	Internal to caller/. call.c decides what follows what, attempts.c
+ *	speaks the frames, outcome.c words the answers of our own.
+ */
+#ifndef COMFREYDOCKD_CALLER_CALL_H
+#define COMFREYDOCKD_CALLER_CALL_H
+
+#include <ev.h>
+#include <glib.h>
+#include <sys/queue.h>
+
+#include "common/id.h"
+#include "common/timeline.h"
+#include "comfreydockd/caller/entry.h"
+#include "comfreydockd/caller/services.h"
+#include "comfreydockd/config/model.h"
+#include "comfreydockd/peer/attempt.h"
+#include "comfreydockd/peer/peers.h"
+
+/* What an entry keeps of a request's body: so much can be sent again. */
+#define CALL_BODY_KEPT (64 * 1024)
+/* Credit for an answer is given back in pieces of this size. */
+#define CALL_CREDIT_STEP (64 * 1024)
+
+struct entry_attempt {
+	LIST_ENTRY(entry_attempt) link; /* of its call */
+	struct call *call;
+	struct peer *peer;
+	struct service_upstream *upstream;
+	uint64_t seq;
+	uint64_t position; /* in the connection's stream */
+	enum attempt_entry_state state;
+	int64_t sent_us;
+	int64_t head_us; /* when the answer began */
+	bool is_hedge;
+	bool failed; /* its answer is the upstream's own error */
+	bool cancelled;
+};
+
+LIST_HEAD(entry_attempt_list, entry_attempt);
+
+struct call {
+	LIST_ENTRY(call) link;
+	struct entry *entry;
+	const struct call_sink *sink;
+	void *sink_data;
+	struct config_snapshot *snapshot;
+	const struct config_service *config;
+	const struct config_rule *rule;
+	struct service *service;
+	char trace[TIMELINE_TRACE_MAX];
+	uint32_t depth;
+	int64_t began_us;
+	int64_t deadline_us;
+	char *method;
+	char *target;
+	char *fairness_key;
+	struct fields fields;
+	GByteArray *body; /* the first part, kept until an answer begins */
+	size_t body_room; /* credit of the owner beyond the first part */
+	bool body_ends;
+	bool body_streams; /* more came than is kept: no further attempt */
+	struct pick_tried tried;
+	uint32_t attempts; /* without hedges */
+	uint32_t bounces; /* of them, refused by upstreams that had no room */
+	uint32_t hedges;
+	uint32_t max_attempts;
+	bool may_have_run; /* some attempt ended UNKNOWN */
+	bool lost; /* and by a lost connection, not by time */
+	Cfd__Reason reason; /* of the last refusal */
+	uint32_t come_back_ms;
+	struct entry_attempt_list active;
+	struct entry_attempt *answering;
+	size_t consumed; /* not yet given back as credit */
+	ev_timer deadline;
+	ev_timer next; /* of a retry */
+	ev_timer hedge;
+	ev_timer patience; /* with one attempt */
+	bool cancels_sent;
+	bool is_started;
+};
+
+LIST_HEAD(call_list, call);
+
+struct entry {
+	struct daemon *daemon;
+	struct services *services;
+	struct call_list calls;
+	size_t count;
+	GHashTable *attempts; /* seq -> struct entry_attempt */
+	uint64_t next_seq;
+	struct random_state random;
+	ev_timer tick;
+	bool draining;
+};
+
+/* attempts.c */
+
+/* Sends the call's request to an upstream. */
+void entry_attempt_send(struct call *call, struct service_upstream *upstream,
+			bool may_queue, bool is_hedge);
+void entry_attempt_cancel(struct entry_attempt *attempt);
+
+/* Gives up an attempt that took too long: a mark against its upstream. */
+void entry_attempt_time_out(struct entry_attempt *attempt);
+
+/* Takes the attempt out of all lists and frees it. */
+void entry_attempt_destroy(struct entry_attempt *attempt);
+void entry_attempt_send_body(struct entry_attempt *attempt, const void *bytes,
+			     size_t size, bool ends);
+void entry_attempt_send_window(struct entry_attempt *attempt, uint32_t bytes);
+
+/* The handlers for the connections to owners. */
+void entry_fill_role(struct entry *entry, struct peers_role *role);
+
+/* call.c: what has become of an attempt, after its state has changed */
+
+void call_note_not_run(struct entry_attempt *attempt, Cfd__Reason reason,
+		       bool never_sent, uint32_t retry_after_ms);
+void call_note_unknown(struct entry_attempt *attempt, bool lost);
+void call_note_head(struct entry_attempt *attempt, const Cfd__Answer *answer);
+void call_note_end(struct entry_attempt *attempt);
+void call_note_room(struct entry_attempt *attempt, uint32_t bytes);
+
+void call_note_event(struct call *call, enum event event, const char *format,
+		     ...) G_GNUC_PRINTF(3, 4);
+
+/* outcome.c: answers of our own; the call is freed by the caller of these */
+
+void outcome_say_not_run(struct call *call);
+void outcome_say_unknown(struct call *call);
+
+/* Answers a request that did not become a call. */
+void outcome_refuse(const struct call_sink *sink, void *data,
+		    unsigned int status, const char *reason,
+		    uint32_t come_back_ms, const char *text);
+
+/* The fields that tell a caller what became of its request. */
+void outcome_add_fields(struct fields *fields, const char *outcome,
+			const char *reason, const char *trace);
+
+#endif
--- /dev/null
+++ b/include/comfreydockd/caller/call_internal.h
@@ -0,0 +1,22 @@
+/*
+ * NAME
+ *	call_internal - steps of a call that entry.c and call.c share
+ */
+#ifndef COMFREYDOCKD_CALLER_CALL_INTERNAL_H
+#define COMFREYDOCKD_CALLER_CALL_INTERNAL_H
+
+#include "comfreydockd/caller/call.h"
+
+void call_init_timers(struct call *call);
+
+/* Sends the first attempt. The call may be gone after this. */
+void call_start(struct call *call);
+void call_free(struct call *call);
+
+void call_fill_hedge_question(const struct call *call,
+			      struct hedge_question *question);
+
+/* RETURN VALUE: how many more attempts may do work. */
+uint32_t call_work_attempts_left(const struct call *call);
+
+#endif
--- /dev/null
+++ b/include/comfreydockd/caller/entry.h
@@ -0,0 +1,82 @@
+/*
+ * NAME
+ *	entry - takes callers' requests to upstreams
+ *
+ * DESCRIPTION
+ *	A call is one request of one caller. It finds its rule, makes attempts
+ *	one after another (two at once where it hedges) and hands the caller
+ *	one whole answer, or a clear failure:
+ *
+ *	run	 the answer of the upstream
+ *	not-run	 503: every attempt was refused or never left
+ *	unknown	 502 or 504: an attempt may have run
+ *
+ *	The caller's side is a table of functions, so that tests need no HTTP.
+ *	The sink's functions are called from the loop, and after one of
+ *	handle_whole, handle_end and handle_abort the call is gone.
+ */
+#ifndef COMFREYDOCKD_CALLER_ENTRY_H
+#define COMFREYDOCKD_CALLER_ENTRY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "comfreydockd/daemon.h"
+#include "comfreydockd/peer/fields.h"
+
+struct call;
+struct entry;
+
+struct call_sink {
+	/* The head of an answer; length is -1 where it is not known. */
+	void (*handle_head)(void *data, unsigned int status,
+			    const struct fields *fields, int64_t length);
+	void (*handle_body)(void *data, const void *bytes, size_t size);
+	void (*handle_end)(void *data);
+	/* The answer can't be ended: the caller's connection must break. */
+	void (*handle_abort)(void *data);
+	/* An answer of our own, with its text. */
+	void (*handle_whole)(void *data, unsigned int status,
+			     const struct fields *fields, const char *text);
+	/* More of the request's body may be given. */
+	void (*handle_room)(void *data);
+};
+
+struct call_request {
+	const char *method;
+	const char *target; /* as sent, with the query */
+	const char *host; /* the Host field; NULL: none */
+	const char *caller; /* the caller's IP number */
+	const struct fields *fields;
+	bool has_body;
+};
+
+struct entry *entry_create(struct daemon *daemon);
+void entry_destroy(struct entry *entry);
+
+/*
+ * Begins a call. The sink may be called before this returns only with
+ * handle_whole(), in which case the return value is NULL.
+ */
+struct call *entry_begin(struct entry *entry, const struct call_request *request,
+			 const struct call_sink *sink, void *data);
+
+/* RETURN VALUE: how many bytes of the body the call takes now. */
+size_t call_room(const struct call *call);
+void call_add_body(struct call *call, const void *bytes, size_t size);
+void call_end_body(struct call *call);
+
+/* So many bytes of the answer went to the caller. */
+void call_note_consumed(struct call *call, size_t size);
+
+/* The caller went away; no function of the sink follows. */
+void call_abandon(struct call *call);
+
+/* Refuses new calls as not run from now on. */
+void entry_drain(struct entry *entry);
+
+/* RETURN VALUE: the calls that have not ended. */
+size_t entry_count(const struct entry *entry);
+
+#endif
--- /dev/null
+++ b/include/comfreydockd/caller/services.h
@@ -0,0 +1,79 @@
+/*
+ * NAME
+ *	services - what an entry knows of each service and its upstreams
+ *
+ * DESCRIPTION
+ *	One struct service for each service that was called: the candidates
+ *	for a pick, their health, and the budgets for retries and hedges. The
+ *	candidates follow the member table; a service with more upstreams than
+ *	SUBSET_SIZE uses a subset of them.
+ */
+#ifndef COMFREYDOCKD_CALLER_SERVICES_H
+#define COMFREYDOCKD_CALLER_SERVICES_H
+
+#include <glib.h>
+#include <sys/queue.h>
+
+#include "comfreydockd/config/model.h"
+#include "comfreydockd/daemon.h"
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/health.h"
+#include "comfreydockd/decide/hedge.h"
+#include "comfreydockd/decide/pick.h"
+#include "comfreydockd/decide/retry.h"
+#include "comfreydockd/member/member.h"
+
+struct service;
+
+struct service_upstream {
+	TAILQ_ENTRY(service_upstream) link;
+	struct service *service;
+	unsigned int references; /* attempts that use it, and its service */
+	bool listed; /* still one of the service's */
+	char host[MEMBER_HOST_MAX];
+	struct pick_candidate candidate;
+	struct health_upstream health;
+	struct deadline_path path;
+};
+
+TAILQ_HEAD(service_upstream_list, service_upstream);
+
+struct service {
+	struct services *services;
+	char *key; /* "NAMESPACE/NAME" */
+	char *group;
+	uint32_t retry_budget_percent;
+	uint32_t hedge_budget_percent;
+	struct service_upstream_list upstreams;
+	struct pick_set picks;
+	struct health health;
+	struct retry retry;
+	struct hedge hedge;
+	bool stale; /* the members of the group have changed */
+};
+
+struct services;
+
+struct services *services_create(struct daemon *daemon);
+void services_destroy(struct services *services);
+
+/* The state for a service of the configuration, brought up to date. */
+struct service *services_get(struct services *services,
+			     const struct config_service *config);
+
+/* The upstream for the next attempt, with the weights of this moment. */
+struct service_upstream *service_choose(struct service *service,
+					const struct pick_tried *tried,
+					int64_t now_us);
+
+struct service_upstream *
+service_upstream_ref(struct service_upstream *upstream);
+void service_upstream_unref(struct service_upstream *upstream);
+
+/* Ends ejections and finds silent upstreams; called ten times a second. */
+void services_tick(struct services *services, int64_t now_us);
+
+/* RETURN VALUE: the number of upstreams that members say are up. */
+size_t service_count_available(const struct service *service);
+
+#endif
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -54,6 +54,14 @@
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
 		     void *data);
 
+/* Calls back whenever the state or the announcement has changed. */
+void owner_when_changed(struct owner *owner,
+			void (*handle_state)(struct owner *owner, void *data),
+			void *data);
+
+/* RETURN VALUE: what the upstream last said, or NULL if nothing yet. */
+const struct owner_announcement *owner_announced(const struct owner *owner);
+
 void owner_get_status(const struct owner *owner, struct owner_status *status);
 
 #endif
