decide: state the interfaces of the owner's decisions

A pairing heap joins them: items leave the queue by order, by the time they become stale and by cancel, each without a scan.

--- /dev/null
+++ b/include/comfreydockd/decide/deadline.h
@@ -0,0 +1,87 @@
+/*
+ * NAME
+ *	deadline - the time a request has left, hop by hop
+ *
+ * DESCRIPTION
+ *	Within a process a deadline is a monotonic time; between processes it
+ *	travels as remaining time, since no two hosts' clocks agree. Each hop
+ *	passes on what remains less the path there and back and less a share
+ *	kept for itself, so that an answer that comes at the last moment can
+ *	still be passed up. No hop ever extends a deadline.
+ *
+ *	The retry functions shrink a service's allowance with the depth of the
+ *	call, so that the retries of nested calls do not multiply.
+ *
+ * LOAD PATTERN
+ *	Late work; calls nested up to 13 deep.
+ *
+ * WITHOUT IT
+ *	Slots are spent on answers that nobody waits for any more. Where each
+ *	of 13 layers tries twice, one failing call below becomes 2^13 = 8,192.
+ *
+ * GROUNDS
+ *	Share kept: 1/32, which leaves (31/32)^13 = 66 % after 13 hops; an
+ *	assumption. Attempts: retries halve with each level of depth, so three
+ *	attempts at most are 3 x 2 x 1 x ... = 6 over all levels. Budget: halved
+ *	with each level too; a budget of b then adds at most a factor of
+ *	(1 + b)(1 + b/2)(1 + b/4)... < e^(2b), which is 1.22 for 10 %, against
+ *	1.1^13 = 3.45 for the same budget at each level. Path time is the mean
+ *	of round trips plus four mean deviations, the rule of RFC 6298.
+ *
+ * SOURCE
+ *	RFC 6298 for the estimate.
+ *
+ * UNITS
+ *	Times are monotonic microseconds; remaining time is microseconds.
+ */
+#ifndef COMFREYDOCKD_DECIDE_DEADLINE_H
+#define COMFREYDOCKD_DECIDE_DEADLINE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define DEADLINE_DEPTH_MAX 13
+
+/* Round trips to one peer; all zero at the start. */
+struct deadline_path {
+	int64_t mean_us;
+	int64_t deviation_us;
+	bool known;
+};
+
+/* Notes a round trip in which no work was done: a refusal, a load report. */
+void deadline_path_note(struct deadline_path *path, int64_t round_trip_us);
+
+/* RETURN VALUE: time to allow for the way there and back. */
+int64_t deadline_path_us(const struct deadline_path *path);
+
+/*
+ * The deadline of a request that arrived now: the earlier of what its sender
+ * gave and what the rule allows. remaining_us < 0: the sender gave none;
+ * rule_ms of 0: the rule allows any.
+ *
+ * RETURN VALUE
+ *	INT64_MAX if there is neither.
+ */
+int64_t deadline_at(int64_t remaining_us, uint32_t rule_ms, int64_t now_us);
+
+/* RETURN VALUE: 0 once it has passed; INT64_MAX where there is no deadline. */
+int64_t deadline_remaining_us(int64_t deadline_us, int64_t now_us);
+
+/* RETURN VALUE: the remaining time to send to the next hop, 0 if none. */
+int64_t deadline_for_hop_us(int64_t deadline_us, int64_t path_us, int64_t now_us);
+
+/* True where work that takes service_us after wait_us ends in time. */
+bool deadline_can_finish(int64_t deadline_us, int64_t wait_us,
+			 int64_t service_us, int64_t now_us);
+
+/* True where a call so deep is refused, a loop of calls being likely. */
+bool deadline_is_too_deep(uint32_t depth);
+
+/* RETURN VALUE: attempts allowed at this depth, at least 1. */
+uint32_t deadline_attempts(uint32_t max_attempts, uint32_t depth);
+
+/* RETURN VALUE: the budget at this depth, in permille of recent calls. */
+uint32_t deadline_retry_budget_permille(uint32_t budget_percent, uint32_t depth);
+
+#endif
--- /dev/null
+++ b/include/comfreydockd/decide/fair.h
@@ -0,0 +1,102 @@
+/*
+ * NAME
+ *	fair - equal shares for callers that wait, by deficit round robin
+ *
+ * DESCRIPTION
+ *	Waiting items are kept in flows, one for each bucket that the hash of
+ *	a fairness key falls in. fair_pop() goes round the flows that wait and
+ *	gives each the same slot time a round; within a flow the order is the
+ *	user's. Nobody waits while a slot is free, so idle capacity is free to
+ *	anyone. Two keys in the same bucket share a share; the seed makes
+ *	buckets differ from daemon to daemon. Switched off, all keys are one
+ *	flow and the order is the user's alone.
+ *
+ *	Memory is FAIR_FLOWS flows, however many keys there are.
+ *
+ * LOAD PATTERN
+ *	A hot caller or key.
+ *
+ * WITHOUT IT
+ *	One caller that sends as much as all others together takes their place
+ *	in the queue, and their requests are refused or late because of it.
+ *
+ * GROUNDS
+ *	256 flows: with ten callers waiting, one of them shares its bucket with
+ *	another with probability 1 - (255/256)^9 = 3.5 %. A round's quantum is
+ *	the largest cost that waits, the condition under which the cited paper
+ *	shows constant time for each item.
+ *
+ * SOURCE
+ *	Shreedhar, Varghese, "Efficient Fair Queuing Using Deficit Round
+ *	Robin", SIGCOMM 1995.
+ *
+ * UNITS
+ *	Costs are slot time in microseconds.
+ */
+#ifndef COMFREYDOCKD_DECIDE_FAIR_H
+#define COMFREYDOCKD_DECIDE_FAIR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "comfreydockd/decide/heap.h"
+
+#define FAIR_FLOWS 256
+
+/* Embedded by the user. */
+struct fair_item {
+	struct heap_node node;
+	uint64_t key_hash; /* set by the user */
+	int64_t cost_us; /* set by the user, at least 1 */
+	uint32_t flow;
+};
+
+struct fair_flow {
+	TAILQ_ENTRY(fair_flow) link;
+	struct heap items;
+	uint32_t length;
+	int64_t work_us; /* sum of costs */
+	int64_t deficit_us;
+};
+
+struct fair {
+	bool enabled;
+	uint64_t seed;
+	TAILQ_HEAD(fair_flow_list, fair_flow) active; /* flows with items */
+	uint32_t active_flows;
+	uint32_t length;
+	int64_t work_us;
+	int64_t quantum_us;
+	struct fair_flow flows[FAIR_FLOWS];
+};
+
+/* is_before orders the items of one flow by their node. */
+void fair_init(struct fair *fair, bool enabled, uint64_t seed,
+	       heap_is_before is_before);
+
+void fair_push(struct fair *fair, struct fair_item *item);
+
+/* RETURN VALUE: the next item, taken out, or NULL. */
+struct fair_item *fair_pop(struct fair *fair);
+
+/* Takes out an item that was pushed and not popped. */
+void fair_remove(struct fair *fair, struct fair_item *item);
+
+/*
+ * RETURN VALUE: slot time that would be served before a new item of this key:
+ * its own flow's a round for each flow, and never more than all that waits.
+ */
+int64_t fair_work_ahead_us(const struct fair *fair, uint64_t key_hash);
+
+/* True where others wait too and this key's flow holds more than an equal
+ * share of the waiting slot time. */
+bool fair_is_over_share(const struct fair *fair, uint64_t key_hash);
+
+/* RETURN VALUE: items that wait in this key's flow. */
+uint32_t fair_flow_length(const struct fair *fair, uint64_t key_hash);
+
+/* RETURN VALUE: a hash to be used as key_hash. */
+uint64_t fair_hash(const char *key);
+
+#endif
--- /dev/null
+++ b/include/comfreydockd/decide/heap.h
@@ -0,0 +1,42 @@
+/*
+ * NAME
+ *	heap - intrusive pairing heap
+ *
+ * DESCRIPTION
+ *	A priority queue whose nodes are embedded in the user's structs. It
+ *	allocates nothing; insert takes constant time, taking the first or any
+ *	other node O(log n) amortised. Equal nodes come out in no stated order:
+ *	the comparison must break ties.
+ *
+ * SOURCE
+ *	Fredman, Sedgewick, Sleator, Tarjan, "The Pairing Heap", 1986.
+ */
+#ifndef COMFREYDOCKD_DECIDE_HEAP_H
+#define COMFREYDOCKD_DECIDE_HEAP_H
+
+#include <stdbool.h>
+
+struct heap_node {
+	struct heap_node *child;
+	struct heap_node *next;
+	struct heap_node *prev; /* parent for the first child */
+};
+
+typedef bool (*heap_is_before)(const struct heap_node *a,
+			       const struct heap_node *b);
+
+struct heap {
+	struct heap_node *root;
+	heap_is_before is_before;
+};
+
+void heap_init(struct heap *heap, heap_is_before is_before);
+void heap_insert(struct heap *heap, struct heap_node *node);
+
+/* The node must be in this heap. */
+void heap_remove(struct heap *heap, struct heap_node *node);
+
+/* RETURN VALUE: the first node, left in place, or NULL. */
+struct heap_node *heap_first(const struct heap *heap);
+
+#endif
--- /dev/null
+++ b/include/comfreydockd/decide/queue.h
@@ -0,0 +1,199 @@
+/*
+ * NAME
+ *	queue - what waits for a slot of an upstream
+ *
+ * DESCRIPTION
+ *	Bounded by time, not by length. queue_offer() refuses an item whose
+ *	foreseen wait and typical service would pass its deadline. What waits
+ *	comes out by class, within a class by callers in turn (see fair), and
+ *	within one caller by deadline. A class that was passed over
+ *	QUEUE_CLASS_TURN times in a row comes next, so that none starves.
+ *
+ *	An item whose remaining time has fallen below the typical service time
+ *	is stale and comes out of queue_pop() or queue_pop_stale() to be
+ *	refused, never to be run. queue_next_stale_us() tells when the next one
+ *	becomes so: a timer set by it gives such a request its final answer at
+ *	once, not first when a slot comes free.
+ *
+ *	A queue that has not been empty for a while is standing: waits then
+ *	serve nobody. Until it empties, an arrival may spend only half of its
+ *	remaining time in waiting.
+ *
+ *	queue_fifo is the baseline: one order, no deadline, bounded by length.
+ *
+ * LOAD PATTERN
+ *	Bursts, long jobs among short ones, overload.
+ *
+ * WITHOUT IT
+ *	Under overload the queue grows until each request reaches the upstream
+ *	just too late: all slots are busy and nobody gets an answer in time.
+ *
+ * GROUNDS
+ *	Foreseen wait is the slot time ahead (waiting items of this class and
+ *	those above) divided by the limit, plus one mean service time divided
+ *	by the limit for the first slot to come free. Slot time ahead is
+ *	counted by the mean occupancy of the class, which is right for sums
+ *	whatever the mix; staleness goes by the median, since with 1 s jobs
+ *	among 5 ms ones the mean would declare short jobs hopeless. Items of
+ *	the same class with a later deadline count as ahead too: each was
+ *	accepted on its foreseen wait, and one more would make it late.
+ *	Assumptions: gain of 1/16 for the mean, steps of 1/32 for the median,
+ *	10 ms before the first sample, standing after 100 ms or 8 mean service
+ *	times, one turn in 16 for a class that is passed over.
+ *
+ * SOURCE
+ *	Nichols, Jacobson, "Controlling Queue Delay", ACM Queue 2012 (RFC 8289),
+ *	for the standing queue; Maurer, "Fail at Scale", ACM Queue 2015, for
+ *	telling one by the time since the queue was last empty.
+ *
+ * UNITS
+ *	Times are monotonic microseconds.
+ */
+#ifndef COMFREYDOCKD_DECIDE_QUEUE_H
+#define COMFREYDOCKD_DECIDE_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "comfreydockd/config/model.h"
+#include "comfreydockd/decide/fair.h"
+#include "comfreydockd/decide/heap.h"
+
+#define QUEUE_CLASSES (CONFIG_CLASS_BULK + 1)
+#define QUEUE_CLASS_TURN 16
+
+enum queue_verdict {
+	QUEUE_ACCEPTED,
+	QUEUE_REFUSED_BUSY, /* no free slot, and it may still go elsewhere */
+	QUEUE_REFUSED_DEADLINE, /* would be late */
+	QUEUE_REFUSED_STANDING, /* would wait too long in a standing queue */
+	QUEUE_REFUSED_UNFAIR, /* would be late, its caller being over its share */
+	QUEUE_REFUSED_FULL, /* the bound in items */
+	QUEUE_REFUSED_STALE, /* waited until it was too late to start */
+};
+
+/* Embedded by the user, who sets the first part before queue_offer(). */
+struct queue_item {
+	enum config_class class;
+	int64_t deadline_us;
+	uint64_t key_hash; /* fair_hash() of the fairness key */
+	bool may_queue; /* false: refuse rather than wait */
+
+	struct fair_item fair;
+	struct heap_node by_latest_start;
+	int64_t latest_start_us;
+	int64_t offered_us;
+	uint64_t sequence;
+	uint32_t lane;
+	bool is_queued;
+};
+
+/* The state of the upstream's slots, as the owner knows it. */
+struct queue_slots {
+	uint32_t running;
+	uint32_t limit;
+};
+
+struct queue_service {
+	int64_t mean_us;
+	int64_t median_us;
+	bool known;
+};
+
+struct queue;
+
+struct queue_policy {
+	const char *name;
+	bool by_class;
+	heap_is_before is_before; /* of fair_item.node */
+	/* How long an item may wait from now on. */
+	int64_t (*allowed_wait_us)(const struct queue *queue,
+				   const struct queue_item *item, int64_t now_us);
+	/* The last time at which a start makes sense. */
+	int64_t (*latest_start_us)(const struct queue *queue,
+				   const struct queue_item *item);
+};
+
+extern const struct queue_policy queue_fifo;
+extern const struct queue_policy queue_by_deadline;
+
+struct queue_options {
+	const struct queue_policy *policy;
+	bool fair;
+	uint64_t seed; /* of the fairness buckets */
+	uint32_t max_items; /* 0: QUEUE_ITEMS_MAX */
+};
+
+#define QUEUE_ITEMS_MAX 10000
+
+struct queue {
+	const struct queue_policy *policy;
+	uint32_t max_items;
+	uint32_t length;
+	uint64_t next_sequence;
+	struct fair lanes[QUEUE_CLASSES]; /* fifo uses the first only */
+	uint32_t passed_over[QUEUE_CLASSES];
+	struct heap by_latest_start;
+	struct queue_service service[QUEUE_CLASSES];
+	int64_t busy_since_us; /* when it was last empty; valid if length > 0 */
+};
+
+void queue_init(struct queue *queue, const struct queue_options *options);
+
+/*
+ * Offers an item. On QUEUE_ACCEPTED it is in the queue, also where a slot is
+ * free: queue_pop() then gives it at once.
+ *
+ * RETURN VALUE
+ *	QUEUE_ACCEPTED or a refusal; on a refusal *retry_after_ms is set, at
+ *	least 1, without jitter.
+ */
+enum queue_verdict queue_offer(struct queue *queue, struct queue_item *item,
+			       const struct queue_slots *slots, int64_t now_us,
+			       uint32_t *retry_after_ms);
+
+/*
+ * Takes out the next item. Call until NULL or until no slot is free.
+ *
+ * RETURN VALUE
+ *	NULL if nothing waits. Otherwise *verdict is QUEUE_ACCEPTED, and the
+ *	item is to be run, or QUEUE_REFUSED_STALE, and it is to be refused.
+ */
+struct queue_item *queue_pop(struct queue *queue, int64_t now_us,
+			     enum queue_verdict *verdict);
+
+/* RETURN VALUE: a stale item, taken out to be refused, or NULL. */
+struct queue_item *queue_pop_stale(struct queue *queue, int64_t now_us);
+
+/* RETURN VALUE: when the next item becomes stale; INT64_MAX: none will. */
+int64_t queue_next_stale_us(const struct queue *queue);
+
+/* Takes out an item, as on a cancel. RETURN VALUE: false if it was not in. */
+bool queue_remove(struct queue *queue, struct queue_item *item);
+
+/* RETURN VALUE: any item, taken out, or NULL; to empty the queue on a drain. */
+struct queue_item *queue_take_any(struct queue *queue);
+
+/* Notes how long a request held its slot. */
+void queue_note_done(struct queue *queue, enum config_class class,
+		     int64_t occupancy_us);
+
+/* RETURN VALUE: the wait foreseen for a new item of the class and key. */
+int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
+			      uint64_t key_hash, const struct queue_slots *slots);
+
+/* RETURN VALUE: the wait foreseen for a new item behind everything, as
+ * reported to other daemons. */
+int64_t queue_expected_wait_us(const struct queue *queue,
+			       const struct queue_slots *slots);
+
+/* When to come back after a refusal of an item that had been accepted. */
+uint32_t queue_retry_after_ms(const struct queue *queue,
+			      const struct queue_slots *slots);
+
+bool queue_is_standing(const struct queue *queue, int64_t now_us);
+int64_t queue_median_service_us(const struct queue *queue,
+				enum config_class class);
+uint32_t queue_length(const struct queue *queue);
+
+#endif
