decide: decide at the owner whom to serve, when, and how many at once

An upstream's owner needs to say at once how many requests may run, which of those that wait comes next, and which would be late and is better refused. Limit, queue, fair, deadline, warm and measure answer that without network or clock: time is an argument, and what varies stands in tables of functions.

--- /dev/null
+++ b/comfreydockd/decide/deadline.c
@@ -0,0 +1,104 @@
+#include "comfreydockd/decide/deadline.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+
+#define DEADLINE_HOP_SHARE 32 /* one part in so many is kept by each hop */
+#define DEADLINE_PERMILLE_PER_PERCENT 10
+
+/* Gains and weight of RFC 6298. */
+#define DEADLINE_MEAN_GAIN 8
+#define DEADLINE_DEVIATION_GAIN 4
+#define DEADLINE_DEVIATIONS 4
+
+/* Shifting by the width of the type or more is undefined. */
+#define DEADLINE_SHIFT_MAX 31
+
+void deadline_path_note(struct deadline_path *path, int64_t round_trip_us)
+{
+	int64_t error_us = round_trip_us - path->mean_us;
+
+	if (!path->known) {
+		path->mean_us = round_trip_us;
+		path->deviation_us = round_trip_us / 2;
+		path->known = true;
+		return;
+	}
+	path->deviation_us +=
+		(llabs(error_us) - path->deviation_us) / DEADLINE_DEVIATION_GAIN;
+	path->mean_us += error_us / DEADLINE_MEAN_GAIN;
+}
+
+int64_t deadline_path_us(const struct deadline_path *path)
+{
+	if (!path->known)
+		return DEADLINE_PATH_DEFAULT_US;
+	return path->mean_us + DEADLINE_DEVIATIONS * path->deviation_us;
+}
+
+static int64_t deadline_after(int64_t now_us, int64_t duration_us)
+{
+	if (duration_us > INT64_MAX - now_us)
+		return INT64_MAX;
+	return now_us + duration_us;
+}
+
+int64_t deadline_at(int64_t remaining_us, uint32_t rule_ms, int64_t now_us)
+{
+	int64_t deadline_us = INT64_MAX;
+
+	if (remaining_us >= 0)
+		deadline_us = deadline_after(now_us, remaining_us);
+	if (rule_ms > 0)
+		deadline_us = MIN(deadline_us,
+				  deadline_after(now_us, rule_ms * US_PER_MS));
+	return deadline_us;
+}
+
+int64_t deadline_remaining_us(int64_t deadline_us, int64_t now_us)
+{
+	if (deadline_us == INT64_MAX)
+		return INT64_MAX;
+	return MAX(deadline_us - now_us, 0);
+}
+
+int64_t deadline_for_hop_us(int64_t deadline_us, int64_t path_us, int64_t now_us)
+{
+	int64_t remaining_us = deadline_remaining_us(deadline_us, now_us);
+
+	if (remaining_us == INT64_MAX)
+		return INT64_MAX;
+	remaining_us -= remaining_us / DEADLINE_HOP_SHARE;
+	return MAX(remaining_us - MAX(path_us, 0), 0);
+}
+
+bool deadline_can_finish(int64_t deadline_us, int64_t wait_us,
+			 int64_t service_us, int64_t now_us)
+{
+	int64_t remaining_us = deadline_remaining_us(deadline_us, now_us);
+
+	if (remaining_us <= 0 || wait_us > remaining_us)
+		return false;
+	return service_us <= remaining_us - wait_us;
+}
+
+bool deadline_is_too_deep(uint32_t depth)
+{
+	return depth > DEADLINE_DEPTH_MAX;
+}
+
+uint32_t deadline_attempts(uint32_t max_attempts, uint32_t depth)
+{
+	uint32_t retries = max_attempts > 0 ? max_attempts - 1 : 0;
+
+	return 1 + (retries >> MIN(depth, DEADLINE_SHIFT_MAX));
+}
+
+uint32_t deadline_retry_budget_permille(uint32_t budget_percent, uint32_t depth)
+{
+	uint32_t permille = budget_percent * DEADLINE_PERMILLE_PER_PERCENT;
+
+	return permille >> MIN(depth, DEADLINE_SHIFT_MAX);
+}
--- /dev/null
+++ b/comfreydockd/decide/limit.c
@@ -0,0 +1,236 @@
+#include "comfreydockd/decide/limit.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+
+#define LIMIT_SAMPLES_MIN 32
+#define LIMIT_WINDOW_US (100 * US_PER_MS)
+#define LIMIT_LOW_PERCENT 10
+#define LIMIT_TOLERANCE 2 /* times the floor */
+#define LIMIT_STEP 4 /* one part in so many */
+#define LIMIT_FLOOR_TURN_US (30 * US_PER_S)
+#define LIMIT_HOLD_MIN_US (2 * US_PER_S)
+#define LIMIT_HOLD_MAX_US (60 * US_PER_S)
+
+static void limit_window_begin(struct limit *limit, int64_t now_us)
+{
+	limit->window.start_us = now_us;
+	limit->window.samples = 0;
+	limit->window.saturated = false;
+}
+
+static uint32_t limit_step(uint32_t value)
+{
+	return MAX(value / LIMIT_STEP, 1);
+}
+
+static int limit_compare_samples(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static int64_t limit_window_low_us(struct limit_window *window)
+{
+	uint32_t rank = window->samples * LIMIT_LOW_PERCENT / 100;
+
+	qsort(window->sample_us, window->samples, sizeof(int64_t),
+	      limit_compare_samples);
+	return window->sample_us[rank];
+}
+
+/* Returns the least p10 of this half minute and the one before it. */
+static int64_t limit_note_floor(struct limit *limit, int64_t low_us,
+				int64_t now_us)
+{
+	int64_t age_us = now_us - limit->floor_turn_us;
+
+	if (age_us >= LIMIT_FLOOR_TURN_US) {
+		limit->floor_us[1] = age_us < 2 * LIMIT_FLOOR_TURN_US ?
+					     limit->floor_us[0] :
+					     INT64_MAX;
+		limit->floor_us[0] = INT64_MAX;
+		limit->floor_turn_us = now_us;
+	}
+	limit->floor_us[0] = MIN(limit->floor_us[0], low_us);
+	return MIN(limit->floor_us[0], limit->floor_us[1]);
+}
+
+static void limit_trial_begin(struct limit *limit, int64_t low_us)
+{
+	uint32_t step = limit_step(limit->current);
+
+	limit->trial = limit->next_trial;
+	if (limit->current == limit->slots)
+		limit->trial = LIMIT_TRIAL_DOWN;
+	if (limit->current == 1)
+		limit->trial = LIMIT_TRIAL_UP;
+	if (limit->slots == 1) {
+		limit->trial = LIMIT_TRIAL_NONE;
+		return;
+	}
+	limit->trial_from = limit->current;
+	limit->trial_low_us = low_us;
+	if (limit->trial == LIMIT_TRIAL_DOWN)
+		limit->current -= step;
+	else
+		limit->current = MIN(limit->current + step, limit->slots);
+}
+
+static enum limit_trial limit_trial_opposite(enum limit_trial trial)
+{
+	return trial == LIMIT_TRIAL_DOWN ? LIMIT_TRIAL_UP : LIMIT_TRIAL_DOWN;
+}
+
+static void limit_hold(struct limit *limit, int64_t now_us)
+{
+	limit->hold_until_us = now_us + limit->hold_us;
+	limit->hold_us = MIN(limit->hold_us * 2, LIMIT_HOLD_MAX_US);
+}
+
+/* True where the p10 went at least half of the way that the limit went. */
+static bool limit_trial_was_followed(const struct limit *limit, int64_t low_us)
+{
+	bool down = limit->trial == LIMIT_TRIAL_DOWN;
+	uint32_t larger = down ? limit->trial_from : limit->current;
+	uint32_t smaller = down ? limit->current : limit->trial_from;
+	int64_t larger_low_us = down ? limit->trial_low_us : low_us;
+	int64_t smaller_low_us = down ? low_us : limit->trial_low_us;
+
+	return 2 * larger * (double)smaller_low_us <=
+	       (larger + smaller) * (double)larger_low_us;
+}
+
+static void limit_trial_end(struct limit *limit, int64_t low_us, bool saturated,
+			    int64_t now_us)
+{
+	enum limit_trial trial = limit->trial;
+	uint32_t larger = MAX(limit->trial_from, limit->current);
+	uint32_t smaller = MIN(limit->trial_from, limit->current);
+	bool followed = limit_trial_was_followed(limit, low_us);
+
+	limit->trial = LIMIT_TRIAL_NONE;
+	if (!saturated) {
+		limit->current = larger;
+		return;
+	}
+	limit->current = followed ? smaller : larger;
+	limit->next_trial = trial;
+	if ((trial == LIMIT_TRIAL_DOWN) == followed) {
+		limit->hold_us = LIMIT_HOLD_MIN_US;
+		return;
+	}
+	limit->next_trial = limit_trial_opposite(trial);
+	limit_hold(limit, now_us);
+}
+
+static void limit_window_end(struct limit *limit, int64_t now_us)
+{
+	int64_t low_us = limit_window_low_us(&limit->window);
+	int64_t floor_us = limit_note_floor(limit, low_us, now_us);
+	bool saturated = limit->window.saturated;
+
+	limit_window_begin(limit, now_us);
+	if (limit->trial != LIMIT_TRIAL_NONE) {
+		limit_trial_end(limit, low_us, saturated, now_us);
+		return;
+	}
+	if (low_us <= LIMIT_TOLERANCE * floor_us) {
+		limit->current = MIN(limit->current + 1, limit->slots);
+		limit->hold_us = LIMIT_HOLD_MIN_US;
+		limit->next_trial = LIMIT_TRIAL_DOWN;
+		return;
+	}
+	if (saturated && now_us >= limit->hold_until_us)
+		limit_trial_begin(limit, low_us);
+}
+
+static void limit_cut(struct limit *limit, int64_t now_us)
+{
+	limit->trial = LIMIT_TRIAL_NONE;
+	if (limit->current > 1)
+		limit->current -= limit_step(limit->current);
+	limit_window_begin(limit, now_us);
+}
+
+static void limit_adaptive_note_done(struct limit *limit, int64_t latency_us,
+				     enum limit_outcome outcome,
+				     uint32_t running, int64_t now_us)
+{
+	struct limit_window *window = &limit->window;
+
+	if (now_us - latency_us < window->start_us)
+		return;
+	if (outcome == LIMIT_OUTCOME_OVERLOAD)
+		limit_cut(limit, now_us);
+	if (outcome != LIMIT_OUTCOME_OK)
+		return;
+	if (running >= limit->current)
+		window->saturated = true;
+	if (window->samples < LIMIT_SAMPLES_MAX)
+		window->sample_us[window->samples++] = latency_us;
+	if (window->samples < LIMIT_SAMPLES_MIN ||
+	    now_us - window->start_us < LIMIT_WINDOW_US)
+		return;
+	limit_window_end(limit, now_us);
+}
+
+static void limit_fixed_note_done(struct limit *limit G_GNUC_UNUSED,
+				  int64_t latency_us G_GNUC_UNUSED,
+				  enum limit_outcome outcome G_GNUC_UNUSED,
+				  uint32_t running G_GNUC_UNUSED,
+				  int64_t now_us G_GNUC_UNUSED)
+{
+}
+
+const struct limit_policy limit_fixed = {
+	.name = "fixed",
+	.note_done = limit_fixed_note_done,
+};
+
+const struct limit_policy limit_adaptive = {
+	.name = "adaptive",
+	.note_done = limit_adaptive_note_done,
+};
+
+void limit_init(struct limit *limit, const struct limit_policy *policy,
+		uint32_t slots, int64_t now_us)
+{
+	memset(limit, 0, sizeof(*limit));
+	limit->policy = policy;
+	limit->slots = MAX(slots, 1);
+	limit->current = limit->slots;
+	limit->floor_us[0] = INT64_MAX;
+	limit->floor_us[1] = INT64_MAX;
+	limit->floor_turn_us = now_us;
+	limit->next_trial = LIMIT_TRIAL_DOWN;
+	limit->hold_us = LIMIT_HOLD_MIN_US;
+	limit->hold_until_us = now_us;
+	limit_window_begin(limit, now_us);
+}
+
+uint32_t limit_current(const struct limit *limit)
+{
+	return limit->current;
+}
+
+void limit_set_slots(struct limit *limit, uint32_t slots)
+{
+	bool at_slots = limit->current == limit->slots;
+
+	limit->slots = MAX(slots, 1);
+	limit->trial = LIMIT_TRIAL_NONE;
+	if (at_slots || limit->current > limit->slots)
+		limit->current = limit->slots;
+}
+
+void limit_note_done(struct limit *limit, int64_t latency_us,
+		     enum limit_outcome outcome, uint32_t running, int64_t now_us)
+{
+	limit->policy->note_done(limit, latency_us, outcome, running, now_us);
+}
--- /dev/null
+++ b/comfreydockd/decide/queue.c
@@ -0,0 +1,408 @@
+#include "comfreydockd/decide/queue.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/decide/deadline.h"
+#include "common/clock.h"
+
+#define QUEUE_SERVICE_INITIAL_US (10 * US_PER_MS)
+#define QUEUE_SERVICE_MAX_US (3600 * US_PER_S)
+#define QUEUE_MEAN_GAIN 16
+#define QUEUE_MEDIAN_GAIN 32
+#define QUEUE_STANDING_US (100 * US_PER_MS)
+#define QUEUE_STANDING_SERVICES 8
+#define QUEUE_STANDING_SHARE 2 /* of the remaining time, one part in so many */
+#define QUEUE_RETRY_AFTER_MAX_MS 10000
+
+static struct queue_item *queue_item_of(const struct heap_node *node)
+{
+	return heap_entry(node, struct queue_item, fair.node);
+}
+
+static bool queue_is_offered_before(const struct heap_node *a,
+				    const struct heap_node *b)
+{
+	return queue_item_of(a)->sequence < queue_item_of(b)->sequence;
+}
+
+static bool queue_is_due_before(const struct heap_node *a,
+				const struct heap_node *b)
+{
+	const struct queue_item *x = queue_item_of(a);
+	const struct queue_item *y = queue_item_of(b);
+
+	if (x->deadline_us != y->deadline_us)
+		return x->deadline_us < y->deadline_us;
+	return x->sequence < y->sequence;
+}
+
+static bool queue_is_stale_before(const struct heap_node *a,
+				  const struct heap_node *b)
+{
+	const struct queue_item *x =
+		heap_entry(a, struct queue_item, by_latest_start);
+	const struct queue_item *y =
+		heap_entry(b, struct queue_item, by_latest_start);
+
+	if (x->latest_start_us != y->latest_start_us)
+		return x->latest_start_us < y->latest_start_us;
+	return x->sequence < y->sequence;
+}
+
+static int64_t queue_wait_any(const struct queue *queue G_GNUC_UNUSED,
+			      const struct queue_item *item G_GNUC_UNUSED,
+			      int64_t now_us G_GNUC_UNUSED)
+{
+	return INT64_MAX;
+}
+
+static int64_t queue_start_any(const struct queue *queue G_GNUC_UNUSED,
+			       const struct queue_item *item G_GNUC_UNUSED)
+{
+	return INT64_MAX;
+}
+
+static int64_t queue_start_by_deadline(const struct queue *queue,
+				       const struct queue_item *item)
+{
+	if (item->deadline_us == INT64_MAX)
+		return INT64_MAX;
+	return item->deadline_us - queue_median_service_us(queue, item->class);
+}
+
+static int64_t queue_wait_by_deadline(const struct queue *queue,
+				      const struct queue_item *item,
+				      int64_t now_us)
+{
+	int64_t start_us = queue_start_by_deadline(queue, item);
+	int64_t remaining_us = deadline_remaining_us(item->deadline_us, now_us);
+
+	if (start_us == INT64_MAX)
+		return INT64_MAX;
+	if (!queue_is_standing(queue, now_us))
+		return start_us - now_us;
+	return MIN(start_us - now_us, remaining_us / QUEUE_STANDING_SHARE);
+}
+
+const struct queue_policy queue_fifo = {
+	.name = "fifo",
+	.by_class = false,
+	.is_before = queue_is_offered_before,
+	.allowed_wait_us = queue_wait_any,
+	.latest_start_us = queue_start_any,
+};
+
+const struct queue_policy queue_by_deadline = {
+	.name = "deadline",
+	.by_class = true,
+	.is_before = queue_is_due_before,
+	.allowed_wait_us = queue_wait_by_deadline,
+	.latest_start_us = queue_start_by_deadline,
+};
+
+void queue_init(struct queue *queue, const struct queue_options *options)
+{
+	memset(queue, 0, sizeof(*queue));
+	queue->policy = options->policy;
+	queue->max_items =
+		options->max_items ? options->max_items : QUEUE_ITEMS_MAX;
+	heap_init(&queue->by_latest_start, queue_is_stale_before);
+	queue->overall.mean_us = QUEUE_SERVICE_INITIAL_US;
+	queue->overall.median_us = QUEUE_SERVICE_INITIAL_US;
+	for (uint32_t i = 0; i < QUEUE_CLASSES; i++) {
+		fair_init(&queue->lanes[i], options->fair, options->seed,
+			  options->policy->is_before);
+		queue->service[i] = queue->overall;
+	}
+}
+
+static uint32_t queue_lane(const struct queue *queue, enum config_class class)
+{
+	return queue->policy->by_class ? (uint32_t) class : 0;
+}
+
+/* The time that work ahead of an item takes on these slots. */
+static int64_t queue_wait_for_us(const struct queue *queue, int64_t work_us,
+				 const struct queue_slots *slots)
+{
+	uint32_t limit = MAX(slots->limit, 1);
+	int64_t to_end = 0;
+
+	if (slots->running >= limit)
+		to_end = slots->running - limit + 1;
+	return (work_us + to_end * queue->overall.mean_us) / limit;
+}
+
+int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
+			      uint64_t key_hash, const struct queue_slots *slots)
+{
+	uint32_t lane = queue_lane(queue, class);
+	int64_t work_us = fair_work_ahead_us(&queue->lanes[lane], key_hash);
+
+	for (uint32_t above = 0; above < lane; above++)
+		work_us += queue->lanes[above].work_us;
+	return queue_wait_for_us(queue, work_us, slots);
+}
+
+int64_t queue_expected_wait_us(const struct queue *queue,
+			       const struct queue_slots *slots)
+{
+	int64_t work_us = 0;
+
+	for (uint32_t i = 0; i < QUEUE_CLASSES; i++)
+		work_us += queue->lanes[i].work_us;
+	return queue_wait_for_us(queue, work_us, slots);
+}
+
+static uint32_t queue_to_retry_after_ms(int64_t wait_us)
+{
+	int64_t wait_ms = (wait_us + US_PER_MS - 1) / US_PER_MS;
+
+	return (uint32_t)CLAMP(wait_ms, 1, QUEUE_RETRY_AFTER_MAX_MS);
+}
+
+uint32_t queue_retry_after_ms(const struct queue *queue,
+			      const struct queue_slots *slots)
+{
+	return queue_to_retry_after_ms(queue_expected_wait_us(queue, slots));
+}
+
+static bool queue_is_idle(const struct queue *queue,
+			  const struct queue_slots *slots)
+{
+	return queue->length == 0 && slots->running == 0;
+}
+
+static bool queue_is_full_for(const struct queue *queue,
+			      const struct queue_item *item)
+{
+	const struct fair *lane = &queue->lanes[queue_lane(queue, item->class)];
+
+	return queue->length >= queue->max_items &&
+	       fair_flow_length(lane, item->key_hash) >=
+		       queue->max_items / FAIR_FLOWS;
+}
+
+static enum queue_verdict queue_name_refusal(const struct queue *queue,
+					     const struct queue_item *item,
+					     int64_t wait_us, int64_t now_us)
+{
+	const struct fair *lane = &queue->lanes[queue_lane(queue, item->class)];
+	int64_t start_us = queue->policy->latest_start_us(queue, item);
+
+	if (now_us > start_us)
+		return QUEUE_REFUSED_DEADLINE;
+	if (fair_is_over_share(lane, item->key_hash))
+		return QUEUE_REFUSED_UNFAIR;
+	if (wait_us <= start_us - now_us)
+		return QUEUE_REFUSED_STANDING;
+	return QUEUE_REFUSED_DEADLINE;
+}
+
+static enum queue_verdict queue_judge(const struct queue *queue,
+				      const struct queue_item *item,
+				      const struct queue_slots *slots,
+				      int64_t now_us, uint32_t *retry_after_ms)
+{
+	int64_t wait_us;
+	int64_t allowed_us;
+
+	*retry_after_ms = queue_retry_after_ms(queue, slots);
+	if (queue_is_idle(queue, slots)) {
+		if (item->deadline_us > now_us || queue->policy == &queue_fifo)
+			return QUEUE_ACCEPTED;
+		return QUEUE_REFUSED_DEADLINE;
+	}
+	if (!item->may_queue &&
+	    (queue->length > 0 || slots->running >= slots->limit))
+		return QUEUE_REFUSED_BUSY;
+	if (queue_is_full_for(queue, item))
+		return QUEUE_REFUSED_FULL;
+	wait_us =
+		queue_foresee_wait_us(queue, item->class, item->key_hash, slots);
+	allowed_us = queue->policy->allowed_wait_us(queue, item, now_us);
+	if (wait_us <= allowed_us)
+		return QUEUE_ACCEPTED;
+	*retry_after_ms = queue_to_retry_after_ms(wait_us - allowed_us);
+	return queue_name_refusal(queue, item, wait_us, now_us);
+}
+
+/* The first item of an idle upstream is let through whatever the estimate. */
+static int64_t queue_latest_start_us(const struct queue *queue,
+				     const struct queue_item *item,
+				     const struct queue_slots *slots)
+{
+	if (queue->policy != &queue_fifo && queue_is_idle(queue, slots))
+		return item->deadline_us;
+	return queue->policy->latest_start_us(queue, item);
+}
+
+enum queue_verdict queue_offer(struct queue *queue, struct queue_item *item,
+			       const struct queue_slots *slots, int64_t now_us,
+			       uint32_t *retry_after_ms)
+{
+	enum queue_verdict verdict =
+		queue_judge(queue, item, slots, now_us, retry_after_ms);
+
+	item->is_queued = false;
+	if (verdict != QUEUE_ACCEPTED)
+		return verdict;
+	item->latest_start_us = queue_latest_start_us(queue, item, slots);
+	item->offered_us = now_us;
+	item->sequence = queue->next_sequence++;
+	item->lane = queue_lane(queue, item->class);
+	item->fair.key_hash = item->key_hash;
+	item->fair.cost_us = queue->service[item->class].mean_us;
+	item->is_queued = true;
+	if (queue->length++ == 0)
+		queue->busy_since_us = now_us;
+	heap_insert(&queue->by_latest_start, &item->by_latest_start);
+	fair_push(&queue->lanes[item->lane], &item->fair);
+	return QUEUE_ACCEPTED;
+}
+
+/* What remains once an item has left its lane. */
+static void queue_forget(struct queue *queue, struct queue_item *item)
+{
+	heap_remove(&queue->by_latest_start, &item->by_latest_start);
+	queue->length--;
+	item->is_queued = false;
+}
+
+bool queue_remove(struct queue *queue, struct queue_item *item)
+{
+	if (!item->is_queued)
+		return false;
+	fair_remove(&queue->lanes[item->lane], &item->fair);
+	queue_forget(queue, item);
+	return true;
+}
+
+static struct queue_item *queue_first_stale(const struct queue *queue)
+{
+	struct heap_node *node = heap_first(&queue->by_latest_start);
+
+	if (!node)
+		return NULL;
+	return heap_entry(node, struct queue_item, by_latest_start);
+}
+
+struct queue_item *queue_pop_stale(struct queue *queue, int64_t now_us)
+{
+	struct queue_item *item = queue_first_stale(queue);
+
+	if (!item || item->latest_start_us >= now_us)
+		return NULL;
+	queue_remove(queue, item);
+	return item;
+}
+
+int64_t queue_next_stale_us(const struct queue *queue)
+{
+	const struct queue_item *item = queue_first_stale(queue);
+
+	if (!item || item->latest_start_us == INT64_MAX)
+		return INT64_MAX;
+	return item->latest_start_us + 1;
+}
+
+struct queue_item *queue_take_any(struct queue *queue)
+{
+	struct queue_item *item = queue_first_stale(queue);
+
+	if (item)
+		queue_remove(queue, item);
+	return item;
+}
+
+/* The first lane that has been passed over for long, or else the first. */
+static uint32_t queue_choose_lane(const struct queue *queue)
+{
+	uint32_t first = QUEUE_CLASSES;
+
+	for (uint32_t i = 0; i < QUEUE_CLASSES; i++) {
+		if (queue->lanes[i].length == 0)
+			continue;
+		if (queue->passed_over[i] >= QUEUE_CLASS_TURN)
+			return i;
+		first = MIN(first, i);
+	}
+	return first;
+}
+
+static void queue_note_turn(struct queue *queue, uint32_t chosen)
+{
+	for (uint32_t i = 0; i < QUEUE_CLASSES; i++) {
+		if (i == chosen || queue->lanes[i].length == 0)
+			queue->passed_over[i] = 0;
+		else if (i > chosen)
+			queue->passed_over[i]++;
+	}
+}
+
+struct queue_item *queue_pop(struct queue *queue, int64_t now_us,
+			     enum queue_verdict *verdict)
+{
+	struct queue_item *item = queue_pop_stale(queue, now_us);
+	struct fair_item *next;
+	uint32_t lane;
+
+	*verdict = QUEUE_REFUSED_STALE;
+	if (item)
+		return item;
+	if (queue->length == 0)
+		return NULL;
+	lane = queue_choose_lane(queue);
+	queue_note_turn(queue, lane);
+	next = fair_pop(&queue->lanes[lane]);
+	item = heap_entry(next, struct queue_item, fair);
+	queue_forget(queue, item);
+	*verdict = QUEUE_ACCEPTED;
+	return item;
+}
+
+static void queue_service_note(struct queue_service *service, int64_t sample_us)
+{
+	int64_t step_us = MAX(service->median_us / QUEUE_MEDIAN_GAIN, 1);
+
+	sample_us = CLAMP(sample_us, 1, QUEUE_SERVICE_MAX_US);
+	if (!service->known) {
+		service->mean_us = sample_us;
+		service->median_us = sample_us;
+		service->known = true;
+		return;
+	}
+	service->mean_us += (sample_us - service->mean_us) / QUEUE_MEAN_GAIN;
+	if (sample_us > service->median_us)
+		service->median_us +=
+			MIN(step_us, sample_us - service->median_us);
+	else
+		service->median_us -=
+			MIN(step_us, service->median_us - sample_us);
+}
+
+void queue_note_done(struct queue *queue, enum config_class class,
+		     int64_t occupancy_us)
+{
+	queue_service_note(&queue->service[class], occupancy_us);
+	queue_service_note(&queue->overall, occupancy_us);
+}
+
+bool queue_is_standing(const struct queue *queue, int64_t now_us)
+{
+	int64_t limit_us = MAX(QUEUE_STANDING_US,
+			       QUEUE_STANDING_SERVICES * queue->overall.mean_us);
+
+	return queue->length > 0 && now_us - queue->busy_since_us > limit_us;
+}
+
+int64_t queue_median_service_us(const struct queue *queue, enum config_class class)
+{
+	return queue->service[class].median_us;
+}
+
+uint32_t queue_length(const struct queue *queue)
+{
+	return queue->length;
+}
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -10,7 +10,9 @@
  *	still be passed up. No hop ever extends a deadline.
  *
  *	The retry functions shrink a service's allowance with the depth of the
- *	call, so that the retries of nested calls do not multiply.
+ *	call, so that the retries of nested calls do not multiply. They are
+ *	for attempts after a failure: one that ended NOT_RUN started no call
+ *	below it and so multiplies nothing.
  *
  * LOAD PATTERN
  *	Late work; calls nested up to 13 deep.
@@ -26,7 +28,9 @@
  *	with each level too; a budget of b then adds at most a factor of
  *	(1 + b)(1 + b/2)(1 + b/4)... < e^(2b), which is 1.22 for 10 %, against
  *	1.1^13 = 3.45 for the same budget at each level. Path time is the mean
- *	of round trips plus four mean deviations, the rule of RFC 6298.
+ *	of round trips plus four mean deviations, the rule of RFC 6298; before
+ *	the first it is twice the longest given one-way time between failure
+ *	domains, 1.5 ms.
  *
  * SOURCE
  *	RFC 6298 for the estimate.
@@ -41,6 +45,7 @@
 #include <stdint.h>
 
 #define DEADLINE_DEPTH_MAX 13
+#define DEADLINE_PATH_DEFAULT_US ((int64_t)3000)
 
 /* Round trips to one peer; all zero at the start. */
 struct deadline_path {
@@ -52,7 +57,8 @@
 /* Notes a round trip in which no work was done: a refusal, a load report. */
 void deadline_path_note(struct deadline_path *path, int64_t round_trip_us);
 
-/* RETURN VALUE: time to allow for the way there and back. */
+/* RETURN VALUE: time to allow for the way there and back;
+ * DEADLINE_PATH_DEFAULT_US before the first round trip. */
 int64_t deadline_path_us(const struct deadline_path *path);
 
 /*
@@ -68,7 +74,8 @@
 /* RETURN VALUE: 0 once it has passed; INT64_MAX where there is no deadline. */
 int64_t deadline_remaining_us(int64_t deadline_us, int64_t now_us);
 
-/* RETURN VALUE: the remaining time to send to the next hop, 0 if none. */
+/* RETURN VALUE: the remaining time to send to the next hop, 0 if none is left,
+ * INT64_MAX where there is no deadline. */
 int64_t deadline_for_hop_us(int64_t deadline_us, int64_t path_us, int64_t now_us);
 
 /* True where work that takes service_us after wait_us ends in time. */
--- a/include/comfreydockd/decide/heap.h
+++ b/include/comfreydockd/decide/heap.h
@@ -15,6 +15,7 @@
 #define COMFREYDOCKD_DECIDE_HEAP_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 struct heap_node {
 	struct heap_node *child;
@@ -22,6 +23,10 @@
 	struct heap_node *prev; /* parent for the first child */
 };
 
+/* The struct that a node is embedded in. */
+#define heap_entry(node, type, member) \
+	((type *)(void *)((char *)(node)-offsetof(type, member)))
+
 typedef bool (*heap_is_before)(const struct heap_node *a,
 			       const struct heap_node *b);
 
--- a/include/comfreydockd/decide/limit.h
+++ b/include/comfreydockd/decide/limit.h
@@ -94,7 +94,7 @@
 	int64_t floor_us[2]; /* least p10 of this half minute and the last */
 	int64_t floor_turn_us; /* start of this half minute */
 	enum limit_trial trial;
-	enum limit_trial last_trial;
+	enum limit_trial next_trial; /* the direction to try first */
 	uint32_t trial_from; /* limit before the trial */
 	int64_t trial_low_us; /* p10 before the trial */
 	int64_t hold_us;
--- a/include/comfreydockd/decide/measure.h
+++ b/include/comfreydockd/decide/measure.h
@@ -7,7 +7,8 @@
  *	probe and load fetch passes. Tokens are slot time: they come in at the
  *	budget's share of all the upstream's slots and are spent at what a
  *	probe costs. measure_end() settles the true cost; where that was more,
- *	the bucket goes into debt, and nothing is measured until it is repaid.
+ *	the bucket goes into debt, and nothing is measured until it is repaid;
+ *	where it was less, nothing is given back.
  *
  *	Nothing is measured while the answers of ordinary requests are fresh.
  *	Without traffic one measurement is due after MEASURE_FRESH_US, and the
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -15,6 +15,10 @@
  *	becomes so: a timer set by it gives such a request its final answer at
  *	once, not first when a slot comes free.
  *
+ *	Where nothing runs or waits, an item is accepted as long as any time
+ *	remains. Otherwise an estimate left high by a slow spell would refuse
+ *	everything, and nothing would run to correct it.
+ *
  *	A queue that has not been empty for a while is standing: waits then
  *	serve nobody. Until it empties, an arrival may spend only half of its
  *	remaining time in waiting.
@@ -33,7 +37,8 @@
  *	those above) divided by the limit, plus one mean service time divided
  *	by the limit for the first slot to come free. Slot time ahead is
  *	counted by the mean occupancy of the class, which is right for sums
- *	whatever the mix; staleness goes by the median, since with 1 s jobs
+ *	whatever the mix; staleness goes by the median: a
+ *	start at that point is more likely late than not, while with 1 s jobs
  *	among 5 ms ones the mean would declare short jobs hopeless. Items of
  *	the same class with a later deadline count as ahead too: each was
  *	accepted on its foreseen wait, and one more would make it late.
@@ -121,7 +126,9 @@
 	const struct queue_policy *policy;
 	bool fair;
 	uint64_t seed; /* of the fairness buckets */
-	uint32_t max_items; /* 0: QUEUE_ITEMS_MAX */
+	/* 0: QUEUE_ITEMS_MAX. A full queue still takes a few items of callers
+	 * that have almost none in it, up to four times the bound in all. */
+	uint32_t max_items;
 };
 
 #define QUEUE_ITEMS_MAX 10000
@@ -135,6 +142,7 @@
 	uint32_t passed_over[QUEUE_CLASSES];
 	struct heap by_latest_start;
 	struct queue_service service[QUEUE_CLASSES];
+	struct queue_service overall;
 	int64_t busy_since_us; /* when it was last empty; valid if length > 0 */
 };
 
