--- /dev/null
+++ b/include/comfreydockd/decide/pick.h
@@ -0,0 +1,194 @@
+/*
+ * NAME
+ *	pick - choose the upstream for one attempt
+ *
+ * DESCRIPTION
+ *	An entry keeps one pick_set for each service and one pick_candidate for
+ *	each upstream in it. pick_choose() names the candidate for the next
+ *	attempt; pick_may_queue() says whether its owner may queue the attempt
+ *	or must refuse at once when no slot is free (busy refusal). Every
+ *	attempt is told to the set: pick_note_sent(), then exactly one of
+ *	pick_note_done(), pick_note_failed() or pick_note_refused().
+ *
+ *	The estimate of the work at an upstream is one's own outstanding
+ *	attempts plus what others have there. The latter is the reported load
+ *	less one's own share at the time of the report: adding the whole report
+ *	would count one's own calls twice. It ages toward the mean of all
+ *	reports, since a stale report says little about its upstream, but
+ *	something about the service.
+ *
+ *	An error never lowers an upstream's latency: one that fails fast must
+ *	not look quick.
+ *
+ * LOAD PATTERN
+ *	Load that shifts within milliseconds, reports that are old, upstreams
+ *	that slow down while their neighbours don't.
+ *
+ * WITHOUT IT
+ *	Calls wait at a full upstream while another has free slots; an upstream
+ *	that runs ten times slower gets as many calls as the others.
+ *
+ * GROUNDS
+ *	All named constants in pick.c are assumptions until a replay under
+ *	bench/decide/ has measured them; what was measured stands there.
+ *
+ * UNITS
+ *	Times are monotonic microseconds. Utilisation is work over limit: 1 is
+ *	full, more means a queue.
+ *
+ * SOURCE
+ *	Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing",
+ *	IEEE TPDS 2001; Mitzenmacher, "How Useful Is Old Information?", IEEE
+ *	TPDS 2000 (stale reports and herds).
+ */
+#ifndef COMFREYDOCKD_DECIDE_PICK_H
+#define COMFREYDOCKD_DECIDE_PICK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "comfreydockd/decide/budget.h"
+#include "comfreydockd/decide/random.h"
+
+/* A request is never sent to more upstreams than this. */
+#define PICK_TRIED_MAX 16
+
+/* What an owner said of its upstream. */
+struct pick_load {
+	uint32_t running;
+	uint32_t queued;
+	uint32_t limit; /* 0: not known */
+	uint32_t expected_wait_us;
+};
+
+struct pick_candidate {
+	/* Set by the entry. */
+	uint64_t id; /* unique in the set, never 0 */
+	bool local; /* in the entry's own failure domain */
+	bool usable; /* member and health allow new work */
+	double warm; /* 0..1, weight while warming up */
+	uint32_t slots; /* declared; 0: not known */
+	void *data; /* the entry's own */
+
+	/* Kept by pick. */
+	uint32_t outstanding; /* own attempts that have not ended */
+	bool load_known;
+	struct pick_load load; /* the last report */
+	int64_t load_at_us;
+	double others; /* work of others at the report */
+	double latency_us; /* running median; 0: not known */
+	int64_t latency_at_us;
+};
+
+/* The upstreams that one request has been sent to. */
+struct pick_tried {
+	uint64_t ids[PICK_TRIED_MAX];
+	size_t count;
+};
+
+struct pick_set;
+
+struct pick_policy {
+	const char *name;
+	/* Chooses among a non-empty array of usable, untried candidates. */
+	struct pick_candidate *(*choose)(struct pick_set *set,
+					 struct pick_candidate **candidates,
+					 size_t count, int64_t now_us);
+};
+
+extern const struct pick_policy pick_random;
+extern const struct pick_policy pick_round_robin;
+extern const struct pick_policy pick_least_outstanding;
+extern const struct pick_policy pick_two_choices; /* by own outstanding */
+extern const struct pick_policy pick_two_scores; /* by score */
+extern const struct pick_policy pick_least_score;
+
+/* The one that the daemon uses. */
+extern const struct pick_policy *const pick_default_policy;
+
+struct pick_set {
+	const struct pick_policy *policy;
+	GPtrArray *candidates; /* of struct pick_candidate, the entry's own */
+	GPtrArray *eligible; /* scratch of pick_choose() */
+	struct random_state random;
+	struct budget refusals;
+	uint64_t turn; /* round robin */
+	double mean_utilisation; /* of the others' work, over all reports */
+	double typical_latency_us; /* running median over all upstreams */
+};
+
+void pick_set_init(struct pick_set *set, const struct pick_policy *policy,
+		   uint64_t seed);
+void pick_set_finish(struct pick_set *set);
+
+/* Sets the fields that pick keeps to "nothing known", warm to 1. */
+void pick_candidate_init(struct pick_candidate *candidate, uint64_t id);
+void pick_set_add(struct pick_set *set, struct pick_candidate *candidate);
+void pick_set_remove(struct pick_set *set, struct pick_candidate *candidate);
+
+bool pick_tried_has(const struct pick_tried *tried, uint64_t id);
+
+/* RETURN VALUE: false if the record is full; then there is no next attempt. */
+bool pick_tried_add(struct pick_tried *tried, uint64_t id);
+
+/* Counts one request, whatever its number of attempts. */
+void pick_note_request(struct pick_set *set);
+
+/*
+ * RETURN VALUE
+ *	A candidate that is usable and not tried; NULL only if there is none or
+ *	tried is full.
+ */
+struct pick_candidate *pick_choose(struct pick_set *set,
+				   const struct pick_tried *tried,
+				   int64_t now_us);
+
+/* RETURN VALUE: how many candidates are usable and not tried. */
+size_t pick_count_untried(const struct pick_set *set,
+			  const struct pick_tried *tried);
+
+/*
+ * Whether the owner of the chosen candidate may queue the attempt. False, "be
+ * refused at once if no slot is free", only while another attempt is allowed,
+ * another untried candidate seems to have room, and the budget for refusals
+ * is not spent: at overload a refusal would only move the wait elsewhere, at
+ * the cost of a message.
+ *
+ * candidate is not yet in tried.
+ */
+bool pick_may_queue(const struct pick_set *set,
+		    const struct pick_candidate *candidate,
+		    const struct pick_tried *tried, bool last_attempt,
+		    int64_t now_us);
+
+void pick_note_sent(struct pick_set *set, struct pick_candidate *candidate);
+
+/* An answer came; load may be NULL. */
+void pick_note_done(struct pick_set *set, struct pick_candidate *candidate,
+		    int64_t latency_us, const struct pick_load *load,
+		    int64_t now_us);
+
+/* An error, a lost connection, a timeout or a cancel after latency_us. */
+void pick_note_failed(struct pick_set *set, struct pick_candidate *candidate,
+		      int64_t latency_us, const struct pick_load *load,
+		      int64_t now_us);
+
+/* NOT_RUN; charged to the budget for refusals where busy is true. */
+void pick_note_refused(struct pick_set *set, struct pick_candidate *candidate,
+		       bool busy, const struct pick_load *load, int64_t now_us);
+
+/* A report that came by itself. */
+void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
+		    const struct pick_load *load, int64_t now_us);
+
+/* The estimate of work over limit, with the attempt to be placed included. */
+double pick_utilisation(const struct pick_set *set,
+			const struct pick_candidate *candidate, int64_t now_us);
+
+/* Utilisation times relative latency; less is better. */
+double pick_score(const struct pick_set *set,
+		  const struct pick_candidate *candidate, int64_t now_us);
+
+#endif
