--- /dev/null
+++ b/comfreydockd/decide/pick.c
@@ -0,0 +1,281 @@
+#include "comfreydockd/decide/pick.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Refusals: so many for each request on average, and so many in a burst. */
+#define PICK_REFUSAL_SHARE 0.5
+#define PICK_REFUSAL_BURST 50.0
+/* A report fades with the work it told of: within so many typical latencies,
+ * but in no less and no more than these times. */
+#define PICK_AGE_LATENCIES 1.0
+#define PICK_AGE_MIN_US 1000.0
+#define PICK_AGE_MAX_US 1000000.0
+/* What is known of an upstream's speed fades in this time, so that one which
+ * is avoided for being slow is tried again. */
+#define PICK_LATENCY_AGE_US 10e6
+#define PICK_LATENCY_STEP 0.05
+#define PICK_SPEED_MIN 0.5
+#define PICK_SPEED_MAX 20.0
+/* Weight of one report in the mean. */
+#define PICK_MEAN_ALPHA 0.02
+#define PICK_WARM_MIN 0.05
+#define PICK_DEFAULT_LIMIT 8.0
+
+void pick_set_init(struct pick_set *set, const struct pick_policy *policy,
+		   uint64_t seed)
+{
+	memset(set, 0, sizeof(*set));
+	set->policy = policy;
+	set->candidates = g_ptr_array_new();
+	set->eligible = g_ptr_array_new();
+	set->random.state = seed;
+	budget_init(&set->refusals, PICK_REFUSAL_SHARE, PICK_REFUSAL_BURST);
+}
+
+void pick_set_finish(struct pick_set *set)
+{
+	g_ptr_array_free(set->candidates, TRUE);
+	g_ptr_array_free(set->eligible, TRUE);
+}
+
+void pick_candidate_init(struct pick_candidate *candidate, uint64_t id)
+{
+	memset(candidate, 0, sizeof(*candidate));
+	candidate->id = id;
+	candidate->warm = 1.0;
+}
+
+void pick_set_add(struct pick_set *set, struct pick_candidate *candidate)
+{
+	g_ptr_array_add(set->candidates, candidate);
+}
+
+void pick_set_remove(struct pick_set *set, struct pick_candidate *candidate)
+{
+	g_ptr_array_remove(set->candidates, candidate);
+}
+
+bool pick_tried_has(const struct pick_tried *tried, uint64_t id)
+{
+	for (size_t i = 0; i < tried->count; i++) {
+		if (tried->ids[i] == id)
+			return true;
+	}
+	return false;
+}
+
+bool pick_tried_add(struct pick_tried *tried, uint64_t id)
+{
+	if (tried->count == PICK_TRIED_MAX)
+		return false;
+	tried->ids[tried->count++] = id;
+	return true;
+}
+
+void pick_note_request(struct pick_set *set)
+{
+	budget_note_call(&set->refusals);
+}
+
+static bool is_eligible(const struct pick_candidate *candidate,
+			const struct pick_tried *tried)
+{
+	return candidate->usable && tried->count < PICK_TRIED_MAX &&
+	       !pick_tried_has(tried, candidate->id);
+}
+
+size_t pick_count_untried(const struct pick_set *set,
+			  const struct pick_tried *tried)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < set->candidates->len; i++)
+		count += is_eligible(set->candidates->pdata[i], tried);
+	return count;
+}
+
+struct pick_candidate *pick_choose(struct pick_set *set,
+				   const struct pick_tried *tried, int64_t now_us)
+{
+	GPtrArray *eligible = set->eligible;
+
+	g_ptr_array_set_size(eligible, 0);
+	for (guint i = 0; i < set->candidates->len; i++) {
+		struct pick_candidate *candidate = set->candidates->pdata[i];
+
+		if (is_eligible(candidate, tried))
+			g_ptr_array_add(eligible, candidate);
+	}
+	if (eligible->len == 0)
+		return NULL;
+	return set->policy->choose(set, (struct pick_candidate **)eligible->pdata,
+				   eligible->len, now_us);
+}
+
+static double limit_of(const struct pick_candidate *candidate)
+{
+	if (candidate->load_known && candidate->load.limit > 0)
+		return candidate->load.limit;
+	return candidate->slots > 0 ? candidate->slots : PICK_DEFAULT_LIMIT;
+}
+
+static double capacity_of(const struct pick_candidate *candidate)
+{
+	return limit_of(candidate) * MAX(candidate->warm, PICK_WARM_MIN);
+}
+
+/* The work at the upstream, without the attempt to be placed. */
+static double estimate_work(const struct pick_set *set,
+			    const struct pick_candidate *candidate,
+			    int64_t now_us)
+{
+	double prior = set->mean_utilisation * capacity_of(candidate);
+	double age = (double)(now_us - candidate->load_at_us);
+	double memory = CLAMP(PICK_AGE_LATENCIES * set->typical_latency_us,
+			      PICK_AGE_MIN_US, PICK_AGE_MAX_US);
+	double kept = candidate->load_known ? exp(-age / memory) : 0;
+
+	return candidate->outstanding + kept * candidate->others +
+	       (1 - kept) * prior;
+}
+
+double pick_utilisation(const struct pick_set *set,
+			const struct pick_candidate *candidate, int64_t now_us)
+{
+	return (estimate_work(set, candidate, now_us) + 1) /
+	       capacity_of(candidate);
+}
+
+static bool has_room(const struct pick_set *set,
+		     const struct pick_candidate *candidate, int64_t now_us)
+{
+	return estimate_work(set, candidate, now_us) < capacity_of(candidate);
+}
+
+bool pick_may_queue(const struct pick_set *set,
+		    const struct pick_candidate *candidate,
+		    const struct pick_tried *tried, bool last_attempt,
+		    int64_t now_us)
+{
+	if (last_attempt || !budget_has(&set->refusals, 1.0))
+		return true;
+	for (guint i = 0; i < set->candidates->len; i++) {
+		const struct pick_candidate *other = set->candidates->pdata[i];
+
+		if (other != candidate && is_eligible(other, tried) &&
+		    has_room(set, other, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Moves a running median: in large steps at first, then in steady ones. A rare
+ * long job moves it as little as any other sample. */
+static void move_median(double *median, uint32_t *samples, double value)
+{
+	double step = MAX(PICK_LATENCY_STEP, 1.0 / (*samples + 1.0));
+
+	if (*samples == 0)
+		*median = value;
+	else if (value > *median)
+		*median *= 1 + step;
+	else if (value < *median)
+		*median /= 1 + step;
+	if (*samples < UINT32_MAX)
+		(*samples)++;
+}
+
+static double aged_latency(const struct pick_set *set,
+			   const struct pick_candidate *candidate, int64_t now_us)
+{
+	double age = (double)(now_us - candidate->latency_at_us);
+	double kept = exp(-age / PICK_LATENCY_AGE_US);
+
+	return kept * candidate->latency_us +
+	       (1 - kept) * set->typical_latency_us;
+}
+
+double pick_relative_latency(const struct pick_set *set,
+			     const struct pick_candidate *candidate,
+			     int64_t now_us)
+{
+	if (candidate->latency_samples == 0 || set->typical_latency_us <= 0)
+		return 1.0;
+	return CLAMP(aged_latency(set, candidate, now_us) /
+			     set->typical_latency_us,
+		     PICK_SPEED_MIN, PICK_SPEED_MAX);
+}
+
+double pick_score(const struct pick_set *set,
+		  const struct pick_candidate *candidate, int64_t now_us)
+{
+	return pick_utilisation(set, candidate, now_us) *
+	       pick_relative_latency(set, candidate, now_us);
+}
+
+void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
+		    const struct pick_load *load, int64_t now_us)
+{
+	double work = (double)load->running + load->queued;
+
+	candidate->load = *load;
+	candidate->load_known = true;
+	candidate->load_at_us = now_us;
+	candidate->others = MAX(0.0, work - candidate->outstanding);
+	set->mean_utilisation +=
+		PICK_MEAN_ALPHA * (candidate->others / capacity_of(candidate) -
+				   set->mean_utilisation);
+}
+
+static void note_latency(struct pick_set *set, struct pick_candidate *candidate,
+			 double latency_us, int64_t now_us)
+{
+	double value = MAX(latency_us, 1.0);
+
+	if (candidate->latency_samples > 0)
+		candidate->latency_us = aged_latency(set, candidate, now_us);
+	candidate->latency_at_us = now_us;
+	move_median(&candidate->latency_us, &candidate->latency_samples, value);
+	move_median(&set->typical_latency_us, &set->typical_samples, value);
+}
+
+static void end_attempt(struct pick_set *set, struct pick_candidate *candidate,
+			const struct pick_load *load, int64_t now_us)
+{
+	if (candidate->outstanding > 0)
+		candidate->outstanding--;
+	if (load)
+		pick_note_load(set, candidate, load, now_us);
+}
+
+void pick_note_sent(struct pick_set *set, struct pick_candidate *candidate)
+{
+	(void)set;
+	candidate->outstanding++;
+}
+
+void pick_note_done(struct pick_set *set, struct pick_candidate *candidate,
+		    int64_t latency_us, const struct pick_load *load,
+		    int64_t now_us)
+{
+	end_attempt(set, candidate, load, now_us);
+	note_latency(set, candidate, (double)latency_us, now_us);
+}
+
+void pick_note_failed(struct pick_set *set, struct pick_candidate *candidate,
+		      int64_t latency_us, const struct pick_load *load,
+		      int64_t now_us)
+{
+	end_attempt(set, candidate, load, now_us);
+	if ((double)latency_us > candidate->latency_us)
+		note_latency(set, candidate, (double)latency_us, now_us);
+}
+
+void pick_note_refused(struct pick_set *set, struct pick_candidate *candidate,
+		       bool busy, const struct pick_load *load, int64_t now_us)
+{
+	end_attempt(set, candidate, load, now_us);
+	if (busy)
+		budget_charge(&set->refusals, 1.0);
+}
--- /dev/null
+++ b/comfreydockd/decide/pick_policy.c
@@ -0,0 +1,141 @@
+#include <glib.h>
+
+#include "comfreydockd/decide/pick.h"
+
+/* Work stays in the entry's failure domain up to this utilisation: early
+ * enough to spill before calls are refused or queued there. */
+#define PICK_SPILL_UTILISATION 0.7
+/* A local upstream that is so many times slower than usual has no preference:
+ * the way to another domain costs less. */
+#define PICK_SPILL_SLOWNESS 1.5
+
+typedef double (*cost_function)(const struct pick_set *set,
+				const struct pick_candidate *candidate,
+				int64_t now_us);
+
+/* The cheapest; among equal ones any, so that entries which know nothing
+ * don't all go to the first. */
+static struct pick_candidate *choose_cheapest(struct pick_set *set,
+					      struct pick_candidate **candidates,
+					      size_t count, int64_t now_us,
+					      cost_function cost)
+{
+	struct pick_candidate *best = NULL;
+	double best_cost = 0;
+	uint64_t equals = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		double c = cost(set, candidates[i], now_us);
+
+		if (best && c > best_cost)
+			continue;
+		if (!best || c < best_cost)
+			equals = 0;
+		equals++;
+		if (random_below(&set->random, equals) == 0)
+			best = candidates[i];
+		best_cost = c;
+	}
+	return best;
+}
+
+/* Moves two random ones to the front and takes the cheaper. */
+static struct pick_candidate *choose_of_two(struct pick_set *set,
+					    struct pick_candidate **candidates,
+					    size_t count, int64_t now_us,
+					    cost_function cost)
+{
+	for (size_t i = 0; i < 2 && i < count; i++) {
+		size_t j = i + random_below(&set->random, count - i);
+		struct pick_candidate *swap = candidates[i];
+
+		candidates[i] = candidates[j];
+		candidates[j] = swap;
+	}
+	return choose_cheapest(set, candidates, MIN(count, 2), now_us, cost);
+}
+
+/* Moves the local candidates with room to the front. RETURN VALUE: how many
+ * are left to choose from. */
+static size_t prefer_local(const struct pick_set *set,
+			   struct pick_candidate **candidates, size_t count,
+			   int64_t now_us)
+{
+	size_t local = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		struct pick_candidate *c = candidates[i];
+
+		if (!c->local ||
+		    pick_utilisation(set, c, now_us) > PICK_SPILL_UTILISATION ||
+		    pick_relative_latency(set, c, now_us) > PICK_SPILL_SLOWNESS)
+			continue;
+		candidates[i] = candidates[local];
+		candidates[local++] = c;
+	}
+	return local > 0 ? local : count;
+}
+
+static double cost_outstanding(const struct pick_set *set,
+			       const struct pick_candidate *candidate,
+			       int64_t now_us)
+{
+	(void)set;
+	(void)now_us;
+	return candidate->outstanding;
+}
+
+static struct pick_candidate *choose_random(struct pick_set *set,
+					    struct pick_candidate **candidates,
+					    size_t count, int64_t now_us)
+{
+	(void)now_us;
+	return candidates[random_below(&set->random, count)];
+}
+
+static struct pick_candidate *
+choose_round_robin(struct pick_set *set, struct pick_candidate **candidates,
+		   size_t count, int64_t now_us)
+{
+	(void)now_us;
+	return candidates[set->turn++ % count];
+}
+
+static struct pick_candidate *
+choose_least_outstanding(struct pick_set *set, struct pick_candidate **candidates,
+			 size_t count, int64_t now_us)
+{
+	return choose_cheapest(set, candidates, count, now_us, cost_outstanding);
+}
+
+static struct pick_candidate *
+choose_two_choices(struct pick_set *set, struct pick_candidate **candidates,
+		   size_t count, int64_t now_us)
+{
+	return choose_of_two(set, candidates, count, now_us, cost_outstanding);
+}
+
+static struct pick_candidate *choose_two_scores(struct pick_set *set,
+						struct pick_candidate **candidates,
+						size_t count, int64_t now_us)
+{
+	count = prefer_local(set, candidates, count, now_us);
+	return choose_of_two(set, candidates, count, now_us, pick_score);
+}
+
+static struct pick_candidate *
+choose_least_score(struct pick_set *set, struct pick_candidate **candidates,
+		   size_t count, int64_t now_us)
+{
+	count = prefer_local(set, candidates, count, now_us);
+	return choose_cheapest(set, candidates, count, now_us, pick_score);
+}
+
+const struct pick_policy pick_random = {"random", choose_random};
+const struct pick_policy pick_round_robin = {"round-robin", choose_round_robin};
+const struct pick_policy pick_least_outstanding = {"least-outstanding",
+						   choose_least_outstanding};
+const struct pick_policy pick_two_choices = {"two-choices", choose_two_choices};
+const struct pick_policy pick_two_scores = {"two-scores", choose_two_scores};
+const struct pick_policy pick_least_score = {"least-score", choose_least_score};
+const struct pick_policy *const pick_default_policy = &pick_least_score;
--- /dev/null
+++ b/comfreydockd/decide/retry.c
@@ -0,0 +1,104 @@
+#include "comfreydockd/decide/retry.h"
+
+#include <glib.h>
+
+static const char *const verdict_names[] = {
+	[RETRY_GO] = "go",
+	[RETRY_NO_UNSAFE] = "unsafe",
+	[RETRY_NO_ANSWERED] = "answered",
+	[RETRY_NO_FINAL] = "final",
+	[RETRY_NO_ATTEMPTS] = "attempts",
+	[RETRY_NO_UPSTREAM] = "no-upstream",
+	[RETRY_NO_TIME] = "no-time",
+	[RETRY_NO_BUDGET] = "no-budget",
+};
+
+const char *retry_verdict_name(enum retry_verdict verdict)
+{
+	return verdict_names[verdict];
+}
+
+void retry_init(struct retry *retry, uint32_t budget_percent)
+{
+	budget_init(&retry->budget, budget_percent / 100.0,
+		    budget_percent ? RETRY_BURST : 0);
+}
+
+void retry_note_request(struct retry *retry)
+{
+	budget_note_call(&retry->budget);
+}
+
+/* Whether another attempt could run the request a second time, or answer it a
+ * second time. */
+static enum retry_verdict check_safe(const struct retry_question *question)
+{
+	if (question->answer_begun)
+		return RETRY_NO_ANSWERED;
+	switch (question->outcome) {
+	case RETRY_OUTCOME_NEVER_SENT:
+	case RETRY_OUTCOME_NOT_HERE:
+	case RETRY_OUTCOME_OVERLOAD:
+		return RETRY_GO;
+	case RETRY_OUTCOME_UNKNOWN:
+		return question->idempotent ? RETRY_GO : RETRY_NO_UNSAFE;
+	case RETRY_OUTCOME_ANSWERED:
+		return RETRY_NO_ANSWERED;
+	case RETRY_OUTCOME_FINAL:
+		break;
+	}
+	return RETRY_NO_FINAL;
+}
+
+/* No work was done and the cause is this one upstream. */
+static bool is_free(enum retry_outcome outcome)
+{
+	return outcome == RETRY_OUTCOME_NEVER_SENT ||
+	       outcome == RETRY_OUTCOME_NOT_HERE;
+}
+
+/* Full jitter: anything up to a bound that doubles with each attempt. */
+static int64_t backoff_us(uint32_t attempts, struct random_state *random)
+{
+	int64_t bound = RETRY_BASE_US;
+
+	for (uint32_t i = 1; i < attempts && bound < RETRY_CAP_US; i++)
+		bound *= 2;
+	return (int64_t)random_below(random, (uint64_t)MIN(bound, RETRY_CAP_US));
+}
+
+static enum retry_verdict check_room(const struct retry_question *question,
+				     int64_t delay_us, int64_t now_us)
+{
+	if (question->attempts >= question->max_attempts)
+		return RETRY_NO_ATTEMPTS;
+	if (question->untried == 0)
+		return RETRY_NO_UPSTREAM;
+	if (now_us + delay_us + question->expected_us >= question->deadline_us)
+		return RETRY_NO_TIME;
+	return RETRY_GO;
+}
+
+struct retry_answer retry_decide(struct retry *retry,
+				 const struct retry_question *question,
+				 struct random_state *random, int64_t now_us)
+{
+	bool free_of_charge = is_free(question->outcome);
+	int64_t wait_us = backoff_us(question->attempts, random) +
+			  question->retry_after_us;
+	struct retry_answer answer = {
+		.delay_us = free_of_charge ? 0 : wait_us,
+	};
+
+	answer.verdict = check_safe(question);
+	if (answer.verdict == RETRY_GO)
+		answer.verdict = check_room(question, answer.delay_us, now_us);
+	if (answer.verdict == RETRY_GO && !free_of_charge &&
+	    !budget_take(&retry->budget, 1.0 + question->depth))
+		answer.verdict = RETRY_NO_BUDGET;
+	if (answer.verdict != RETRY_GO) {
+		answer.delay_us = 0;
+		answer.come_back_us = MAX(wait_us, RETRY_BASE_US);
+	}
+	return answer;
+}
--- a/include/comfreydockd/decide/health.h
+++ b/include/comfreydockd/decide/health.h
@@ -84,6 +84,7 @@
 	int64_t until_us; /* HEALTH_EJECTED */
 	int64_t ejected_us; /* the last time */
 	uint32_t ejections; /* in a row, for the growing time */
+	uint32_t epoch; /* grows with each change of state */
 	uint32_t trials_out;
 	uint32_t trials_good;
 };
@@ -121,15 +122,21 @@
 void health_set_available(struct health *health,
 			  struct health_upstream *upstream, bool available);
 
-/* Each attempt: sent, then exactly one of ended or refused. */
-void health_note_sent(struct health *health, struct health_upstream *upstream,
-		      int64_t now_us);
+/*
+ * Each attempt: sent, then exactly one of ended or refused, with the epoch that
+ * health_note_sent() returned. An attempt of an older epoch says nothing of
+ * the upstream as it is now: a call that was sent before an ejection and times
+ * out long after must not fail the trial of an upstream that has recovered.
+ */
+uint32_t health_note_sent(struct health *health,
+			  struct health_upstream *upstream, int64_t now_us);
 void health_note_ended(struct health *health, struct health_upstream *upstream,
-		       enum health_outcome outcome, int64_t now_us);
+		       uint32_t epoch, enum health_outcome outcome,
+		       int64_t now_us);
 
 /* NOT_RUN, or cancelled by the entry: a sign of life (heard) or none. */
 void health_note_refused(struct health *health, struct health_upstream *upstream,
-			 bool heard, int64_t now_us);
+			 uint32_t epoch, bool heard, int64_t now_us);
 
 /* Ends ejections whose time is over and ejects the silent. Call it now and
  * then, at least every 100 ms; the ends of attempts do the rest. */
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -79,6 +79,7 @@
 	int64_t load_at_us;
 	double others; /* work of others at the report */
 	double latency_us; /* running median; 0: not known */
+	uint32_t latency_samples;
 	int64_t latency_at_us;
 };
 
@@ -117,6 +118,7 @@
 	uint64_t turn; /* round robin */
 	double mean_utilisation; /* of the others' work, over all reports */
 	double typical_latency_us; /* running median over all upstreams */
+	uint32_t typical_samples;
 };
 
 void pick_set_init(struct pick_set *set, const struct pick_policy *policy,
@@ -187,6 +189,11 @@
 double pick_utilisation(const struct pick_set *set,
 			const struct pick_candidate *candidate, int64_t now_us);
 
+/* The candidate's latency over the typical one, aged toward 1. */
+double pick_relative_latency(const struct pick_set *set,
+			     const struct pick_candidate *candidate,
+			     int64_t now_us);
+
 /* Utilisation times relative latency; less is better. */
 double pick_score(const struct pick_set *set,
 		  const struct pick_candidate *candidate, int64_t now_us);
