config: read settings and operators' files whole

json-c keeps the last of duplicate keys and takes a trailing comma, so a mistake in an operator's file would be in force without a word.

A second pass over the text finds both and keeps the line of every path; a checked reader reports missing, wrong and unknown keys together.

--- /dev/null
+++ b/comfreydockd/config/check.c
@@ -0,0 +1,365 @@
+#include "comfreydockd/config/check.h"
+
+#include <string.h>
+
+#include "common/schema.h"
+
+#define DEADLINE_MAX_MS 3600000
+#define ATTEMPTS_MAX 10
+#define KEY_LIFETIME_MAX_S (30 * 86400)
+#define NAME_MAX_BYTES 63
+
+static const char *const classes[] = {"interactive", "normal", "bulk", NULL};
+static const char *const methods[] = {"GET",	"HEAD",	   "POST",  "PUT",
+				      "DELETE", "OPTIONS", "PATCH", NULL};
+
+static bool is_name(const char *name)
+{
+	return strlen(name) <= NAME_MAX_BYTES &&
+	       strspn(name, "abcdefghijklmnopqrstuvwxyz"
+			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+			    "0123456789-_.") == strlen(name);
+}
+
+static void check_name(struct schema *schema, const char *key, const char *name)
+{
+	if (name && !is_name(name))
+		schema_error(schema, key,
+			     "up to %d letters, digits, '-', '_' and '.'",
+			     NAME_MAX_BYTES);
+}
+
+static void check_path(struct schema *schema, const char *key, const char *path)
+{
+	if (path && *path != '/')
+		schema_error(schema, key, "must begin with \"/\"");
+}
+
+static void read_methods(struct schema *schema, struct config_rule *rule)
+{
+	rule->methods = schema_strings(schema, "methods", SCHEMA_OPTIONAL);
+	for (char **method = rule->methods; method && *method; method++) {
+		if (!g_strv_contains(methods, *method))
+			schema_error(schema, "methods",
+				     "\"%s\" is no method known here", *method);
+	}
+}
+
+static void read_retry(struct schema *schema, struct config_rule *rule)
+{
+	struct schema retry;
+	bool present =
+		schema_init_child(&retry, schema, "retry", SCHEMA_OPTIONAL);
+
+	rule->max_attempts = (uint32_t)schema_uint(
+		&retry, "max_attempts", SCHEMA_REQUIRED, 1, 1, ATTEMPTS_MAX);
+	rule->retry_budget_percent = (uint32_t)schema_uint(
+		&retry, "budget_percent", SCHEMA_REQUIRED, 0, 0, 100);
+	schema_finish(&retry);
+	if (present && rule->max_attempts > 1 && !rule->retry_budget_percent)
+		schema_error(schema, "retry",
+			     "with a budget of 0 no retry is ever made");
+}
+
+static void read_hedge(struct schema *schema, struct config_rule *rule)
+{
+	struct schema hedge;
+
+	rule->hedge = schema_init_child(&hedge, schema, "hedge", SCHEMA_OPTIONAL);
+	rule->hedge_budget_percent = (uint32_t)schema_uint(
+		&hedge, "budget_percent", SCHEMA_REQUIRED, 0, 1, 50);
+	schema_finish(&hedge);
+	/* A hedge is a second run of the same request. */
+	if (rule->hedge && !rule->idempotent)
+		schema_error(schema, "hedge",
+			     "only an idempotent rule may be hedged");
+}
+
+static void read_once_per_key(struct schema *schema, struct config_rule *rule)
+{
+	struct schema once;
+
+	rule->once_per_key = schema_init_child(&once, schema, "once_per_key",
+					       SCHEMA_OPTIONAL);
+	rule->key_lifetime_s = (uint32_t)schema_uint(
+		&once, "lifetime_s", SCHEMA_REQUIRED, 0, 1, KEY_LIFETIME_MAX_S);
+	schema_finish(&once);
+}
+
+static struct config_rule *read_rule(struct schema *schema)
+{
+	struct config_rule *rule = g_new0(struct config_rule, 1);
+
+	rule->name = schema_string(schema, "name", SCHEMA_REQUIRED);
+	check_name(schema, "name", rule->name);
+	read_methods(schema, rule);
+	rule->path_prefix = schema_string(schema, "path_prefix", SCHEMA_OPTIONAL);
+	check_path(schema, "path_prefix", rule->path_prefix);
+	if (!rule->path_prefix)
+		rule->path_prefix = g_strdup("/");
+	rule->idempotent = schema_bool(schema, "idempotent", false);
+	rule->deadline_ms = (uint32_t)schema_uint(
+		schema, "deadline_ms", SCHEMA_REQUIRED, 0, 1, DEADLINE_MAX_MS);
+	rule->class = (enum config_class)schema_enum(schema, "class", classes,
+						     CONFIG_CLASS_NORMAL);
+	read_retry(schema, rule);
+	read_hedge(schema, rule);
+	rule->fairness_header =
+		schema_string(schema, "fairness_header", SCHEMA_OPTIONAL);
+	read_once_per_key(schema, rule);
+	return rule;
+}
+
+static bool rule_covers(const struct config_rule *first,
+			const struct config_rule *later)
+{
+	if (!g_str_has_prefix(later->path_prefix, first->path_prefix))
+		return false;
+	if (!first->methods)
+		return true;
+	for (char **method = later->methods; method && *method; method++) {
+		if (!g_strv_contains((const char *const *)first->methods, *method))
+			return false;
+	}
+	return later->methods;
+}
+
+/* The first match wins, so a rule behind a wider one would never apply. */
+static void check_reach(struct schema *schema, const GPtrArray *rules,
+			const struct config_rule *rule)
+{
+	for (guint i = 0; i < rules->len; i++) {
+		const struct config_rule *first = rules->pdata[i];
+
+		if (g_strcmp0(first->name, rule->name) == 0)
+			schema_error(schema, "name",
+				     "another rule has this name");
+		if (rule_covers(first, rule))
+			schema_error(schema, NULL,
+				     "never applies: rule \"%s\" before it "
+				     "covers all it matches",
+				     first->name ? first->name : "");
+	}
+}
+
+static void read_rules(struct schema *schema, struct config_service *service)
+{
+	json_object *array = schema_array(schema, "rules", SCHEMA_REQUIRED);
+	size_t length = array ? json_object_array_length(array) : 0;
+
+	if (array && !length)
+		schema_error(schema, "rules", "may not be empty");
+	for (size_t i = 0; i < length; i++) {
+		struct config_rule *rule;
+		struct schema item;
+
+		schema_init_item(&item, schema, "rules", i);
+		rule = read_rule(&item);
+		check_reach(&item, service->rules, rule);
+		g_ptr_array_add(service->rules, rule);
+		schema_finish(&item);
+	}
+}
+
+static void read_shed_statuses(struct schema *schema,
+			       struct config_service *service)
+{
+	json_object *array =
+		schema_array(schema, "shed_statuses", SCHEMA_OPTIONAL);
+	size_t length = array ? json_object_array_length(array) : 0;
+
+	service->shed_statuses = g_new0(uint16_t, length + 1);
+	for (size_t i = 0; i < length; i++) {
+		json_object *item = json_object_array_get_idx(array, i);
+		int64_t status = json_object_get_int64(item);
+
+		if (json_object_is_type(item, json_type_int) && status >= 400 &&
+		    status <= 599)
+			service->shed_statuses[i] = (uint16_t)status;
+		else
+			schema_error(schema, "shed_statuses",
+				     "item %zu: a status from 400 to 599 is "
+				     "expected",
+				     i);
+	}
+}
+
+static void read_measure(struct schema *schema, struct config_service *service)
+{
+	struct schema measure;
+
+	schema_init_child(&measure, schema, "measure", SCHEMA_OPTIONAL);
+	service->measure_budget_permille = (uint32_t)schema_uint(
+		&measure, "budget_permille", SCHEMA_REQUIRED, 0, 0, 1000);
+	service->health_path =
+		schema_string(&measure, "health_path", SCHEMA_OPTIONAL);
+	check_path(&measure, "health_path", service->health_path);
+	service->load_path =
+		schema_string(&measure, "load_path", SCHEMA_OPTIONAL);
+	check_path(&measure, "load_path", service->load_path);
+	if (!service->measure_budget_permille &&
+	    (service->health_path || service->load_path))
+		schema_error(&measure, "budget_permille",
+			     "with a budget of 0 no path is ever asked");
+	schema_finish(&measure);
+}
+
+static void read_reach(struct schema *schema, struct config_service *service)
+{
+	service->hosts = schema_strings(schema, "hosts", SCHEMA_OPTIONAL);
+	service->path_prefixes =
+		schema_strings(schema, "path_prefixes", SCHEMA_OPTIONAL);
+	for (char **path = service->path_prefixes; path && *path; path++)
+		check_path(schema, "path_prefixes", *path);
+	for (char **host = service->hosts; host && *host; host++) {
+		if (!is_name(*host))
+			schema_error(schema, "hosts",
+				     "\"%s\" is no host name without a port",
+				     *host);
+	}
+	if (!service->hosts && !service->path_prefixes)
+		schema_error(schema, NULL,
+			     "no request reaches it: give hosts or "
+			     "path_prefixes");
+}
+
+/* RETURN VALUE: the first word that stands in both lists, or NULL. */
+static const char *find_common(char **a, char **b, bool ignore_case)
+{
+	for (char **left = a; left && *left; left++) {
+		for (char **right = b; right && *right; right++) {
+			if (ignore_case ? g_ascii_strcasecmp(*left, *right) == 0 :
+					  strcmp(*left, *right) == 0)
+				return *left;
+		}
+	}
+	return NULL;
+}
+
+static void check_overlap(struct schema *schema, const GPtrArray *services,
+			  const struct config_service *service)
+{
+	for (guint i = 0; i < services->len; i++) {
+		const struct config_service *other = services->pdata[i];
+		const char *host =
+			find_common(service->hosts, other->hosts, true);
+		const char *path = find_common(service->path_prefixes,
+					       other->path_prefixes, false);
+
+		if (host)
+			schema_error(schema, "hosts",
+				     "\"%s\" belongs to service \"%s\" already",
+				     host, other->name);
+		if (path)
+			schema_error(schema, "path_prefixes",
+				     "\"%s\" belongs to service \"%s\" already",
+				     path, other->name);
+	}
+}
+
+static struct config_service *read_service(struct schema *schema,
+					   const char *name,
+					   const struct config_namespace *ns)
+{
+	struct config_service *service = g_new0(struct config_service, 1);
+
+	service->name = g_strdup(name);
+	service->namespace = g_strdup(ns->name);
+	service->rules = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)config_rule_destroy);
+	check_name(schema, NULL, name);
+	read_reach(schema, service);
+	check_overlap(schema, ns->services, service);
+	service->group = schema_string(schema, "group", SCHEMA_REQUIRED);
+	check_name(schema, "group", service->group);
+	read_shed_statuses(schema, service);
+	read_measure(schema, service);
+	read_rules(schema, service);
+	return service;
+}
+
+static void read_services(struct schema *root, struct config_namespace *ns)
+{
+	struct schema services;
+
+	if (schema_init_child(&services, root, "services", SCHEMA_REQUIRED)) {
+		json_object_object_foreach(services.object, name, value)
+		{
+			struct schema schema;
+
+			(void)value;
+			schema_init_child(&schema, &services, name,
+					  SCHEMA_REQUIRED);
+			g_ptr_array_add(ns->services,
+					read_service(&schema, name, ns));
+			schema_finish(&schema);
+		}
+		if (!ns->services->len)
+			schema_error(root, "services", "may not be empty");
+	}
+	schema_finish(&services);
+}
+
+struct config_namespace *config_namespace_load(const char *file, const char *text,
+					       struct findings *findings)
+{
+	struct jsonc_doc *doc = jsonc_parse(file, text, findings);
+	unsigned int errors = findings->errors;
+	struct config_namespace *ns;
+	struct schema root;
+
+	if (!doc)
+		return NULL;
+	ns = config_namespace_create();
+	schema_init(&root, doc, findings);
+	ns->name = schema_string(&root, "namespace", SCHEMA_REQUIRED);
+	check_name(&root, "namespace", ns->name);
+	read_services(&root, ns);
+	schema_finish(&root);
+	jsonc_doc_destroy(doc);
+	ns->body = g_strdup(text);
+	config_body_sha256(text, strlen(text), ns->sha256);
+	if (findings->errors == errors)
+		return ns;
+	config_namespace_unref(ns);
+	return NULL;
+}
+
+static void check_service_against(const struct config_namespace *other,
+				  const struct config_service *service,
+				  const char *file, struct findings *findings)
+{
+	char *path = g_strdup_printf("services.%s", service->name);
+
+	for (guint i = 0; i < other->services->len; i++) {
+		const struct config_service *theirs = other->services->pdata[i];
+		const char *word =
+			find_common(service->hosts, theirs->hosts, true);
+
+		if (!word)
+			word = find_common(service->path_prefixes,
+					   theirs->path_prefixes, false);
+		if (word)
+			findings_add(findings, FINDING_ERROR, file, 0, path,
+				     "\"%s\" belongs to service \"%s\" of "
+				     "namespace \"%s\" already",
+				     word, theirs->name, other->name);
+	}
+	g_free(path);
+}
+
+void config_check_against(const struct config_snapshot *snapshot,
+			  const struct config_namespace *ns, const char *file,
+			  struct findings *findings)
+{
+	for (guint i = 0; i < snapshot->namespaces->len; i++) {
+		const struct config_namespace *other =
+			snapshot->namespaces->pdata[i];
+
+		if (strcmp(other->name, ns->name) == 0)
+			continue;
+		for (guint j = 0; j < ns->services->len; j++)
+			check_service_against(other, ns->services->pdata[j],
+					      file, findings);
+	}
+}
--- /dev/null
+++ b/comfreydockd/settings.c
@@ -0,0 +1,261 @@
+#include "comfreydockd/settings.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+
+#include "common/schema.h"
+
+#define DEFAULT_DRAIN_TIMEOUT_MS 600000
+#define DEFAULT_MAX_CONNECTIONS 4096
+#define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
+#define DEFAULT_MAX_BUFFERED_BYTES (64 * 1024 * 1024)
+#define PEER_KEY_MIN_BYTES 16
+#define NAME_LENGTH_MAX 31 /* what a member's record holds */
+
+static const char *const log_formats[] = {"json", "text", "none", NULL};
+
+static bool is_ip_number(const char *address)
+{
+	struct in6_addr out;
+
+	return inet_pton(AF_INET, address, &out) == 1 ||
+	       inet_pton(AF_INET6, address, &out) == 1;
+}
+
+static bool is_loopback(const char *address)
+{
+	return g_str_has_prefix(address, "127.") || strcmp(address, "::1") == 0;
+}
+
+/* "IP:PORT", an IPv6 number in brackets. */
+static bool is_ip_and_port(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	guint64 port;
+	char *address;
+	bool ok;
+
+	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX,
+						  &port, NULL))
+		return false;
+	if (*text == '[' && colon[-1] == ']')
+		address = g_strndup(text + 1, (gsize)(colon - text - 2));
+	else
+		address = g_strndup(text, (gsize)(colon - text));
+	ok = is_ip_number(address);
+	g_free(address);
+	return ok;
+}
+
+/* Names travel in frames and members' records of fixed size. */
+static char *read_name(struct schema *schema, const char *key)
+{
+	char *name = schema_string(schema, key, SCHEMA_REQUIRED);
+
+	if (name && (strlen(name) > NAME_LENGTH_MAX ||
+		     strspn(name, "abcdefghijklmnopqrstuvwxyz"
+				  "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				  "0123456789-_.") != strlen(name)))
+		schema_error(schema, key,
+			     "up to %d letters, digits, '-', '_' and '.'",
+			     NAME_LENGTH_MAX);
+	return name;
+}
+
+static void read_address(struct schema *schema, struct settings_address *out)
+{
+	out->address = schema_string(schema, "address", SCHEMA_REQUIRED);
+	out->port = (uint16_t)schema_uint(schema, "port", SCHEMA_REQUIRED, 0, 0,
+					  UINT16_MAX);
+	if (out->address && !is_ip_number(out->address))
+		schema_error(schema, "address",
+			     "an IP number is expected, not a name");
+}
+
+static char *read_beside(struct schema *schema, const char *key,
+			 enum schema_need need, gsize *size)
+{
+	char *name = schema_string(schema, key, need);
+	GError *error = NULL;
+	char *content = NULL;
+	char *directory;
+	char *path;
+
+	if (!name)
+		return NULL;
+	directory = g_path_get_dirname(schema->doc->file);
+	path = g_path_is_absolute(name) ?
+		       g_strdup(name) :
+		       g_build_filename(directory, name, NULL);
+	if (!g_file_get_contents(path, &content, size, &error)) {
+		schema_error(schema, key, "%s", error->message);
+		g_error_free(error);
+	}
+	g_free(path);
+	g_free(directory);
+	g_free(name);
+	return content;
+}
+
+static void read_admin(struct schema *root, struct settings *settings)
+{
+	struct schema admin;
+	bool has_token;
+	gsize size;
+
+	schema_init_child(&admin, root, "admin", SCHEMA_REQUIRED);
+	read_address(&admin, &settings->admin);
+	has_token = admin.object &&
+		    json_object_object_get_ex(admin.object, "token_file", NULL);
+	settings->admin_token =
+		read_beside(&admin, "token_file", SCHEMA_OPTIONAL, &size);
+	if (settings->admin_token && !*g_strstrip(settings->admin_token))
+		schema_error(&admin, "token_file", "the file holds no token");
+	/* Whoever reaches the admin port can change what is in force. */
+	if (!has_token && settings->admin.address &&
+	    !is_loopback(settings->admin.address))
+		schema_error(&admin, "address",
+			     "beyond loopback a token_file is needed");
+	schema_finish(&admin);
+}
+
+static void read_peer(struct schema *root, struct settings *settings)
+{
+	struct schema peer;
+
+	schema_init_child(&peer, root, "peer", SCHEMA_REQUIRED);
+	read_address(&peer, &settings->peer);
+	settings->peer_key = (uint8_t *)read_beside(
+		&peer, "key_file", SCHEMA_REQUIRED, &settings->peer_key_size);
+	if (settings->peer_key && settings->peer_key_size < PEER_KEY_MIN_BYTES)
+		schema_error(&peer, "key_file", "holds fewer than %d bytes",
+			     PEER_KEY_MIN_BYTES);
+	settings->join = schema_strings(&peer, "join", SCHEMA_OPTIONAL);
+	if (!settings->join)
+		settings->join = g_new0(char *, 1);
+	for (char **join = settings->join; *join; join++) {
+		if (!is_ip_and_port(*join))
+			schema_error(&peer, "join", "\"%s\" is not IP:PORT",
+				     *join);
+	}
+	schema_finish(&peer);
+}
+
+static void read_caller(struct schema *root, struct settings *settings)
+{
+	struct schema caller;
+
+	schema_init_child(&caller, root, "caller", SCHEMA_REQUIRED);
+	read_address(&caller, &settings->caller);
+	settings->max_connections =
+		(uint32_t)schema_uint(&caller, "max_connections", SCHEMA_OPTIONAL,
+				      DEFAULT_MAX_CONNECTIONS, 1, 65536);
+	settings->max_head_bytes =
+		(uint32_t)schema_uint(&caller, "max_head_bytes", SCHEMA_OPTIONAL,
+				      DEFAULT_MAX_HEAD_BYTES, 1024, 1024 * 1024);
+	settings->max_buffered_bytes = (uint32_t)schema_uint(
+		&caller, "max_buffered_bytes", SCHEMA_OPTIONAL,
+		DEFAULT_MAX_BUFFERED_BYTES, 1024 * 1024, UINT32_MAX);
+	schema_finish(&caller);
+}
+
+static void read_platform(struct schema *root, struct settings *settings)
+{
+	struct schema platform;
+	const char *rest;
+
+	schema_init_child(&platform, root, "platform", SCHEMA_REQUIRED);
+	settings->platform_url = schema_string(&platform, "url", SCHEMA_REQUIRED);
+	if (settings->platform_url) {
+		rest = settings->platform_url;
+		if (!g_str_has_prefix(rest, "http://") ||
+		    !is_ip_and_port(rest + strlen("http://")))
+			schema_error(&platform, "url",
+				     "\"http://IP:PORT\" is expected");
+	}
+	schema_finish(&platform);
+}
+
+static char *resolve_beside(const char *file, char *name)
+{
+	char *directory;
+	char *path;
+
+	if (!name || g_path_is_absolute(name))
+		return name;
+	directory = g_path_get_dirname(file);
+	path = g_build_filename(directory, name, NULL);
+	g_free(directory);
+	g_free(name);
+	return path;
+}
+
+static void read_settings(const struct jsonc_doc *doc,
+			  struct settings *settings, struct findings *findings)
+{
+	struct schema root;
+
+	schema_init(&root, doc, findings);
+	settings->host = read_name(&root, "host");
+	settings->domain = read_name(&root, "domain");
+	settings->region = read_name(&root, "region");
+	read_caller(&root, settings);
+	read_peer(&root, settings);
+	read_admin(&root, settings);
+	read_platform(&root, settings);
+	settings->log_format = (enum log_format)schema_enum(
+		&root, "log_format", log_formats, LOG_FORMAT_JSON);
+	settings->drain_timeout_ms =
+		(uint32_t)schema_uint(&root, "drain_timeout_ms", SCHEMA_OPTIONAL,
+				      DEFAULT_DRAIN_TIMEOUT_MS, 0, UINT32_MAX);
+	settings->config_file = resolve_beside(
+		doc->file, schema_string(&root, "config_file", SCHEMA_OPTIONAL));
+	schema_finish(&root);
+}
+
+struct settings *settings_load(const char *file, struct findings *findings)
+{
+	unsigned int errors = findings->errors;
+	struct settings *settings = NULL;
+	struct jsonc_doc *doc = NULL;
+	GError *error = NULL;
+	char *text = NULL;
+
+	if (!g_file_get_contents(file, &text, NULL, &error)) {
+		findings_add(findings, FINDING_ERROR, file, 0, NULL, "%s",
+			     error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	doc = jsonc_parse(file, text, findings);
+	if (doc) {
+		settings = g_new0(struct settings, 1);
+		read_settings(doc, settings, findings);
+	}
+	if (findings->errors != errors) {
+		settings_destroy(settings);
+		settings = NULL;
+	}
+	jsonc_doc_destroy(doc);
+	g_free(text);
+	return settings;
+}
+
+void settings_destroy(struct settings *settings)
+{
+	if (!settings)
+		return;
+	g_free(settings->host);
+	g_free(settings->domain);
+	g_free(settings->region);
+	g_free(settings->caller.address);
+	g_free(settings->peer.address);
+	g_free(settings->admin.address);
+	g_free(settings->admin_token);
+	g_free(settings->peer_key);
+	g_free(settings->platform_url);
+	g_strfreev(settings->join);
+	g_free(settings->config_file);
+	g_free(settings);
+}
--- /dev/null
+++ b/common/schema.c
@@ -0,0 +1,267 @@
+#include "common/schema.h"
+
+#include <string.h>
+
+#define NEAR_MAX 3 /* edits up to which a name is worth suggesting */
+#define NAME_MAX_BYTES 63
+
+static void schema_init_at(struct schema *schema, const struct jsonc_doc *doc,
+			   struct findings *findings, json_object *object,
+			   char *path)
+{
+	schema->doc = doc;
+	schema->findings = findings;
+	schema->object = object;
+	schema->path = path;
+	schema->known = g_ptr_array_new_with_free_func(g_free);
+}
+
+void schema_init(struct schema *schema, const struct jsonc_doc *doc,
+		 struct findings *findings)
+{
+	schema_init_at(schema, doc, findings, doc->root, g_strdup(""));
+}
+
+void schema_error(struct schema *schema, const char *key, const char *format, ...)
+{
+	char *path = key ? jsonc_path_key(schema->path, key) :
+			   g_strdup(schema->path);
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	findings_add(schema->findings, FINDING_ERROR, schema->doc->file,
+		     jsonc_line(schema->doc, path), *path ? path : NULL, "%s",
+		     text);
+	g_free(text);
+	g_free(path);
+}
+
+/* Levenshtein's distance, over names of bounded length. */
+static size_t edit_distance(const char *a, const char *b)
+{
+	size_t row[NAME_MAX_BYTES + 2];
+	size_t length = strlen(b);
+
+	if (length > NAME_MAX_BYTES)
+		return NAME_MAX_BYTES;
+	for (size_t j = 0; j <= length; j++)
+		row[j] = j;
+	for (size_t i = 0; a[i]; i++) {
+		size_t diagonal = row[0];
+
+		row[0] = i + 1;
+		for (size_t j = 0; j < length; j++) {
+			size_t above = row[j + 1];
+			size_t changed = diagonal + (a[i] != b[j]);
+
+			row[j + 1] = MIN(changed, MIN(above, row[j]) + 1);
+			diagonal = above;
+		}
+	}
+	return row[length];
+}
+
+const char *schema_nearest(const char *word, const GPtrArray *names)
+{
+	size_t best = MIN(NEAR_MAX, strlen(word) / 2) + 1;
+	const char *nearest = NULL;
+
+	for (guint i = 0; i < names->len; i++) {
+		size_t distance = edit_distance(word, names->pdata[i]);
+
+		if (distance >= best)
+			continue;
+		best = distance;
+		nearest = names->pdata[i];
+	}
+	return nearest;
+}
+
+static bool is_known(const struct schema *schema, const char *key)
+{
+	return g_ptr_array_find_with_equal_func(schema->known, key, g_str_equal,
+						NULL);
+}
+
+void schema_finish(struct schema *schema)
+{
+	if (schema->object) {
+		json_object_object_foreach(schema->object, key, value)
+		{
+			const char *nearest;
+
+			(void)value;
+			if (is_known(schema, key))
+				continue;
+			nearest = schema_nearest(key, schema->known);
+			if (nearest)
+				schema_error(
+					schema, key,
+					"unknown key, did you mean \"%s\"?",
+					nearest);
+			else
+				schema_error(schema, key, "unknown key");
+		}
+	}
+	g_ptr_array_free(schema->known, TRUE);
+	g_free(schema->path);
+}
+
+static const char *type_text(json_type type)
+{
+	switch (type) {
+	case json_type_boolean:
+		return "true or false";
+	case json_type_int:
+		return "a whole number";
+	case json_type_object:
+		return "an object";
+	case json_type_array:
+		return "an array";
+	case json_type_string:
+		return "a string";
+	default:
+		return "a value";
+	}
+}
+
+static json_object *schema_get(struct schema *schema, const char *key,
+			       json_type type, enum schema_need need)
+{
+	json_object *value = NULL;
+
+	g_ptr_array_add(schema->known, g_strdup(key));
+	if (!schema->object ||
+	    !json_object_object_get_ex(schema->object, key, &value)) {
+		if (schema->object && need == SCHEMA_REQUIRED)
+			schema_error(schema, key, "is missing");
+		return NULL;
+	}
+	if (!json_object_is_type(value, type)) {
+		schema_error(schema, key, "%s is expected", type_text(type));
+		return NULL;
+	}
+	return value;
+}
+
+bool schema_init_child(struct schema *child, struct schema *parent,
+		       const char *key, enum schema_need need)
+{
+	json_object *object = schema_get(parent, key, json_type_object, need);
+
+	schema_init_at(child, parent->doc, parent->findings, object,
+		       jsonc_path_key(parent->path, key));
+	return object;
+}
+
+bool schema_init_item(struct schema *child, struct schema *parent,
+		      const char *key, size_t index)
+{
+	json_object *array = json_object_object_get(parent->object, key);
+	json_object *object = json_object_array_get_idx(array, index);
+	char *path = jsonc_path_key(parent->path, key);
+
+	if (!json_object_is_type(object, json_type_object))
+		object = NULL;
+	schema_init_at(child, parent->doc, parent->findings, object,
+		       jsonc_path_item(path, index));
+	g_free(path);
+	if (!object)
+		schema_error(child, NULL, "an object is expected");
+	return object;
+}
+
+json_object *schema_array(struct schema *schema, const char *key,
+			  enum schema_need need)
+{
+	return schema_get(schema, key, json_type_array, need);
+}
+
+char *schema_string(struct schema *schema, const char *key, enum schema_need need)
+{
+	json_object *value = schema_get(schema, key, json_type_string, need);
+	const char *text;
+
+	if (!value)
+		return NULL;
+	text = json_object_get_string(value);
+	if (*text && strlen(text) == (size_t)json_object_get_string_len(value))
+		return g_strdup(text);
+	schema_error(schema, key, "may not be empty or hold a 0 byte");
+	return NULL;
+}
+
+char **schema_strings(struct schema *schema, const char *key,
+		      enum schema_need need)
+{
+	json_object *array = schema_array(schema, key, need);
+	size_t length = array ? json_object_array_length(array) : 0;
+	char **strings;
+
+	if (!length) {
+		if (array && need == SCHEMA_REQUIRED)
+			schema_error(schema, key, "may not be empty");
+		return NULL;
+	}
+	strings = g_new0(char *, length + 1);
+	for (size_t i = 0, kept = 0; i < length; i++) {
+		json_object *item = json_object_array_get_idx(array, i);
+		const char *text = json_object_get_string(item);
+
+		if (json_object_is_type(item, json_type_string) && *text)
+			strings[kept++] = g_strdup(text);
+		else
+			schema_error(schema, key,
+				     "item %zu: a string is expected", i);
+	}
+	return strings;
+}
+
+bool schema_bool(struct schema *schema, const char *key, bool fallback)
+{
+	json_object *value =
+		schema_get(schema, key, json_type_boolean, SCHEMA_OPTIONAL);
+
+	return value ? json_object_get_boolean(value) : fallback;
+}
+
+uint64_t schema_uint(struct schema *schema, const char *key,
+		     enum schema_need need, uint64_t fallback, uint64_t min,
+		     uint64_t max)
+{
+	json_object *value = schema_get(schema, key, json_type_int, need);
+	int64_t number;
+
+	if (!value)
+		return fallback;
+	number = json_object_get_int64(value);
+	if (number >= 0 && (uint64_t)number >= min && (uint64_t)number <= max)
+		return (uint64_t)number;
+	schema_error(schema, key,
+		     "must lie between %" G_GUINT64_FORMAT
+		     " and %" G_GUINT64_FORMAT,
+		     min, max);
+	return fallback;
+}
+
+int schema_enum(struct schema *schema, const char *key,
+		const char *const *names, int fallback)
+{
+	json_object *value =
+		schema_get(schema, key, json_type_string, SCHEMA_OPTIONAL);
+	char *all;
+
+	if (!value)
+		return fallback;
+	for (int i = 0; names[i]; i++) {
+		if (strcmp(names[i], json_object_get_string(value)) == 0)
+			return i;
+	}
+	all = g_strjoinv(", ", (char **)names);
+	schema_error(schema, key, "must be one of: %s", all);
+	g_free(all);
+	return fallback;
+}
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -5,7 +5,8 @@
  * DESCRIPTION
  *	A snapshot holds one version of each namespace and never changes once
  *	it is in force; a request keeps a reference to the one it began with.
- *	All strings are owned by the snapshot.
+ *	A namespace that does not change is shared by successive snapshots;
+ *	strings are owned by their namespace and live as long as the snapshot.
  */
 #ifndef COMFREYDOCKD_CONFIG_MODEL_H
 #define COMFREYDOCKD_CONFIG_MODEL_H
@@ -51,6 +52,7 @@
 };
 
 struct config_namespace {
+	unsigned int references;
 	char *name;
 	uint64_t version;
 	char sha256[65];
@@ -63,13 +65,35 @@
 	GPtrArray *namespaces; /* of struct config_namespace, by name */
 };
 
+/* RETURN VALUE: an empty namespace with one reference. */
+struct config_namespace *config_namespace_create(void);
+struct config_namespace *config_namespace_ref(struct config_namespace *ns);
+void config_namespace_unref(struct config_namespace *ns);
+
+void config_rule_destroy(struct config_rule *rule);
+void config_service_destroy(struct config_service *service);
+
+/* Fills in hex the SHA-256 of a file's body. */
+void config_body_sha256(const char *body, size_t size, char hex[65]);
+
 struct config_snapshot *config_snapshot_create(void);
+
+/* RETURN VALUE: a new snapshot with this namespace in place of the one of the
+ * same name; takes a reference of its own to the namespace. */
+struct config_snapshot *config_snapshot_with(const struct config_snapshot *snapshot,
+					     struct config_namespace *ns);
+
+/* RETURN VALUE: the snapshot's namespace, or NULL. */
+struct config_namespace *
+config_snapshot_find(const struct config_snapshot *snapshot, const char *name);
 struct config_snapshot *config_snapshot_ref(struct config_snapshot *snapshot);
 void config_snapshot_unref(struct config_snapshot *snapshot);
 
 /*
  * Finds the service by host name first, else by the longest path prefix, and
- * in it the first rule that matches.
+ * in it the first rule that matches. A prefix matches whole path segments:
+ * "/archive" covers "/archive/x" but not "/archives". host may carry a port,
+ * path a query; both are ignored.
  *
  * RETURN VALUE
  *	false where no service or no rule matches; *service is set if one did.
--- /dev/null
+++ b/include/common/jsonc.h
@@ -0,0 +1,40 @@
+/*
+ * NAME
+ *	jsonc - JSON with comments, and where each part of it stands
+ *
+ * DESCRIPTION
+ *	json-c parses the text. It silently keeps the last of duplicate keys
+ *	and takes a trailing comma, so an operator's first entry would vanish
+ *	without a word; a second pass over the same text finds both, and keeps
+ *	the line of every path for findings.
+ *
+ *	A path is written as "services.lookup-desk.rules[2].deadline_ms"; the
+ *	root's is "".
+ */
+#ifndef COMMON_JSONC_H
+#define COMMON_JSONC_H
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "common/findings.h"
+
+struct jsonc_doc {
+	char *file;
+	json_object *root;
+	GHashTable *lines; /* path to line */
+};
+
+/* RETURN VALUE: NULL where the text has errors, all of them in findings. */
+struct jsonc_doc *jsonc_parse(const char *file, const char *text,
+			      struct findings *findings);
+void jsonc_doc_destroy(struct jsonc_doc *doc);
+
+/* RETURN VALUE: the line of the path, or of the nearest part above it. */
+int jsonc_line(const struct jsonc_doc *doc, const char *path);
+
+/* Appends ".key", or "key" to an empty path; the caller frees the result. */
+char *jsonc_path_key(const char *path, const char *key);
+char *jsonc_path_item(const char *path, size_t index);
+
+#endif
--- /dev/null
+++ b/tests/test_config_check.c
@@ -0,0 +1,168 @@
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/config/check.h"
+
+static char *read_sample(void)
+{
+	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
+				      "operators", "lookup.sample.json", NULL);
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
+static struct config_snapshot *load_sample(void)
+{
+	struct config_snapshot *empty = config_snapshot_create();
+	struct config_snapshot *snapshot;
+	struct config_namespace *ns;
+	char *text = read_sample();
+	struct findings findings;
+	char *found;
+
+	findings_init(&findings);
+	ns = config_namespace_load("sample", text, &findings);
+	found = findings_to_text(&findings);
+	g_assert_cmpstr(found, ==, "");
+	snapshot = config_snapshot_with(empty, ns);
+	config_namespace_unref(ns);
+	config_snapshot_unref(empty);
+	findings_finish(&findings);
+	g_free(found);
+	g_free(text);
+	return snapshot;
+}
+
+static void assert_match(const struct config_snapshot *snapshot,
+			 const char *host, const char *method, const char *path,
+			 const char *service_name, const char *rule_name)
+{
+	const struct config_service *service;
+	const struct config_rule *rule;
+	bool found = config_snapshot_match(snapshot, host, method, path,
+					   &service, &rule);
+
+	g_assert_cmpstr(service ? service->name : NULL, ==, service_name);
+	g_assert_cmpstr(rule ? rule->name : NULL, ==, rule_name);
+	g_assert_true(found == (rule_name != NULL));
+}
+
+static void test_requests_find_their_rule(void)
+{
+	struct config_snapshot *snapshot = load_sample();
+	const char *host = "Lookup.Spurningalina.example:8080";
+
+	assert_match(snapshot, host, "GET", "/archive/x", "lookup-desk",
+		     "search");
+	assert_match(snapshot, host, "POST", "/lookup/connect?id=1",
+		     "lookup-desk", "connect-through");
+	assert_match(snapshot, host, "POST", "/lookup/connections",
+		     "lookup-desk", NULL);
+	assert_match(snapshot, "127.0.0.1", "GET", "/archive/bundles/a",
+		     "archive-feed", "bundle");
+	assert_match(snapshot, NULL, "GET", "/archive", "archive-feed", "check");
+	assert_match(snapshot, NULL, "GET", "/archives", NULL, NULL);
+	config_snapshot_unref(snapshot);
+}
+
+/* What a file does not say must never let a booking run twice. */
+static void test_defaults_are_careful(void)
+{
+	struct config_snapshot *snapshot = load_sample();
+	const struct config_service *service;
+	const struct config_rule *rule;
+
+	config_snapshot_match(snapshot, NULL, "POST", "/lookup/connect",
+			      &service, &rule);
+	g_assert_false(rule->idempotent);
+	g_assert_false(rule->hedge);
+	g_assert_true(rule->once_per_key);
+	config_snapshot_match(snapshot, NULL, "GET", "/archive/bundles/x",
+			      &service, &rule);
+	g_assert_cmpuint(rule->max_attempts, ==, 1);
+	g_assert_cmpuint(service->shed_statuses[0], ==, 0);
+	g_assert_null(service->health_path);
+	config_snapshot_unref(snapshot);
+}
+
+static void assert_refused(const char *from, const char *to, const char *expected)
+{
+	char *sample = read_sample();
+	GString *text = g_string_new(sample);
+	struct findings findings;
+	char *found;
+
+	g_assert_cmpuint(g_string_replace(text, from, to, 1), ==, 1);
+	findings_init(&findings);
+	g_assert_null(config_namespace_load("f", text->str, &findings));
+	found = findings_to_text(&findings);
+	if (!strstr(found, expected))
+		g_error("expected \"%s\" in: %s", expected, found);
+	g_free(found);
+	findings_finish(&findings);
+	g_string_free(text, TRUE);
+	g_free(sample);
+}
+
+/*
+ * Files are edited by hand under pressure. Each of these would otherwise be
+ * in force and do something else than its author believes.
+ */
+static void test_mistakes_are_refused(void)
+{
+	assert_refused("\"idempotent\": true", "\"idempotent\": false",
+		       "rules[1].hedge: only an idempotent rule may be hedged");
+	assert_refused("\"idempotent\"", "\"idempotant\"",
+		       "idempotant: unknown key, did you mean \"idempotent\"?");
+	assert_refused("\"archive-feed\": {", "\"lookup-desk\": {",
+		       "duplicate key, first given in line 7");
+	assert_refused(
+		"[\"/archive\"]", "[\"/lookup\"]",
+		"f:41: error: services.archive-feed.path_prefixes: "
+		"\"/lookup\" belongs to service \"lookup-desk\" already");
+	assert_refused("\"path_prefix\": \"/archive/bundles/\",", "",
+		       "rules[1]: never applies: rule \"bundle\" before it");
+	assert_refused("\"budget_permille\": 2", "\"budget_permille\": 0",
+		       "with a budget of 0 no path is ever asked");
+	assert_refused("\"bulk\"", "\"bulky\"",
+		       "must be one of: interactive, normal, bulk");
+	assert_refused("\"POST\"", "\"post\"", "\"post\" is no method");
+	assert_refused("[503]", "[200]", "a status from 400 to 599");
+	assert_refused("\"deadline_ms\": 8000,", "", "deadline_ms: is missing");
+}
+
+/* Two teams claim one host name: requests would go to whichever sorts first. */
+static void test_other_teams_hosts_are_refused(void)
+{
+	struct config_snapshot *snapshot = load_sample();
+	char *sample = read_sample();
+	GString *text = g_string_new(sample);
+	struct config_namespace *ns;
+	struct findings findings;
+
+	g_string_replace(text, "\"namespace\": \"spurningalina\"",
+			 "\"namespace\": \"other\"", 1);
+	findings_init(&findings);
+	ns = config_namespace_load("f", text->str, &findings);
+	g_assert_nonnull(ns);
+	config_check_against(snapshot, ns, "f", &findings);
+	g_assert_cmpuint(findings.errors, ==, 2);
+	config_namespace_unref(ns);
+	findings_finish(&findings);
+	g_string_free(text, TRUE);
+	g_free(sample);
+	config_snapshot_unref(snapshot);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/check/match", test_requests_find_their_rule);
+	g_test_add_func("/check/defaults", test_defaults_are_careful);
+	g_test_add_func("/check/mistakes", test_mistakes_are_refused);
+	g_test_add_func("/check/teams", test_other_teams_hosts_are_refused);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,101 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "comfreydockd/settings.h"
+
+#define KEY "0123456789abcdef"
+
+/* Loads the sample with one text replaced by another.
+ * RETURN VALUE: the findings as text; *out the settings, may be NULL. */
+static char *load(const char *from, const char *to, struct settings **out)
+{
+	char *sample =
+		g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "comfreydockd",
+				 "comfreydockd.sample.json", NULL);
+	char *dir = g_dir_make_tmp("settings-XXXXXX", NULL);
+	char *file = g_build_filename(dir, "s.json", NULL);
+	char *key = g_build_filename(dir, "peer.key", NULL);
+	struct findings findings;
+	char *text = NULL;
+	GString *changed;
+	char *found;
+
+	g_assert_true(g_file_get_contents(sample, &text, NULL, NULL));
+	changed = g_string_new(text);
+	g_assert_cmpuint(g_string_replace(changed, from, to, 1), ==, 1);
+	g_assert_true(g_file_set_contents(file, changed->str, -1, NULL));
+	g_assert_true(g_file_set_contents(key, KEY, -1, NULL));
+	findings_init(&findings);
+	*out = settings_load(file, &findings);
+	found = findings_to_text(&findings);
+	findings_finish(&findings);
+	g_unlink(file);
+	g_unlink(key);
+	g_rmdir(dir);
+	g_string_free(changed, TRUE);
+	g_free(text);
+	g_free(key);
+	g_free(file);
+	g_free(dir);
+	g_free(sample);
+	return found;
+}
+
+static void test_sample_is_valid(void)
+{
+	struct settings *settings;
+	char *found = load("esja-07", "esja-08", &settings);
+
+	g_assert_cmpstr(found, ==, "");
+	g_assert_cmpstr(settings->host, ==, "esja-08");
+	g_assert_cmpstr(settings->join[1], ==, "127.0.0.3:8081");
+	g_assert_cmpuint(settings->peer_key_size, ==, strlen(KEY));
+	g_assert_cmpuint(settings->admin.port, ==, 8082);
+	settings_destroy(settings);
+	g_free(found);
+}
+
+static void assert_refused(const char *from, const char *to, const char *expected)
+{
+	struct settings *settings;
+	char *found = load(from, to, &settings);
+
+	g_assert_null(settings);
+	if (!strstr(found, expected))
+		g_error("expected \"%s\" in: %s", expected, found);
+	g_free(found);
+}
+
+/*
+ * An operator opens the admin port to the network and forgets the token.
+ * Anyone who reaches the host could then put a configuration in force.
+ */
+static void test_open_admin_needs_token(void)
+{
+	assert_refused("\"address\": \"127.0.0.1\",\n\t\t\"port\": 8082",
+		       "\"address\": \"0.0.0.0\",\n\t\t\"port\": 8082",
+		       "s.json:31: error: admin.address: beyond loopback");
+}
+
+static void test_mistakes_are_named(void)
+{
+	assert_refused("\"127.0.0.2:8081\"", "\"localhost:8081\"",
+		       "peer.join: \"localhost:8081\" is not IP:PORT");
+	assert_refused("\"domain\"", "\"domian\"",
+		       "domian: unknown key, did you mean \"domain\"?");
+	assert_refused("http://127.0.0.1:9000", "https://platform",
+		       "platform.url: \"http://IP:PORT\" is expected");
+	assert_refused("peer.key", "no.key", "peer.key_file: Failed to open");
+	assert_refused("8080", "80800",
+		       "caller.port: must lie between 0 and 65535");
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/settings/sample", test_sample_is_valid);
+	g_test_add_func("/settings/open-admin", test_open_admin_needs_token);
+	g_test_add_func("/settings/mistakes", test_mistakes_are_named);
+	return g_test_run();
+}
