config: adopt only higher versions

Offers of a version reach a daemon from many peers, late and in any order. One that goes back would bring rules into force that were replaced.

It asks nobody: observers fetch.

In 500 random offers over three namespaces no version goes back.

--- /dev/null
+++ b/comfreydockd/config/store.c
@@ -0,0 +1,253 @@
+#include "comfreydockd/config/store.h"
+
+#include <string.h>
+
+#include "comfreydockd/config/check.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+#define OBSERVERS_MAX 4
+
+struct config_store {
+	struct config_snapshot *current;
+	bool ready;
+	uint64_t head;
+	uint64_t known_head;
+	uint64_t listed_head;
+	GArray *listing; /* of struct config_version, names owned */
+	struct config_store_observer observers[OBSERVERS_MAX];
+	size_t observer_count;
+};
+
+static void free_version(gpointer data)
+{
+	struct config_version *version = data;
+
+	g_free((char *)version->name);
+}
+
+struct config_store *config_store_create(void)
+{
+	struct config_store *store = g_new0(struct config_store, 1);
+
+	store->current = config_snapshot_create();
+	store->listing = g_array_new(FALSE, FALSE, sizeof(struct config_version));
+	g_array_set_clear_func(store->listing, free_version);
+	return store;
+}
+
+void config_store_destroy(struct config_store *store)
+{
+	if (!store)
+		return;
+	config_snapshot_unref(store->current);
+	g_array_unref(store->listing);
+	g_free(store);
+}
+
+void config_store_observe(struct config_store *store,
+			  const struct config_store_observer *observer)
+{
+	g_assert(store->observer_count < OBSERVERS_MAX);
+	store->observers[store->observer_count++] = *observer;
+}
+
+struct config_snapshot *config_store_current(const struct config_store *store)
+{
+	return store->current;
+}
+
+bool config_store_is_ready(const struct config_store *store)
+{
+	return store->ready;
+}
+
+uint64_t config_store_head(const struct config_store *store)
+{
+	return store->head;
+}
+
+uint64_t config_store_known_head(const struct config_store *store)
+{
+	return store->known_head;
+}
+
+static bool holds(const struct config_store *store,
+		  const struct config_version *version)
+{
+	struct config_namespace *ns =
+		config_snapshot_find(store->current, version->name);
+
+	return ns && ns->version >= version->version;
+}
+
+GArray *config_store_missing(const struct config_store *store)
+{
+	GArray *missing =
+		g_array_new(FALSE, FALSE, sizeof(struct config_version));
+
+	for (guint i = 0; i < store->listing->len; i++) {
+		struct config_version *version =
+			&g_array_index(store->listing, struct config_version, i);
+
+		if (!holds(store, version))
+			g_array_append_val(missing, *version);
+	}
+	return missing;
+}
+
+GArray *config_store_export(const struct config_store *store)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct config_version));
+	const GPtrArray *namespaces = store->current->namespaces;
+
+	for (guint i = 0; i < namespaces->len; i++) {
+		struct config_namespace *ns = namespaces->pdata[i];
+		struct config_version version = {
+			.name = ns->name,
+			.version = ns->version,
+		};
+
+		g_strlcpy(version.sha256, ns->sha256, sizeof(version.sha256));
+		g_array_append_val(all, version);
+	}
+	return all;
+}
+
+/* The head moves only once nothing of its listing is missing: a daemon that
+ * claimed a head early would be believed by peers that then miss a version. */
+static void settle(struct config_store *store)
+{
+	GArray *missing = config_store_missing(store);
+
+	if (!missing->len && (store->listed_head > store->head || !store->ready)) {
+		store->head = MAX(store->head, store->listed_head);
+		store->ready = true;
+		log_event(EV_CONFIG_HEAD_REACHED, LOG_INT("head", store->head));
+	}
+	g_array_unref(missing);
+}
+
+void config_store_note_head(struct config_store *store, uint64_t head,
+			    const char *from_host)
+{
+	if (head <= store->head && store->ready)
+		return;
+	store->known_head = MAX(store->known_head, head);
+	for (size_t i = 0; i < store->observer_count; i++) {
+		struct config_store_observer *observer = &store->observers[i];
+
+		if (observer->handle_behind)
+			observer->handle_behind(head, from_host, observer->data);
+	}
+}
+
+void config_store_note_listing(struct config_store *store, uint64_t head,
+			       const struct config_version *versions,
+			       size_t count)
+{
+	if (head < store->listed_head)
+		return;
+	store->known_head = MAX(store->known_head, head);
+	store->listed_head = head;
+	g_array_set_size(store->listing, 0);
+	for (size_t i = 0; i < count; i++) {
+		struct config_version version = versions[i];
+
+		version.name = g_strdup(versions[i].name);
+		g_array_append_val(store->listing, version);
+	}
+	settle(store);
+}
+
+static void adopt(struct config_store *store, struct config_namespace *ns)
+{
+	struct config_snapshot *old = store->current;
+
+	store->current = config_snapshot_with(old, ns);
+	config_snapshot_unref(old);
+	counters.config_adopted++;
+	log_event(EV_CONFIG_ADOPTED, LOG_STR("namespace", ns->name),
+		  LOG_INT("version", ns->version), LOG_STR("sha256", ns->sha256));
+	for (size_t i = 0; i < store->observer_count; i++) {
+		struct config_store_observer *observer = &store->observers[i];
+
+		if (observer->handle_changed)
+			observer->handle_changed(store->current, observer->data);
+	}
+}
+
+bool config_store_load_file(struct config_store *store, const char *file,
+			    struct findings *findings)
+{
+	struct config_namespace *ns;
+	GError *error = NULL;
+	char *text = NULL;
+
+	if (!g_file_get_contents(file, &text, NULL, &error)) {
+		findings_add(findings, FINDING_ERROR, file, 0, NULL, "%s",
+			     error->message);
+		g_error_free(error);
+		return false;
+	}
+	ns = config_namespace_load(file, text, findings);
+	g_free(text);
+	if (!ns)
+		return false;
+	if (!config_snapshot_find(store->current, ns->name))
+		adopt(store, ns);
+	config_namespace_unref(ns);
+	store->ready = true;
+	return true;
+}
+
+static enum config_offer refuse(const char *name, uint64_t version,
+				enum config_offer reason, const char *text)
+{
+	counters.config_offers_refused++;
+	log_event(EV_CONFIG_OFFER_REFUSED, LOG_STR("namespace", name),
+		  LOG_INT("version", version), LOG_STR("reason", text));
+	return reason;
+}
+
+static struct config_namespace *load_offer(const char *name, const char *body)
+{
+	struct config_namespace *ns;
+	struct findings findings;
+
+	findings_init(&findings);
+	ns = config_namespace_load(name, body, &findings);
+	findings_finish(&findings);
+	if (ns && strcmp(ns->name, name) == 0)
+		return ns;
+	config_namespace_unref(ns);
+	return NULL;
+}
+
+enum config_offer config_store_offer(struct config_store *store, const char *name,
+				     uint64_t version, const char *sha256,
+				     const char *body, size_t size)
+{
+	struct config_namespace *ns;
+	char hash[65];
+	char *text;
+
+	ns = config_snapshot_find(store->current, name);
+	if (version == 0 || (ns && ns->version >= version))
+		return CONFIG_OFFER_NOT_NEWER;
+	config_body_sha256(body, size, hash);
+	if (strcmp(hash, sha256) != 0)
+		return refuse(name, version, CONFIG_OFFER_BAD_HASH,
+			      "the body does not match its hash");
+	text = g_strndup(body, size);
+	ns = strlen(text) == size ? load_offer(name, text) : NULL;
+	g_free(text);
+	if (!ns)
+		return refuse(name, version, CONFIG_OFFER_BAD_CONTENT,
+			      "the body does not pass the check");
+	ns->version = version;
+	adopt(store, ns);
+	config_namespace_unref(ns);
+	settle(store);
+	return CONFIG_OFFER_ADOPTED;
+}
--- /dev/null
+++ b/include/comfreydockd/config/store.h
@@ -0,0 +1,100 @@
+/*
+ * NAME
+ *	config_store - the configuration in force in this daemon
+ *
+ * DESCRIPTION
+ *	Holds the current snapshot and adopts only a higher version of each
+ *	namespace, never a lower one, whoever offers it. A request in flight
+ *	keeps the snapshot it began with by a reference of its own.
+ *
+ *	The head counts all applies of all namespaces. Hearing of a higher
+ *	head, from gossip or from the platform's row, tells that something is
+ *	missing; a listing tells what. The store asks nobody by itself: it
+ *	calls handle_behind and waits for listings and offers.
+ */
+#ifndef COMFREYDOCKD_CONFIG_STORE_H
+#define COMFREYDOCKD_CONFIG_STORE_H
+
+#include <stddef.h>
+
+#include "comfreydockd/config/model.h"
+#include "common/findings.h"
+
+struct config_store;
+
+struct config_store_observer {
+	/* A new snapshot is in force. */
+	void (*handle_changed)(struct config_snapshot *snapshot, void *data);
+	/* A head above the one held here is known at from_host, or at the
+	 * platform where that is NULL. Called for each such note, so that a
+	 * failed fetch is tried anew at the next one. */
+	void (*handle_behind)(uint64_t head, const char *from_host, void *data);
+	void *data;
+};
+
+enum config_offer {
+	CONFIG_OFFER_ADOPTED,
+	CONFIG_OFFER_NOT_NEWER,
+	CONFIG_OFFER_BAD_HASH, /* the body is not what its hash says */
+	CONFIG_OFFER_BAD_CONTENT,
+};
+
+/* One line of a listing. */
+struct config_version {
+	const char *name; /* of the namespace */
+	uint64_t version;
+	char sha256[65];
+};
+
+struct config_store *config_store_create(void);
+void config_store_destroy(struct config_store *store);
+
+/* At most four. */
+void config_store_observe(struct config_store *store,
+			  const struct config_store_observer *observer);
+
+/* RETURN VALUE: false where findings has errors. The file is in force as
+ * version 0, until a higher version of its namespace is adopted. */
+bool config_store_load_file(struct config_store *store, const char *file,
+			    struct findings *findings);
+
+/* RETURN VALUE: the store's; take a reference to keep it. Never NULL. */
+struct config_snapshot *config_store_current(const struct config_store *store);
+
+/*
+ * False in a daemon that has just started until it has reached some head, be
+ * it 0, or has a file. Until then work is refused as not run: with nothing
+ * in force every request would be told that its service does not exist.
+ */
+bool config_store_is_ready(const struct config_store *store);
+
+/* The head up to which everything is held here. */
+uint64_t config_store_head(const struct config_store *store);
+
+/* The highest head heard of. */
+uint64_t config_store_known_head(const struct config_store *store);
+
+void config_store_note_head(struct config_store *store, uint64_t head,
+			    const char *from_host);
+
+/*
+ * Takes note of what is in force at a head. Once each line was adopted at
+ * this version or a higher one, the store has reached the head.
+ */
+void config_store_note_listing(struct config_store *store, uint64_t head,
+			       const struct config_version *versions,
+			       size_t count);
+
+/* RETURN VALUE: an array of struct config_version that the last listing has
+ * and this store lacks; free with g_array_unref(). The names are the store's
+ * until the next listing. */
+GArray *config_store_missing(const struct config_store *store);
+
+/* The same for all that is held here: what this daemon lists to others. */
+GArray *config_store_export(const struct config_store *store);
+
+enum config_offer config_store_offer(struct config_store *store, const char *name,
+				     uint64_t version, const char *sha256,
+				     const char *body, size_t size);
+
+#endif
--- /dev/null
+++ b/tests/test_config_store.c
@@ -0,0 +1,228 @@
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/config/store.h"
+
+struct fixture {
+	struct config_store *store;
+	unsigned int changed;
+	unsigned int behind;
+	char *behind_host;
+};
+
+static void handle_changed(struct config_snapshot *snapshot, void *data)
+{
+	struct fixture *f = data;
+
+	g_assert_true(snapshot == config_store_current(f->store));
+	f->changed++;
+}
+
+static void handle_behind(uint64_t head, const char *from_host, void *data)
+{
+	struct fixture *f = data;
+
+	g_assert_cmpuint(head, >, 0);
+	g_free(f->behind_host);
+	f->behind_host = g_strdup(from_host);
+	f->behind++;
+}
+
+static void setup(struct fixture *f, gconstpointer unused)
+{
+	struct config_store_observer observer = {handle_changed, handle_behind,
+						 f};
+
+	(void)unused;
+	f->store = config_store_create();
+	config_store_observe(f->store, &observer);
+}
+
+static void teardown(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	config_store_destroy(f->store);
+	g_free(f->behind_host);
+}
+
+static char *body_of(const char *name, uint64_t version)
+{
+	return g_strdup_printf(
+		"{\"namespace\": \"%s\", \"services\": {\"s\": {\"hosts\": "
+		"[\"%s\"], \"group\": \"g\", \"rules\": [{\"name\": "
+		"\"r\", \"deadline_ms\": %" G_GUINT64_FORMAT "}]}}}",
+		name, name, version + 1);
+}
+
+static struct config_version version_of(const char *name, uint64_t version)
+{
+	struct config_version line = {.name = name, .version = version};
+	char *body = body_of(name, version);
+
+	config_body_sha256(body, strlen(body), line.sha256);
+	g_free(body);
+	return line;
+}
+
+static enum config_offer offer(struct fixture *f, const char *name,
+			       uint64_t version)
+{
+	struct config_version line = version_of(name, version);
+	char *body = body_of(name, version);
+	enum config_offer result = config_store_offer(
+		f->store, name, version, line.sha256, body, strlen(body));
+
+	g_free(body);
+	return result;
+}
+
+static uint32_t deadline_of(const struct config_snapshot *snapshot,
+			    const char *host)
+{
+	const struct config_service *service;
+	const struct config_rule *rule;
+
+	if (!config_snapshot_match(snapshot, host, "GET", "/", &service, &rule))
+		return 0;
+	return rule->deadline_ms;
+}
+
+/*
+ * Offers come from many peers in any order, some long delayed. If an old one
+ * were taken, a town's desk would be served by rules that were replaced.
+ */
+static void test_versions_never_go_back(struct fixture *f, gconstpointer unused)
+{
+	uint64_t highest[3] = {0};
+
+	(void)unused;
+	for (int i = 0; i < 500; i++) {
+		static const char *const names[] = {"a", "b", "c"};
+		int n = g_test_rand_int_range(0, 3);
+		uint64_t version = (uint64_t)g_test_rand_int_range(0, 40);
+		bool newer = version > highest[n];
+
+		g_assert_cmpint(offer(f, names[n], version), ==,
+				newer ? CONFIG_OFFER_ADOPTED :
+					CONFIG_OFFER_NOT_NEWER);
+		highest[n] = MAX(highest[n], version);
+		if (highest[n])
+			g_assert_cmpuint(
+				deadline_of(config_store_current(f->store),
+					    names[n]),
+				==, highest[n] + 1);
+	}
+}
+
+/* A request began under a rule and is still in flight when it is replaced. */
+static void test_requests_keep_their_snapshot(struct fixture *f,
+					      gconstpointer unused)
+{
+	struct config_snapshot *mine;
+
+	(void)unused;
+	offer(f, "a", 1);
+	mine = config_snapshot_ref(config_store_current(f->store));
+	offer(f, "a", 2);
+	g_assert_cmpuint(deadline_of(mine, "a"), ==, 2);
+	g_assert_cmpuint(deadline_of(config_store_current(f->store), "a"), ==, 3);
+	g_assert_cmpuint(f->changed, ==, 2);
+	config_snapshot_unref(mine);
+}
+
+/* A peer hands over a body that was cut or belongs to another namespace. */
+static void test_bad_offers_change_nothing(struct fixture *f, gconstpointer unused)
+{
+	struct config_version line = version_of("a", 1);
+	char *body = body_of("a", 1);
+	char hash[65];
+
+	(void)unused;
+	g_assert_cmpint(config_store_offer(f->store, "a", 1, line.sha256, body,
+					   strlen(body) - 1),
+			==, CONFIG_OFFER_BAD_HASH);
+	g_assert_cmpint(config_store_offer(f->store, "b", 1, line.sha256, body,
+					   strlen(body)),
+			==, CONFIG_OFFER_BAD_CONTENT);
+	config_body_sha256("{}", 2, hash);
+	g_assert_cmpint(config_store_offer(f->store, "a", 1, hash, "{}", 2), ==,
+			CONFIG_OFFER_BAD_CONTENT);
+	g_assert_cmpuint(f->changed, ==, 0);
+	g_free(body);
+}
+
+/*
+ * A restarted daemon remembers nothing. It is ready only when it holds all
+ * that the listing names; before, it would answer for services it lacks.
+ */
+static void test_head_is_reached_with_the_last_body(struct fixture *f,
+						    gconstpointer unused)
+{
+	struct config_version listing[] = {version_of("a", 4),
+					   version_of("b", 2)};
+	GArray *missing;
+
+	(void)unused;
+	g_assert_false(config_store_is_ready(f->store));
+	config_store_note_head(f->store, 6, "esja-01");
+	g_assert_cmpuint(f->behind, ==, 1);
+	g_assert_cmpstr(f->behind_host, ==, "esja-01");
+	config_store_note_listing(f->store, 6, listing, 2);
+	config_store_note_listing(f->store, 5, listing, 0);
+	offer(f, "a", 5);
+	missing = config_store_missing(f->store);
+	g_assert_cmpuint(missing->len, ==, 1);
+	g_array_unref(missing);
+	g_assert_false(config_store_is_ready(f->store));
+	offer(f, "b", 2);
+	g_assert_true(config_store_is_ready(f->store));
+	g_assert_cmpuint(config_store_head(f->store), ==, 6);
+	config_store_note_head(f->store, 6, "esja-01");
+	g_assert_cmpuint(f->behind, ==, 1);
+}
+
+static void test_empty_platform_is_ready_too(struct fixture *f,
+					     gconstpointer unused)
+{
+	(void)unused;
+	config_store_note_listing(f->store, 0, NULL, 0);
+	g_assert_true(config_store_is_ready(f->store));
+}
+
+static void test_file_holds_until_a_version(struct fixture *f,
+					    gconstpointer unused)
+{
+	char *file = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
+				      "operators", "lookup.sample.json", NULL);
+	struct findings findings;
+	GArray *all;
+
+	(void)unused;
+	findings_init(&findings);
+	g_assert_true(config_store_load_file(f->store, file, &findings));
+	g_assert_true(config_store_is_ready(f->store));
+	g_assert_cmpint(offer(f, "spurningalina", 0), ==, CONFIG_OFFER_NOT_NEWER);
+	g_assert_cmpint(offer(f, "spurningalina", 1), ==, CONFIG_OFFER_ADOPTED);
+	all = config_store_export(f->store);
+	g_assert_cmpuint(all->len, ==, 1);
+	g_assert_cmpuint(g_array_index(all, struct config_version, 0).version,
+			 ==, 1);
+	g_array_unref(all);
+	findings_finish(&findings);
+	g_free(file);
+}
+
+#define ADD(path, function) \
+	g_test_add(path, struct fixture, NULL, setup, function, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/store/never-back", test_versions_never_go_back);
+	ADD("/store/in-flight", test_requests_keep_their_snapshot);
+	ADD("/store/bad-offers", test_bad_offers_change_nothing);
+	ADD("/store/head", test_head_is_reached_with_the_last_body);
+	ADD("/store/empty-platform", test_empty_platform_is_ready_too);
+	ADD("/store/file", test_file_holds_until_a_version);
+	return g_test_run();
+}
