config: apply by one conditional transaction

An answer of the platform can be lost after the write took effect, or the write can take effect seconds later. An operator who is then told "failed" applies again on top.

An apply writes the namespace row and the head row under the version that the operator saw. Its id stands in the row with the last commits, so rereading tells what a lost answer meant, and a transaction made anew can't take effect twice.

--- /dev/null
+++ b/comfreydockd/config/rows.c
@@ -0,0 +1,246 @@
+#include "comfreydockd/config/rows.h"
+
+#include <json-c/json.h>
+#include <string.h>
+
+#define COMMITS_KEPT 16
+
+char *config_namespace_key(const char *name)
+{
+	return g_strconcat("config/namespace/", name, NULL);
+}
+
+char *config_object_key(const char *sha256)
+{
+	return g_strconcat("config/", sha256, NULL);
+}
+
+static void free_version(gpointer data)
+{
+	struct config_version *version = data;
+
+	g_free((char *)version->name);
+}
+
+static void free_commit(gpointer data)
+{
+	struct config_commit *commit = data;
+
+	g_free(commit->who);
+}
+
+void config_head_init(struct config_head *head)
+{
+	head->head = 0;
+	head->versions = g_array_new(FALSE, FALSE, sizeof(struct config_version));
+	g_array_set_clear_func(head->versions, free_version);
+}
+
+void config_head_finish(struct config_head *head)
+{
+	g_array_unref(head->versions);
+}
+
+static const char *get_text(json_object *object, const char *key)
+{
+	const char *text =
+		json_object_get_string(json_object_object_get(object, key));
+
+	return text ? text : "";
+}
+
+static uint64_t get_number(json_object *object, const char *key)
+{
+	return json_object_get_uint64(json_object_object_get(object, key));
+}
+
+/* RETURN VALUE: the array under key of a row that is an object, or NULL. */
+static json_object *get_array(json_object *root, const char *key)
+{
+	json_object *array = NULL;
+
+	if (json_object_is_type(root, json_type_object))
+		array = json_object_object_get(root, key);
+	return json_object_is_type(array, json_type_array) ? array : NULL;
+}
+
+static void add_text(json_object *object, const char *key, const char *text)
+{
+	json_object_object_add(object, key, json_object_new_string(text));
+}
+
+static void add_number(json_object *object, const char *key, uint64_t number)
+{
+	json_object_object_add(object, key, json_object_new_uint64(number));
+}
+
+static char *to_text(json_object *root)
+{
+	char *text = g_strdup(
+		json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+
+	json_object_put(root);
+	return text;
+}
+
+bool config_head_parse(struct config_head *head, const char *text)
+{
+	json_object *root = text ? json_tokener_parse(text) : NULL;
+	json_object *array = get_array(root, "namespaces");
+
+	if (text && !array) {
+		json_object_put(root);
+		return false;
+	}
+	for (size_t i = 0; array && i < json_object_array_length(array); i++) {
+		json_object *item = json_object_array_get_idx(array, i);
+		struct config_version version = {
+			.name = g_strdup(get_text(item, "name")),
+			.version = get_number(item, "version"),
+		};
+
+		g_strlcpy(version.sha256, get_text(item, "sha256"),
+			  sizeof(version.sha256));
+		g_array_append_val(head->versions, version);
+	}
+	if (root)
+		head->head = get_number(root, "head");
+	json_object_put(root);
+	return true;
+}
+
+char *config_head_to_text(const struct config_head *head)
+{
+	json_object *root = json_object_new_object();
+	json_object *array = json_object_new_array();
+
+	for (guint i = 0; i < head->versions->len; i++) {
+		struct config_version *version =
+			&g_array_index(head->versions, struct config_version, i);
+		json_object *item = json_object_new_object();
+
+		add_text(item, "name", version->name);
+		add_number(item, "version", version->version);
+		add_text(item, "sha256", version->sha256);
+		json_object_array_add(array, item);
+	}
+	add_number(root, "head", head->head);
+	json_object_object_add(root, "namespaces", array);
+	return to_text(root);
+}
+
+static struct config_version *head_line(struct config_head *head, const char *name)
+{
+	struct config_version fresh = {.name = NULL};
+
+	for (guint i = 0; i < head->versions->len; i++) {
+		struct config_version *version =
+			&g_array_index(head->versions, struct config_version, i);
+
+		if (strcmp(version->name, name) == 0)
+			return version;
+	}
+	fresh.name = g_strdup(name);
+	g_array_append_val(head->versions, fresh);
+	return &g_array_index(head->versions, struct config_version,
+			      head->versions->len - 1);
+}
+
+void config_head_note(struct config_head *head, const char *name,
+		      uint64_t version, const char *sha256)
+{
+	struct config_version *line = head_line(head, name);
+
+	line->version = version;
+	g_strlcpy(line->sha256, sha256, sizeof(line->sha256));
+	head->head++;
+}
+
+void config_history_init(struct config_history *history)
+{
+	history->commits =
+		g_array_new(FALSE, FALSE, sizeof(struct config_commit));
+	g_array_set_clear_func(history->commits, free_commit);
+}
+
+void config_history_finish(struct config_history *history)
+{
+	g_array_unref(history->commits);
+}
+
+bool config_history_parse(struct config_history *history, const char *text)
+{
+	json_object *root = text ? json_tokener_parse(text) : NULL;
+	json_object *array = get_array(root, "commits");
+
+	if (text && !array) {
+		json_object_put(root);
+		return false;
+	}
+	for (size_t i = 0; array && i < json_object_array_length(array); i++) {
+		json_object *item = json_object_array_get_idx(array, i);
+		struct config_commit commit = {
+			.version = get_number(item, "version"),
+			.who = g_strdup(get_text(item, "who")),
+		};
+
+		g_strlcpy(commit.sha256, get_text(item, "sha256"),
+			  sizeof(commit.sha256));
+		g_strlcpy(commit.apply_id, get_text(item, "apply_id"),
+			  sizeof(commit.apply_id));
+		g_array_append_val(history->commits, commit);
+	}
+	json_object_put(root);
+	return true;
+}
+
+char *config_history_to_text(const struct config_history *history)
+{
+	json_object *root = json_object_new_object();
+	json_object *array = json_object_new_array();
+
+	for (guint i = 0; i < history->commits->len; i++) {
+		struct config_commit *commit =
+			&g_array_index(history->commits, struct config_commit, i);
+		json_object *item = json_object_new_object();
+
+		add_number(item, "version", commit->version);
+		add_text(item, "sha256", commit->sha256);
+		add_text(item, "apply_id", commit->apply_id);
+		add_text(item, "who", commit->who);
+		json_object_array_add(array, item);
+	}
+	json_object_object_add(root, "commits", array);
+	return to_text(root);
+}
+
+void config_history_push(struct config_history *history,
+			 const struct config_commit *commit)
+{
+	struct config_commit copy = *commit;
+
+	copy.who = g_strdup(commit->who);
+	g_array_prepend_val(history->commits, copy);
+	if (history->commits->len > COMMITS_KEPT)
+		g_array_set_size(history->commits, COMMITS_KEPT);
+}
+
+uint64_t config_history_version(const struct config_history *history)
+{
+	if (!history->commits->len)
+		return 0;
+	return g_array_index(history->commits, struct config_commit, 0).version;
+}
+
+const struct config_commit *
+config_history_find(const struct config_history *history, uint64_t version)
+{
+	for (guint i = 0; i < history->commits->len; i++) {
+		const struct config_commit *commit =
+			&g_array_index(history->commits, struct config_commit, i);
+
+		if (commit->version == version)
+			return commit;
+	}
+	return NULL;
+}
