common: never send a write twice over HTTP

libcurl sends a request anew, a POST too, where a connection that was used before closes without a byte of an answer. A platform that applied a write and lost the answer got it a second time; an upstream would have run a non-idempotent request twice.

A transfer with send_once is aborted before its second send, and the upper layer sets that for all methods but GET and HEAD.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -145,8 +145,30 @@
 	g_free(client);
 }
 
+/* libcurl calls this before each time it sends the request. */
+static int handle_prerequest(void *data, char *remote_ip, char *local_ip,
+			     int remote_port, int local_port)
+{
+	struct http_transfer *transfer = data;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (transfer->sent)
+		return CURL_PREREQFUNC_ABORT;
+	transfer->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 void http_client_start(struct http_client *client, struct http_transfer *transfer)
 {
+	transfer->sent = false;
+	if (transfer->send_once) {
+		curl_easy_setopt(transfer->easy, CURLOPT_PREREQFUNCTION,
+				 handle_prerequest);
+		curl_easy_setopt(transfer->easy, CURLOPT_PREREQDATA, transfer);
+	}
 	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
 	curl_multi_add_handle(client->multi, transfer->easy);
 }
@@ -216,6 +238,8 @@
 	pending->transfer.easy = easy;
 	pending->transfer.handle_done = handle_call_done;
 	pending->transfer.data = pending;
+	pending->transfer.send_once = strcmp(call->method, "GET") != 0 &&
+				      strcmp(call->method, "HEAD") != 0;
 	pending->handler = handler;
 	pending->data = data;
 	pending->answer = g_string_new(NULL);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -24,11 +24,17 @@
 void http_client_destroy(struct http_client *client);
 
 /* Lower layer. The handle is the user's; handle_done is called once, after
- * which the handle is out of the multi handle. CURLOPT_PRIVATE is taken. */
+ * which the handle is out of the multi handle. CURLOPT_PRIVATE is taken.
+ *
+ * libcurl sends a request anew, a POST too, where a connection that was used
+ * before closes with no byte of an answer. With send_once it doesn't: the
+ * transfer ends in CURLE_ABORTED_BY_CALLBACK, and may have taken effect. */
 struct http_transfer {
 	CURL *easy;
 	void (*handle_done)(struct http_transfer *transfer, CURLcode result);
 	void *data;
+	bool send_once; /* takes CURLOPT_PREREQFUNCTION */
+	bool sent; /* the client's own */
 };
 
 void http_client_start(struct http_client *client,
@@ -60,7 +66,8 @@
 
 struct http_pending;
 
-/* Copies the call. RETURN VALUE: a token for http_client_cancel(). */
+/* Copies the call. Only GET and HEAD may be sent again by libcurl.
+ * RETURN VALUE: a token for http_client_cancel(). */
 struct http_pending *http_client_call(struct http_client *client,
 				      const struct http_call *call,
 				      http_answer_handler handler, void *data);
