standin: add the platform and upstream stand-ins, and the platform client

The parts to come need something to run against: a table with conditional transactions and an object store, with outages, slowness and lost answers on command, and a back end with slots that counts what it ran by request id. The rig starts them as processes for tests, learns their ports and ends them, whatever becomes of the test.

The platform client tells apart what certainly took no effect (nothing of it left) and what may have; a write is never sent twice.

--- /dev/null
+++ b/standin/upstream/control.c
@@ -0,0 +1,142 @@
+#include <string.h>
+
+#include "common/clock.h"
+#include "standin.h"
+#include "upstream.h"
+
+bool control_is_command(const struct job *job)
+{
+	return g_str_has_prefix(job->path, "/standin/") ||
+	       strcmp(job->path, "/health") == 0 ||
+	       strcmp(job->path, "/load") == 0;
+}
+
+static void add_count(struct json_object *object, const char *name, uint64_t count)
+{
+	json_object_object_add(object, name, json_object_new_uint64(count));
+}
+
+static struct json_object *list_runs(struct job *job)
+{
+	const struct upstream_counts *counts = &job->upstream->counts;
+	const char *id = MHD_lookup_connection_value(
+		job->connection, MHD_GET_ARGUMENT_KIND, "id");
+	struct json_object *object = json_object_new_object();
+	struct json_object *runs = json_object_new_object();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, job->upstream->runs);
+	while (!id && g_hash_table_iter_next(&iter, &key, &value))
+		add_count(runs, key, GPOINTER_TO_UINT(value));
+	if (id)
+		add_count(runs, id,
+			  GPOINTER_TO_UINT(
+				  g_hash_table_lookup(job->upstream->runs, id)));
+	json_object_object_add(object, "runs", runs);
+	add_count(object, "started", counts->started);
+	add_count(object, "finished", counts->finished);
+	add_count(object, "doubles", counts->doubles);
+	add_count(object, "shed", counts->shed);
+	add_count(object, "failed_fast", counts->failed_fast);
+	add_count(object, "dropped", counts->dropped);
+	add_count(object, "cancelled_waiting", counts->cancelled_waiting);
+	add_count(object, "cancelled_running", counts->cancelled_running);
+	add_count(object, "late", counts->late);
+	add_count(object, "probes", counts->probes);
+	return object;
+}
+
+static struct json_object *apply_faults(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+	struct upstream_faults *faults = &upstream->faults;
+	struct json_object *command = standin_parse_body(job->body);
+	gboolean cold = FALSE;
+
+	if (!command)
+		return NULL;
+	standin_read_double(command, "factor", &faults->factor);
+	standin_read_bool(command, "fail_fast", &faults->fail_fast);
+	standin_read_bool(command, "freeze", &faults->freeze);
+	standin_read_int(command, "drop_next", &faults->drop_next);
+	standin_read_bool(command, "drop_runs", &faults->drop_runs);
+	standin_read_bool(command, "sick", &faults->sick);
+	standin_read_bool(command, "cold", &cold);
+	json_object_put(command);
+	if (cold)
+		upstream->started_us = clock_mono_us();
+	if (!faults->freeze)
+		job_answer_held(upstream);
+	return json_object_new_object();
+}
+
+static struct json_object *show_load(struct upstream *upstream)
+{
+	struct json_object *object = json_object_new_object();
+
+	upstream->counts.probes++;
+	add_count(object, "running", (uint64_t)upstream->report.running);
+	add_count(object, "queued", (uint64_t)upstream->report.queued);
+	add_count(object, "slots", (uint64_t)upstream->options.slots);
+	return object;
+}
+
+static struct json_object *show_health(struct upstream *upstream)
+{
+	struct json_object *object = json_object_new_object();
+
+	upstream->counts.probes++;
+	json_object_object_add(object, "healthy",
+			       json_object_new_boolean(upstream->report.healthy));
+	return object;
+}
+
+enum MHD_Result control_answer(struct job *job)
+{
+	struct json_object *object = NULL;
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	const char *text;
+
+	if (strcmp(job->path, "/standin/runs") == 0)
+		object = list_runs(job);
+	else if (strcmp(job->path, "/standin/set") == 0)
+		object = apply_faults(job);
+	else if (strcmp(job->path, "/load") == 0)
+		object = show_load(job->upstream);
+	else if (strcmp(job->path, "/health") == 0)
+		object = show_health(job->upstream);
+	text = object ? json_object_to_json_string(object) : "{}";
+	response = MHD_create_response_from_buffer(strlen(text), (void *)text,
+						   MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	result = MHD_queue_response(job->connection,
+				    object ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+				    response);
+	MHD_destroy_response(response);
+	json_object_put(object);
+	return result;
+}
+
+static void handle_report(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct upstream *upstream = timer->data;
+
+	(void)loop;
+	(void)events;
+	upstream->report.running = upstream->running;
+	upstream->report.queued = upstream->queued;
+	upstream->report.healthy = !upstream->faults.sick;
+}
+
+void control_start_reports(struct upstream *upstream)
+{
+	double lag_s = (double)MAX(upstream->options.report_lag_ms, 1) / 1000.0;
+
+	upstream->report.healthy = true;
+	ev_timer_init(&upstream->report_timer, handle_report, lag_s, lag_s);
+	upstream->report_timer.data = upstream;
+	ev_timer_start(upstream->loop, &upstream->report_timer);
+}
--- /dev/null
+++ b/standin/upstream/main.c
@@ -0,0 +1,121 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/http_client.h"
+#include "common/http_server.h"
+#include "common/log.h"
+#include "standin.h"
+#include "upstream.h"
+
+static struct upstream_options options = {
+	.slots = 4,
+	.backlog = 64,
+	.service_time_us = 1000,
+	.long_time_us = 100000,
+	.long_share = 0.01,
+	.seed = 1,
+	.cold_factor = 5.0,
+	.report_lag_ms = 1000,
+};
+static char *distribution;
+
+static const GOptionEntry entries[] = {
+	{"port", 0, 0, G_OPTION_ARG_INT, &options.port, "port; 0: any", "N"},
+	{"slots", 0, 0, G_OPTION_ARG_INT, &options.slots, "slots", "N"},
+	{"backlog", 0, 0, G_OPTION_ARG_INT, &options.backlog,
+	 "requests that may wait", "N"},
+	{"service-time-us", 0, 0, G_OPTION_ARG_INT64, &options.service_time_us,
+	 "mean service time", "US"},
+	{"distribution", 0, 0, G_OPTION_ARG_STRING, &distribution,
+	 "fixed, exponential or bimodal", "NAME"},
+	{"long-time-us", 0, 0, G_OPTION_ARG_INT64, &options.long_time_us,
+	 "bimodal: time of the long ones", "US"},
+	{"long-share", 0, 0, G_OPTION_ARG_DOUBLE, &options.long_share,
+	 "bimodal: share of the long ones", "SHARE"},
+	{"seed", 0, 0, G_OPTION_ARG_INT64, &options.seed, "seed", "N"},
+	{"warm-ms", 0, 0, G_OPTION_ARG_INT64, &options.warm_ms,
+	 "length of the cold start", "MS"},
+	{"cold-factor", 0, 0, G_OPTION_ARG_DOUBLE, &options.cold_factor,
+	 "service time at the start, times", "FACTOR"},
+	{"report-lag-ms", 0, 0, G_OPTION_ARG_INT64, &options.report_lag_ms,
+	 "age of /health and /load", "MS"},
+	{"announce", 0, 0, G_OPTION_ARG_STRING, &options.announce,
+	 "admin API of the daemon beside it", "URL"},
+	{"group", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.groups,
+	 "upstream group announced; may be repeated", "NAME"},
+	{0},
+};
+
+static bool parse_distribution(void)
+{
+	static const char *const names[] = {"fixed", "exponential", "bimodal"};
+
+	for (size_t i = 0; distribution && i < G_N_ELEMENTS(names); i++) {
+		if (strcmp(distribution, names[i]) == 0) {
+			options.distribution = (enum distribution)i;
+			return true;
+		}
+	}
+	return distribution == NULL;
+}
+
+/* Lets what is in flight finish, and takes no more. */
+static void handle_stop(void *data)
+{
+	struct upstream *upstream = data;
+
+	upstream->stopping = true;
+	upstream->faults.freeze = FALSE;
+	job_answer_held(upstream);
+	http_server_quiesce(upstream->server);
+	if (upstream->open_jobs == 0)
+		ev_break(upstream->loop, EVBREAK_ALL);
+}
+
+static void upstream_finish(struct upstream *upstream)
+{
+	http_client_destroy(upstream->client);
+	http_server_destroy(upstream->server);
+	g_hash_table_destroy(upstream->runs);
+	g_rand_free(upstream->random);
+	ev_loop_destroy(upstream->loop);
+	g_strfreev(options.groups);
+	g_free(options.announce);
+	g_free(distribution);
+}
+
+int main(int argc, char **argv)
+{
+	struct upstream upstream = {.faults.factor = 1.0};
+
+	standin_parse_options(&argc, &argv, entries, "A back end for tests.");
+	if (!parse_distribution()) {
+		fprintf(stderr, "unknown distribution %s\n", distribution);
+		return 2;
+	}
+	log_init(LOG_FORMAT_JSON, "standin-upstream");
+	upstream.loop = ev_default_loop(0);
+	upstream.options = options;
+	upstream.random = g_rand_new_with_seed((guint32)options.seed);
+	upstream.runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	upstream.started_us = clock_mono_us();
+	TAILQ_INIT(&upstream.waiting);
+	TAILQ_INIT(&upstream.busy);
+	upstream.client = http_client_create(upstream.loop);
+	upstream.server = upstream_listen(&upstream);
+	if (!upstream.server) {
+		perror("listen");
+		return 1;
+	}
+	standin_on_stop(upstream.loop, handle_stop, &upstream);
+	control_start_reports(&upstream);
+	announce_start(&upstream);
+	standin_announce_port("standin-upstream",
+			      http_server_port(upstream.server));
+	ev_run(upstream.loop, 0);
+	upstream_finish(&upstream);
+	return 0;
+}
--- /dev/null
+++ b/standin/upstream/server.c
@@ -0,0 +1,162 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http_server.h"
+#include "upstream.h"
+
+#define STREAM_BLOCK_BYTES ((size_t)(64 * 1024))
+#define BYTES_PREFIX "/bytes/"
+
+static void *handle_target(void *data, const char *target,
+			   struct MHD_Connection *connection)
+{
+	struct upstream *upstream = data;
+	struct job *job = g_new0(struct job, 1);
+
+	job->upstream = upstream;
+	job->connection = connection;
+	job->path = g_strndup(target, strcspn(target, "?"));
+	job->status = MHD_HTTP_OK;
+	upstream->open_jobs++;
+	return job;
+}
+
+static void handle_completed(void *data, struct MHD_Connection *connection,
+			     void **con_cls, enum MHD_RequestTerminationCode code)
+{
+	(void)data;
+	(void)connection;
+	(void)code;
+	if (*con_cls)
+		job_release(*con_cls);
+	*con_cls = NULL;
+}
+
+/*
+ * A streamed answer repeats the request's id from end to end, so that its
+ * caller can tell every byte for its own.
+ */
+static ssize_t read_stream(void *data, uint64_t position, char *buffer, size_t max)
+{
+	const char *id = data;
+	size_t length = strlen(id);
+
+	for (size_t i = 0; i < max; i++)
+		buffer[i] = id[(position + i) % length];
+	return (ssize_t)max;
+}
+
+static struct MHD_Response *create_body(const struct job *job)
+{
+	const char *id = job->id ? job->id : "-";
+	struct MHD_Response *response;
+	uint64_t size;
+	char *text;
+
+	if (job->status == MHD_HTTP_OK &&
+	    g_str_has_prefix(job->path, BYTES_PREFIX)) {
+		size = strtoull(job->path + strlen(BYTES_PREFIX), NULL, 10);
+		return MHD_create_response_from_callback(size, STREAM_BLOCK_BYTES,
+							 read_stream,
+							 g_strdup(id), g_free);
+	}
+	if (job->status == MHD_HTTP_OK && job->body)
+		return MHD_create_response_from_buffer(
+			job->body->len, job->body->str, MHD_RESPMEM_MUST_COPY);
+	text = g_strdup_printf("{\"id\":\"%s\",\"port\":%u}\n", id,
+			       http_server_port(job->upstream->server));
+	response = MHD_create_response_from_buffer(strlen(text), text,
+						   MHD_RESPMEM_MUST_COPY);
+	g_free(text);
+	return response;
+}
+
+static enum MHD_Result answer(struct job *job)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	char number[32];
+
+	if (job->drop)
+		return MHD_NO;
+	response = create_body(job);
+	if (job->id)
+		MHD_add_response_header(response, "X-Request-Id", job->id);
+	g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, job->body_size);
+	MHD_add_response_header(response, "X-Body-Size", number);
+	MHD_add_response_header(response, "X-Body-Sha256",
+				g_checksum_get_string(job->digest));
+	g_snprintf(number, sizeof(number), "%u",
+		   http_server_port(job->upstream->server));
+	MHD_add_response_header(response, "X-Upstream-Port", number);
+	if (job->status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		MHD_add_response_header(response, "X-Shed", "1");
+	result = MHD_queue_response(job->connection, job->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static void begin_job(struct job *job, const char *method)
+{
+	job->method = g_strdup(method);
+	job->id = g_strdup(MHD_lookup_connection_value(
+		job->connection, MHD_HEADER_KIND, "X-Request-Id"));
+	if (job->id && !*job->id)
+		g_clear_pointer(&job->id, g_free);
+	job->digest = g_checksum_new(G_CHECKSUM_SHA256);
+	if (strcmp(job->path, "/echo") == 0 || control_is_command(job))
+		job->body = g_string_new(NULL);
+}
+
+static enum MHD_Result handle_access(void *data,
+				     struct MHD_Connection *connection,
+				     const char *url, const char *method,
+				     const char *version, const char *upload,
+				     size_t *upload_size, void **con_cls)
+{
+	struct job *job = *con_cls;
+
+	(void)data;
+	(void)url;
+	(void)version;
+	if (!job->method) {
+		begin_job(job, method);
+		return MHD_YES;
+	}
+	if (*upload_size) {
+		g_checksum_update(job->digest, (const guchar *)upload,
+				  (gssize)*upload_size);
+		job->body_size += *upload_size;
+		if (job->body)
+			g_string_append_len(job->body, upload,
+					    (gssize)*upload_size);
+		*upload_size = 0;
+		return MHD_YES;
+	}
+	if (control_is_command(job))
+		return control_answer(job);
+	if (job->state == JOB_READING)
+		job_submit(job);
+	if (job->state == JOB_ANSWERING)
+		return answer(job);
+	job->suspended = true;
+	MHD_suspend_connection(connection);
+	return MHD_YES;
+}
+
+struct http_server *upstream_listen(struct upstream *upstream)
+{
+	struct http_server_options options = {
+		.address = "127.0.0.1",
+		.port = (uint16_t)upstream->options.port,
+		.memory_per_connection = 2 * STREAM_BLOCK_BYTES,
+	};
+	struct http_server_callbacks callbacks = {
+		.handle_access = handle_access,
+		.handle_completed = handle_completed,
+		.handle_target = handle_target,
+		.data = upstream,
+	};
+
+	return http_server_create_raw(upstream->loop, &options, &callbacks);
+}
--- /dev/null
+++ b/standin/upstream/work.c
@@ -0,0 +1,262 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/clock.h"
+#include "common/http_server.h"
+#include "upstream.h"
+
+static double draw_service_us(struct upstream *upstream)
+{
+	const struct upstream_options *options = &upstream->options;
+	double mean = (double)options->service_time_us;
+	double u = g_rand_double(upstream->random);
+
+	switch (options->distribution) {
+	case DISTRIBUTION_EXPONENTIAL:
+		return -mean * log(1.0 - u);
+	case DISTRIBUTION_BIMODAL:
+		return u < options->long_share ? (double)options->long_time_us :
+						 mean;
+	case DISTRIBUTION_FIXED:
+		break;
+	}
+	return mean;
+}
+
+static double cold_factor(const struct upstream *upstream)
+{
+	int64_t age_us = clock_mono_us() - upstream->started_us;
+	int64_t warm_us = upstream->options.warm_ms * US_PER_MS;
+
+	if (age_us >= warm_us)
+		return 1.0;
+	return 1.0 + (upstream->options.cold_factor - 1.0) *
+			     (1.0 - (double)age_us / (double)warm_us);
+}
+
+static void count_run(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+	guint runs;
+
+	upstream->counts.started++;
+	if (!job->id)
+		return;
+	runs = GPOINTER_TO_UINT(g_hash_table_lookup(upstream->runs, job->id));
+	if (runs > 0)
+		upstream->counts.doubles++;
+	g_hash_table_replace(upstream->runs, g_strdup(job->id),
+			     GUINT_TO_POINTER(runs + 1));
+}
+
+static void job_stop_watchers(struct job *job)
+{
+	ev_timer_stop(job->upstream->loop, &job->service);
+	ev_timer_stop(job->upstream->loop, &job->deadline);
+	ev_io_stop(job->upstream->loop, &job->closed);
+}
+
+/* Takes the job out of its list, without starting another. */
+static void job_leave(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+
+	job_stop_watchers(job);
+	if (job->state == JOB_WAITING) {
+		TAILQ_REMOVE(&upstream->waiting, job, link);
+		upstream->queued--;
+	} else if (job->state == JOB_RUNNING || job->state == JOB_HELD) {
+		TAILQ_REMOVE(&upstream->busy, job, link);
+		upstream->running--;
+	}
+}
+
+static void start_waiting(struct upstream *upstream);
+
+static void job_answer(struct job *job, unsigned int status)
+{
+	struct upstream *upstream = job->upstream;
+
+	job_leave(job);
+	job->state = JOB_ANSWERING;
+	job->status = status;
+	if (job->suspended) {
+		job->suspended = false;
+		MHD_resume_connection(job->connection);
+		http_server_wake(upstream->server);
+	}
+	start_waiting(upstream);
+}
+
+static void handle_service_end(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct job *job = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (job->upstream->faults.freeze) {
+		job->state = JOB_HELD;
+		return;
+	}
+	job->upstream->counts.finished++;
+	job_answer(job, MHD_HTTP_OK);
+}
+
+void job_answer_held(struct upstream *upstream)
+{
+	struct job *job = TAILQ_FIRST(&upstream->busy);
+
+	while (job) {
+		struct job *next = TAILQ_NEXT(job, link);
+
+		if (job->state == JOB_HELD) {
+			upstream->counts.finished++;
+			job_answer(job, MHD_HTTP_OK);
+		}
+		job = next;
+	}
+}
+
+static void job_start(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+	double service_us = draw_service_us(upstream) *
+			    upstream->faults.factor * cold_factor(upstream);
+
+	ev_timer_stop(upstream->loop, &job->deadline);
+	TAILQ_INSERT_TAIL(&upstream->busy, job, link);
+	upstream->running++;
+	job->state = JOB_RUNNING;
+	count_run(job);
+	ev_timer_set(&job->service, service_us / (double)US_PER_S, 0.0);
+	ev_timer_start(upstream->loop, &job->service);
+}
+
+static void start_waiting(struct upstream *upstream)
+{
+	struct job *job;
+
+	while (upstream->running < upstream->options.slots &&
+	       (job = TAILQ_FIRST(&upstream->waiting))) {
+		TAILQ_REMOVE(&upstream->waiting, job, link);
+		upstream->queued--;
+		job_start(job);
+	}
+}
+
+static void handle_deadline(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct job *job = timer->data;
+
+	(void)loop;
+	(void)events;
+	job->upstream->counts.late++;
+	job_answer(job, MHD_HTTP_GATEWAY_TIMEOUT);
+}
+
+/*
+ * libmicrohttpd doesn't look at a suspended connection. Without this watch a
+ * caller that went away would be noticed only after its work was done.
+ */
+static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct job *job = io->data;
+	char byte;
+
+	(void)events;
+	if (recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+		ev_io_stop(loop, io); /* a pipelined request */
+		return;
+	}
+	if (job->state == JOB_WAITING)
+		job->upstream->counts.cancelled_waiting++;
+	else
+		job->upstream->counts.cancelled_running++;
+	job->drop = true;
+	job_answer(job, MHD_HTTP_OK);
+}
+
+static void job_watch(struct job *job)
+{
+	const union MHD_ConnectionInfo *info;
+	const char *deadline;
+	double remaining_ms;
+
+	info = MHD_get_connection_info(job->connection,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	ev_io_init(&job->closed, handle_readable, info->connect_fd, EV_READ);
+	ev_init(&job->service, handle_service_end);
+	ev_init(&job->deadline, handle_deadline);
+	job->closed.data = job;
+	job->service.data = job;
+	job->deadline.data = job;
+	ev_io_start(job->upstream->loop, &job->closed);
+	deadline = MHD_lookup_connection_value(job->connection, MHD_HEADER_KIND,
+					       "X-Deadline-Ms");
+	if (!deadline)
+		return;
+	remaining_ms = MAX(g_ascii_strtod(deadline, NULL), 0.0);
+	ev_timer_set(&job->deadline, remaining_ms / 1000.0, 0.0);
+	ev_timer_start(job->upstream->loop, &job->deadline);
+}
+
+static bool job_refuse(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+
+	if (upstream->faults.drop_next > 0) {
+		upstream->faults.drop_next--;
+		upstream->counts.dropped++;
+		job->drop = true;
+		return !upstream->faults.drop_runs;
+	}
+	if (upstream->faults.fail_fast) {
+		upstream->counts.failed_fast++;
+		job->status = MHD_HTTP_INTERNAL_SERVER_ERROR;
+		return true;
+	}
+	if (upstream->running >= upstream->options.slots &&
+	    upstream->queued >= upstream->options.backlog) {
+		upstream->counts.shed++;
+		job->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+		return true;
+	}
+	return false;
+}
+
+void job_submit(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+
+	if (job_refuse(job)) {
+		job->state = JOB_ANSWERING;
+		return;
+	}
+	job_watch(job);
+	job->state = JOB_WAITING;
+	TAILQ_INSERT_TAIL(&upstream->waiting, job, link);
+	upstream->queued++;
+	start_waiting(upstream);
+}
+
+void job_release(struct job *job)
+{
+	struct upstream *upstream = job->upstream;
+
+	if (job->state == JOB_WAITING || job->state == JOB_RUNNING ||
+	    job->state == JOB_HELD)
+		job_leave(job);
+	if (job->digest)
+		g_checksum_free(job->digest);
+	if (job->body)
+		g_string_free(job->body, TRUE);
+	g_free(job->method);
+	g_free(job->path);
+	g_free(job->id);
+	g_free(job);
+	upstream->open_jobs--;
+	if (upstream->stopping && upstream->open_jobs == 0)
+		ev_break(upstream->loop, EVBREAK_ALL);
+}
--- /dev/null
+++ b/tests/test_platform_client.c
@@ -0,0 +1,206 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/daemon.h"
+#include "comfreydockd/platform/platform.h"
+#include "comfreydockd/settings.h"
+#include "common/http_client.h"
+#include "common/log.h"
+#include "rig.h"
+
+struct fixture {
+	struct rig *rig;
+	struct rig_process *standin;
+	struct settings settings;
+	struct daemon daemon;
+	enum platform_status status;
+	unsigned int answers;
+	uint64_t version;
+	uint64_t conflict_version;
+	size_t rows;
+	char *text;
+};
+
+static void set_up(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	f->rig = rig_create();
+	f->standin = rig_start_standin(
+		f->rig, "standin/platform/standin-platform", NULL);
+	f->settings.platform_url =
+		g_strdup_printf("http://127.0.0.1:%u", f->standin->port);
+	f->daemon.settings = &f->settings;
+	f->daemon.loop = ev_loop_new(0);
+	f->daemon.http = http_client_create(f->daemon.loop);
+	f->daemon.platform = platform_create(&f->daemon);
+}
+
+static void tear_down(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	platform_destroy(f->daemon.platform);
+	http_client_destroy(f->daemon.http);
+	ev_loop_destroy(f->daemon.loop);
+	rig_destroy(f->rig);
+	g_free(f->settings.platform_url);
+	g_free(f->text);
+}
+
+static void handle_answer(const struct platform_answer *answer, void *data)
+{
+	struct fixture *f = data;
+
+	f->answers++;
+	f->status = answer->status;
+	f->rows = answer->row_count;
+	f->version = answer->row_count ? answer->rows[0].version : 0;
+	f->conflict_version = answer->conflict_version;
+	g_free(f->text);
+	f->text = answer->row_count ? g_strdup(answer->rows[0].value) :
+				      g_strndup(answer->body, answer->size);
+	ev_break(f->daemon.loop, EVBREAK_ALL);
+}
+
+static enum platform_status wait_answer(struct fixture *f)
+{
+	ev_run(f->daemon.loop, 0);
+	return f->status;
+}
+
+static enum platform_status put(struct fixture *f, const char *key,
+				int64_t if_version, const char *value)
+{
+	struct platform_op op = {
+		.kind = PLATFORM_PUT,
+		.key = key,
+		.if_version = if_version,
+		.value = value,
+	};
+
+	platform_transact(f->daemon.platform, "test", &op, 1, handle_answer, f);
+	return wait_answer(f);
+}
+
+static enum platform_status get(struct fixture *f, const char *key)
+{
+	platform_get(f->daemon.platform, key, handle_answer, f);
+	return wait_answer(f);
+}
+
+static void command(struct fixture *f, const char *body)
+{
+	g_free(rig_http_ok("POST", f->standin->port, "/standin/fault", body));
+}
+
+static void test_rows_and_objects(struct fixture *f, gconstpointer data)
+{
+	struct platform *platform = f->daemon.platform;
+
+	(void)data;
+	g_assert_cmpint(get(f, "ns/a b"), ==, PLATFORM_NOT_FOUND);
+	g_assert_cmpint(put(f, "ns/a b", PLATFORM_ABSENT, "{\"x\":1}"), ==,
+			PLATFORM_OK);
+	g_assert_cmpuint(f->version, ==, 1);
+	g_assert_cmpint(put(f, "ns/a b", PLATFORM_ABSENT, "2"), ==,
+			PLATFORM_CONFLICT);
+	g_assert_cmpuint(f->conflict_version, ==, 1);
+	g_assert_cmpint(get(f, "ns/a b"), ==, PLATFORM_OK);
+	g_assert_cmpstr(f->text, ==, "{ \"x\": 1 }");
+	put(f, "ns/c", PLATFORM_ANY_VERSION, "3");
+	platform_list(platform, "ns/", NULL, 0, handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	g_assert_cmpuint(f->rows, ==, 2);
+	platform_list(platform, "ns/", "ns/a b", 0, handle_answer, f);
+	wait_answer(f);
+	g_assert_cmpuint(f->rows, ==, 1);
+	platform_put_object(platform, "o/1", "body", 4, handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	platform_get_object(platform, "o/1", handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	g_assert_cmpstr(f->text, ==, "body");
+	platform_get_object(platform, "o/2", handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_NOT_FOUND);
+}
+
+/*
+ * The table service applies a write and loses the answer, on a connection that
+ * served a call before. An HTTP library that finds such a connection closed
+ * may send the request anew: an operator's change would then be applied twice,
+ * and the second time as a conflict with itself.
+ */
+static void test_lost_answer_is_unknown_and_not_resent(struct fixture *f,
+						       gconstpointer data)
+{
+	struct platform_counts counts;
+	char *stats;
+
+	(void)data;
+	put(f, "a", PLATFORM_ABSENT, "1");
+	command(f, "{\"lose_next\":1}");
+	g_assert_cmpint(put(f, "a", PLATFORM_ANY_VERSION, "2"), ==,
+			PLATFORM_UNKNOWN);
+	g_assert_cmpint(get(f, "a"), ==, PLATFORM_OK);
+	g_assert_cmpuint(f->version, ==, 2);
+	platform_get_counts(f->daemon.platform, &counts);
+	g_assert_cmpuint(counts.writes, ==, 2);
+	g_assert_cmpuint(counts.unknown, ==, 1);
+	stats = rig_http_ok("GET", f->standin->port, "/standin/stats", NULL);
+	g_assert_cmpint(rig_json_int(stats, "writes"), ==, 2);
+	g_free(stats);
+}
+
+/*
+ * The table service is down: first it breaks connections off, then its process
+ * is gone. A read fails either way; a write certainly took no effect only in
+ * the second case, where there was nothing to connect to.
+ */
+static void test_outage(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	command(f, "{\"down\":true}");
+	g_assert_cmpint(get(f, "a"), ==, PLATFORM_UNAVAILABLE);
+	g_assert_false(platform_is_up(f->daemon.platform));
+	g_assert_cmpint(put(f, "a", PLATFORM_ABSENT, "1"), ==, PLATFORM_UNKNOWN);
+	command(f, "{\"down\":false}");
+	g_assert_cmpint(get(f, "a"), ==, PLATFORM_NOT_FOUND);
+	g_assert_true(platform_is_up(f->daemon.platform));
+	rig_kill(f->standin);
+	g_assert_cmpint(put(f, "a", PLATFORM_ABSENT, "1"), ==,
+			PLATFORM_UNAVAILABLE);
+	g_assert_cmpstr(platform_status_message(f->daemon.platform), !=, "");
+}
+
+/* A service that hangs holds up its caller for a bounded time only. */
+static void test_slow_platform(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	command(f, "{\"slow_ms\":3000}");
+	g_assert_cmpint(put(f, "a", PLATFORM_ABSENT, "1"), ==, PLATFORM_UNKNOWN);
+}
+
+static void test_destroy_drops_open_calls(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	platform_get(f->daemon.platform, "a", handle_answer, f);
+	platform_destroy(f->daemon.platform);
+	f->daemon.platform = NULL;
+	ev_run(f->daemon.loop, EVRUN_NOWAIT);
+	g_assert_cmpuint(f->answers, ==, 0);
+}
+
+#define ADD(name, function)                                                \
+	g_test_add("/platform-client/" name, struct fixture, NULL, set_up, \
+		   function, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_init(LOG_FORMAT_NONE, "test");
+	ADD("rows-and-objects", test_rows_and_objects);
+	ADD("lost-answer", test_lost_answer_is_unknown_and_not_resent);
+	ADD("outage", test_outage);
+	ADD("slow", test_slow_platform);
+	ADD("destroy", test_destroy_drops_open_calls);
+	return g_test_run();
+}
