standin: add the open-loop load generator

Latency has to be judged by what callers receive: calls start by schedule, however slow the answers are, and count from their intended start. Each answer is checked to be whole and its caller's own, and the outcomes that the daemons tell are counted.

libev waits in whole milliseconds, rounded up, which is more than what is to be measured; arrivals and service times therefore use the kernel's timers.

--- /dev/null
+++ b/standin/load/main.c
@@ -0,0 +1,138 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http_client.h"
+#include "common/log.h"
+#include "load.h"
+#include "standin.h"
+
+static struct load_options options = {
+	.rate = 100,
+	.seconds = 1,
+	.seed = 1,
+	.deadline_ms = 10000,
+	.body_bytes = 64,
+	.max_open = 10000,
+};
+static char **burst_texts;
+
+static const GOptionEntry entries[] = {
+	{"target", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.targets,
+	 "entry to call, http://IP:PORT; may be repeated", "URL"},
+	{"path", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.paths,
+	 "path of an idempotent call (GET); may be repeated", "PATH"},
+	{"post-path", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.post_paths,
+	 "path of a non-idempotent call (POST); may be repeated", "PATH"},
+	{"header", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.headers,
+	 "header of each call; may be repeated", "NAME: VALUE"},
+	{"host", 0, 0, G_OPTION_ARG_STRING, &options.host, "Host header", "NAME"},
+	{"id-prefix", 0, 0, G_OPTION_ARG_STRING, &options.prefix,
+	 "start of the request ids", "TEXT"},
+	{"rate", 0, 0, G_OPTION_ARG_DOUBLE, &options.rate, "calls a second", "R"},
+	{"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options.seconds,
+	 "how long calls start", "S"},
+	{"share-nonidempotent", 0, 0, G_OPTION_ARG_DOUBLE,
+	 &options.share_nonidempotent, "share of POST calls", "SHARE"},
+	{"body-bytes", 0, 0, G_OPTION_ARG_INT64, &options.body_bytes,
+	 "body of a POST", "N"},
+	{"even", 0, 0, G_OPTION_ARG_NONE, &options.even,
+	 "even spacing in place of Poisson arrivals", NULL},
+	{"burst", 0, 0, G_OPTION_ARG_STRING_ARRAY, &burst_texts,
+	 "a time of another rate; may be repeated", "AT_MS:FOR_MS:FACTOR"},
+	{"seed", 0, 0, G_OPTION_ARG_INT64, &options.seed, "seed", "N"},
+	{"deadline-ms", 0, 0, G_OPTION_ARG_INT64, &options.deadline_ms,
+	 "when the caller hangs up", "MS"},
+	{"max-open", 0, 0, G_OPTION_ARG_INT, &options.max_open,
+	 "calls open at once at most", "N"},
+	{"calls", 0, 0, G_OPTION_ARG_FILENAME, &options.calls_path,
+	 "file for a line per call: id method status outcome latency_us", "FILE"},
+	{0},
+};
+
+static char **default_paths(char **paths)
+{
+	static const char *const defaults[] = {"/", NULL};
+
+	return paths ? paths : g_strdupv((char **)defaults);
+}
+
+static void read_bursts(void)
+{
+	options.bursts = g_array_new(FALSE, FALSE, sizeof(struct burst));
+	for (char **text = burst_texts; text && *text; text++) {
+		struct burst burst;
+
+		if (!burst_parse(*text, &burst)) {
+			fprintf(stderr, "not AT_MS:FOR_MS:FACTOR: %s\n", *text);
+			exit(2);
+		}
+		g_array_append_val(options.bursts, burst);
+	}
+}
+
+static void read_options(int argc, char **argv)
+{
+	standin_parse_options(&argc, &argv, entries, "Open-loop load for tests.");
+	if (!options.targets || options.rate <= 0) {
+		fprintf(stderr, "--target and a positive --rate are needed\n");
+		exit(2);
+	}
+	options.paths = default_paths(options.paths);
+	options.post_paths = default_paths(options.post_paths);
+	if (!options.prefix)
+		options.prefix =
+			g_strdup_printf("load%" G_GINT64_FORMAT, options.seed);
+	read_bursts();
+}
+
+static void free_options(void)
+{
+	g_array_unref(options.bursts);
+	g_strfreev(burst_texts);
+	g_strfreev(options.targets);
+	g_strfreev(options.paths);
+	g_strfreev(options.post_paths);
+	g_strfreev(options.headers);
+	g_free(options.host);
+	g_free(options.prefix);
+	g_free(options.calls_path);
+}
+
+/* Starts no more calls; the summary tells of those that were made. */
+static void handle_stop(void *data)
+{
+	struct load *load = data;
+
+	load->is_stopped = true;
+}
+
+int main(int argc, char **argv)
+{
+	static struct load load;
+
+	read_options(argc, argv);
+	log_init(LOG_FORMAT_JSON, "standin-load");
+	load.loop = ev_default_loop(0);
+	load.options = options;
+	load.random = g_rand_new_with_seed((guint32)options.seed);
+	load.client = http_client_create(load.loop);
+	if (options.calls_path) {
+		load.calls = fopen(options.calls_path, "w");
+		if (!load.calls) {
+			perror(options.calls_path);
+			return 1;
+		}
+	}
+	standin_on_stop(load.loop, handle_stop, &load);
+	schedule_start(&load);
+	ev_run(load.loop, 0);
+	summary_print(&load);
+	if (load.calls)
+		fclose(load.calls);
+	precise_timer_finish(&load.timer);
+	http_client_destroy(load.client);
+	g_rand_free(load.random);
+	ev_loop_destroy(load.loop);
+	free_options();
+	return 0;
+}
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -20,6 +20,8 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+#include "precise_timer.h"
+
 struct http_client;
 struct http_server;
 
@@ -96,7 +98,7 @@
 	unsigned int status;
 	bool drop;
 	bool suspended;
-	ev_timer service;
+	struct precise_timer service;
 	ev_timer deadline;
 	ev_io closed;
 };
--- a/standin/upstream/work.c
+++ b/standin/upstream/work.c
@@ -53,7 +53,6 @@
 
 static void job_stop_watchers(struct job *job)
 {
-	ev_timer_stop(job->upstream->loop, &job->service);
 	ev_timer_stop(job->upstream->loop, &job->deadline);
 	ev_io_stop(job->upstream->loop, &job->closed);
 }
@@ -68,6 +67,7 @@
 		TAILQ_REMOVE(&upstream->waiting, job, link);
 		upstream->queued--;
 	} else if (job->state == JOB_RUNNING || job->state == JOB_HELD) {
+		precise_timer_finish(&job->service);
 		TAILQ_REMOVE(&upstream->busy, job, link);
 		upstream->running--;
 	}
@@ -90,12 +90,10 @@
 	start_waiting(upstream);
 }
 
-static void handle_service_end(struct ev_loop *loop, ev_timer *timer, int events)
+static void handle_service_end(void *data)
 {
-	struct job *job = timer->data;
+	struct job *job = data;
 
-	(void)loop;
-	(void)events;
 	if (job->upstream->faults.freeze) {
 		job->state = JOB_HELD;
 		return;
@@ -130,8 +128,9 @@
 	upstream->running++;
 	job->state = JOB_RUNNING;
 	count_run(job);
-	ev_timer_set(&job->service, service_us / (double)US_PER_S, 0.0);
-	ev_timer_start(upstream->loop, &job->service);
+	precise_timer_init(&job->service, upstream->loop, handle_service_end,
+			   job);
+	precise_timer_set(&job->service, clock_mono_us() + (int64_t)service_us);
 }
 
 static void start_waiting(struct upstream *upstream)
@@ -187,10 +186,8 @@
 	info = MHD_get_connection_info(job->connection,
 				       MHD_CONNECTION_INFO_CONNECTION_FD);
 	ev_io_init(&job->closed, handle_readable, info->connect_fd, EV_READ);
-	ev_init(&job->service, handle_service_end);
 	ev_init(&job->deadline, handle_deadline);
 	job->closed.data = job;
-	job->service.data = job;
 	job->deadline.data = job;
 	ev_io_start(job->upstream->loop, &job->closed);
 	deadline = MHD_lookup_connection_value(job->connection, MHD_HEADER_KIND,
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -208,7 +208,20 @@
 	return text;
 }
 
-/* Waits for a whole line that has the mark, and returns the text from it on. */
+/* RETURN VALUE: the text from the mark on, if a whole line has it, or NULL. */
+static char *find_line(const char *path, const char *mark)
+{
+	char *text = read_file(path);
+	char **parts = g_strsplit(text, mark, 2);
+	char *found = NULL;
+
+	if (parts[0] && parts[1] && strchr(parts[1], '\n'))
+		found = g_strdup(parts[1]);
+	g_strfreev(parts);
+	g_free(text);
+	return found;
+}
+
 static char *wait_for_line(struct rig_process *process, const char *path,
 			   const char *mark)
 {
@@ -216,11 +229,8 @@
 		g_get_monotonic_time() + RIG_START_MS * G_TIME_SPAN_MILLISECOND;
 
 	while (g_get_monotonic_time() < end_us) {
-		char *text = read_file(path);
-		const char *line = strstr(text, mark);
-		char *found = line && strchr(line, '\n') ? g_strdup(line) : NULL;
+		char *found = find_line(path, mark);
 
-		g_free(text);
 		if (found)
 			return found;
 		if (rig_has_ended(process))
@@ -237,6 +247,18 @@
 	return port > 0 ? (uint16_t)port : 0;
 }
 
+struct rig_process *rig_start(struct rig *rig, const char *program, ...)
+{
+	struct rig_process *process;
+	va_list arguments;
+
+	va_start(arguments, program);
+	process = spawn_program(rig, program,
+				collect_arguments(program, arguments));
+	va_end(arguments);
+	return process;
+}
+
 struct rig_process *rig_start_standin(struct rig *rig, const char *program, ...)
 {
 	struct rig_process *process;
@@ -350,6 +372,11 @@
 	return value;
 }
 
+char *rig_read_output(const struct rig_process *process)
+{
+	return read_file(process->out_path);
+}
+
 char *rig_read_log(const struct rig_process *process)
 {
 	return read_file(process->err_path);
--- a/tests/system/rig.h
+++ b/tests/system/rig.h
@@ -56,6 +56,10 @@
 struct rig_process *rig_start_daemon(struct rig *rig, const char *name,
 				     const char *settings_path);
 
+/* Starts a program that tells no port. */
+struct rig_process *rig_start(struct rig *rig, const char *program,
+			      ...) G_GNUC_NULL_TERMINATED;
+
 /* Runs a program to its end. RETURN VALUE: its exit status; *out, where given,
  * is its output, freed by the caller. */
 int rig_run(struct rig *rig, char **out, const char *program,
@@ -89,7 +93,8 @@
 /* The first integer member of that name in JSON text, or -1. */
 int64_t rig_json_int(const char *json, const char *name);
 
-/* What the process has written to standard error so far; the caller frees. */
+/* What the process has written so far; the caller frees. */
+char *rig_read_output(const struct rig_process *process);
 char *rig_read_log(const struct rig_process *process);
 
 #endif
