--- /dev/null
+++ b/comfreydockd/assembly.c
@@ -0,0 +1,278 @@
+#include "comfreydockd/assembly.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/http_client.h"
+#include "common/log.h"
+#include "comfreydockd/caller/entry.h"
+#include "comfreydockd/caller/listener.h"
+#include "comfreydockd/config/store.h"
+#include "comfreydockd/daemon.h"
+#include "comfreydockd/member/gossip.h"
+#include "comfreydockd/member/member.h"
+#include "comfreydockd/operator/operator.h"
+#include "comfreydockd/peer/peers.h"
+#include "comfreydockd/platform/platform.h"
+#include "comfreydockd/settings.h"
+#include "comfreydockd/upstream/owner.h"
+
+#define TIMELINE_ENTRIES 8192
+#define STOP_CHECK_S 0.05
+/*
+ * A daemon that stops goes on taking calls for so long. Gossip needs a few
+ * rounds until no peer sends work here, and callers learn from the answers
+ * ("Connection: close") to go elsewhere. Closing the port at once would reset
+ * the connections that wait to be accepted: calls cut off by a planned stop.
+ */
+#define LAME_DUCK_S 2.0
+/* After the port is closed, what was accepted last still gets its answer. */
+#define LAST_CALLS_S 0.3
+
+struct assembly {
+	struct daemon daemon;
+	struct listener *listener;
+	ev_signal terminate;
+	ev_signal interrupt;
+	ev_timer stop_check;
+	ev_tstamp stopping_since; /* 0: not stopping */
+	ev_tstamp quiet_since;
+};
+
+static struct assembly *assembly_of(struct daemon *daemon)
+{
+	return (struct assembly *)((char *)daemon -
+				   offsetof(struct assembly, daemon));
+}
+
+/* The owner's state becomes this host's word to the others. */
+static void handle_owner_state(struct owner *owner, void *data)
+{
+	struct daemon *daemon = data;
+	const struct owner_announcement *announced = owner_announced(owner);
+	enum member_service_state state = MEMBER_SERVICE_NONE;
+	struct owner_status status;
+
+	owner_get_status(owner, &status);
+	if (status.state == OWNER_UP)
+		state = MEMBER_SERVICE_UP;
+	else if (status.state == OWNER_DRAINING)
+		state = MEMBER_SERVICE_DRAINING;
+	gossip_announce_self(daemon->gossip, state,
+			     announced ? announced->groups : NULL,
+			     announced ? announced->slots : 0,
+			     announced ? announced->warm_ms : 0);
+}
+
+/*
+ * A dead host answers nothing and sends no FIN. Without this a call to it
+ * would wait for TCP to notice; the caller would see its whole deadline pass.
+ */
+static void handle_member_changed(struct member *member, void *data)
+{
+	struct daemon *daemon = data;
+
+	if (member->state == MEMBER_DEAD)
+		peers_drop(daemon->peers, member->host, "the host is dead");
+}
+
+static void handle_member_removed(struct member *member, void *data)
+{
+	struct daemon *daemon = data;
+
+	peers_drop(daemon->peers, member->host, "the host is gone");
+}
+
+static bool stop_is_quiet(const struct assembly *assembly)
+{
+	const struct daemon *daemon = &assembly->daemon;
+	struct owner_status status;
+
+	owner_get_status(daemon->owner, &status);
+	return status.running == 0 && status.queued == 0 &&
+	       entry_count(daemon->entry) == 0;
+}
+
+static void handle_stop_check(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct assembly *assembly = timer->data;
+	ev_tstamp now = ev_now(loop);
+	ev_tstamp spent = now - assembly->stopping_since;
+	double most = assembly->daemon.settings->drain_timeout_ms / 1000.0;
+
+	(void)events;
+	if (spent >= LAME_DUCK_S)
+		listener_quiesce(assembly->listener);
+	if (spent < LAME_DUCK_S || !stop_is_quiet(assembly))
+		assembly->quiet_since = now;
+	if (now - assembly->quiet_since < LAST_CALLS_S &&
+	    spent < LAME_DUCK_S + most)
+		return;
+	log_event(EV_DAEMON_STOPPED,
+		  LOG_INT("calls", entry_count(assembly->daemon.entry)));
+	gossip_leave(assembly->daemon.gossip);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void daemon_stop(struct daemon *daemon)
+{
+	struct assembly *assembly = assembly_of(daemon);
+
+	if (assembly->stopping_since > 0)
+		return;
+	assembly->stopping_since = ev_now(daemon->loop);
+	assembly->quiet_since = assembly->stopping_since;
+	log_event(EV_DAEMON_STOPPING);
+	owner_drain(daemon->owner);
+	listener_announce_close(assembly->listener);
+	ev_timer_start(daemon->loop, &assembly->stop_check);
+}
+
+static void handle_signal(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	struct assembly *assembly = signal->data;
+
+	(void)loop;
+	(void)events;
+	daemon_stop(&assembly->daemon);
+}
+
+static bool report_bind_error(const char *what,
+			      const struct settings_address *where)
+{
+	fprintf(stderr, "comfreydockd: %s port %s:%u: %s\n", what,
+		where->address, where->port, g_strerror(errno));
+	return false;
+}
+
+static bool load_config_file(struct daemon *daemon)
+{
+	struct findings findings;
+	bool good = true;
+
+	if (!daemon->settings->config_file)
+		return true;
+	findings_init(&findings);
+	good = config_store_load_file(daemon->config,
+				      daemon->settings->config_file, &findings);
+	findings_print(&findings, stderr);
+	findings_finish(&findings);
+	return good;
+}
+
+static bool create_parts(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	const struct settings *settings = daemon->settings;
+
+	daemon->http = http_client_create(daemon->loop);
+	daemon->members = member_table_create();
+	daemon->config = config_store_create();
+	if (!load_config_file(daemon))
+		return false;
+	if (settings->platform_url)
+		daemon->platform = platform_create(daemon);
+	daemon->peers = peers_create(daemon);
+	if (!daemon->peers)
+		return report_bind_error("peer", &settings->peer);
+	daemon->peer_port = peers_port(daemon->peers);
+	daemon->operator_api = operator_api_create(daemon);
+	if (!daemon->operator_api)
+		return report_bind_error("admin", &settings->admin);
+	daemon->gossip = gossip_create(daemon, daemon->peer_port);
+	if (!daemon->gossip)
+		return report_bind_error("gossip", &settings->peer);
+	daemon->owner = owner_create(daemon);
+	daemon->entry = entry_create(daemon);
+	assembly->listener = listener_create(daemon);
+	if (!assembly->listener)
+		return report_bind_error("caller", &settings->caller);
+	daemon->caller_port = listener_port(assembly->listener);
+	return true;
+}
+
+static void connect_parts(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	struct member_observer observer = {
+		.handle_changed = handle_member_changed,
+		.handle_removed = handle_member_removed,
+		.data = daemon,
+	};
+
+	owner_when_changed(daemon->owner, handle_owner_state, daemon);
+	member_table_observe(daemon->members, &observer);
+	for (char **peer = daemon->settings->join; peer && *peer; peer++)
+		gossip_join(daemon->gossip, *peer);
+}
+
+static void watch_signals(struct assembly *assembly)
+{
+	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
+	ev_signal_init(&assembly->interrupt, handle_signal, SIGINT);
+	ev_timer_init(&assembly->stop_check, handle_stop_check, STOP_CHECK_S,
+		      STOP_CHECK_S);
+	assembly->terminate.data = assembly;
+	assembly->interrupt.data = assembly;
+	assembly->stop_check.data = assembly;
+	ev_signal_start(assembly->daemon.loop, &assembly->terminate);
+	ev_signal_start(assembly->daemon.loop, &assembly->interrupt);
+}
+
+struct assembly *assembly_create(const struct settings *settings)
+{
+	struct assembly *assembly = g_new0(struct assembly, 1);
+	struct daemon *daemon = &assembly->daemon;
+
+	daemon->settings = settings;
+	daemon->loop = ev_default_loop(0);
+	/* Grows with each start, as long as the host's clock does; refutation
+	 * by gossip mends the case where it was set back. */
+	daemon->incarnation = (uint64_t)clock_wall_us();
+	timeline_init(&daemon->timeline, TIMELINE_ENTRIES);
+	watch_signals(assembly);
+	if (!create_parts(assembly)) {
+		assembly_destroy(assembly);
+		return NULL;
+	}
+	connect_parts(assembly);
+	log_event(EV_DAEMON_STARTED, LOG_STR("version", COMFREYDOCK_VERSION),
+		  LOG_INT("caller_port", daemon->caller_port),
+		  LOG_INT("peer_port", daemon->peer_port),
+		  LOG_INT("admin_port", daemon->admin_port));
+	return assembly;
+}
+
+void assembly_run(struct assembly *assembly)
+{
+	ev_run(assembly->daemon.loop, 0);
+}
+
+void assembly_destroy(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+
+	entry_destroy(daemon->entry);
+	listener_destroy(assembly->listener);
+	peers_destroy(daemon->peers);
+	owner_destroy(daemon->owner);
+	operator_api_destroy(daemon->operator_api);
+	gossip_destroy(daemon->gossip);
+	platform_destroy(daemon->platform);
+	member_table_destroy(daemon->members);
+	config_store_destroy(daemon->config);
+	http_client_destroy(daemon->http);
+	ev_signal_stop(daemon->loop, &assembly->terminate);
+	ev_signal_stop(daemon->loop, &assembly->interrupt);
+	ev_timer_stop(daemon->loop, &assembly->stop_check);
+	timeline_finish(&daemon->timeline);
+	ev_loop_destroy(daemon->loop);
+	g_free(assembly);
+}
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -69,12 +69,14 @@
 	struct health_upstream *upstream = &attempt->upstream->health;
 
 	if (end == ATTEMPT_REFUSED || end == ATTEMPT_REFUSED_BUSY)
-		health_note_refused(health, upstream, true, now);
+		health_note_refused(health, upstream, attempt->epoch, true,
+				    now);
 	else if (end == ATTEMPT_CANCELLED)
-		health_note_refused(health, upstream, false, now);
+		health_note_refused(health, upstream, attempt->epoch, false,
+				    now);
 	else
-		health_note_ended(health, upstream, health_outcome_of(end),
-				  now);
+		health_note_ended(health, upstream, attempt->epoch,
+				  health_outcome_of(end), now);
 }
 
 /* Each attempt that was sent is told to the decisions once. */
@@ -157,8 +159,8 @@
 	attempt->position = peer_send(attempt->peer, &frame);
 	attempt_entry_step(&attempt->state, ENTRY_SEND);
 	pick_note_sent(&upstream->service->picks, &upstream->candidate);
-	health_note_sent(&upstream->service->health, &upstream->health,
-			 attempt->sent_us);
+	attempt->epoch = health_note_sent(&upstream->service->health,
+					  &upstream->health, attempt->sent_us);
 	counters.entry_attempts++;
 	call_note_event(call, is_hedge ? EV_ENTRY_HEDGED : EV_ENTRY_SENT,
 			"seq=%" PRIu64 " to=%s may-queue=%d", attempt->seq,
--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -20,6 +20,7 @@
 struct listener {
 	struct daemon *daemon;
 	struct http_server *server;
+	bool closes; /* see listener_announce_close() */
 };
 
 /* One request of one caller, from its head to the last byte of its answer. */
@@ -341,6 +342,9 @@
 	if (request->aborted)
 		return MHD_NO;
 	request->queued = true;
+	if (request->listener->closes)
+		MHD_add_response_header(request->response, "Connection",
+					"close");
 	return MHD_queue_response(request->connection, request->status,
 				  request->response);
 }
@@ -497,6 +501,11 @@
 	return http_server_port(listener->server);
 }
 
+void listener_announce_close(struct listener *listener)
+{
+	listener->closes = true;
+}
+
 void listener_quiesce(struct listener *listener)
 {
 	http_server_quiesce(listener->server);
--- /dev/null
+++ b/comfreydockd/main.c
@@ -0,0 +1,126 @@
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "common/clock.h"
+#include "common/http_client.h"
+#include "common/log.h"
+#include "comfreydockd/assembly.h"
+#include "comfreydockd/settings.h"
+
+enum exit_status {
+	EXIT_OK = 0,
+	EXIT_USAGE = 2,
+	EXIT_SETTINGS = 3,
+	EXIT_START = 4,
+};
+
+struct options {
+	char *config;
+	gboolean check;
+	gboolean version;
+};
+
+static bool parse_options(int *argc, char ***argv, struct options *options)
+{
+	GOptionEntry entries[] = {
+		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &options->config,
+		  "Settings file (JSON with comments)", "FILE" },
+		{ "check", 0, 0, G_OPTION_ARG_NONE, &options->check,
+		  "Check the settings and end", NULL },
+		{ "version", 'V', 0, G_OPTION_ARG_NONE, &options->version,
+		  "Show the version and end", NULL },
+		{ NULL },
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	bool good;
+
+	g_option_context_set_summary(
+		context, "The comfreydock daemon: one beside each upstream.");
+	g_option_context_add_main_entries(context, entries, NULL);
+	good = g_option_context_parse(context, argc, argv, &error);
+	g_option_context_free(context);
+	if (!good) {
+		fprintf(stderr, "comfreydockd: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	if (*argc > 1) {
+		fprintf(stderr, "comfreydockd: unexpected argument '%s'\n",
+			(*argv)[1]);
+		return false;
+	}
+	return true;
+}
+
+static struct settings *load_settings(const char *file)
+{
+	struct findings findings;
+	struct settings *settings;
+
+	findings_init(&findings);
+	settings = settings_load(file, &findings);
+	findings_print(&findings, stderr);
+	findings_finish(&findings);
+	return settings;
+}
+
+/* Each caller and each peer holds a descriptor. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) < 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+static int run_daemon(struct settings *settings)
+{
+	struct assembly *assembly;
+
+	signal(SIGPIPE, SIG_IGN);
+	raise_descriptor_limit();
+	log_init(settings->log_format, settings->host);
+	assembly = assembly_create(settings);
+	if (!assembly)
+		return EXIT_START;
+	assembly_run(assembly);
+	assembly_destroy(assembly);
+	return EXIT_OK;
+}
+
+int main(int argc, char **argv)
+{
+	struct options options = { 0 };
+	struct settings *settings;
+	int status = EXIT_OK;
+
+	if (!parse_options(&argc, &argv, &options))
+		return EXIT_USAGE;
+	if (options.version) {
+		printf("comfreydockd %s\n", COMFREYDOCK_VERSION);
+		return EXIT_OK;
+	}
+	if (!options.config) {
+		fprintf(stderr, "comfreydockd: --config FILE is missing; "
+				"see --help\n");
+		return EXIT_USAGE;
+	}
+	settings = load_settings(options.config);
+	if (!settings)
+		return EXIT_SETTINGS;
+	if (!options.check)
+		status = run_daemon(settings);
+	settings_destroy(settings);
+	g_free(options.config);
+	return status;
+}
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -35,6 +35,7 @@
 	uint64_t position; /* in the connection's stream */
 	enum attempt_entry_state state;
 	int64_t sent_us;
+	uint32_t epoch; /* of its upstream's health */
 	int64_t head_us; /* when the answer began */
 	bool is_hedge;
 	bool failed; /* its answer is the upstream's own error */
--- a/include/comfreydockd/caller/listener.h
+++ b/include/comfreydockd/caller/listener.h
@@ -28,6 +28,9 @@
 
 uint16_t listener_port(const struct listener *listener);
 
+/* Answers with "Connection: close" from now on, so that callers go elsewhere. */
+void listener_announce_close(struct listener *listener);
+
 /* Takes no new connections; those that are open go on. */
 void listener_quiesce(struct listener *listener);
 
--- /dev/null
+++ b/tests/test_attempt.c
@@ -0,0 +1,253 @@
+#include <glib.h>
+
+#include "comfreydockd/peer/attempt.h"
+
+#define ROUNDS 20000
+#define STEPS 60
+#define ATTEMPTS 4
+#define QUEUE 16
+
+enum message {
+	MSG_ATTEMPT,
+	MSG_CANCEL,
+	MSG_NOT_RUN,
+	MSG_ANSWER,
+	MSG_END,
+	MSG_FAILED,
+};
+
+struct pipe {
+	enum message items[QUEUE];
+	unsigned int count;
+};
+
+/* One attempt, both halves of it and the connection between them. */
+struct try {
+	enum attempt_entry_state entry;
+	enum attempt_owner_state owner;
+	bool owner_knows;
+	bool left; /* bytes were handed to the kernel */
+	bool cut;
+	struct pipe to_owner;
+	struct pipe to_entry;
+	unsigned int runs;
+};
+
+struct caller {
+	bool idempotent;
+	struct try tries[ATTEMPTS];
+	unsigned int count;
+	bool gave_up;
+};
+
+static void pipe_put(struct pipe *pipe, enum message message)
+{
+	if (pipe->count < QUEUE)
+		pipe->items[pipe->count++] = message;
+}
+
+static enum message pipe_take(struct pipe *pipe)
+{
+	enum message first = pipe->items[0];
+
+	for (unsigned int i = 1; i < pipe->count; i++)
+		pipe->items[i - 1] = pipe->items[i];
+	pipe->count--;
+	return first;
+}
+
+static void owner_do(struct try *try, enum attempt_owner_event event)
+{
+	if (!attempt_owner_step(&try->owner, event))
+		return;
+	if (event == OWNER_START)
+		try->runs++;
+	if (event == OWNER_NEVER_BEGAN) /* certain, so not a run after all */
+		try->runs--;
+	if (try->owner == OWNER_ATTEMPT_NOT_RUN)
+		pipe_put(&try->to_entry, MSG_NOT_RUN);
+	if (event == OWNER_FINISH) {
+		pipe_put(&try->to_entry, MSG_ANSWER);
+		pipe_put(&try->to_entry, MSG_END);
+	}
+	if (event == OWNER_BREAK)
+		pipe_put(&try->to_entry, MSG_FAILED);
+}
+
+static void owner_take(struct try *try)
+{
+	enum message message = pipe_take(&try->to_owner);
+
+	if (message == MSG_ATTEMPT && !try->owner_knows) {
+		try->owner_knows = true;
+		owner_do(try, OWNER_QUEUE);
+	} else if (message == MSG_CANCEL && try->owner_knows) {
+		owner_do(try, OWNER_REFUSE);
+	}
+}
+
+static void entry_take(struct try *try)
+{
+	static const enum attempt_entry_event events[] = {
+		[MSG_NOT_RUN] = ENTRY_GET_NOT_RUN,
+		[MSG_ANSWER] = ENTRY_GET_ANSWER,
+		[MSG_END] = ENTRY_GET_END,
+		[MSG_FAILED] = ENTRY_GET_FAILED,
+	};
+
+	attempt_entry_step(&try->entry, events[pipe_take(&try->to_entry)]);
+}
+
+static void send_next(struct caller *caller)
+{
+	struct try *try = &caller->tries[caller->count++];
+
+	try->entry = ENTRY_PICKED;
+	attempt_entry_step(&try->entry, ENTRY_SEND);
+}
+
+static void cut(struct try *try)
+{
+	try->cut = true;
+	try->to_owner.count = 0;
+	try->to_entry.count = 0;
+	attempt_entry_step(&try->entry, try->left ? ENTRY_LINK_LOST :
+						    ENTRY_LINK_LOST_UNSENT);
+	if (try->owner_knows)
+		owner_do(try, OWNER_REFUSE);
+}
+
+/* Anything may happen to one attempt, in any order and more than once. */
+static void disturb(struct try *try)
+{
+	switch (g_test_rand_int_range(0, 10)) {
+	case 0: /* the kernel takes the frame */
+		if (!try->left && !try->cut) {
+			try->left = true;
+			pipe_put(&try->to_owner, MSG_ATTEMPT);
+		}
+		break;
+	case 1: /* a cancel: before, behind or without its attempt */
+		pipe_put(&try->to_owner, MSG_CANCEL);
+		break;
+	case 2:
+	case 3:
+		if (try->to_owner.count)
+			owner_take(try);
+		break;
+	case 4:
+	case 5:
+		if (try->to_entry.count)
+			entry_take(try);
+		break;
+	case 6:
+		if (try->owner_knows)
+			owner_do(try, g_test_rand_int_range(0, OWNER_EVENTS));
+		break;
+	case 7: /* an answer that comes twice */
+		if (try->to_entry.count)
+			pipe_put(&try->to_entry, try->to_entry.items[0]);
+		break;
+	case 8:
+		cut(try);
+		break;
+	default: /* the deadline passes at the entry */
+		attempt_entry_step(&try->entry, ENTRY_GIVE_UP);
+		break;
+	}
+}
+
+static unsigned int count_runs(const struct caller *caller)
+{
+	unsigned int runs = 0;
+
+	for (unsigned int i = 0; i < caller->count; i++)
+		runs += caller->tries[i].runs;
+	return runs;
+}
+
+static void check(const struct caller *caller)
+{
+	const struct try *last = &caller->tries[caller->count - 1];
+	bool none_ran = true;
+
+	if (!caller->idempotent)
+		g_assert_cmpuint(count_runs(caller), <=, 1);
+	for (unsigned int i = 0; i < caller->count; i++) {
+		const struct try *try = &caller->tries[i];
+
+		if (try->entry == ENTRY_NOT_RUN)
+			g_assert_cmpuint(try->runs, ==, 0);
+		none_ran &= try->entry == ENTRY_NOT_RUN;
+	}
+	if (none_ran)
+		g_assert_cmpuint(count_runs(caller), ==, 0);
+	if (last->entry == ENTRY_DONE)
+		g_assert_cmpuint(last->runs, ==, 1);
+}
+
+/*
+ * Connections break, daemons pause and wake with old frames in their buffers,
+ * cancels overtake nothing but come at any time, answers come late or twice.
+ * A user would notice a booking made twice, or one that was called "not run"
+ * and was made all the same.
+ */
+static void test_any_order_runs_at_most_once(void)
+{
+	for (unsigned int round = 0; round < ROUNDS; round++) {
+		struct caller caller = {
+			.idempotent = g_test_rand_bit(),
+		};
+
+		send_next(&caller);
+		for (unsigned int step = 0; step < STEPS; step++) {
+			struct try *last = &caller.tries[caller.count - 1];
+			int which =
+				g_test_rand_int_range(0, (int)caller.count);
+
+			disturb(&caller.tries[which]);
+			check(&caller);
+			if (attempt_allows_another(last->entry,
+						   caller.idempotent) &&
+			    caller.count < ATTEMPTS)
+				send_next(&caller);
+		}
+	}
+}
+
+/* What "not run" rests on, cell by cell. */
+static void test_no_way_back_from_a_run(void)
+{
+	for (int event = 0; event < OWNER_EVENTS; event++) {
+		enum attempt_owner_state state = OWNER_ATTEMPT_RUNNING;
+		bool steps = attempt_owner_step(&state, event);
+
+		if (steps && state == OWNER_ATTEMPT_NOT_RUN)
+			g_assert_cmpint(event, ==, OWNER_NEVER_BEGAN);
+		state = OWNER_ATTEMPT_NOT_RUN;
+		g_assert_false(attempt_owner_step(&state, event));
+		g_assert_cmpint(state, ==, OWNER_ATTEMPT_NOT_RUN);
+	}
+}
+
+static void test_only_not_run_allows_another(void)
+{
+	for (int state = 0; state < ENTRY_STATES; state++) {
+		bool may = attempt_allows_another(state, false);
+
+		g_assert_true(may == (state == ENTRY_NOT_RUN));
+		g_assert_nonnull(attempt_entry_state_name(state));
+	}
+	g_assert_true(attempt_allows_another(ENTRY_UNKNOWN, true));
+	g_assert_false(attempt_allows_another(ENTRY_DONE, true));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/attempt/any-order", test_any_order_runs_at_most_once);
+	g_test_add_func("/attempt/no-way-back", test_no_way_back_from_a_run);
+	g_test_add_func("/attempt/allows-another",
+			test_only_not_run_allows_another);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_peers.c
@@ -0,0 +1,293 @@
+#include <arpa/inet.h>
+#include <ev.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "comfreydockd/peer/link.h"
+#include "comfreydockd/peer/peers.h"
+#include "comfreydockd/settings.h"
+
+#define MANY 100
+
+/* Two daemons' connections in one loop, without the rest of a daemon. */
+struct end {
+	struct settings settings;
+	struct daemon daemon;
+	struct peers *peers;
+	GString *heard; /* sequence numbers of cancels, as taken by the owner */
+	unsigned int lost;
+	struct peer *from;
+};
+
+static struct ev_loop *loop;
+
+static void handle_owner_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	struct end *end = data;
+
+	end->from = peer;
+	if (frame->kind_case == CFD__FRAME__KIND_CANCEL)
+		g_string_append_printf(end->heard, "%d ",
+				       (int)frame->cancel->seq);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void handle_entry_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	(void)peer;
+	(void)frame;
+	(void)data;
+}
+
+static void handle_lost(struct peer *peer, const char *error, void *data)
+{
+	struct end *end = data;
+
+	(void)peer;
+	(void)error;
+	end->lost++;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void end_init(struct end *end, const char *host, const char *key)
+{
+	struct peers_role owner = { handle_owner_frame, handle_lost, end };
+	struct peers_role entry = { handle_entry_frame, handle_lost, end };
+
+	memset(end, 0, sizeof(*end));
+	end->settings.host = (char *)host;
+	end->settings.peer.address = (char *)"127.0.0.1";
+	end->settings.peer_key = (uint8_t *)key;
+	end->settings.peer_key_size = strlen(key);
+	end->daemon.loop = loop;
+	end->daemon.settings = &end->settings;
+	end->daemon.incarnation = 7;
+	end->heard = g_string_new(NULL);
+	end->peers = peers_create(&end->daemon);
+	g_assert_nonnull(end->peers);
+	end->daemon.peers = end->peers;
+	peers_set_owner(end->peers, &owner);
+	peers_set_entry(end->peers, &entry);
+}
+
+static void end_finish(struct end *end)
+{
+	peers_destroy(end->peers);
+	g_string_free(end->heard, TRUE);
+}
+
+static struct member member_of(const struct end *end)
+{
+	struct member member = { .peer_port = peers_port(end->peers) };
+
+	g_strlcpy(member.host, end->settings.host, sizeof(member.host));
+	g_strlcpy(member.address, "127.0.0.1", sizeof(member.address));
+	return member;
+}
+
+static uint64_t send_cancel(struct peer *peer, uint64_t seq)
+{
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	cancel.seq = seq;
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	return peer_send(peer, &frame);
+}
+
+static void test_frames_held_for_the_greeting_keep_their_order(void)
+{
+	struct end a, b;
+	struct member member;
+	struct peer *peer;
+	uint64_t first, last;
+
+	end_init(&a, "a", "secret");
+	end_init(&b, "b", "secret");
+	member = member_of(&b);
+	peer = peers_connect(a.peers, &member);
+	first = send_cancel(peer, 1);
+	last = send_cancel(peer, 2);
+	g_assert_false(peer_has_handed_over(peer, first));
+	while (strcmp(b.heard->str, "1 2 ") != 0)
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_true(peer_has_handed_over(peer, last));
+	g_assert_cmpstr(peer_host(b.from), ==, "a");
+	g_assert_cmpuint(peer_incarnation(b.from), ==, 7);
+	g_assert_true(peers_connect(a.peers, &member) == peer);
+	end_finish(&a);
+	end_finish(&b);
+}
+
+static void test_own_owner_is_reached_through_memory(void)
+{
+	struct end a;
+	struct member member;
+	struct peer *peer;
+
+	end_init(&a, "a", "secret");
+	member = member_of(&a);
+	peer = peers_connect(a.peers, &member);
+	for (uint64_t i = 0; i < MANY; i++)
+		send_cancel(peer, i);
+	/* Never from within a send. */
+	g_assert_cmpstr(a.heard->str, ==, "");
+	while (!strstr(a.heard->str, " 99 "))
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_true(g_str_has_prefix(a.heard->str, "0 1 2 3 "));
+	end_finish(&a);
+}
+
+/*
+ * A host was set up with an old key file. Its calls must fail at once and as
+ * certainly not run, and the operator sees the refusal counted, instead of a
+ * stranger's frames being run as bookings.
+ */
+static void test_another_key_is_refused(void)
+{
+	uint64_t before = counters.peer_handshakes_failed;
+	struct end a, b;
+	struct member member;
+	struct peer *peer;
+	uint64_t position;
+
+	end_init(&a, "a", "old secret");
+	end_init(&b, "b", "secret");
+	member = member_of(&b);
+	peer = peers_connect(a.peers, &member);
+	position = send_cancel(peer, 1);
+	while (!a.lost) {
+		g_assert_false(peer_has_handed_over(peer, position));
+		ev_run(loop, EVRUN_ONCE);
+	}
+	g_assert_cmpstr(b.heard->str, ==, "");
+	g_assert_cmpuint(counters.peer_handshakes_failed, >, before);
+	end_finish(&a);
+	end_finish(&b);
+}
+
+static int connect_raw(const struct end *end)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(peers_port(end->peers)),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&address,
+				sizeof(address)),
+			==, 0);
+	return fd;
+}
+
+static void expect_close(struct end *end, int fd)
+{
+	char buffer[512];
+	ssize_t got;
+
+	while (!end->lost)
+		ev_run(loop, EVRUN_ONCE);
+	do {
+		got = recv(fd, buffer, sizeof(buffer), 0);
+	} while (got > 0);
+	g_assert_cmpint(peers_count(end->peers), ==, 0);
+	close(fd);
+	end->lost = 0;
+}
+
+static void send_hello(int fd, uint32_t version)
+{
+	uint8_t nonce[16] = { 0 };
+	uint8_t bytes[256];
+	Cfd__Hello hello = CFD__HELLO__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+	uint32_t length;
+
+	hello.version = version;
+	hello.host = (char *)"x";
+	hello.nonce.data = nonce;
+	hello.nonce.len = sizeof(nonce);
+	frame.kind_case = CFD__FRAME__KIND_HELLO;
+	frame.hello = &hello;
+	length = htonl((uint32_t)cfd__frame__pack(&frame, bytes + 4));
+	memcpy(bytes, &length, 4);
+	send(fd, bytes, 4 + ntohl(length), MSG_NOSIGNAL);
+}
+
+/*
+ * A port scanner, a web browser or a daemon of another version connects to
+ * the peer port. It must be closed without taking memory or time.
+ */
+static void test_strangers_are_closed(void)
+{
+	static const char http[] = "GET / HTTP/1.1\r\n\r\n";
+	static const char huge[] = "\x00\x0f\xff\xff";
+	static const char junk[] = "\x00\x00\x00\x04\xff\xff\xff\xff";
+	struct end b;
+	int fd;
+
+	end_init(&b, "b", "secret");
+	fd = connect_raw(&b);
+	send(fd, http, sizeof(http) - 1, MSG_NOSIGNAL);
+	expect_close(&b, fd);
+	fd = connect_raw(&b);
+	send(fd, huge, sizeof(huge) - 1, MSG_NOSIGNAL);
+	expect_close(&b, fd);
+	fd = connect_raw(&b);
+	send(fd, junk, sizeof(junk) - 1, MSG_NOSIGNAL);
+	expect_close(&b, fd);
+	fd = connect_raw(&b);
+	send_hello(fd, PEERS_PROTOCOL_VERSION + 1);
+	expect_close(&b, fd);
+	g_assert_cmpstr(b.heard->str, ==, "");
+	end_finish(&b);
+}
+
+/* Nobody listens where a member's record says: the call's frame has certainly
+ * not left, so even a booking may be sent elsewhere. */
+static void test_a_refused_connection_sent_nothing(void)
+{
+	struct end a, b;
+	struct member member;
+	struct peer *peer;
+	uint64_t position;
+
+	end_init(&a, "a", "secret");
+	end_init(&b, "b", "secret");
+	member = member_of(&b);
+	end_finish(&b);
+	peer = peers_connect(a.peers, &member);
+	position = send_cancel(peer, 1);
+	while (!a.lost) {
+		g_assert_false(peer_has_handed_over(peer, position));
+		ev_run(loop, EVRUN_ONCE);
+	}
+	end_finish(&a);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	log_init(LOG_FORMAT_NONE, "test");
+	loop = ev_loop_new(0);
+	g_test_add_func("/peers/held",
+			test_frames_held_for_the_greeting_keep_their_order);
+	g_test_add_func("/peers/memory",
+			test_own_owner_is_reached_through_memory);
+	g_test_add_func("/peers/another-key", test_another_key_is_refused);
+	g_test_add_func("/peers/strangers", test_strangers_are_closed);
+	g_test_add_func("/peers/connection-refused",
+			test_a_refused_connection_sent_nothing);
+	status = g_test_run();
+	ev_loop_destroy(loop);
+	return status;
+}
