bench: replay traces through the decisions

Cause: the policies have to be measured side by side, without a network. Change: traces as text, a generator with fixed seeds, and a replay on a heap of events with owners' slots and a delay between hosts.

--- /dev/null
+++ b/bench/decide/events.h
@@ -0,0 +1,38 @@
+/*
+ * NAME
+ *	events - a heap of events in place of a clock
+ *
+ * DESCRIPTION
+ *	Events run in order of time, those of one time in the order in which
+ *	they were added. now_us stands still while a handler runs.
+ */
+#ifndef BENCH_DECIDE_EVENTS_H
+#define BENCH_DECIDE_EVENTS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct event_item {
+	int64_t at_us;
+	uint64_t order;
+	void (*handle)(void *owner, void *data);
+	void *data;
+};
+
+struct events {
+	int64_t now_us;
+	uint64_t added;
+	void *owner; /* handed to each handler */
+	GArray *heap; /* of struct event_item */
+};
+
+void events_init(struct events *events, void *owner);
+void events_finish(struct events *events);
+void events_add(struct events *events, int64_t at_us,
+		void (*handle)(void *owner, void *data), void *data);
+
+/* Runs until there is no event left. */
+void events_run(struct events *events);
+
+#endif
--- /dev/null
+++ b/bench/decide/trace.c
@@ -0,0 +1,147 @@
+#include "bench/decide/trace.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define US_PER_SECOND INT64_C(1000000)
+
+void trace_init(struct trace *trace)
+{
+	memset(trace, 0, sizeof(*trace));
+	trace->upstreams = 7;
+	trace->slots = 12;
+	trace->entries = 7;
+	trace->domains = 4;
+	trace->delay_us = 500;
+	trace->deadline_us = 10 * US_PER_SECOND;
+	trace->calls = g_array_new(FALSE, FALSE, sizeof(struct trace_call));
+	trace->speeds = g_array_new(FALSE, FALSE, sizeof(struct trace_speed));
+}
+
+void trace_finish(struct trace *trace)
+{
+	g_array_free(trace->calls, TRUE);
+	g_array_free(trace->speeds, TRUE);
+}
+
+static bool set_size(struct trace *trace, const char *name, int64_t value)
+{
+	const struct {
+		const char *name;
+		uint32_t *size;
+	} sizes[] = {
+		{"upstreams", &trace->upstreams},
+		{"slots", &trace->slots},
+		{"entries", &trace->entries},
+		{"domains", &trace->domains},
+	};
+
+	if (strcmp(name, "delay_us") == 0) {
+		trace->delay_us = value;
+		return value >= 0;
+	}
+	if (strcmp(name, "deadline_us") == 0) {
+		trace->deadline_us = value;
+		return value > 0;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		if (strcmp(name, sizes[i].name) != 0)
+			continue;
+		*sizes[i].size = (uint32_t)value;
+		return value > 0 && value <= UINT16_MAX;
+	}
+	return false;
+}
+
+static bool read_set(struct trace *trace, const char *text)
+{
+	char name[32];
+	int64_t value;
+
+	if (sscanf(text, "set %31s %" SCNd64, name, &value) != 2)
+		return false;
+	return set_size(trace, name, value);
+}
+
+static bool read_call(struct trace *trace, const char *text)
+{
+	struct trace_call call;
+
+	if (sscanf(text, "call %" SCNd64 " %" SCNu32 " %" SCNu32 " %" SCNd64,
+		   &call.at_us, &call.entry, &call.caller, &call.work_us) != 4)
+		return false;
+	g_array_append_val(trace->calls, call);
+	return call.entry < trace->entries && call.at_us >= 0 &&
+	       call.work_us >= 0;
+}
+
+static bool read_speed(struct trace *trace, const char *text)
+{
+	struct trace_speed speed;
+
+	if (sscanf(text, "speed %" SCNd64 " %" SCNu32 " %lf", &speed.at_us,
+		   &speed.upstream, &speed.factor) != 3)
+		return false;
+	g_array_append_val(trace->speeds, speed);
+	return speed.upstream < trace->upstreams && speed.at_us >= 0 &&
+	       speed.factor > 0;
+}
+
+static bool read_line(struct trace *trace, const char *text)
+{
+	switch (text[0]) {
+	case '#':
+	case '\n':
+		return true;
+	case 'c':
+		return read_call(trace, text);
+	case 's':
+		return text[1] == 'e' ? read_set(trace, text) :
+					read_speed(trace, text);
+	default:
+		return false;
+	}
+}
+
+enum trace_status trace_load(struct trace *trace, const char *path, int *line)
+{
+	enum trace_status status = TRACE_OK;
+	FILE *in = fopen(path, "re");
+	char text[256];
+
+	*line = 0;
+	if (!in)
+		return TRACE_UNREADABLE;
+	while (status == TRACE_OK && fgets(text, sizeof(text), in)) {
+		(*line)++;
+		if (!read_line(trace, text))
+			status = TRACE_MALFORMED;
+	}
+	fclose(in);
+	return status;
+}
+
+void trace_write(const struct trace *trace, FILE *out)
+{
+	fprintf(out, "set upstreams %" PRIu32 "\n", trace->upstreams);
+	fprintf(out, "set slots %" PRIu32 "\n", trace->slots);
+	fprintf(out, "set entries %" PRIu32 "\n", trace->entries);
+	fprintf(out, "set domains %" PRIu32 "\n", trace->domains);
+	fprintf(out, "set delay_us %" PRId64 "\n", trace->delay_us);
+	fprintf(out, "set deadline_us %" PRId64 "\n", trace->deadline_us);
+	for (guint i = 0; i < trace->speeds->len; i++) {
+		const struct trace_speed *s =
+			&g_array_index(trace->speeds, struct trace_speed, i);
+
+		fprintf(out, "speed %" PRId64 " %" PRIu32 " %g\n", s->at_us,
+			s->upstream, s->factor);
+	}
+	for (guint i = 0; i < trace->calls->len; i++) {
+		const struct trace_call *c =
+			&g_array_index(trace->calls, struct trace_call, i);
+
+		fprintf(out,
+			"call %" PRId64 " %" PRIu32 " %" PRIu32 " %" PRId64 "\n",
+			c->at_us, c->entry, c->caller, c->work_us);
+	}
+}
--- /dev/null
+++ b/include/bench/decide/trace.h
@@ -0,0 +1,80 @@
+/*
+ * NAME
+ *	trace - recorded calls and what happened to the upstreams meanwhile
+ *
+ * DESCRIPTION
+ *	A text file, one item a line, in order of time; # begins a comment.
+ *
+ *	set NAME VALUE	  upstreams, slots, entries, domains, delay_us (one way
+ *			  between domains) and deadline_us (of each call)
+ *	call AT ENTRY CALLER WORK
+ *			  a call at AT us that takes WORK us at an upstream of
+ *			  usual speed
+ *	speed AT UPSTREAM FACTOR
+ *			  from AT us on, work there takes FACTOR times as long
+ *
+ *	A file is written by trace_generate() from a fixed seed, or taken from
+ *	a daemon's time line.
+ */
+#ifndef BENCH_DECIDE_TRACE_H
+#define BENCH_DECIDE_TRACE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+struct trace_call {
+	int64_t at_us;
+	uint32_t entry;
+	uint32_t caller;
+	int64_t work_us;
+};
+
+struct trace_speed {
+	int64_t at_us;
+	uint32_t upstream;
+	double factor;
+};
+
+struct trace {
+	uint32_t upstreams;
+	uint32_t slots; /* of each upstream */
+	uint32_t entries;
+	uint32_t domains;
+	int64_t delay_us;
+	int64_t deadline_us;
+	GArray *calls; /* of struct trace_call */
+	GArray *speeds; /* of struct trace_speed */
+};
+
+enum trace_status {
+	TRACE_OK,
+	TRACE_UNREADABLE,
+	TRACE_MALFORMED,
+	TRACE_UNKNOWN_KIND,
+};
+
+/* Lookup-desk's sizes: 7 upstreams of 12 slots, 4 domains, 0.5 ms. */
+void trace_init(struct trace *trace);
+void trace_finish(struct trace *trace);
+
+/* Fills an initialised trace from a file; *line is where it went wrong. */
+enum trace_status trace_load(struct trace *trace, const char *path, int *line);
+void trace_write(const struct trace *trace, FILE *out);
+
+struct trace_plan {
+	const char *kind; /* see trace_kinds() */
+	double load; /* mean share of all slots in use */
+	uint32_t calls;
+	uint64_t seed;
+};
+
+/* Fills an initialised trace whose sizes are set. */
+enum trace_status trace_generate(struct trace *trace,
+				 const struct trace_plan *plan);
+
+/* The kinds, separated by commas. */
+const char *trace_kinds(void);
+
+#endif
