operator: serve the admin API

Operators and the local upstream need one place to see the daemon's state, to apply files, and to announce, drain and stop an upstream.

One sorted table of handlers over the HTTP server, a file for each group. A stop is answered only once nothing runs; a resume takes it back.

--- a/comfreydockd/config/rows.c
+++ b/comfreydockd/config/rows.c
@@ -1,8 +1,9 @@
 #include "comfreydockd/config/rows.h"
 
-#include <json-c/json.h>
 #include <string.h>
 
+#include "common/jsonc.h"
+
 #define COMMITS_KEPT 16
 
 char *config_namespace_key(const char *name)
@@ -41,52 +42,10 @@
 	g_array_unref(head->versions);
 }
 
-static const char *get_text(json_object *object, const char *key)
-{
-	const char *text =
-		json_object_get_string(json_object_object_get(object, key));
-
-	return text ? text : "";
-}
-
-static uint64_t get_number(json_object *object, const char *key)
-{
-	return json_object_get_uint64(json_object_object_get(object, key));
-}
-
-/* RETURN VALUE: the array under key of a row that is an object, or NULL. */
-static json_object *get_array(json_object *root, const char *key)
-{
-	json_object *array = NULL;
-
-	if (json_object_is_type(root, json_type_object))
-		array = json_object_object_get(root, key);
-	return json_object_is_type(array, json_type_array) ? array : NULL;
-}
-
-static void add_text(json_object *object, const char *key, const char *text)
-{
-	json_object_object_add(object, key, json_object_new_string(text));
-}
-
-static void add_number(json_object *object, const char *key, uint64_t number)
-{
-	json_object_object_add(object, key, json_object_new_uint64(number));
-}
-
-static char *to_text(json_object *root)
-{
-	char *text = g_strdup(
-		json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
-
-	json_object_put(root);
-	return text;
-}
-
 bool config_head_parse(struct config_head *head, const char *text)
 {
 	json_object *root = text ? json_tokener_parse(text) : NULL;
-	json_object *array = get_array(root, "namespaces");
+	json_object *array = jsonc_get_array(root, "namespaces");
 
 	if (text && !array) {
 		json_object_put(root);
@@ -95,16 +54,16 @@
 	for (size_t i = 0; array && i < json_object_array_length(array); i++) {
 		json_object *item = json_object_array_get_idx(array, i);
 		struct config_version version = {
-			.name = g_strdup(get_text(item, "name")),
-			.version = get_number(item, "version"),
+			.name = g_strdup(jsonc_get_text(item, "name")),
+			.version = jsonc_get_uint(item, "version"),
 		};
 
-		g_strlcpy(version.sha256, get_text(item, "sha256"),
+		g_strlcpy(version.sha256, jsonc_get_text(item, "sha256"),
 			  sizeof(version.sha256));
 		g_array_append_val(head->versions, version);
 	}
 	if (root)
-		head->head = get_number(root, "head");
+		head->head = jsonc_get_uint(root, "head");
 	json_object_put(root);
 	return true;
 }
@@ -119,14 +78,14 @@
 			&g_array_index(head->versions, struct config_version, i);
 		json_object *item = json_object_new_object();
 
-		add_text(item, "name", version->name);
-		add_number(item, "version", version->version);
-		add_text(item, "sha256", version->sha256);
+		jsonc_add_text(item, "name", version->name);
+		jsonc_add_uint(item, "version", version->version);
+		jsonc_add_text(item, "sha256", version->sha256);
 		json_object_array_add(array, item);
 	}
-	add_number(root, "head", head->head);
+	jsonc_add_uint(root, "head", head->head);
 	json_object_object_add(root, "namespaces", array);
-	return to_text(root);
+	return jsonc_to_text(root);
 }
 
 static struct config_version *head_line(struct config_head *head, const char *name)
@@ -171,7 +130,7 @@
 bool config_history_parse(struct config_history *history, const char *text)
 {
 	json_object *root = text ? json_tokener_parse(text) : NULL;
-	json_object *array = get_array(root, "commits");
+	json_object *array = jsonc_get_array(root, "commits");
 
 	if (text && !array) {
 		json_object_put(root);
@@ -180,13 +139,13 @@
 	for (size_t i = 0; array && i < json_object_array_length(array); i++) {
 		json_object *item = json_object_array_get_idx(array, i);
 		struct config_commit commit = {
-			.version = get_number(item, "version"),
-			.who = g_strdup(get_text(item, "who")),
+			.version = jsonc_get_uint(item, "version"),
+			.who = g_strdup(jsonc_get_text(item, "who")),
 		};
 
-		g_strlcpy(commit.sha256, get_text(item, "sha256"),
+		g_strlcpy(commit.sha256, jsonc_get_text(item, "sha256"),
 			  sizeof(commit.sha256));
-		g_strlcpy(commit.apply_id, get_text(item, "apply_id"),
+		g_strlcpy(commit.apply_id, jsonc_get_text(item, "apply_id"),
 			  sizeof(commit.apply_id));
 		g_array_append_val(history->commits, commit);
 	}
@@ -204,14 +163,14 @@
 			&g_array_index(history->commits, struct config_commit, i);
 		json_object *item = json_object_new_object();
 
-		add_number(item, "version", commit->version);
-		add_text(item, "sha256", commit->sha256);
-		add_text(item, "apply_id", commit->apply_id);
-		add_text(item, "who", commit->who);
+		jsonc_add_uint(item, "version", commit->version);
+		jsonc_add_text(item, "sha256", commit->sha256);
+		jsonc_add_text(item, "apply_id", commit->apply_id);
+		jsonc_add_text(item, "who", commit->who);
 		json_object_array_add(array, item);
 	}
 	json_object_object_add(root, "commits", array);
-	return to_text(root);
+	return jsonc_to_text(root);
 }
 
 void config_history_push(struct config_history *history,
--- /dev/null
+++ b/comfreydockd/operator/status.c
@@ -0,0 +1,109 @@
+#include "comfreydockd/member/member.h"
+#include "comfreydockd/operator/handler.h"
+#include "comfreydockd/settings.h"
+#include "comfreydockd/upstream/owner.h"
+#include "common/counters.h"
+#include "common/jsonc.h"
+
+static void append_gauge(GString *text, const char *name, uint64_t value)
+{
+	g_string_append_printf(text,
+			       "# TYPE comfreydock_%s gauge\n"
+			       "comfreydock_%s %" G_GUINT64_FORMAT "\n",
+			       name, name, value);
+}
+
+void operator_get_metrics(struct operator_api *api, struct http_request *request)
+{
+	GString *text = g_string_new(NULL);
+	struct owner_status status = {0};
+
+	counters_append_text(text);
+	if (api->daemon->owner)
+		owner_get_status(api->daemon->owner, &status);
+	append_gauge(text, "upstream_slots", status.slots);
+	append_gauge(text, "upstream_limit", status.limit);
+	append_gauge(text, "upstream_running", status.running);
+	append_gauge(text, "upstream_queued", status.queued);
+	append_gauge(text, "upstream_expected_wait_us", status.expected_wait_us);
+	append_gauge(text, "config_head", config_store_head(api->daemon->config));
+	http_request_reply_text(request, 200, "text/plain; version=0.0.4",
+				text->str);
+	g_string_free(text, TRUE);
+}
+
+void operator_get_status(struct operator_api *api, struct http_request *request)
+{
+	const struct daemon *daemon = api->daemon;
+	const struct settings *settings = daemon->settings;
+	json_object *root = json_object_new_object();
+	json_object *config = json_object_new_object();
+
+	jsonc_add_text(root, "host", settings->host);
+	jsonc_add_text(root, "domain", settings->domain);
+	jsonc_add_text(root, "region", settings->region);
+	jsonc_add_text(root, "release", COMFREYDOCK_VERSION);
+	jsonc_add_uint(root, "incarnation", daemon->incarnation);
+	jsonc_add_uint(root, "caller_port", daemon->caller_port);
+	jsonc_add_uint(root, "peer_port", daemon->peer_port);
+	jsonc_add_uint(root, "admin_port", daemon->admin_port);
+	jsonc_add_uint(root, "hosts",
+		       daemon->members ? member_table_size(daemon->members) : 0);
+	jsonc_add_bool(config, "ready", config_store_is_ready(daemon->config));
+	jsonc_add_uint(config, "head", config_store_head(daemon->config));
+	jsonc_add_uint(config, "known_head",
+		       config_store_known_head(daemon->config));
+	json_object_object_add(root, "config", config);
+	json_object_object_add(root, "upstream", operator_upstream_to_json(api));
+	operator_reply(request, 200, root);
+}
+
+static json_object *member_to_json(const struct member *member)
+{
+	static const char *const states[] = {"alive", "suspect", "dead", "left"};
+	static const char *const service_states[] = {"none", "up", "draining"};
+	json_object *root = json_object_new_object();
+	json_object *groups = json_object_new_array();
+
+	jsonc_add_text(root, "host", member->host);
+	jsonc_add_uint(root, "incarnation", member->incarnation);
+	jsonc_add_text(root, "address", member->address);
+	jsonc_add_uint(root, "peer_port", member->peer_port);
+	jsonc_add_uint(root, "admin_port", member->admin_port);
+	jsonc_add_text(root, "domain", member->domain);
+	jsonc_add_text(root, "region", member->region);
+	jsonc_add_text(root, "state", states[member->state]);
+	jsonc_add_text(root, "service", service_states[member->service_state]);
+	jsonc_add_uint(root, "slots", member->slots);
+	jsonc_add_uint(root, "warm_ms", member->warm_ms);
+	for (char **group = member->groups; group && *group; group++)
+		json_object_array_add(groups, json_object_new_string(*group));
+	json_object_object_add(root, "groups", groups);
+	return root;
+}
+
+void operator_get_hosts(struct operator_api *api, struct http_request *request)
+{
+	json_object *root = json_object_new_object();
+	json_object *hosts = json_object_new_array();
+	struct member *member;
+
+	if (api->daemon->members) {
+		TAILQ_FOREACH (member, member_table_all(api->daemon->members),
+			       link)
+			json_object_array_add(hosts, member_to_json(member));
+	}
+	json_object_object_add(root, "hosts", hosts);
+	operator_reply(request, 200, root);
+}
+
+void operator_get_timeline(struct operator_api *api, struct http_request *request)
+{
+	GString *text = g_string_new(NULL);
+
+	timeline_append_json(&api->daemon->timeline,
+			     http_request_argument(request, "trace"),
+			     api->daemon->settings->host, text);
+	http_request_reply_text(request, 200, "application/json", text->str);
+	g_string_free(text, TRUE);
+}
--- /dev/null
+++ b/include/comfreydockd/operator/handler.h
@@ -0,0 +1,60 @@
+/*
+ * NAME
+ *	operator_handler - what the groups of handlers share
+ *
+ * DESCRIPTION
+ *	Inside the operator package. A handler answers its request once, now
+ *	or later. Handlers are listed in one table, sorted by path, then by
+ *	method.
+ */
+#ifndef COMFREYDOCKD_OPERATOR_HANDLER_H
+#define COMFREYDOCKD_OPERATOR_HANDLER_H
+
+#include <json-c/json.h>
+
+#include "comfreydockd/operator/operator.h"
+#include "common/http_server.h"
+
+struct operator_api {
+	struct daemon *daemon;
+	struct http_server *server;
+	const struct config_platform_ops *platform_ops;
+	void *platform;
+	GPtrArray *stopping; /* of struct http_request that await idleness */
+	bool awaits_idle;
+};
+
+typedef void (*operator_handler)(struct operator_api *api,
+				 struct http_request *request);
+
+void operator_get_metrics(struct operator_api *api, struct http_request *request);
+void operator_get_config(struct operator_api *api, struct http_request *request);
+void operator_apply_config(struct operator_api *api,
+			   struct http_request *request);
+void operator_check_config(struct operator_api *api,
+			   struct http_request *request);
+void operator_get_hosts(struct operator_api *api, struct http_request *request);
+void operator_get_status(struct operator_api *api, struct http_request *request);
+void operator_get_timeline(struct operator_api *api,
+			   struct http_request *request);
+void operator_get_upstream(struct operator_api *api,
+			   struct http_request *request);
+void operator_announce(struct operator_api *api, struct http_request *request);
+void operator_drain(struct operator_api *api, struct http_request *request);
+void operator_resume(struct operator_api *api, struct http_request *request);
+void operator_stop(struct operator_api *api, struct http_request *request);
+
+/* Answers all waiting stop calls. */
+void operator_end_stops(struct operator_api *api, unsigned int status,
+			const char *state);
+
+/* RETURN VALUE: the local upstream as JSON. */
+json_object *operator_upstream_to_json(const struct operator_api *api);
+
+/* Answers with the object and gives it up. */
+void operator_reply(struct http_request *request, unsigned int status,
+		    json_object *root);
+void operator_reply_error(struct http_request *request, unsigned int status,
+			  const char *text);
+
+#endif
--- a/include/common/jsonc.h
+++ b/include/common/jsonc.h
@@ -16,6 +16,8 @@
 
 #include <glib.h>
 #include <json-c/json.h>
+#include <stdbool.h>
+#include <stdint.h>
 
 #include "common/findings.h"
 
@@ -37,4 +39,23 @@
 char *jsonc_path_key(const char *path, const char *key);
 char *jsonc_path_item(const char *path, size_t index);
 
+/* Building: text NULL becomes null. */
+void jsonc_add_text(json_object *object, const char *key, const char *text);
+void jsonc_add_uint(json_object *object, const char *key, uint64_t number);
+void jsonc_add_bool(json_object *object, const char *key, bool value);
+
+/* RETURN VALUE: the text, to be freed with g_free(); gives root up. */
+char *jsonc_to_text(json_object *root);
+
+/* RETURN VALUE: an array of {severity, file, line, path, text}. */
+json_object *jsonc_from_findings(const struct findings *findings);
+
+/* Reading what a program of ours wrote; root may be anything.
+ * RETURN VALUE: "" or 0 where absent; the text is the document's. */
+const char *jsonc_get_text(json_object *root, const char *key);
+uint64_t jsonc_get_uint(json_object *root, const char *key);
+
+/* RETURN VALUE: the array under key, or NULL. */
+json_object *jsonc_get_array(json_object *root, const char *key);
+
 #endif
--- /dev/null
+++ b/tests/test_operator.c
@@ -0,0 +1,370 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/member/member.h"
+#include "comfreydockd/operator/operator.h"
+#include "comfreydockd/settings.h"
+#include "comfreydockd/upstream/owner.h"
+#include "common/http_client.h"
+#include "common/jsonc.h"
+
+/* An owner whose running count the test sets. */
+struct owner {
+	struct owner_status status;
+	uint16_t port;
+	void (*handle_idle)(void *data);
+	void *data;
+};
+
+void owner_announce(struct owner *owner,
+		    const struct owner_announcement *announcement)
+{
+	owner->status.state = OWNER_UP;
+	owner->status.slots = announcement->slots;
+	owner->port = announcement->port;
+}
+
+void owner_drain(struct owner *owner)
+{
+	owner->status.state = OWNER_DRAINING;
+}
+
+void owner_resume(struct owner *owner)
+{
+	owner->status.state = OWNER_UP;
+}
+
+static void owner_settle(struct owner *owner)
+{
+	void (*handle_idle)(void *data) = owner->handle_idle;
+
+	if (owner->status.running || !handle_idle)
+		return;
+	owner->handle_idle = NULL;
+	handle_idle(owner->data);
+}
+
+void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
+		     void *data)
+{
+	owner->handle_idle = handle_idle;
+	owner->data = data;
+	owner_settle(owner);
+}
+
+void owner_get_status(const struct owner *owner, struct owner_status *status)
+{
+	*status = owner->status;
+}
+
+/* One member and one group. */
+struct member_table {
+	struct member_list all;
+	GPtrArray *group;
+};
+
+struct member_list *member_table_all(struct member_table *table)
+{
+	return &table->all;
+}
+
+size_t member_table_size(const struct member_table *table)
+{
+	(void)table;
+	return 1;
+}
+
+const GPtrArray *member_table_group(struct member_table *table, const char *group)
+{
+	return strcmp(group, "archive-feed") == 0 ? table->group : NULL;
+}
+
+struct fixture {
+	struct settings settings;
+	struct daemon daemon;
+	struct owner owner;
+	struct member_table members;
+	struct member member;
+	const char *token;
+	struct {
+		long status;
+		GString *body;
+	} answer;
+	unsigned int answers;
+	unsigned int conflicts;
+	enum config_platform_status transacts_to;
+	char *row;
+};
+
+static void setup(struct fixture *f, gconstpointer token)
+{
+	f->settings.host = "esja-01";
+	f->settings.admin.address = "127.0.0.1";
+	f->settings.admin_token = (char *)token;
+	f->token = token;
+	f->daemon.loop = ev_loop_new(0);
+	f->daemon.settings = &f->settings;
+	f->daemon.config = config_store_create();
+	f->daemon.owner = &f->owner;
+	f->daemon.members = &f->members;
+	timeline_init(&f->daemon.timeline, 8);
+	TAILQ_INIT(&f->members.all);
+	f->members.group = g_ptr_array_new();
+	g_strlcpy(f->member.host, "esja-02", sizeof(f->member.host));
+	TAILQ_INSERT_TAIL(&f->members.all, &f->member, link);
+	g_ptr_array_add(f->members.group, &f->member);
+	f->daemon.operator_api = operator_api_create(&f->daemon);
+	g_assert_nonnull(f->daemon.operator_api);
+	f->daemon.http = http_client_create(f->daemon.loop);
+	f->answer.body = g_string_new(NULL);
+}
+
+static void teardown(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	http_client_destroy(f->daemon.http);
+	operator_api_destroy(f->daemon.operator_api);
+	config_store_destroy(f->daemon.config);
+	timeline_finish(&f->daemon.timeline);
+	ev_loop_destroy(f->daemon.loop);
+	g_ptr_array_free(f->members.group, TRUE);
+	g_string_free(f->answer.body, TRUE);
+	g_free(f->row);
+}
+
+static void handle_answer(const struct http_answer *answer, void *data)
+{
+	struct fixture *f = data;
+
+	g_assert_cmpint(answer->result, ==, CURLE_OK);
+	f->answer.status = answer->status;
+	g_string_truncate(f->answer.body, 0);
+	g_string_append_len(f->answer.body, answer->body, (gssize)answer->size);
+	f->answers++;
+	f->conflicts += answer->status == 409;
+	ev_break(f->daemon.loop, EVBREAK_ALL);
+}
+
+static void begin(struct fixture *f, const char *method, const char *path,
+		  const char *body)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+				    f->daemon.admin_port, path);
+	char *bearer = g_strconcat("Bearer ", f->token, NULL);
+	const char *headers[] = {"Authorization", bearer, NULL};
+	struct http_call call = {
+		.method = method,
+		.url = url,
+		.headers = f->token ? headers : NULL,
+		.body = body,
+		.size = body ? strlen(body) : 0,
+	};
+
+	http_client_call(f->daemon.http, &call, handle_answer, f);
+	g_free(bearer);
+	g_free(url);
+}
+
+static void call(struct fixture *f, const char *method, const char *path,
+		 const char *body, long status, const char *expected)
+{
+	begin(f, method, path, body);
+	ev_run(f->daemon.loop, 0);
+	g_assert_cmpint(f->answer.status, ==, status);
+	if (!strstr(f->answer.body->str, expected))
+		g_error("expected \"%s\" in: %s", expected, f->answer.body->str);
+}
+
+static void pass_turns(struct fixture *f, int turns)
+{
+	for (int i = 0; i < turns; i++) {
+		ev_run(f->daemon.loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static void test_paths(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	timeline_add(&f->daemon.timeline, "t1", EV_DAEMON_STARTED, "x");
+	call(f, "GET", "/v1/status", NULL, 200, "\"host\":\"esja-01\"");
+	call(f, "GET", "/v1/hosts", NULL, 200, "\"host\":\"esja-02\"");
+	call(f, "GET", "/v1/config", NULL, 200, "\"namespaces\":[]");
+	call(f, "GET", "/v1/timeline?trace=t1", NULL, 200, "daemon.started");
+	call(f, "GET", "/metrics", NULL, 200, "comfreydock_upstream_running 0");
+	call(f, "GET", "/v1/upstream", NULL, 200, "\"state\":\"none\"");
+	call(f, "GET", "/v1/other", NULL, 404, "no such path");
+	call(f, "GET", "/v1/upstream/drain", NULL, 405, "wrong method");
+}
+
+/* Somebody else on the network finds the admin port. */
+static void test_token_is_needed(struct fixture *f, gconstpointer token)
+{
+	static const char *const wrong[] = {"", "s", "secreT", "secretsecret"};
+
+	call(f, "GET", "/v1/status", NULL, 200, "esja-01");
+	for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		f->token = wrong[i];
+		call(f, "POST", "/v1/upstream/drain", "", 401, "token");
+	}
+	f->token = NULL;
+	call(f, "GET", "/metrics", NULL, 401, "token");
+	g_assert_cmpint(f->owner.status.state, ==, OWNER_NO_UPSTREAM);
+	f->token = token;
+}
+
+static void test_upstream_announces_itself(struct fixture *f, gconstpointer unused)
+{
+	const char *path = "/v1/upstream/announce";
+
+	(void)unused;
+	call(f, "POST", path,
+	     "{\"groups\": [\"g\"], \"address\": \"127.0.0.1\", \"port\": 81, "
+	     "\"slots\": 12}",
+	     200, "\"state\":\"up\",\"slots\":12");
+	g_assert_cmpuint(f->owner.port, ==, 81);
+	call(f, "POST", path,
+	     "{\"groups\": [\"g\"], \"address\": \"10.0.0.1\", \"port\": 82, "
+	     "\"slot\": 12}",
+	     400, "did you mean \\\"slots\\\"");
+	g_assert_nonnull(strstr(f->answer.body->str, "loopback"));
+	g_assert_cmpuint(f->owner.port, ==, 81);
+}
+
+/*
+ * The upstream is told to end and asks first. If it were told "may stop" while
+ * a request runs, that caller would be cut off in the middle of its answer.
+ */
+static void test_stop_waits_for_the_last_request(struct fixture *f,
+						 gconstpointer unused)
+{
+	(void)unused;
+	f->owner.status.running = 1;
+	begin(f, "POST", "/v1/upstream/stop", "");
+	pass_turns(f, 30);
+	g_assert_cmpint(f->owner.status.state, ==, OWNER_DRAINING);
+	g_assert_cmpuint(f->answers, ==, 0);
+	f->owner.status.running = 0;
+	owner_settle(&f->owner);
+	ev_run(f->daemon.loop, 0);
+	g_assert_cmpint(f->answer.status, ==, 200);
+	g_assert_nonnull(strstr(f->answer.body->str, "may stop"));
+}
+
+/* The operator thinks better of it while the stop still waits. */
+static void test_resume_takes_the_stop_back(struct fixture *f,
+					    gconstpointer unused)
+{
+	(void)unused;
+	f->owner.status.running = 1;
+	begin(f, "POST", "/v1/upstream/stop", "");
+	pass_turns(f, 30);
+	begin(f, "POST", "/v1/upstream/resume", "");
+	pass_turns(f, 60);
+	g_assert_cmpint(f->owner.status.state, ==, OWNER_UP);
+	f->owner.status.running = 0;
+	owner_settle(&f->owner);
+	g_assert_cmpuint(f->answers, ==, 2);
+	g_assert_cmpuint(f->conflicts, ==, 1);
+}
+
+static char *read_sample(void)
+{
+	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
+				      "operators", "lookup.sample.json", NULL);
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
+static void platform_get(void *platform, const char *key,
+			 config_get_handler handler, void *data)
+{
+	struct fixture *f = platform;
+	bool is_head = strcmp(key, CONFIG_HEAD_KEY) == 0;
+
+	handler(CONFIG_PLATFORM_OK, 1, is_head ? NULL : f->row, 0, data);
+}
+
+static void platform_transact(void *platform, const struct config_write *writes,
+			      size_t count, config_done_handler handler,
+			      void *data)
+{
+	struct fixture *f = platform;
+
+	(void)count;
+	g_free(f->row);
+	f->row = g_strdup(writes[0].value);
+	handler(f->transacts_to, data);
+}
+
+static void platform_put(void *platform, const char *key, const char *body,
+			 size_t size, config_done_handler handler, void *data)
+{
+	(void)platform;
+	(void)key;
+	(void)body;
+	(void)size;
+	handler(CONFIG_PLATFORM_OK, data);
+}
+
+static void platform_wait(void *platform, uint32_t ms, void (*handler)(void *),
+			  void *data)
+{
+	(void)platform;
+	(void)ms;
+	handler(data);
+}
+
+static void test_check_and_apply(struct fixture *f, gconstpointer unused)
+{
+	static const struct config_platform_ops ops = {
+		.get = platform_get,
+		.transact = platform_transact,
+		.put_object = platform_put,
+		.wait = platform_wait,
+	};
+	char *sample = read_sample();
+	const char *path = "/v1/config/apply?base=0&who=anna";
+
+	(void)unused;
+	call(f, "POST", path, sample, 503, "not set up");
+	operator_api_set_platform(f->daemon.operator_api, &ops, f);
+	call(f, "POST", "/v1/config/check?file=f.json", sample, 200,
+	     "no upstream announces \\\"lookup-desk\\\"");
+	g_assert_null(strstr(f->answer.body->str, "archive-feed"));
+	call(f, "POST", "/v1/config/check", "{", 422, "\"result\":\"refused\"");
+	call(f, "POST", "/v1/config/apply?base=x&who=a", sample, 400, "base=");
+	call(f, "POST", path, "{", 422, "\"result\":\"refused\"");
+	f->transacts_to = CONFIG_PLATFORM_UNKNOWN;
+	call(f, "POST", path, sample, 200, "\"result\":\"in-force\"");
+	g_assert_cmpuint(
+		config_snapshot_find(config_store_current(f->daemon.config),
+				     "spurningalina")
+			->version,
+		==, 1);
+	call(f, "POST", "/v1/config/apply?base=7&who=bjarni", sample, 409,
+	     "\"winner\":\"anna\"");
+	call(f, "GET", "/v1/config?namespace=spurningalina", NULL, 200,
+	     "\"who\":\"anna\"");
+	call(f, "GET", "/v1/config?body=1", NULL, 200, "connect-through");
+	g_free(sample);
+}
+
+#define ADD(path, token, function) \
+	g_test_add(path, struct fixture, token, setup, function, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/operator/paths", NULL, test_paths);
+	ADD("/operator/token", "secret", test_token_is_needed);
+	ADD("/operator/announce", NULL, test_upstream_announces_itself);
+	ADD("/operator/stop", NULL, test_stop_waits_for_the_last_request);
+	ADD("/operator/stop-resumed", NULL, test_resume_takes_the_stop_back);
+	ADD("/operator/apply", NULL, test_check_and_apply);
+	return g_test_run();
+}
