tests: add a relay that cuts, holds and delays what passes

A half-open connection can't be made with the processes alone: whoever is killed has its connections closed by the kernel.

--- /dev/null
+++ b/tests/system/relay_tcp.c
@@ -0,0 +1,265 @@
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "relay.h"
+
+#define CHUNK_BYTES ((size_t)(16 * 1024))
+#define MAX_QUEUED_BYTES ((size_t)(4 * 1024 * 1024))
+
+struct chunk {
+	TAILQ_ENTRY(chunk) link;
+	int64_t due_us;
+	size_t size; /* 0: the end of the stream */
+	size_t written;
+	bool is_reset; /* which was not a clean one */
+	char data[CHUNK_BYTES];
+};
+
+/* One direction of a connection. */
+struct flow {
+	struct tcp_connection *connection;
+	enum direction direction;
+	ev_io readable; /* on the side it comes from */
+	ev_io writable; /* on the side it goes to */
+	ev_timer due;
+	TAILQ_HEAD(, chunk) chunks;
+	size_t queued_bytes;
+	bool is_read; /* to its end */
+	bool has_ended; /* the end was passed on */
+};
+
+struct tcp_connection {
+	LIST_ENTRY(tcp_connection) link;
+	struct relay *relay;
+	int fds[DIRECTIONS]; /* where each direction comes from */
+	struct flow flows[DIRECTIONS];
+};
+
+static void reset(int fd)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+}
+
+static void flow_finish(struct flow *flow)
+{
+	struct ev_loop *loop = flow->connection->relay->loop;
+	struct chunk *chunk;
+
+	ev_io_stop(loop, &flow->readable);
+	ev_io_stop(loop, &flow->writable);
+	ev_timer_stop(loop, &flow->due);
+	while ((chunk = TAILQ_FIRST(&flow->chunks))) {
+		TAILQ_REMOVE(&flow->chunks, chunk, link);
+		g_free(chunk);
+	}
+}
+
+static void connection_reset(struct tcp_connection *connection)
+{
+	for (int i = 0; i < DIRECTIONS; i++)
+		flow_finish(&connection->flows[i]);
+	for (int i = 0; i < DIRECTIONS; i++)
+		reset(connection->fds[i]);
+	LIST_REMOVE(connection, link);
+	g_free(connection);
+}
+
+static void chunk_done(struct flow *flow, struct chunk *chunk)
+{
+	TAILQ_REMOVE(&flow->chunks, chunk, link);
+	flow->queued_bytes -= chunk->size;
+	g_free(chunk);
+	if (!flow->is_read && flow->queued_bytes <= MAX_QUEUED_BYTES)
+		ev_io_start(flow->connection->relay->loop, &flow->readable);
+}
+
+/* RETURN VALUE: 1 where all of it went, 0 where the socket is full, or -1. */
+static int chunk_write(struct flow *flow, struct chunk *chunk)
+{
+	while (chunk->written < chunk->size) {
+		ssize_t size =
+			send(flow->writable.fd, chunk->data + chunk->written,
+			     chunk->size - chunk->written, MSG_NOSIGNAL);
+
+		if (size < 0)
+			return errno == EAGAIN || errno == ENOTCONN ? 0 : -1;
+		chunk->written += (size_t)size;
+		flow->connection->relay->bytes[flow->direction] += (uint64_t)size;
+	}
+	if (chunk->is_reset)
+		return -1;
+	if (chunk->size == 0) {
+		shutdown(flow->writable.fd, SHUT_WR);
+		flow->has_ended = true;
+	}
+	return 1;
+}
+
+static void wait_until(struct flow *flow, int64_t due_us)
+{
+	double wait_s = (double)(due_us - clock_mono_us()) / (double)US_PER_S;
+
+	ev_timer_set(&flow->due, MAX(wait_s, 0.0), 0.0);
+	ev_timer_start(flow->connection->relay->loop, &flow->due);
+}
+
+/* Passes on what is due. RETURN VALUE: false where the connection is gone. */
+static bool flow_run(struct flow *flow)
+{
+	struct tcp_connection *connection = flow->connection;
+	struct relay *relay = connection->relay;
+	struct chunk *chunk;
+
+	ev_io_stop(relay->loop, &flow->writable);
+	ev_timer_stop(relay->loop, &flow->due);
+	while (!relay->hold[flow->direction] &&
+	       (chunk = TAILQ_FIRST(&flow->chunks))) {
+		int result;
+
+		if (chunk->due_us > clock_mono_us()) {
+			wait_until(flow, chunk->due_us);
+			break;
+		}
+		result = chunk_write(flow, chunk);
+		if (result == 0) {
+			ev_io_start(relay->loop, &flow->writable);
+			break;
+		}
+		if (result < 0) {
+			connection_reset(connection);
+			return false;
+		}
+		chunk_done(flow, chunk);
+	}
+	if (connection->flows[FORWARD].has_ended &&
+	    connection->flows[BACKWARD].has_ended) {
+		connection_reset(connection);
+		return false;
+	}
+	return true;
+}
+
+static void handle_writable(struct ev_loop *loop, ev_io *io, int events)
+{
+	(void)loop;
+	(void)events;
+	flow_run(io->data);
+}
+
+static void handle_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	flow_run(timer->data);
+}
+
+static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct flow *flow = io->data;
+	struct relay *relay = flow->connection->relay;
+	struct chunk *chunk = g_new0(struct chunk, 1);
+	ssize_t size = recv(io->fd, chunk->data, sizeof(chunk->data), 0);
+
+	(void)events;
+	if (size < 0 && errno == EAGAIN) {
+		g_free(chunk);
+		return;
+	}
+	/* The end takes its turn in the queue: held, it must not show. */
+	flow->is_read = size <= 0;
+	chunk->is_reset = size < 0;
+	chunk->size = (size_t)MAX(size, 0);
+	chunk->due_us = clock_mono_us() + relay->delay_ms * US_PER_MS;
+	flow->queued_bytes += chunk->size;
+	TAILQ_INSERT_TAIL(&flow->chunks, chunk, link);
+	if (flow->is_read || flow->queued_bytes > MAX_QUEUED_BYTES)
+		ev_io_stop(loop, io);
+	flow_run(flow);
+}
+
+static void flow_start(struct tcp_connection *connection, enum direction direction)
+{
+	struct flow *flow = &connection->flows[direction];
+
+	flow->connection = connection;
+	flow->direction = direction;
+	TAILQ_INIT(&flow->chunks);
+	ev_io_init(&flow->readable, handle_readable, connection->fds[direction],
+		   EV_READ);
+	ev_io_init(&flow->writable, handle_writable,
+		   connection->fds[DIRECTIONS - 1 - direction], EV_WRITE);
+	ev_init(&flow->due, handle_due);
+	flow->readable.data = flow;
+	flow->writable.data = flow;
+	flow->due.data = flow;
+	ev_io_start(connection->relay->loop, &flow->readable);
+}
+
+static void handle_accept(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct relay *relay = io->data;
+	struct tcp_connection *connection;
+	int fd = accept4(io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	int target;
+
+	(void)loop;
+	(void)events;
+	if (fd < 0)
+		return;
+	relay->connections++;
+	target = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (relay->cut || target < 0 ||
+	    (connect(target, (struct sockaddr *)&relay->target,
+		     sizeof(relay->target)) != 0 &&
+	     errno != EINPROGRESS)) {
+		reset(fd);
+		if (target >= 0)
+			close(target);
+		return;
+	}
+	connection = g_new0(struct tcp_connection, 1);
+	connection->relay = relay;
+	connection->fds[FORWARD] = fd;
+	connection->fds[BACKWARD] = target;
+	LIST_INSERT_HEAD(&relay->tcp, connection, link);
+	flow_start(connection, FORWARD);
+	flow_start(connection, BACKWARD);
+}
+
+void tcp_start(struct relay *relay, int listen_fd)
+{
+	LIST_INIT(&relay->tcp);
+	listen(listen_fd, SOMAXCONN);
+	ev_io_init(&relay->accept, handle_accept, listen_fd, EV_READ);
+	relay->accept.data = relay;
+	ev_io_start(relay->loop, &relay->accept);
+}
+
+void tcp_apply(struct relay *relay)
+{
+	struct tcp_connection *connection = LIST_FIRST(&relay->tcp);
+
+	while (connection) {
+		struct tcp_connection *next = LIST_NEXT(connection, link);
+
+		if (relay->cut)
+			connection_reset(connection);
+		else if (flow_run(&connection->flows[FORWARD]))
+			flow_run(&connection->flows[BACKWARD]);
+		connection = next;
+	}
+}
+
+void tcp_finish(struct relay *relay)
+{
+	while (!LIST_EMPTY(&relay->tcp))
+		connection_reset(LIST_FIRST(&relay->tcp));
+	ev_io_stop(relay->loop, &relay->accept);
+	close(relay->accept.fd);
+}
