standin: start bursts on time, and end cleanly with requests held up

At a low rate the gap before a burst could reach over its start; the gap is now drawn anew where the rate changes. The platform stand-in ended with requests held up by slow_ms, which libmicrohttpd does not allow. The rig also cleans up after SIGTERM, which a test that takes too long is sent.

--- a/standin/load/schedule.c
+++ b/standin/load/schedule.c
@@ -30,15 +30,50 @@
 	return rate;
 }
 
-static int64_t next_gap_us(struct load *load)
+/* When the rate changes next, or INT64_MAX. */
+static int64_t next_change_us(const struct load *load, int64_t since_us)
 {
-	double mean_us = (double)US_PER_S / rate_at(load, load->next_due_us);
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = 0; i < load->options.bursts->len; i++) {
+		const struct burst *burst =
+			&g_array_index(load->options.bursts, struct burst, i);
+		int64_t end_us = burst->at_us + burst->for_us;
+
+		if (burst->at_us > since_us)
+			next_us = MIN(next_us, burst->at_us);
+		if (end_us > since_us)
+			next_us = MIN(next_us, end_us);
+	}
+	return next_us;
+}
+
+static int64_t draw_gap_us(struct load *load, int64_t since_us)
+{
+	double mean_us = (double)US_PER_S / rate_at(load, since_us);
 
 	if (load->options.even)
 		return (int64_t)mean_us;
 	return (int64_t)(-mean_us * log(1.0 - g_rand_double(load->random)));
 }
 
+/*
+ * A gap that reaches past a change of the rate is drawn anew from there;
+ * otherwise a slow rate would let the start of a burst pass unnoticed. Poisson
+ * arrivals have no memory, so this bends nothing.
+ */
+static int64_t next_due_us(struct load *load, int64_t since_us)
+{
+	for (;;) {
+		int64_t change_us = next_change_us(load, since_us);
+		int64_t due_us = since_us + draw_gap_us(load, since_us);
+
+		if (due_us < change_us)
+			return due_us;
+		since_us = change_us;
+	}
+}
+
 void schedule_note_end(struct load *load)
 {
 	if (load->is_over && load->open == 0)
@@ -53,7 +88,7 @@
 	while (!load->is_over &&
 	       load->start_us + load->next_due_us <= clock_mono_us()) {
 		call_start(load, load->start_us + load->next_due_us);
-		load->next_due_us += next_gap_us(load);
+		load->next_due_us = next_due_us(load, load->next_due_us);
 		load->is_over = load->is_stopped || load->next_due_us >= end_us;
 	}
 	if (load->is_over)
--- a/standin/platform/main.c
+++ b/standin/platform/main.c
@@ -1,6 +1,22 @@
+/*
+ * The platform's stand-in: a table with conditional transactions and an object
+ * store, in memory.
+ *
+ *	GET  /table/KEY		{"key", "version", "value"} or 404
+ *	GET  /table?prefix=P&after=K&limit=N	{"rows": [...]}
+ *	POST /table/transact	{"id", "ops": [{"op": "check"|"put"|"delete",
+ *				"key", "if_version", "value"}]}
+ *				200 {"ok", "versions"}, 409 {"conflict",
+ *				"version"}, 400
+ *	GET, PUT /objects/NAME
+ *
+ * For the test: POST /standin/fault {"down", "slow_ms", "lose_answer_share",
+ * "lose_next", "seed"}, GET /standin/history, GET /standin/stats.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "common/http_server.h"
 #include "common/log.h"
@@ -19,6 +35,8 @@
 	int64_t lose_next;
 };
 
+struct delayed;
+
 struct platform {
 	struct ev_loop *loop;
 	struct http_server *server;
@@ -29,10 +47,12 @@
 	uint64_t reads;
 	uint64_t writes;
 	uint64_t lost_answers;
+	LIST_HEAD(, delayed) delayed;
 };
 
 /* A request that is held up by slow_ms. */
 struct delayed {
+	LIST_ENTRY(delayed) link;
 	struct platform *platform;
 	struct http_request *request;
 	ev_timer timer;
@@ -251,6 +271,24 @@
 	return NULL;
 }
 
+static void delayed_free(struct delayed *delayed)
+{
+	ev_timer_stop(delayed->platform->loop, &delayed->timer);
+	LIST_REMOVE(delayed, link);
+	g_free(delayed);
+}
+
+/* The server can't be destroyed while requests are held up. */
+static void abort_delayed(struct platform *platform)
+{
+	struct delayed *delayed;
+
+	while ((delayed = LIST_FIRST(&platform->delayed))) {
+		http_request_abort(delayed->request);
+		delayed_free(delayed);
+	}
+}
+
 static void handle_delay_over(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct delayed *delayed = timer->data;
@@ -258,7 +296,7 @@
 	(void)loop;
 	(void)events;
 	find_route(delayed->request)->handle(delayed->platform, delayed->request);
-	g_free(delayed);
+	delayed_free(delayed);
 }
 
 static void delay(struct platform *platform, struct http_request *request)
@@ -270,6 +308,7 @@
 	ev_timer_init(&delayed->timer, handle_delay_over,
 		      (double)platform->faults.slow_ms / 1000.0, 0.0);
 	delayed->timer.data = delayed;
+	LIST_INSERT_HEAD(&platform->delayed, delayed, link);
 	ev_timer_start(platform->loop, &delayed->timer);
 }
 
@@ -308,6 +347,7 @@
 	standin_announce_port("standin-platform",
 			      http_server_port(platform->server));
 	ev_run(platform->loop, 0);
+	abort_delayed(platform);
 	http_server_destroy(platform->server);
 }
 
@@ -323,6 +363,7 @@
 	standin_parse_options(&argc, &argv, entries,
 			      "A table service and object store for tests.");
 	log_init(LOG_FORMAT_JSON, "standin-platform");
+	LIST_INIT(&platform.delayed);
 	table_init(&platform.table);
 	platform.random = g_rand_new_with_seed(1);
 	platform.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -9,6 +9,15 @@
  *
  *	A run is counted when its service starts. A closed connection or a
  *	passed X-Deadline-Ms takes a waiting request out before it runs.
+ *
+ *	/echo gives the body back, /bytes/N streams N bytes, and any other path
+ *	answers with a line that names the id. Each answer carries X-Request-Id,
+ *	X-Body-Size, X-Body-Sha256 and X-Upstream-Port; one that is shed is a
+ *	503 with X-Shed.
+ *
+ *	For the test: POST /standin/set takes the members of struct
+ *	upstream_faults and "cold", which begins the cold start again; GET
+ *	/standin/runs?id=ID or for all ids gives struct upstream_counts.
  */
 #ifndef STANDIN_UPSTREAM_UPSTREAM_H
 #define STANDIN_UPSTREAM_UPSTREAM_H
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -19,7 +19,7 @@
 	GPtrArray *processes;
 };
 
-/* For the handler of SIGABRT; a test has one rig at a time. */
+/* For the signal handler; a test has one rig at a time. */
 static struct rig *current;
 
 static void print_log_end(const char *path)
@@ -47,12 +47,12 @@
 }
 
 /*
- * A failed assertion ends in abort(), which runs no cleanup: daemons would
- * stay behind, with their ports, and the logs that tell why would be lost.
+ * A failed assertion ends in abort(), and a test that takes too long is sent
+ * SIGTERM. Neither runs any cleanup: daemons would stay behind, with their
+ * ports, and the logs that tell why would be lost.
  */
-static void handle_abort(int signal)
+static void handle_end(int signal)
 {
-	(void)signal;
 	if (!current)
 		return;
 	for (guint i = 0; i < current->processes->len; i++) {
@@ -64,6 +64,8 @@
 		print_log_end(process->err_path);
 	}
 	remove_files(current);
+	if (signal != SIGABRT)
+		_exit(1);
 }
 
 static void process_free(void *data)
@@ -86,7 +88,9 @@
 	rig->processes = g_ptr_array_new_with_free_func(process_free);
 	g_assert_null(current);
 	current = rig;
-	signal(SIGABRT, handle_abort);
+	signal(SIGABRT, handle_end);
+	signal(SIGTERM, handle_end);
+	signal(SIGINT, handle_end);
 	return rig;
 }
 
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -1,5 +1,6 @@
 #include <ev.h>
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "comfreydockd/daemon.h"
@@ -177,6 +178,8 @@
 	(void)data;
 	command(f, "{\"slow_ms\":3000}");
 	g_assert_cmpint(put(f, "a", PLATFORM_ABSENT, "1"), ==, PLATFORM_UNKNOWN);
+	rig_signal(f->standin, SIGTERM);
+	g_assert_cmpint(rig_wait_end(f->standin, 1000), ==, 0);
 }
 
 static void test_destroy_drops_open_calls(struct fixture *f, gconstpointer data)
--- a/tests/test_standin_upstream.c
+++ b/tests/test_standin_upstream.c
@@ -62,6 +62,31 @@
 	rig_destroy(rig);
 }
 
+static long status_of(const struct rig_process *upstream, const char *id)
+{
+	long status;
+
+	call(upstream, id, "1000", 1000, &status);
+	return status;
+}
+
+/* What is shed or fails fast is answered at once, and not counted as run. */
+static void test_refuses_without_running(void)
+{
+	struct rig *rig = rig_create();
+	struct rig_process *upstream = rig_start_standin(
+		rig, UPSTREAM, "--slots", "0", "--backlog", "0", NULL);
+
+	g_assert_cmpint(status_of(upstream, "a"), ==, 503);
+	g_free(rig_http_ok("POST", upstream->port, "/standin/set",
+			   "{\"fail_fast\":true}"));
+	g_assert_cmpint(status_of(upstream, "b"), ==, 500);
+	assert_count(upstream, "shed", 1);
+	assert_count(upstream, "failed_fast", 1);
+	assert_count(upstream, "started", 0);
+	rig_destroy(rig);
+}
+
 static bool has_queued_four(void *data)
 {
 	const struct rig_process *upstream = data;
@@ -150,6 +175,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/standin-upstream/counts", test_counts_runs);
+	g_test_add_func("/standin-upstream/refuses",
+			test_refuses_without_running);
 	g_test_add_func("/standin-upstream/cancels", test_cancels_what_waits);
 	g_test_add_func("/standin-upstream/load", test_load_checks_answers);
 	return g_test_run();
