standin: tell apart how a call ended without an answer

Whether a caller hung up at its deadline, never connected or was cut off are three findings; only the last breaks what must hold in a planned stop.

--- a/standin/load/call.c
+++ b/standin/load/call.c
@@ -23,8 +23,12 @@
 const char *outcome_name(enum outcome outcome)
 {
 	static const char *const names[] = {
-		[OUTCOME_RUN] = "run",	       [OUTCOME_NOT_RUN] = "not-run",
-		[OUTCOME_UNKNOWN] = "unknown", [OUTCOME_UNSAID] = "unsaid",
+		[OUTCOME_RUN] = "run",
+		[OUTCOME_NOT_RUN] = "not-run",
+		[OUTCOME_UNKNOWN] = "unknown",
+		[OUTCOME_UNSAID] = "unsaid",
+		[OUTCOME_UNCONNECTED] = "unconnected",
+		[OUTCOME_TIMED_OUT] = "timed-out",
 		[OUTCOME_BROKEN] = "broken",
 	};
 
@@ -72,6 +76,10 @@
 {
 	const char *said;
 
+	if (result == CURLE_COULDNT_CONNECT)
+		return OUTCOME_UNCONNECTED;
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		return OUTCOME_TIMED_OUT;
 	if (result != CURLE_OK)
 		return OUTCOME_BROKEN;
 	said = answer_header(call, OUTCOME_HEADER);
--- a/standin/load/load.h
+++ b/standin/load/load.h
@@ -52,6 +52,8 @@
 	OUTCOME_NOT_RUN,
 	OUTCOME_UNKNOWN,
 	OUTCOME_UNSAID, /* an answer without the header */
+	OUTCOME_UNCONNECTED, /* nothing was sent */
+	OUTCOME_TIMED_OUT, /* the caller hung up at its deadline */
 	OUTCOME_BROKEN, /* no whole answer */
 	OUTCOME_COUNT,
 };
