--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -8,10 +8,6 @@
 #include <ev.h>
 #include <glib.h>
 
-#include "common/clock.h"
-#include "common/counters.h"
-#include "common/http_client.h"
-#include "common/log.h"
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/listener.h"
 #include "comfreydockd/config/store.h"
@@ -23,6 +19,10 @@
 #include "comfreydockd/platform/platform.h"
 #include "comfreydockd/settings.h"
 #include "comfreydockd/upstream/owner.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/http_client.h"
+#include "common/log.h"
 
 #define TIMELINE_ENTRIES 8192
 #define STOP_CHECK_S 0.05
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -2,11 +2,11 @@
 
 #include <inttypes.h>
 
-#include "common/clock.h"
-#include "common/counters.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/health.h"
 #include "comfreydockd/decide/pick.h"
+#include "common/clock.h"
+#include "common/counters.h"
 
 /* What an end of an attempt tells pick and health. */
 enum attempt_end {
@@ -69,11 +69,9 @@
 	struct health_upstream *upstream = &attempt->upstream->health;
 
 	if (end == ATTEMPT_REFUSED || end == ATTEMPT_REFUSED_BUSY)
-		health_note_refused(health, upstream, attempt->epoch, true,
-				    now);
+		health_note_refused(health, upstream, attempt->epoch, true, now);
 	else if (end == ATTEMPT_CANCELLED)
-		health_note_refused(health, upstream, attempt->epoch, false,
-				    now);
+		health_note_refused(health, upstream, attempt->epoch, false, now);
 	else
 		health_note_ended(health, upstream, attempt->epoch,
 				  health_outcome_of(end), now);
@@ -282,8 +280,7 @@
 	if (answer->load && attempt->upstream->listed)
 		pick_note_load(&attempt->upstream->service->picks,
 			       &attempt->upstream->candidate,
-			       read_load(answer->load, &load),
-			       attempt->head_us);
+			       read_load(answer->load, &load), attempt->head_us);
 	call_note_head(attempt, answer);
 }
 
@@ -362,8 +359,7 @@
 			   left ? ENTRY_LINK_LOST : ENTRY_LINK_LOST_UNSENT);
 	tell_end(attempt, ATTEMPT_LOST, NULL);
 	if (attempt->state == ENTRY_NOT_RUN)
-		call_note_not_run(attempt, CFD__REASON__REASON_CONNECT, true,
-				  0);
+		call_note_not_run(attempt, CFD__REASON__REASON_CONNECT, true, 0);
 	else
 		call_note_unknown(attempt, true);
 }
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -5,12 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/clock.h"
-#include "common/counters.h"
 #include "comfreydockd/caller/call_internal.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/hedge.h"
 #include "comfreydockd/decide/retry.h"
+#include "common/clock.h"
+#include "common/counters.h"
 
 /*
  * How often one call may be refused as not run by upstreams that could not
@@ -27,8 +27,7 @@
 #define CANCEL_LEAD_MAX_US 10000
 #define CANCEL_LEAD_SHARE 20
 
-void call_note_event(struct call *call, enum event event, const char *format,
-		     ...)
+void call_note_event(struct call *call, enum event event, const char *format, ...)
 {
 	char note[TIMELINE_NOTE_MAX];
 	va_list args;
@@ -172,10 +171,9 @@
 		.outcome = outcome,
 		.idempotent = call->rule->idempotent,
 		.answer_begun = call->answering != NULL,
-		.attempts = bounce ? call->bounces :
-				     call->attempts - call->bounces,
-		.max_attempts = bounce ? CALL_MAX_BOUNCES + 1 :
-					 call->max_attempts,
+		.attempts =
+			bounce ? call->bounces : call->attempts - call->bounces,
+		.max_attempts = bounce ? CALL_MAX_BOUNCES + 1 : call->max_attempts,
 		.untried = call_untried(call),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
@@ -205,9 +203,8 @@
 		timer_start_us(call, &call->next, answer.delay_us);
 		return;
 	}
-	call->come_back_ms =
-		MAX(call->come_back_ms,
-		    (uint32_t)(answer.come_back_us / US_PER_MS));
+	call->come_back_ms = MAX(call->come_back_ms,
+				 (uint32_t)(answer.come_back_us / US_PER_MS));
 	call_finish_unanswered(call);
 }
 
@@ -350,8 +347,7 @@
 
 static int64_t cancel_lead_us(const struct call *call)
 {
-	int64_t share =
-		(call->deadline_us - call->began_us) / CANCEL_LEAD_SHARE;
+	int64_t share = (call->deadline_us - call->began_us) / CANCEL_LEAD_SHARE;
 
 	return CLAMP(share, CANCEL_LEAD_MIN_US, CANCEL_LEAD_MAX_US);
 }
@@ -366,10 +362,9 @@
 	(void)events;
 	if (!call->cancels_sent) {
 		call->cancels_sent = true;
-		LIST_FOREACH(attempt, &call->active, link)
+		LIST_FOREACH (attempt, &call->active, link)
 			entry_attempt_cancel(attempt);
-		timer_start_us(call, timer,
-			       call->deadline_us - clock_mono_us());
+		timer_start_us(call, timer, call->deadline_us - clock_mono_us());
 		return;
 	}
 	call->reason = CFD__REASON__REASON_DEADLINE;
@@ -398,8 +393,7 @@
 	call->hedge.data = call;
 	call->patience.data = call;
 	timer_start_us(call, &call->deadline,
-		       call->deadline_us - cancel_lead_us(call) -
-			       clock_mono_us());
+		       call->deadline_us - cancel_lead_us(call) - clock_mono_us());
 }
 
 size_t call_room(const struct call *call)
@@ -431,7 +425,7 @@
 		call_start(call);
 		return;
 	}
-	LIST_FOREACH(attempt, &call->active, link)
+	LIST_FOREACH (attempt, &call->active, link)
 		entry_attempt_send_body(attempt, NULL, 0, true);
 }
 
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -4,12 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/clock.h"
-#include "common/counters.h"
 #include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/call_internal.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/deadline.h"
+#include "common/clock.h"
+#include "common/counters.h"
 
 #define TICK_S 0.1
 #define STATUS_NO_ROUTE 404
@@ -48,7 +48,7 @@
 
 void entry_destroy(struct entry *entry)
 {
-	struct peers_role none = { 0 };
+	struct peers_role none = {0};
 	struct call *call;
 
 	if (!entry)
@@ -125,15 +125,13 @@
 
 static void call_set_deadline(struct call *call, const struct fields *fields)
 {
-	int64_t given_ms =
-		read_number(fields, FIELD_DEADLINE, INT32_MAX, -1);
+	int64_t given_ms = read_number(fields, FIELD_DEADLINE, INT32_MAX, -1);
 	uint32_t rule_ms = call->rule->deadline_ms ? call->rule->deadline_ms :
 						     DEFAULT_DEADLINE_MS;
 
 	call->began_us = clock_mono_us();
-	call->deadline_us =
-		deadline_at(given_ms < 0 ? -1 : given_ms * US_PER_MS, rule_ms,
-			    call->began_us);
+	call->deadline_us = deadline_at(given_ms < 0 ? -1 : given_ms * US_PER_MS,
+					rule_ms, call->began_us);
 }
 
 static void call_set_fairness_key(struct call *call,
@@ -162,8 +160,8 @@
 		.idempotent = call->rule->idempotent,
 		.answer_begun = call->answering != NULL,
 		.hedges = call->hedges,
-		.untried = pick_count_untried(&call->service->picks,
-					      &call->tried),
+		.untried =
+			pick_count_untried(&call->service->picks, &call->tried),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
 	};
@@ -226,8 +224,7 @@
 	counters.caller_requests++;
 	if (entry->draining || !config_store_is_ready(entry->daemon->config)) {
 		outcome_refuse(sink, data, STATUS_UNAVAILABLE,
-			       entry->draining ? "draining" :
-						 "no-configuration",
+			       entry->draining ? "draining" : "no-configuration",
 			       COME_BACK_MS, "not run: not ready\n");
 		return NULL;
 	}
--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -6,10 +6,10 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#include "common/counters.h"
-#include "common/http_server.h"
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/settings.h"
+#include "common/counters.h"
+#include "common/http_server.h"
 
 #define STATUS_BAD_REQUEST 400
 /* After an early answer so much of the rest of a body is read and dropped. */
@@ -155,8 +155,7 @@
 		call_note_consumed(request->call, size);
 }
 
-static ssize_t handle_pull(void *data, uint64_t position, char *out,
-			   size_t most)
+static ssize_t handle_pull(void *data, uint64_t position, char *out, size_t most)
 {
 	struct caller_request *request = data;
 	size_t size = MIN(most, request_answer_left(request));
@@ -232,8 +231,7 @@
 	request->status = status;
 	request->response = MHD_create_response_from_buffer(
 		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(request->response, "Content-Type",
-				"text/plain");
+	MHD_add_response_header(request->response, "Content-Type", "text/plain");
 	add_response_fields(request->response, fields);
 	request_resume(request);
 }
@@ -276,8 +274,8 @@
 	} else if (strcasecmp(name, "Transfer-Encoding") == 0) {
 		check->codings++;
 		check->has_body = true;
-		check->other_coding |= !value ||
-				       strcasecmp(value, "chunked") != 0;
+		check->other_coding |=
+			!value || strcasecmp(value, "chunked") != 0;
 	} else if (strcasecmp(name, "Host") == 0) {
 		check->hosts++;
 		check->host = value;
@@ -310,8 +308,7 @@
 }
 
 static void request_begin_call(struct caller_request *request,
-			       const char *method,
-			       const struct head_check *check)
+			       const char *method, const struct head_check *check)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		request->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -343,8 +340,7 @@
 		return MHD_NO;
 	request->queued = true;
 	if (request->listener->closes)
-		MHD_add_response_header(request->response, "Connection",
-					"close");
+		MHD_add_response_header(request->response, "Connection", "close");
 	return MHD_queue_response(request->connection, request->status,
 				  request->response);
 }
@@ -352,7 +348,7 @@
 static enum MHD_Result request_take_head(struct caller_request *request,
 					 const char *method)
 {
-	struct head_check check = { 0 };
+	struct head_check check = {0};
 	enum MHD_Result result = MHD_YES;
 
 	request->has_head = true;
@@ -445,8 +441,7 @@
 }
 
 static void handle_completed(void *data, struct MHD_Connection *connection,
-			     void **con_cls,
-			     enum MHD_RequestTerminationCode code)
+			     void **con_cls, enum MHD_RequestTerminationCode code)
 {
 	struct caller_request *request = *con_cls;
 
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -48,9 +48,8 @@
 	fields_add(fields, FIELD_RETRY_AFTER_MS, text);
 }
 
-void outcome_refuse(const struct call_sink *sink, void *data,
-		    unsigned int status, const char *reason,
-		    uint32_t come_back_ms, const char *text)
+void outcome_refuse(const struct call_sink *sink, void *data, unsigned int status,
+		    const char *reason, uint32_t come_back_ms, const char *text)
 {
 	struct fields fields;
 
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -2,12 +2,12 @@
 
 #include <string.h>
 
-#include "common/clock.h"
-#include "common/id.h"
-#include "common/log.h"
 #include "comfreydockd/decide/subset.h"
 #include "comfreydockd/decide/warm.h"
 #include "comfreydockd/settings.h"
+#include "common/clock.h"
+#include "common/id.h"
+#include "common/log.h"
 
 struct services {
 	struct daemon *daemon;
@@ -92,7 +92,7 @@
 {
 	struct service_upstream *upstream;
 
-	TAILQ_FOREACH(upstream, &service->upstreams, link) {
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
 		if (strcmp(upstream->host, host) == 0)
 			return upstream;
 	}
@@ -125,8 +125,7 @@
 
 	if (!upstream)
 		upstream = service_add(service, member);
-	upstream->candidate.local =
-		strcmp(member->domain, settings->domain) == 0;
+	upstream->candidate.local = strcmp(member->domain, settings->domain) == 0;
 	upstream->candidate.slots = member->slots;
 	warm_begin(&ramp, member->warm_ms, member->up_since_us);
 	upstream->candidate.warm =
@@ -147,8 +146,7 @@
 	for (guint i = 0; i < members->len; i++) {
 		const struct member *member = g_ptr_array_index(members, i);
 
-		if (member->state == MEMBER_DEAD ||
-		    member->state == MEMBER_LEFT)
+		if (member->state == MEMBER_DEAD || member->state == MEMBER_LEFT)
 			continue;
 		subset[count].host = member->host;
 		subset[count].local =
@@ -231,8 +229,8 @@
 
 		retry_percent = MAX(retry_percent, rule->retry_budget_percent);
 		if (rule->hedge)
-			hedge_percent = MAX(hedge_percent,
-					    rule->hedge_budget_percent);
+			hedge_percent =
+				MAX(hedge_percent, rule->hedge_budget_percent);
 	}
 	if (g_strcmp0(service->group, config->group) != 0) {
 		g_free(service->group);
@@ -272,7 +270,7 @@
 	struct service_upstream *upstream;
 	struct pick_candidate *chosen;
 
-	TAILQ_FOREACH(upstream, &service->upstreams, link)
+	TAILQ_FOREACH (upstream, &service->upstreams, link)
 		upstream->candidate.usable = health_is_usable(&upstream->health);
 	chosen = pick_choose(&service->picks, tried, now_us);
 	return chosen ? chosen->data : NULL;
@@ -283,7 +281,7 @@
 {
 	const struct service_upstream *upstream;
 
-	TAILQ_FOREACH(upstream, &service->upstreams, link) {
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
 		if (upstream->candidate.warm < 1.0)
 			return true;
 	}
@@ -309,7 +307,7 @@
 	const struct service_upstream *upstream;
 	size_t count = 0;
 
-	TAILQ_FOREACH(upstream, &service->upstreams, link)
+	TAILQ_FOREACH (upstream, &service->upstreams, link)
 		count += upstream->health.available;
 	return count;
 }
--- a/comfreydockd/main.c
+++ b/comfreydockd/main.c
@@ -8,11 +8,11 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "comfreydockd/assembly.h"
+#include "comfreydockd/settings.h"
 #include "common/clock.h"
 #include "common/http_client.h"
 #include "common/log.h"
-#include "comfreydockd/assembly.h"
-#include "comfreydockd/settings.h"
 
 enum exit_status {
 	EXIT_OK = 0,
@@ -30,13 +30,13 @@
 static bool parse_options(int *argc, char ***argv, struct options *options)
 {
 	GOptionEntry entries[] = {
-		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &options->config,
-		  "Settings file (JSON with comments)", "FILE" },
-		{ "check", 0, 0, G_OPTION_ARG_NONE, &options->check,
-		  "Check the settings and end", NULL },
-		{ "version", 'V', 0, G_OPTION_ARG_NONE, &options->version,
-		  "Show the version and end", NULL },
-		{ NULL },
+		{"config", 'c', 0, G_OPTION_ARG_FILENAME, &options->config,
+		 "Settings file (JSON with comments)", "FILE"},
+		{"check", 0, 0, G_OPTION_ARG_NONE, &options->check,
+		 "Check the settings and end", NULL},
+		{"version", 'V', 0, G_OPTION_ARG_NONE, &options->version,
+		 "Show the version and end", NULL},
+		{NULL},
 	};
 	GOptionContext *context = g_option_context_new(NULL);
 	GError *error = NULL;
@@ -98,29 +98,37 @@
 	return EXIT_OK;
 }
 
-int main(int argc, char **argv)
+static int serve(const struct options *options)
 {
-	struct options options = { 0 };
 	struct settings *settings;
 	int status = EXIT_OK;
 
-	if (!parse_options(&argc, &argv, &options))
-		return EXIT_USAGE;
-	if (options.version) {
+	if (options->version) {
 		printf("comfreydockd %s\n", COMFREYDOCK_VERSION);
 		return EXIT_OK;
 	}
-	if (!options.config) {
+	if (!options->config) {
 		fprintf(stderr, "comfreydockd: --config FILE is missing; "
 				"see --help\n");
 		return EXIT_USAGE;
 	}
-	settings = load_settings(options.config);
+	settings = load_settings(options->config);
 	if (!settings)
 		return EXIT_SETTINGS;
-	if (!options.check)
+	if (!options->check)
 		status = run_daemon(settings);
 	settings_destroy(settings);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct options options = {0};
+	int status;
+
+	if (!parse_options(&argc, &argv, &options))
+		return EXIT_USAGE;
+	status = serve(&options);
 	g_free(options.config);
 	return status;
 }
--- a/comfreydockd/peer/fields.c
+++ b/comfreydockd/peer/fields.c
@@ -52,8 +52,8 @@
 	header->value = g_strdup(value ? value : "");
 	if (fields->count == fields->capacity) {
 		fields->capacity = MAX(FIRST_CAPACITY, fields->capacity * 2);
-		fields->items = g_renew(Cfd__Header *, fields->items,
-					fields->capacity);
+		fields->items =
+			g_renew(Cfd__Header *, fields->items, fields->capacity);
 	}
 	fields->items[fields->count++] = header;
 }
@@ -67,8 +67,7 @@
 	return false;
 }
 
-void fields_add_passed(struct fields *fields, const char *name,
-		       const char *value)
+void fields_add_passed(struct fields *fields, const char *name, const char *value)
 {
 	if (!field_is_hop_by_hop(name))
 		fields_add(fields, name, value);
--- a/comfreydockd/peer/greeting.c
+++ b/comfreydockd/peer/greeting.c
@@ -7,14 +7,13 @@
 
 void greeting_make_nonce(uint8_t nonce[GREETING_NONCE_BYTES])
 {
-	uint64_t parts[2] = { id_random_u64(), id_random_u64() };
+	uint64_t parts[2] = {id_random_u64(), id_random_u64()};
 
 	memcpy(nonce, parts, GREETING_NONCE_BYTES);
 }
 
 void greeting_prove(const struct greeting_key *key, const char *role,
-		    const char *host,
-		    const uint8_t theirs[GREETING_NONCE_BYTES],
+		    const char *host, const uint8_t theirs[GREETING_NONCE_BYTES],
 		    const uint8_t ours[GREETING_NONCE_BYTES],
 		    uint8_t proof[GREETING_PROOF_BYTES])
 {
--- a/comfreydockd/peer/link.c
+++ b/comfreydockd/peer/link.c
@@ -162,8 +162,7 @@
 		g_byte_array_set_size(link->out, 0);
 		link->out_start = 0;
 	} else if (link->out_start > READ_TURN_BYTES) {
-		g_byte_array_remove_range(link->out, 0,
-					  (guint)link->out_start);
+		g_byte_array_remove_range(link->out, 0, (guint)link->out_start);
 		link->out_start = 0;
 	}
 }
@@ -177,8 +176,7 @@
 		return;
 	sent = send(link->fd, link->out->data + link->out_start, left,
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
-	if (sent < 0 && errno != EAGAIN && errno != EINTR &&
-	    errno != ENOTCONN) {
+	if (sent < 0 && errno != EAGAIN && errno != EINTR && errno != ENOTCONN) {
 		link_fail(link, g_strerror(errno));
 		return;
 	}
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -8,11 +8,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "common/counters.h"
-#include "common/log.h"
 #include "comfreydockd/peer/greeting.h"
 #include "comfreydockd/peer/link.h"
 #include "comfreydockd/settings.h"
+#include "common/counters.h"
+#include "common/log.h"
 
 #define LISTEN_BACKLOG 1024
 #define SWEEP_S 5.0
@@ -60,8 +60,7 @@
 static void peer_send_hello(struct peer *peer, bool with_proof)
 {
 	const struct settings *settings = peer->peers->daemon->settings;
-	struct greeting_key key = { settings->peer_key,
-				    settings->peer_key_size };
+	struct greeting_key key = {settings->peer_key, settings->peer_key_size};
 	uint8_t proof[GREETING_PROOF_BYTES];
 	Cfd__Hello hello = CFD__HELLO__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
@@ -94,8 +93,7 @@
 static bool peer_proof_is_good(struct peer *peer, const Cfd__Hello *hello)
 {
 	const struct settings *settings = peer->peers->daemon->settings;
-	struct greeting_key key = { settings->peer_key,
-				    settings->peer_key_size };
+	struct greeting_key key = {settings->peer_key, settings->peer_key_size};
 	uint8_t proof[GREETING_PROOF_BYTES];
 
 	if (hello->proof.len != GREETING_PROOF_BYTES)
@@ -299,8 +297,8 @@
 	int fd;
 
 	(void)events;
-	while ((fd = accept4(io->fd, NULL, NULL,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+	while ((fd = accept4(io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
+	       0) {
 		struct peer *peer = peer_new(peers, false);
 
 		set_socket_options(fd);
@@ -375,7 +373,7 @@
 	struct peer *peer;
 
 	(void)events;
-	LIST_FOREACH(peer, &peers->all, link_all) {
+	LIST_FOREACH (peer, &peers->all, link_all) {
 		if (peer_is_idle(peer, ev_now(loop)))
 			link_fail(peer->link, "idle");
 	}
@@ -443,8 +441,8 @@
 static void connect_to_self(struct peers *peers, struct peer *peer)
 {
 	struct peer *owner = peer_new(peers, false);
-	struct link_callbacks ours = { handle_frame, handle_closed, peer };
-	struct link_callbacks theirs = { handle_frame, handle_closed, owner };
+	struct link_callbacks ours = {handle_frame, handle_closed, peer};
+	struct link_callbacks theirs = {handle_frame, handle_closed, owner};
 	struct link *ends[2];
 
 	link_create_pair(&peers->links, ends, &ours, &theirs);
@@ -460,7 +458,7 @@
 static void connect_to_member(struct peers *peers, struct peer *peer,
 			      const struct member *member)
 {
-	struct link_callbacks callbacks = { handle_frame, handle_closed, peer };
+	struct link_callbacks callbacks = {handle_frame, handle_closed, peer};
 	struct sockaddr_storage address;
 	socklen_t size = 0;
 	bool good = fill_address(member->address, member->peer_port, &address,
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -215,8 +215,7 @@
 	/* Nothing was written yet: the certain answer is the better one. */
 	if (!run_has_begun(attempt->run)) {
 		attempt_owner_step(&attempt->state, OWNER_NEVER_BEGAN);
-		owner_note_over(attempt->owner, attempt,
-				LIMIT_OUTCOME_CANCELLED);
+		owner_note_over(attempt->owner, attempt, LIMIT_OUTCOME_CANCELLED);
 		attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
 		return;
 	}
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -2,10 +2,6 @@
 
 #include <string.h>
 
-#include "common/clock.h"
-#include "common/counters.h"
-#include "common/id.h"
-#include "common/log.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/limit.h"
 #include "comfreydockd/decide/measure.h"
@@ -14,6 +10,10 @@
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/upstream/attempts.h"
 #include "comfreydockd/upstream/owner_internal.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
 
 #define DEFAULT_RETRY_AFTER_MS 1000
 #define SWEEP_S 0.1
@@ -132,8 +132,7 @@
 	struct owner_attempt *attempt = attempt_of(item);
 
 	attempt_owner_step(&attempt->state, OWNER_REFUSE);
-	attempt_refuse(attempt, reason_of(verdict),
-		       owner_retry_after_ms(owner));
+	attempt_refuse(attempt, reason_of(verdict), owner_retry_after_ms(owner));
 }
 
 static void owner_start_waiting(struct owner *owner)
@@ -300,15 +299,13 @@
 	attempt->body_ends = request->body_ends;
 	attempt->item.class = (enum config_class)MIN(
 		request->priority, (uint32_t)CONFIG_CLASS_BULK);
-	attempt->item.deadline_us =
-		deadline_at((int64_t)MIN(request->remaining_us,
-					 (uint64_t)INT64_MAX / 2),
-			    0, now);
+	attempt->item.deadline_us = deadline_at(
+		(int64_t)MIN(request->remaining_us, (uint64_t)INT64_MAX / 2), 0,
+		now);
 	attempt->item.key_hash = fair_hash(request->fairness_key);
 	attempt->item.may_queue = request->may_queue;
 	LIST_INSERT_HEAD(&state->attempts, attempt, link);
-	if (owner->state == OWNER_UP &&
-	    owner_has_group(owner, request->group)) {
+	if (owner->state == OWNER_UP && owner_has_group(owner, request->group)) {
 		owner_offer(owner, attempt);
 		return;
 	}
@@ -325,7 +322,7 @@
 	struct owner_peer *state = peer_role_data(peer);
 	struct owner_attempt *attempt;
 
-	LIST_FOREACH(attempt, &state->attempts, link) {
+	LIST_FOREACH (attempt, &state->attempts, link) {
 		if (attempt->request->seq == seq)
 			return attempt;
 	}
@@ -345,8 +342,7 @@
 	attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
 }
 
-static void owner_send_load(struct owner *owner, struct peer *peer,
-			    uint64_t seq)
+static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq)
 {
 	Cfd__Load load = CFD__LOAD__INIT;
 	Cfd__LoadReport report = CFD__LOAD_REPORT__INIT;
@@ -432,11 +428,11 @@
 		.fair = true,
 		.seed = id_random_u64(),
 	};
-	struct peers_role role = { handle_frame, handle_lost, owner };
+	struct peers_role role = {handle_frame, handle_lost, owner};
 
 	owner->daemon = daemon;
-	owner->old_pools = g_ptr_array_new_with_free_func(
-		(GDestroyNotify)run_pool_destroy);
+	owner->old_pools =
+		g_ptr_array_new_with_free_func((GDestroyNotify)run_pool_destroy);
 	TAILQ_INIT(&owner->runs);
 	queue_init(&owner->queue, &options);
 	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
@@ -495,8 +491,7 @@
 	if (owner->pool)
 		g_ptr_array_add(owner->old_pools, owner->pool);
 	owner->pool = run_pool_create(owner->daemon->http,
-				      announcement->address,
-				      announcement->port);
+				      announcement->address, announcement->port);
 }
 
 void owner_announce(struct owner *owner,
@@ -521,8 +516,8 @@
 		limit_init(&owner->limit, &limit_adaptive, copy.slots, now);
 	else
 		limit_set_slots(&owner->limit, copy.slots);
-	measure_set_budget(&owner->measure, copy.slots,
-			   owner->measure.permille, now);
+	measure_set_budget(&owner->measure, copy.slots, owner->measure.permille,
+			   now);
 	if (moved || owner->state != OWNER_UP)
 		warm_begin(&owner->warm, copy.warm_ms, now);
 	owner->state = OWNER_UP;
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -117,8 +117,7 @@
 	/* "HTTP/1.1 200 OK"; an interim answer (1xx) starts over. */
 	fields_finish(&run->answer_fields);
 	run->answer_length = -1;
-	run->status = (unsigned int)strtoul(line + strcspn(line, " "), NULL,
-					    10);
+	run->status = (unsigned int)strtoul(line + strcspn(line, " "), NULL, 10);
 }
 
 static void run_take_field(struct run *run, char *line)
@@ -141,8 +140,7 @@
 		return size;
 	run->has_head = true;
 	if (run->callbacks.handle_head(run->data, run->status,
-				       &run->answer_fields,
-				       run->answer_length))
+				       &run->answer_fields, run->answer_length))
 		return size;
 	run->refused = true;
 	return 0;
@@ -263,8 +261,7 @@
 
 	curl_easy_setopt(easy, CURLOPT_URL, run->pool->url);
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, target);
-	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
-			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -13,13 +13,13 @@
 #include <glib.h>
 #include <sys/queue.h>
 
-#include "common/id.h"
-#include "common/timeline.h"
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/services.h"
 #include "comfreydockd/config/model.h"
 #include "comfreydockd/peer/attempt.h"
 #include "comfreydockd/peer/peers.h"
+#include "common/id.h"
+#include "common/timeline.h"
 
 /* What an entry keeps of a request's body: so much can be sent again. */
 #define CALL_BODY_KEPT (64 * 1024)
@@ -136,9 +136,8 @@
 void outcome_say_unknown(struct call *call);
 
 /* Answers a request that did not become a call. */
-void outcome_refuse(const struct call_sink *sink, void *data,
-		    unsigned int status, const char *reason,
-		    uint32_t come_back_ms, const char *text);
+void outcome_refuse(const struct call_sink *sink, void *data, unsigned int status,
+		    const char *reason, uint32_t come_back_ms, const char *text);
 
 /* The fields that tell a caller what became of its request. */
 void outcome_add_fields(struct fields *fields, const char *outcome,
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -66,8 +66,7 @@
 					const struct pick_tried *tried,
 					int64_t now_us);
 
-struct service_upstream *
-service_upstream_ref(struct service_upstream *upstream);
+struct service_upstream *service_upstream_ref(struct service_upstream *upstream);
 void service_upstream_unref(struct service_upstream *upstream);
 
 /* Ends ejections and finds silent upstreams; called ten times a second. */
--- a/include/comfreydockd/upstream/run.h
+++ b/include/comfreydockd/upstream/run.h
@@ -20,8 +20,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "common/http_client.h"
 #include "comfreydockd/peer/fields.h"
+#include "common/http_client.h"
 
 struct run;
 struct run_pool;
--- /dev/null
+++ b/tests/system/cluster.c
@@ -0,0 +1,184 @@
+#include "cluster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY "a key for tests only"
+
+struct up_wait {
+	struct cluster *cluster;
+	unsigned int count;
+};
+
+static char *daemon_settings(struct cluster *cluster, unsigned int i,
+			     const struct cluster_options *options)
+{
+	static const char *const domains[] = {"hall-esja", "hall-katla"};
+	const char *config = options->config ? options->config : CLUSTER_CONFIG;
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(
+		text,
+		"{\"host\": \"d%u\", \"domain\": \"%s\",\n"
+		"\"region\": \"reykjavik\", \"drain_timeout_ms\": 10000,\n"
+		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
+		"\"log_format\": \"json\",\n",
+		i, domains[i % 2], cluster->platform->port);
+	if (*config)
+		g_string_append(text, "\"config_file\": \"ops.json\",\n");
+	g_string_append(text, "\"peer\": {\"address\": \"127.0.0.1\", "
+			      "\"port\": 0, \"key_file\": \"peer.key\"");
+	if (i > 0)
+		g_string_append_printf(text, ", \"join\": [\"127.0.0.1:%u\"]",
+				       cluster->daemons[0]->peer_port);
+	g_string_append(text, "}}\n");
+	return g_string_free(text, FALSE);
+}
+
+void cluster_start_daemon(struct cluster *cluster, unsigned int i,
+			  const struct cluster_options *options)
+{
+	char *settings = daemon_settings(cluster, i, options);
+	char *file = g_strdup_printf("d%u.json", i);
+	char *name = g_strdup_printf("d%u", i);
+	const char *path = rig_write_file(cluster->rig, file, "%s", settings);
+
+	cluster->daemons[i] = rig_start_daemon(cluster->rig, name, path);
+	g_free(settings);
+	g_free(file);
+	g_free(name);
+}
+
+void cluster_start_upstream(struct cluster *cluster, unsigned int i,
+			    const struct cluster_options *options)
+{
+	char *admin = g_strdup_printf("http://127.0.0.1:%u",
+				      cluster->daemons[i]->admin_port);
+	const char *slots = options->slots ? options->slots : "4";
+	const char *time =
+		options->service_time_us ? options->service_time_us : "2000";
+
+	cluster->upstreams[i] = rig_start_standin(
+		cluster->rig, "standin/upstream/standin-upstream", "--slots",
+		slots, "--service-time-us", time, "--group", "s", "--announce",
+		admin, NULL);
+	g_free(admin);
+}
+
+void cluster_start(struct cluster *cluster, const struct cluster_options *options)
+{
+	const char *config = options->config ? options->config : CLUSTER_CONFIG;
+
+	memset(cluster, 0, sizeof(*cluster));
+	cluster->rig = rig_create();
+	cluster->count = options->count;
+	rig_write_file(cluster->rig, "peer.key", "%s", KEY);
+	rig_write_file(cluster->rig, "ops.json", "%s", config);
+	cluster->platform = rig_start_standin(
+		cluster->rig, "standin/platform/standin-platform", NULL);
+	for (unsigned int i = 0; i < options->count; i++)
+		cluster_start_daemon(cluster, i, options);
+	for (unsigned int i = 0; i < options->count; i++)
+		cluster_start_upstream(cluster, i, options);
+	cluster_wait_up(cluster, options->count, 15000);
+}
+
+void cluster_stop(struct cluster *cluster)
+{
+	rig_destroy(cluster->rig);
+}
+
+static unsigned int count_up(const char *hosts)
+{
+	unsigned int count = 0;
+
+	while ((hosts = strstr(hosts, "\"service\":\"up\""))) {
+		count++;
+		hosts++;
+	}
+	return count;
+}
+
+static bool all_see_up(void *data)
+{
+	struct up_wait *wait = data;
+	bool all = true;
+
+	for (unsigned int i = 0; i < wait->cluster->count; i++) {
+		struct rig_process *daemon = wait->cluster->daemons[i];
+		char *hosts;
+
+		if (!daemon || rig_has_ended(daemon))
+			continue;
+		hosts = rig_http_ok("GET", daemon->admin_port, "/v1/hosts", NULL);
+		all &= count_up(hosts) == wait->count;
+		g_free(hosts);
+	}
+	return all;
+}
+
+void cluster_wait_up(struct cluster *cluster, unsigned int count, int timeout_ms)
+{
+	struct up_wait wait = {cluster, count};
+
+	if (!rig_wait_until(all_see_up, &wait, timeout_ms))
+		g_error("not all daemons see %u upstreams up", count);
+}
+
+struct rig_answer *cluster_call(struct cluster *cluster, unsigned int i,
+				const char *method, const char *path,
+				const char *request_id, const char *body,
+				int timeout_ms)
+{
+	const char *headers[] = {"X-Request-Id", request_id, NULL};
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+				    cluster->daemons[i]->caller_port, path);
+	struct rig_answer *answer =
+		rig_http(method, url, headers, body, timeout_ms);
+
+	g_free(url);
+	return answer;
+}
+
+int64_t cluster_runs(struct cluster *cluster, const char *request_id)
+{
+	char *path = g_strdup_printf("/standin/runs?id=%s", request_id);
+	int64_t runs = 0;
+
+	for (unsigned int i = 0; i < cluster->count; i++) {
+		struct rig_process *upstream = cluster->upstreams[i];
+		char *json;
+
+		if (!upstream || rig_has_ended(upstream))
+			continue;
+		json = rig_http_ok("GET", upstream->port, path, NULL);
+		runs += MAX(rig_json_int(json, "runs"), 0);
+		g_free(json);
+	}
+	g_free(path);
+	return runs;
+}
+
+const char *cluster_outcome(const struct rig_answer *answer)
+{
+	const char *outcome =
+		g_hash_table_lookup(answer->headers, "comfreydock-outcome");
+
+	return outcome ? outcome : "";
+}
+
+int64_t cluster_counter(struct cluster *cluster, unsigned int i, const char *name)
+{
+	char *text = rig_http_ok("GET", cluster->daemons[i]->admin_port,
+				 "/metrics", NULL);
+	char *key = g_strdup_printf("\ncomfreydock_%s ", name);
+	const char *found = strstr(text, key);
+	int64_t value =
+		found ? g_ascii_strtoll(found + strlen(key), NULL, 10) : -1;
+
+	g_free(key);
+	g_free(text);
+	return value;
+}
--- /dev/null
+++ b/tests/system/cluster.h
@@ -0,0 +1,72 @@
+/*
+ * NAME
+ *	cluster - a platform and daemons with their upstreams, for a test
+ *
+ * DESCRIPTION
+ *	Daemons are named d0, d1, ... and lie in the failure domains hall-esja
+ *	and hall-katla by turns. Each joins by d0. Upstreams announce the group
+ *	"s". cluster_wait_up() returns once each daemon sees all others up.
+ */
+#ifndef TESTS_SYSTEM_CLUSTER_H
+#define TESTS_SYSTEM_CLUSTER_H
+
+#include "rig.h"
+
+#define CLUSTER_MAX 8
+
+/* A service "s" for all paths: GET and HEAD may be repeated, POST may not. */
+#define CLUSTER_CONFIG                                                     \
+	"{ // by hand\n"                                                   \
+	"\"namespace\": \"t\", \"services\": {\"s\": {\n"                  \
+	"  \"path_prefixes\": [\"/\"], \"group\": \"s\",\n"                \
+	"  \"rules\": [\n"                                                 \
+	"   {\"name\": \"get\", \"methods\": [\"GET\", \"HEAD\"],\n"       \
+	"    \"idempotent\": true, \"deadline_ms\": 2000,\n"               \
+	"    \"retry\": {\"max_attempts\": 3, \"budget_percent\": 20}},\n" \
+	"   {\"name\": \"post\", \"deadline_ms\": 2000}]}}}\n"
+
+struct cluster {
+	struct rig *rig;
+	struct rig_process *platform;
+	struct rig_process *daemons[CLUSTER_MAX];
+	struct rig_process *upstreams[CLUSTER_MAX];
+	unsigned int count;
+};
+
+struct cluster_options {
+	unsigned int count;
+	const char *config; /* NULL: CLUSTER_CONFIG; "": nothing in force */
+	const char *slots; /* NULL: "4" */
+	const char *service_time_us; /* NULL: "2000" */
+};
+
+void cluster_start(struct cluster *cluster,
+		   const struct cluster_options *options);
+void cluster_stop(struct cluster *cluster);
+
+/* Starts daemon and upstream number i (again). */
+void cluster_start_daemon(struct cluster *cluster, unsigned int i,
+			  const struct cluster_options *options);
+void cluster_start_upstream(struct cluster *cluster, unsigned int i,
+			    const struct cluster_options *options);
+
+/* Waits until each running daemon sees so many upstreams up. */
+void cluster_wait_up(struct cluster *cluster, unsigned int count, int timeout_ms);
+
+/* A call through daemon number i. headers as for rig_http(). */
+struct rig_answer *cluster_call(struct cluster *cluster, unsigned int i,
+				const char *method, const char *path,
+				const char *request_id, const char *body,
+				int timeout_ms);
+
+/* How often the upstreams together ran a request id. */
+int64_t cluster_runs(struct cluster *cluster, const char *request_id);
+
+/* The answer's outcome field; "" where it has none. */
+const char *cluster_outcome(const struct rig_answer *answer);
+
+/* A counter of a daemon, or -1. */
+int64_t cluster_counter(struct cluster *cluster, unsigned int i,
+			const char *name);
+
+#endif
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -283,7 +283,7 @@
 struct rig_process *rig_start_daemon(struct rig *rig, const char *name,
 				     const char *settings_path)
 {
-	char *argv[] = {program_path("comfreydockd/comfreydockd"), "--settings",
+	char *argv[] = {program_path("comfreydockd/comfreydockd"), "--config",
 			(char *)settings_path, NULL};
 	struct rig_process *process = spawn(rig, name, argv);
 	char *line = wait_for_line(process, process->err_path, "\"event\":1000,");
--- /dev/null
+++ b/tests/system/test_path.c
@@ -0,0 +1,108 @@
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "cluster.h"
+
+static struct cluster cluster;
+
+static void expect(struct rig_answer *answer, long status, const char *outcome)
+{
+	g_assert_true(answer->arrived);
+	g_assert_cmpint((int)answer->status, ==, (int)status);
+	g_assert_cmpstr(cluster_outcome(answer), ==, outcome);
+}
+
+static void test_any_daemon_reaches_the_service(void)
+{
+	for (unsigned int i = 0; i < cluster.count; i++) {
+		char *id = g_strdup_printf("any-%u", i);
+		struct rig_answer *answer = cluster_call(
+			&cluster, i, "GET", "/lookup?name=x", id, NULL, 5000);
+
+		expect(answer, 200, "run");
+		g_assert_nonnull(strstr(answer->body->str, id));
+		g_assert_cmpint(cluster_runs(&cluster, id), ==, 1);
+		rig_answer_free(answer);
+		g_free(id);
+	}
+}
+
+static void test_bodies_pass_both_ways_whole(void)
+{
+	GString *body = g_string_new(NULL);
+	struct rig_answer *answer;
+
+	for (int i = 0; i < 40000; i++)
+		g_string_append_printf(body, "line %d of a long body\n", i);
+	answer = cluster_call(&cluster, 0, "POST", "/echo", "body-1", body->str,
+			      10000);
+	expect(answer, 200, "run");
+	g_assert_cmpuint(answer->body->len, ==, body->len);
+	g_assert_true(g_string_equal(answer->body, body));
+	rig_answer_free(answer);
+	g_string_free(body, TRUE);
+}
+
+static void test_no_route_is_told(void)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/",
+				    cluster.daemons[0]->caller_port);
+	struct rig_answer *answer;
+
+	/* Every path is the service's here, so only a rule can be missing;
+	 * the rule "post" takes all that "get" does not. */
+	answer = rig_http("DELETE", url, NULL, NULL, 5000);
+	expect(answer, 200, "run");
+	rig_answer_free(answer);
+	g_free(url);
+}
+
+/*
+ * A host's upstream is taken out for maintenance while callers use it. The
+ * operator drains it; calls that run finish, new ones go to the others, and
+ * no caller gets an error.
+ */
+static void test_a_drain_cuts_nobody_off(void)
+{
+	struct rig_process *load;
+	char *a = g_strdup_printf("http://127.0.0.1:%u",
+				  cluster.daemons[0]->caller_port);
+	char *b = g_strdup_printf("http://127.0.0.1:%u",
+				  cluster.daemons[1]->caller_port);
+	char *out;
+
+	load = rig_start(cluster.rig, "standin/load/standin-load", "--target",
+			 a, "--target", b, "--rate", "200", "--seconds", "4",
+			 "--share-nonidempotent", "0.5", "--seed", "3", NULL);
+	rig_sleep_ms(1000);
+	g_free(rig_http_ok("POST", cluster.daemons[1]->admin_port,
+			   "/v1/upstream/stop", ""));
+	/* "May stop" was said: nothing may be cut off by this. */
+	rig_signal(cluster.upstreams[1], SIGTERM);
+	rig_wait_end(load, 20000);
+	out = rig_read_output(load);
+	g_test_message("%s", out);
+	g_assert_cmpint(rig_json_int(out, "run"), ==,
+			rig_json_int(out, "scheduled"));
+	g_assert_cmpint(rig_json_int(out, "wrong"), ==, 0);
+	g_free(out);
+	g_free(a);
+	g_free(b);
+}
+
+int main(int argc, char **argv)
+{
+	struct cluster_options options = {.count = 3};
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	cluster_start(&cluster, &options);
+	g_test_add_func("/path/any-daemon", test_any_daemon_reaches_the_service);
+	g_test_add_func("/path/bodies", test_bodies_pass_both_ways_whole);
+	g_test_add_func("/path/other-methods", test_no_route_is_told);
+	g_test_add_func("/path/drain", test_a_drain_cuts_nobody_off);
+	status = g_test_run();
+	cluster_stop(&cluster);
+	return status;
+}
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -22,7 +22,8 @@
 };
 
 /* One attempt, both halves of it and the connection between them. */
-struct try {
+struct
+try {
 	enum attempt_entry_state entry;
 	enum attempt_owner_state owner;
 	bool owner_knows;
@@ -202,8 +203,7 @@
 		send_next(&caller);
 		for (unsigned int step = 0; step < STEPS; step++) {
 			struct try *last = &caller.tries[caller.count - 1];
-			int which =
-				g_test_rand_int_range(0, (int)caller.count);
+			int which = g_test_rand_int_range(0, (int)caller.count);
 
 			disturb(&caller.tries[which]);
 			check(&caller);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -6,11 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "common/counters.h"
-#include "common/log.h"
 #include "comfreydockd/peer/link.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/settings.h"
+#include "common/counters.h"
+#include "common/log.h"
 
 #define MANY 100
 
@@ -56,8 +56,8 @@
 
 static void end_init(struct end *end, const char *host, const char *key)
 {
-	struct peers_role owner = { handle_owner_frame, handle_lost, end };
-	struct peers_role entry = { handle_entry_frame, handle_lost, end };
+	struct peers_role owner = {handle_owner_frame, handle_lost, end};
+	struct peers_role entry = {handle_entry_frame, handle_lost, end};
 
 	memset(end, 0, sizeof(*end));
 	end->settings.host = (char *)host;
@@ -83,7 +83,7 @@
 
 static struct member member_of(const struct end *end)
 {
-	struct member member = { .peer_port = peers_port(end->peers) };
+	struct member member = {.peer_port = peers_port(end->peers)};
 
 	g_strlcpy(member.host, end->settings.host, sizeof(member.host));
 	g_strlcpy(member.address, "127.0.0.1", sizeof(member.address));
@@ -181,8 +181,7 @@
 	};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&address,
-				sizeof(address)),
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
 			==, 0);
 	return fd;
 }
@@ -204,7 +203,7 @@
 
 static void send_hello(int fd, uint32_t version)
 {
-	uint8_t nonce[16] = { 0 };
+	uint8_t nonce[16] = {0};
 	uint8_t bytes[256];
 	Cfd__Hello hello = CFD__HELLO__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -71,9 +71,9 @@
 	socklen_t size = sizeof(address);
 
 	upstream->listener = socket(AF_INET, SOCK_STREAM, 0);
-	g_assert_cmpint(bind(upstream->listener, (struct sockaddr *)&address,
-			     size),
-			==, 0);
+	g_assert_cmpint(
+		bind(upstream->listener, (struct sockaddr *)&address, size), ==,
+		0);
 	g_assert_cmpint(listen(upstream->listener, 8), ==, 0);
 	getsockname(upstream->listener, (struct sockaddr *)&address, &size);
 	ev_io_init(&upstream->acceptor, handle_acceptable, upstream->listener,
@@ -96,8 +96,7 @@
 
 static void handle_body(void *data, const void *bytes, size_t size)
 {
-	g_string_append_len(((struct outcome *)data)->body, bytes,
-			    (gssize)size);
+	g_string_append_len(((struct outcome *)data)->body, bytes, (gssize)size);
 }
 
 static void handle_taken(void *data, size_t size)
@@ -150,8 +149,8 @@
 static void test_a_broken_connection_is_not_retried(void)
 {
 	struct ev_loop *loop = ev_loop_new(0);
-	struct upstream upstream = { .loop = loop, .connection = -1 };
-	struct outcome outcome = { .loop = loop };
+	struct upstream upstream = {.loop = loop, .connection = -1};
+	struct outcome outcome = {.loop = loop};
 	struct http_client *client = http_client_create(loop);
 	struct run_pool *pool;
 
