ctl: add the operator's tool

Operators need to check and apply files, and to see what every daemon holds, from a shell and from scripts.

One file a command in a sorted table, GLib's options, JSON on request, and an exit status for each outcome. A daemon that breaks off in an apply counts as unknown, not as failed.

--- /dev/null
+++ b/comfreydockctl/drain.c
@@ -0,0 +1,76 @@
+#include <stdio.h>
+
+#include "comfreydockctl/ctl.h"
+#include "common/jsonc.h"
+
+#define DEFAULT_WAIT_S 600
+
+static gboolean wait_until_idle;
+static gint wait_s = DEFAULT_WAIT_S;
+
+static const GOptionEntry options[] = {
+	{"wait", 0, 0, G_OPTION_ARG_NONE, &wait_until_idle,
+	 "Wait until nothing runs any more", NULL},
+	{"timeout", 0, 0, G_OPTION_ARG_INT, &wait_s,
+	 "How long --wait waits at most (600)", "SECONDS"},
+	{NULL},
+};
+
+static int wait_for_stop(struct ctl *ctl)
+{
+	struct ctl_call call;
+	json_object *root;
+	int status = CTL_NOT_EVERYWHERE;
+
+	ctl_call_init(&call, "POST", ctl->admin, "/v1/upstream/stop");
+	call.body = "";
+	call.timeout_ms = (long)wait_s * 1000;
+	ctl_run_calls(ctl, &call, 1);
+	root = json_tokener_parse(call.text->str);
+	if (call.answered && call.status == 200) {
+		status = CTL_OK;
+		if (ctl->json)
+			ctl_print_json(json_object_get(root));
+		else
+			puts("may stop: nothing runs any more");
+	} else if (call.answered || call.never_sent) {
+		status = CTL_FAILED;
+		ctl_complain("%s: %s%s", call.url, jsonc_get_text(root, "state"),
+			     jsonc_get_text(root, "error"));
+	} else {
+		ctl_complain("requests still run after %d s; the upstream goes "
+			     "on draining",
+			     wait_s);
+	}
+	json_object_put(root);
+	ctl_call_finish(&call);
+	return status;
+}
+
+static int run(struct ctl *ctl, char **arguments)
+{
+	json_object *root;
+
+	(void)arguments;
+	if (wait_until_idle)
+		return wait_for_stop(ctl);
+	root = ctl_ask(ctl, "POST", "/v1/upstream/drain");
+	if (!root)
+		return CTL_FAILED;
+	if (ctl->json) {
+		ctl_print_json(root);
+		return CTL_OK;
+	}
+	printf("draining, %" G_GUINT64_FORMAT " running\n",
+	       jsonc_get_uint(root, "running"));
+	json_object_put(root);
+	return CTL_OK;
+}
+
+const struct ctl_command ctl_drain = {
+	.name = "drain",
+	.arguments = "",
+	.summary = "give a daemon's upstream no new work",
+	.options = options,
+	.run = run,
+};
--- /dev/null
+++ b/comfreydockctl/hosts.c
@@ -0,0 +1,46 @@
+#include <stdio.h>
+
+#include "comfreydockctl/ctl.h"
+#include "common/jsonc.h"
+
+static void print_host(json_object *host)
+{
+	json_object *groups = jsonc_get_array(host, "groups");
+
+	printf("%-24s %-16s %-8s %-8s %5" G_GUINT64_FORMAT " ",
+	       jsonc_get_text(host, "host"), jsonc_get_text(host, "domain"),
+	       jsonc_get_text(host, "state"), jsonc_get_text(host, "service"),
+	       jsonc_get_uint(host, "slots"));
+	for (size_t i = 0; groups && i < json_object_array_length(groups); i++)
+		printf("%s%s", i ? "," : "",
+		       json_object_get_string(
+			       json_object_array_get_idx(groups, i)));
+	putchar('\n');
+}
+
+static int run(struct ctl *ctl, char **arguments)
+{
+	json_object *root = ctl_ask(ctl, "GET", "/v1/hosts");
+	json_object *hosts = jsonc_get_array(root, "hosts");
+
+	(void)arguments;
+	if (!root)
+		return CTL_FAILED;
+	if (ctl->json) {
+		ctl_print_json(root);
+		return CTL_OK;
+	}
+	printf("%-24s %-16s %-8s %-8s %5s %s\n", "HOST", "DOMAIN", "STATE",
+	       "UPSTREAM", "SLOTS", "GROUPS");
+	for (size_t i = 0; hosts && i < json_object_array_length(hosts); i++)
+		print_host(json_object_array_get_idx(hosts, i));
+	json_object_put(root);
+	return CTL_OK;
+}
+
+const struct ctl_command ctl_hosts = {
+	.name = "hosts",
+	.arguments = "",
+	.summary = "list what a daemon knows of every host",
+	.run = run,
+};
--- /dev/null
+++ b/tests/test_ctl.c
@@ -0,0 +1,239 @@
+#include <ev.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "common/http_server.h"
+#include "common/jsonc.h"
+
+/* A daemon that gives prepared answers, and the tool run against it. */
+struct fixture {
+	struct ev_loop *loop;
+	struct http_server *server;
+	const char *apply; /* the answer; NULL breaks the connection off */
+	unsigned int apply_status;
+	const char *version; /* that /v1/config shows */
+	char *target; /* of the last apply */
+	GString *output;
+	int exit_status;
+	ev_child child;
+};
+
+static void reply(struct http_request *request, unsigned int status,
+		  const char *text)
+{
+	http_request_reply_text(request, status, "application/json", text);
+}
+
+static void reply_hosts(struct fixture *f, struct http_request *request)
+{
+	char *text = g_strdup_printf(
+		"{\"hosts\": ["
+		"{\"host\": \"self\", \"state\": \"alive\"},"
+		"{\"host\": \"b\", \"state\": \"alive\", \"address\": "
+		"\"127.0.0.1\", \"admin_port\": %u},"
+		"{\"host\": \"c\", \"state\": \"dead\", \"address\": "
+		"\"127.0.0.1\", \"admin_port\": 1}]}",
+		http_server_port(f->server));
+
+	reply(request, 200, text);
+	g_free(text);
+}
+
+static void handle_request(struct http_request *request, void *data)
+{
+	const char *path = http_request_path(request);
+	struct fixture *f = data;
+
+	if (strcmp(path, "/v1/status") == 0) {
+		reply(request, 200, "{\"host\": \"self\"}");
+	} else if (strcmp(path, "/v1/hosts") == 0) {
+		reply_hosts(f, request);
+	} else if (strcmp(path, "/v1/config") == 0) {
+		reply(request, 200, f->version);
+	} else if (strcmp(path, "/v1/timeline") == 0) {
+		reply(request, 200,
+		      "[{\"time\": 7000, \"name\": \"late\"},"
+		      "{\"time\": 5000, \"name\": \"early\"}]");
+	} else if (strcmp(path, "/v1/config/apply") == 0 && f->apply) {
+		g_free(f->target);
+		f->target = g_strdup(http_request_argument(request, "base"));
+		reply(request, f->apply_status, f->apply);
+	} else {
+		http_request_abort(request);
+	}
+}
+
+static void setup(struct fixture *f, gconstpointer unused)
+{
+	struct http_server_options options = {.address = "127.0.0.1"};
+
+	(void)unused;
+	f->loop = ev_default_loop(0);
+	f->server = http_server_create(f->loop, &options, handle_request, f);
+	f->output = g_string_new(NULL);
+}
+
+static void teardown(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	http_server_destroy(f->server);
+	g_string_free(f->output, TRUE);
+	g_free(f->target);
+}
+
+static void handle_exit(struct ev_loop *loop, ev_child *child, int events)
+{
+	struct fixture *f = child->data;
+
+	(void)events;
+	ev_child_stop(loop, child);
+	g_assert_true(WIFEXITED(child->rstatus));
+	f->exit_status = WEXITSTATUS(child->rstatus);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/* Runs the tool; both its outputs end up in f->output. */
+static void run(struct fixture *f, const char *command, const char *options,
+		const char *argument, int expected)
+{
+	char *tool = g_build_filename(g_getenv("COMFREYDOCK_BUILD"),
+				      "comfreydockctl", "comfreydockctl", NULL);
+	char *admin = g_strdup_printf("http://127.0.0.1:%u",
+				      http_server_port(f->server));
+	char *line = g_strdup_printf("%s %s --admin %s %s %s", tool, command,
+				     admin, options, argument);
+	char **argv = g_strsplit(line, " ", -1);
+	char *file = NULL;
+	int fd = g_file_open_tmp("ctl-XXXXXX", &file, NULL);
+	char *text;
+	GPid pid;
+
+	g_assert_true(g_spawn_async_with_fds(NULL, argv, NULL,
+					     G_SPAWN_DO_NOT_REAP_CHILD, NULL,
+					     NULL, &pid, -1, fd, fd, NULL));
+	ev_child_init(&f->child, handle_exit, pid, 0);
+	f->child.data = f;
+	ev_child_start(f->loop, &f->child);
+	ev_run(f->loop, 0);
+	g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
+	g_string_assign(f->output, text);
+	if (f->exit_status != expected)
+		g_error("exit status %d, not %d: %s", f->exit_status, expected,
+			text);
+	g_free(text);
+	g_unlink(file);
+	close(fd);
+	g_strfreev(argv);
+	g_free(line);
+	g_free(file);
+	g_free(admin);
+	g_free(tool);
+}
+
+static void assert_output(struct fixture *f, const char *expected)
+{
+	if (!strstr(f->output->str, expected))
+		g_error("expected \"%s\" in: %s", expected, f->output->str);
+}
+
+static char *sample(void)
+{
+	return g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
+				"operators", "lookup.sample.json", NULL);
+}
+
+/*
+ * Scripts that roll out a file go by the exit status. "unknown" that looks
+ * like "refused" would make them apply the next file on a wrong base.
+ */
+static void test_each_outcome_has_its_status(struct fixture *f,
+					     gconstpointer unused)
+{
+	char *file = sample();
+
+	(void)unused;
+	f->apply = "{\"result\": \"in-force\", \"version\": 5, "
+		   "\"namespace\": \"n\"}";
+	f->apply_status = 200;
+	run(f, "apply", "--base=4", file, 0);
+	assert_output(f, "in force as version 5 of n");
+	g_assert_cmpstr(f->target, ==, "4");
+	f->apply = "{\"result\": \"refused\", \"findings\": [{\"file\": \"f\", "
+		   "\"line\": 3, \"severity\": \"error\", \"path\": \"a.b\", "
+		   "\"text\": \"is missing\"}]}";
+	f->apply_status = 422;
+	run(f, "apply", "--base=4", file, 1);
+	assert_output(f, "f:3: error: a.b: is missing\n");
+	f->apply = "{\"result\": \"conflict\", \"namespace\": \"n\", "
+		   "\"version\": 6, \"winner\": \"anna\", \"base\": 4}";
+	f->apply_status = 409;
+	run(f, "apply", "--base=4", file, 3);
+	assert_output(f, "n is at version 6 by anna");
+	f->apply = "{\"result\": \"unknown\"}";
+	f->apply_status = 504;
+	run(f, "apply", "--base=4", file, 4);
+	assert_output(f, "comfreydockctl apply --base 4");
+	g_free(file);
+}
+
+/* The daemon is replaced in the middle of the apply. */
+static void test_lost_daemon_is_unknown(struct fixture *f, gconstpointer unused)
+{
+	char *file = sample();
+
+	(void)unused;
+	run(f, "apply", "--base=4", file, 4);
+	run(f, "apply", "--admin=http://127.0.0.1:1", file, 5);
+	run(f, "apply", "--nonsense", file, 2);
+	g_free(file);
+}
+
+/* One daemon lags; the operator must not be told that all hold the version. */
+static void test_wait_counts_daemons(struct fixture *f, gconstpointer unused)
+{
+	char *file = sample();
+
+	(void)unused;
+	f->apply = "{\"result\": \"in-force\", \"version\": 5, "
+		   "\"namespace\": \"n\"}";
+	f->apply_status = 200;
+	f->version = "{\"namespaces\": [{\"name\": \"n\", \"version\": 5}]}";
+	run(f, "apply", "--wait", file, 0);
+	assert_output(f, "held by 2 of 2 daemons");
+	f->version = "{\"namespaces\": [{\"name\": \"n\", \"version\": 4}]}";
+	run(f, "apply", "--wait --timeout=1", file, 6);
+	assert_output(f, "held by 0 of 2 daemons");
+	g_free(file);
+}
+
+static void test_timeline_is_merged_by_time(struct fixture *f,
+					    gconstpointer unused)
+{
+	json_object *all;
+
+	(void)unused;
+	run(f, "timeline", "--json", "t1", 0);
+	all = json_tokener_parse(f->output->str);
+	g_assert_cmpuint(json_object_array_length(all), ==, 4);
+	for (size_t i = 0; i < 4; i++)
+		g_assert_cmpstr(jsonc_get_text(json_object_array_get_idx(all, i),
+					       "name"),
+				==, i < 2 ? "early" : "late");
+	json_object_put(all);
+}
+
+#define ADD(path, function) \
+	g_test_add(path, struct fixture, NULL, setup, function, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/ctl/outcomes", test_each_outcome_has_its_status);
+	ADD("/ctl/lost-daemon", test_lost_daemon_is_unknown);
+	ADD("/ctl/wait", test_wait_counts_daemons);
+	ADD("/ctl/timeline", test_timeline_is_merged_by_time);
+	return g_test_run();
+}
