--- a/comfreydockctl/ctl.c
+++ b/comfreydockctl/ctl.c
@@ -96,6 +96,7 @@
 
 	call->answered = answer->result == CURLE_OK;
 	call->never_sent = answer->never_sent;
+	call->timed_out = answer->result == CURLE_OPERATION_TIMEDOUT;
 	call->status = answer->status;
 	g_string_append_len(call->text, answer->body, (gssize)answer->size);
 	g_free(running);
--- a/comfreydockctl/drain.c
+++ b/comfreydockctl/drain.c
@@ -20,7 +20,7 @@
 {
 	struct ctl_call call;
 	json_object *root;
-	int status = CTL_NOT_EVERYWHERE;
+	int status = CTL_FAILED;
 
 	ctl_call_init(&call, "POST", ctl->admin, "/v1/upstream/stop");
 	call.body = "";
@@ -33,14 +33,16 @@
 			ctl_print_json(json_object_get(root));
 		else
 			puts("may stop: nothing runs any more");
-	} else if (call.answered || call.never_sent) {
-		status = CTL_FAILED;
-		ctl_complain("%s: %s%s", call.url, jsonc_get_text(root, "state"),
-			     jsonc_get_text(root, "error"));
-	} else {
+	} else if (call.timed_out) {
+		status = CTL_NOT_EVERYWHERE;
 		ctl_complain("requests still run after %d s; the upstream goes "
 			     "on draining",
 			     wait_s);
+	} else {
+		ctl_complain("%s: %s%s", call.url,
+			     call.answered ? jsonc_get_text(root, "state") :
+					     "no answer",
+			     jsonc_get_text(root, "error"));
 	}
 	json_object_put(root);
 	ctl_call_finish(&call);
--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -8,27 +8,12 @@
 #define ATTEMPTS_MAX 10
 #define KEY_LIFETIME_MAX_S (30 * 86400)
 #define NAME_MAX_BYTES 63
+#define HOST_MAX_BYTES 253
 
 static const char *const classes[] = {"interactive", "normal", "bulk", NULL};
 static const char *const methods[] = {"GET",	"HEAD",	   "POST",  "PUT",
 				      "DELETE", "OPTIONS", "PATCH", NULL};
 
-static bool is_name(const char *name)
-{
-	return strlen(name) <= NAME_MAX_BYTES &&
-	       strspn(name, "abcdefghijklmnopqrstuvwxyz"
-			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-			    "0123456789-_.") == strlen(name);
-}
-
-static void check_name(struct schema *schema, const char *key, const char *name)
-{
-	if (name && !is_name(name))
-		schema_error(schema, key,
-			     "up to %d letters, digits, '-', '_' and '.'",
-			     NAME_MAX_BYTES);
-}
-
 static void check_path(struct schema *schema, const char *key, const char *path)
 {
 	if (path && *path != '/')
@@ -90,8 +75,7 @@
 {
 	struct config_rule *rule = g_new0(struct config_rule, 1);
 
-	rule->name = schema_string(schema, "name", SCHEMA_REQUIRED);
-	check_name(schema, "name", rule->name);
+	rule->name = schema_name(schema, "name", SCHEMA_REQUIRED, NAME_MAX_BYTES);
 	read_methods(schema, rule);
 	rule->path_prefix = schema_string(schema, "path_prefix", SCHEMA_OPTIONAL);
 	check_path(schema, "path_prefix", rule->path_prefix);
@@ -212,7 +196,7 @@
 	for (char **path = service->path_prefixes; path && *path; path++)
 		check_path(schema, "path_prefixes", *path);
 	for (char **host = service->hosts; host && *host; host++) {
-		if (!is_name(*host))
+		if (!schema_is_name(*host, HOST_MAX_BYTES))
 			schema_error(schema, "hosts",
 				     "\"%s\" is no host name without a port",
 				     *host);
@@ -267,11 +251,15 @@
 	service->namespace = g_strdup(ns->name);
 	service->rules = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)config_rule_destroy);
-	check_name(schema, NULL, name);
+	if (!schema_is_name(name, NAME_MAX_BYTES))
+		schema_error(
+			schema,
+			NULL, "the name may hold up to %d letters, digits, '-', '_' and '.'",
+			NAME_MAX_BYTES);
 	read_reach(schema, service);
 	check_overlap(schema, ns->services, service);
-	service->group = schema_string(schema, "group", SCHEMA_REQUIRED);
-	check_name(schema, "group", service->group);
+	service->group =
+		schema_name(schema, "group", SCHEMA_REQUIRED, NAME_MAX_BYTES);
 	read_shed_statuses(schema, service);
 	read_measure(schema, service);
 	read_rules(schema, service);
@@ -312,8 +300,8 @@
 		return NULL;
 	ns = config_namespace_create();
 	schema_init(&root, doc, findings);
-	ns->name = schema_string(&root, "namespace", SCHEMA_REQUIRED);
-	check_name(&root, "namespace", ns->name);
+	ns->name =
+		schema_name(&root, "namespace", SCHEMA_REQUIRED, NAME_MAX_BYTES);
 	read_services(&root, ns);
 	schema_finish(&root);
 	jsonc_doc_destroy(doc);
--- a/comfreydockd/config/rows.c
+++ b/comfreydockd/config/rows.c
@@ -16,13 +16,6 @@
 	return g_strconcat("config/", sha256, NULL);
 }
 
-static void free_version(gpointer data)
-{
-	struct config_version *version = data;
-
-	g_free((char *)version->name);
-}
-
 static void free_commit(gpointer data)
 {
 	struct config_commit *commit = data;
@@ -33,8 +26,7 @@
 void config_head_init(struct config_head *head)
 {
 	head->head = 0;
-	head->versions = g_array_new(FALSE, FALSE, sizeof(struct config_version));
-	g_array_set_clear_func(head->versions, free_version);
+	head->versions = config_versions_create();
 }
 
 void config_head_finish(struct config_head *head)
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -26,13 +26,21 @@
 	g_free((char *)version->name);
 }
 
+GArray *config_versions_create(void)
+{
+	GArray *versions =
+		g_array_new(FALSE, FALSE, sizeof(struct config_version));
+
+	g_array_set_clear_func(versions, free_version);
+	return versions;
+}
+
 struct config_store *config_store_create(void)
 {
 	struct config_store *store = g_new0(struct config_store, 1);
 
 	store->current = config_snapshot_create();
-	store->listing = g_array_new(FALSE, FALSE, sizeof(struct config_version));
-	g_array_set_clear_func(store->listing, free_version);
+	store->listing = config_versions_create();
 	return store;
 }
 
--- a/comfreydockd/operator/upstream.c
+++ b/comfreydockd/operator/upstream.c
@@ -1,8 +1,6 @@
-#include <arpa/inet.h>
-#include <string.h>
-
 #include "comfreydockd/operator/handler.h"
 #include "comfreydockd/upstream/owner.h"
+#include "common/address.h"
 #include "common/log.h"
 #include "common/schema.h"
 
@@ -31,23 +29,14 @@
 	operator_reply(request, 200, operator_upstream_to_json(api));
 }
 
-/* The upstream runs beside its daemon, so only loopback makes sense: work sent
- * elsewhere would bypass the owner of that other host. */
-static bool is_loopback(const char *address)
-{
-	struct in6_addr out;
-
-	return strcmp(address, "::1") == 0 ||
-	       (g_str_has_prefix(address, "127.") &&
-		inet_pton(AF_INET, address, &out) == 1);
-}
-
 static void read_announcement(struct schema *schema,
 			      struct owner_announcement *announcement)
 {
 	announcement->groups = schema_strings(schema, "groups", SCHEMA_REQUIRED);
 	announcement->address = schema_string(schema, "address", SCHEMA_REQUIRED);
-	if (announcement->address && !is_loopback(announcement->address))
+	/* The upstream runs beside its daemon. Work sent to another host
+	 * would bypass the owner there. */
+	if (announcement->address && !address_is_loopback(announcement->address))
 		schema_error(schema, "address",
 			     "a loopback IP number is expected");
 	announcement->port = (uint16_t)schema_uint(
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -1,9 +1,9 @@
 #include "comfreydockd/settings.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "common/schema.h"
 
 #define DEFAULT_DRAIN_TIMEOUT_MS 600000
@@ -11,64 +11,17 @@
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
 #define DEFAULT_MAX_BUFFERED_BYTES (64 * 1024 * 1024)
 #define PEER_KEY_MIN_BYTES 16
-#define NAME_LENGTH_MAX 31 /* what a member's record holds */
+/* Names travel in frames and in members' records of fixed size. */
+#define NAME_MAX_BYTES 31
 
 static const char *const log_formats[] = {"json", "text", "none", NULL};
 
-static bool is_ip_number(const char *address)
-{
-	struct in6_addr out;
-
-	return inet_pton(AF_INET, address, &out) == 1 ||
-	       inet_pton(AF_INET6, address, &out) == 1;
-}
-
-static bool is_loopback(const char *address)
-{
-	return g_str_has_prefix(address, "127.") || strcmp(address, "::1") == 0;
-}
-
-/* "IP:PORT", an IPv6 number in brackets. */
-static bool is_ip_and_port(const char *text)
-{
-	const char *colon = strrchr(text, ':');
-	guint64 port;
-	char *address;
-	bool ok;
-
-	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX,
-						  &port, NULL))
-		return false;
-	if (*text == '[' && colon[-1] == ']')
-		address = g_strndup(text + 1, (gsize)(colon - text - 2));
-	else
-		address = g_strndup(text, (gsize)(colon - text));
-	ok = is_ip_number(address);
-	g_free(address);
-	return ok;
-}
-
-/* Names travel in frames and members' records of fixed size. */
-static char *read_name(struct schema *schema, const char *key)
-{
-	char *name = schema_string(schema, key, SCHEMA_REQUIRED);
-
-	if (name && (strlen(name) > NAME_LENGTH_MAX ||
-		     strspn(name, "abcdefghijklmnopqrstuvwxyz"
-				  "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-				  "0123456789-_.") != strlen(name)))
-		schema_error(schema, key,
-			     "up to %d letters, digits, '-', '_' and '.'",
-			     NAME_LENGTH_MAX);
-	return name;
-}
-
 static void read_address(struct schema *schema, struct settings_address *out)
 {
 	out->address = schema_string(schema, "address", SCHEMA_REQUIRED);
 	out->port = (uint16_t)schema_uint(schema, "port", SCHEMA_REQUIRED, 0, 0,
 					  UINT16_MAX);
-	if (out->address && !is_ip_number(out->address))
+	if (out->address && !address_is_ip_number(out->address))
 		schema_error(schema, "address",
 			     "an IP number is expected, not a name");
 }
@@ -114,7 +67,7 @@
 		schema_error(&admin, "token_file", "the file holds no token");
 	/* Whoever reaches the admin port can change what is in force. */
 	if (!has_token && settings->admin.address &&
-	    !is_loopback(settings->admin.address))
+	    !address_is_loopback(settings->admin.address))
 		schema_error(&admin, "address",
 			     "beyond loopback a token_file is needed");
 	schema_finish(&admin);
@@ -135,7 +88,7 @@
 	if (!settings->join)
 		settings->join = g_new0(char *, 1);
 	for (char **join = settings->join; *join; join++) {
-		if (!is_ip_and_port(*join))
+		if (!address_has_port(*join))
 			schema_error(&peer, "join", "\"%s\" is not IP:PORT",
 				     *join);
 	}
@@ -170,7 +123,7 @@
 	if (settings->platform_url) {
 		rest = settings->platform_url;
 		if (!g_str_has_prefix(rest, "http://") ||
-		    !is_ip_and_port(rest + strlen("http://")))
+		    !address_has_port(rest + strlen("http://")))
 			schema_error(&platform, "url",
 				     "\"http://IP:PORT\" is expected");
 	}
@@ -197,9 +150,12 @@
 	struct schema root;
 
 	schema_init(&root, doc, findings);
-	settings->host = read_name(&root, "host");
-	settings->domain = read_name(&root, "domain");
-	settings->region = read_name(&root, "region");
+	settings->host =
+		schema_name(&root, "host", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+	settings->domain =
+		schema_name(&root, "domain", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+	settings->region =
+		schema_name(&root, "region", SCHEMA_REQUIRED, NAME_MAX_BYTES);
 	read_caller(&root, settings);
 	read_peer(&root, settings);
 	read_admin(&root, settings);
--- a/common/jsonc.c
+++ b/common/jsonc.c
@@ -92,6 +92,9 @@
 	char *inner = jsonc_path_key(path, key);
 	int first = GPOINTER_TO_INT(g_hash_table_lookup(keys, key));
 
+	/* Written in two ways the same key would pass for two. */
+	if (strchr(key, '\\'))
+		scanner_error(scanner, inner, "keys are written without escapes");
 	if (first)
 		findings_add(scanner->findings, FINDING_ERROR,
 			     scanner->doc->file, line, inner,
--- a/common/schema.c
+++ b/common/schema.c
@@ -194,6 +194,26 @@
 	return NULL;
 }
 
+bool schema_is_name(const char *text, size_t max_bytes)
+{
+	return *text && strlen(text) <= max_bytes &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz"
+			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+			    "0123456789-_.") == strlen(text);
+}
+
+char *schema_name(struct schema *schema, const char *key, enum schema_need need,
+		  size_t max_bytes)
+{
+	char *name = schema_string(schema, key, need);
+
+	if (name && !schema_is_name(name, max_bytes))
+		schema_error(schema, key,
+			     "up to %zu letters, digits, '-', '_' and '.'",
+			     max_bytes);
+	return name;
+}
+
 char **schema_strings(struct schema *schema, const char *key,
 		      enum schema_need need)
 {
--- a/include/comfreydockctl/ctl.h
+++ b/include/comfreydockctl/ctl.h
@@ -64,6 +64,7 @@
 	long timeout_ms; /* 0: 5000 */
 	bool answered;
 	bool never_sent;
+	bool timed_out;
 	long status;
 	GString *text;
 };
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -46,6 +46,9 @@
 	char sha256[65];
 };
 
+/* RETURN VALUE: an empty array of struct config_version that owns its names. */
+GArray *config_versions_create(void);
+
 struct config_store *config_store_create(void);
 void config_store_destroy(struct config_store *store);
 
--- a/include/common/schema.h
+++ b/include/common/schema.h
@@ -49,6 +49,11 @@
 char *schema_string(struct schema *schema, const char *key,
 		    enum schema_need need);
 
+/* A string of up to max_bytes letters, digits, '-', '_' and '.'. */
+char *schema_name(struct schema *schema, const char *key, enum schema_need need,
+		  size_t max_bytes);
+bool schema_is_name(const char *text, size_t max_bytes);
+
 /* RETURN VALUE: a NULL-terminated copy, NULL where absent, empty or wrong. */
 char **schema_strings(struct schema *schema, const char *key,
 		      enum schema_need need);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -15,6 +15,8 @@
 	const char *apply; /* the answer; NULL breaks the connection off */
 	unsigned int apply_status;
 	const char *version; /* that /v1/config shows */
+	bool stops; /* at once; else the stop call is left waiting */
+	struct http_request *held;
 	char *target; /* of the last apply */
 	GString *output;
 	int exit_status;
@@ -57,6 +59,10 @@
 		reply(request, 200,
 		      "[{\"time\": 7000, \"name\": \"late\"},"
 		      "{\"time\": 5000, \"name\": \"early\"}]");
+	} else if (strcmp(path, "/v1/upstream/stop") == 0 && f->stops) {
+		reply(request, 200, "{\"state\": \"may stop\"}");
+	} else if (strcmp(path, "/v1/upstream/stop") == 0) {
+		f->held = request;
 	} else if (strcmp(path, "/v1/config/apply") == 0 && f->apply) {
 		g_free(f->target);
 		f->target = g_strdup(http_request_argument(request, "base"));
@@ -209,6 +215,18 @@
 	g_free(file);
 }
 
+/* A long download goes on; the upstream must not be ended under it. */
+static void test_drain_waits(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	run(f, "drain", "--wait", "--timeout=1", 6);
+	assert_output(f, "requests still run after 1 s");
+	reply(f->held, 503, "{}");
+	f->stops = true;
+	run(f, "drain", "--wait", "--timeout=1", 0);
+	assert_output(f, "may stop");
+}
+
 static void test_timeline_is_merged_by_time(struct fixture *f,
 					    gconstpointer unused)
 {
@@ -234,6 +252,7 @@
 	ADD("/ctl/outcomes", test_each_outcome_has_its_status);
 	ADD("/ctl/lost-daemon", test_lost_daemon_is_unknown);
 	ADD("/ctl/wait", test_wait_counts_daemons);
+	ADD("/ctl/drain", test_drain_waits);
 	ADD("/ctl/timeline", test_timeline_is_merged_by_time);
 	return g_test_run();
 }
--- a/tests/test_jsonc.c
+++ b/tests/test_jsonc.c
@@ -32,6 +32,9 @@
 		"{\"a\": [{\"x\": 1,\n\"x\": 2}]}",
 		"f:2: error: a[0].x: duplicate key, first given in line 1\n");
 	assert_findings("{\"a\": {\"x\": 1}, \"b\": {\"x\": 1}}", "");
+	assert_findings(
+		"{\"a\": 1, \"\\u0061\": 2}",
+		"f:1: error: \\u0061: keys are written without escapes\n");
 }
 
 static void test_syntax_is_strict_but_for_comments(void)
