decide: let the unknown count as a little room, and refuse less in bursts

Cause: with 500 entries each sees few reports; at 0.95 load the mean alone said that all is full, so that attempts queued while other upstreams were free. Change: where nothing is known, room is expected up to 1.5 times the limit. The burst of refusals for an entry is 10 in place of 50, the mean follows faster.

--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -5,12 +5,15 @@
 
 /* Refusals: so many for each request on average, and so many in a burst. */
 #define PICK_REFUSAL_SHARE 0.5
-#define PICK_REFUSAL_BURST 50.0
+#define PICK_REFUSAL_BURST 10.0
 /* A report fades with the work it told of: within so many typical latencies,
  * but in no less and no more than these times. */
 #define PICK_AGE_LATENCIES 1.0
 #define PICK_AGE_MIN_US 1000.0
 #define PICK_AGE_MAX_US 1000000.0
+/* Where nothing is known, room is expected while the mean work is below so many
+ * times the limit: some upstreams are free while the mean is a little full. */
+#define PICK_ROOM_UNKNOWN 1.5
 /* What is known of an upstream's speed fades in this time, so that one which
  * is avoided for being slow is tried again. */
 #define PICK_LATENCY_AGE_US 10e6
@@ -18,7 +21,7 @@
 #define PICK_SPEED_MIN 0.5
 #define PICK_SPEED_MAX 20.0
 /* Weight of one report in the mean. */
-#define PICK_MEAN_ALPHA 0.02
+#define PICK_MEAN_ALPHA 0.05
 #define PICK_WARM_MIN 0.05
 #define PICK_DEFAULT_LIMIT 8.0
 
@@ -125,16 +128,25 @@
 	return limit_of(candidate) * MAX(candidate->warm, PICK_WARM_MIN);
 }
 
+/* How much of the last report still holds: 1 at its arrival, 0 long after. */
+static double kept_of_report(const struct pick_set *set,
+			     const struct pick_candidate *candidate,
+			     int64_t now_us)
+{
+	double age = (double)(now_us - candidate->load_at_us);
+	double memory = CLAMP(PICK_AGE_LATENCIES * set->typical_latency_us,
+			      PICK_AGE_MIN_US, PICK_AGE_MAX_US);
+
+	return candidate->load_known ? exp(-age / memory) : 0;
+}
+
 /* The work at the upstream, without the attempt to be placed. */
 static double estimate_work(const struct pick_set *set,
 			    const struct pick_candidate *candidate,
 			    int64_t now_us)
 {
 	double prior = set->mean_utilisation * capacity_of(candidate);
-	double age = (double)(now_us - candidate->load_at_us);
-	double memory = CLAMP(PICK_AGE_LATENCIES * set->typical_latency_us,
-			      PICK_AGE_MIN_US, PICK_AGE_MAX_US);
-	double kept = candidate->load_known ? exp(-age / memory) : 0;
+	double kept = kept_of_report(set, candidate, now_us);
 
 	return candidate->outstanding + kept * candidate->others +
 	       (1 - kept) * prior;
@@ -150,7 +162,11 @@
 static bool has_room(const struct pick_set *set,
 		     const struct pick_candidate *candidate, int64_t now_us)
 {
-	return estimate_work(set, candidate, now_us) < capacity_of(candidate);
+	double kept = kept_of_report(set, candidate, now_us);
+	double room = kept + (1 - kept) * PICK_ROOM_UNKNOWN;
+
+	return estimate_work(set, candidate, now_us) <
+	       room * capacity_of(candidate);
 }
 
 bool pick_may_queue(const struct pick_set *set,
