--- /dev/null
+++ b/comfreydockd/member/swim.c
@@ -0,0 +1,442 @@
+#include <string.h>
+
+#include "swim_internal.h"
+
+#define FREEZE_HEALTH 4 /* doubt after a stop: later probes, longer waits */
+#define WHOLE_AGAIN_US (60 * US_PER_S) /* between passes after a merge */
+#define US_PER_S ((int64_t)1000000)
+
+/* splitmix64; enough to choose whom to talk to. */
+uint32_t swim_random_below(struct swim *swim, uint32_t limit)
+{
+	uint64_t z = (swim->random += 0x9e3779b97f4a7c15ULL);
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	z ^= z >> 31;
+	return limit ? (uint32_t)((z >> 32) * limit >> 32) : 0;
+}
+
+struct member *swim_pick(struct swim *swim, const char *except)
+{
+	const int tries = 16;
+
+	for (int i = 0; i < tries && swim->order->len > 0; i++) {
+		struct swim_node *node = g_ptr_array_index(
+			swim->order, swim_random_below(swim, swim->order->len));
+		struct member *member = node->member;
+
+		if (member->state <= MEMBER_SUSPECT &&
+		    (!except || strcmp(member->host, except) != 0))
+			return member;
+	}
+	return NULL;
+}
+
+const struct member *swim_self(const struct swim *swim)
+{
+	return swim->self;
+}
+
+bool swim_has_peers(const struct swim *swim)
+{
+	return swim->live_count > 0;
+}
+
+static struct swim_node *node_add(struct swim *swim, struct member *member)
+{
+	struct swim_node *node = g_new0(struct swim_node, 1);
+	guint other;
+
+	node->member = member;
+	member->swim_data = node;
+	if (strcmp(member->host, swim->self->host) == 0)
+		return node;
+	/* At a random place of this round's rest, so that a newcomer is not
+	 * probed by all others at the same end of their lists. */
+	g_ptr_array_add(swim->order, node);
+	swim->probe_cursor = MIN(swim->probe_cursor, swim->order->len - 1);
+	other = swim->probe_cursor +
+		swim_random_below(swim, swim->order->len - swim->probe_cursor);
+	swim->order->pdata[swim->order->len - 1] = swim->order->pdata[other];
+	swim->order->pdata[other] = node;
+	return node;
+}
+
+static void node_count(struct swim *swim, struct swim_node *node,
+		       enum member_state state)
+{
+	bool is_dead = state == MEMBER_DEAD;
+	bool is_live = state <= MEMBER_SUSPECT && node->member != swim->self;
+
+	swim->dead_count += is_dead - node->is_dead;
+	swim->live_count += is_live - node->is_live;
+	node->is_dead = is_dead;
+	node->is_live = is_live;
+}
+
+static void swim_handle_changed(struct member *member, void *data)
+{
+	struct swim *swim = data;
+	struct swim_node *node = member->swim_data;
+
+	if (!swim->self)
+		swim->self = member;
+	if (!node)
+		node = node_add(swim, member);
+	node_count(swim, node, member->state);
+	if (member->state != MEMBER_SUSPECT)
+		swim_suspect_stop(swim, node);
+	else if (!node->is_suspect ||
+		 node->suspected_incarnation != member->incarnation)
+		swim_suspect_start(swim, node);
+	if (!swim->is_quiet)
+		swim_rumour_queue(swim, node);
+}
+
+static void swim_handle_removed(struct member *member, void *data)
+{
+	struct swim *swim = data;
+	struct swim_node *node = member->swim_data;
+
+	if (!node)
+		return;
+	node_count(swim, node, MEMBER_LEFT);
+	swim_suspect_stop(swim, node);
+	swim_rumour_drop(swim, node);
+	g_ptr_array_remove_fast(swim->order, node);
+	member->swim_data = NULL;
+	g_free(node);
+}
+
+struct swim *swim_create(const struct swim_options *options, int64_t now_us)
+{
+	struct swim *swim = g_new0(struct swim, 1);
+	struct member_observer observer = {.handle_changed = swim_handle_changed,
+					   .handle_removed = swim_handle_removed,
+					   .data = swim};
+
+	swim->table = options->table;
+	swim->ops = options->ops;
+	swim->random = options->seed;
+	swim->now_us = now_us;
+	swim->ticked_at_us = now_us;
+	swim->order = g_ptr_array_new();
+	TAILQ_INIT(&swim->urgent);
+	TAILQ_INIT(&swim->rumours);
+	TAILQ_INIT(&swim->suspects);
+	swim->seq = (uint64_t)swim_random_below(swim, UINT32_MAX) << 24;
+	swim->budget_bytes = SWIM_BYTES_PER_S;
+	swim->page_budget_bytes = SWIM_PAGE_BYTES_PER_S;
+	swim->next_probe_us = now_us + swim_random_below(swim, SWIM_PERIOD_US);
+	swim->next_push_us = now_us + swim_random_below(swim, SWIM_PUSH_US);
+	swim->next_sync_us = now_us + swim_random_below(swim, SWIM_PERIOD_US);
+	member_table_observe(swim->table, &observer);
+	member_table_update(swim->table, options->self, now_us);
+	return swim;
+}
+
+void swim_destroy(struct swim *swim)
+{
+	struct member *member;
+
+	if (!swim)
+		return;
+	member_table_unobserve(swim->table, swim);
+	TAILQ_FOREACH (member, member_table_all(swim->table), link) {
+		g_free(member->swim_data);
+		member->swim_data = NULL;
+	}
+	g_ptr_array_unref(swim->order);
+	g_free(swim);
+}
+
+void swim_set_state(struct swim *swim, struct member *member,
+		    enum member_state state, uint32_t by)
+{
+	struct member record = *member;
+
+	record.state = state;
+	swim->suspected_by = by;
+	member_table_update(swim->table, &record, swim->now_us);
+}
+
+/* Takes this daemon's record to a higher incarnation than any that others may
+ * have heard of. */
+static void self_raise(struct swim *swim, struct member *record, uint64_t above)
+{
+	record->incarnation = MAX(above, swim->self->incarnation) + 1;
+	swim->suspected_by = 0;
+	member_table_update(swim->table, record, swim->now_us);
+}
+
+/* Others hold this daemon for suspect or dead, or know a record from an
+ * earlier start whose incarnation was higher. */
+static void hear_of_self(struct swim *swim, const struct member *heard)
+{
+	struct member record = *swim->self;
+
+	if (swim->has_left || heard->incarnation < record.incarnation ||
+	    (heard->incarnation == record.incarnation &&
+	     heard->state == MEMBER_ALIVE))
+		return;
+	if (heard->state != MEMBER_ALIVE && swim->health < SWIM_HEALTH_MAX)
+		swim->health++;
+	self_raise(swim, &record, heard->incarnation);
+	if (swim->ops->handle_refuted)
+		swim->ops->handle_refuted(heard->state, swim->self->incarnation,
+					  swim->ops->data);
+}
+
+static void hear_of_other(struct swim *swim, const struct member *heard,
+			  uint32_t suspected_by)
+{
+	struct member *known = member_table_find(swim->table, heard->host);
+	struct swim_node *node = known ? known->swim_data : NULL;
+
+	/* There is nothing to end, and forgotten dead would never go away if
+	 * daemons told each other of them anew. */
+	if (!known && heard->state >= MEMBER_DEAD)
+		return;
+	swim->suspected_by = suspected_by;
+	if (!member_table_update(swim->table, heard, swim->now_us) && node &&
+	    node->is_suspect && heard->state == MEMBER_SUSPECT &&
+	    heard->incarnation == known->incarnation)
+		swim_suspect_confirm(swim, node, suspected_by);
+}
+
+/* Whether the sender holds a member for suspect or dead that has refuted it
+ * since. */
+static bool heard_is_stale(const struct member *known, const struct member *heard)
+{
+	return known && heard->incarnation < known->incarnation &&
+	       (heard->state == MEMBER_SUSPECT || heard->state == MEMBER_DEAD);
+}
+
+static bool take_records(struct swim *swim, const Cfd__Gossip *message,
+			 const struct swim_endpoint *from)
+{
+	struct swim_packet correction;
+	struct member record;
+	struct member *known;
+
+	for (size_t i = 0; i < message->n_records; i++) {
+		if (!swim_record_decode(message->records[i], swim->now_us,
+					&record))
+			return false;
+	}
+	swim->is_quiet = message->kind == CFD__GOSSIP_KIND__GOSSIP_SYNC_REPLY;
+	swim_packet_init(swim, &correction, CFD__GOSSIP_KIND__GOSSIP_PUSH, 0);
+	for (size_t i = 0; i < message->n_records; i++) {
+		const Cfd__MemberRecord *packed = message->records[i];
+		char **groups = g_new0(char *, packed->n_groups + 1);
+
+		swim_record_decode(packed, swim->now_us, &record);
+		for (size_t j = 0; j < packed->n_groups; j++)
+			groups[j] = packed->groups[j];
+		record.groups = groups;
+		if (strcmp(record.host, swim->self->host) == 0)
+			hear_of_self(swim, &record);
+		else
+			hear_of_other(swim, &record, packed->suspected_by);
+		g_free(groups);
+		known = member_table_find(swim->table, record.host);
+		if (heard_is_stale(known, &record))
+			swim_packet_add(swim, &correction, known);
+	}
+	swim->is_quiet = false;
+	if (correction.message.n_records > 0 && swim->budget_bytes > 0)
+		swim_packet_send(swim, &correction, from->address, from->port);
+	return true;
+}
+
+/* A stranger pings: others know this daemon from before its restart, while it
+ * knows none of them and its seeds may be down. */
+static void meet_stranger(struct swim *swim, const struct swim_endpoint *from)
+{
+	if (swim->now_us < swim->next_meet_us)
+		return;
+	swim->next_meet_us = swim->now_us + SWIM_PUSH_US;
+	swim_seed_ping(swim, from);
+}
+
+/* A first peer, or one that was held for dead and answers, may know much that
+ * this daemon missed. */
+static void meet(struct swim *swim, const struct swim_endpoint *from,
+		 bool was_dead)
+{
+	bool is_due = !swim->sync.was_whole ||
+		      (was_dead &&
+		       swim->now_us - swim->sync.whole_at_us > WHOLE_AGAIN_US);
+
+	if (is_due && swim_has_peers(swim))
+		swim_sync_start_whole(swim, from);
+}
+
+static void dispatch(struct swim *swim, const Cfd__Gossip *message,
+		     const struct swim_endpoint *from, bool was_dead)
+{
+	switch (message->kind) {
+	case CFD__GOSSIP_KIND__GOSSIP_PING:
+		swim_probe_handle_ping(swim, message, from);
+		break;
+	case CFD__GOSSIP_KIND__GOSSIP_ACK:
+		swim_probe_handle_ack(swim, message);
+		meet(swim, from, was_dead);
+		break;
+	case CFD__GOSSIP_KIND__GOSSIP_NACK:
+		swim_probe_handle_nack(swim, message);
+		break;
+	case CFD__GOSSIP_KIND__GOSSIP_PING_REQ:
+		swim_probe_handle_ping_req(swim, message, from);
+		break;
+	case CFD__GOSSIP_KIND__GOSSIP_SYNC:
+		swim_sync_handle_request(swim, message, from);
+		break;
+	case CFD__GOSSIP_KIND__GOSSIP_SYNC_REPLY:
+		swim_sync_handle_reply(swim, message, from);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool handle_message(struct swim *swim, const Cfd__Gossip *message,
+			   const struct swim_endpoint *from)
+{
+	struct member *sender = member_table_find(swim->table, message->from);
+	bool was_dead = sender && sender->state == MEMBER_DEAD;
+
+	if (strcmp(message->from, swim->self->host) == 0)
+		return true; /* a seed that is this daemon's own address */
+	if (!take_records(swim, message, from))
+		return false;
+	if (message->config_head != swim->config_head &&
+	    swim->ops->handle_config_head)
+		swim->ops->handle_config_head(
+			message->from, message->config_head, swim->ops->data);
+	dispatch(swim, message, from, was_dead);
+	if (!member_table_find(swim->table, message->from))
+		meet_stranger(swim, from);
+	return true;
+}
+
+bool swim_receive(struct swim *swim, const char *address, uint16_t port,
+		  const uint8_t *body, size_t size, int64_t now_us)
+{
+	Cfd__Gossip *message = cfd__gossip__unpack(NULL, size, body);
+	struct swim_endpoint from = {.port = port};
+	bool is_valid;
+
+	if (!message)
+		return false;
+	swim->now_us = MAX(swim->now_us, now_us);
+	g_strlcpy(from.address, address, sizeof(from.address));
+	is_valid = message->from[0] && strlen(message->from) < MEMBER_HOST_MAX &&
+		   strlen(message->target) < MEMBER_HOST_MAX &&
+		   handle_message(swim, message, &from);
+	cfd__gossip__free_unpacked(message, NULL);
+	return is_valid;
+}
+
+/*
+ * After a stop (SIGSTOP, a paused virtual machine) every answer is overdue, and
+ * to take that for the others' silence would declare all of them dead. What
+ * was under way counts for nothing, and suspicions begin anew.
+ */
+static void swim_thaw(struct swim *swim, int64_t gap_us)
+{
+	swim->probe.is_active = false;
+	memset(swim->relays, 0, sizeof(swim->relays));
+	swim->health = MAX(swim->health, FREEZE_HEALTH);
+	swim->next_probe_us =
+		swim->now_us + swim_random_below(swim, SWIM_PERIOD_US);
+	swim_suspect_restart_all(swim);
+	if (swim->ops->handle_freeze)
+		swim->ops->handle_freeze(gap_us, swim->ops->data);
+}
+
+static int64_t budget_refill(int64_t budget, int64_t per_s, int64_t gap_us)
+{
+	gap_us = MIN(gap_us, US_PER_S);
+	return MIN(budget + per_s * gap_us / US_PER_S, per_s);
+}
+
+void swim_tick(struct swim *swim, int64_t now_us)
+{
+	int64_t gap_us = now_us - swim->ticked_at_us;
+
+	swim->now_us = MAX(swim->now_us, now_us);
+	swim->ticked_at_us = now_us;
+	swim->budget_bytes =
+		budget_refill(swim->budget_bytes, SWIM_BYTES_PER_S, gap_us);
+	swim->page_budget_bytes = budget_refill(swim->page_budget_bytes,
+						SWIM_PAGE_BYTES_PER_S, gap_us);
+	if (gap_us > SWIM_FREEZE_US)
+		swim_thaw(swim, gap_us);
+	swim_rumour_tick(swim);
+	if (swim->has_left)
+		return;
+	swim_probe_tick(swim);
+	swim_suspect_tick(swim);
+	swim_sync_tick(swim);
+	swim_sweep_tick(swim);
+}
+
+void swim_join(struct swim *swim, const char *address, uint16_t port,
+	       int64_t now_us)
+{
+	struct swim_endpoint seed = {.port = port};
+
+	if (!swim_endpoint_is_valid(address, port))
+		return;
+	swim->now_us = MAX(swim->now_us, now_us);
+	g_strlcpy(seed.address, address, sizeof(seed.address));
+	for (unsigned int i = 0; i < swim->seed_count; i++) {
+		if (swim->seeds[i].port == port &&
+		    strcmp(swim->seeds[i].address, address) == 0)
+			return;
+	}
+	if (swim->seed_count < SWIM_SEEDS_MAX)
+		swim->seeds[swim->seed_count++] = seed;
+	else
+		swim->seeds[swim_random_below(swim, SWIM_SEEDS_MAX)] = seed;
+	swim_seed_ping(swim, &seed);
+}
+
+bool swim_announce(struct swim *swim, enum member_service_state state,
+		   char **groups, uint32_t slots, uint32_t warm_ms,
+		   int64_t now_us)
+{
+	struct member record = *swim->self;
+
+	swim->now_us = MAX(swim->now_us, now_us);
+	record.service_state = state;
+	record.groups = groups;
+	record.slots = slots;
+	record.warm_ms = warm_ms;
+	record.up_since_us = swim->now_us;
+	if (!swim_record_fits(swim, &record))
+		return false;
+	self_raise(swim, &record, 0);
+	return true;
+}
+
+void swim_leave(struct swim *swim, int64_t now_us)
+{
+	struct member record = *swim->self;
+
+	swim->now_us = MAX(swim->now_us, now_us);
+	swim->has_left = true;
+	record.state = MEMBER_LEFT;
+	self_raise(swim, &record, 0);
+	swim_rumour_farewell(swim);
+}
+
+void swim_set_config_head(struct swim *swim, uint64_t head)
+{
+	if (head == swim->config_head)
+		return;
+	swim->config_head = head;
+	swim->head_transmits = swim_rumour_limit(swim);
+}
--- /dev/null
+++ b/comfreydockd/member/swim_internal.h
@@ -0,0 +1,179 @@
+/*
+ * NAME
+ *	swim_internal - what the parts of swim share
+ */
+#ifndef COMFREYDOCKD_MEMBER_SWIM_INTERNAL_H
+#define COMFREYDOCKD_MEMBER_SWIM_INTERNAL_H
+
+#include "comfreydockd/member/swim.h"
+#include "proto/gossip.pb-c.h"
+
+#define SWIM_SEEDS_MAX 64
+#define SWIM_RELAYS_MAX 32
+#define SWIM_RECORDS_MAX 40
+#define SWIM_DIGESTS 64 /* in one sync request */
+
+/* swim's part of a member. */
+struct swim_node {
+	TAILQ_ENTRY(swim_node) rumour_link;
+	TAILQ_ENTRY(swim_node) suspect_link;
+	struct member *member;
+	int64_t suspected_at_us;
+	int64_t dead_at_us;
+	uint64_t suspected_incarnation;
+	uint32_t confirmers[SWIM_CONFIRMERS + 1];
+	uint8_t confirmer_count;
+	uint8_t transmits;
+	uint8_t last_pings;
+	bool is_rumour;
+	bool is_urgent;
+	bool is_suspect;
+	bool is_dead;
+	bool is_live; /* alive or suspect, and another */
+};
+
+TAILQ_HEAD(swim_node_list, swim_node);
+
+struct swim_endpoint {
+	char address[MEMBER_ADDRESS_MAX];
+	uint16_t port;
+};
+
+struct swim_probe {
+	bool is_active;
+	bool is_acked;
+	bool is_indirect;
+	char host[MEMBER_HOST_MAX];
+	uint64_t seq;
+	int64_t sent_at_us;
+	unsigned int nacks_expected;
+	unsigned int nacks;
+};
+
+/* A ping sent for another. */
+struct swim_relay {
+	uint64_t seq; /* 0: free */
+	uint64_t for_seq;
+	struct swim_endpoint for_whom;
+	int64_t nack_at_us;
+};
+
+struct swim_sync {
+	bool is_whole; /* a full pass, as fast as pages may come */
+	bool was_whole; /* one has ended */
+	struct swim_endpoint peer;
+	unsigned int next_bucket;
+	int64_t asked_at_us;
+	int64_t heard_at_us;
+	int64_t whole_at_us; /* when the last full pass began */
+	unsigned int asked_bucket;
+	bool is_waiting; /* the last of the replies has not come */
+};
+
+struct swim {
+	struct member_table *table;
+	struct member *self;
+	const struct swim_ops *ops;
+	uint64_t random;
+	uint64_t seq;
+	uint64_t config_head;
+	unsigned int head_transmits;
+	int64_t now_us;
+	int64_t ticked_at_us;
+	unsigned int health; /* 0: this daemon trusts itself */
+	int64_t budget_bytes;
+	int64_t page_budget_bytes;
+	GPtrArray *order; /* nodes of all others, shuffled */
+	guint probe_cursor;
+	guint sweep_cursor;
+	unsigned int dead_count;
+	unsigned int live_count;
+	bool is_reprobe_due;
+	struct swim_node_list urgent;
+	struct swim_node_list rumours;
+	struct swim_node_list suspects;
+	struct swim_probe probe;
+	struct swim_relay relays[SWIM_RELAYS_MAX];
+	unsigned int next_relay;
+	struct swim_sync sync;
+	struct swim_endpoint seeds[SWIM_SEEDS_MAX];
+	unsigned int seed_count;
+	int64_t next_probe_us;
+	int64_t next_push_us;
+	int64_t next_sync_us;
+	int64_t next_reprobe_us;
+	int64_t next_seed_us;
+	int64_t next_meet_us;
+	/* While a record is taken in. */
+	bool is_quiet; /* from a page: not to be spread again */
+	uint32_t suspected_by;
+	bool has_left;
+};
+
+/* A message under construction. */
+struct swim_packet {
+	Cfd__Gossip message;
+	Cfd__MemberRecord records[SWIM_RECORDS_MAX];
+	Cfd__MemberRecord *pointers[SWIM_RECORDS_MAX];
+	size_t size;
+};
+
+/* swim.c */
+uint32_t swim_random_below(struct swim *swim, uint32_t limit);
+/* A random member that may be alive, not the one named (or NULL). */
+struct member *swim_pick(struct swim *swim, const char *except);
+void swim_set_state(struct swim *swim, struct member *member,
+		    enum member_state state, uint32_t by);
+
+/* swim_message.c */
+void swim_packet_init(struct swim *swim, struct swim_packet *packet,
+		      Cfd__GossipKind kind, uint64_t seq);
+bool swim_packet_add(struct swim *swim, struct swim_packet *packet,
+		     struct member *member);
+void swim_packet_send(struct swim *swim, struct swim_packet *packet,
+		      const char *address, uint16_t port);
+bool swim_record_fits(struct swim *swim, struct member *member);
+/* RETURN VALUE: false if a field is out of its bounds. */
+bool swim_record_decode(const Cfd__MemberRecord *record, int64_t now_us,
+			struct member *member);
+bool swim_endpoint_is_valid(const char *address, uint32_t port);
+uint32_t swim_host_hash(const char *host);
+
+/* swim_rumour.c */
+void swim_rumour_queue(struct swim *swim, struct swim_node *node);
+void swim_rumour_drop(struct swim *swim, struct swim_node *node);
+void swim_rumour_fill(struct swim *swim, struct swim_packet *packet);
+void swim_rumour_tick(struct swim *swim);
+void swim_rumour_farewell(struct swim *swim);
+/* How often each daemon sends a change. */
+unsigned int swim_rumour_limit(const struct swim *swim);
+
+/* swim_probe.c */
+void swim_probe_tick(struct swim *swim);
+void swim_probe_ping(struct swim *swim, struct member *target, uint64_t seq);
+void swim_probe_handle_ping(struct swim *swim, const Cfd__Gossip *message,
+			    const struct swim_endpoint *from);
+void swim_probe_handle_ping_req(struct swim *swim, const Cfd__Gossip *message,
+				const struct swim_endpoint *from);
+void swim_probe_handle_ack(struct swim *swim, const Cfd__Gossip *message);
+void swim_probe_handle_nack(struct swim *swim, const Cfd__Gossip *message);
+
+/* swim_suspect.c */
+void swim_suspect_start(struct swim *swim, struct swim_node *node);
+void swim_suspect_stop(struct swim *swim, struct swim_node *node);
+void swim_suspect_confirm(struct swim *swim, struct swim_node *node, uint32_t by);
+void swim_suspect_tick(struct swim *swim);
+/* This process was stopped: all suspicions begin anew. */
+void swim_suspect_restart_all(struct swim *swim);
+
+/* swim_sync.c */
+void swim_sync_tick(struct swim *swim);
+void swim_sync_start_whole(struct swim *swim, const struct swim_endpoint *peer);
+void swim_sync_handle_request(struct swim *swim, const Cfd__Gossip *message,
+			      const struct swim_endpoint *from);
+void swim_sync_handle_reply(struct swim *swim, const Cfd__Gossip *message,
+			    const struct swim_endpoint *from);
+void swim_seed_ping(struct swim *swim, const struct swim_endpoint *seed);
+void swim_sweep_tick(struct swim *swim);
+
+#endif
--- /dev/null
+++ b/comfreydockd/member/swim_message.c
@@ -0,0 +1,156 @@
+#include <arpa/inet.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "swim_internal.h"
+
+#define RECORD_OVERHEAD 3 /* tag and length of a record in the message */
+#define DATAGRAM_OVERHEAD 58 /* envelope, UDP and IP headers */
+
+uint32_t swim_host_hash(const char *host)
+{
+	return XXH32(host, strlen(host), 0);
+}
+
+void swim_packet_init(struct swim *swim, struct swim_packet *packet,
+		      Cfd__GossipKind kind, uint64_t seq)
+{
+	cfd__gossip__init(&packet->message);
+	packet->message.kind = kind;
+	packet->message.seq = seq;
+	packet->message.from = swim->self->host;
+	packet->message.config_head = swim->config_head;
+	packet->message.records = packet->pointers;
+	packet->size = 0;
+}
+
+static uint32_t up_ms(const struct swim *swim, const struct member *member)
+{
+	int64_t ms = (swim->now_us - member->up_since_us) / 1000;
+
+	if (member->service_state != MEMBER_SERVICE_UP)
+		return 0;
+	return CLAMP(ms, 0, (int64_t)UINT32_MAX);
+}
+
+static void record_encode(struct swim *swim, struct member *member,
+			  Cfd__MemberRecord *record)
+{
+	struct swim_node *node = member->swim_data;
+
+	cfd__member_record__init(record);
+	record->host = member->host;
+	record->incarnation = member->incarnation;
+	record->address = member->address;
+	record->peer_port = member->peer_port;
+	record->admin_port = member->admin_port;
+	record->domain = (char *)member->domain;
+	record->region = (char *)member->region;
+	record->state = member->state;
+	record->service_state = member->service_state;
+	record->groups = member->groups;
+	record->n_groups = member->groups ? g_strv_length(member->groups) : 0;
+	record->slots = member->slots;
+	record->warm_ms = member->warm_ms;
+	record->up_ms = up_ms(swim, member);
+	if (node && node->is_suspect && node->confirmer_count > 0)
+		record->suspected_by =
+			node->confirmers[node->confirmer_count - 1];
+}
+
+bool swim_record_fits(struct swim *swim, struct member *member)
+{
+	Cfd__MemberRecord record;
+
+	record_encode(swim, member, &record);
+	return cfd__member_record__get_packed_size(&record) <= SWIM_RECORD_MAX;
+}
+
+bool swim_packet_add(struct swim *swim, struct swim_packet *packet,
+		     struct member *member)
+{
+	size_t count = packet->message.n_records;
+	Cfd__MemberRecord *record = &packet->records[count];
+	size_t size;
+
+	if (count == SWIM_RECORDS_MAX)
+		return false;
+	if (packet->size == 0)
+		packet->size = cfd__gossip__get_packed_size(&packet->message);
+	record_encode(swim, member, record);
+	size = cfd__member_record__get_packed_size(record) + RECORD_OVERHEAD;
+	if (packet->size + size > SWIM_BODY_MAX)
+		return false;
+	packet->size += size;
+	packet->pointers[count] = record;
+	packet->message.n_records++;
+	return true;
+}
+
+void swim_packet_send(struct swim *swim, struct swim_packet *packet,
+		      const char *address, uint16_t port)
+{
+	uint8_t body[SWIM_BODY_MAX];
+	size_t size = cfd__gossip__get_packed_size(&packet->message);
+	int64_t cost = (int64_t)size + DATAGRAM_OVERHEAD;
+
+	g_assert(size <= sizeof(body));
+	cfd__gossip__pack(&packet->message, body);
+	if (packet->message.kind == CFD__GOSSIP_KIND__GOSSIP_SYNC_REPLY ||
+	    (packet->message.kind == CFD__GOSSIP_KIND__GOSSIP_SYNC &&
+	     swim->sync.is_whole))
+		swim->page_budget_bytes -= cost;
+	else
+		swim->budget_bytes -= cost;
+	swim->ops->send(address, port, body, size, swim->ops->data);
+}
+
+bool swim_endpoint_is_valid(const char *address, uint32_t port)
+{
+	struct in6_addr binary;
+
+	if (port == 0 || port > UINT16_MAX)
+		return false;
+	return inet_pton(AF_INET, address, &binary) == 1 ||
+	       inet_pton(AF_INET6, address, &binary) == 1;
+}
+
+static bool record_is_valid(const Cfd__MemberRecord *record)
+{
+	size_t host = strlen(record->host);
+
+	for (size_t i = 0; i < record->n_groups; i++) {
+		if (strlen(record->groups[i]) >= MEMBER_DOMAIN_MAX)
+			return false;
+	}
+	return host > 0 && host < MEMBER_HOST_MAX &&
+	       swim_endpoint_is_valid(record->address, record->peer_port) &&
+	       record->admin_port <= UINT16_MAX &&
+	       strlen(record->domain) < MEMBER_DOMAIN_MAX &&
+	       strlen(record->region) < MEMBER_DOMAIN_MAX &&
+	       record->state <= MEMBER_LEFT &&
+	       record->service_state <= MEMBER_SERVICE_DRAINING &&
+	       record->incarnation < UINT64_MAX;
+}
+
+bool swim_record_decode(const Cfd__MemberRecord *record, int64_t now_us,
+			struct member *member)
+{
+	if (!record_is_valid(record))
+		return false;
+	*member = (struct member){
+		.incarnation = record->incarnation,
+		.peer_port = record->peer_port,
+		.admin_port = record->admin_port,
+		.domain = record->domain,
+		.region = record->region,
+		.state = record->state,
+		.service_state = record->service_state,
+		.slots = record->slots,
+		.warm_ms = record->warm_ms,
+		.up_since_us = now_us - (int64_t)record->up_ms * 1000,
+	};
+	g_strlcpy(member->host, record->host, sizeof(member->host));
+	g_strlcpy(member->address, record->address, sizeof(member->address));
+	return true;
+}
--- /dev/null
+++ b/comfreydockd/member/swim_probe.c
@@ -0,0 +1,222 @@
+#include <string.h>
+
+#include "swim_internal.h"
+
+static void health_add(struct swim *swim, int change)
+{
+	int health = (int)swim->health + change;
+
+	swim->health = CLAMP(health, 0, SWIM_HEALTH_MAX);
+}
+
+void swim_probe_ping(struct swim *swim, struct member *target, uint64_t seq)
+{
+	struct swim_packet packet;
+
+	swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_PING, seq);
+	packet.message.target = target->host;
+	/* Whoever is suspected must hear of it first of all, to refute it;
+	 * it may in turn hold this daemon for dead. */
+	if (target->state != MEMBER_ALIVE) {
+		swim_packet_add(swim, &packet, target);
+		swim_packet_add(swim, &packet, swim->self);
+	}
+	swim_rumour_fill(swim, &packet);
+	swim_packet_send(swim, &packet, target->address, target->peer_port);
+}
+
+static struct member *probe_next_target(struct swim *swim)
+{
+	for (guint i = 0; i < swim->order->len; i++) {
+		struct swim_node *node;
+
+		if (swim->probe_cursor >= swim->order->len) {
+			swim->probe_cursor = 0;
+			for (guint j = swim->order->len - 1; j > 0; j--) {
+				guint other = swim_random_below(swim, j + 1);
+				gpointer *slots = swim->order->pdata;
+				gpointer moved = slots[j];
+
+				slots[j] = slots[other];
+				slots[other] = moved;
+			}
+		}
+		node = g_ptr_array_index(swim->order, swim->probe_cursor++);
+		if (node->member->state <= MEMBER_SUSPECT)
+			return node->member;
+	}
+	return NULL;
+}
+
+static void probe_start(struct swim *swim)
+{
+	struct swim_probe *probe = &swim->probe;
+	struct member *target = probe_next_target(swim);
+
+	swim->next_probe_us =
+		swim->now_us + SWIM_PERIOD_US * (int64_t)(swim->health + 1);
+	if (!target)
+		return;
+	*probe = (struct swim_probe){.is_active = true,
+				     .seq = ++swim->seq,
+				     .sent_at_us = swim->now_us};
+	g_strlcpy(probe->host, target->host, sizeof(probe->host));
+	swim_probe_ping(swim, target, probe->seq);
+}
+
+static void probe_ask_others(struct swim *swim)
+{
+	struct member *target = member_table_find(swim->table, swim->probe.host);
+	struct swim_packet packet;
+
+	swim->probe.is_indirect = true;
+	if (!target)
+		return;
+	for (int i = 0; i < SWIM_MEDIATORS; i++) {
+		struct member *mediator = swim_pick(swim, target->host);
+
+		if (!mediator)
+			return;
+		swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_PING_REQ,
+				 swim->probe.seq);
+		packet.message.target = target->host;
+		packet.message.target_address = target->address;
+		packet.message.target_port = target->peer_port;
+		swim_rumour_fill(swim, &packet);
+		swim_packet_send(swim, &packet, mediator->address,
+				 mediator->peer_port);
+		swim->probe.nacks_expected++;
+	}
+}
+
+static void probe_fail(struct swim *swim)
+{
+	struct swim_probe *probe = &swim->probe;
+	struct member *target = member_table_find(swim->table, probe->host);
+	struct swim_node *node = target ? target->swim_data : NULL;
+	uint32_t by = swim_host_hash(swim->self->host);
+
+	probe->is_active = false;
+	/* Mediators that don't even say "no answer" speak against this
+	 * daemon's own line rather than against the target. */
+	if (probe->nacks_expected == 0)
+		health_add(swim, 1);
+	else if (probe->nacks < probe->nacks_expected)
+		health_add(swim, (int)(probe->nacks_expected - probe->nacks));
+	if (!node)
+		return;
+	if (target->state == MEMBER_ALIVE)
+		swim_set_state(swim, target, MEMBER_SUSPECT, by);
+	else if (node->is_suspect)
+		swim_suspect_confirm(swim, node, by);
+}
+
+static void relays_tick(struct swim *swim)
+{
+	struct swim_packet packet;
+
+	for (int i = 0; i < SWIM_RELAYS_MAX; i++) {
+		struct swim_relay *relay = &swim->relays[i];
+
+		if (relay->seq == 0 || swim->now_us < relay->nack_at_us)
+			continue;
+		swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_NACK,
+				 relay->for_seq);
+		swim_packet_send(swim, &packet, relay->for_whom.address,
+				 relay->for_whom.port);
+		relay->seq = 0;
+	}
+}
+
+void swim_probe_tick(struct swim *swim)
+{
+	struct swim_probe *probe = &swim->probe;
+	int64_t timeout_us = SWIM_PING_TIMEOUT_US * (int64_t)(swim->health + 1);
+
+	relays_tick(swim);
+	if (probe->is_active && !probe->is_acked && !probe->is_indirect &&
+	    swim->now_us >= probe->sent_at_us + timeout_us)
+		probe_ask_others(swim);
+	if (swim->now_us < swim->next_probe_us)
+		return;
+	if (probe->is_active && !probe->is_acked)
+		probe_fail(swim);
+	probe_start(swim);
+}
+
+void swim_probe_handle_ping(struct swim *swim, const Cfd__Gossip *message,
+			    const struct swim_endpoint *from)
+{
+	struct member *sender = member_table_find(swim->table, message->from);
+	bool for_anybody = message->target[0] == '\0';
+	struct swim_packet packet;
+
+	/* An address may have passed to another host since. */
+	if (!for_anybody && strcmp(message->target, swim->self->host) != 0)
+		return;
+	swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_ACK,
+			 message->seq);
+	if (sender && sender->state != MEMBER_ALIVE)
+		swim_packet_add(swim, &packet, sender);
+	if (for_anybody)
+		swim_packet_add(swim, &packet, swim->self);
+	swim_rumour_fill(swim, &packet);
+	swim_packet_send(swim, &packet, from->address, from->port);
+}
+
+void swim_probe_handle_ping_req(struct swim *swim, const Cfd__Gossip *message,
+				const struct swim_endpoint *from)
+{
+	struct swim_relay *relay =
+		&swim->relays[swim->next_relay++ % SWIM_RELAYS_MAX];
+	struct member target = {.state = MEMBER_ALIVE};
+
+	if (!swim_endpoint_is_valid(message->target_address, message->target_port))
+		return;
+	relay->seq = ++swim->seq;
+	relay->for_seq = message->seq;
+	relay->for_whom = *from;
+	relay->nack_at_us = swim->now_us + SWIM_PING_TIMEOUT_US;
+	g_strlcpy(target.host, message->target, sizeof(target.host));
+	g_strlcpy(target.address, message->target_address,
+		  sizeof(target.address));
+	target.peer_port = message->target_port;
+	swim_probe_ping(swim, &target, relay->seq);
+}
+
+static void relay_ack(struct swim *swim, struct swim_relay *relay,
+		      const Cfd__Gossip *message)
+{
+	struct swim_packet packet;
+
+	swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_ACK,
+			 relay->for_seq);
+	/* The asker goes by the number; the target is named for its sake. */
+	packet.message.target = message->from;
+	swim_rumour_fill(swim, &packet);
+	swim_packet_send(swim, &packet, relay->for_whom.address,
+			 relay->for_whom.port);
+	relay->seq = 0;
+}
+
+void swim_probe_handle_ack(struct swim *swim, const Cfd__Gossip *message)
+{
+	struct swim_probe *probe = &swim->probe;
+	const char *who = message->target[0] ? message->target : message->from;
+
+	for (int i = 0; i < SWIM_RELAYS_MAX; i++) {
+		if (swim->relays[i].seq && swim->relays[i].seq == message->seq)
+			relay_ack(swim, &swim->relays[i], message);
+	}
+	if (!probe->is_active || probe->is_acked ||
+	    probe->seq != message->seq || strcmp(who, probe->host) != 0)
+		return;
+	probe->is_acked = true;
+	health_add(swim, -1);
+}
+
+void swim_probe_handle_nack(struct swim *swim, const Cfd__Gossip *message)
+{
+	if (swim->probe.is_active && swim->probe.seq == message->seq)
+		swim->probe.nacks++;
+}
--- /dev/null
+++ b/comfreydockd/member/swim_rumour.c
@@ -0,0 +1,110 @@
+#include <math.h>
+
+#include "swim_internal.h"
+
+#define FAREWELL_FANOUT 8
+
+unsigned int swim_rumour_limit(const struct swim *swim)
+{
+	double scale = log((double)swim->order->len + 1.0);
+
+	return SWIM_RETRANSMIT_BASE +
+	       (unsigned int)ceil(SWIM_RETRANSMIT_SCALE * scale);
+}
+
+static struct swim_node_list *list_of(struct swim *swim,
+				      const struct swim_node *node)
+{
+	return node->is_urgent ? &swim->urgent : &swim->rumours;
+}
+
+void swim_rumour_drop(struct swim *swim, struct swim_node *node)
+{
+	if (!node->is_rumour)
+		return;
+	TAILQ_REMOVE(list_of(swim, node), node, rumour_link);
+	node->is_rumour = false;
+}
+
+/* What keeps calls off a host, and what clears this host of a false
+ * suspicion, must not wait behind a storm of other news. */
+static bool rumour_is_urgent(const struct swim *swim, const struct member *member)
+{
+	return member == swim->self || member->state == MEMBER_LEFT ||
+	       member->service_state == MEMBER_SERVICE_DRAINING;
+}
+
+void swim_rumour_queue(struct swim *swim, struct swim_node *node)
+{
+	swim_rumour_drop(swim, node);
+	node->is_urgent = rumour_is_urgent(swim, node->member);
+	node->is_rumour = true;
+	node->transmits = 0;
+	TAILQ_INSERT_HEAD(list_of(swim, node), node, rumour_link);
+}
+
+/* Takes news from the list's head until the packet is full. What was sent
+ * goes to the tail until it was sent often enough. */
+static void fill_from(struct swim *swim, struct swim_packet *packet,
+		      struct swim_node_list *list)
+{
+	struct swim_node_list sent = TAILQ_HEAD_INITIALIZER(sent);
+	struct swim_node *node;
+
+	while ((node = TAILQ_FIRST(list))) {
+		if (!swim_packet_add(swim, packet, node->member))
+			break;
+		TAILQ_REMOVE(list, node, rumour_link);
+		if (++node->transmits < swim_rumour_limit(swim))
+			TAILQ_INSERT_TAIL(&sent, node, rumour_link);
+		else
+			node->is_rumour = false;
+	}
+	TAILQ_CONCAT(list, &sent, rumour_link);
+}
+
+void swim_rumour_fill(struct swim *swim, struct swim_packet *packet)
+{
+	if (swim->budget_bytes <= 0)
+		return;
+	fill_from(swim, packet, &swim->urgent);
+	fill_from(swim, packet, &swim->rumours);
+}
+
+static void push_to(struct swim *swim, const struct member *target)
+{
+	struct swim_packet packet;
+
+	swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_PUSH, 0);
+	swim_rumour_fill(swim, &packet);
+	swim_packet_send(swim, &packet, target->address, target->peer_port);
+}
+
+void swim_rumour_tick(struct swim *swim)
+{
+	bool has_news = !TAILQ_EMPTY(&swim->urgent) ||
+			!TAILQ_EMPTY(&swim->rumours) || swim->head_transmits;
+
+	if (swim->now_us < swim->next_push_us)
+		return;
+	swim->next_push_us = swim->now_us + SWIM_PUSH_US;
+	for (int i = 0; has_news && i < SWIM_PUSH_FANOUT; i++) {
+		struct member *target = swim_pick(swim, NULL);
+
+		if (!target || swim->budget_bytes <= 0)
+			return;
+		push_to(swim, target);
+		if (swim->head_transmits > 0)
+			swim->head_transmits--;
+	}
+}
+
+void swim_rumour_farewell(struct swim *swim)
+{
+	for (int i = 0; i < FAREWELL_FANOUT; i++) {
+		struct member *target = swim_pick(swim, NULL);
+
+		if (target)
+			push_to(swim, target);
+	}
+}
--- /dev/null
+++ b/comfreydockd/member/swim_sync.c
@@ -0,0 +1,300 @@
+#include <string.h>
+
+#include "swim_internal.h"
+
+#define WHOLE_PACKETS 8 /* replies to one request of a full pass */
+#define WHOLE_RETRY_US (300 * 1000)
+#define WHOLE_GIVE_UP_US (3 * 1000 * 1000)
+#define SYNC_US (1000 * 1000) /* between requests where all is well */
+#define SWEEP_STEP 64 /* members looked at in a tick */
+/* How many daemons at a time ping one dead host, whatever their number: all
+ * of 22,000 would drown it as it restarts. */
+#define REPROBERS 8
+#define SEED_ALONE_US (1000 * 1000)
+#define SEED_US (60 * 1000 * 1000)
+
+#define SPAN_MEMBERS 5 /* under one digest, so that some fit a page */
+
+static uint64_t digest_of_span(const struct swim *swim, unsigned int bucket,
+			       unsigned int span)
+{
+	unsigned int end = MIN(bucket + span, MEMBER_BUCKETS);
+	uint64_t digest = 0;
+
+	for (; bucket < end; bucket++)
+		digest ^= member_table_digest(swim->table, bucket);
+	return digest;
+}
+
+static unsigned int span_for(const struct swim *swim)
+{
+	unsigned int size = swim->order->len + 1;
+
+	return CLAMP(SPAN_MEMBERS * MEMBER_BUCKETS / size, 1, MEMBER_BUCKETS);
+}
+
+/* RETURN VALUE: the first bucket not asked for. */
+static unsigned int sync_ask(struct swim *swim, unsigned int max_packets)
+{
+	struct swim_sync *sync = &swim->sync;
+	unsigned int bucket = sync->next_bucket;
+	uint64_t digests[SWIM_DIGESTS];
+	struct swim_packet packet;
+
+	swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_SYNC, 0);
+	packet.message.bucket = sync->next_bucket;
+	packet.message.max_packets = max_packets;
+	packet.message.digests = digests;
+	packet.message.span = span_for(swim);
+	while (packet.message.n_digests < SWIM_DIGESTS &&
+	       bucket < MEMBER_BUCKETS) {
+		digests[packet.message.n_digests++] =
+			digest_of_span(swim, bucket, packet.message.span);
+		bucket += packet.message.span;
+	}
+	sync->asked_bucket = sync->next_bucket;
+	sync->asked_at_us = swim->now_us;
+	sync->is_waiting = true;
+	swim_packet_send(swim, &packet, sync->peer.address, sync->peer.port);
+	return bucket;
+}
+
+void swim_sync_start_whole(struct swim *swim, const struct swim_endpoint *peer)
+{
+	struct swim_sync *sync = &swim->sync;
+
+	if (sync->is_whole)
+		return;
+	sync->is_whole = true;
+	sync->peer = *peer;
+	sync->next_bucket = 0;
+	sync->heard_at_us = swim->now_us;
+	sync->whole_at_us = swim->now_us;
+	sync_ask(swim, WHOLE_PACKETS);
+}
+
+static void sync_whole_tick(struct swim *swim)
+{
+	struct swim_sync *sync = &swim->sync;
+
+	if (swim->now_us - sync->heard_at_us > WHOLE_GIVE_UP_US) {
+		sync->is_whole = false;
+		return;
+	}
+	if (swim->page_budget_bytes <= 0)
+		return;
+	if (!sync->is_waiting ||
+	    swim->now_us - sync->asked_at_us >= WHOLE_RETRY_US)
+		sync_ask(swim, WHOLE_PACKETS);
+}
+
+void swim_sync_tick(struct swim *swim)
+{
+	struct swim_sync *sync = &swim->sync;
+	struct member *peer;
+
+	if (sync->is_whole) {
+		sync_whole_tick(swim);
+		return;
+	}
+	if (swim->now_us < swim->next_sync_us || swim->budget_bytes <= 0)
+		return;
+	swim->next_sync_us = swim->now_us + SYNC_US;
+	peer = swim_pick(swim, NULL);
+	if (!peer)
+		return;
+	g_strlcpy(sync->peer.address, peer->address, sizeof(sync->peer.address));
+	sync->peer.port = peer->peer_port;
+	if (!sync->was_whole) {
+		swim_sync_start_whole(swim, &sync->peer);
+		return;
+	}
+	sync->next_bucket = sync_ask(swim, 1);
+	if (sync->next_bucket >= MEMBER_BUCKETS)
+		sync->next_bucket = 0;
+}
+
+/* The pages of one answer. */
+struct sync_pages {
+	struct swim *swim;
+	const struct swim_endpoint *to;
+	struct swim_packet packet;
+	unsigned int left; /* that may still be sent */
+};
+
+static void pages_begin(struct sync_pages *pages, unsigned int bucket)
+{
+	swim_packet_init(pages->swim, &pages->packet,
+			 CFD__GOSSIP_KIND__GOSSIP_SYNC_REPLY, 0);
+	pages->packet.message.bucket = bucket;
+	/* Both have their final size before the records are counted. */
+	pages->packet.message.next_bucket = MEMBER_BUCKETS;
+	pages->packet.message.is_last = true;
+}
+
+static void pages_send(struct sync_pages *pages, unsigned int next_bucket,
+		       bool is_last)
+{
+	pages->packet.message.next_bucket = next_bucket;
+	pages->packet.message.is_last = is_last;
+	swim_packet_send(pages->swim, &pages->packet, pages->to->address,
+			 pages->to->port);
+	pages->left--;
+}
+
+/* RETURN VALUE: false if no page is left; the last was sent. */
+static bool pages_add_bucket(struct sync_pages *pages, unsigned int bucket)
+{
+	struct member *member;
+
+	LIST_FOREACH (member, member_table_bucket(pages->swim->table, bucket),
+		      bucket_link) {
+		if (swim_packet_add(pages->swim, &pages->packet, member))
+			continue;
+		pages_send(pages, bucket, pages->left == 1);
+		if (pages->left == 0)
+			return false;
+		pages_begin(pages, bucket);
+		swim_packet_add(pages->swim, &pages->packet, member);
+	}
+	return true;
+}
+
+void swim_sync_handle_request(struct swim *swim, const Cfd__Gossip *message,
+			      const struct swim_endpoint *from)
+{
+	struct sync_pages pages = {
+		.swim = swim,
+		.to = from,
+		.left = CLAMP(message->max_packets, 1, WHOLE_PACKETS)};
+	unsigned int span = CLAMP(message->span, 1, MEMBER_BUCKETS);
+	unsigned int bucket = message->bucket;
+
+	if (bucket >= MEMBER_BUCKETS || swim->page_budget_bytes <= 0)
+		return;
+	pages_begin(&pages, bucket);
+	for (size_t i = 0; i < message->n_digests; i++) {
+		unsigned int end = MIN(bucket + span, MEMBER_BUCKETS);
+
+		if (digest_of_span(swim, bucket, span) == message->digests[i])
+			bucket = end;
+		for (; bucket < end; bucket++) {
+			if (!pages_add_bucket(&pages, bucket))
+				return;
+		}
+	}
+	pages_send(&pages, bucket, true);
+}
+
+/* A slow pass goes on where the page ended, or the same few records at the
+ * start of a wide span would come for ever. */
+static void sync_handle_page(struct swim_sync *sync, const Cfd__Gossip *message)
+{
+	if (message->bucket == sync->asked_bucket &&
+	    message->next_bucket < MEMBER_BUCKETS)
+		sync->next_bucket =
+			MAX(message->next_bucket, message->bucket + 1);
+}
+
+static void sync_handle_whole(struct swim *swim, const Cfd__Gossip *message)
+{
+	struct swim_sync *sync = &swim->sync;
+
+	swim->page_budget_bytes -= (int64_t)cfd__gossip__get_packed_size(message);
+	sync->heard_at_us = swim->now_us;
+	if (message->bucket <= sync->next_bucket &&
+	    message->next_bucket > sync->next_bucket)
+		sync->next_bucket = message->next_bucket;
+	if (message->is_last)
+		sync->is_waiting = false;
+	if (sync->next_bucket >= MEMBER_BUCKETS) {
+		sync->is_whole = false;
+		sync->was_whole = true;
+		sync->next_bucket = 0;
+	} else if (message->is_last && swim->page_budget_bytes > 0) {
+		sync_ask(swim, WHOLE_PACKETS);
+	}
+}
+
+void swim_sync_handle_reply(struct swim *swim, const Cfd__Gossip *message,
+			    const struct swim_endpoint *from)
+{
+	struct swim_sync *sync = &swim->sync;
+
+	if (from->port != sync->peer.port ||
+	    strcmp(from->address, sync->peer.address) != 0)
+		return;
+	if (sync->is_whole)
+		sync_handle_whole(swim, message);
+	else
+		sync_handle_page(sync, message);
+}
+
+void swim_seed_ping(struct swim *swim, const struct swim_endpoint *seed)
+{
+	struct swim_packet packet;
+
+	swim_packet_init(swim, &packet, CFD__GOSSIP_KIND__GOSSIP_PING,
+			 ++swim->seq);
+	swim_packet_add(swim, &packet, swim->self);
+	swim_packet_send(swim, &packet, seed->address, seed->port);
+}
+
+static void seeds_tick(struct swim *swim)
+{
+	bool is_alone = !swim_has_peers(swim);
+
+	if (is_alone && swim->next_seed_us > swim->now_us + SEED_ALONE_US)
+		swim->next_seed_us = swim->now_us;
+	if (swim->seed_count == 0 || swim->now_us < swim->next_seed_us)
+		return;
+	swim->next_seed_us =
+		swim->now_us +
+		(is_alone ? SEED_ALONE_US :
+			    SEED_US / 2 + swim_random_below(swim, SEED_US));
+	swim_seed_ping(swim,
+		       &swim->seeds[swim_random_below(swim, swim->seed_count)]);
+}
+
+/* RETURN VALUE: false if the member was forgotten. */
+static bool sweep_member(struct swim *swim, struct member *member)
+{
+	int64_t age_us = swim->now_us - member->state_since_us;
+
+	if ((member->state == MEMBER_DEAD && age_us > SWIM_FORGET_DEAD_US) ||
+	    (member->state == MEMBER_LEFT && age_us > SWIM_FORGET_LEFT_US)) {
+		member_table_remove(swim->table, member->host);
+		return false;
+	}
+	if (member->state == MEMBER_DEAD && swim->is_reprobe_due) {
+		swim->is_reprobe_due = false;
+		swim_probe_ping(swim, member, ++swim->seq);
+	}
+	return true;
+}
+
+static bool reprobe_draws(struct swim *swim)
+{
+	return swim_random_below(swim, swim->order->len) <
+	       swim->dead_count * REPROBERS;
+}
+
+/* Looks for members to forget, and for a dead one that is back. */
+void swim_sweep_tick(struct swim *swim)
+{
+	seeds_tick(swim);
+	if (swim->now_us >= swim->next_reprobe_us) {
+		swim->next_reprobe_us = swim->now_us + SWIM_REPROBE_US / 2 +
+					swim_random_below(swim, SWIM_REPROBE_US);
+		swim->is_reprobe_due = swim->dead_count && reprobe_draws(swim);
+	}
+	for (guint i = 0; i < MIN(SWEEP_STEP, swim->order->len); i++) {
+		struct swim_node *node;
+
+		if (swim->sweep_cursor >= swim->order->len)
+			swim->sweep_cursor = 0;
+		node = g_ptr_array_index(swim->order, swim->sweep_cursor);
+		if (sweep_member(swim, node->member))
+			swim->sweep_cursor++;
+	}
+}
--- a/include/comfreydockd/member/member.h
+++ b/include/comfreydockd/member/member.h
@@ -17,7 +17,7 @@
 #include <sys/queue.h>
 
 #define MEMBER_HOST_MAX 48
-#define MEMBER_DOMAIN_MAX 32
+#define MEMBER_DOMAIN_MAX 32 /* longest domain, region or group, with its 0 */
 #define MEMBER_ADDRESS_MAX 46
 
 enum member_state {
@@ -41,19 +41,27 @@
 	char address[MEMBER_ADDRESS_MAX]; /* IP number */
 	uint16_t peer_port; /* TCP: frames; UDP: gossip */
 	uint16_t admin_port;
-	char domain[MEMBER_DOMAIN_MAX]; /* failure domain */
-	char region[MEMBER_DOMAIN_MAX];
+	const char *domain; /* failure domain; interned */
+	const char *region; /* interned */
 	enum member_state state;
 	int64_t state_since_us;
 	enum member_service_state service_state;
-	char **groups; /* announced; NULL: none */
+	char **groups; /* announced, interned; NULL: none */
 	uint32_t slots;
 	uint32_t warm_ms; /* declared time of a cold start */
 	int64_t up_since_us; /* when service_state became UP, as seen here */
 	void *entry_data; /* the entry role's per-upstream state */
+	void *swim_data; /* swim's own */
+	LIST_ENTRY(member) bucket_link;
 };
 
 TAILQ_HEAD(member_list, member);
+LIST_HEAD(member_bucket, member);
+
+/* Buckets by hash of the host, each with a digest, so that two daemons find
+ * where their tables differ without sending them. At 22,000 hosts a bucket has
+ * five or six. */
+#define MEMBER_BUCKETS 4096
 
 /* True if new work may be sent there. */
 static inline bool member_is_usable(const struct member *member)
@@ -76,18 +84,23 @@
 void member_table_destroy(struct member_table *table);
 void member_table_observe(struct member_table *table,
 			  const struct member_observer *observer);
+/* Takes out the observers with this data. */
+void member_table_unobserve(struct member_table *table, const void *data);
 struct member *member_table_find(struct member_table *table, const char *host);
 struct member_list *member_table_all(struct member_table *table);
 size_t member_table_size(const struct member_table *table);
 
 /* Members that announced the group, whatever their state; an array of
- * struct member that is the table's and valid until the next change. */
+ * struct member that is the table's and valid until the next change. Never
+ * NULL. */
 const GPtrArray *member_table_group(struct member_table *table,
 				    const char *group);
 
 /*
  * Takes a record from anywhere. A higher incarnation wins; at the same one
- * DEAD and LEFT beat SUSPECT beats ALIVE. The argument is copied.
+ * DEAD and LEFT beat SUSPECT beats ALIVE. The argument is copied; its
+ * up_since_us, if not 0, is when it became UP, and its state_since_us, entry's
+ * and swim's data are not looked at.
  *
  * RETURN VALUE
  *	true if the table changed.
@@ -96,4 +109,12 @@
 			 const struct member *record, int64_t now_us);
 void member_table_remove(struct member_table *table, const char *host);
 
+struct member_bucket *member_table_bucket(struct member_table *table,
+					  unsigned int bucket);
+
+/* Equal where both know the same live members at the same incarnations. The
+ * dead don't count: each daemon forgets them at its own time. */
+uint64_t member_table_digest(const struct member_table *table,
+			     unsigned int bucket);
+
 #endif
--- /dev/null
+++ b/tests/swim_net.c
@@ -0,0 +1,204 @@
+#include "swim_net.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct packet {
+	int from;
+	int to;
+	int64_t due_us;
+	GBytes *body;
+};
+
+struct net net;
+
+static int host_at(const char *address)
+{
+	int number;
+
+	return sscanf(address, "10.0.0.%d", &number) == 1 && number <= net.count ?
+		       number - 1 :
+		       -1;
+}
+
+static void net_send(const char *address, uint16_t port G_GNUC_UNUSED,
+		     const uint8_t *body, size_t size, void *data)
+{
+	struct host *from = data;
+	int to = host_at(address);
+	struct packet *packet;
+
+	from->sent_bytes += size + 58;
+	g_assert_cmpuint(size, <=, SWIM_BODY_MAX);
+	if (to < 0 || net.hosts[to].side != from->side ||
+	    g_test_rand_int_range(0, 100) < net.loss_percent)
+		return;
+	packet = g_new0(struct packet, 1);
+	packet->from = (int)(from - net.hosts);
+	packet->to = to;
+	packet->due_us = net.now_us +
+			 g_test_rand_int_range(0, (gint32)net.delay_max_us + 1);
+	packet->body = g_bytes_new(body, size);
+	g_queue_push_tail(&net.packets, packet);
+}
+
+static void net_head(const char *host G_GNUC_UNUSED, uint64_t head, void *data)
+{
+	struct host *self = data;
+
+	if (head > self->head_heard) {
+		self->head_heard = head;
+		swim_set_config_head(self->swim, head);
+	}
+}
+
+void host_start(int i)
+{
+	struct host *host = &net.hosts[i];
+	struct member self = {.incarnation = ++host->incarnation,
+			      .peer_port = PORT,
+			      .domain = i % 2 ? "surco" : "callao",
+			      .region = "lima"};
+	struct swim_options options = {.self = &self, .ops = &host->ops};
+
+	snprintf(host->name, sizeof(host->name), "host-%d", i + 1);
+	snprintf(host->address, sizeof(host->address), "10.0.0.%d", i + 1);
+	g_strlcpy(self.host, host->name, sizeof(self.host));
+	g_strlcpy(self.address, host->address, sizeof(self.address));
+	host->ops = (struct swim_ops){
+		.send = net_send, .handle_config_head = net_head, .data = host};
+	host->table = options.table = member_table_create();
+	options.seed = (uint64_t)g_test_rand_int();
+	host->swim = swim_create(&options, net.now_us);
+	for (int j = 0; j < 2; j++)
+		swim_join(host->swim,
+			  net.hosts[j].address[0] ? net.hosts[j].address :
+						    "10.0.0.1",
+			  PORT, net.now_us);
+}
+
+void host_kill(int i)
+{
+	swim_destroy(net.hosts[i].swim);
+	member_table_destroy(net.hosts[i].table);
+	net.hosts[i].swim = NULL;
+}
+
+static void packet_free(struct packet *packet)
+{
+	g_bytes_unref(packet->body);
+	g_free(packet);
+}
+
+/* A frozen machine's packets wait in its socket. */
+static bool packet_is_due(const struct packet *packet)
+{
+	return packet->due_us <= net.now_us && !net.hosts[packet->to].is_frozen;
+}
+
+static void packet_deliver(struct packet *packet)
+{
+	struct host *to = &net.hosts[packet->to];
+	gsize size;
+	const uint8_t *body = g_bytes_get_data(packet->body, &size);
+
+	if (to->swim)
+		g_assert_true(swim_receive(to->swim,
+					   net.hosts[packet->from].address,
+					   PORT, body, size, net.now_us));
+	packet_free(packet);
+}
+
+static void net_deliver(void)
+{
+	/* Answers go to the tail and wait for the next step. */
+	for (guint left = net.packets.length; left > 0; left--) {
+		struct packet *packet = g_queue_pop_head(&net.packets);
+
+		if (packet_is_due(packet))
+			packet_deliver(packet);
+		else
+			g_queue_push_tail(&net.packets, packet);
+	}
+}
+
+void net_step(void)
+{
+	net.now_us += STEP_US;
+	net_deliver();
+	for (int i = 0; i < net.count; i++) {
+		struct host *host = &net.hosts[i];
+
+		if (host->swim && !host->is_frozen &&
+		    net.now_us % SWIM_TICK_US == 0)
+			swim_tick(host->swim, net.now_us);
+	}
+}
+
+void net_run(int64_t us)
+{
+	for (int64_t end = net.now_us + us; net.now_us < end;)
+		net_step();
+}
+
+enum member_state state_of(int at, int of)
+{
+	struct member *member =
+		member_table_find(net.hosts[at].table, net.hosts[of].name);
+
+	return member ? member->state : MEMBER_LEFT;
+}
+
+bool net_agrees(void)
+{
+	for (int i = 0; i < net.count; i++) {
+		for (int j = 0; net.hosts[i].swim && j < net.count; j++) {
+			enum member_state state = state_of(i, j);
+
+			if (net.hosts[j].swim ? state != MEMBER_ALIVE :
+						state < MEMBER_DEAD)
+				return false;
+		}
+	}
+	return true;
+}
+
+bool net_anyone_holds_dead(int i)
+{
+	for (int j = 0; j < net.count; j++) {
+		if (net.hosts[j].swim && state_of(j, i) == MEMBER_DEAD)
+			return true;
+	}
+	return false;
+}
+
+double net_settle(int64_t limit_us)
+{
+	int64_t began_us = net.now_us;
+
+	while (!net_agrees()) {
+		g_assert_cmpint(net.now_us - began_us, <, limit_us);
+		net_step();
+	}
+	return (double)(net.now_us - began_us) / SECOND;
+}
+
+void net_start(int count)
+{
+	memset(&net, 0, sizeof(net));
+	net.now_us = 1000 * SECOND;
+	net.count = count;
+	net.delay_max_us = 2000;
+	g_queue_init(&net.packets);
+	for (int i = 0; i < count; i++)
+		host_start(i);
+}
+
+void net_stop(void)
+{
+	for (int i = 0; i < net.count; i++) {
+		if (net.hosts[i].swim)
+			host_kill(i);
+	}
+	g_queue_clear_full(&net.packets, (GDestroyNotify)packet_free);
+}
--- /dev/null
+++ b/tests/swim_net.h
@@ -0,0 +1,64 @@
+/*
+ * NAME
+ *	swim_net - machines wired through a network in memory
+ *
+ * DESCRIPTION
+ *	Each packet may be lost, delayed and overtaken. Time moves only as the
+ *	test runs the network.
+ */
+#ifndef TESTS_SWIM_NET_H
+#define TESTS_SWIM_NET_H
+
+#include "comfreydockd/member/swim.h"
+
+#define HOSTS_MAX 40
+#define STEP_US 10000
+#define SECOND 1000000LL
+#define PORT 7000
+
+/* One machine, and what it sent. */
+struct host {
+	char name[16];
+	char address[16];
+	struct swim *swim; /* NULL: not running */
+	struct member_table *table;
+	struct swim_ops ops;
+	uint64_t incarnation;
+	bool is_frozen;
+	int side; /* packets between two sides are lost */
+	uint64_t sent_bytes;
+	uint64_t head_heard;
+};
+
+struct net {
+	struct host hosts[HOSTS_MAX];
+	int count;
+	int64_t now_us;
+	int loss_percent;
+	int64_t delay_max_us;
+	GQueue packets;
+};
+
+extern struct net net;
+
+/* Starts hosts that know the first two; none is lost or much delayed. */
+void net_start(int count);
+void net_stop(void);
+void net_step(void);
+void net_run(int64_t us);
+
+/* RETURN VALUE: seconds until all agree; fails after the limit. */
+double net_settle(int64_t limit_us);
+
+/* True if all that run hold all that run for alive, and the rest for gone. */
+bool net_agrees(void);
+bool net_anyone_holds_dead(int i);
+
+/* MEMBER_LEFT: not known. */
+enum member_state state_of(int at, int of);
+
+/* Starts anew, with a higher incarnation. */
+void host_start(int i);
+void host_kill(int i);
+
+#endif
--- /dev/null
+++ b/tests/test_member_table.c
@@ -0,0 +1,130 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "comfreydockd/member/member.h"
+
+static struct member record(const char *host, uint64_t incarnation,
+			    enum member_state state)
+{
+	static char *groups[] = {"lookup-desk", "archive-feed", NULL};
+	struct member member = {.incarnation = incarnation,
+				.state = state,
+				.domain = "hall-esja",
+				.region = "reykjavik",
+				.service_state = MEMBER_SERVICE_UP,
+				.groups = groups};
+
+	snprintf(member.host, sizeof(member.host), "%s", host);
+	return member;
+}
+
+static void take(struct member_table *table, const char *host,
+		 uint64_t incarnation, enum member_state state, bool changes)
+{
+	struct member member = record(host, incarnation, state);
+
+	g_assert_cmpint(member_table_update(table, &member, 1000), ==, changes);
+}
+
+/*
+ * A packet that was long under way says that a host is alive which has since
+ * been found dead. Were it believed, calls would be sent to a host that is
+ * gone; only the host itself, with a higher incarnation, may come back.
+ */
+static void test_old_word_never_wins(void)
+{
+	struct member_table *table = member_table_create();
+
+	take(table, "esja-1", 5, MEMBER_ALIVE, true);
+	take(table, "esja-1", 5, MEMBER_SUSPECT, true);
+	take(table, "esja-1", 5, MEMBER_ALIVE, false);
+	take(table, "esja-1", 5, MEMBER_DEAD, true);
+	take(table, "esja-1", 5, MEMBER_LEFT, false);
+	take(table, "esja-1", 4, MEMBER_ALIVE, false);
+	take(table, "esja-1", 6, MEMBER_ALIVE, true);
+	g_assert_cmpint(member_table_find(table, "esja-1")->state, ==,
+			MEMBER_ALIVE);
+	member_table_destroy(table);
+}
+
+static void test_groups_follow_the_record(void)
+{
+	struct member_table *table = member_table_create();
+	struct member member = record("esja-1", 7, MEMBER_ALIVE);
+	char *one[] = {"lookup-desk", "lookup-desk", NULL};
+
+	take(table, "esja-1", 5, MEMBER_ALIVE, true);
+	take(table, "katla-1", 5, MEMBER_ALIVE, true);
+	g_assert_cmpuint(member_table_group(table, "archive-feed")->len, ==, 2);
+	member.groups = one;
+	g_assert_true(member_table_update(table, &member, 1000));
+	g_assert_cmpuint(member_table_group(table, "archive-feed")->len, ==, 1);
+	g_assert_cmpuint(member_table_group(table, "lookup-desk")->len, ==, 2);
+	member_table_remove(table, "katla-1");
+	g_assert_cmpuint(member_table_group(table, "archive-feed")->len, ==, 0);
+	g_assert_cmpuint(member_table_size(table), ==, 1);
+	member_table_destroy(table);
+}
+
+static void count_change(struct member *member G_GNUC_UNUSED, void *data)
+{
+	(*(int *)data)++;
+}
+
+static void test_observers_hear_changes_only(void)
+{
+	struct member_table *table = member_table_create();
+	int changes = 0;
+	struct member_observer observer = {.handle_changed = count_change,
+					   .handle_removed = count_change,
+					   .data = &changes};
+
+	member_table_observe(table, &observer);
+	take(table, "esja-1", 5, MEMBER_ALIVE, true);
+	take(table, "esja-1", 5, MEMBER_ALIVE, false);
+	member_table_remove(table, "esja-1");
+	member_table_remove(table, "esja-1");
+	g_assert_cmpint(changes, ==, 2);
+	member_table_destroy(table);
+}
+
+static uint64_t digest_of_all(const struct member_table *table)
+{
+	uint64_t digest = 0;
+
+	for (unsigned int i = 0; i < MEMBER_BUCKETS; i++)
+		digest = digest * 31 + member_table_digest(table, i);
+	return digest;
+}
+
+/* Two tables that took the same records in another order, one of them with a
+ * host that has died since, must not send each other records for ever. */
+static void test_digest_counts_the_living(void)
+{
+	struct member_table *a = member_table_create();
+	struct member_table *b = member_table_create();
+
+	take(a, "esja-1", 5, MEMBER_ALIVE, true);
+	take(a, "katla-1", 6, MEMBER_ALIVE, true);
+	take(b, "katla-1", 6, MEMBER_SUSPECT, true);
+	g_assert_cmpuint(digest_of_all(a), !=, digest_of_all(b));
+	take(b, "esja-1", 4, MEMBER_ALIVE, true);
+	take(b, "esja-1", 5, MEMBER_ALIVE, true);
+	take(b, "hekla-1", 1, MEMBER_ALIVE, true);
+	take(b, "hekla-1", 1, MEMBER_DEAD, true);
+	g_assert_cmpuint(digest_of_all(a), ==, digest_of_all(b));
+	member_table_destroy(a);
+	member_table_destroy(b);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/member_table/old-word", test_old_word_never_wins);
+	g_test_add_func("/member_table/groups", test_groups_follow_the_record);
+	g_test_add_func("/member_table/observers",
+			test_observers_hear_changes_only);
+	g_test_add_func("/member_table/digest", test_digest_counts_the_living);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_swim.c
@@ -0,0 +1,292 @@
+#include <glib.h>
+#include <stdio.h>
+
+#include "swim_net.h"
+
+/*
+ * A host loses its power. Until the others know, calls go to it and wait for
+ * nothing; the others hold it dead after a few seconds.
+ */
+static void test_kill_is_detected(void)
+{
+	double joined_s, detected_s;
+
+	net_start(12);
+	joined_s = net_settle(10 * SECOND);
+	host_kill(5);
+	detected_s = net_settle(15 * SECOND);
+	g_test_message("12 hosts: joined in %.2f s, kill seen in %.2f s",
+		       joined_s, detected_s);
+	net_stop();
+}
+
+/*
+ * A fifth of all packets is lost, so that probes of healthy hosts fail all the
+ * time. A host held dead for that would lose its calls while it stands idle.
+ */
+static void test_loss_kills_nobody(void)
+{
+	net_start(12);
+	net_settle(10 * SECOND);
+	net.loss_percent = 20;
+	for (int s = 0; s < 300; s++) {
+		net_run(SECOND);
+		for (int i = 0; i < net.count; i++)
+			g_assert_false(net_anyone_holds_dead(i));
+	}
+	net_stop();
+}
+
+/*
+ * A process is stopped for a minute and wakes, with old packets in its socket.
+ * To itself all others seem silent; were it to say so, its word would take
+ * healthy hosts out of use everywhere.
+ */
+static void test_frozen_wakes_gently(void)
+{
+	uint64_t before;
+
+	net_start(12);
+	net_settle(10 * SECOND);
+	before = swim_self(net.hosts[3].swim)->incarnation;
+	net.hosts[3].is_frozen = true;
+	net_run(60 * SECOND);
+	g_assert_cmpint(state_of(0, 3), ==, MEMBER_DEAD);
+	net.hosts[3].is_frozen = false;
+	for (int s = 0; s < 30; s++) {
+		net_run(SECOND);
+		for (int i = 0; i < net.count; i++)
+			g_assert_true(i == 3 || !net_anyone_holds_dead(i));
+	}
+	g_assert_true(net_agrees());
+	g_assert_cmpuint(swim_self(net.hosts[3].swim)->incarnation, >, before);
+	net_stop();
+}
+
+/*
+ * Two regions lose each other for an hour and each holds the other's hosts
+ * dead. When the line is back nobody restarts anything; the halves must find
+ * each other by themselves, or each goes on with half of the hosts.
+ */
+static void test_halves_merge(void)
+{
+	double merged_s;
+
+	net_start(12);
+	net_settle(10 * SECOND);
+	for (int i = 0; i < 6; i++)
+		net.hosts[i].side = 1;
+	net_run(3600 * SECOND);
+	for (int i = 0; i < 12; i++)
+		g_assert_cmpint(state_of(0, i), ==,
+				i < 6 ? MEMBER_ALIVE : MEMBER_DEAD);
+	for (int i = 0; i < 6; i++)
+		net.hosts[i].side = 0;
+	merged_s = net_settle(60 * SECOND);
+	g_test_message("halves of 6 merged in %.2f s", merged_s);
+	net_stop();
+}
+
+static int64_t run_until_all_see(int of, enum member_service_state state,
+				 uint64_t head)
+{
+	int64_t began_us = net.now_us;
+
+	for (int i = 0; i < net.count; i++) {
+		while (member_table_find(net.hosts[i].table, net.hosts[of].name)
+				       ->service_state != state ||
+		       net.hosts[i].head_heard < head) {
+			net_step();
+			g_assert_cmpint(net.now_us - began_us, <, 10 * SECOND);
+		}
+	}
+	return net.now_us - began_us;
+}
+
+/*
+ * An operator drains an upstream, and applies a configuration. Entries that
+ * don't hear of the drain go on to send calls there, each a wasted trip.
+ */
+static void test_drain_and_head_spread(void)
+{
+	char *groups[] = {"reservas", NULL};
+	struct swim *swim;
+	int64_t up_us, drained_us, head_us;
+
+	net_start(HOSTS_MAX);
+	net_settle(10 * SECOND);
+	swim = net.hosts[7].swim;
+	g_assert_true(swim_announce(swim, MEMBER_SERVICE_UP, groups, 9, 500,
+				    net.now_us));
+	up_us = run_until_all_see(7, MEMBER_SERVICE_UP, 0);
+	g_assert_cmpuint(member_table_group(net.hosts[0].table, "reservas")->len,
+			 ==, 1);
+	g_assert_true(swim_announce(swim, MEMBER_SERVICE_DRAINING, groups, 9,
+				    500, net.now_us));
+	drained_us = run_until_all_see(7, MEMBER_SERVICE_DRAINING, 0);
+	net.hosts[7].head_heard = 42;
+	swim_set_config_head(swim, 42);
+	head_us = run_until_all_see(7, MEMBER_SERVICE_DRAINING, 42);
+	g_test_message("40 hosts: up %.2f s, drain %.2f s, head %.2f s",
+		       (double)up_us / SECOND, (double)drained_us / SECOND,
+		       (double)head_us / SECOND);
+	g_assert_cmpint(drained_us, <, 3 * SECOND);
+	g_assert_cmpint(head_us, <, 3 * SECOND);
+	net_stop();
+}
+
+static void test_leaver_is_not_held_dead(void)
+{
+	net_start(12);
+	net_settle(10 * SECOND);
+	swim_leave(net.hosts[4].swim, net.now_us);
+	net_run(2 * SECOND);
+	host_kill(4);
+	net_run(20 * SECOND);
+	for (int i = 0; i < net.count; i++)
+		g_assert_true(i == 4 || state_of(i, 4) == MEMBER_LEFT);
+	net_stop();
+}
+
+/*
+ * A host is replaced while its clock stands behind the old one's, so that it
+ * starts with a lower incarnation. If it kept that, the others would take its
+ * word for old and hold it dead for ever.
+ */
+static void test_lower_incarnation_overtakes(void)
+{
+	net_start(6);
+	net_settle(10 * SECOND);
+	host_kill(2);
+	net_settle(20 * SECOND);
+	net.hosts[2].incarnation = 0;
+	host_start(2);
+	g_assert_cmpuint(swim_self(net.hosts[2].swim)->incarnation, ==, 1);
+	net_settle(20 * SECOND);
+	g_assert_cmpuint(swim_self(net.hosts[2].swim)->incarnation, >, 1);
+	net_stop();
+}
+
+/* A daemon that restarted while both of its seeds are gone for good knows
+ * nobody, and finds peers by the platform's rows only: each is told of one. */
+static void net_tell_of_rows(void)
+{
+	int row = 0;
+
+	while (row < net.count && !net.hosts[row].swim)
+		row++;
+	for (int i = 0; i < net.count; i++) {
+		if (net.hosts[i].swim)
+			swim_join(net.hosts[i].swim, net.hosts[row].address,
+				  PORT, net.now_us);
+	}
+}
+
+/*
+ * Hosts are killed, restarted, frozen and cut off at random while packets are
+ * lost and late. Afterwards, with the network whole, all must agree: a healthy
+ * host that stays dead to some has lost its calls for good.
+ */
+static void test_random_faults_settle(void)
+{
+	for (int round = 0; round < 12; round++) {
+		net_start(g_test_rand_int_range(3, 12));
+		net.loss_percent = g_test_rand_int_range(0, 40);
+		net.delay_max_us = g_test_rand_int_range(1000, 400000);
+		for (int event = 0; event < 40; event++) {
+			int i = g_test_rand_int_range(0, net.count);
+			struct host *host = &net.hosts[i];
+			int what = g_test_rand_int_range(0, 4);
+
+			if (what == 0 && host->swim)
+				host_kill(i);
+			else if (what <= 1 && !host->swim)
+				host_start(i);
+			else if (what == 2)
+				host->is_frozen = !host->is_frozen;
+			else
+				host->side = !host->side;
+			net_run(g_test_rand_int_range(0, 10) * SECOND);
+		}
+		net.loss_percent = 0;
+		net.delay_max_us = 2000;
+		for (int i = 0; i < net.count; i++) {
+			net.hosts[i].side = 0;
+			net.hosts[i].is_frozen = false;
+		}
+		net_tell_of_rows();
+		net_settle(240 * SECOND);
+		net_run(60 * SECOND);
+		g_assert_true(net_agrees());
+		net_stop();
+	}
+}
+
+static void fill_table(struct host *host, int count)
+{
+	char *groups[] = {"lookup-desk", NULL};
+
+	for (int i = 0; i < count; i++) {
+		struct member member = {.incarnation = 1764000000000000,
+					.peer_port = PORT,
+					.admin_port = PORT + 1,
+					.domain = "hall-esja",
+					.region = "reykjavik",
+					.service_state = MEMBER_SERVICE_UP,
+					.groups = groups,
+					.slots = 12};
+
+		snprintf(member.host, sizeof(member.host), "hall-esja-%05d", i);
+		snprintf(member.address, sizeof(member.address), "10.1.%d.%d",
+			 i / 250, i % 250);
+		member_table_update(host->table, &member, net.now_us);
+	}
+}
+
+/*
+ * A daemon joins 22,000 others, all of which are news to its peer at that
+ * moment. Neither the storm of news nor the pages may take more of the line
+ * than stated, or gossip would slow down the calls it is there for.
+ */
+static void test_join_and_storm_are_bounded(void)
+{
+	uint64_t sent;
+	int64_t began_us;
+
+	net_start(1);
+	fill_table(&net.hosts[0], 22000);
+	sent = net.hosts[0].sent_bytes;
+	net_run(10 * SECOND);
+	sent = net.hosts[0].sent_bytes - sent;
+	g_assert_cmpuint(sent, <, 10 * 14000);
+	net.count = 2;
+	host_start(1);
+	began_us = net.now_us;
+	sent = net.hosts[0].sent_bytes;
+	while (member_table_size(net.hosts[1].table) < 22002) {
+		net_run(SECOND);
+		g_assert_cmpint(net.now_us - began_us, <, 30 * SECOND);
+	}
+	sent = net.hosts[0].sent_bytes - sent;
+	g_test_message("22,000 records in %.0f s, %" G_GUINT64_FORMAT " bytes",
+		       (double)(net.now_us - began_us) / SECOND, sent);
+	g_assert_cmpuint(sent, <,
+			 (uint64_t)((net.now_us - began_us) / SECOND + 1) *
+				 (SWIM_PAGE_BYTES_PER_S + 14000));
+	net_stop();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/swim/kill", test_kill_is_detected);
+	g_test_add_func("/swim/loss", test_loss_kills_nobody);
+	g_test_add_func("/swim/frozen", test_frozen_wakes_gently);
+	g_test_add_func("/swim/halves", test_halves_merge);
+	g_test_add_func("/swim/drain", test_drain_and_head_spread);
+	g_test_add_func("/swim/leave", test_leaver_is_not_held_dead);
+	g_test_add_func("/swim/lower", test_lower_incarnation_overtakes);
+	g_test_add_func("/swim/random", test_random_faults_settle);
+	g_test_add_func("/swim/bounded", test_join_and_storm_are_bounded);
+	return g_test_run();
+}
