member: gossip over UDP under a shared key

The pure machine needs a socket, a clock and an envelope that keeps other clusters, other releases and noise out of the table.

gossip binds UDP beside the daemon's TCP port for peers and ticks swim from the loop. Each packet holds a version and 16 bytes of HMAC-SHA256; what fails either is dropped and counted, and logged in bounded numbers, as are changes of members' states.

Tested over loopback: three daemons find each other by one address, a leave is seen, and packets under another key, of another version or of noise change nothing. IPv6 is written for but only its address check was run.

--- /dev/null
+++ b/comfreydockd/member/gossip.c
@@ -0,0 +1,382 @@
+#include "comfreydockd/member/gossip.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "comfreydockd/member/swim.h"
+#include "comfreydockd/settings.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "gossip_packet.h"
+
+#define RECEIVE_MAX 64 /* packets in one turn of the loop */
+#define RECEIVE_BUFFER_BYTES (512 * 1024)
+#define LOG_WINDOW_US (10 * US_PER_S)
+#define LOG_LINES_MAX 20 /* of one kind in a window */
+
+/* Bounds the lines of one kind: strangers' packets, or a failure domain's
+ * hosts, come by the thousands and would fill the log. */
+struct log_bound {
+	int64_t began_us;
+	unsigned int lines;
+	uint64_t suppressed;
+};
+
+struct gossip {
+	struct daemon *daemon;
+	const struct gossip_handlers *handlers;
+	struct swim *swim;
+	struct swim_ops ops;
+	int fd;
+	uint16_t port;
+	int64_t now_us;
+	ev_io readable;
+	ev_timer tick;
+	struct log_bound dropped;
+	struct log_bound changed;
+};
+
+/* RETURN VALUE: false if the line is to be left out. */
+static bool log_bound_allows(struct log_bound *bound, int64_t now_us)
+{
+	if (now_us - bound->began_us >= LOG_WINDOW_US) {
+		bound->began_us = now_us;
+		bound->lines = 0;
+	}
+	if (bound->lines < LOG_LINES_MAX) {
+		bound->lines++;
+		return true;
+	}
+	bound->suppressed++;
+	return false;
+}
+
+static socklen_t address_fill(struct sockaddr_storage *storage,
+			      const char *address, uint16_t port)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+
+	memset(storage, 0, sizeof(*storage));
+	if (inet_pton(AF_INET, address, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(port);
+		return sizeof(*v4);
+	}
+	if (inet_pton(AF_INET6, address, &v6->sin6_addr) == 1) {
+		v6->sin6_family = AF_INET6;
+		v6->sin6_port = htons(port);
+		return sizeof(*v6);
+	}
+	return 0;
+}
+
+static uint16_t address_read(const struct sockaddr_storage *storage,
+			     char address[MEMBER_ADDRESS_MAX])
+{
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)storage;
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)storage;
+
+	if (storage->ss_family == AF_INET) {
+		inet_ntop(AF_INET, &v4->sin_addr, address, MEMBER_ADDRESS_MAX);
+		return ntohs(v4->sin_port);
+	}
+	inet_ntop(AF_INET6, &v6->sin6_addr, address, MEMBER_ADDRESS_MAX);
+	return ntohs(v6->sin6_port);
+}
+
+static void gossip_send(const char *address, uint16_t port, const uint8_t *body,
+			size_t size, void *data)
+{
+	struct gossip *gossip = data;
+	const struct settings *settings = gossip->daemon->settings;
+	uint8_t packet[GOSSIP_PACKET_MAX];
+	struct sockaddr_storage to;
+	socklen_t to_size = address_fill(&to, address, port);
+
+	size = gossip_packet_seal(settings->peer_key, settings->peer_key_size,
+				  body, size, packet);
+	counters.gossip_packets_out++;
+	counters.gossip_bytes_out += size;
+	/* A lost packet is made good by the next; there is nothing to wait
+	 * for where the socket's buffer is full. */
+	if (sendto(gossip->fd, packet, size, 0, (struct sockaddr *)&to,
+		   to_size) < 0)
+		counters.gossip_send_failed++;
+}
+
+static void gossip_drop(struct gossip *gossip, enum gossip_packet_status status,
+			const char *address)
+{
+	static const char *const reasons[] = {
+		[GOSSIP_PACKET_MALFORMED] = "malformed",
+		[GOSSIP_PACKET_WRONG_VERSION] = "version",
+		[GOSSIP_PACKET_WRONG_TAG] = "tag",
+	};
+
+	if (status == GOSSIP_PACKET_WRONG_VERSION)
+		counters.gossip_dropped_version++;
+	else if (status == GOSSIP_PACKET_WRONG_TAG)
+		counters.gossip_dropped_tag++;
+	else
+		counters.gossip_dropped_malformed++;
+	if (!log_bound_allows(&gossip->dropped, gossip->now_us))
+		return;
+	log_event(EV_GOSSIP_PACKET_DROPPED, LOG_STR("reason", reasons[status]),
+		  LOG_STR("address", address),
+		  LOG_INT("suppressed", gossip->dropped.suppressed));
+	gossip->dropped.suppressed = 0;
+}
+
+static void gossip_take(struct gossip *gossip, const uint8_t *data, size_t size,
+			const struct sockaddr_storage *from)
+{
+	const struct settings *settings = gossip->daemon->settings;
+	char address[MEMBER_ADDRESS_MAX];
+	uint16_t port = address_read(from, address);
+	enum gossip_packet_status status;
+	Cfd__Packet *packet;
+
+	counters.gossip_packets_in++;
+	counters.gossip_bytes_in += size;
+	status = gossip_packet_open(settings->peer_key, settings->peer_key_size,
+				    data, size, &packet);
+	if (status == GOSSIP_PACKET_OK &&
+	    !swim_receive(gossip->swim, address, port, packet->body.data,
+			  packet->body.len, gossip->now_us))
+		status = GOSSIP_PACKET_MALFORMED;
+	if (status != GOSSIP_PACKET_OK)
+		gossip_drop(gossip, status, address);
+	if (packet)
+		cfd__packet__free_unpacked(packet, NULL);
+}
+
+static void gossip_handle_readable(struct ev_loop *loop G_GNUC_UNUSED,
+				   ev_io *watcher, int events G_GNUC_UNUSED)
+{
+	struct gossip *gossip = watcher->data;
+	uint8_t data[GOSSIP_PACKET_MAX + 1]; /* longer: cut, and refused */
+	struct sockaddr_storage from = {0};
+
+	gossip->now_us = clock_mono_us();
+	for (int i = 0; i < RECEIVE_MAX; i++) {
+		socklen_t from_size = sizeof(from);
+		ssize_t size = recvfrom(gossip->fd, data, sizeof(data), 0,
+					(struct sockaddr *)&from, &from_size);
+
+		if (size < 0)
+			return;
+		gossip_take(gossip, data, (size_t)size, &from);
+	}
+}
+
+static void gossip_handle_tick(struct ev_loop *loop G_GNUC_UNUSED,
+			       ev_timer *watcher, int events G_GNUC_UNUSED)
+{
+	struct gossip *gossip = watcher->data;
+
+	gossip->now_us = clock_mono_us();
+	swim_tick(gossip->swim, gossip->now_us);
+}
+
+static void gossip_handle_head(const char *host, uint64_t head, void *data)
+{
+	struct gossip *gossip = data;
+
+	if (gossip->handlers && gossip->handlers->handle_config_head)
+		gossip->handlers->handle_config_head(host, head,
+						     gossip->handlers->data);
+}
+
+static void gossip_handle_freeze(int64_t gap_us, void *data G_GNUC_UNUSED)
+{
+	log_event(EV_GOSSIP_FROZEN, LOG_INT("ms", gap_us / US_PER_MS));
+}
+
+static void gossip_handle_refuted(enum member_state state, uint64_t incarnation,
+				  void *data)
+{
+	struct gossip *gossip = data;
+
+	counters.gossip_refuted++;
+	if (log_bound_allows(&gossip->changed, gossip->now_us))
+		log_event(EV_GOSSIP_REFUTED, LOG_INT("state", state),
+			  LOG_INT("incarnation", incarnation));
+}
+
+static void gossip_handle_member(struct member *member, void *data)
+{
+	static const char *const names[] = {"alive", "suspect", "dead", "left"};
+	struct gossip *gossip = data;
+
+	if (member->state_since_us != gossip->now_us ||
+	    !log_bound_allows(&gossip->changed, gossip->now_us))
+		return;
+	log_event(EV_MEMBER_STATE, LOG_STR("host", member->host),
+		  LOG_STR("state", names[member->state]),
+		  LOG_INT("incarnation", member->incarnation),
+		  LOG_INT("suppressed", gossip->changed.suppressed));
+	gossip->changed.suppressed = 0;
+}
+
+/* RETURN VALUE: -1 with errno set on failure. */
+static int gossip_bind(const char *address, uint16_t port)
+{
+	struct sockaddr_storage at = {0};
+	socklen_t size = address_fill(&at, address, port);
+	int bytes = RECEIVE_BUFFER_BYTES;
+	int fd;
+
+	fd = socket(at.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	/* Best effort: the default holds fewer packets of a joiner's. */
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	if (bind(fd, (struct sockaddr *)&at, size) < 0) {
+		int error = errno;
+
+		close(fd);
+		errno = error;
+		return -1;
+	}
+	return fd;
+}
+
+static uint16_t bound_port(int fd)
+{
+	struct sockaddr_storage at = {0};
+	socklen_t size = sizeof(at);
+	char address[MEMBER_ADDRESS_MAX];
+
+	if (getsockname(fd, (struct sockaddr *)&at, &size) < 0)
+		return 0;
+	return address_read(&at, address);
+}
+
+static void gossip_create_swim(struct gossip *gossip)
+{
+	const struct daemon *daemon = gossip->daemon;
+	struct member self = {.incarnation = daemon->incarnation,
+			      .peer_port = gossip->port,
+			      .admin_port = daemon->admin_port,
+			      .domain = daemon->settings->domain,
+			      .region = daemon->settings->region};
+	struct swim_options options = {.table = daemon->members,
+				       .self = &self,
+				       .seed = id_random_u64(),
+				       .ops = &gossip->ops};
+
+	g_strlcpy(self.host, daemon->settings->host, sizeof(self.host));
+	g_strlcpy(self.address, daemon->settings->peer.address,
+		  sizeof(self.address));
+	gossip->ops = (struct swim_ops){.send = gossip_send,
+					.handle_config_head = gossip_handle_head,
+					.handle_freeze = gossip_handle_freeze,
+					.handle_refuted = gossip_handle_refuted,
+					.data = gossip};
+	gossip->swim = swim_create(&options, gossip->now_us);
+}
+
+struct gossip *gossip_create(struct daemon *daemon, uint16_t port,
+			     const struct gossip_handlers *handlers)
+{
+	struct member_observer observer = {.handle_changed =
+						   gossip_handle_member};
+	int fd = gossip_bind(daemon->settings->peer.address, port);
+	struct gossip *gossip;
+
+	if (fd < 0)
+		return NULL;
+	gossip = g_new0(struct gossip, 1);
+	gossip->daemon = daemon;
+	gossip->handlers = handlers;
+	gossip->fd = fd;
+	gossip->port = bound_port(fd);
+	gossip->now_us = clock_mono_us();
+	gossip_create_swim(gossip);
+	observer.data = gossip;
+	member_table_observe(daemon->members, &observer);
+	ev_io_init(&gossip->readable, gossip_handle_readable, fd, EV_READ);
+	gossip->readable.data = gossip;
+	ev_io_start(daemon->loop, &gossip->readable);
+	ev_timer_init(&gossip->tick, gossip_handle_tick, 0, SWIM_TICK_US * 1e-6);
+	gossip->tick.data = gossip;
+	ev_timer_start(daemon->loop, &gossip->tick);
+	for (char **peer = daemon->settings->join; peer && *peer; peer++)
+		gossip_join(gossip, *peer);
+	log_event(EV_GOSSIP_STARTED,
+		  LOG_STR("address", daemon->settings->peer.address),
+		  LOG_INT("port", gossip->port));
+	return gossip;
+}
+
+void gossip_destroy(struct gossip *gossip)
+{
+	if (!gossip)
+		return;
+	ev_io_stop(gossip->daemon->loop, &gossip->readable);
+	ev_timer_stop(gossip->daemon->loop, &gossip->tick);
+	member_table_unobserve(gossip->daemon->members, gossip);
+	swim_destroy(gossip->swim);
+	close(gossip->fd);
+	g_free(gossip);
+}
+
+uint16_t gossip_port(const struct gossip *gossip)
+{
+	return gossip->port;
+}
+
+bool gossip_join(struct gossip *gossip, const char *peer)
+{
+	const char *colon = strrchr(peer, ':');
+	char address[MEMBER_ADDRESS_MAX] = "";
+	struct sockaddr_storage storage;
+	size_t size = colon ? (size_t)(colon - peer) : 0;
+	long port = colon ? strtol(colon + 1, NULL, 10) : 0;
+
+	if (size > 2 && peer[0] == '[' && peer[size - 1] == ']') {
+		peer++;
+		size -= 2;
+	}
+	if (size == 0 || size >= sizeof(address) || port < 1 || port > UINT16_MAX)
+		return false;
+	memcpy(address, peer, size);
+	if (address_fill(&storage, address, (uint16_t)port) == 0)
+		return false;
+	swim_join(gossip->swim, address, (uint16_t)port, clock_mono_us());
+	return true;
+}
+
+bool gossip_announce_self(struct gossip *gossip, enum member_service_state state,
+			  char **groups, uint32_t slots, uint32_t warm_ms)
+{
+	return swim_announce(gossip->swim, state, groups, slots, warm_ms,
+			     clock_mono_us());
+}
+
+void gossip_leave(struct gossip *gossip)
+{
+	swim_leave(gossip->swim, clock_mono_us());
+}
+
+void gossip_set_config_head(struct gossip *gossip, uint64_t head)
+{
+	swim_set_config_head(gossip->swim, head);
+}
+
+const struct member *gossip_self(const struct gossip *gossip)
+{
+	return swim_self(gossip->swim);
+}
+
+bool gossip_has_peers(const struct gossip *gossip)
+{
+	return swim_has_peers(gossip->swim);
+}
