--- a/comfreydockd/decide/pick_policy.c
+++ b/comfreydockd/decide/pick_policy.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "comfreydockd/decide/pick.h"
 
@@ -147,3 +148,17 @@
 const struct pick_policy pick_two_scores = {"two-scores", choose_two_scores};
 const struct pick_policy pick_least_score = {"least-score", choose_least_score};
 const struct pick_policy *const pick_default_policy = &pick_least_score;
+
+const struct pick_policy *pick_policy_find(const char *name)
+{
+	const struct pick_policy *const policies[] = {
+		&pick_random,	   &pick_round_robin, &pick_least_outstanding,
+		&pick_two_choices, &pick_two_scores,  &pick_least_score,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+		if (strcmp(policies[i]->name, name) == 0)
+			return policies[i];
+	}
+	return NULL;
+}
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -135,6 +135,9 @@
 /* The one that the daemon uses. */
 extern const struct pick_policy *const pick_default_policy;
 
+/* RETURN VALUE: NULL if there is none of that name. */
+const struct pick_policy *pick_policy_find(const char *name);
+
 struct pick_set {
 	const struct pick_policy *policy;
 	GPtrArray *candidates; /* of struct pick_candidate, the entry's own */
