daemon: join the gossip, and walk the whole path through three daemons

Three daemons in two failure domains with their upstreams and the platform's stand-in, as separate processes: any daemon reaches the service, bodies pass whole, and a drain under load cuts nobody off.

A daemon that stopped read freed memory: the member table told the entry's observer of each record that it freed.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -35,6 +35,8 @@
 #define LAME_DUCK_S 2.0
 /* After the port is closed, what was accepted last still gets its answer. */
 #define LAST_CALLS_S 0.3
+/* The good-bye's way through gossip. */
+#define LEAVE_S 0.5
 
 struct assembly {
 	struct daemon daemon;
@@ -44,6 +46,8 @@
 	ev_timer stop_check;
 	ev_tstamp stopping_since; /* 0: not stopping */
 	ev_tstamp quiet_since;
+	ev_tstamp left_since; /* 0: the good-bye is not said yet */
+	struct gossip_handlers gossip_handlers;
 };
 
 static struct assembly *assembly_of(struct daemon *daemon)
@@ -115,9 +119,14 @@
 	if (now - assembly->quiet_since < LAST_CALLS_S &&
 	    spent < LAME_DUCK_S + most)
 		return;
+	if (assembly->left_since <= 0) {
+		assembly->left_since = now;
+		gossip_leave(assembly->daemon.gossip);
+	}
+	if (now - assembly->left_since < LEAVE_S)
+		return;
 	log_event(EV_DAEMON_STOPPED,
 		  LOG_INT("calls", entry_count(assembly->daemon.entry)));
-	gossip_leave(assembly->daemon.gossip);
 	ev_break(loop, EVBREAK_ALL);
 }
 
@@ -186,7 +195,8 @@
 	daemon->operator_api = operator_api_create(daemon);
 	if (!daemon->operator_api)
 		return report_bind_error("admin", &settings->admin);
-	daemon->gossip = gossip_create(daemon, daemon->peer_port);
+	daemon->gossip = gossip_create(daemon, daemon->peer_port,
+				       &assembly->gossip_handlers);
 	if (!daemon->gossip)
 		return report_bind_error("gossip", &settings->peer);
 	daemon->owner = owner_create(daemon);
@@ -209,8 +219,6 @@
 
 	owner_when_changed(daemon->owner, handle_owner_state, daemon);
 	member_table_observe(daemon->members, &observer);
-	for (char **peer = daemon->settings->join; peer && *peer; peer++)
-		gossip_join(daemon->gossip, *peer);
 }
 
 static void watch_signals(struct assembly *assembly)
@@ -259,6 +267,8 @@
 {
 	struct daemon *daemon = &assembly->daemon;
 
+	if (daemon->members)
+		member_table_unobserve(daemon->members, daemon);
 	entry_destroy(daemon->entry);
 	listener_destroy(assembly->listener);
 	peers_destroy(daemon->peers);
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -71,6 +71,7 @@
 {
 	if (!services)
 		return;
+	member_table_unobserve(services->daemon->members, services);
 	g_hash_table_unref(services->by_key);
 	g_free(services);
 }
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -27,9 +27,12 @@
 		"\"log_format\": \"json\",\n",
 		i, domains[i % 2], cluster->platform->port);
 	if (*config)
-		g_string_append(text, "\"config_file\": \"ops.json\",\n");
-	g_string_append(text, "\"peer\": {\"address\": \"127.0.0.1\", "
-			      "\"port\": 0, \"key_file\": \"peer.key\"");
+		g_string_append_printf(text, "\"config_file\": \"%s\",\n",
+				       cluster->config_file);
+	g_string_append_printf(text,
+			       "\"peer\": {\"address\": \"127.0.0.1\", "
+			       "\"port\": 0, \"key_file\": \"%s\"",
+			       cluster->key_file);
 	if (i > 0)
 		g_string_append_printf(text, ", \"join\": [\"127.0.0.1:%u\"]",
 				       cluster->daemons[0]->peer_port);
@@ -74,8 +77,9 @@
 	memset(cluster, 0, sizeof(*cluster));
 	cluster->rig = rig_create();
 	cluster->count = options->count;
-	rig_write_file(cluster->rig, "peer.key", "%s", KEY);
-	rig_write_file(cluster->rig, "ops.json", "%s", config);
+	cluster->key_file = rig_write_file(cluster->rig, "peer.key", "%s", KEY);
+	cluster->config_file =
+		rig_write_file(cluster->rig, "ops.json", "%s", config);
 	cluster->platform = rig_start_standin(
 		cluster->rig, "standin/platform/standin-platform", NULL);
 	for (unsigned int i = 0; i < options->count; i++)
@@ -154,7 +158,7 @@
 		if (!upstream || rig_has_ended(upstream))
 			continue;
 		json = rig_http_ok("GET", upstream->port, path, NULL);
-		runs += MAX(rig_json_int(json, "runs"), 0);
+		runs += MAX(rig_json_int(json, request_id), 0);
 		g_free(json);
 	}
 	g_free(path);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -27,6 +27,8 @@
 
 struct cluster {
 	struct rig *rig;
+	const char *key_file;
+	const char *config_file;
 	struct rig_process *platform;
 	struct rig_process *daemons[CLUSTER_MAX];
 	struct rig_process *upstreams[CLUSTER_MAX];
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -64,8 +64,9 @@
 		print_log_end(process->err_path);
 	}
 	remove_files(current);
-	if (signal != SIGABRT)
+	if (signal != SIGABRT && signal != SIGTRAP)
 		_exit(1);
+	current = NULL;
 }
 
 static void process_free(void *data)
@@ -89,6 +90,7 @@
 	g_assert_null(current);
 	current = rig;
 	signal(SIGABRT, handle_end);
+	signal(SIGTRAP, handle_end); /* g_error() */
 	signal(SIGTERM, handle_end);
 	signal(SIGINT, handle_end);
 	return rig;
