caller: refuse heads that can be read in two ways

libmicrohttpd takes what RFC 9112 forbids, and the daemon passed it on: a space before the colon of a field, a coding in HTTP/1.0, control characters and spaces in targets and values, no Host or one with a path, a fragment. An upstream that reads the same bytes in another way takes a body for a second request. An absolute target found no service.

The check of a head is a module of its own now (caller/head.c), apart from the listener. Heads that libmicrohttpd refuses by itself are counted, as are connections that never held a request (caller_empty_connections).

--- /dev/null
+++ b/comfreydockd/caller/head.c
@@ -0,0 +1,123 @@
+#include "comfreydockd/caller/head.h"
+
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+
+#define HTTP_SCHEME "http://"
+
+static bool is_token(const char *text)
+{
+	if (!*text)
+		return false;
+	for (; *text; text++) {
+		if (!g_ascii_isalnum(*text) && !strchr("!#$%&'*+-.^_`|~", *text))
+			return false;
+	}
+	return true;
+}
+
+/* Bytes beyond ASCII may stand in a value; control characters may not. */
+static bool is_value(const char *text)
+{
+	for (; *text; text++) {
+		if (g_ascii_iscntrl(*text) && *text != '\t')
+			return false;
+	}
+	return true;
+}
+
+static bool is_target(const char *text)
+{
+	for (; *text; text++) {
+		if (!g_ascii_isgraph(*text) || *text == '#')
+			return false;
+	}
+	return true;
+}
+
+static bool is_authority(const char *text)
+{
+	for (; *text; text++) {
+		if (!g_ascii_isalnum(*text) && !strchr("-._~:[]%", *text))
+			return false;
+	}
+	return true;
+}
+
+static void head_split_absolute(struct head *head, const char *rest)
+{
+	size_t length = strcspn(rest, "/?");
+
+	if (length == 0)
+		return;
+	head->authority = g_strndup(rest, length);
+	rest += length;
+	head->target = g_strconcat(*rest == '/' ? "" : "/", rest, NULL);
+}
+
+void head_init(struct head *head, const char *target)
+{
+	memset(head, 0, sizeof(*head));
+	fields_init(&head->fields);
+	if (!is_target(target))
+		return;
+	if (*target == '/')
+		head->target = g_strdup(target);
+	else if (g_ascii_strncasecmp(target, HTTP_SCHEME, strlen(HTTP_SCHEME)) ==
+		 0)
+		head_split_absolute(head, target + strlen(HTTP_SCHEME));
+	if (head->authority)
+		fields_add(&head->fields, "Host", head->authority);
+}
+
+void head_finish(struct head *head)
+{
+	fields_finish(&head->fields);
+	g_free(head->target);
+	g_free(head->authority);
+}
+
+void head_add_field(struct head *head, const char *name, const char *value)
+{
+	const char *text = value ? value : "";
+
+	head->has_bad_field |= !is_token(name) || !is_value(text);
+	if (strcasecmp(name, "Content-Length") == 0) {
+		head->lengths++;
+		head->has_body |= strcmp(text, "0") != 0;
+	} else if (strcasecmp(name, "Transfer-Encoding") == 0) {
+		head->codings++;
+		head->has_body = true;
+		head->has_bad_field |= strcasecmp(text, "chunked") != 0;
+	} else if (strcasecmp(name, "Host") == 0) {
+		head->hosts++;
+		head->has_bad_field |= !is_authority(text);
+		if (head->authority)
+			return; /* the target's goes before it */
+	}
+	fields_add(&head->fields, name, value);
+}
+
+const char *head_fault(const struct head *head, const char *method,
+		       const char *version)
+{
+	bool is_1_0 = strcmp(version, "HTTP/1.0") == 0;
+
+	if (!is_token(method) || strcmp(method, "CONNECT") == 0)
+		return "the method is not served";
+	if (!head->target || (head->authority && !is_authority(head->authority)))
+		return "the target can't be read";
+	if (head->has_bad_field)
+		return "a field can't be read";
+	if (head->lengths + head->codings > 1 || (is_1_0 && head->codings))
+		return "the end of the request can't be told";
+	if (head->hosts > 1 || (!is_1_0 && head->hosts == 0))
+		return "one Host field is needed";
+	return NULL;
+}
+
+const char *head_host(const struct head *head)
+{
+	return fields_find(&head->fields, "Host");
+}
--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -1,13 +1,14 @@
 #include "comfreydockd/caller/listener.h"
 
-#include <arpa/inet.h>
 #include <poll.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 
+#include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/entry.h"
+#include "comfreydockd/caller/head.h"
 #include "comfreydockd/settings.h"
+#include "common/address.h"
 #include "common/counters.h"
 #include "common/http_server.h"
 
@@ -250,121 +251,83 @@
 	.handle_room = handle_room,
 };
 
-/* The request's way in. */
+static enum MHD_Result request_queue(struct caller_request *request)
+{
+	if (request->aborted)
+		return MHD_NO;
+	request->queued = true;
+	if (request->listener->closes)
+		MHD_add_response_header(request->response, "Connection", "close");
+	return MHD_queue_response(request->connection, request->status,
+				  request->response);
+}
 
-struct head_check {
-	struct fields fields;
-	unsigned int lengths;
-	unsigned int codings;
-	bool other_coding;
-	bool has_body;
-	const char *host;
-	unsigned int hosts;
-};
+/* The request's way in. */
 
 static enum MHD_Result handle_field(void *data, enum MHD_ValueKind kind,
 				    const char *name, const char *value)
 {
-	struct head_check *check = data;
-
 	(void)kind;
-	if (strcasecmp(name, "Content-Length") == 0) {
-		check->lengths++;
-		check->has_body |= value && strcmp(value, "0") != 0;
-	} else if (strcasecmp(name, "Transfer-Encoding") == 0) {
-		check->codings++;
-		check->has_body = true;
-		check->other_coding |=
-			!value || strcasecmp(value, "chunked") != 0;
-	} else if (strcasecmp(name, "Host") == 0) {
-		check->hosts++;
-		check->host = value;
-	}
-	fields_add(&check->fields, name, value);
+	head_add_field(data, name, value);
 	return MHD_YES;
 }
 
-static bool head_is_sound(const struct head_check *check)
-{
-	return check->lengths + check->codings <= 1 && !check->other_coding &&
-	       check->hosts <= 1;
-}
-
-static enum MHD_Result request_refuse_form(struct caller_request *request)
+/* What follows on the connection may be part of this request: it is closed. */
+static enum MHD_Result request_refuse_form(struct caller_request *request,
+					   const char *fault)
 {
-	struct fields fields;
+	char *text = g_strdup_printf("not run: %s\n", fault);
 
 	counters.caller_bad_requests++;
-	fields_init(&fields);
-	fields_add(&fields, "Connection", "close");
-	fields_add(&fields, FIELD_OUTCOME, "not-run");
-	fields_add(&fields, FIELD_REASON, "bad-request");
-	handle_whole(request, STATUS_BAD_REQUEST, &fields,
-		     "not run: the end of the request can't be told\n");
-	fields_finish(&fields);
-	request->queued = true;
-	return MHD_queue_response(request->connection, request->status,
-				  request->response);
+	outcome_refuse(&sink, request, STATUS_BAD_REQUEST, "bad-request", 0,
+		       text);
+	MHD_add_response_header(request->response, "Connection", "close");
+	g_free(text);
+	return request_queue(request);
 }
 
 static void request_begin_call(struct caller_request *request,
-			       const char *method, const struct head_check *check)
+			       const char *method, const struct head *head)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		request->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	char address[INET6_ADDRSTRLEN] = "";
 	struct call_request call = {
 		.method = method,
-		.target = request->target,
-		.host = check->host,
+		.target = head->target,
+		.host = head_host(head),
 		.caller = address,
-		.fields = &check->fields,
-		.has_body = check->has_body,
+		.fields = &head->fields,
+		.has_body = head->has_body,
 	};
 
-	if (info->client_addr->sa_family == AF_INET)
-		inet_ntop(AF_INET,
-			  &((struct sockaddr_in *)info->client_addr)->sin_addr,
-			  address, sizeof(address));
-	else
-		inet_ntop(AF_INET6,
-			  &((struct sockaddr_in6 *)info->client_addr)->sin6_addr,
-			  address, sizeof(address));
+	address_to_text(info->client_addr, address);
 	request->call = entry_begin(request->listener->daemon->entry, &call,
 				    &sink, request);
 }
 
-static enum MHD_Result request_queue(struct caller_request *request)
-{
-	if (request->aborted)
-		return MHD_NO;
-	request->queued = true;
-	if (request->listener->closes)
-		MHD_add_response_header(request->response, "Connection", "close");
-	return MHD_queue_response(request->connection, request->status,
-				  request->response);
-}
-
 static enum MHD_Result request_take_head(struct caller_request *request,
-					 const char *method)
+					 const char *method, const char *version)
 {
-	struct head_check check = {0};
 	enum MHD_Result result = MHD_YES;
+	const char *fault;
+	struct head head;
 
 	request->has_head = true;
-	fields_init(&check.fields);
+	head_init(&head, request->target);
 	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-				  handle_field, &check);
-	if (!head_is_sound(&check)) {
-		result = request_refuse_form(request);
+				  handle_field, &head);
+	fault = head_fault(&head, method, version);
+	if (fault) {
+		result = request_refuse_form(request, fault);
 	} else {
-		request->body_done = !check.has_body;
-		request_begin_call(request, method, &check);
+		request->body_done = !head.has_body;
+		request_begin_call(request, method, &head);
 		/* Refused by its head alone: no need to read a body. */
-		if (request->response && !request->call && check.has_body)
+		if (request->response && !request->call && head.has_body)
 			result = request_queue(request);
 	}
-	fields_finish(&check.fields);
+	head_finish(&head);
 	return result;
 }
 
@@ -408,9 +371,8 @@
 	(void)data;
 	(void)connection;
 	(void)url;
-	(void)version;
 	if (!request->has_head)
-		return request_take_head(request, method);
+		return request_take_head(request, method, version);
 	if (*upload_size)
 		return request_take_body(request, upload, upload_size);
 	if (!request->body_done) {
@@ -424,6 +386,31 @@
 	return MHD_YES;
 }
 
+/* Not even a request line could be read where none has begun. */
+static void handle_connection(void *data, struct MHD_Connection *connection,
+			      void **context,
+			      enum MHD_ConnectionNotificationCode code)
+{
+	bool *has_request = *context;
+
+	(void)data;
+	(void)connection;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*context = g_new0(bool, 1);
+		return;
+	}
+	counters.caller_empty_connections += !*has_request;
+	g_free(has_request);
+}
+
+static void note_connection_used(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	*(bool *)info->socket_context = true;
+}
+
 static void *handle_target(void *data, const char *target,
 			   struct MHD_Connection *connection)
 {
@@ -433,6 +420,7 @@
 	request->connection = connection;
 	request->target = g_strdup(target);
 	request->answer = g_byte_array_new();
+	note_connection_used(connection);
 	ev_io_init(&request->hang_up, handle_hang_up, -1, EV_READ);
 	ev_timer_init(&request->watch, handle_watch, 0.0, WATCH_S);
 	request->hang_up.data = request;
@@ -447,10 +435,12 @@
 
 	(void)data;
 	(void)connection;
-	(void)code;
 	*con_cls = NULL;
 	if (!request)
 		return;
+	/* libmicrohttpd refused the head by itself. */
+	if (!request->has_head && code != MHD_REQUEST_TERMINATED_CLIENT_ABORT)
+		counters.caller_bad_requests++;
 	if (request->call)
 		call_abandon(request->call);
 	request_free(request);
@@ -470,6 +460,7 @@
 		.handle_access = handle_access,
 		.handle_completed = handle_completed,
 		.handle_target = handle_target,
+		.handle_connection = handle_connection,
 		.data = listener,
 	};
 
--- a/common/address.c
+++ b/common/address.c
@@ -38,3 +38,13 @@
 	g_free(number);
 	return ok;
 }
+
+void address_to_text(const struct sockaddr *address, char out[INET6_ADDRSTRLEN])
+{
+	const void *number = &((const struct sockaddr_in *)address)->sin_addr;
+
+	if (address->sa_family == AF_INET6)
+		number = &((const struct sockaddr_in6 *)address)->sin6_addr;
+	if (!inet_ntop(address->sa_family, number, out, INET6_ADDRSTRLEN))
+		out[0] = '\0';
+}
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -117,7 +117,9 @@
 		MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)LISTEN_BACKLOG,
 		MHD_OPTION_NOTIFY_COMPLETED, callbacks->handle_completed,
 		callbacks->data, MHD_OPTION_URI_LOG_CALLBACK,
-		callbacks->handle_target, callbacks->data, MHD_OPTION_END);
+		callbacks->handle_target, callbacks->data,
+		MHD_OPTION_NOTIFY_CONNECTION, callbacks->handle_connection,
+		callbacks->data, MHD_OPTION_END);
 }
 
 static void http_server_watch(struct http_server *server)
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -9,7 +9,9 @@
 #ifndef COMMON_ADDRESS_H
 #define COMMON_ADDRESS_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
+#include <sys/socket.h>
 
 bool address_is_ip_number(const char *text);
 bool address_is_loopback(const char *text);
@@ -17,4 +19,7 @@
 /* "IP:PORT", an IPv6 number in brackets; the port is not 0. */
 bool address_has_port(const char *text);
 
+/* Writes the IP number alone. */
+void address_to_text(const struct sockaddr *address, char out[INET6_ADDRSTRLEN]);
+
 #endif
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -40,6 +40,8 @@
 	/* Takes the raw request target; its result becomes *con_cls. */
 	void *(*handle_target)(void *data, const char *target,
 			       struct MHD_Connection *connection);
+	/* May be NULL: each connection's start and end. */
+	MHD_NotifyConnectionCallback handle_connection;
 	void *data;
 };
 
