--- a/tests/swim_net.h
+++ b/tests/swim_net.h
@@ -18,8 +18,8 @@
 
 /* One machine, and what it sent. */
 struct host {
-	char name[16];
-	char address[16];
+	char name[24];
+	char address[24];
 	struct swim *swim; /* NULL: not running */
 	struct member_table *table;
 	struct swim_ops ops;
