--- a/include/common/log.h
+++ b/include/common/log.h
@@ -34,7 +34,13 @@
 	int64_t number;
 };
 
-#define LOG_STR(k, s) ((struct log_field){.key = (k), .text = (s) ? (s) : ""})
+/* A missing text is an empty one. */
+static inline const char *log_text(const char *text)
+{
+	return text ? text : "";
+}
+
+#define LOG_STR(k, s) ((struct log_field){.key = (k), .text = log_text(s)})
 #define LOG_INT(k, n) ((struct log_field){.key = (k), .number = (int64_t)(n)})
 
 #define log_event(id, ...)                                 \
