upstream: measure within the budget, and notice a dead upstream

Cause: the owner kept a measuring budget and nothing spent it; and an upstream whose process had died looked idle, so every call tried it first and lost a round trip before it went elsewhere.

Change: probes at the operator's health path pass the measure module's budget; a failing answer is a hint only. Two refused connections in a row, of probes or of requests, make the owner say that it has no upstream; a plain connect every 250 ms, which takes no slot, finds it again.

Test: on a paused clock a dead upstream is found without traffic, refused requests tell too, and at a thousandth of one slot at most 10 probes are sent in a minute.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -94,6 +94,14 @@
 	peers_drop(daemon->peers, member->host, "the host is gone");
 }
 
+static void handle_config_changed(struct config_snapshot *snapshot, void *data)
+{
+	struct daemon *daemon = data;
+
+	(void)snapshot;
+	owner_note_config(daemon->owner);
+}
+
 static bool stop_is_quiet(const struct assembly *assembly)
 {
 	const struct daemon *daemon = &assembly->daemon;
@@ -216,7 +224,12 @@
 		.handle_removed = handle_member_removed,
 		.data = daemon,
 	};
+	struct config_store_observer config_observer = {
+		.handle_changed = handle_config_changed,
+		.data = daemon,
+	};
 
+	config_store_observe(daemon->config, &config_observer);
 	owner_when_changed(daemon->owner, handle_owner_state, daemon);
 	member_table_observe(daemon->members, &observer);
 }
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -177,6 +177,8 @@
 
 	attempt_owner_step(&attempt->state, OWNER_NEVER_BEGAN);
 	owner_note_over(owner, attempt, LIMIT_OUTCOME_OVERLOAD);
+	if (!attempt->is_shed)
+		owner_note_refused(owner);
 	attempt_refuse(attempt,
 		       attempt->is_shed ? CFD__REASON__REASON_SHED :
 					  CFD__REASON__REASON_CONNECT,
--- /dev/null
+++ b/comfreydockd/upstream/frames.c
@@ -0,0 +1,153 @@
+#include <string.h>
+
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/upstream/owner_internal.h"
+#include "common/clock.h"
+#include "common/counters.h"
+
+static void owner_take_attempt(struct owner *owner, struct peer *peer,
+			       Cfd__Frame *frame)
+{
+	struct owner_peer *state = peer_role_data(peer);
+	struct owner_attempt *attempt = g_new0(struct owner_attempt, 1);
+	Cfd__Attempt *request = frame->attempt;
+	int64_t now = clock_mono_us();
+
+	/* The attempt outlives its frame. */
+	frame->attempt = NULL;
+	frame->kind_case = CFD__FRAME__KIND__NOT_SET;
+	counters.owner_attempts++;
+	timeline_observe(&owner->daemon->timeline, request->time);
+	attempt->owner = owner;
+	attempt->peer = peer;
+	attempt->request = request;
+	attempt->body_ends = request->body_ends;
+	attempt->item.class = (enum config_class)MIN(
+		request->priority, (uint32_t)CONFIG_CLASS_BULK);
+	attempt->item.deadline_us = deadline_at(
+		(int64_t)MIN(request->remaining_us, (uint64_t)INT64_MAX / 2), 0,
+		now);
+	attempt->item.key_hash = fair_hash(request->fairness_key);
+	attempt->item.may_queue = request->may_queue;
+	LIST_INSERT_HEAD(&state->attempts, attempt, link);
+	if (owner->state == OWNER_UP && owner_has_group(owner, request->group)) {
+		owner_offer(owner, attempt);
+		return;
+	}
+	attempt_owner_step(&attempt->state, OWNER_REFUSE);
+	attempt_refuse(attempt,
+		       owner->state == OWNER_DRAINING ?
+			       CFD__REASON__REASON_DRAINING :
+			       CFD__REASON__REASON_NO_UPSTREAM,
+		       OWNER_RETRY_AFTER_MS);
+}
+
+static struct owner_attempt *owner_find(struct peer *peer, uint64_t seq)
+{
+	struct owner_peer *state = peer_role_data(peer);
+	struct owner_attempt *attempt;
+
+	LIST_FOREACH (attempt, &state->attempts, link) {
+		if (attempt->request->seq == seq)
+			return attempt;
+	}
+	counters.peer_unmatched++;
+	return NULL;
+}
+
+static void owner_cancel(struct owner *owner, struct owner_attempt *attempt)
+{
+	counters.owner_cancels++;
+	if (attempt->state == OWNER_ATTEMPT_RUNNING) {
+		attempt_give_up(attempt);
+		return;
+	}
+	queue_remove(&owner->queue, &attempt->item);
+	attempt_owner_step(&attempt->state, OWNER_REFUSE);
+	attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
+}
+
+static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq)
+{
+	Cfd__Load load = CFD__LOAD__INIT;
+	Cfd__LoadReport report = CFD__LOAD_REPORT__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	owner_fill_load(owner, &load);
+	report.seq = seq;
+	report.load = &load;
+	frame.kind_case = CFD__FRAME__KIND_LOAD_REPORT;
+	frame.load_report = &report;
+	peer_send(peer, &frame);
+}
+
+static void owner_take_frame(struct owner *owner, struct peer *peer,
+			     Cfd__Frame *frame)
+{
+	struct owner_attempt *attempt;
+
+	switch (frame->kind_case) {
+	case CFD__FRAME__KIND_ATTEMPT:
+		owner_take_attempt(owner, peer, frame);
+		break;
+	case CFD__FRAME__KIND_BODY:
+		attempt = owner_find(peer, frame->body->seq);
+		if (attempt)
+			attempt_take_body(attempt, frame->body);
+		break;
+	case CFD__FRAME__KIND_CANCEL:
+		attempt = owner_find(peer, frame->cancel->seq);
+		if (attempt)
+			owner_cancel(owner, attempt);
+		break;
+	case CFD__FRAME__KIND_WINDOW:
+		attempt = owner_find(peer, frame->window->seq);
+		if (attempt)
+			attempt_take_window(attempt, frame->window->bytes);
+		break;
+	case CFD__FRAME__KIND_LOAD_QUERY:
+		owner_send_load(owner, peer, frame->load_query->seq);
+		break;
+	default:
+		counters.peer_bad_frames++;
+		break;
+	}
+}
+
+static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	if (!peer_role_data(peer)) {
+		struct owner_peer *state = g_new0(struct owner_peer, 1);
+
+		LIST_INIT(&state->attempts);
+		peer_set_role_data(peer, state);
+	}
+	owner_take_frame(data, peer, frame);
+}
+
+/* What waits is dropped: its caller will be told "unknown" or has another
+ * attempt out. */
+static void handle_lost(struct peer *peer, const char *error, void *data)
+{
+	struct owner *owner = data;
+	struct owner_peer *state = peer_role_data(peer);
+	struct owner_attempt *attempt;
+
+	(void)error;
+	if (!state)
+		return;
+	while ((attempt = LIST_FIRST(&state->attempts))) {
+		LIST_REMOVE(attempt, link);
+		attempt->peer = NULL;
+		owner_cancel(owner, attempt);
+	}
+	g_free(state);
+	peer_set_role_data(peer, NULL);
+}
+
+void owner_fill_role(struct owner *owner, struct peers_role *role)
+{
+	role->handle_frame = handle_frame;
+	role->handle_lost = handle_lost;
+	role->data = owner;
+}
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -4,7 +4,6 @@
 
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/limit.h"
-#include "comfreydockd/decide/measure.h"
 #include "comfreydockd/decide/queue.h"
 #include "comfreydockd/decide/warm.h"
 #include "comfreydockd/peer/peers.h"
@@ -15,7 +14,6 @@
 #include "common/id.h"
 #include "common/log.h"
 
-#define DEFAULT_RETRY_AFTER_MS 1000
 #define SWEEP_S 0.1
 /* An upstream that gives no head this long after the deadline is broken off:
  * nobody waits for it, and its slot would be lost for good. */
@@ -117,7 +115,7 @@
 	if (outcome == LIMIT_OUTCOME_OK || outcome == LIMIT_OUTCOME_FAILED) {
 		queue_note_done(&owner->queue, attempt->item.class,
 				now - attempt->started_us);
-		measure_note_traffic(&owner->measure, now);
+		probe_note_traffic(owner->probe);
 	}
 	if (first_us > attempt->item.deadline_us)
 		counters.owner_late++;
@@ -254,7 +252,7 @@
 		owner_wake(owner);
 }
 
-static bool owner_has_group(const struct owner *owner, const char *group)
+bool owner_has_group(const struct owner *owner, const char *group)
 {
 	for (char **known = owner->announced.groups; known && *known; known++) {
 		if (strcmp(*known, group) == 0)
@@ -263,10 +261,10 @@
 	return false;
 }
 
-static void owner_offer(struct owner *owner, struct owner_attempt *attempt)
+void owner_offer(struct owner *owner, struct owner_attempt *attempt)
 {
 	struct queue_slots slots = owner_slots(owner);
-	uint32_t retry_after_ms = DEFAULT_RETRY_AFTER_MS;
+	uint32_t retry_after_ms = OWNER_RETRY_AFTER_MS;
 	enum queue_verdict verdict;
 
 	verdict = queue_offer(&owner->queue, &attempt->item, &slots,
@@ -280,144 +278,38 @@
 	owner_wake(owner);
 }
 
-static void owner_take_attempt(struct owner *owner, struct peer *peer,
-			       Cfd__Frame *frame)
-{
-	struct owner_peer *state = peer_role_data(peer);
-	struct owner_attempt *attempt = g_new0(struct owner_attempt, 1);
-	Cfd__Attempt *request = frame->attempt;
-	int64_t now = clock_mono_us();
-
-	/* The attempt outlives its frame. */
-	frame->attempt = NULL;
-	frame->kind_case = CFD__FRAME__KIND__NOT_SET;
-	counters.owner_attempts++;
-	timeline_observe(&owner->daemon->timeline, request->time);
-	attempt->owner = owner;
-	attempt->peer = peer;
-	attempt->request = request;
-	attempt->body_ends = request->body_ends;
-	attempt->item.class = (enum config_class)MIN(
-		request->priority, (uint32_t)CONFIG_CLASS_BULK);
-	attempt->item.deadline_us = deadline_at(
-		(int64_t)MIN(request->remaining_us, (uint64_t)INT64_MAX / 2), 0,
-		now);
-	attempt->item.key_hash = fair_hash(request->fairness_key);
-	attempt->item.may_queue = request->may_queue;
-	LIST_INSERT_HEAD(&state->attempts, attempt, link);
-	if (owner->state == OWNER_UP && owner_has_group(owner, request->group)) {
-		owner_offer(owner, attempt);
-		return;
-	}
-	attempt_owner_step(&attempt->state, OWNER_REFUSE);
-	attempt_refuse(attempt,
-		       owner->state == OWNER_DRAINING ?
-			       CFD__REASON__REASON_DRAINING :
-			       CFD__REASON__REASON_NO_UPSTREAM,
-		       DEFAULT_RETRY_AFTER_MS);
-}
-
-static struct owner_attempt *owner_find(struct peer *peer, uint64_t seq)
-{
-	struct owner_peer *state = peer_role_data(peer);
-	struct owner_attempt *attempt;
-
-	LIST_FOREACH (attempt, &state->attempts, link) {
-		if (attempt->request->seq == seq)
-			return attempt;
-	}
-	counters.peer_unmatched++;
-	return NULL;
-}
-
-static void owner_cancel(struct owner *owner, struct owner_attempt *attempt)
-{
-	counters.owner_cancels++;
-	if (attempt->state == OWNER_ATTEMPT_RUNNING) {
-		attempt_give_up(attempt);
-		return;
-	}
-	queue_remove(&owner->queue, &attempt->item);
-	attempt_owner_step(&attempt->state, OWNER_REFUSE);
-	attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
-}
-
-static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq)
+static void owner_publish(struct owner *owner)
 {
-	Cfd__Load load = CFD__LOAD__INIT;
-	Cfd__LoadReport report = CFD__LOAD_REPORT__INIT;
-	Cfd__Frame frame = CFD__FRAME__INIT;
-
-	owner_fill_load(owner, &load);
-	report.seq = seq;
-	report.load = &load;
-	frame.kind_case = CFD__FRAME__KIND_LOAD_REPORT;
-	frame.load_report = &report;
-	peer_send(peer, &frame);
+	if (owner->handle_state)
+		owner->handle_state(owner, owner->state_data);
 }
 
-static void owner_take_frame(struct owner *owner, struct peer *peer,
-			     Cfd__Frame *frame)
+static void owner_refuse_waiting(struct owner *owner, Cfd__Reason reason)
 {
-	struct owner_attempt *attempt;
-
-	switch (frame->kind_case) {
-	case CFD__FRAME__KIND_ATTEMPT:
-		owner_take_attempt(owner, peer, frame);
-		break;
-	case CFD__FRAME__KIND_BODY:
-		attempt = owner_find(peer, frame->body->seq);
-		if (attempt)
-			attempt_take_body(attempt, frame->body);
-		break;
-	case CFD__FRAME__KIND_CANCEL:
-		attempt = owner_find(peer, frame->cancel->seq);
-		if (attempt)
-			owner_cancel(owner, attempt);
-		break;
-	case CFD__FRAME__KIND_WINDOW:
-		attempt = owner_find(peer, frame->window->seq);
-		if (attempt)
-			attempt_take_window(attempt, frame->window->bytes);
-		break;
-	case CFD__FRAME__KIND_LOAD_QUERY:
-		owner_send_load(owner, peer, frame->load_query->seq);
-		break;
-	default:
-		counters.peer_bad_frames++;
-		break;
-	}
-}
+	struct queue_item *item;
 
-static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
-{
-	if (!peer_role_data(peer)) {
-		struct owner_peer *state = g_new0(struct owner_peer, 1);
+	while ((item = queue_take_any(&owner->queue))) {
+		struct owner_attempt *attempt = attempt_of(item);
 
-		LIST_INIT(&state->attempts);
-		peer_set_role_data(peer, state);
+		attempt_owner_step(&attempt->state, OWNER_REFUSE);
+		attempt_refuse(attempt, reason, OWNER_RETRY_AFTER_MS);
 	}
-	owner_take_frame(data, peer, frame);
 }
 
-/* What waits is dropped: its caller will be told "unknown" or has another
- * attempt out. */
-static void handle_lost(struct peer *peer, const char *error, void *data)
+/* Nobody listens at the upstream's address, or somebody does again. */
+static void handle_reachable(bool reachable, void *data)
 {
 	struct owner *owner = data;
-	struct owner_peer *state = peer_role_data(peer);
-	struct owner_attempt *attempt;
 
-	(void)error;
-	if (!state)
-		return;
-	while ((attempt = LIST_FIRST(&state->attempts))) {
-		LIST_REMOVE(attempt, link);
-		attempt->peer = NULL;
-		owner_cancel(owner, attempt);
+	if (!reachable && owner->state == OWNER_UP) {
+		owner->state = OWNER_NO_UPSTREAM;
+		owner_refuse_waiting(owner, CFD__REASON__REASON_NO_UPSTREAM);
+	} else if (reachable && owner->state == OWNER_NO_UPSTREAM) {
+		owner->state = OWNER_UP;
+		warm_begin(&owner->warm, owner->announced.warm_ms,
+			   clock_mono_us());
 	}
-	g_free(state);
-	peer_set_role_data(peer, NULL);
+	owner_publish(owner);
 }
 
 struct owner *owner_create(struct daemon *daemon)
@@ -428,7 +320,7 @@
 		.fair = true,
 		.seed = id_random_u64(),
 	};
-	struct peers_role role = {handle_frame, handle_lost, owner};
+	struct peers_role role;
 
 	owner->daemon = daemon;
 	owner->old_pools =
@@ -436,7 +328,7 @@
 	TAILQ_INIT(&owner->runs);
 	queue_init(&owner->queue, &options);
 	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
-	measure_init(&owner->measure, 1, 0, clock_mono_us());
+	owner->probe = probe_create(daemon, handle_reachable, owner);
 	owner->swept_us = clock_mono_us();
 	ev_timer_init(&owner->turn, handle_turn, 0.0, 0.0);
 	ev_set_priority(&owner->turn, EV_MINPRI);
@@ -446,6 +338,7 @@
 	owner->stale.data = owner;
 	owner->sweep.data = owner;
 	ev_timer_start(daemon->loop, &owner->sweep);
+	owner_fill_role(owner, &role);
 	peers_set_owner(daemon->peers, &role);
 	return owner;
 }
@@ -473,18 +366,13 @@
 		TAILQ_REMOVE(&owner->runs, attempt, running_link);
 		attempt_destroy(attempt);
 	}
+	probe_destroy(owner->probe);
 	run_pool_destroy(owner->pool);
 	g_ptr_array_unref(owner->old_pools);
 	announcement_finish(&owner->announced);
 	g_free(owner);
 }
 
-static void owner_publish(struct owner *owner)
-{
-	if (owner->handle_state)
-		owner->handle_state(owner, owner->state_data);
-}
-
 static void owner_use_pool(struct owner *owner,
 			   const struct owner_announcement *announcement)
 {
@@ -516,11 +404,10 @@
 		limit_init(&owner->limit, &limit_adaptive, copy.slots, now);
 	else
 		limit_set_slots(&owner->limit, copy.slots);
-	measure_set_budget(&owner->measure, copy.slots, owner->measure.permille,
-			   now);
 	if (moved || owner->state != OWNER_UP)
 		warm_begin(&owner->warm, copy.warm_ms, now);
 	owner->state = OWNER_UP;
+	probe_set_upstream(owner->probe, &owner->announced);
 	log_event(EV_OWNER_ANNOUNCED, LOG_STR("address", copy.address),
 		  LOG_INT("port", copy.port), LOG_INT("slots", copy.slots));
 	owner_publish(owner);
@@ -529,20 +416,12 @@
 
 void owner_drain(struct owner *owner)
 {
-	struct queue_item *item;
-
 	if (owner->state == OWNER_DRAINING)
 		return;
 	owner->state = OWNER_DRAINING;
 	log_event(EV_OWNER_DRAINING, LOG_INT("running", owner->running),
 		  LOG_INT("queued", queue_length(&owner->queue)));
-	while ((item = queue_take_any(&owner->queue))) {
-		struct owner_attempt *attempt = attempt_of(item);
-
-		attempt_owner_step(&attempt->state, OWNER_REFUSE);
-		attempt_refuse(attempt, CFD__REASON__REASON_DRAINING,
-			       DEFAULT_RETRY_AFTER_MS);
-	}
+	owner_refuse_waiting(owner, CFD__REASON__REASON_DRAINING);
 	owner_publish(owner);
 	owner_wake(owner);
 }
@@ -557,6 +436,16 @@
 	owner_publish(owner);
 }
 
+void owner_note_refused(struct owner *owner)
+{
+	probe_note_refused(owner->probe);
+}
+
+void owner_note_config(struct owner *owner)
+{
+	probe_configure(owner->probe);
+}
+
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
 		     void *data)
 {
--- /dev/null
+++ b/comfreydockd/upstream/probe.c
@@ -0,0 +1,270 @@
+#include "comfreydockd/upstream/probe.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "comfreydockd/config/store.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/http_client.h"
+#include "common/log.h"
+
+#define TIMEOUT_MS 1000
+/* How soon a restarted upstream is found; a refused connect on loopback costs
+ * some ten microseconds. */
+#define KNOCK_S 0.25
+
+struct probe {
+	struct daemon *daemon;
+	void (*handle_reachable)(bool reachable, void *data);
+	void *data;
+	struct measure measure;
+	const struct owner_announcement *announced; /* the owner's; NULL: none */
+	char *path; /* NULL: the upstream is never asked */
+	ev_timer timer;
+	ev_timer knock; /* runs while nobody listens */
+	struct http_pending *pending;
+	int64_t asked_us;
+	unsigned int refusals; /* in a row */
+	bool is_unreachable;
+};
+
+static void probe_schedule(struct probe *probe)
+{
+	struct ev_loop *loop = probe->daemon->loop;
+	int64_t now = clock_mono_us();
+	int64_t at = measure_next_us(&probe->measure, now);
+
+	ev_timer_stop(loop, &probe->timer);
+	if (!probe->announced || !probe->path || probe->pending || at == INT64_MAX)
+		return;
+	ev_timer_set(&probe->timer, (double)MAX(at - now, US_PER_MS) / US_PER_S,
+		     0.0);
+	ev_timer_start(loop, &probe->timer);
+}
+
+static void probe_note_reachable(struct probe *probe, bool reachable)
+{
+	probe->refusals = reachable ? 0 : probe->refusals + 1;
+	if (reachable == !probe->is_unreachable)
+		return;
+	if (!reachable && probe->refusals < PROBE_REFUSALS)
+		return;
+	probe->is_unreachable = !reachable;
+	if (reachable) {
+		ev_timer_stop(probe->daemon->loop, &probe->knock);
+		log_event(EV_PROBE_REACHABLE);
+	} else {
+		ev_timer_again(probe->daemon->loop, &probe->knock);
+		log_event(EV_PROBE_UNREACHABLE,
+			  LOG_INT("refusals", probe->refusals));
+	}
+	probe->handle_reachable(reachable, probe->data);
+}
+
+static void handle_answer(const struct http_answer *answer, void *data)
+{
+	struct probe *probe = data;
+	int64_t now = clock_mono_us();
+
+	probe->pending = NULL;
+	measure_end(&probe->measure, now - probe->asked_us, now);
+	if (answer->result != CURLE_OK || answer->status >= 500) {
+		counters.probe_failed++;
+		log_event(EV_PROBE_FAILED, LOG_INT("status", answer->status),
+			  LOG_STR("error", curl_easy_strerror(answer->result)));
+	}
+	if (answer->result == CURLE_OK || answer->never_sent)
+		probe_note_reachable(probe, !answer->never_sent);
+	probe_schedule(probe);
+}
+
+static void probe_ask(struct probe *probe)
+{
+	const struct owner_announcement *announced = probe->announced;
+	bool is_v6 = strchr(announced->address, ':') != NULL;
+	char *url =
+		g_strdup_printf(is_v6 ? "http://[%s]:%u%s" : "http://%s:%u%s",
+				announced->address, announced->port, probe->path);
+	struct http_call call = {
+		.method = "GET",
+		.url = url,
+		.timeout_ms = TIMEOUT_MS,
+	};
+
+	counters.probe_sent++;
+	probe->asked_us = clock_mono_us();
+	probe->pending = http_client_call(probe->daemon->http, &call,
+					  handle_answer, probe);
+	g_free(url);
+}
+
+static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct probe *probe = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (measure_try_begin(&probe->measure, clock_mono_us()) == MEASURE_BEGIN)
+		probe_ask(probe);
+	else
+		probe_schedule(probe);
+}
+
+static int connect_to(const struct owner_announcement *announced)
+{
+	struct sockaddr_in in4 = {.sin_family = AF_INET};
+	struct sockaddr_in6 in6 = {.sin6_family = AF_INET6};
+	bool is_v4 = inet_pton(AF_INET, announced->address, &in4.sin_addr) == 1;
+	int fd = socket(is_v4 ? AF_INET : AF_INET6,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	in4.sin_port = htons(announced->port);
+	in6.sin6_port = htons(announced->port);
+	if (!is_v4)
+		inet_pton(AF_INET6, announced->address, &in6.sin6_addr);
+	if (is_v4)
+		(void)connect(fd, (struct sockaddr *)&in4, sizeof(in4));
+	else
+		(void)connect(fd, (struct sockaddr *)&in6, sizeof(in6));
+	return fd;
+}
+
+/* On loopback a connect is over when the call returns. */
+static bool somebody_listens(const struct owner_announcement *announced)
+{
+	struct pollfd poller = {.events = POLLOUT};
+	int error = 0;
+	socklen_t size = sizeof(error);
+
+	poller.fd = connect_to(announced);
+	if (poll(&poller, 1, 0) != 1 ||
+	    getsockopt(poller.fd, SOL_SOCKET, SO_ERROR, &error, &size) < 0)
+		error = ETIMEDOUT;
+	close(poller.fd);
+	return error == 0 && !(poller.revents & (POLLERR | POLLHUP));
+}
+
+static void handle_knock(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct probe *probe = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (somebody_listens(probe->announced))
+		probe_note_reachable(probe, true);
+}
+
+struct probe *probe_create(struct daemon *daemon,
+			   void (*handle_reachable)(bool reachable, void *data),
+			   void *data)
+{
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->daemon = daemon;
+	probe->handle_reachable = handle_reachable;
+	probe->data = data;
+	measure_init(&probe->measure, 1, 0, clock_mono_us());
+	ev_init(&probe->timer, handle_timer);
+	ev_timer_init(&probe->knock, handle_knock, 0.0, KNOCK_S);
+	probe->timer.data = probe;
+	probe->knock.data = probe;
+	return probe;
+}
+
+void probe_destroy(struct probe *probe)
+{
+	if (!probe)
+		return;
+	ev_timer_stop(probe->daemon->loop, &probe->timer);
+	ev_timer_stop(probe->daemon->loop, &probe->knock);
+	if (probe->pending)
+		http_client_cancel(probe->pending);
+	g_free(probe->path);
+	g_free(probe);
+}
+
+static bool announces(const struct owner_announcement *announced,
+		      const char *group)
+{
+	return announced->groups &&
+	       g_strv_contains((const char *const *)announced->groups, group);
+}
+
+struct probe_rule {
+	uint32_t permille;
+	const char *path;
+	bool known;
+};
+
+static void take_service(const struct config_service *service,
+			 struct probe_rule *rule)
+{
+	rule->permille = rule->known ? MIN(rule->permille,
+					   service->measure_budget_permille) :
+				       service->measure_budget_permille;
+	rule->known = true;
+	if (!rule->path)
+		rule->path = service->health_path;
+}
+
+static void find_rule(const struct probe *probe, struct probe_rule *rule)
+{
+	const struct config_snapshot *snapshot =
+		config_store_current(probe->daemon->config);
+
+	for (guint i = 0; i < snapshot->namespaces->len; i++) {
+		const struct config_namespace *namespace =
+			g_ptr_array_index(snapshot->namespaces, i);
+
+		for (guint j = 0; j < namespace->services->len; j++) {
+			const struct config_service *service =
+				g_ptr_array_index(namespace->services, j);
+
+			if (announces(probe->announced, service->group))
+				take_service(service, rule);
+		}
+	}
+}
+
+void probe_configure(struct probe *probe)
+{
+	struct probe_rule rule = {0};
+
+	if (!probe->announced)
+		return;
+	find_rule(probe, &rule);
+	g_free(probe->path);
+	probe->path = g_strdup(rule.path);
+	measure_set_budget(&probe->measure, probe->announced->slots,
+			   rule.permille, clock_mono_us());
+	probe_schedule(probe);
+}
+
+void probe_set_upstream(struct probe *probe,
+			const struct owner_announcement *announced)
+{
+	probe->announced = announced;
+	probe->refusals = 0;
+	probe->is_unreachable = false;
+	ev_timer_stop(probe->daemon->loop, &probe->knock);
+	probe_configure(probe);
+}
+
+void probe_note_refused(struct probe *probe)
+{
+	probe_note_reachable(probe, false);
+}
+
+void probe_note_traffic(struct probe *probe)
+{
+	measure_note_traffic(&probe->measure, clock_mono_us());
+	probe->refusals = 0;
+}
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -73,6 +73,9 @@
 void owner_note_over(struct owner *owner, struct owner_attempt *attempt,
 		     enum limit_outcome outcome);
 
+/* The upstream refused a connection. */
+void owner_note_refused(struct owner *owner);
+
 /* The load to put on an answer. */
 void owner_fill_load(const struct owner *owner, Cfd__Load *load);
 
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -50,6 +50,9 @@
 void owner_drain(struct owner *owner);
 void owner_resume(struct owner *owner);
 
+/* Another configuration is in force: the measuring budget may be another. */
+void owner_note_config(struct owner *owner);
+
 /* Calls back once nothing runs any more, at once if nothing does. */
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
 		     void *data);
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -9,11 +9,14 @@
 #include <glib.h>
 
 #include "comfreydockd/decide/limit.h"
-#include "comfreydockd/decide/measure.h"
 #include "comfreydockd/decide/queue.h"
 #include "comfreydockd/decide/warm.h"
 #include "comfreydockd/upstream/attempts.h"
 #include "comfreydockd/upstream/owner.h"
+#include "comfreydockd/upstream/probe.h"
+
+/* Told where nothing better is known, as on a drain. */
+#define OWNER_RETRY_AFTER_MS 1000
 
 struct owner {
 	struct daemon *daemon;
@@ -24,7 +27,7 @@
 	struct limit limit;
 	struct warm warm;
 	struct queue queue;
-	struct measure measure;
+	struct probe *probe;
 	uint32_t running;
 	TAILQ_HEAD(, owner_attempt) runs;
 	ev_timer turn; /* starts what may start, after all input was read */
@@ -38,4 +41,13 @@
 	void *state_data;
 };
 
+/* owner.c */
+
+/* Offers an attempt to the queue; refuses and frees it if there is no place. */
+void owner_offer(struct owner *owner, struct owner_attempt *attempt);
+bool owner_has_group(const struct owner *owner, const char *group);
+
+/* frames.c: the handlers for the connections from entries */
+void owner_fill_role(struct owner *owner, struct peers_role *role);
+
 #endif
--- /dev/null
+++ b/tests/test_probe.c
@@ -0,0 +1,193 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/config/store.h"
+#include "comfreydockd/upstream/probe.h"
+#include "common/http_client.h"
+#include "common/http_server.h"
+#include "common/log.h"
+#include "paused_clock.h"
+
+static struct ev_loop *loop;
+static unsigned int asked;
+static unsigned int reported;
+static bool reachable = true;
+
+static void handle_request(struct http_request *request, void *data)
+{
+	(void)data;
+	g_assert_cmpstr(http_request_path(request), ==, "/health");
+	asked++;
+	http_request_reply_text(request, 500, "text/plain", "sick\n");
+}
+
+static void handle_reachable(bool now, void *data)
+{
+	(void)data;
+	reported++;
+	reachable = now;
+}
+
+/* Moves the paused clock on while the sockets do their work. */
+static void run_for(int64_t ms)
+{
+	for (int64_t i = 0; i < ms; i++) {
+		ev_run(loop, EVRUN_NOWAIT);
+		paused_clock_advance_us(1000);
+	}
+}
+
+static struct config_store *store_with_budget(int permille)
+{
+	struct config_store *store = config_store_create();
+	char *text = g_strdup_printf(
+		"{\"namespace\": \"t\", \"services\": {\"s\": {\n"
+		"\"path_prefixes\": [\"/\"], \"group\": \"s\",\n"
+		"\"measure\": {\"budget_permille\": %d,\n"
+		"\"health_path\": \"/health\"},\n"
+		"\"rules\": [{\"name\": \"r\", \"deadline_ms\": 100}]}}}\n",
+		permille);
+	char *sha256 = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
+
+	g_assert_cmpint(
+		config_store_offer(store, "t", 1, sha256, text, strlen(text)),
+		==, CONFIG_OFFER_ADOPTED);
+	g_free(sha256);
+	g_free(text);
+	return store;
+}
+
+static struct http_server *listen_at(uint16_t port)
+{
+	struct http_server_options options = {
+		.address = "127.0.0.1",
+		.port = port,
+	};
+
+	return http_server_create(loop, &options, handle_request, NULL);
+}
+
+/*
+ * The upstream's process has died in a quiet hour. No call passes that could
+ * tell, and the first callers in the morning would each lose time on it. An
+ * upstream that merely says it is sick is left in use: its word may mislead.
+ */
+static void test_a_dead_upstream_is_found_without_traffic(void)
+{
+	struct daemon daemon = {.loop = loop};
+	char *groups[] = {(char *)"s", NULL};
+	struct owner_announcement announced = {
+		.groups = groups,
+		.address = (char *)"127.0.0.1",
+		.slots = 1000,
+	};
+	struct http_server *server = listen_at(0);
+	struct probe *probe;
+
+	daemon.http = http_client_create(loop);
+	daemon.config = store_with_budget(100);
+	announced.port = http_server_port(server);
+	probe = probe_create(&daemon, handle_reachable, NULL);
+	probe_set_upstream(probe, &announced);
+	run_for(5000);
+	g_assert_cmpuint(asked, >, 0);
+	g_assert_cmpuint(reported, ==, 0);
+	http_server_destroy(server);
+	run_for(40000);
+	g_assert_false(reachable);
+	server = listen_at(announced.port);
+	run_for(300);
+	g_assert_true(reachable);
+	g_assert_cmpuint(reported, ==, 2);
+	probe_destroy(probe);
+	http_server_destroy(server);
+	config_store_destroy(daemon.config);
+	http_client_destroy(daemon.http);
+}
+
+/*
+ * The upstream crashes while calls pass. Its daemon lives on and would look
+ * idle to all entries: each call would try it first and lose a round trip.
+ */
+static void test_refused_requests_tell_too(void)
+{
+	struct daemon daemon = {.loop = loop};
+	struct owner_announcement announced = {
+		.address = (char *)"127.0.0.1",
+		.slots = 4,
+	};
+	struct http_server *server = listen_at(0);
+	struct probe *probe;
+
+	daemon.http = http_client_create(loop);
+	daemon.config = config_store_create();
+	announced.port = http_server_port(server);
+	http_server_destroy(server);
+	probe = probe_create(&daemon, handle_reachable, NULL);
+	probe_set_upstream(probe, &announced);
+	probe_note_refused(probe);
+	probe_note_traffic(probe); /* one refusal alone was a moment's */
+	probe_note_refused(probe);
+	g_assert_true(reachable);
+	probe_note_refused(probe);
+	g_assert_false(reachable);
+	server = listen_at(announced.port);
+	run_for(300);
+	g_assert_true(reachable);
+	probe_destroy(probe);
+	http_server_destroy(server);
+	config_store_destroy(daemon.config);
+	http_client_destroy(daemon.http);
+}
+
+/*
+ * The upstreams are few and small, and the operator allows a thousandth of one
+ * slot: 1 ms a second. At 6 ms a probe, one in 6 s is within it. More would
+ * take capacity from bookings.
+ */
+static void test_the_budget_holds(void)
+{
+	struct daemon daemon = {.loop = loop};
+	char *groups[] = {(char *)"s", NULL};
+	struct owner_announcement announced = {
+		.groups = groups,
+		.address = (char *)"127.0.0.1",
+		.slots = 1,
+	};
+	struct http_server *server = listen_at(0);
+	struct probe *probe;
+
+	asked = 0;
+	daemon.http = http_client_create(loop);
+	daemon.config = store_with_budget(1);
+	announced.port = http_server_port(server);
+	probe = probe_create(&daemon, handle_reachable, NULL);
+	probe_set_upstream(probe, &announced);
+	run_for(5900);
+	g_assert_cmpuint(asked, ==, 0);
+	run_for(60000 - 5900);
+	g_assert_cmpuint(asked, >, 0);
+	g_assert_cmpuint(asked, <=, 10);
+	probe_destroy(probe);
+	http_server_destroy(server);
+	config_store_destroy(daemon.config);
+	http_client_destroy(daemon.http);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	log_init(LOG_FORMAT_NONE, "test");
+	loop = ev_loop_new(0);
+	g_test_add_func("/probe/dead-upstream",
+			test_a_dead_upstream_is_found_without_traffic);
+	g_test_add_func("/probe/refused-requests",
+			test_refused_requests_tell_too);
+	g_test_add_func("/probe/budget", test_the_budget_holds);
+	status = g_test_run();
+	ev_loop_destroy(loop);
+	return status;
+}
