decide: don't count attempts that met a leaving upstream

Cause: a rule with one attempt made a call fail that met an upstream which had just begun to drain, although others stood ready. Change: a refusal because the upstream drains or is gone, and an attempt that never left, don't count against the rule's most attempts. A busy refusal does, and has an outcome of its own. Conclusion: the upstreams tried bound such attempts.

--- a/comfreydockd/decide/retry.c
+++ b/comfreydockd/decide/retry.c
@@ -37,6 +37,7 @@
 		return RETRY_NO_ANSWERED;
 	switch (question->outcome) {
 	case RETRY_OUTCOME_NEVER_SENT:
+	case RETRY_OUTCOME_BUSY:
 	case RETRY_OUTCOME_NOT_HERE:
 	case RETRY_OUTCOME_OVERLOAD:
 		return RETRY_GO;
@@ -50,11 +51,16 @@
 	return RETRY_NO_FINAL;
 }
 
+bool retry_counts(enum retry_outcome outcome)
+{
+	return outcome != RETRY_OUTCOME_NEVER_SENT &&
+	       outcome != RETRY_OUTCOME_NOT_HERE;
+}
+
 /* No work was done and the cause is this one upstream. */
 static bool is_free(enum retry_outcome outcome)
 {
-	return outcome == RETRY_OUTCOME_NEVER_SENT ||
-	       outcome == RETRY_OUTCOME_NOT_HERE;
+	return !retry_counts(outcome) || outcome == RETRY_OUTCOME_BUSY;
 }
 
 /* Full jitter: anything up to a bound that doubles with each attempt. */
@@ -70,7 +76,8 @@
 static enum retry_verdict check_room(const struct retry_question *question,
 				     int64_t delay_us, int64_t now_us)
 {
-	if (question->attempts >= question->max_attempts)
+	if (retry_counts(question->outcome) &&
+	    question->attempts >= question->max_attempts)
 		return RETRY_NO_ATTEMPTS;
 	if (question->untried == 0)
 		return RETRY_NO_UPSTREAM;
--- a/include/comfreydockd/decide/retry.h
+++ b/include/comfreydockd/decide/retry.h
@@ -15,6 +15,11 @@
  *	An attempt that was refused because this upstream is busy, draining or
  *	gone, or that never left, did no work: it is repeated elsewhere at once
  *	and free. It can't multiply over layers, for it made no calls below.
+ *	Attempts that met an upstream which is draining or gone don't count
+ *	against the rule's most attempts either: a rule that allows one attempt
+ *	must not turn a planned stop into a refused call. The upstreams tried
+ *	bound their number.
+ *
  *	All others are paid for from the budget and wait for a jittered time.
  *
  *	Calls go up to 13 deep. With a share r at each layer, one call at the
@@ -62,7 +67,9 @@
 	RETRY_OUTCOME_UNKNOWN,
 	/* No byte was handed to the kernel. */
 	RETRY_OUTCOME_NEVER_SENT,
-	/* NOT_RUN, not by this upstream: busy, draining, no upstream, connect. */
+	/* NOT_RUN, no slot free just now. */
+	RETRY_OUTCOME_BUSY,
+	/* NOT_RUN, not by this upstream: draining, no upstream, connect. */
 	RETRY_OUTCOME_NOT_HERE,
 	/* NOT_RUN for lack of capacity: overload, shed, unfair, deadline. */
 	RETRY_OUTCOME_OVERLOAD,
@@ -85,7 +92,7 @@
 	enum retry_outcome outcome;
 	bool idempotent;
 	bool answer_begun; /* a byte of an answer went to the caller */
-	uint32_t attempts; /* made so far, at least 1 */
+	uint32_t attempts; /* made so far that count, see retry_counts() */
 	uint32_t max_attempts;
 	size_t untried; /* upstreams left, see pick_count_untried() */
 	uint32_t depth; /* calls above this one */
@@ -104,6 +111,9 @@
 	struct budget budget;
 };
 
+/* True if an attempt with this end counts against max_attempts. */
+bool retry_counts(enum retry_outcome outcome);
+
 void retry_init(struct retry *retry, uint32_t budget_percent);
 
 /* Counts one request, whatever its number of attempts. */
