decide: count an error as a slow answer; replay faults

Cause: an upstream that failed in 100 us kept its free slots and drew calls. Change: an error counts as an answer ten times slower than usual, for its upstream alone; the running median stays until half of the answers are errors.

--- a/bench/decide/generate.c
+++ b/bench/decide/generate.c
@@ -28,7 +28,7 @@
 	double (*work_us)(struct generator *g);
 	double (*rate)(const struct generator *g, int64_t at_us);
 	uint32_t (*caller)(struct generator *g);
-	void (*speeds)(struct generator *g);
+	void (*changes)(struct generator *g);
 };
 
 static double exponential(struct random_state *random, double mean)
@@ -74,12 +74,12 @@
 	return random_unit(&g->random) < HOT_SHARE ? 0 : caller_any(g);
 }
 
-static void speeds_same(struct generator *g)
+static void changes_none(struct generator *g)
 {
 	(void)g;
 }
 
-static void speeds_one_slow(struct generator *g)
+static void changes_one_slow(struct generator *g)
 {
 	struct trace_speed slow = {g->length_us / 5, 0, SLOW_FACTOR};
 	struct trace_speed again = {g->length_us * 4 / 5, 0, 1.0};
@@ -88,22 +88,47 @@
 	g_array_append_val(g->trace->speeds, again);
 }
 
+static void add_fault(struct generator *g, enum trace_fault_kind kind)
+{
+	struct trace_fault begin = {g->length_us / 5, 0, kind};
+	struct trace_fault end = {g->length_us * 4 / 5, 0, TRACE_FAULT_NONE};
+
+	g_array_append_val(g->trace->faults, begin);
+	g_array_append_val(g->trace->faults, end);
+}
+
+static void changes_fail_fast(struct generator *g)
+{
+	add_fault(g, TRACE_FAULT_FAST);
+}
+
+static void changes_black_hole(struct generator *g)
+{
+	add_fault(g, TRACE_FAULT_SILENT);
+}
+
 static const struct kind kinds[] = {
 	{"steady", MEAN_WORK_US, work_exponential, rate_steady, caller_any,
-	 speeds_same},
+	 changes_none},
 	{"long-jobs", SHORT_WORK_US + LONG_SHARE *LONG_WORK_US,
-	 work_long_among_short, rate_steady, caller_any, speeds_same},
+	 work_long_among_short, rate_steady, caller_any, changes_none},
 	{"slow-upstream", MEAN_WORK_US, work_exponential, rate_steady,
-	 caller_any, speeds_one_slow},
+	 caller_any, changes_one_slow},
 	{"burst", MEAN_WORK_US, work_exponential, rate_burst, caller_any,
-	 speeds_same},
+	 changes_none},
+	{"fail-fast", MEAN_WORK_US, work_exponential, rate_steady, caller_any,
+	 changes_fail_fast},
+	{"black-hole", MEAN_WORK_US, work_exponential, rate_steady, caller_any,
+	 changes_black_hole},
 	{"hot-caller", MEAN_WORK_US, work_exponential, rate_steady, caller_hot,
-	 speeds_same},
+	 changes_none},
 };
 
 const char *trace_kinds(void)
 {
-	return "steady, long-jobs, slow-upstream, burst, hot-caller";
+	return "steady, long-jobs, slow-upstream, burst, fail-fast, "
+	       "black-hole, "
+	       "hot-caller";
 }
 
 static const struct kind *find_kind(const char *name)
@@ -148,7 +173,7 @@
 	g.mean_gap_us = kind->mean_work_us /
 			(plan->load * trace->upstreams * trace->slots);
 	g.length_us = (int64_t)(g.mean_gap_us * plan->calls);
-	kind->speeds(&g);
+	kind->changes(&g);
 	add_calls(&g, kind);
 	return TRACE_OK;
 }
--- a/bench/decide/trace.c
+++ b/bench/decide/trace.c
@@ -5,6 +5,12 @@
 
 #define US_PER_SECOND INT64_C(1000000)
 
+static const char *const fault_names[] = {
+	[TRACE_FAULT_NONE] = "none",
+	[TRACE_FAULT_FAST] = "fast",
+	[TRACE_FAULT_SILENT] = "silent",
+};
+
 void trace_init(struct trace *trace)
 {
 	memset(trace, 0, sizeof(*trace));
@@ -16,12 +22,14 @@
 	trace->deadline_us = 10 * US_PER_SECOND;
 	trace->calls = g_array_new(FALSE, FALSE, sizeof(struct trace_call));
 	trace->speeds = g_array_new(FALSE, FALSE, sizeof(struct trace_speed));
+	trace->faults = g_array_new(FALSE, FALSE, sizeof(struct trace_fault));
 }
 
 void trace_finish(struct trace *trace)
 {
 	g_array_free(trace->calls, TRUE);
 	g_array_free(trace->speeds, TRUE);
+	g_array_free(trace->faults, TRUE);
 }
 
 static bool set_size(struct trace *trace, const char *name, int64_t value)
@@ -87,6 +95,24 @@
 	       speed.factor > 0;
 }
 
+static bool read_fault(struct trace *trace, const char *text)
+{
+	struct trace_fault fault;
+	char kind[16];
+
+	if (sscanf(text, "fault %" SCNd64 " %" SCNu32 " %15s", &fault.at_us,
+		   &fault.upstream, kind) != 3)
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(fault_names); i++) {
+		if (strcmp(kind, fault_names[i]) != 0)
+			continue;
+		fault.kind = (enum trace_fault_kind)i;
+		g_array_append_val(trace->faults, fault);
+		return fault.upstream < trace->upstreams && fault.at_us >= 0;
+	}
+	return false;
+}
+
 static bool read_line(struct trace *trace, const char *text)
 {
 	switch (text[0]) {
@@ -95,6 +121,8 @@
 		return true;
 	case 'c':
 		return read_call(trace, text);
+	case 'f':
+		return read_fault(trace, text);
 	case 's':
 		return text[1] == 'e' ? read_set(trace, text) :
 					read_speed(trace, text);
@@ -121,14 +149,8 @@
 	return status;
 }
 
-void trace_write(const struct trace *trace, FILE *out)
+static void write_changes(const struct trace *trace, FILE *out)
 {
-	fprintf(out, "set upstreams %" PRIu32 "\n", trace->upstreams);
-	fprintf(out, "set slots %" PRIu32 "\n", trace->slots);
-	fprintf(out, "set entries %" PRIu32 "\n", trace->entries);
-	fprintf(out, "set domains %" PRIu32 "\n", trace->domains);
-	fprintf(out, "set delay_us %" PRId64 "\n", trace->delay_us);
-	fprintf(out, "set deadline_us %" PRId64 "\n", trace->deadline_us);
 	for (guint i = 0; i < trace->speeds->len; i++) {
 		const struct trace_speed *s =
 			&g_array_index(trace->speeds, struct trace_speed, i);
@@ -136,6 +158,24 @@
 		fprintf(out, "speed %" PRId64 " %" PRIu32 " %g\n", s->at_us,
 			s->upstream, s->factor);
 	}
+	for (guint i = 0; i < trace->faults->len; i++) {
+		const struct trace_fault *f =
+			&g_array_index(trace->faults, struct trace_fault, i);
+
+		fprintf(out, "fault %" PRId64 " %" PRIu32 " %s\n", f->at_us,
+			f->upstream, fault_names[f->kind]);
+	}
+}
+
+void trace_write(const struct trace *trace, FILE *out)
+{
+	fprintf(out, "set upstreams %" PRIu32 "\n", trace->upstreams);
+	fprintf(out, "set slots %" PRIu32 "\n", trace->slots);
+	fprintf(out, "set entries %" PRIu32 "\n", trace->entries);
+	fprintf(out, "set domains %" PRIu32 "\n", trace->domains);
+	fprintf(out, "set delay_us %" PRId64 "\n", trace->delay_us);
+	fprintf(out, "set deadline_us %" PRId64 "\n", trace->deadline_us);
+	write_changes(trace, out);
 	for (guint i = 0; i < trace->calls->len; i++) {
 		const struct trace_call *c =
 			&g_array_index(trace->calls, struct trace_call, i);
--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -18,6 +18,9 @@
  * is avoided for being slow is tried again. */
 #define PICK_LATENCY_AGE_US 10e6
 #define PICK_LATENCY_STEP 0.05
+/* An error counts as an answer that took so many times as long as usual. The
+ * median stays where it is until half of the answers are errors. */
+#define PICK_ERROR_SLOWNESS 10.0
 #define PICK_SPEED_MIN 0.5
 #define PICK_SPEED_MAX 20.0
 /* Weight of one report in the mean. */
@@ -285,16 +288,16 @@
 	note_mean(set, utilisation);
 }
 
-static void note_latency(struct pick_set *set, struct pick_candidate *candidate,
-			 double latency_us, int64_t now_us)
+/* Notes a latency of the candidate alone. */
+static void note_own_latency(const struct pick_set *set,
+			     struct pick_candidate *candidate,
+			     double latency_us, int64_t now_us)
 {
-	double value = MAX(latency_us, 1.0);
-
 	if (candidate->latency_samples > 0)
 		candidate->latency_us = aged_latency(set, candidate, now_us);
 	candidate->latency_at_us = now_us;
-	move_median(&candidate->latency_us, &candidate->latency_samples, value);
-	move_median(&set->typical_latency_us, &set->typical_samples, value);
+	move_median(&candidate->latency_us, &candidate->latency_samples,
+		    MAX(latency_us, 1.0));
 }
 
 static void end_attempt(struct pick_set *set, struct pick_candidate *candidate,
@@ -317,16 +320,20 @@
 		    int64_t now_us)
 {
 	end_attempt(set, candidate, load, now_us);
-	note_latency(set, candidate, (double)latency_us, now_us);
+	note_own_latency(set, candidate, (double)latency_us, now_us);
+	move_median(&set->typical_latency_us, &set->typical_samples,
+		    MAX((double)latency_us, 1.0));
 }
 
 void pick_note_failed(struct pick_set *set, struct pick_candidate *candidate,
 		      int64_t latency_us, const struct pick_load *load,
 		      int64_t now_us)
 {
+	double cost_us = PICK_ERROR_SLOWNESS * set->typical_latency_us;
+
 	end_attempt(set, candidate, load, now_us);
-	if ((double)latency_us > candidate->latency_us)
-		note_latency(set, candidate, (double)latency_us, now_us);
+	note_own_latency(set, candidate, MAX((double)latency_us, cost_us),
+			 now_us);
 }
 
 void pick_note_refused(struct pick_set *set, struct pick_candidate *candidate,
--- a/include/bench/decide/replay.h
+++ b/include/bench/decide/replay.h
@@ -18,10 +18,12 @@
 #include <stdint.h>
 
 #include "bench/decide/trace.h"
+#include "comfreydockd/decide/health.h"
 #include "comfreydockd/decide/pick.h"
 
 struct replay_options {
 	const struct pick_policy *policy; /* NULL: one queue for all, a bound */
+	const struct health_policy *health; /* NULL: none */
 	bool busy_refusal;
 	uint32_t max_attempts;
 	uint64_t seed;
@@ -33,6 +35,8 @@
 	uint64_t answered; /* in time or late */
 	uint64_t late; /* answered past the deadline */
 	uint64_t not_run; /* the caller was told so */
+	uint64_t errors; /* the upstream's own */
+	uint64_t timeouts;
 	uint64_t attempts;
 	uint64_t refusals; /* busy */
 	uint64_t remote; /* attempts to another domain */
--- a/include/bench/decide/trace.h
+++ b/include/bench/decide/trace.h
@@ -13,6 +13,10 @@
  *	speed AT UPSTREAM FACTOR
  *			  from AT us on, work there takes FACTOR times as long
  *
+ *	fault AT UPSTREAM KIND
+ *			  from AT us on, work there fails within 100 us (fast),
+ *			  is never answered (silent), or is done (none)
+ *
  *	A file is written by trace_generate() from a fixed seed, or taken from
  *	a daemon's time line.
  */
@@ -37,6 +41,18 @@
 	double factor;
 };
 
+enum trace_fault_kind {
+	TRACE_FAULT_NONE,
+	TRACE_FAULT_FAST,
+	TRACE_FAULT_SILENT,
+};
+
+struct trace_fault {
+	int64_t at_us;
+	uint32_t upstream;
+	enum trace_fault_kind kind;
+};
+
 struct trace {
 	uint32_t upstreams;
 	uint32_t slots; /* of each upstream */
@@ -46,6 +62,7 @@
 	int64_t deadline_us;
 	GArray *calls; /* of struct trace_call */
 	GArray *speeds; /* of struct trace_speed */
+	GArray *faults; /* of struct trace_fault */
 };
 
 enum trace_status {
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -21,8 +21,8 @@
  *	the queues are long, and entries that follow the same late report all
  *	fill the same upstream.
  *
- *	An error never lowers an upstream's latency: one that fails fast must
- *	not look quick.
+ *	An error counts as a slow answer, however quick it was: an upstream that
+ *	fails fast has free slots and must not draw all calls for that.
  *
  * LOAD PATTERN
  *	Load that shifts within milliseconds, reports that are old, upstreams
