--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -21,8 +21,8 @@
  *	the queues are long, and entries that follow the same late report all
  *	fill the same upstream.
  *
- *	An error never lowers an upstream's latency: one that fails fast must
- *	not look quick.
+ *	An error counts as a slow answer, however quick it was: an upstream that
+ *	fails fast has free slots and must not draw all calls for that.
  *
  * LOAD PATTERN
  *	Load that shifts within milliseconds, reports that are old, upstreams
@@ -38,16 +38,16 @@
  *
  *		      entries  one    least outstanding  least score
  *	load		       queue  alone  busy refusal  busy refusal
- *	steady 0.95	    7   48.7   49.5   49.5, 0.42    49.6, 0.44
- *	steady 0.95	  500   48.7   62.6   52.9, 0.52    52.4, 0.52
- *	1 s among 5 ms 0.8  7    6.4    8.7    8.0, 0.10     7.8, 0.12
- *	1 s among 5 ms 0.8 500   6.4  252.2    8.8, 0.24     8.1, 0.24
- *	one 10x slow 0.6    7   57.9   67.2   60.6, 0.03    49.1, 0.04
- *	one 10x slow 0.6  500   57.9 3213.0   62.3, 0.15    55.3, 0.07
- *	one 10x slow 0.9    7  504.8  799.6  687.5, 0.09   647.5, 0.10
- *	one 10x slow 0.9  500  504.8 3121.8 3151.3, 0.15  2632.0, 0.14
- *	steady 1.1 (*)      7  899.9  909.4  924.2, 0.00   995.3, 0.01
- *	steady 1.1 (*)    500  899.8  905.5  906.4, 0.07   918.6, 0.07
+ *	steady 0.95	    7   48.7   49.4   49.5, 0.42    49.6, 0.44
+ *	steady 0.95	  500   48.7   61.6   52.7, 0.52    52.4, 0.52
+ *	1 s among 5 ms 0.8  7    6.4    8.5    8.0, 0.10     7.8, 0.12
+ *	1 s among 5 ms 0.8 500   6.4  194.7    8.8, 0.24     8.1, 0.24
+ *	one 10x slow 0.6    7   57.9   66.7   60.9, 0.04    49.1, 0.04
+ *	one 10x slow 0.6  500   57.9 3191.2   62.5, 0.15    55.4, 0.07
+ *	one 10x slow 0.9    7  504.8  773.9  671.7, 0.09   615.9, 0.10
+ *	one 10x slow 0.9  500  504.8 3119.9 2940.9, 0.15  2418.0, 0.14
+ *	steady 1.1 (*)      7  899.9  915.3  914.0, 0.00   989.9, 0.01
+ *	steady 1.1 (*)    500  899.8  908.9  911.4, 0.07   923.5, 0.07
  *
  *	(*) 80,000 calls, with no bound on the queues. In these two rows and
  *	with 7 entries at 0.95, least score is no better than the policy to
