--- /dev/null
+++ b/bench/path/streaming.c
@@ -0,0 +1,161 @@
+/*
+ * A caller takes a long answer slowly, beside callers with short calls.
+ * What goes wrong without a window for each answer: the daemons read it from
+ * the upstream as fast as that can write, and keep in memory what the caller
+ * has not taken; and short answers wait behind it in the same connection.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "bench.h"
+#include "raw.h"
+
+#define ANSWER_BYTES 200000000
+#define SLOW_BYTES_PER_S 20000000
+#define READ_BYTES 65536
+#define SHORT_RATE 300
+#define SHORT_SECONDS 8
+#define LIMIT_KIB (64 * 1024)
+
+struct slow_caller {
+	uint16_t port;
+	size_t received;
+	bool whole;
+};
+
+static int open_stream(uint16_t port, GString *head)
+{
+	char *request = g_strdup_printf("GET /bytes/%d HTTP/1.1\r\nHost: h\r\n"
+					"X-Request-Id: stream\r\n"
+					"Connection: close\r\n\r\n",
+					ANSWER_BYTES);
+	int fd = raw_connect(port);
+
+	raw_send_text(fd, request);
+	g_free(request);
+	if (!raw_read_marks(fd, head, "\r\n\r\n", 1, 10000))
+		g_error("no answer to the long call");
+	return fd;
+}
+
+/* The body repeats the request's id from end to end. */
+static bool is_own(const char *bytes, size_t size, size_t position)
+{
+	static const char id[] = "stream";
+
+	for (size_t i = 0; i < size; i++) {
+		if (bytes[i] != id[(position + i) % strlen(id)])
+			return false;
+	}
+	return true;
+}
+
+static bool take_part(struct slow_caller *caller, const char *bytes, size_t size)
+{
+	bool own = is_own(bytes, size, caller->received);
+
+	caller->received += size;
+	return own;
+}
+
+/* Runs beside the short calls. */
+static void *take_slowly(void *data)
+{
+	struct slow_caller *caller = data;
+	GString *head = g_string_new(NULL);
+	int fd = open_stream(caller->port, head);
+	gint64 began_us = g_get_monotonic_time();
+	const char *body = strstr(head->str, "\r\n\r\n") + 4;
+	bool own =
+		take_part(caller, body, head->len - (size_t)(body - head->str));
+	char *block = g_malloc(READ_BYTES);
+	ssize_t got;
+
+	while ((got = read(fd, block, READ_BYTES)) > 0) {
+		gint64 due_us;
+
+		own &= take_part(caller, block, (size_t)got);
+		due_us = began_us + (gint64)((double)caller->received * 1e6 /
+					     SLOW_BYTES_PER_S);
+		if (due_us > g_get_monotonic_time())
+			g_usleep((gulong)(due_us - g_get_monotonic_time()));
+	}
+	caller->whole = own && caller->received == ANSWER_BYTES;
+	close(fd);
+	g_free(block);
+	g_string_free(head, TRUE);
+	return NULL;
+}
+
+static void print_short(const char *name, struct bench_result *result)
+{
+	printf("short calls %s: %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+	       " served, p50 %" G_GINT64_FORMAT " us, p99 %" G_GINT64_FORMAT
+	       " us, p99.9 %" G_GINT64_FORMAT " us\n",
+	       name, result->served, result->scheduled,
+	       bench_quantile_us(result, 0.5), bench_quantile_us(result, 0.99),
+	       bench_quantile_us(result, 0.999));
+}
+
+static int64_t print_memory(struct cluster *cluster, const char *when)
+{
+	static const char *const names[] = {"entry", "owner"};
+	int64_t most = 0;
+
+	printf("%s:", when);
+	for (int i = 0; i <= BENCH_OWNER; i++) {
+		int64_t kib =
+			process_memory_kib(cluster->daemons[i]->pid, "VmHWM");
+
+		printf(" %s VmHWM %" G_GINT64_FORMAT " KiB", names[i], kib);
+		most = MAX(most, kib);
+	}
+	printf("\n");
+	return most;
+}
+
+static void run_short(struct cluster *cluster, const char *name)
+{
+	struct bench_load load = {
+		.generators = 1,
+		.rate = SHORT_RATE,
+		.seconds = SHORT_SECONDS,
+		.seed = 1,
+	};
+	struct bench_result result;
+
+	bench_result_init(&result);
+	bench_run(cluster, &load, &result);
+	print_short(name, &result);
+	bench_result_finish(&result);
+}
+
+int main(void)
+{
+	struct cluster cluster;
+	struct slow_caller caller = {0};
+	GThread *thread;
+	int64_t most;
+
+	bench_print_head("bench/streaming");
+	printf("answer of %d bytes, taken at %d bytes/s; %d short calls/s of 1 "
+	       "ms"
+	       " for %d s\n",
+	       ANSWER_BYTES, SLOW_BYTES_PER_S, SHORT_RATE, SHORT_SECONDS);
+	bench_start(&cluster, 1, "12", "1000");
+	run_short(&cluster, "without the stream");
+	print_memory(&cluster, "before the stream");
+	caller.port = cluster.daemons[BENCH_ENTRY]->caller_port;
+	thread = g_thread_new("slow", take_slowly, &caller);
+	rig_sleep_ms(500);
+	run_short(&cluster, "beside the stream");
+	g_thread_join(thread);
+	most = print_memory(&cluster, "after the stream");
+	printf("long answer: %zu bytes, %s\n", caller.received,
+	       caller.whole ? "whole and the caller's own" : "NOT WHOLE");
+	printf("memory limit of %d KiB: %s\n", LIMIT_KIB,
+	       most <= LIMIT_KIB ? "kept" : "EXCEEDED");
+	cluster_stop(&cluster);
+	return caller.whole && most <= LIMIT_KIB ? 0 : 1;
+}
--- a/tests/system/raw.c
+++ b/tests/system/raw.c
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define BLOCK_BYTES 65536
+
 int raw_connect(uint16_t port)
 {
 	struct sockaddr_in address = {
@@ -41,27 +43,33 @@
 }
 
 /* RETURN VALUE: as read(2); -1 also when the time is over. */
-static ssize_t read_some(int fd, GString *out, gint64 end_us)
+static ssize_t read_some(int fd, GString *out, size_t most, gint64 end_us)
 {
 	struct pollfd poller = {.fd = fd, .events = POLLIN};
 	gint64 left_ms = (end_us - g_get_monotonic_time()) / 1000;
-	char block[65536];
+	char block[BLOCK_BYTES];
 	ssize_t got;
 
 	if (left_ms < 0 || poll(&poller, 1, (int)left_ms) <= 0)
 		return -1;
-	got = recv(fd, block, sizeof(block), 0);
+	got = recv(fd, block, MIN(most, sizeof(block)), 0);
 	if (got > 0)
 		g_string_append_len(out, block, got);
 	return got < 0 ? 0 : got; /* a reset is a close */
 }
 
+bool raw_read_some(int fd, GString *out, size_t most, int timeout_ms)
+{
+	return read_some(fd, out, most,
+			 g_get_monotonic_time() + timeout_ms * 1000) > 0;
+}
+
 bool raw_read_to_close(int fd, GString *out, int timeout_ms)
 {
 	gint64 end_us = g_get_monotonic_time() + timeout_ms * 1000;
 	ssize_t got;
 
-	while ((got = read_some(fd, out, end_us)) > 0)
+	while ((got = read_some(fd, out, BLOCK_BYTES, end_us)) > 0)
 		;
 	return got == 0;
 }
@@ -72,7 +80,7 @@
 	gint64 end_us = g_get_monotonic_time() + timeout_ms * 1000;
 
 	while (raw_count(out->str, mark) < count) {
-		if (read_some(fd, out, end_us) <= 0)
+		if (read_some(fd, out, BLOCK_BYTES, end_us) <= 0)
 			return false;
 	}
 	return true;
--- a/tests/system/raw.h
+++ b/tests/system/raw.h
@@ -20,6 +20,9 @@
 void raw_send(int fd, const void *bytes, size_t size);
 void raw_send_text(int fd, const char *text);
 
+/* Reads once. RETURN VALUE: whether bytes came in time. */
+bool raw_read_some(int fd, GString *out, size_t most, int timeout_ms);
+
 /* RETURN VALUE: whether the far end closed in time. */
 bool raw_read_to_close(int fd, GString *out, int timeout_ms);
 
--- /dev/null
+++ b/tests/system/test_streaming.c
@@ -0,0 +1,100 @@
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cluster.h"
+#include "raw.h"
+
+#define ANSWER_BYTES ((size_t)200000000)
+#define STEP_BYTES ((size_t)10000000)
+#define WAIT_MS 10000
+
+static const char id[] = "stream";
+
+/* The body repeats the id from end to end. */
+static void check_bytes(const GString *bytes, size_t position)
+{
+	for (size_t i = 0; i < bytes->len; i++) {
+		if (bytes->str[i] != id[(position + i) % strlen(id)])
+			g_error("byte %zu is not the caller's own", position + i);
+	}
+}
+
+static void expect_short_call(struct cluster *cluster)
+{
+	struct rig_answer *answer = cluster_call(cluster, 0, "GET", "/short",
+						 "short", NULL, WAIT_MS);
+
+	g_assert_true(answer->arrived);
+	g_assert_cmpstr(cluster_outcome(answer), ==, "run");
+	g_assert_nonnull(strstr(answer->body->str, "\"short\""));
+	rig_answer_free(answer);
+}
+
+static size_t read_step(int fd, size_t position)
+{
+	GString *bytes = g_string_new(NULL);
+	size_t most = MIN(STEP_BYTES, ANSWER_BYTES - position);
+	size_t size;
+
+	while (bytes->len < most) {
+		if (!raw_read_some(fd, bytes, most - bytes->len, WAIT_MS))
+			g_error("cut off after %zu bytes", position + bytes->len);
+	}
+	check_bytes(bytes, position);
+	size = bytes->len;
+	g_string_free(bytes, TRUE);
+	return size;
+}
+
+static int open_stream(struct cluster *cluster)
+{
+	GString *head = g_string_new(NULL);
+	int fd = raw_connect(cluster->daemons[0]->caller_port);
+	char *request = g_strdup_printf("GET /bytes/%zu HTTP/1.1\r\nHost: h\r\n"
+					"X-Request-Id: %s\r\n\r\n",
+					ANSWER_BYTES, id);
+
+	raw_send_text(fd, request);
+	while (!strstr(head->str, "\r\n\r\n"))
+		g_assert_true(raw_read_some(fd, head, 1, WAIT_MS));
+	g_assert_true(g_str_has_prefix(head->str, "HTTP/1.1 200"));
+	g_string_free(head, TRUE);
+	g_free(request);
+	return fd;
+}
+
+/*
+ * A franchise office takes its nightly bundle over a slow line while callers
+ * use the same daemons for short lookups. The bundle must come whole and the
+ * lookups must not wait behind it. The caller stops between the parts that it
+ * takes, so the daemons must hold the upstream back and go on again.
+ */
+static void test_long_answer_beside_short_calls(void)
+{
+	struct cluster_options options = {.count = 2};
+	struct cluster cluster;
+	size_t received = 0;
+	int fd;
+
+	cluster_start(&cluster, &options);
+	g_free(rig_http_ok("POST", cluster.daemons[0]->admin_port,
+			   "/v1/upstream/drain", ""));
+	cluster_wait_up(&cluster, 1, WAIT_MS);
+	fd = open_stream(&cluster);
+	while (received < ANSWER_BYTES) {
+		expect_short_call(&cluster);
+		received += read_step(fd, received);
+		rig_sleep_ms(50);
+	}
+	close(fd);
+	cluster_stop(&cluster);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/streaming/long-beside-short",
+			test_long_answer_beside_short_calls);
+	return g_test_run();
+}
