daemon: keep the host's row, and count attempts as the retry module does

The row's store is the platform client; a daemon that starts finds its peers by rows, and one that leaves deletes its own.

Refusals for want of a free slot are counted apart from the rule's attempts, at most two a call; attempts that were never sent, or that a draining upstream refused, are not counted, so a rule with one attempt survives a drain.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -14,14 +14,17 @@
 #include "comfreydockd/daemon.h"
 #include "comfreydockd/member/gossip.h"
 #include "comfreydockd/member/member.h"
+#include "comfreydockd/member/rows.h"
 #include "comfreydockd/operator/operator.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/platform/platform.h"
+#include "comfreydockd/platform/rows_store.h"
 #include "comfreydockd/settings.h"
 #include "comfreydockd/upstream/owner.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/http_client.h"
+#include "common/id.h"
 #include "common/log.h"
 
 #define TIMELINE_ENTRIES 8192
@@ -37,16 +40,21 @@
 #define LAST_CALLS_S 0.3
 /* The good-bye's way through gossip. */
 #define LEAVE_S 0.5
+/* For the row's deletion; others delete it later if the platform is out. */
+#define LEAVE_MAX_S 3.0
 
 struct assembly {
 	struct daemon daemon;
 	struct listener *listener;
+	struct rows_store *rows_store;
+	struct rows *rows;
 	ev_signal terminate;
 	ev_signal interrupt;
 	ev_timer stop_check;
 	ev_tstamp stopping_since; /* 0: not stopping */
 	ev_tstamp quiet_since;
 	ev_tstamp left_since; /* 0: the good-bye is not said yet */
+	bool row_is_left;
 	struct gossip_handlers gossip_handlers;
 };
 
@@ -59,7 +67,8 @@
 /* The owner's state becomes this host's word to the others. */
 static void handle_owner_state(struct owner *owner, void *data)
 {
-	struct daemon *daemon = data;
+	struct assembly *assembly = data;
+	struct daemon *daemon = &assembly->daemon;
 	const struct owner_announcement *announced = owner_announced(owner);
 	enum member_service_state state = MEMBER_SERVICE_NONE;
 	struct owner_status status;
@@ -73,6 +82,18 @@
 			     announced ? announced->groups : NULL,
 			     announced ? announced->slots : 0,
 			     announced ? announced->warm_ms : 0);
+	rows_touch(assembly->rows);
+}
+
+/* A row of a host that gossip has not told of. */
+static void handle_row_of_peer(const char *address, uint16_t port, void *data)
+{
+	struct daemon *daemon = data;
+	bool is_v6 = strchr(address, ':') != NULL;
+	char *peer = g_strdup_printf(is_v6 ? "[%s]:%u" : "%s:%u", address, port);
+
+	gossip_join(daemon->gossip, peer);
+	g_free(peer);
 }
 
 /*
@@ -112,6 +133,14 @@
 	       entry_count(daemon->entry) == 0;
 }
 
+static void handle_row_left(bool is_deleted, void *data)
+{
+	struct assembly *assembly = data;
+
+	(void)is_deleted;
+	assembly->row_is_left = true;
+}
+
 static void handle_stop_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct assembly *assembly = timer->data;
@@ -130,8 +159,10 @@
 	if (assembly->left_since <= 0) {
 		assembly->left_since = now;
 		gossip_leave(assembly->daemon.gossip);
+		rows_leave(assembly->rows, handle_row_left, assembly);
 	}
-	if (now - assembly->left_since < LEAVE_S)
+	if (now - assembly->left_since < LEAVE_S ||
+	    (!assembly->row_is_left && now - assembly->left_since < LEAVE_MAX_S))
 		return;
 	log_event(EV_DAEMON_STOPPED,
 		  LOG_INT("calls", entry_count(assembly->daemon.entry)));
@@ -194,8 +225,7 @@
 	daemon->config = config_store_create();
 	if (!load_config_file(daemon))
 		return false;
-	if (settings->platform_url)
-		daemon->platform = platform_create(daemon);
+	daemon->platform = platform_create(daemon);
 	daemon->peers = peers_create(daemon);
 	if (!daemon->peers)
 		return report_bind_error("peer", &settings->peer);
@@ -230,10 +260,29 @@
 	};
 
 	config_store_observe(daemon->config, &config_observer);
-	owner_when_changed(daemon->owner, handle_owner_state, daemon);
+	owner_when_changed(daemon->owner, handle_owner_state, assembly);
 	member_table_observe(daemon->members, &observer);
 }
 
+static void create_rows(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	struct rows_store *store = rows_store_create(daemon->platform);
+	struct rows_options options = {
+		.loop = daemon->loop,
+		.ops = &rows_store_ops,
+		.store = store,
+		.table = daemon->members,
+		.self = gossip_self(daemon->gossip),
+		.seed = id_random_u64(),
+		.handle_peer = handle_row_of_peer,
+		.data = daemon,
+	};
+
+	assembly->rows_store = store;
+	assembly->rows = rows_create(&options);
+}
+
 static void watch_signals(struct assembly *assembly)
 {
 	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
@@ -263,6 +312,7 @@
 		assembly_destroy(assembly);
 		return NULL;
 	}
+	create_rows(assembly);
 	connect_parts(assembly);
 	log_event(EV_DAEMON_STARTED, LOG_STR("version", COMFREYDOCK_VERSION),
 		  LOG_INT("caller_port", daemon->caller_port),
@@ -287,8 +337,11 @@
 	peers_destroy(daemon->peers);
 	owner_destroy(daemon->owner);
 	operator_api_destroy(daemon->operator_api);
+	if (assembly->rows)
+		rows_destroy(assembly->rows);
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
+	rows_store_destroy(assembly->rows_store);
 	member_table_destroy(daemon->members);
 	config_store_destroy(daemon->config);
 	http_client_destroy(daemon->http);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -13,12 +13,12 @@
 #include "common/counters.h"
 
 /*
- * How often one call may be refused as not run by upstreams that could not
- * take it. Such a refusal costs one round trip and does no work, so it is not
- * counted against the rule's attempts. Two cover a busy upstream after a busy
- * one; the third is for a drain that has not spread yet.
+ * How often one call may be refused because no slot was free. Such a refusal
+ * costs one round trip and is certain, so it doesn't count against the rule's
+ * attempts; after two the third upstream queues the call. Two covers a busy
+ * upstream after a busy one and bounds what a call costs at overload.
  */
-#define CALL_MAX_BOUNCES 3
+#define CALL_MAX_BUSY 2
 
 /* Before the deadline the owners are asked to cancel, and a "not run" that
  * comes in time makes the end certain. Half a millisecond covers a round trip
@@ -107,7 +107,8 @@
 {
 	int64_t left = call->deadline_us - clock_mono_us();
 
-	if (!call->rule->idempotent || call_work_attempts_left(call) == 0)
+	if (!call->rule->idempotent ||
+	    call_work_attempts(call) >= call->max_attempts)
 		return;
 	timer_start_us(call, &call->patience, left / 2);
 }
@@ -125,9 +126,9 @@
 		call_finish_unanswered(call);
 		return;
 	}
-	may_queue = pick_may_queue(&call->service->picks, &upstream->candidate,
-				   &call->tried,
-				   call->bounces >= CALL_MAX_BOUNCES, now);
+	may_queue =
+		pick_may_queue(&call->service->picks, &upstream->candidate,
+			       &call->tried, call->busy >= CALL_MAX_BUSY, now);
 	pick_tried_add(&call->tried, upstream->candidate.id);
 	call->attempts++;
 	entry_attempt_send(call, upstream, may_queue, false);
@@ -141,6 +142,7 @@
 		return RETRY_OUTCOME_NEVER_SENT;
 	switch (reason) {
 	case CFD__REASON__REASON_BUSY:
+		return RETRY_OUTCOME_BUSY;
 	case CFD__REASON__REASON_DRAINING:
 	case CFD__REASON__REASON_NO_UPSTREAM:
 	case CFD__REASON__REASON_CONNECT:
@@ -155,33 +157,23 @@
 	}
 }
 
-static bool outcome_is_bounce(enum retry_outcome outcome)
-{
-	return outcome == RETRY_OUTCOME_NEVER_SENT ||
-	       outcome == RETRY_OUTCOME_NOT_HERE;
-}
-
 static void call_fill_question(const struct call *call,
 			       enum retry_outcome outcome,
 			       struct retry_question *question)
 {
-	bool bounce = outcome_is_bounce(outcome);
+	bool busy = outcome == RETRY_OUTCOME_BUSY;
 
 	*question = (struct retry_question){
 		.outcome = outcome,
 		.idempotent = call->rule->idempotent,
 		.answer_begun = call->answering != NULL,
-		.attempts =
-			bounce ? call->bounces : call->attempts - call->bounces,
-		.max_attempts = bounce ? CALL_MAX_BOUNCES + 1 : call->max_attempts,
+		.attempts = busy ? call->busy : call_work_attempts(call),
+		.max_attempts = busy ? CALL_MAX_BUSY + 1 : call->max_attempts,
 		.untried = call_untried(call),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
 		.retry_after_us = (int64_t)call->come_back_ms * US_PER_MS,
 	};
-	/* A body of which more is gone than is kept can't be sent again. */
-	if (call->body_streams)
-		question->max_attempts = 0;
 }
 
 /* What follows after an attempt, where no other is out. */
@@ -192,12 +184,15 @@
 	struct retry_answer answer;
 	int64_t now = clock_mono_us();
 
-	if (outcome_is_bounce(outcome))
-		call->bounces++;
+	if (outcome == RETRY_OUTCOME_BUSY)
+		call->busy++;
+	else if (!retry_counts(outcome))
+		call->unheard++;
 	call_fill_question(call, outcome, &question);
 	answer = retry_decide(&call->service->retry, &question,
 			      &call->entry->random, now);
-	if (answer.verdict == RETRY_GO &&
+	/* A body of which more is gone than is kept can't be sent again. */
+	if (answer.verdict == RETRY_GO && !call->body_streams &&
 	    attempt_allows_another(state, call->rule->idempotent)) {
 		counters.entry_retries++;
 		timer_start_us(call, &call->next, answer.delay_us);
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -167,11 +167,9 @@
 	};
 }
 
-uint32_t call_work_attempts_left(const struct call *call)
+uint32_t call_work_attempts(const struct call *call)
 {
-	uint32_t made = call->attempts - call->bounces;
-
-	return call->max_attempts > made ? call->max_attempts - made : 0;
+	return call->attempts - call->busy - call->unheard;
 }
 
 static struct call *call_create(struct entry *entry,
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -67,7 +67,8 @@
 	bool body_streams; /* more came than is kept: no further attempt */
 	struct pick_tried tried;
 	uint32_t attempts; /* without hedges */
-	uint32_t bounces; /* of them, refused by upstreams that had no room */
+	uint32_t busy; /* of them, refused for want of a free slot */
+	uint32_t unheard; /* of them, never sent or not for this upstream */
 	uint32_t hedges;
 	uint32_t max_attempts;
 	bool may_have_run; /* some attempt ended UNKNOWN */
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -16,7 +16,7 @@
 void call_fill_hedge_question(const struct call *call,
 			      struct hedge_question *question);
 
-/* RETURN VALUE: how many more attempts may do work. */
-uint32_t call_work_attempts_left(const struct call *call);
+/* RETURN VALUE: the attempts so far that count against the rule's. */
+uint32_t call_work_attempts(const struct call *call);
 
 #endif
--- /dev/null
+++ b/include/comfreydockd/platform/rows_store.h
@@ -0,0 +1,23 @@
+/*
+ * NAME
+ *	rows_store - the hosts' rows, kept in the platform's table
+ *
+ * DESCRIPTION
+ *	What member/rows asks of a store, by the platform client. The store
+ *	argument of the functions is a struct rows_store. Destroyed after the
+ *	rows and the platform, it frees what no answer came for.
+ */
+#ifndef COMFREYDOCKD_PLATFORM_ROWS_STORE_H
+#define COMFREYDOCKD_PLATFORM_ROWS_STORE_H
+
+#include "comfreydockd/member/rows.h"
+
+struct platform;
+struct rows_store;
+
+extern const struct rows_store_ops rows_store_ops;
+
+struct rows_store *rows_store_create(struct platform *platform);
+void rows_store_destroy(struct rows_store *store);
+
+#endif
