peer: keep a connection that still talks, whatever gossip says

Cause: a host whose gossip packets were lost for seconds was called dead, and its connection was broken on that word; every booking on its way there would have ended as unknown.

Times in peers and in the stop no longer come from ev_now(), which follows the wall clock when that is set: the new test found it, as the paused clock stops only the monotonic one there.

Events are logged at most 50 times a second each, and the rest is counted. IP numbers are read and written in common/address, in place of five copies; the sockets between daemons have a file of their own.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -51,13 +51,19 @@
 	ev_signal terminate;
 	ev_signal interrupt;
 	ev_timer stop_check;
-	ev_tstamp stopping_since; /* 0: not stopping */
-	ev_tstamp quiet_since;
-	ev_tstamp left_since; /* 0: the good-bye is not said yet */
+	double stopping_since; /* 0: not stopping */
+	double quiet_since;
+	double left_since; /* 0: the good-bye is not said yet */
 	bool row_is_left;
 	struct gossip_handlers gossip_handlers;
 };
 
+/* Not ev_now(): that one follows the wall clock when it is set. */
+static double seconds_now(void)
+{
+	return (double)clock_mono_us() / US_PER_S;
+}
+
 static struct assembly *assembly_of(struct daemon *daemon)
 {
 	return (struct assembly *)((char *)daemon -
@@ -105,14 +111,7 @@
 	struct daemon *daemon = data;
 
 	if (member->state == MEMBER_DEAD)
-		peers_drop(daemon->peers, member->host, "the host is dead");
-}
-
-static void handle_member_removed(struct member *member, void *data)
-{
-	struct daemon *daemon = data;
-
-	peers_drop(daemon->peers, member->host, "the host is gone");
+		peers_note_dead(daemon->peers, member->host);
 }
 
 static void handle_config_changed(struct config_snapshot *snapshot, void *data)
@@ -144,8 +143,8 @@
 static void handle_stop_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct assembly *assembly = timer->data;
-	ev_tstamp now = ev_now(loop);
-	ev_tstamp spent = now - assembly->stopping_since;
+	double now = seconds_now();
+	double spent = now - assembly->stopping_since;
 	double most = assembly->daemon.settings->drain_timeout_ms / 1000.0;
 
 	(void)events;
@@ -175,7 +174,7 @@
 
 	if (assembly->stopping_since > 0)
 		return;
-	assembly->stopping_since = ev_now(daemon->loop);
+	assembly->stopping_since = seconds_now();
 	assembly->quiet_since = assembly->stopping_since;
 	log_event(EV_DAEMON_STOPPING);
 	owner_drain(daemon->owner);
@@ -251,7 +250,6 @@
 	struct daemon *daemon = &assembly->daemon;
 	struct member_observer observer = {
 		.handle_changed = handle_member_changed,
-		.handle_removed = handle_member_removed,
 		.data = daemon,
 	};
 	struct config_store_observer config_observer = {
--- a/comfreydockd/member/gossip.c
+++ b/comfreydockd/member/gossip.c
@@ -9,6 +9,7 @@
 
 #include "comfreydockd/member/swim.h"
 #include "comfreydockd/settings.h"
+#include "common/address.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/id.h"
@@ -28,12 +29,6 @@
 	uint64_t suppressed;
 };
 
-union socket_address {
-	struct sockaddr any;
-	struct sockaddr_in v4;
-	struct sockaddr_in6 v6;
-};
-
 struct gossip {
 	struct daemon *daemon;
 	const struct gossip_handlers *handlers;
@@ -63,36 +58,6 @@
 	return false;
 }
 
-/* RETURN VALUE: 0 if it is no IP number. */
-static socklen_t address_fill(union socket_address *to, const char *address,
-			      uint16_t port)
-{
-	memset(to, 0, sizeof(*to));
-	if (inet_pton(AF_INET, address, &to->v4.sin_addr) == 1) {
-		to->v4.sin_family = AF_INET;
-		to->v4.sin_port = htons(port);
-		return sizeof(to->v4);
-	}
-	if (inet_pton(AF_INET6, address, &to->v6.sin6_addr) == 1) {
-		to->v6.sin6_family = AF_INET6;
-		to->v6.sin6_port = htons(port);
-		return sizeof(to->v6);
-	}
-	return 0;
-}
-
-static uint16_t address_read(const union socket_address *from,
-			     char address[MEMBER_ADDRESS_MAX])
-{
-	if (from->any.sa_family == AF_INET) {
-		inet_ntop(AF_INET, &from->v4.sin_addr, address,
-			  MEMBER_ADDRESS_MAX);
-		return ntohs(from->v4.sin_port);
-	}
-	inet_ntop(AF_INET6, &from->v6.sin6_addr, address, MEMBER_ADDRESS_MAX);
-	return ntohs(from->v6.sin6_port);
-}
-
 static void gossip_send(const char *address, uint16_t port, const uint8_t *body,
 			size_t size, void *data)
 {
--- a/comfreydockd/member/rows_codec.c
+++ b/comfreydockd/member/rows_codec.c
@@ -1,8 +1,8 @@
-#include <arpa/inet.h>
 #include <json-c/json.h>
 #include <string.h>
 
 #include "comfreydockd/member/rows.h"
+#include "common/address.h"
 
 static void add_string(struct json_object *object, const char *key,
 		       const char *value)
@@ -63,14 +63,6 @@
 	return *to <= max;
 }
 
-static bool address_is_valid(const char *address)
-{
-	struct in6_addr binary;
-
-	return inet_pton(AF_INET, address, &binary) == 1 ||
-	       inet_pton(AF_INET6, address, &binary) == 1;
-}
-
 bool rows_decode(const char *value, size_t size, struct member *member)
 {
 	struct json_tokener *tokener = json_tokener_new();
@@ -85,7 +77,7 @@
 		take_string(object, "host", member->host, sizeof(member->host)) &&
 		take_string(object, "address", member->address,
 			    sizeof(member->address)) &&
-		address_is_valid(member->address) &&
+		address_is_ip_number(member->address) &&
 		take_number(object, "incarnation", UINT64_MAX - 1,
 			    &member->incarnation) &&
 		take_number(object, "peer_port", UINT16_MAX, &port) && port > 0;
--- a/comfreydockd/member/swim_message.c
+++ b/comfreydockd/member/swim_message.c
@@ -1,7 +1,7 @@
-#include <arpa/inet.h>
 #include <string.h>
 #include <xxhash.h>
 
+#include "common/address.h"
 #include "swim_internal.h"
 
 #define RECORD_OVERHEAD 3 /* tag and length of a record in the message */
@@ -118,12 +118,7 @@
 
 bool swim_endpoint_is_valid(const char *address, uint32_t port)
 {
-	struct in6_addr binary;
-
-	if (port == 0 || port > UINT16_MAX)
-		return false;
-	return inet_pton(AF_INET, address, &binary) == 1 ||
-	       inet_pton(AF_INET6, address, &binary) == 1;
+	return port > 0 && port <= UINT16_MAX && address_is_ip_number(address);
 }
 
 static bool record_endpoint_is_valid(const Cfd__MemberRecord *record)
--- a/comfreydockd/peer/link.c
+++ b/comfreydockd/peer/link.c
@@ -314,7 +314,8 @@
 {
 	struct link *link = link_new(group, fd, callbacks);
 
-	ev_io_start(group->loop, &link->reader);
+	if (fd >= 0)
+		ev_io_start(group->loop, &link->reader);
 	return link;
 }
 
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -1,23 +1,19 @@
 #include "comfreydockd/peer/peers.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "comfreydockd/peer/greeting.h"
 #include "comfreydockd/peer/link.h"
+#include "comfreydockd/peer/socket.h"
 #include "comfreydockd/settings.h"
+#include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
 
-#define LISTEN_BACKLOG 1024
-#define SWEEP_S 5.0
-/* How long a host may leave sent bytes unacknowledged. */
-#define USER_TIMEOUT_MS 5000
+#define SWEEP_S 1.0
 
 enum peer_state {
 	PEER_GREETING,
@@ -39,7 +35,8 @@
 	GPtrArray *held; /* of GByteArray: frames that wait for the greeting */
 	uint64_t held_bytes;
 	uint64_t base; /* of positions in the link's stream */
-	ev_tstamp last_used;
+	int64_t last_used_us;
+	int64_t last_heard_us;
 	void *role_data;
 };
 
@@ -193,7 +190,8 @@
 	struct peer *peer = data;
 
 	(void)link;
-	peer->last_used = ev_now(peer->peers->daemon->loop);
+	peer->last_used_us = clock_mono_us();
+	peer->last_heard_us = peer->last_used_us;
 	if (peer->state == PEER_READY &&
 	    frame->kind_case != CFD__FRAME__KIND_HELLO) {
 		peer->role->handle_frame(peer, frame, peer->role->data);
@@ -257,7 +255,7 @@
 	peer->role = outgoing ? &peers->entry : &peers->owner;
 	peer->held = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)g_byte_array_unref);
-	peer->last_used = ev_now(peers->daemon->loop);
+	peer->last_used_us = clock_mono_us();
 	greeting_make_nonce(peer->our_nonce);
 	ev_timer_init(&peer->timeout, handle_greeting_timeout,
 		      PEERS_CONNECT_TIMEOUT_S, 0.0);
@@ -267,26 +265,6 @@
 	return peer;
 }
 
-static void set_socket_options(int fd)
-{
-	int one = 1;
-	int idle_s = 5;
-	int interval_s = 1;
-	int count = 3;
-	unsigned int timeout_ms = USER_TIMEOUT_MS;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	/* A host that lost its power sends no FIN: without these an entry
-	 * would hold the connection, and its calls, for many minutes. */
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
-		   sizeof(interval_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-		   sizeof(timeout_ms));
-}
-
 static void handle_acceptable(struct ev_loop *loop, ev_io *io, int events)
 {
 	struct peers *peers = io->data;
@@ -301,7 +279,7 @@
 	       0) {
 		struct peer *peer = peer_new(peers, false);
 
-		set_socket_options(fd);
+		socket_set_options(fd);
 		counters.peer_links_accepted++;
 		callbacks.data = peer;
 		peer->link = link_create(&peers->links, fd, &callbacks);
@@ -309,73 +287,41 @@
 	}
 }
 
-static bool fill_address(const char *address, uint16_t port,
-			 struct sockaddr_storage *out, socklen_t *size)
+static bool peer_is_idle(const struct peer *peer, int64_t now_us)
 {
-	struct sockaddr_in *in4 = (struct sockaddr_in *)out;
-	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)out;
-
-	memset(out, 0, sizeof(*out));
-	if (inet_pton(AF_INET, address, &in4->sin_addr) == 1) {
-		in4->sin_family = AF_INET;
-		in4->sin_port = htons(port);
-		*size = sizeof(*in4);
-		return true;
-	}
-	if (inet_pton(AF_INET6, address, &in6->sin6_addr) == 1) {
-		in6->sin6_family = AF_INET6;
-		in6->sin6_port = htons(port);
-		*size = sizeof(*in6);
-		return true;
-	}
-	return false;
+	return peer->outgoing && peer->state == PEER_READY &&
+	       now_us - peer->last_used_us > PEERS_IDLE_US;
 }
 
-static int open_listener(const struct settings_address *where, uint16_t *port)
+/*
+ * Gossip may be wrong: a host whose UDP is lost or whose daemon was starved
+ * for seconds is called dead, and answers all the same. Were its connection
+ * broken on that word alone, every booking on its way would end as "unknown".
+ * A connection that still gives frames is better evidence, and stays.
+ */
+static bool peer_is_dead(const struct peer *peer, int64_t now_us)
 {
-	struct sockaddr_storage address;
-	socklen_t size;
-	int one = 1;
-	int fd;
-
-	if (!fill_address(where->address, where->port, &address, &size)) {
-		errno = EINVAL;
-		return -1;
-	}
-	fd = socket(address.ss_family,
-		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&address, size) < 0 ||
-	    listen(fd, LISTEN_BACKLOG) < 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &size) < 0) {
-		int error = errno;
-
-		close(fd);
-		errno = error;
-		return -1;
-	}
-	/* The port lies at the same place for both address families. */
-	*port = ntohs(((struct sockaddr_in *)&address)->sin_port);
-	return fd;
-}
+	const struct member *member;
 
-static bool peer_is_idle(const struct peer *peer, ev_tstamp now)
-{
-	return peer->outgoing && peer->state == PEER_READY &&
-	       now - peer->last_used > PEERS_IDLE_S;
+	if (!peer->outgoing || now_us - peer->last_heard_us < PEERS_SILENT_US)
+		return false;
+	member = member_table_find(peer->peers->daemon->members, peer->host);
+	return !member || member->state == MEMBER_DEAD;
 }
 
 static void handle_sweep(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct peers *peers = timer->data;
+	int64_t now = clock_mono_us();
 	struct peer *peer;
 
+	(void)loop;
 	(void)events;
 	LIST_FOREACH (peer, &peers->all, link_all) {
-		if (peer_is_idle(peer, ev_now(loop)))
+		if (peer_is_idle(peer, now))
 			link_fail(peer->link, "idle");
+		else if (peer_is_dead(peer, now))
+			link_fail(peer->link, "the host is dead");
 	}
 }
 
@@ -383,7 +329,8 @@
 {
 	struct peers *peers;
 	uint16_t port = 0;
-	int fd = open_listener(&daemon->settings->peer, &port);
+	int fd = socket_listen(daemon->settings->peer.address,
+			       daemon->settings->peer.port, &port);
 
 	if (fd < 0)
 		return NULL;
@@ -459,23 +406,13 @@
 			      const struct member *member)
 {
 	struct link_callbacks callbacks = {handle_frame, handle_closed, peer};
-	struct sockaddr_storage address;
-	socklen_t size = 0;
-	bool good = fill_address(member->address, member->peer_port, &address,
-				 &size);
-	int fd = socket(good ? address.ss_family : AF_INET,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	set_socket_options(fd);
+	int fd = socket_connect(member->address, member->peer_port);
+	int error = errno;
+
 	peer->link = link_create(&peers->links, fd, &callbacks);
 	counters.peer_links_opened++;
-	if (!good) {
-		link_fail(peer->link, "address can't be read");
-		return;
-	}
-	if (connect(fd, (struct sockaddr *)&address, size) < 0 &&
-	    errno != EINPROGRESS) {
-		link_fail(peer->link, g_strerror(errno));
+	if (fd < 0) {
+		link_fail(peer->link, g_strerror(error));
 		return;
 	}
 	ev_timer_start(peers->daemon->loop, &peer->timeout);
@@ -498,12 +435,12 @@
 	return peer;
 }
 
-void peers_drop(struct peers *peers, const char *host, const char *error)
+void peers_note_dead(struct peers *peers, const char *host)
 {
 	struct peer *peer = g_hash_table_lookup(peers->outgoing, host);
 
-	if (peer)
-		link_fail(peer->link, error);
+	if (peer && peer_is_dead(peer, clock_mono_us()))
+		link_fail(peer->link, "the host is dead");
 }
 
 void peers_drain_input(struct peers *peers)
@@ -526,7 +463,7 @@
 
 uint64_t peer_send(struct peer *peer, const Cfd__Frame *frame)
 {
-	peer->last_used = ev_now(peer->peers->daemon->loop);
+	peer->last_used_us = clock_mono_us();
 	if (peer->state != PEER_READY)
 		return peer_hold(peer, frame);
 	return link_send(peer->link, frame) - peer->base;
--- a/comfreydockd/upstream/probe.c
+++ b/comfreydockd/upstream/probe.c
@@ -1,6 +1,5 @@
 #include "comfreydockd/upstream/probe.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <string.h>
@@ -11,6 +10,7 @@
 #include <glib.h>
 
 #include "comfreydockd/config/store.h"
+#include "common/address.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/http_client.h"
@@ -120,20 +120,12 @@
 
 static int connect_to(const struct owner_announcement *announced)
 {
-	struct sockaddr_in in4 = {.sin_family = AF_INET};
-	struct sockaddr_in6 in6 = {.sin6_family = AF_INET6};
-	bool is_v4 = inet_pton(AF_INET, announced->address, &in4.sin_addr) == 1;
-	int fd = socket(is_v4 ? AF_INET : AF_INET6,
+	union socket_address to;
+	socklen_t size = address_fill(&to, announced->address, announced->port);
+	int fd = socket(to.any.sa_family,
 			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-	in4.sin_port = htons(announced->port);
-	in6.sin6_port = htons(announced->port);
-	if (!is_v4)
-		inet_pton(AF_INET6, announced->address, &in6.sin6_addr);
-	if (is_v4)
-		(void)connect(fd, (struct sockaddr *)&in4, sizeof(in4));
-	else
-		(void)connect(fd, (struct sockaddr *)&in6, sizeof(in6));
+	(void)connect(fd, &to.any, size);
 	return fd;
 }
 
--- a/common/address.c
+++ b/common/address.c
@@ -4,12 +4,38 @@
 #include <glib.h>
 #include <string.h>
 
+socklen_t address_fill(union socket_address *to, const char *text, uint16_t port)
+{
+	memset(to, 0, sizeof(*to));
+	if (inet_pton(AF_INET, text, &to->v4.sin_addr) == 1) {
+		to->v4.sin_family = AF_INET;
+		to->v4.sin_port = htons(port);
+		return sizeof(to->v4);
+	}
+	if (inet_pton(AF_INET6, text, &to->v6.sin6_addr) == 1) {
+		to->v6.sin6_family = AF_INET6;
+		to->v6.sin6_port = htons(port);
+		return sizeof(to->v6);
+	}
+	return 0;
+}
+
+uint16_t address_read(const union socket_address *from,
+		      char text[ADDRESS_TEXT_SIZE])
+{
+	if (from->any.sa_family == AF_INET) {
+		inet_ntop(AF_INET, &from->v4.sin_addr, text, ADDRESS_TEXT_SIZE);
+		return ntohs(from->v4.sin_port);
+	}
+	inet_ntop(AF_INET6, &from->v6.sin6_addr, text, ADDRESS_TEXT_SIZE);
+	return ntohs(from->v6.sin6_port);
+}
+
 bool address_is_ip_number(const char *text)
 {
-	struct in6_addr out;
+	union socket_address out;
 
-	return inet_pton(AF_INET, text, &out) == 1 ||
-	       inet_pton(AF_INET6, text, &out) == 1;
+	return address_fill(&out, text, 0) != 0;
 }
 
 bool address_is_loopback(const char *text)
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -1,9 +1,10 @@
 #include "common/http_server.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 
+#include "common/address.h"
+
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_IDLE_TIMEOUT_S 60
 #define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
@@ -69,30 +70,9 @@
 	ev_timer_start(loop, &server->timer);
 }
 
-static bool parse_address(const char *address, uint16_t port,
-			  struct sockaddr_storage *out)
-{
-	struct sockaddr_in *in4 = (struct sockaddr_in *)out;
-	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)out;
-
-	memset(out, 0, sizeof(*out));
-	if (inet_pton(AF_INET, address, &in4->sin_addr) == 1) {
-		in4->sin_family = AF_INET;
-		in4->sin_port = htons(port);
-		return true;
-	}
-	if (inet_pton(AF_INET6, address, &in6->sin6_addr) == 1) {
-		in6->sin6_family = AF_INET6;
-		in6->sin6_port = htons(port);
-		return true;
-	}
-	errno = EINVAL;
-	return false;
-}
-
 static struct MHD_Daemon *
 start_daemon(const struct http_server_options *options,
-	     const struct sockaddr_storage *address,
+	     const union socket_address *address,
 	     const struct http_server_callbacks *callbacks)
 {
 	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
@@ -106,11 +86,11 @@
 				options->memory_per_connection :
 				DEFAULT_MEMORY_PER_CONNECTION;
 
-	if (address->ss_family == AF_INET6)
+	if (address->any.sa_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
 	return MHD_start_daemon(
 		flags, options->port, NULL, NULL, callbacks->handle_access,
-		callbacks->data, MHD_OPTION_SOCK_ADDR, address,
+		callbacks->data, MHD_OPTION_SOCK_ADDR, &address->any,
 		MHD_OPTION_CONNECTION_LIMIT, connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
@@ -143,10 +123,12 @@
 		       const struct http_server_callbacks *callbacks)
 {
 	struct http_server *server;
-	struct sockaddr_storage address;
+	union socket_address address;
 
-	if (!parse_address(options->address, options->port, &address))
+	if (!address_fill(&address, options->address, options->port)) {
+		errno = EINVAL;
 		return NULL;
+	}
 	server = g_new0(struct http_server, 1);
 	server->loop = loop;
 	server->quiesced_fd = MHD_INVALID_SOCKET;
@@ -296,7 +278,7 @@
 		.handle_target = handle_target,
 		.data = server,
 	};
-	struct sockaddr_storage address;
+	union socket_address address;
 
 	server->loop = loop;
 	server->handler = handler;
@@ -305,7 +287,8 @@
 	server->max_body_bytes = options->max_body_bytes ?
 					 options->max_body_bytes :
 					 DEFAULT_MAX_BODY_BYTES;
-	if (parse_address(options->address, options->port, &address))
+	errno = EINVAL;
+	if (address_fill(&address, options->address, options->port))
 		server->daemon = start_daemon(options, &address, &callbacks);
 	if (!server->daemon) {
 		g_free(server);
--- a/common/log.c
+++ b/common/log.c
@@ -11,6 +11,18 @@
 	char process[64];
 } log_state = {.format = LOG_FORMAT_TEXT};
 
+/* Event numbers lie between 1000 and 1999. */
+#define LOG_RATES 1000
+#define LOG_LINES_PER_SECOND 50
+
+struct log_rate {
+	int64_t second;
+	unsigned int lines;
+	uint64_t dropped;
+};
+
+static struct log_rate log_rates[LOG_RATES];
+
 const char *log_event_name(enum event id)
 {
 	switch (id) {
@@ -126,11 +138,37 @@
 	writer_is_set = true;
 }
 
+/*
+ * A stranger that knocks a thousand times a second, or a host that flaps, would
+ * otherwise fill the log's disk or pipe and take the loop's time. RETURN VALUE:
+ * false where this event has had its lines for this second.
+ */
+static bool log_is_allowed(enum event id)
+{
+	struct log_rate *rate = &log_rates[(unsigned int)id % LOG_RATES];
+	int64_t second = clock_mono_us() / US_PER_S;
+	uint64_t dropped = rate->dropped;
+
+	if (rate->second != second) {
+		rate->second = second;
+		rate->lines = 0;
+		rate->dropped = 0;
+		if (dropped)
+			log_event(EV_LOG_SUPPRESSED,
+				  LOG_STR("event", log_event_name(id)),
+				  LOG_INT("lines", dropped));
+	}
+	if (++rate->lines <= LOG_LINES_PER_SECOND)
+		return true;
+	rate->dropped++;
+	return false;
+}
+
 void log_event_fields(enum event id, const struct log_field *fields)
 {
 	char *line;
 
-	if (log_state.format == LOG_FORMAT_NONE)
+	if (log_state.format == LOG_FORMAT_NONE || !log_is_allowed(id))
 		return;
 	line = log_state.format == LOG_FORMAT_JSON ? render_json(id, fields) :
 						     render_text(id, fields);
--- a/include/comfreydockd/peer/link.h
+++ b/include/comfreydockd/peer/link.h
@@ -54,7 +54,8 @@
 /* Reads whatever is readable on any link, without waiting. */
 void link_group_drain_input(struct link_group *group);
 
-/* Takes a connected, or connecting, non-blocking socket. */
+/* Takes a connected, or connecting, non-blocking socket; -1 where there is none
+ * because opening it failed: the creator then calls link_fail(). */
 struct link *link_create(struct link_group *group, int fd,
 			 const struct link_callbacks *callbacks);
 
--- a/include/comfreydockd/peer/peers.h
+++ b/include/comfreydockd/peer/peers.h
@@ -5,7 +5,7 @@
  * DESCRIPTION
  *	One TCP connection for each ordered pair of daemons: the one that opens
  *	it is the entry, the one that takes it the owner. It is opened when the
- *	first frame is to be sent and closed after PEERS_IDLE_S without one.
+ *	first frame is to be sent and closed after PEERS_IDLE_US without one.
  *	A daemon's connection to itself goes through memory.
  *
  *	Before any other frame each side proves by HMAC-SHA256 over the other's
@@ -26,7 +26,9 @@
 #include "proto/peer.pb-c.h"
 
 #define PEERS_PROTOCOL_VERSION 1
-#define PEERS_IDLE_S 60.0
+#define PEERS_IDLE_US ((int64_t)60 * 1000 * 1000)
+/* A dead host's connection is kept while it gave a frame so recently. */
+#define PEERS_SILENT_US ((int64_t)1000 * 1000)
 /* Two round trips between regions and room for one lost SYN's repeat. */
 #define PEERS_CONNECT_TIMEOUT_S 1.2
 
@@ -53,8 +55,9 @@
 /* The entry's connection to a member, opened if there is none. */
 struct peer *peers_connect(struct peers *peers, const struct member *member);
 
-/* Breaks the entry's connection to a host, as when it is known to be dead. */
-void peers_drop(struct peers *peers, const char *host, const char *error);
+/* Breaks the entry's connection to a host that members call dead or don't
+ * know any more, unless it still gives frames. */
+void peers_note_dead(struct peers *peers, const char *host);
 
 /* Reads all that has arrived on any connection, without waiting. */
 void peers_drain_input(struct peers *peers);
--- /dev/null
+++ b/include/comfreydockd/peer/socket.h
@@ -0,0 +1,26 @@
+/*
+ * NAME
+ *	socket - TCP sockets between daemons
+ *
+ * DESCRIPTION
+ *	Non-blocking, closed on exec, without delay of small writes, and with
+ *	limits on how long a silent peer is believed to be there.
+ *
+ * RETURN VALUE
+ *	A descriptor, or -1 with errno set.
+ */
+#ifndef COMFREYDOCKD_PEER_SOCKET_H
+#define COMFREYDOCKD_PEER_SOCKET_H
+
+#include <stdint.h>
+
+/* *bound gets the port, also where the kernel chose it. */
+int socket_listen(const char *text, uint16_t port, uint16_t *bound);
+
+/* Begins to connect. */
+int socket_connect(const char *text, uint16_t port);
+
+/* For an accepted socket. */
+void socket_set_options(int fd);
+
+#endif
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -9,7 +9,26 @@
 #ifndef COMMON_ADDRESS_H
 #define COMMON_ADDRESS_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
+#include <stdint.h>
+#include <sys/socket.h>
+
+#define ADDRESS_TEXT_SIZE INET6_ADDRSTRLEN
+
+union socket_address {
+	struct sockaddr any;
+	struct sockaddr_in v4;
+	struct sockaddr_in6 v6;
+	struct sockaddr_storage storage;
+};
+
+/* RETURN VALUE: the address's size; 0 if the text is no IP number. */
+socklen_t address_fill(union socket_address *to, const char *text, uint16_t port);
+
+/* RETURN VALUE: the port; text gets the IP number. */
+uint16_t address_read(const union socket_address *from,
+		      char text[ADDRESS_TEXT_SIZE]);
 
 bool address_is_ip_number(const char *text);
 bool address_is_loopback(const char *text);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -11,6 +11,7 @@
 #include "comfreydockd/settings.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "paused_clock.h"
 
 #define MANY 100
 
@@ -26,6 +27,15 @@
 
 static struct ev_loop *loop;
 
+/* Moves the paused clock on while the sockets do their work. */
+static void run_for(int ms)
+{
+	for (int i = 0; i < ms; i++) {
+		ev_run(loop, EVRUN_NOWAIT);
+		paused_clock_advance_us(1000);
+	}
+}
+
 static void handle_owner_frame(struct peer *peer, Cfd__Frame *frame, void *data)
 {
 	struct end *end = data;
@@ -67,6 +77,7 @@
 	end->daemon.loop = loop;
 	end->daemon.settings = &end->settings;
 	end->daemon.incarnation = 7;
+	end->daemon.members = member_table_create();
 	end->heard = g_string_new(NULL);
 	end->peers = peers_create(&end->daemon);
 	g_assert_nonnull(end->peers);
@@ -78,6 +89,7 @@
 static void end_finish(struct end *end)
 {
 	peers_destroy(end->peers);
+	member_table_destroy(end->daemon.members);
 	g_string_free(end->heard, TRUE);
 }
 
@@ -116,7 +128,7 @@
 	last = send_cancel(peer, 2);
 	g_assert_false(peer_has_handed_over(peer, first));
 	while (strcmp(b.heard->str, "1 2 ") != 0)
-		ev_run(loop, EVRUN_ONCE);
+		run_for(1);
 	g_assert_true(peer_has_handed_over(peer, last));
 	g_assert_cmpstr(peer_host(b.from), ==, "a");
 	g_assert_cmpuint(peer_incarnation(b.from), ==, 7);
@@ -139,7 +151,7 @@
 	/* Never from within a send. */
 	g_assert_cmpstr(a.heard->str, ==, "");
 	while (!strstr(a.heard->str, " 99 "))
-		ev_run(loop, EVRUN_ONCE);
+		run_for(1);
 	g_assert_true(g_str_has_prefix(a.heard->str, "0 1 2 3 "));
 	end_finish(&a);
 }
@@ -164,7 +176,7 @@
 	position = send_cancel(peer, 1);
 	while (!a.lost) {
 		g_assert_false(peer_has_handed_over(peer, position));
-		ev_run(loop, EVRUN_ONCE);
+		run_for(1);
 	}
 	g_assert_cmpstr(b.heard->str, ==, "");
 	g_assert_cmpuint(counters.peer_handshakes_failed, >, before);
@@ -192,7 +204,7 @@
 	ssize_t got;
 
 	while (!end->lost)
-		ev_run(loop, EVRUN_ONCE);
+		run_for(1);
 	do {
 		got = recv(fd, buffer, sizeof(buffer), 0);
 	} while (got > 0);
@@ -266,11 +278,54 @@
 	position = send_cancel(peer, 1);
 	while (!a.lost) {
 		g_assert_false(peer_has_handed_over(peer, position));
-		ev_run(loop, EVRUN_ONCE);
+		run_for(1);
 	}
 	end_finish(&a);
 }
 
+static void send_window(struct peer *peer)
+{
+	Cfd__Window window = CFD__WINDOW__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	frame.kind_case = CFD__FRAME__KIND_WINDOW;
+	frame.window = &window;
+	peer_send(peer, &frame);
+}
+
+/*
+ * A host's gossip packets are lost for seconds while its connections work. The
+ * others call it dead. Were its connections broken on that word, each booking
+ * on its way there would end as "unknown" and a clerk would have to look it up.
+ * A host that is dead in truth gives no frame, and its connection goes.
+ */
+static void test_a_dead_host_that_talks_is_kept(void)
+{
+	struct end a, b;
+	struct member member;
+	struct peer *peer;
+
+	end_init(&a, "a", "secret");
+	end_init(&b, "b", "secret");
+	member = member_of(&b);
+	member.state = MEMBER_DEAD;
+	member_table_update(a.daemon.members, &member, 0);
+	peer = peers_connect(a.peers, &member);
+	send_cancel(peer, 1);
+	while (strcmp(b.heard->str, "1 ") != 0)
+		run_for(1);
+	for (int i = 0; i < 10; i++) {
+		send_window(b.from);
+		run_for(500);
+		peers_note_dead(a.peers, "b");
+		g_assert_cmpuint(a.lost, ==, 0);
+	}
+	run_for(2200);
+	g_assert_cmpuint(a.lost, ==, 1);
+	end_finish(&a);
+	end_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	int status;
@@ -286,6 +341,8 @@
 	g_test_add_func("/peers/strangers", test_strangers_are_closed);
 	g_test_add_func("/peers/connection-refused",
 			test_a_refused_connection_sent_nothing);
+	g_test_add_func("/peers/dead-but-talking",
+			test_a_dead_host_that_talks_is_kept);
 	status = g_test_run();
 	ev_loop_destroy(loop);
 	return status;
