config: spread what was applied through few readers and the peers

Cause: an apply was in force only in the daemon that took it; the admin API had no platform, and nobody read the head row.

Change: config_platform_ops puts the daemon's platform client behind the apply. config_spread draws two readers of the head row per failure domain by rendezvous hash; the others hear of a head by gossip and ask the daemon that named it, then other peers, then the platform. Answers list what changed above the asker's head, with the bodies that fit. One question at a time, answers at 20 a second, then "busy". A daemon without a configuration takes the platform's word, else the highest head of three peers, and is not ready before.

Conclusion: in the fake network every random mix of losses, delays, damage and restarts ends in agreement, and nobody goes back.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -10,6 +10,8 @@
 
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/listener.h"
+#include "comfreydockd/config/platform_ops.h"
+#include "comfreydockd/config/spread_peers.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/daemon.h"
 #include "comfreydockd/member/gossip.h"
@@ -48,6 +50,8 @@
 	ev_tstamp quiet_since;
 	ev_tstamp left_since; /* 0: the good-bye is not said yet */
 	struct gossip_handlers gossip_handlers;
+	struct config_platform *config_platform; /* NULL: no platform */
+	struct spread_peers *spread;
 };
 
 static struct assembly *assembly_of(struct daemon *daemon)
@@ -94,6 +98,13 @@
 	peers_drop(daemon->peers, member->host, "the host is gone");
 }
 
+static void handle_config_head(const char *host, uint64_t head, void *data)
+{
+	struct daemon *daemon = data;
+
+	config_store_note_head(daemon->config, head, host);
+}
+
 static bool stop_is_quiet(const struct assembly *assembly)
 {
 	const struct daemon *daemon = &assembly->daemon;
@@ -195,6 +206,8 @@
 	daemon->operator_api = operator_api_create(daemon);
 	if (!daemon->operator_api)
 		return report_bind_error("admin", &settings->admin);
+	assembly->gossip_handlers.handle_config_head = handle_config_head;
+	assembly->gossip_handlers.data = daemon;
 	daemon->gossip = gossip_create(daemon, daemon->peer_port,
 				       &assembly->gossip_handlers);
 	if (!daemon->gossip)
@@ -221,6 +234,22 @@
 	member_table_observe(daemon->members, &observer);
 }
 
+static void connect_configuration(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	const struct config_platform_ops *ops = NULL;
+
+	if (daemon->platform) {
+		ops = &config_platform_ops;
+		assembly->config_platform =
+			config_platform_create(daemon->loop, daemon->platform);
+		operator_api_set_platform(daemon->operator_api, ops,
+					  assembly->config_platform);
+	}
+	assembly->spread =
+		spread_peers_create(daemon, ops, assembly->config_platform);
+}
+
 static void watch_signals(struct assembly *assembly)
 {
 	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
@@ -251,6 +280,7 @@
 		return NULL;
 	}
 	connect_parts(assembly);
+	connect_configuration(assembly);
 	log_event(EV_DAEMON_STARTED, LOG_STR("version", COMFREYDOCK_VERSION),
 		  LOG_INT("caller_port", daemon->caller_port),
 		  LOG_INT("peer_port", daemon->peer_port),
@@ -276,6 +306,8 @@
 	operator_api_destroy(daemon->operator_api);
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
+	spread_peers_destroy(assembly->spread);
+	config_platform_destroy(assembly->config_platform);
 	member_table_destroy(daemon->members);
 	config_store_destroy(daemon->config);
 	http_client_destroy(daemon->http);
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -256,6 +256,13 @@
 	return LIST_FIRST(&entry->calls) == call ? call : NULL;
 }
 
+void entry_when_told(struct entry *entry, entry_answer_handler handle_answer,
+		     void *data)
+{
+	entry->handle_answer = handle_answer;
+	entry->answer_data = data;
+}
+
 void entry_drain(struct entry *entry)
 {
 	entry->draining = true;
--- a/comfreydockd/config/apply.c
+++ b/comfreydockd/config/apply.c
@@ -32,6 +32,7 @@
 	/* A transaction's answer was lost: it may take effect at any time. */
 	bool unresolved;
 	bool was_in_force;
+	uint64_t head; /* that the last transaction would make */
 	struct config_history history;
 	uint64_t row_version;
 };
@@ -70,6 +71,7 @@
 		.body = apply->ns ? apply->ns->body : NULL,
 		.version = version,
 		.base = apply->base,
+		.head = result == CONFIG_APPLY_IN_FORCE ? apply->head : 0,
 		.winner = winner,
 		.was_in_force = apply->was_in_force,
 		.findings = &apply->findings,
@@ -146,6 +148,7 @@
 
 	config_head_note(head, apply->ns->name, apply->commit.version,
 			 apply->ns->sha256);
+	apply->head = head->head;
 	config_history_push(&apply->history, &apply->commit);
 	head_text = config_head_to_text(head);
 	row_text = config_history_to_text(&apply->history);
@@ -234,6 +237,7 @@
 		return;
 	}
 	if (is_ours && version == commit->version) {
+		apply->head = 0;
 		finish(apply, CONFIG_APPLY_IN_FORCE, version, NULL);
 		return;
 	}
--- a/comfreydockd/config/rows.c
+++ b/comfreydockd/config/rows.c
@@ -48,6 +48,7 @@
 		struct config_version version = {
 			.name = g_strdup(jsonc_get_text(item, "name")),
 			.version = jsonc_get_uint(item, "version"),
+			.at = jsonc_get_uint(item, "at"),
 		};
 
 		g_strlcpy(version.sha256, jsonc_get_text(item, "sha256"),
@@ -73,6 +74,7 @@
 		jsonc_add_text(item, "name", version->name);
 		jsonc_add_uint(item, "version", version->version);
 		jsonc_add_text(item, "sha256", version->sha256);
+		jsonc_add_uint(item, "at", version->at);
 		json_object_array_add(array, item);
 	}
 	jsonc_add_uint(root, "head", head->head);
@@ -104,7 +106,7 @@
 
 	line->version = version;
 	g_strlcpy(line->sha256, sha256, sizeof(line->sha256));
-	head->head++;
+	line->at = ++head->head;
 }
 
 void config_history_init(struct config_history *history)
--- /dev/null
+++ b/comfreydockd/config/spread.c
@@ -0,0 +1,199 @@
+#include "comfreydockd/config/spread.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "comfreydockd/config/rows.h"
+#include "comfreydockd/config/spread_internal.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+/* Daemons that start together must not read in step. */
+#define START_SPREAD_US (200 * US_PER_MS)
+/* News travels to many at once; each waits a little before it asks. */
+#define HINT_SPREAD_US (100 * US_PER_MS)
+
+int64_t config_spread_later(struct config_spread *spread, int64_t least_us,
+			    int64_t most_us)
+{
+	uint64_t span = (uint64_t)(most_us - least_us) + 1;
+
+	return spread->now_us + least_us +
+	       (int64_t)(random_below(&spread->random, span));
+}
+
+void config_spread_publish(struct config_spread *spread)
+{
+	uint64_t head = config_store_head(spread->store);
+
+	if (head == spread->published_head)
+		return;
+	spread->published_head = head;
+	spread->ops->publish(head, spread->ops->data);
+}
+
+static uint64_t weight_of(const char *host, const char *domain)
+{
+	uint64_t seed = XXH64(domain, strlen(domain), 0);
+
+	return XXH64(host, strlen(host), seed);
+}
+
+/*
+ * A suspected member does not count: it may be dead, and until that is certain
+ * its domain would have a reader less. One more in its place does no harm.
+ */
+static bool draw_reader(const struct config_spread *spread)
+{
+	uint64_t own = weight_of(spread->host, spread->domain);
+	unsigned int above = 0;
+	struct member *member;
+
+	TAILQ_FOREACH (member, member_table_all(spread->members), link) {
+		if (member->state != MEMBER_ALIVE ||
+		    strcmp(member->domain, spread->domain) != 0 ||
+		    strcmp(member->host, spread->host) == 0)
+			continue;
+		above += weight_of(member->host, spread->domain) > own;
+		if (above >= CONFIG_SPREAD_READERS)
+			return false;
+	}
+	return true;
+}
+
+static void note_head_row(struct config_spread *spread, const char *value)
+{
+	struct config_head head;
+
+	config_head_init(&head);
+	if (!config_head_parse(&head, value)) {
+		log_event(EV_CONFIG_HEAD_UNREADABLE);
+		spread->platform_failed = true;
+	} else if (head.head > config_store_head(spread->store) ||
+		   !config_store_is_ready(spread->store)) {
+		config_store_note_listing(
+			spread->store, head.head,
+			(const struct config_version *)head.versions->data,
+			head.versions->len);
+	}
+	config_head_finish(&head);
+}
+
+static void handle_head_row(enum config_platform_status status,
+			    uint64_t row_version, const char *value,
+			    size_t size, void *data)
+{
+	struct config_spread *spread = data;
+
+	(void)row_version;
+	(void)size;
+	spread->is_reading = false;
+	spread->platform_tried = true;
+	spread->platform_failed = status != CONFIG_PLATFORM_OK;
+	if (!spread->platform_failed)
+		note_head_row(spread, value);
+	config_spread_publish(spread);
+	config_fetch_next(spread);
+}
+
+static void read_head_row(struct config_spread *spread)
+{
+	spread->is_reading = true;
+	spread->must_read = false;
+	counters.config_head_reads++;
+	spread->platform_ops->get(spread->platform, CONFIG_HEAD_KEY,
+				  handle_head_row, spread);
+}
+
+static void read_if_due(struct config_spread *spread)
+{
+	bool was_reader = spread->is_reader;
+	bool is_due = spread->now_us >= spread->read_at_us;
+
+	if (!spread->platform_ops || spread->is_reading)
+		return;
+	if (is_due) {
+		spread->read_at_us =
+			config_spread_later(spread, CONFIG_SPREAD_READ_US * 4 / 5,
+					    CONFIG_SPREAD_READ_US * 6 / 5);
+		spread->is_reader = draw_reader(spread);
+		if (spread->is_reader != was_reader)
+			log_event(EV_CONFIG_READER,
+				  LOG_INT("reads", spread->is_reader));
+	}
+	if (spread->must_read ||
+	    (is_due &&
+	     (spread->is_reader || !config_store_is_ready(spread->store))))
+		read_head_row(spread);
+}
+
+static void handle_behind(uint64_t head, const char *from_host, void *data)
+{
+	struct config_spread *spread = data;
+	int64_t soon;
+
+	if (!from_host) {
+		/* Applied here a moment ago. */
+		spread->must_read = true;
+		read_if_due(spread);
+		return;
+	}
+	if (head < spread->hint_head)
+		return;
+	if (head > spread->hint_head) {
+		soon = config_spread_later(spread, 0, HINT_SPREAD_US);
+		spread->fetch_at_us = MAX(spread->fetch_at_us, soon);
+	}
+	spread->hint_head = head;
+	g_strlcpy(spread->hint_host, from_host, sizeof(spread->hint_host));
+}
+
+void config_spread_tick(struct config_spread *spread, int64_t now_us)
+{
+	spread->now_us = now_us;
+	read_if_due(spread);
+	config_fetch_check_time(spread);
+	config_fetch_next(spread);
+	config_spread_publish(spread);
+}
+
+bool config_spread_is_reader(const struct config_spread *spread)
+{
+	return spread->is_reader;
+}
+
+struct config_spread *
+config_spread_create(const struct config_spread_options *options, int64_t now_us)
+{
+	struct config_spread *spread = g_new0(struct config_spread, 1);
+	struct config_store_observer observer = {
+		.handle_behind = handle_behind,
+		.data = spread,
+	};
+
+	spread->store = options->store;
+	spread->members = options->members;
+	spread->platform_ops = options->platform_ops;
+	spread->platform = options->platform;
+	spread->ops = options->ops;
+	spread->random.state = options->seed;
+	spread->now_us = now_us;
+	spread->platform_tried = !options->platform_ops;
+	spread->platform_failed = !options->platform_ops;
+	spread->answer_tokens = CONFIG_SPREAD_ANSWERS_PER_S;
+	spread->answer_refilled_us = now_us;
+	spread->read_at_us = config_spread_later(spread, 0, START_SPREAD_US);
+	g_strlcpy(spread->host, options->host, sizeof(spread->host));
+	g_strlcpy(spread->domain, options->domain, sizeof(spread->domain));
+	config_store_observe(options->store, &observer);
+	return spread;
+}
+
+void config_spread_destroy(struct config_spread *spread)
+{
+	if (!spread)
+		return;
+	g_free(spread->object_name);
+	g_free(spread);
+}
--- /dev/null
+++ b/comfreydockd/config/spread_answer.c
@@ -0,0 +1,106 @@
+#include "comfreydockd/config/spread_internal.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+
+static bool take_answer_token(struct config_spread *spread)
+{
+	int64_t passed_us = spread->now_us - spread->answer_refilled_us;
+	double more = (double)passed_us / US_PER_S * CONFIG_SPREAD_ANSWERS_PER_S;
+
+	spread->answer_refilled_us = spread->now_us;
+	spread->answer_tokens =
+		MIN(spread->answer_tokens + more, CONFIG_SPREAD_ANSWERS_PER_S);
+	if (spread->answer_tokens < 1.0)
+		return false;
+	spread->answer_tokens -= 1.0;
+	return true;
+}
+
+static bool is_wanted(const Cfd__ConfigQuery *query,
+		      const struct config_version *version)
+{
+	if (!version->version)
+		return false; /* this daemon's own file */
+	if (!query->n_wanted)
+		return !version->at || version->at > query->above_head;
+	for (size_t i = 0; i < query->n_wanted; i++) {
+		if (strcmp(query->wanted[i], version->name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static Cfd__ConfigLine *line_create(const struct config_version *version,
+				    struct config_namespace *ns, size_t *room)
+{
+	Cfd__ConfigLine *line = g_new(Cfd__ConfigLine, 1);
+	size_t size = strlen(ns->body);
+
+	cfd__config_line__init(line);
+	line->namespace_ = ns->name;
+	line->version = version->version;
+	line->sha256 = ns->sha256;
+	line->at = version->at;
+	if (size > *room)
+		return line;
+	*room -= size;
+	line->has_body = true;
+	line->body.data = (uint8_t *)ns->body;
+	line->body.len = size;
+	return line;
+}
+
+static void fill_lines(const struct config_spread *spread,
+		       const Cfd__ConfigQuery *query, Cfd__ConfigBody *answer)
+{
+	const struct config_snapshot *snapshot =
+		config_store_current(spread->store);
+	GArray *all = config_store_export(spread->store);
+	size_t room = CONFIG_SPREAD_ANSWER_BYTES;
+
+	answer->lines = g_new0(Cfd__ConfigLine *, all->len);
+	for (guint i = 0; i < all->len; i++) {
+		struct config_version *version =
+			&g_array_index(all, struct config_version, i);
+
+		if (is_wanted(query, version))
+			answer->lines[answer->n_lines++] = line_create(
+				version,
+				config_snapshot_find(snapshot, version->name),
+				&room);
+	}
+	g_array_unref(all);
+}
+
+Cfd__ConfigBody *config_spread_answer(struct config_spread *spread,
+				      const Cfd__ConfigQuery *query)
+{
+	Cfd__ConfigBody *answer = g_new(Cfd__ConfigBody, 1);
+
+	cfd__config_body__init(answer);
+	answer->seq = query->seq;
+	if (!query->head_only && !take_answer_token(spread)) {
+		counters.config_answers_busy++;
+		answer->busy = true;
+		return answer;
+	}
+	counters.config_answers++;
+	answer->ready = config_store_is_ready(spread->store);
+	answer->head = config_store_head(spread->store);
+	if (query->head_only)
+		return answer;
+	answer->is_listing = !query->n_wanted;
+	fill_lines(spread, query, answer);
+	return answer;
+}
+
+void config_spread_free_answer(Cfd__ConfigBody *answer)
+{
+	for (size_t i = 0; i < answer->n_lines; i++)
+		g_free(answer->lines[i]);
+	g_free(answer->lines);
+	g_free(answer);
+}
--- /dev/null
+++ b/comfreydockd/config/spread_fetch.c
@@ -0,0 +1,370 @@
+#include "comfreydockd/config/spread_internal.h"
+
+#include <string.h>
+
+#include "comfreydockd/config/rows.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+#define ANSWER_TIMEOUT_US (1500 * US_PER_MS)
+/* Between two fetches that went well, so that several changes travel as one. */
+#define PAUSE_MIN_US (100 * US_PER_MS)
+#define PAUSE_MAX_US (300 * US_PER_MS)
+#define BACKOFF_US (200 * US_PER_MS)
+#define BACKOFF_MOST 4 /* doublings: 3.2 s */
+#define PEER_TRIES 3 /* then the platform is asked */
+#define WANTED_MAX 64
+
+bool config_fetch_is_behind(const struct config_spread *spread)
+{
+	return !config_store_is_ready(spread->store) ||
+	       config_store_known_head(spread->store) >
+		       config_store_head(spread->store);
+}
+
+static bool is_live_peer(const struct config_spread *spread,
+			 const struct member *member)
+{
+	return member && member->state == MEMBER_ALIVE && member->peer_port &&
+	       strcmp(member->host, spread->host) != 0;
+}
+
+static bool is_witness(const struct config_spread *spread, const char *host)
+{
+	for (unsigned int i = 0; i < spread->witnesses; i++) {
+		if (strcmp(spread->witness_hosts[i], host) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Any live peer that is no witness yet, and not the one that was asked last if
+ * there is another. */
+static struct member *draw_peer(struct config_spread *spread)
+{
+	struct member *drawn = NULL;
+	struct member *last = NULL;
+	struct member *member;
+	uint64_t seen = 0;
+
+	TAILQ_FOREACH (member, member_table_all(spread->members), link) {
+		if (!is_live_peer(spread, member) ||
+		    is_witness(spread, member->host))
+			continue;
+		if (strcmp(member->host, spread->asked_host) == 0)
+			last = member;
+		else if (random_below(&spread->random, ++seen) == 0)
+			drawn = member;
+	}
+	return drawn ? drawn : last;
+}
+
+/* The one that named the head, but only once: it may be the one that fails. */
+static struct member *choose_peer(struct config_spread *spread)
+{
+	struct member *member =
+		member_table_find(spread->members, spread->hint_host);
+
+	spread->hint_host[0] = '\0';
+	return is_live_peer(spread, member) ? member : draw_peer(spread);
+}
+
+static void ask(struct config_spread *spread, const struct member *member,
+		enum config_fetch_step step, Cfd__ConfigQuery *query)
+{
+	query->seq = ++spread->seq;
+	query->above_head = config_store_head(spread->store);
+	query->head_only = step == CONFIG_FETCH_HEAD;
+	spread->step = step;
+	spread->head_before = query->above_head;
+	spread->give_up_us = spread->now_us + ANSWER_TIMEOUT_US;
+	g_strlcpy(spread->asked_host, member->host, sizeof(spread->asked_host));
+	counters.config_fetches++;
+	spread->ops->ask(member, query, spread->ops->data);
+}
+
+static void ask_simply(struct config_spread *spread,
+		       const struct member *member, enum config_fetch_step step)
+{
+	Cfd__ConfigQuery query = CFD__CONFIG_QUERY__INIT;
+
+	ask(spread, member, step, &query);
+}
+
+static void note_failure(struct config_spread *spread)
+{
+	unsigned int doublings = MIN(spread->tries, BACKOFF_MOST);
+	int64_t most = (int64_t)BACKOFF_US << doublings;
+
+	counters.config_fetch_failures++;
+	spread->step = CONFIG_FETCH_NONE;
+	spread->tries++;
+	spread->fetch_at_us = config_spread_later(spread, most / 4, most);
+	/* The peers don't help; one read more tells what is in force. */
+	if (spread->tries % PEER_TRIES == 0)
+		spread->must_read = true;
+}
+
+static void note_success(struct config_spread *spread)
+{
+	spread->step = CONFIG_FETCH_NONE;
+	spread->tries = 0;
+	spread->fetch_at_us =
+		config_spread_later(spread, PAUSE_MIN_US, PAUSE_MAX_US);
+	if (config_fetch_is_behind(spread) && config_store_lacks(spread->store))
+		spread->fetch_at_us = spread->now_us;
+}
+
+static void handle_object(enum config_platform_status status,
+			  uint64_t row_version, const char *value, size_t size,
+			  void *data)
+{
+	struct config_spread *spread = data;
+	enum config_offer result = CONFIG_OFFER_BAD_CONTENT;
+
+	(void)row_version;
+	if (status == CONFIG_PLATFORM_OK && value)
+		result = config_store_offer(spread->store, spread->object_name,
+					    spread->object_version,
+					    spread->object_sha256, value, size);
+	g_clear_pointer(&spread->object_name, g_free);
+	if (result == CONFIG_OFFER_ADOPTED || result == CONFIG_OFFER_NOT_NEWER)
+		note_success(spread);
+	else
+		note_failure(spread);
+	config_spread_publish(spread);
+	config_fetch_next(spread);
+}
+
+static void read_object(struct config_spread *spread,
+			const struct config_version *version)
+{
+	char *key = config_object_key(version->sha256);
+
+	spread->step = CONFIG_FETCH_OBJECT;
+	spread->object_name = g_strdup(version->name);
+	spread->object_version = version->version;
+	g_strlcpy(spread->object_sha256, version->sha256,
+		  sizeof(spread->object_sha256));
+	counters.config_object_reads++;
+	spread->platform_ops->get_object(spread->platform, key, handle_object,
+					 spread);
+	g_free(key);
+}
+
+static void ask_for_bodies(struct config_spread *spread,
+			   const struct member *member, GArray *missing)
+{
+	Cfd__ConfigQuery query = CFD__CONFIG_QUERY__INIT;
+	char *wanted[WANTED_MAX];
+
+	for (guint i = 0; i < missing->len && i < WANTED_MAX; i++)
+		wanted[query.n_wanted++] =
+			(char *)g_array_index(missing, struct config_version, i).name;
+	query.wanted = wanted;
+	ask(spread, member, CONFIG_FETCH_BODIES, &query);
+}
+
+/*
+ * A reader is among the first to know: hardly any peer has the body yet, so
+ * it goes to the object store at once. The others, and one that has just
+ * started and lacks everything, do so where two peers fail in a row.
+ */
+static bool prefers_store(const struct config_spread *spread)
+{
+	unsigned int turn = spread->tries % PEER_TRIES;
+
+	if (spread->is_reader && config_store_is_ready(spread->store))
+		return turn < PEER_TRIES - 1;
+	return turn == PEER_TRIES - 1;
+}
+
+static void fetch_missing(struct config_spread *spread, GArray *missing)
+{
+	bool may_read = spread->platform_ops && !spread->platform_failed;
+	struct member *peer;
+
+	if (may_read && prefers_store(spread)) {
+		read_object(spread,
+			    &g_array_index(missing, struct config_version, 0));
+		return;
+	}
+	peer = choose_peer(spread);
+	if (peer)
+		ask_for_bodies(spread, peer, missing);
+	else if (may_read)
+		read_object(spread,
+			    &g_array_index(missing, struct config_version, 0));
+	else
+		note_failure(spread);
+}
+
+/* The witness with the highest head, or who named a higher one by gossip. */
+static struct member *choose_first(struct config_spread *spread)
+{
+	struct member *best =
+		member_table_find(spread->members, spread->best_host);
+	struct member *hint =
+		member_table_find(spread->members, spread->hint_host);
+
+	if (is_live_peer(spread, hint) && spread->hint_head > spread->best_head)
+		best = hint;
+	spread->hint_host[0] = '\0';
+	spread->best_host[0] = '\0';
+	spread->best_head = 0;
+	spread->witnesses = 0;
+	return is_live_peer(spread, best) ? best : NULL;
+}
+
+/* Without the platform: the highest head that some live peers name. */
+static void fetch_first(struct config_spread *spread)
+{
+	struct member *member = NULL;
+
+	if (!spread->platform_tried || !spread->platform_failed)
+		return;
+	if (spread->witnesses < CONFIG_SPREAD_WITNESSES)
+		member = draw_peer(spread);
+	if (member) {
+		g_strlcpy(spread->witness_hosts[spread->witnesses++],
+			  member->host, MEMBER_HOST_MAX);
+		ask_simply(spread, member, CONFIG_FETCH_HEAD);
+		return;
+	}
+	member = choose_first(spread);
+	if (member)
+		ask_simply(spread, member, CONFIG_FETCH_LISTING);
+	else
+		note_failure(spread);
+}
+
+static void fetch_changes(struct config_spread *spread)
+{
+	struct member *member = choose_peer(spread);
+
+	if (member)
+		ask_simply(spread, member, CONFIG_FETCH_LISTING);
+	else
+		note_failure(spread);
+}
+
+void config_fetch_next(struct config_spread *spread)
+{
+	GArray *missing;
+
+	if (spread->step != CONFIG_FETCH_NONE ||
+	    spread->now_us < spread->fetch_at_us ||
+	    !config_fetch_is_behind(spread))
+		return;
+	missing = config_store_missing(spread->store);
+	if (missing->len)
+		fetch_missing(spread, missing);
+	else if (!config_store_is_ready(spread->store))
+		fetch_first(spread);
+	else
+		fetch_changes(spread);
+	g_array_unref(missing);
+}
+
+void config_fetch_check_time(struct config_spread *spread)
+{
+	if (spread->step == CONFIG_FETCH_NONE ||
+	    spread->step == CONFIG_FETCH_OBJECT ||
+	    spread->now_us < spread->give_up_us)
+		return;
+	note_failure(spread);
+}
+
+/* RETURN VALUE: how many versions were adopted. */
+static unsigned int take_bodies(struct config_spread *spread,
+				const Cfd__ConfigBody *answer)
+{
+	unsigned int adopted = 0;
+
+	for (size_t i = 0; i < answer->n_lines; i++) {
+		const Cfd__ConfigLine *line = answer->lines[i];
+		enum config_offer result;
+
+		if (!line->has_body)
+			continue;
+		result = config_store_offer(spread->store, line->namespace_,
+					    line->version, line->sha256,
+					    (const char *)line->body.data,
+					    line->body.len);
+		adopted += result == CONFIG_OFFER_ADOPTED;
+	}
+	return adopted;
+}
+
+static void take_listing(struct config_spread *spread,
+			 const Cfd__ConfigBody *answer)
+{
+	GArray *versions =
+		g_array_new(FALSE, FALSE, sizeof(struct config_version));
+
+	for (size_t i = 0; i < answer->n_lines; i++) {
+		const Cfd__ConfigLine *line = answer->lines[i];
+		struct config_version version = {
+			.name = line->namespace_,
+			.version = line->version,
+			.at = line->at,
+		};
+
+		g_strlcpy(version.sha256, line->sha256, sizeof(version.sha256));
+		g_array_append_val(versions, version);
+	}
+	config_store_note_listing(spread->store, answer->head,
+				  (const struct config_version *)versions->data,
+				  versions->len);
+	g_array_unref(versions);
+}
+
+static void take_witness(struct config_spread *spread, const char *host,
+			 const Cfd__ConfigBody *answer)
+{
+	spread->step = CONFIG_FETCH_NONE;
+	if (!answer->ready)
+		return;
+	if (spread->best_host[0] && answer->head <= spread->best_head)
+		return;
+	spread->best_head = answer->head;
+	g_strlcpy(spread->best_host, host, sizeof(spread->best_host));
+}
+
+static void take_configuration(struct config_spread *spread,
+			       const Cfd__ConfigBody *answer)
+{
+	bool was_behind = config_fetch_is_behind(spread);
+	unsigned int adopted = take_bodies(spread, answer);
+
+	if (answer->is_listing)
+		take_listing(spread, answer);
+	if (adopted || config_store_head(spread->store) > spread->head_before ||
+	    (was_behind && !config_fetch_is_behind(spread)))
+		note_success(spread);
+	else
+		note_failure(spread);
+}
+
+void config_spread_take_answer(struct config_spread *spread, const char *host,
+			       const Cfd__ConfigBody *answer)
+{
+	bool is_asked = spread->step != CONFIG_FETCH_NONE &&
+			spread->step != CONFIG_FETCH_OBJECT &&
+			answer->seq == spread->seq &&
+			strcmp(host, spread->asked_host) == 0;
+
+	if (!is_asked) {
+		counters.peer_unmatched++;
+		return;
+	}
+	if (spread->step == CONFIG_FETCH_HEAD)
+		take_witness(spread, host, answer);
+	else if (answer->busy || !answer->ready)
+		note_failure(spread);
+	else
+		take_configuration(spread, answer);
+	config_spread_publish(spread);
+	config_fetch_next(spread);
+}
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -8,6 +8,12 @@
 
 #define OBSERVERS_MAX 4
 
+/* Which head a version made. */
+struct origin {
+	uint64_t version;
+	uint64_t at;
+};
+
 struct config_store {
 	struct config_snapshot *current;
 	bool ready;
@@ -15,6 +21,7 @@
 	uint64_t known_head;
 	uint64_t listed_head;
 	GArray *listing; /* of struct config_version, names owned */
+	GHashTable *origins; /* name -> struct origin */
 	struct config_store_observer observers[OBSERVERS_MAX];
 	size_t observer_count;
 };
@@ -41,6 +48,8 @@
 
 	store->current = config_snapshot_create();
 	store->listing = config_versions_create();
+	store->origins =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return store;
 }
 
@@ -50,6 +59,7 @@
 		return;
 	config_snapshot_unref(store->current);
 	g_array_unref(store->listing);
+	g_hash_table_unref(store->origins);
 	g_free(store);
 }
 
@@ -104,6 +114,38 @@
 	return missing;
 }
 
+bool config_store_lacks(const struct config_store *store)
+{
+	for (guint i = 0; i < store->listing->len; i++) {
+		if (!holds(store, &g_array_index(store->listing,
+						 struct config_version, i)))
+			return true;
+	}
+	return false;
+}
+
+static uint64_t origin_of(const struct config_store *store, const char *name,
+			  uint64_t version)
+{
+	const struct origin *origin = g_hash_table_lookup(store->origins, name);
+
+	return origin && origin->version == version ? origin->at : 0;
+}
+
+static void note_origin(struct config_store *store,
+			const struct config_version *version)
+{
+	struct origin *origin =
+		g_hash_table_lookup(store->origins, version->name);
+
+	if (!version->at || (origin && origin->version >= version->version))
+		return;
+	origin = g_new0(struct origin, 1);
+	origin->version = version->version;
+	origin->at = version->at;
+	g_hash_table_replace(store->origins, g_strdup(version->name), origin);
+}
+
 GArray *config_store_export(const struct config_store *store)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct config_version));
@@ -114,6 +156,7 @@
 		struct config_version version = {
 			.name = ns->name,
 			.version = ns->version,
+			.at = origin_of(store, ns->name, ns->version),
 		};
 
 		g_strlcpy(version.sha256, ns->sha256, sizeof(version.sha256));
@@ -126,14 +169,12 @@
  * claimed a head early would be believed by peers that then miss a version. */
 static void settle(struct config_store *store)
 {
-	GArray *missing = config_store_missing(store);
-
-	if (!missing->len && (store->listed_head > store->head || !store->ready)) {
+	if (!config_store_lacks(store) &&
+	    (store->listed_head > store->head || !store->ready)) {
 		store->head = MAX(store->head, store->listed_head);
 		store->ready = true;
 		log_event(EV_CONFIG_HEAD_REACHED, LOG_INT("head", store->head));
 	}
-	g_array_unref(missing);
 }
 
 void config_store_note_head(struct config_store *store, uint64_t head,
@@ -162,6 +203,7 @@
 	for (size_t i = 0; i < count; i++) {
 		struct config_version version = versions[i];
 
+		note_origin(store, &version);
 		version.name = g_strdup(versions[i].name);
 		g_array_append_val(store->listing, version);
 	}
--- a/comfreydockd/operator/config.c
+++ b/comfreydockd/operator/config.c
@@ -161,15 +161,24 @@
 	return 504;
 }
 
+/* The head tells that the platform's row is to be read at once, and the others
+ * through gossip. */
+static void adopt_applied(struct config_store *store,
+			  const struct config_apply_outcome *outcome)
+{
+	config_store_offer(store, outcome->name, outcome->version,
+			   outcome->sha256, outcome->body, strlen(outcome->body));
+	if (outcome->head)
+		config_store_note_head(store, outcome->head, NULL);
+}
+
 static void handle_applied(const struct config_apply_outcome *outcome, void *data)
 {
 	struct waiting *waiting = data;
 	json_object *root = json_object_new_object();
 
 	if (outcome->result == CONFIG_APPLY_IN_FORCE)
-		config_store_offer(waiting->api->daemon->config, outcome->name,
-				   outcome->version, outcome->sha256,
-				   outcome->body, strlen(outcome->body));
+		adopt_applied(waiting->api->daemon->config, outcome);
 	jsonc_add_text(root, "result", config_apply_result_name(outcome->result));
 	jsonc_add_text(root, "namespace", outcome->name);
 	jsonc_add_uint(root, "base", outcome->base);
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -383,6 +383,11 @@
 	case CFD__FRAME__KIND_LOAD_QUERY:
 		owner_send_load(owner, peer, frame->load_query->seq);
 		break;
+	case CFD__FRAME__KIND_CONFIG_QUERY:
+		if (owner->handle_query)
+			owner->handle_query(peer, frame->config_query,
+					    owner->query_data);
+		break;
 	default:
 		counters.peer_bad_frames++;
 		break;
@@ -573,6 +578,13 @@
 	owner->state_data = data;
 }
 
+void owner_when_asked(struct owner *owner, owner_query_handler handle_query,
+		      void *data)
+{
+	owner->handle_query = handle_query;
+	owner->query_data = data;
+}
+
 const struct owner_announcement *owner_announced(const struct owner *owner)
 {
 	return owner->pool ? &owner->announced : NULL;
--- a/include/comfreydockd/config/apply.h
+++ b/include/comfreydockd/config/apply.h
@@ -88,6 +88,7 @@
 	const char *body;
 	uint64_t version; /* in force, of the file or of the winner */
 	uint64_t base;
+	uint64_t head; /* that the apply made; 0: not known */
 	const char *winner; /* who applied it, with CONFLICT */
 	bool was_in_force; /* with CONFLICT: as base + 1, then replaced */
 	const struct findings *findings;
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -44,6 +44,7 @@
 	const char *name; /* of the namespace */
 	uint64_t version;
 	char sha256[65];
+	uint64_t at; /* the head that this version made; 0: not known */
 };
 
 /* RETURN VALUE: an empty array of struct config_version that owns its names. */
@@ -81,7 +82,8 @@
 			    const char *from_host);
 
 /*
- * Takes note of what is in force at a head. Once each line was adopted at
+ * Takes note of what is in force at a head: of everything, or of what has
+ * changed above the head that this store has reached. Once each line was adopted at
  * this version or a higher one, the store has reached the head.
  */
 void config_store_note_listing(struct config_store *store, uint64_t head,
@@ -93,7 +95,10 @@
  * until the next listing. */
 GArray *config_store_missing(const struct config_store *store);
 
-/* The same for all that is held here: what this daemon lists to others. */
+/* RETURN VALUE: whether config_store_missing() would have any. */
+bool config_store_lacks(const struct config_store *store);
+
+/* As config_store_missing(), for all that is held here: what this daemon lists to others. */
 GArray *config_store_export(const struct config_store *store);
 
 enum config_offer config_store_offer(struct config_store *store, const char *name,
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &cfd__config_query__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfd__config_line__init
+                     (Cfd__ConfigLine         *message)
+{
+  static const Cfd__ConfigLine init_value = CFD__CONFIG_LINE__INIT;
+  *message = init_value;
+}
+size_t cfd__config_line__get_packed_size
+                     (const Cfd__ConfigLine *message)
+{
+  assert(message->base.descriptor == &cfd__config_line__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfd__config_line__pack
+                     (const Cfd__ConfigLine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfd__config_line__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfd__config_line__pack_to_buffer
+                     (const Cfd__ConfigLine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfd__config_line__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfd__ConfigLine *
+       cfd__config_line__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfd__ConfigLine *)
+     protobuf_c_message_unpack (&cfd__config_line__descriptor,
+                                allocator, len, data);
+}
+void   cfd__config_line__free_unpacked
+                     (Cfd__ConfigLine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfd__config_line__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfd__config_body__init
                      (Cfd__ConfigBody         *message)
 {
@@ -1793,41 +1838,67 @@
   (ProtobufCMessageInit) cfd__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__config_query__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfd__config_query__field_descriptors[4] =
 {
   {
-    "namespace",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigQuery, namespace_),
+    offsetof(Cfd__ConfigQuery, seq),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "above_version",
+    "above_head",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigQuery, above_version),
+    offsetof(Cfd__ConfigQuery, above_head),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "head_only",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigQuery, head_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfd__ConfigQuery, n_wanted),
+    offsetof(Cfd__ConfigQuery, wanted),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__config_query__field_indices_by_name[] = {
-  1,   /* field[1] = above_version */
-  0,   /* field[0] = namespace */
+  1,   /* field[1] = above_head */
+  2,   /* field[2] = head_only */
+  0,   /* field[0] = seq */
+  3,   /* field[3] = wanted */
 };
 static const ProtobufCIntRange cfd__config_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cfd__config_query__descriptor =
 {
@@ -1837,14 +1908,14 @@
   "Cfd__ConfigQuery",
   "cfd",
   sizeof(Cfd__ConfigQuery),
-  2,
+  4,
   cfd__config_query__field_descriptors,
   cfd__config_query__field_indices_by_name,
   1,  cfd__config_query__number_ranges,
   (ProtobufCMessageInit) cfd__config_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__config_body__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfd__config_line__field_descriptors[6] =
 {
   {
     "namespace",
@@ -1852,7 +1923,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigBody, namespace_),
+    offsetof(Cfd__ConfigLine, namespace_),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1864,7 +1935,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigBody, version),
+    offsetof(Cfd__ConfigLine, version),
     NULL,
     NULL,
     0,             /* flags */
@@ -1876,48 +1947,164 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigBody, sha256),
+    offsetof(Cfd__ConfigLine, sha256),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "at",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigBody, body),
+    offsetof(Cfd__ConfigLine, at),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "absent",
+    "has_body",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfd__ConfigBody, absent),
+    offsetof(Cfd__ConfigLine, has_body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigLine, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfd__config_body__field_indices_by_name[] = {
-  4,   /* field[4] = absent */
-  3,   /* field[3] = body */
+static const unsigned cfd__config_line__field_indices_by_name[] = {
+  3,   /* field[3] = at */
+  5,   /* field[5] = body */
+  4,   /* field[4] = has_body */
   0,   /* field[0] = namespace */
   2,   /* field[2] = sha256 */
   1,   /* field[1] = version */
 };
+static const ProtobufCIntRange cfd__config_line__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cfd__config_line__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfd.ConfigLine",
+  "ConfigLine",
+  "Cfd__ConfigLine",
+  "cfd",
+  sizeof(Cfd__ConfigLine),
+  6,
+  cfd__config_line__field_descriptors,
+  cfd__config_line__field_indices_by_name,
+  1,  cfd__config_line__number_ranges,
+  (ProtobufCMessageInit) cfd__config_line__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfd__config_body__field_descriptors[6] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigBody, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "busy",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigBody, busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigBody, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "head",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigBody, head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_listing",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigBody, is_listing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfd__ConfigBody, n_lines),
+    offsetof(Cfd__ConfigBody, lines),
+    &cfd__config_line__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfd__config_body__field_indices_by_name[] = {
+  1,   /* field[1] = busy */
+  3,   /* field[3] = head */
+  4,   /* field[4] = is_listing */
+  5,   /* field[5] = lines */
+  2,   /* field[2] = ready */
+  0,   /* field[0] = seq */
+};
 static const ProtobufCIntRange cfd__config_body__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfd__config_body__descriptor =
 {
@@ -1927,7 +2114,7 @@
   "Cfd__ConfigBody",
   "cfd",
   sizeof(Cfd__ConfigBody),
-  5,
+  6,
   cfd__config_body__field_descriptors,
   cfd__config_body__field_indices_by_name,
   1,  cfd__config_body__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Cfd__LoadQuery Cfd__LoadQuery;
 typedef struct Cfd__LoadReport Cfd__LoadReport;
 typedef struct Cfd__ConfigQuery Cfd__ConfigQuery;
+typedef struct Cfd__ConfigLine Cfd__ConfigLine;
 typedef struct Cfd__ConfigBody Cfd__ConfigBody;
 typedef struct Cfd__Frame Cfd__Frame;
 
@@ -266,31 +267,70 @@
 
 
 /*
- * Asks for a namespace's file, and gives it.
+ * Asks for what has changed in the configuration above a head, or for the
+ * bodies of some namespaces.
  */
 struct  Cfd__ConfigQuery
 {
   ProtobufCMessage base;
-  char *namespace_;
-  uint64_t above_version;
+  uint64_t seq;
+  uint64_t above_head;
+  protobuf_c_boolean head_only;
+  /*
+   * none: all that has changed
+   */
+  size_t n_wanted;
+  char **wanted;
 };
 #define CFD__CONFIG_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__config_query__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0,NULL }
 
 
-struct  Cfd__ConfigBody
+struct  Cfd__ConfigLine
 {
   ProtobufCMessage base;
   char *namespace_;
   uint64_t version;
   char *sha256;
+  /*
+   * the head that this version made; 0: not known
+   */
+  uint64_t at;
+  protobuf_c_boolean has_body;
   ProtobufCBinaryData body;
-  protobuf_c_boolean absent;
+};
+#define CFD__CONFIG_LINE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfd__config_line__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+
+
+struct  Cfd__ConfigBody
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * asked too often; nothing else is filled in
+   */
+  protobuf_c_boolean busy;
+  /*
+   * the sender has a configuration
+   */
+  protobuf_c_boolean ready;
+  uint64_t head;
+  /*
+   * lines name all that has changed
+   */
+  protobuf_c_boolean is_listing;
+  /*
+   * bodies only as far as they fit
+   */
+  size_t n_lines;
+  Cfd__ConfigLine **lines;
 };
 #define CFD__CONFIG_BODY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__config_body__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL }
 
 
 typedef enum {
@@ -602,6 +642,25 @@
 void   cfd__config_query__free_unpacked
                      (Cfd__ConfigQuery *message,
                       ProtobufCAllocator *allocator);
+/* Cfd__ConfigLine methods */
+void   cfd__config_line__init
+                     (Cfd__ConfigLine         *message);
+size_t cfd__config_line__get_packed_size
+                     (const Cfd__ConfigLine   *message);
+size_t cfd__config_line__pack
+                     (const Cfd__ConfigLine   *message,
+                      uint8_t             *out);
+size_t cfd__config_line__pack_to_buffer
+                     (const Cfd__ConfigLine   *message,
+                      ProtobufCBuffer     *buffer);
+Cfd__ConfigLine *
+       cfd__config_line__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfd__config_line__free_unpacked
+                     (Cfd__ConfigLine *message,
+                      ProtobufCAllocator *allocator);
 /* Cfd__ConfigBody methods */
 void   cfd__config_body__init
                      (Cfd__ConfigBody         *message);
@@ -684,6 +743,9 @@
 typedef void (*Cfd__ConfigQuery_Closure)
                  (const Cfd__ConfigQuery *message,
                   void *closure_data);
+typedef void (*Cfd__ConfigLine_Closure)
+                 (const Cfd__ConfigLine *message,
+                  void *closure_data);
 typedef void (*Cfd__ConfigBody_Closure)
                  (const Cfd__ConfigBody *message,
                   void *closure_data);
@@ -711,6 +773,7 @@
 extern const ProtobufCMessageDescriptor cfd__load_query__descriptor;
 extern const ProtobufCMessageDescriptor cfd__load_report__descriptor;
 extern const ProtobufCMessageDescriptor cfd__config_query__descriptor;
+extern const ProtobufCMessageDescriptor cfd__config_line__descriptor;
 extern const ProtobufCMessageDescriptor cfd__config_body__descriptor;
 extern const ProtobufCMessageDescriptor cfd__frame__descriptor;
 
