--- a/comfreydockd/operator/config.c
+++ b/comfreydockd/operator/config.c
@@ -82,10 +82,11 @@
 {
 	const char *only = http_request_argument(request, "namespace");
 	bool with_body = http_request_argument(request, "body");
+	bool only_held = http_request_argument(request, "held");
 	json_object *root = store_to_json(api->daemon->config, only, with_body);
 	char *key;
 
-	if (!only || !api->platform_ops) {
+	if (!only || only_held || !api->platform_ops) {
 		operator_reply(request, 200, root);
 		return;
 	}
