--- a/include/comfreydockd/operator/operator.h
+++ b/include/comfreydockd/operator/operator.h
@@ -9,7 +9,8 @@
  *	GET  /metrics			counters as Prometheus text
  *	GET  /v1/config			versions held; ?body=1 adds the files,
  *					?namespace=NAME asks the platform for
- *					that namespace's last commits
+ *					that namespace's last commits, with
+ *					&held=1 only this daemon's version
  *	POST /v1/config/apply		?base=N&who=NAME[&file=NAME], body: file
  *	POST /v1/config/check		[?file=NAME], body: file
  *	GET  /v1/hosts			what is known of every host
