--- a/include/common/address.h
+++ b/include/common/address.h
@@ -30,6 +30,10 @@
 uint16_t address_read(const union socket_address *from,
 		      char text[ADDRESS_TEXT_SIZE]);
 
+/* Writes the IP number alone, or nothing. */
+void address_to_text(const struct sockaddr *address,
+		     char text[ADDRESS_TEXT_SIZE]);
+
 bool address_is_ip_number(const char *text);
 bool address_is_loopback(const char *text);
 
