--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -10,18 +10,23 @@
 
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/listener.h"
+#include "comfreydockd/config/platform_ops.h"
+#include "comfreydockd/config/spread_peers.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/daemon.h"
 #include "comfreydockd/member/gossip.h"
 #include "comfreydockd/member/member.h"
+#include "comfreydockd/member/rows.h"
 #include "comfreydockd/operator/operator.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/platform/platform.h"
+#include "comfreydockd/platform/rows_store.h"
 #include "comfreydockd/settings.h"
 #include "comfreydockd/upstream/owner.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/http_client.h"
+#include "common/id.h"
 #include "common/log.h"
 
 #define TIMELINE_ENTRIES 8192
@@ -37,19 +42,32 @@
 #define LAST_CALLS_S 0.3
 /* The good-bye's way through gossip. */
 #define LEAVE_S 0.5
+/* For the row's deletion; others delete it later if the platform is out. */
+#define LEAVE_MAX_S 3.0
 
 struct assembly {
 	struct daemon daemon;
 	struct listener *listener;
+	struct rows_store *rows_store;
+	struct rows *rows;
 	ev_signal terminate;
 	ev_signal interrupt;
 	ev_timer stop_check;
-	ev_tstamp stopping_since; /* 0: not stopping */
-	ev_tstamp quiet_since;
-	ev_tstamp left_since; /* 0: the good-bye is not said yet */
+	double stopping_since; /* 0: not stopping */
+	double quiet_since;
+	double left_since; /* 0: the good-bye is not said yet */
+	bool row_is_left;
 	struct gossip_handlers gossip_handlers;
+	struct config_platform *config_platform; /* NULL: no platform */
+	struct spread_peers *spread;
 };
 
+/* Not ev_now(): that one follows the wall clock when it is set. */
+static double seconds_now(void)
+{
+	return (double)clock_mono_us() / US_PER_S;
+}
+
 static struct assembly *assembly_of(struct daemon *daemon)
 {
 	return (struct assembly *)((char *)daemon -
@@ -59,7 +77,8 @@
 /* The owner's state becomes this host's word to the others. */
 static void handle_owner_state(struct owner *owner, void *data)
 {
-	struct daemon *daemon = data;
+	struct assembly *assembly = data;
+	struct daemon *daemon = &assembly->daemon;
 	const struct owner_announcement *announced = owner_announced(owner);
 	enum member_service_state state = MEMBER_SERVICE_NONE;
 	struct owner_status status;
@@ -73,6 +92,18 @@
 			     announced ? announced->groups : NULL,
 			     announced ? announced->slots : 0,
 			     announced ? announced->warm_ms : 0);
+	rows_touch(assembly->rows);
+}
+
+/* A row of a host that gossip has not told of. */
+static void handle_row_of_peer(const char *address, uint16_t port, void *data)
+{
+	struct daemon *daemon = data;
+	bool is_v6 = strchr(address, ':') != NULL;
+	char *peer = g_strdup_printf(is_v6 ? "[%s]:%u" : "%s:%u", address, port);
+
+	gossip_join(daemon->gossip, peer);
+	g_free(peer);
 }
 
 /*
@@ -84,14 +115,14 @@
 	struct daemon *daemon = data;
 
 	if (member->state == MEMBER_DEAD)
-		peers_drop(daemon->peers, member->host, "the host is dead");
+		peers_note_dead(daemon->peers, member->host);
 }
 
-static void handle_member_removed(struct member *member, void *data)
+static void handle_config_head(const char *host, uint64_t head, void *data)
 {
 	struct daemon *daemon = data;
 
-	peers_drop(daemon->peers, member->host, "the host is gone");
+	config_store_note_head(daemon->config, head, host);
 }
 
 static void handle_config_changed(struct config_snapshot *snapshot, void *data)
@@ -112,11 +143,19 @@
 	       entry_count(daemon->entry) == 0;
 }
 
+static void handle_row_left(bool is_deleted, void *data)
+{
+	struct assembly *assembly = data;
+
+	(void)is_deleted;
+	assembly->row_is_left = true;
+}
+
 static void handle_stop_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct assembly *assembly = timer->data;
-	ev_tstamp now = ev_now(loop);
-	ev_tstamp spent = now - assembly->stopping_since;
+	double now = seconds_now();
+	double spent = now - assembly->stopping_since;
 	double most = assembly->daemon.settings->drain_timeout_ms / 1000.0;
 
 	(void)events;
@@ -130,8 +169,10 @@
 	if (assembly->left_since <= 0) {
 		assembly->left_since = now;
 		gossip_leave(assembly->daemon.gossip);
+		rows_leave(assembly->rows, handle_row_left, assembly);
 	}
-	if (now - assembly->left_since < LEAVE_S)
+	if (now - assembly->left_since < LEAVE_S ||
+	    (!assembly->row_is_left && now - assembly->left_since < LEAVE_MAX_S))
 		return;
 	log_event(EV_DAEMON_STOPPED,
 		  LOG_INT("calls", entry_count(assembly->daemon.entry)));
@@ -144,7 +185,7 @@
 
 	if (assembly->stopping_since > 0)
 		return;
-	assembly->stopping_since = ev_now(daemon->loop);
+	assembly->stopping_since = seconds_now();
 	assembly->quiet_since = assembly->stopping_since;
 	log_event(EV_DAEMON_STOPPING);
 	owner_drain(daemon->owner);
@@ -194,8 +235,7 @@
 	daemon->config = config_store_create();
 	if (!load_config_file(daemon))
 		return false;
-	if (settings->platform_url)
-		daemon->platform = platform_create(daemon);
+	daemon->platform = platform_create(daemon);
 	daemon->peers = peers_create(daemon);
 	if (!daemon->peers)
 		return report_bind_error("peer", &settings->peer);
@@ -203,6 +243,8 @@
 	daemon->operator_api = operator_api_create(daemon);
 	if (!daemon->operator_api)
 		return report_bind_error("admin", &settings->admin);
+	assembly->gossip_handlers.handle_config_head = handle_config_head;
+	assembly->gossip_handlers.data = daemon;
 	daemon->gossip = gossip_create(daemon, daemon->peer_port,
 				       &assembly->gossip_handlers);
 	if (!daemon->gossip)
@@ -221,7 +263,6 @@
 	struct daemon *daemon = &assembly->daemon;
 	struct member_observer observer = {
 		.handle_changed = handle_member_changed,
-		.handle_removed = handle_member_removed,
 		.data = daemon,
 	};
 	struct config_store_observer config_observer = {
@@ -230,10 +271,45 @@
 	};
 
 	config_store_observe(daemon->config, &config_observer);
-	owner_when_changed(daemon->owner, handle_owner_state, daemon);
+	owner_when_changed(daemon->owner, handle_owner_state, assembly);
 	member_table_observe(daemon->members, &observer);
 }
 
+static void create_rows(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	struct rows_store *store = rows_store_create(daemon->platform);
+	struct rows_options options = {
+		.loop = daemon->loop,
+		.ops = &rows_store_ops,
+		.store = store,
+		.table = daemon->members,
+		.self = gossip_self(daemon->gossip),
+		.seed = id_random_u64(),
+		.handle_peer = handle_row_of_peer,
+		.data = daemon,
+	};
+
+	assembly->rows_store = store;
+	assembly->rows = rows_create(&options);
+}
+
+static void connect_configuration(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	const struct config_platform_ops *ops = NULL;
+
+	if (daemon->platform) {
+		ops = &config_platform_ops;
+		assembly->config_platform =
+			config_platform_create(daemon->loop, daemon->platform);
+		operator_api_set_platform(daemon->operator_api, ops,
+					  assembly->config_platform);
+	}
+	assembly->spread =
+		spread_peers_create(daemon, ops, assembly->config_platform);
+}
+
 static void watch_signals(struct assembly *assembly)
 {
 	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
@@ -263,7 +339,9 @@
 		assembly_destroy(assembly);
 		return NULL;
 	}
+	create_rows(assembly);
 	connect_parts(assembly);
+	connect_configuration(assembly);
 	log_event(EV_DAEMON_STARTED, LOG_STR("version", COMFREYDOCK_VERSION),
 		  LOG_INT("caller_port", daemon->caller_port),
 		  LOG_INT("peer_port", daemon->peer_port),
@@ -287,8 +365,13 @@
 	peers_destroy(daemon->peers);
 	owner_destroy(daemon->owner);
 	operator_api_destroy(daemon->operator_api);
+	if (assembly->rows)
+		rows_destroy(assembly->rows);
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
+	rows_store_destroy(assembly->rows_store);
+	spread_peers_destroy(assembly->spread);
+	config_platform_destroy(assembly->config_platform);
 	member_table_destroy(daemon->members);
 	config_store_destroy(daemon->config);
 	http_client_destroy(daemon->http);
