--- a/bench/path/bench.c
+++ b/bench/path/bench.c
@@ -71,7 +71,7 @@
 static char *target_of(struct cluster *cluster, const struct bench_load *load,
 		       int generator)
 {
-	unsigned int owners = cluster->count - 1;
+	unsigned int owners = MAX(cluster->count, 2) - 1;
 	unsigned int turn = BENCH_OWNER + (unsigned int)generator % owners;
 	uint16_t port = load->direct ?
 				cluster->upstreams[turn]->port :
