owner: start an attempt in the turn that brought it

From the frame to the upstream two more turns of the loop passed: one for the owner's timer of zero, one for libcurl's. The owner now acts in the loop's prepare step, still after all frames of the turn were read, and has libcurl begin at once.

--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -11,6 +11,7 @@
 #include "comfreydockd/upstream/owner_internal.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/http_client.h"
 #include "common/id.h"
 #include "common/log.h"
 
@@ -87,11 +88,11 @@
 	return queue_retry_after_ms(&owner->queue, &slots);
 }
 
-/* Starting waits for the end of the turn, see handle_turn(). */
+/* Starting waits for the end of the turn, see handle_turn_end(). */
 static void owner_wake(struct owner *owner)
 {
-	if (!ev_is_active(&owner->turn))
-		ev_timer_start(owner->daemon->loop, &owner->turn);
+	owner->turn_is_due = true;
+	ev_timer_start(owner->daemon->loop, &owner->wake);
 }
 
 static void owner_report_idle(struct owner *owner)
@@ -187,25 +188,37 @@
 }
 
 /*
- * Runs at the lowest priority, after all frames of this turn of the loop were
- * read. What goes wrong without it: a daemon that was stopped for seconds
+ * Runs before the loop waits again, after all frames of this turn of the loop
+ * were read. What goes wrong without it: a daemon that was stopped for seconds
  * wakes with old attempts in its buffers and, behind them, the cancels of
  * callers who gave up; started in the order of arrival, the old work would
  * take the slots from callers who still wait, and a call that could have been
  * told "not run" would run. One would notice a burst of late runs after each
  * pause. After a pause everything readable is read first.
  */
-static void handle_turn(struct ev_loop *loop, ev_timer *timer, int events)
+static void handle_turn_end(struct ev_loop *loop, ev_prepare *prepare, int events)
 {
-	struct owner *owner = timer->data;
+	struct owner *owner = prepare->data;
 
-	(void)loop;
 	(void)events;
+	if (!owner->turn_is_due)
+		return;
+	owner->turn_is_due = false;
+	ev_timer_stop(loop, &owner->wake);
 	if (owner->was_frozen) {
 		owner->was_frozen = false;
 		peers_drain_input(owner->daemon->peers);
 	}
 	owner_turn(owner);
+	http_client_begin(owner->daemon->http);
+}
+
+/* Only keeps the loop from waiting; see handle_turn_end(). */
+static void handle_wake(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)timer;
+	(void)events;
 }
 
 static void handle_stale(struct ev_loop *loop, ev_timer *timer, int events)
@@ -330,13 +343,16 @@
 	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
 	owner->probe = probe_create(daemon, handle_reachable, owner);
 	owner->swept_us = clock_mono_us();
-	ev_timer_init(&owner->turn, handle_turn, 0.0, 0.0);
-	ev_set_priority(&owner->turn, EV_MINPRI);
+	ev_timer_init(&owner->wake, handle_wake, 0.0, 0.0);
+	ev_prepare_init(&owner->turn_end, handle_turn_end);
+	/* Before the frames are written: refusals go out in the same turn. */
+	ev_set_priority(&owner->turn_end, EV_MAXPRI);
 	ev_timer_init(&owner->stale, handle_stale, 0.0, 0.0);
 	ev_timer_init(&owner->sweep, handle_sweep, SWEEP_S, SWEEP_S);
-	owner->turn.data = owner;
+	owner->turn_end.data = owner;
 	owner->stale.data = owner;
 	owner->sweep.data = owner;
+	ev_prepare_start(daemon->loop, &owner->turn_end);
 	ev_timer_start(daemon->loop, &owner->sweep);
 	owner_fill_role(owner, &role);
 	peers_set_owner(daemon->peers, &role);
@@ -357,7 +373,8 @@
 
 	if (!owner)
 		return;
-	ev_timer_stop(owner->daemon->loop, &owner->turn);
+	ev_timer_stop(owner->daemon->loop, &owner->wake);
+	ev_prepare_stop(owner->daemon->loop, &owner->turn_end);
 	ev_timer_stop(owner->daemon->loop, &owner->stale);
 	ev_timer_stop(owner->daemon->loop, &owner->sweep);
 	while ((item = queue_take_any(&owner->queue)))
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -21,6 +21,7 @@
 	struct ev_loop *loop;
 	CURLM *multi;
 	ev_timer timer;
+	bool has_new; /* transfers that libcurl has not looked at */
 	LIST_HEAD(, http_pending) pending;
 };
 
@@ -171,6 +172,18 @@
 	}
 	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
 	curl_multi_add_handle(client->multi, transfer->easy);
+	client->has_new = true;
+}
+
+void http_client_begin(struct http_client *client)
+{
+	int running;
+
+	if (!client->has_new)
+		return;
+	client->has_new = false;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	report_done(client);
 }
 
 void http_client_stop(struct http_client *client, struct http_transfer *transfer)
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -30,7 +30,9 @@
 	struct probe *probe;
 	uint32_t running;
 	TAILQ_HEAD(, owner_attempt) runs;
-	ev_timer turn; /* starts what may start, after all input was read */
+	ev_prepare turn_end; /* starts what may start, after all input was read */
+	bool turn_is_due;
+	ev_timer wake;
 	ev_timer stale;
 	ev_timer sweep;
 	int64_t swept_us;
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -40,6 +40,10 @@
 void http_client_start(struct http_client *client,
 		       struct http_transfer *transfer);
 
+/* Begins what was started, without another turn of the loop. Not to be called
+ * from a callback of libcurl. */
+void http_client_begin(struct http_client *client);
+
 /* Takes a running transfer out; handle_done is not called. */
 void http_client_stop(struct http_client *client, struct http_transfer *transfer);
 
