--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -32,8 +32,9 @@
 
 struct call_sink {
 	/* The head of an answer; length is -1 where it is not known. */
+	/* May move the fields out and leave them empty. */
 	void (*handle_head)(void *data, unsigned int status,
-			    const struct fields *fields, int64_t length);
+			    struct fields *fields, int64_t length);
 	void (*handle_body)(void *data, const void *bytes, size_t size);
 	void (*handle_end)(void *data);
 	/* The answer can't be ended: the caller's connection must break. */
