--- /dev/null
+++ b/comfreydockd/upstream/owner.c
@@ -0,0 +1,481 @@
+#include "comfreydockd/upstream/owner.h"
+
+#include <string.h>
+
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/limit.h"
+#include "comfreydockd/decide/queue.h"
+#include "comfreydockd/decide/warm.h"
+#include "comfreydockd/peer/peers.h"
+#include "comfreydockd/upstream/attempts.h"
+#include "comfreydockd/upstream/owner_internal.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+
+#define SWEEP_S 0.1
+/* An upstream that gives no head this long after the deadline is broken off:
+ * nobody waits for it, and its slot would be lost for good. */
+#define HEAD_GRACE_US (1 * US_PER_S)
+/* A caller that takes no byte of its answer for so long is broken off. */
+#define STALL_US (60 * US_PER_S)
+/* A loop that did not turn for so long was stopped or starved. */
+#define FREEZE_US (300 * US_PER_MS)
+
+static Cfd__Reason reason_of(enum queue_verdict verdict)
+{
+	switch (verdict) {
+	case QUEUE_REFUSED_BUSY:
+		return CFD__REASON__REASON_BUSY;
+	case QUEUE_REFUSED_DEADLINE:
+	case QUEUE_REFUSED_STALE:
+		return CFD__REASON__REASON_DEADLINE;
+	case QUEUE_REFUSED_UNFAIR:
+		return CFD__REASON__REASON_UNFAIR;
+	case QUEUE_REFUSED_STANDING:
+	case QUEUE_REFUSED_FULL:
+	case QUEUE_ACCEPTED:
+		break;
+	}
+	return CFD__REASON__REASON_OVERLOAD;
+}
+
+static struct queue_slots owner_slots(const struct owner *owner)
+{
+	struct queue_slots slots = {
+		.running = owner->running,
+		.limit = warm_slots(&owner->warm, limit_current(&owner->limit),
+				    clock_mono_us()),
+	};
+
+	return slots;
+}
+
+static struct owner_attempt *attempt_of(struct queue_item *item)
+{
+	return (struct owner_attempt *)((char *)item -
+					offsetof(struct owner_attempt, item));
+}
+
+void owner_fill_load(const struct owner *owner, Cfd__Load *load)
+{
+	struct queue_slots slots = owner_slots(owner);
+
+	load->running = slots.running;
+	load->queued = queue_length(&owner->queue);
+	load->limit = owner->state == OWNER_UP ? slots.limit : 0;
+	load->expected_wait_us =
+		(uint32_t)MIN(queue_expected_wait_us(&owner->queue, &slots),
+			      (int64_t)UINT32_MAX);
+}
+
+struct daemon *owner_daemon(const struct owner *owner)
+{
+	return owner->daemon;
+}
+
+struct run_pool *owner_pool(const struct owner *owner)
+{
+	return owner->pool;
+}
+
+uint32_t owner_retry_after_ms(const struct owner *owner)
+{
+	struct queue_slots slots = owner_slots(owner);
+
+	return queue_retry_after_ms(&owner->queue, &slots);
+}
+
+/* Starting waits for the end of the turn, see handle_turn(). */
+static void owner_wake(struct owner *owner)
+{
+	if (!ev_is_active(&owner->turn))
+		ev_timer_start(owner->daemon->loop, &owner->turn);
+}
+
+static void owner_report_idle(struct owner *owner)
+{
+	void (*handle_idle)(void *data) = owner->handle_idle;
+
+	if (!handle_idle || owner->running || queue_length(&owner->queue))
+		return;
+	owner->handle_idle = NULL;
+	handle_idle(owner->idle_data);
+}
+
+void owner_note_over(struct owner *owner, struct owner_attempt *attempt,
+		     enum limit_outcome outcome)
+{
+	int64_t now = clock_mono_us();
+	int64_t first_us = attempt->head_us ? attempt->head_us : now;
+
+	limit_note_done(&owner->limit, first_us - attempt->started_us, outcome,
+			owner->running, now);
+	if (outcome == LIMIT_OUTCOME_OK || outcome == LIMIT_OUTCOME_FAILED) {
+		queue_note_done(&owner->queue, attempt->item.class,
+				now - attempt->started_us);
+		probe_note_traffic(owner->probe);
+	}
+	if (first_us > attempt->item.deadline_us)
+		counters.owner_late++;
+	TAILQ_REMOVE(&owner->runs, attempt, running_link);
+	owner->running--;
+	owner_wake(owner);
+}
+
+static void owner_refuse_item(struct owner *owner, struct queue_item *item,
+			      enum queue_verdict verdict)
+{
+	struct owner_attempt *attempt = attempt_of(item);
+
+	attempt_owner_step(&attempt->state, OWNER_REFUSE);
+	attempt_refuse(attempt, reason_of(verdict), owner_retry_after_ms(owner));
+}
+
+static void owner_start_waiting(struct owner *owner)
+{
+	enum queue_verdict verdict;
+	struct queue_item *item;
+
+	for (;;) {
+		struct queue_slots slots = owner_slots(owner);
+
+		if (slots.running >= slots.limit)
+			return;
+		item = queue_pop(&owner->queue, clock_mono_us(), &verdict);
+		if (!item)
+			return;
+		if (verdict != QUEUE_ACCEPTED) {
+			owner_refuse_item(owner, item, verdict);
+			continue;
+		}
+		owner->running++;
+		TAILQ_INSERT_TAIL(&owner->runs, attempt_of(item), running_link);
+		attempt_start(attempt_of(item));
+	}
+}
+
+static void owner_refuse_stale(struct owner *owner)
+{
+	struct queue_item *item;
+
+	while ((item = queue_pop_stale(&owner->queue, clock_mono_us())))
+		owner_refuse_item(owner, item, QUEUE_REFUSED_STALE);
+}
+
+/* A request that can't be answered in time any more is told so at once. */
+static void owner_set_stale_timer(struct owner *owner)
+{
+	int64_t at = queue_next_stale_us(&owner->queue);
+	int64_t wait_us;
+
+	ev_timer_stop(owner->daemon->loop, &owner->stale);
+	if (at == INT64_MAX)
+		return;
+	wait_us = MAX(at - clock_mono_us(), 0);
+	ev_timer_set(&owner->stale, (double)wait_us / US_PER_S + 0.0005, 0.0);
+	ev_timer_start(owner->daemon->loop, &owner->stale);
+}
+
+static void owner_turn(struct owner *owner)
+{
+	owner_refuse_stale(owner);
+	owner_start_waiting(owner);
+	owner_set_stale_timer(owner);
+	owner_report_idle(owner);
+}
+
+/*
+ * Runs at the lowest priority, after all frames of this turn of the loop were
+ * read. What goes wrong without it: a daemon that was stopped for seconds
+ * wakes with old attempts in its buffers and, behind them, the cancels of
+ * callers who gave up; started in the order of arrival, the old work would
+ * take the slots from callers who still wait, and a call that could have been
+ * told "not run" would run. One would notice a burst of late runs after each
+ * pause. After a pause everything readable is read first.
+ */
+static void handle_turn(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct owner *owner = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (owner->was_frozen) {
+		owner->was_frozen = false;
+		peers_drain_input(owner->daemon->peers);
+	}
+	owner_turn(owner);
+}
+
+static void handle_stale(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	owner_turn(timer->data);
+}
+
+static void owner_sweep_runs(struct owner *owner, int64_t now)
+{
+	struct owner_attempt *attempt = TAILQ_FIRST(&owner->runs);
+
+	while (attempt) {
+		struct owner_attempt *next = TAILQ_NEXT(attempt, running_link);
+
+		if (!attempt->head_us &&
+		    now > attempt->item.deadline_us + HEAD_GRACE_US)
+			attempt_break(attempt, "no answer long after deadline");
+		else if (attempt->stalled_since_us &&
+			 now - attempt->stalled_since_us > STALL_US)
+			attempt_break(attempt, "the caller takes nothing");
+		attempt = next;
+	}
+}
+
+static void handle_sweep(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct owner *owner = timer->data;
+	int64_t now = clock_mono_us();
+
+	(void)loop;
+	(void)events;
+	if (now - owner->swept_us > FREEZE_US) {
+		owner->was_frozen = true;
+		counters.owner_freezes++;
+		log_event(EV_OWNER_FROZEN,
+			  LOG_INT("ms", (now - owner->swept_us) / US_PER_MS));
+	}
+	owner->swept_us = now;
+	owner_sweep_runs(owner, now);
+	/* A warming upstream gains slots by time alone. */
+	if (queue_length(&owner->queue))
+		owner_wake(owner);
+}
+
+bool owner_has_group(const struct owner *owner, const char *group)
+{
+	for (char **known = owner->announced.groups; known && *known; known++) {
+		if (strcmp(*known, group) == 0)
+			return true;
+	}
+	return false;
+}
+
+void owner_offer(struct owner *owner, struct owner_attempt *attempt)
+{
+	struct queue_slots slots = owner_slots(owner);
+	uint32_t retry_after_ms = OWNER_RETRY_AFTER_MS;
+	enum queue_verdict verdict;
+
+	verdict = queue_offer(&owner->queue, &attempt->item, &slots,
+			      clock_mono_us(), &retry_after_ms);
+	if (verdict != QUEUE_ACCEPTED) {
+		attempt_owner_step(&attempt->state, OWNER_REFUSE);
+		attempt_refuse(attempt, reason_of(verdict), retry_after_ms);
+		return;
+	}
+	attempt_owner_step(&attempt->state, OWNER_QUEUE);
+	owner_wake(owner);
+}
+
+static void owner_publish(struct owner *owner)
+{
+	if (owner->handle_state)
+		owner->handle_state(owner, owner->state_data);
+}
+
+static void owner_refuse_waiting(struct owner *owner, Cfd__Reason reason)
+{
+	struct queue_item *item;
+
+	while ((item = queue_take_any(&owner->queue))) {
+		struct owner_attempt *attempt = attempt_of(item);
+
+		attempt_owner_step(&attempt->state, OWNER_REFUSE);
+		attempt_refuse(attempt, reason, OWNER_RETRY_AFTER_MS);
+	}
+}
+
+/* Nobody listens at the upstream's address, or somebody does again. */
+static void handle_reachable(bool reachable, void *data)
+{
+	struct owner *owner = data;
+
+	if (!reachable && owner->state == OWNER_UP) {
+		owner->state = OWNER_NO_UPSTREAM;
+		owner_refuse_waiting(owner, CFD__REASON__REASON_NO_UPSTREAM);
+	} else if (reachable && owner->state == OWNER_NO_UPSTREAM) {
+		owner->state = OWNER_UP;
+		warm_begin(&owner->warm, owner->announced.warm_ms,
+			   clock_mono_us());
+	}
+	owner_publish(owner);
+}
+
+struct owner *owner_create(struct daemon *daemon)
+{
+	struct owner *owner = g_new0(struct owner, 1);
+	struct queue_options options = {
+		.policy = &queue_by_deadline,
+		.fair = true,
+		.seed = id_random_u64(),
+	};
+	struct peers_role role;
+
+	owner->daemon = daemon;
+	owner->old_pools =
+		g_ptr_array_new_with_free_func((GDestroyNotify)run_pool_destroy);
+	TAILQ_INIT(&owner->runs);
+	queue_init(&owner->queue, &options);
+	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
+	owner->probe = probe_create(daemon, handle_reachable, owner);
+	owner->swept_us = clock_mono_us();
+	ev_timer_init(&owner->turn, handle_turn, 0.0, 0.0);
+	ev_set_priority(&owner->turn, EV_MINPRI);
+	ev_timer_init(&owner->stale, handle_stale, 0.0, 0.0);
+	ev_timer_init(&owner->sweep, handle_sweep, SWEEP_S, SWEEP_S);
+	owner->turn.data = owner;
+	owner->stale.data = owner;
+	owner->sweep.data = owner;
+	ev_timer_start(daemon->loop, &owner->sweep);
+	owner_fill_role(owner, &role);
+	peers_set_owner(daemon->peers, &role);
+	return owner;
+}
+
+static void announcement_finish(struct owner_announcement *announcement)
+{
+	g_strfreev(announcement->groups);
+	g_free(announcement->address);
+	memset(announcement, 0, sizeof(*announcement));
+}
+
+void owner_destroy(struct owner *owner)
+{
+	struct owner_attempt *attempt;
+	struct queue_item *item;
+
+	if (!owner)
+		return;
+	ev_timer_stop(owner->daemon->loop, &owner->turn);
+	ev_timer_stop(owner->daemon->loop, &owner->stale);
+	ev_timer_stop(owner->daemon->loop, &owner->sweep);
+	while ((item = queue_take_any(&owner->queue)))
+		attempt_destroy(attempt_of(item));
+	while ((attempt = TAILQ_FIRST(&owner->runs))) {
+		TAILQ_REMOVE(&owner->runs, attempt, running_link);
+		attempt_destroy(attempt);
+	}
+	probe_destroy(owner->probe);
+	run_pool_destroy(owner->pool);
+	g_ptr_array_unref(owner->old_pools);
+	announcement_finish(&owner->announced);
+	g_free(owner);
+}
+
+static void owner_use_pool(struct owner *owner,
+			   const struct owner_announcement *announcement)
+{
+	if (owner->pool)
+		g_ptr_array_add(owner->old_pools, owner->pool);
+	owner->pool = run_pool_create(owner->daemon->http,
+				      announcement->address, announcement->port);
+}
+
+void owner_announce(struct owner *owner,
+		    const struct owner_announcement *announcement)
+{
+	int64_t now = clock_mono_us();
+	struct owner_announcement copy = {
+		.groups = g_strdupv(announcement->groups),
+		.address = g_strdup(announcement->address),
+		.port = announcement->port,
+		.slots = MAX(announcement->slots, 1),
+		.warm_ms = announcement->warm_ms,
+	};
+	bool moved = !owner->pool || owner->announced.port != copy.port ||
+		     g_strcmp0(owner->announced.address, copy.address) != 0;
+
+	if (moved)
+		owner_use_pool(owner, &copy);
+	announcement_finish(&owner->announced);
+	owner->announced = copy;
+	if (moved)
+		limit_init(&owner->limit, &limit_adaptive, copy.slots, now);
+	else
+		limit_set_slots(&owner->limit, copy.slots);
+	if (moved || owner->state != OWNER_UP)
+		warm_begin(&owner->warm, copy.warm_ms, now);
+	owner->state = OWNER_UP;
+	probe_set_upstream(owner->probe, &owner->announced);
+	log_event(EV_OWNER_ANNOUNCED, LOG_STR("address", copy.address),
+		  LOG_INT("port", copy.port), LOG_INT("slots", copy.slots));
+	owner_publish(owner);
+	owner_wake(owner);
+}
+
+void owner_drain(struct owner *owner)
+{
+	if (owner->state == OWNER_DRAINING)
+		return;
+	owner->state = OWNER_DRAINING;
+	log_event(EV_OWNER_DRAINING, LOG_INT("running", owner->running),
+		  LOG_INT("queued", queue_length(&owner->queue)));
+	owner_refuse_waiting(owner, CFD__REASON__REASON_DRAINING);
+	owner_publish(owner);
+	owner_wake(owner);
+}
+
+void owner_resume(struct owner *owner)
+{
+	if (owner->state != OWNER_DRAINING || !owner->pool)
+		return;
+	owner->state = OWNER_UP;
+	warm_begin(&owner->warm, owner->announced.warm_ms, clock_mono_us());
+	log_event(EV_OWNER_RESUMED);
+	owner_publish(owner);
+}
+
+void owner_note_refused(struct owner *owner)
+{
+	probe_note_refused(owner->probe);
+}
+
+void owner_note_config(struct owner *owner)
+{
+	probe_configure(owner->probe);
+}
+
+void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
+		     void *data)
+{
+	owner->handle_idle = handle_idle;
+	owner->idle_data = data;
+	owner_report_idle(owner);
+}
+
+void owner_when_changed(struct owner *owner,
+			void (*handle_state)(struct owner *owner, void *data),
+			void *data)
+{
+	owner->handle_state = handle_state;
+	owner->state_data = data;
+}
+
+const struct owner_announcement *owner_announced(const struct owner *owner)
+{
+	return owner->pool ? &owner->announced : NULL;
+}
+
+void owner_get_status(const struct owner *owner, struct owner_status *status)
+{
+	struct queue_slots slots = owner_slots(owner);
+
+	status->state = owner->state;
+	status->slots = owner->announced.slots;
+	status->limit = slots.limit;
+	status->running = owner->running;
+	status->queued = queue_length(&owner->queue);
+	status->expected_wait_us = (uint32_t)MIN(
+		queue_expected_wait_us(&owner->queue, &slots), UINT32_MAX);
+}
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -50,10 +50,21 @@
 void owner_drain(struct owner *owner);
 void owner_resume(struct owner *owner);
 
+/* Another configuration is in force: the measuring budget may be another. */
+void owner_note_config(struct owner *owner);
+
 /* Calls back once nothing runs any more, at once if nothing does. */
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
 		     void *data);
 
+/* Calls back whenever the state or the announcement has changed. */
+void owner_when_changed(struct owner *owner,
+			void (*handle_state)(struct owner *owner, void *data),
+			void *data);
+
+/* RETURN VALUE: what the upstream last said, or NULL if nothing yet. */
+const struct owner_announcement *owner_announced(const struct owner *owner);
+
 void owner_get_status(const struct owner *owner, struct owner_status *status);
 
 #endif
--- /dev/null
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -0,0 +1,53 @@
+/*
+ * NAME
+ *	owner_internal - the owner's state, for the files in upstream/
+ */
+#ifndef COMFREYDOCKD_UPSTREAM_OWNER_INTERNAL_H
+#define COMFREYDOCKD_UPSTREAM_OWNER_INTERNAL_H
+
+#include <ev.h>
+#include <glib.h>
+
+#include "comfreydockd/decide/limit.h"
+#include "comfreydockd/decide/queue.h"
+#include "comfreydockd/decide/warm.h"
+#include "comfreydockd/upstream/attempts.h"
+#include "comfreydockd/upstream/owner.h"
+#include "comfreydockd/upstream/probe.h"
+
+/* Told where nothing better is known, as on a drain. */
+#define OWNER_RETRY_AFTER_MS 1000
+
+struct owner {
+	struct daemon *daemon;
+	enum owner_state state;
+	struct owner_announcement announced;
+	struct run_pool *pool;
+	GPtrArray *old_pools; /* of upstreams before a move; runs may use them */
+	struct limit limit;
+	struct warm warm;
+	struct queue queue;
+	struct probe *probe;
+	uint32_t running;
+	TAILQ_HEAD(, owner_attempt) runs;
+	ev_timer turn; /* starts what may start, after all input was read */
+	ev_timer stale;
+	ev_timer sweep;
+	int64_t swept_us;
+	bool was_frozen;
+	void (*handle_idle)(void *data);
+	void *idle_data;
+	void (*handle_state)(struct owner *owner, void *data);
+	void *state_data;
+};
+
+/* owner.c */
+
+/* Offers an attempt to the queue; refuses and frees it if there is no place. */
+void owner_offer(struct owner *owner, struct owner_attempt *attempt);
+bool owner_has_group(const struct owner *owner, const char *group);
+
+/* frames.c: the handlers for the connections from entries */
+void owner_fill_role(struct owner *owner, struct peers_role *role);
+
+#endif
