bench: replay the owner's modules, retries and hedges

The replay drove pick, retry and health only; its owners were a list in order of arrival, so nothing it said held for limit, queue, fair, warm, deadline, hedge or measure, which the daemon uses as well.

Entry and owner now ask the modules in the daemon's order, each of which can be left out (POLICY+all+no-MODULE). Traces may be generated from a line in their head, have cold starts, calls that are not idempotent and a window in which results count. What entry and replay share (the number of busy refusals, patience, the time of the cancel) moved to decide/.

--- /dev/null
+++ b/bench/decide/central.c
@@ -0,0 +1,121 @@
+#include "bench/decide/replay_internal.h"
+
+/*
+ * The bound that nothing can reach: one queue that knows all slots at every
+ * moment, has the modules of an owner, and sends no call to an upstream that
+ * is slower than one that is free as well.
+ */
+
+static struct queue_slots central_slots(const struct replay *r)
+{
+	struct queue_slots slots = {
+		.limit = r->trace->slots * r->trace->upstreams,
+	};
+
+	for (uint32_t i = 0; i < r->trace->upstreams; i++)
+		slots.running += r->owners[i].running;
+	return slots;
+}
+
+static bool is_better(const struct replay_owner *a, const struct replay_owner *b)
+{
+	if (a->factor != b->factor)
+		return a->factor < b->factor;
+	return a->running < b->running;
+}
+
+/* RETURN VALUE: NULL if no slot is free. */
+static struct replay_owner *find_free(const struct replay *r)
+{
+	struct replay_owner *best = NULL;
+
+	for (uint32_t i = 0; i < r->trace->upstreams; i++) {
+		struct replay_owner *owner = &r->owners[i];
+
+		if (owner->running >= r->trace->slots ||
+		    owner->fault != TRACE_FAULT_NONE)
+			continue;
+		if (!best || is_better(owner, best))
+			best = owner;
+	}
+	return best;
+}
+
+static void handle_told(void *replay, void *data)
+{
+	struct replay_attempt *attempt = data;
+
+	if (attempt->outcome == RETRY_OUTCOME_ANSWERED)
+		replay_note_answer(replay, attempt->call, attempt->error);
+	else
+		replay_note_not_run(replay, attempt->call);
+}
+
+static void tell(struct replay *r, struct replay_attempt *attempt,
+		 enum retry_outcome outcome)
+{
+	attempt->outcome = outcome;
+	attempt->call->refused_us = r->events.now_us;
+	replay_after(r, r->trace->delay_us, handle_told, attempt);
+}
+
+static void start_waiting(struct replay *r);
+
+static void handle_end(void *replay, void *data)
+{
+	struct replay *r = replay;
+	struct replay_attempt *attempt = data;
+	int64_t now_us = r->events.now_us;
+
+	r->owners[attempt->upstream].running--;
+	queue_note_done(r->central, attempt->item.class,
+			now_us - attempt->started_us);
+	replay_note_run(r, attempt,
+			now_us + r->trace->delay_us <= attempt->call->deadline_us);
+	tell(r, attempt, RETRY_OUTCOME_ANSWERED);
+	start_waiting(r);
+}
+
+static void start(struct replay *r, struct replay_attempt *attempt,
+		  struct replay_owner *owner)
+{
+	owner->running++;
+	attempt->upstream = (uint32_t)(owner - r->owners);
+	attempt->started_us = r->events.now_us;
+	replay_after(
+		r,
+		(int64_t)((double)attempt->call->trace->work_us * owner->factor),
+		handle_end, attempt);
+}
+
+static void start_waiting(struct replay *r)
+{
+	enum queue_verdict verdict;
+	struct replay_owner *owner;
+	struct queue_item *item;
+
+	while ((owner = find_free(r))) {
+		item = queue_pop(r->central, r->events.now_us, &verdict);
+		if (!item)
+			return;
+		if (verdict == QUEUE_ACCEPTED)
+			start(r, (struct replay_attempt *)item, owner);
+		else
+			tell(r, (struct replay_attempt *)item,
+			     RETRY_OUTCOME_OVERLOAD);
+	}
+}
+
+void replay_handle_central(void *replay, void *data)
+{
+	struct replay *r = replay;
+	struct replay_attempt *attempt = data;
+	struct queue_slots slots = central_slots(r);
+	uint32_t retry_after_ms;
+
+	if (queue_offer(r->central, &attempt->item, &slots, r->events.now_us,
+			&retry_after_ms) == QUEUE_ACCEPTED)
+		start_waiting(r);
+	else
+		tell(r, attempt, RETRY_OUTCOME_OVERLOAD);
+}
--- a/bench/decide/events.c
+++ b/bench/decide/events.c
@@ -1,4 +1,4 @@
-#include "events.h"
+#include "bench/decide/events.h"
 
 #include <string.h>
 
--- /dev/null
+++ b/bench/decide/table.c
@@ -0,0 +1,5 @@
+#include "bench/decide/table.h"
+bool table_write(void)
+{
+	return false;
+}
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -12,21 +12,6 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
-/*
- * How often one call may be refused because no slot was free. Such a refusal
- * costs one round trip and is certain, so it doesn't count against the rule's
- * attempts; after two the third upstream queues the call. Two covers a busy
- * upstream after a busy one and bounds what a call costs at overload.
- */
-#define CALL_MAX_BUSY 2
-
-/* Before the deadline the owners are asked to cancel, and a "not run" that
- * comes in time makes the end certain. Half a millisecond covers a round trip
- * within a failure domain; 10 ms one to another region's nearest. */
-#define CANCEL_LEAD_MIN_US 1000
-#define CANCEL_LEAD_MAX_US 10000
-#define CANCEL_LEAD_SHARE 20
-
 void call_note_event(struct call *call, enum event event, const char *format, ...)
 {
 	char note[TIMELINE_NOTE_MAX];
@@ -96,21 +81,14 @@
 		timer_start_us(call, &call->hedge, delay);
 }
 
-/*
- * An owner that is frozen answers nothing, and one whose host has lost its
- * power takes seconds to be noticed. A call that may be repeated therefore
- * spends at most half of its remaining time on one attempt; without this, all
- * calls to such an upstream would end at their deadlines, though another
- * could have answered them.
- */
+/* See deadline_patience_us(). */
 static void call_arm_patience(struct call *call)
 {
-	int64_t left = call->deadline_us - clock_mono_us();
-
 	if (!call->rule->idempotent ||
 	    call_work_attempts(call) >= call->max_attempts)
 		return;
-	timer_start_us(call, &call->patience, left / 2);
+	timer_start_us(call, &call->patience,
+		       deadline_patience_us(call->deadline_us, clock_mono_us()));
 }
 
 static void call_send_attempt(struct call *call)
@@ -128,7 +106,7 @@
 	}
 	may_queue =
 		pick_may_queue(&call->service->picks, &upstream->candidate,
-			       &call->tried, call->busy >= CALL_MAX_BUSY, now);
+			       &call->tried, call->busy >= RETRY_BUSY_MAX, now);
 	pick_tried_add(&call->tried, upstream->candidate.id);
 	call->attempts++;
 	entry_attempt_send(call, upstream, may_queue, false);
@@ -168,7 +146,7 @@
 		.idempotent = call->rule->idempotent,
 		.answer_begun = call->answering != NULL,
 		.attempts = busy ? call->busy : call_work_attempts(call),
-		.max_attempts = busy ? CALL_MAX_BUSY + 1 : call->max_attempts,
+		.max_attempts = busy ? RETRY_BUSY_MAX + 1 : call->max_attempts,
 		.untried = call_untried(call),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
@@ -340,13 +318,6 @@
 	call_decide(call, RETRY_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
 }
 
-static int64_t cancel_lead_us(const struct call *call)
-{
-	int64_t share = (call->deadline_us - call->began_us) / CANCEL_LEAD_SHARE;
-
-	return CLAMP(share, CANCEL_LEAD_MIN_US, CANCEL_LEAD_MAX_US);
-}
-
 /* First shortly before the deadline, to cancel; then at it, to give up. */
 static void handle_deadline(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -388,7 +359,8 @@
 	call->hedge.data = call;
 	call->patience.data = call;
 	timer_start_us(call, &call->deadline,
-		       call->deadline_us - cancel_lead_us(call) - clock_mono_us());
+		       deadline_cancel_us(call->began_us, call->deadline_us) -
+			       clock_mono_us());
 }
 
 size_t call_room(const struct call *call)
--- a/comfreydockd/decide/deadline.c
+++ b/comfreydockd/decide/deadline.c
@@ -13,6 +13,13 @@
 #define DEADLINE_DEVIATION_GAIN 4
 #define DEADLINE_DEVIATIONS 4
 
+/* A millisecond covers a round trip within a failure domain; 10 ms one to
+ * another region's nearest. */
+#define DEADLINE_CANCEL_LEAD_MIN_US ((int64_t)1000)
+#define DEADLINE_CANCEL_LEAD_MAX_US ((int64_t)10000)
+#define DEADLINE_CANCEL_LEAD_SHARE 20
+#define DEADLINE_PATIENCE_SHARE 2
+
 /* Shifting by the width of the type or more is undefined. */
 #define DEADLINE_SHIFT_MAX 31
 
@@ -86,6 +93,19 @@
 	return service_us <= remaining_us - wait_us;
 }
 
+int64_t deadline_cancel_us(int64_t began_us, int64_t deadline_us)
+{
+	int64_t share = (deadline_us - began_us) / DEADLINE_CANCEL_LEAD_SHARE;
+
+	return deadline_us - CLAMP(share, DEADLINE_CANCEL_LEAD_MIN_US,
+				   DEADLINE_CANCEL_LEAD_MAX_US);
+}
+
+int64_t deadline_patience_us(int64_t deadline_us, int64_t now_us)
+{
+	return (deadline_us - now_us) / DEADLINE_PATIENCE_SHARE;
+}
+
 bool deadline_is_too_deep(uint32_t depth)
 {
 	return depth > DEADLINE_DEPTH_MAX;
--- /dev/null
+++ b/include/bench/decide/replay_internal.h
@@ -0,0 +1,142 @@
+/*
+ * NAME
+ *	replay_internal - what the parts of a replay share
+ *
+ * DESCRIPTION
+ *	replay.c sets up and keeps the result, entry.c and owner.c are the two
+ *	roles of a daemon, central.c is the one queue for all.
+ */
+#ifndef BENCH_DECIDE_REPLAY_INTERNAL_H
+#define BENCH_DECIDE_REPLAY_INTERNAL_H
+
+#include "bench/decide/events.h"
+#include "bench/decide/replay.h"
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/health.h"
+#include "comfreydockd/decide/hedge.h"
+#include "comfreydockd/decide/limit.h"
+#include "comfreydockd/decide/measure.h"
+#include "comfreydockd/decide/queue.h"
+#include "comfreydockd/decide/retry.h"
+#include "comfreydockd/decide/warm.h"
+
+struct replay_call;
+
+struct replay_attempt {
+	struct queue_item item; /* first; see owner.c */
+	struct replay_call *call;
+	uint32_t upstream;
+	uint32_t epoch;
+	bool is_hedge;
+	bool running;
+	bool arrived; /* at the owner */
+	bool over; /* at the owner */
+	bool dropped; /* by the entry */
+	bool error; /* an answer, and the upstream's own error */
+	int64_t sent_us;
+	int64_t started_us;
+	int64_t refused_us;
+	enum retry_outcome outcome;
+	int64_t retry_after_us;
+	struct pick_load load; /* travels with the answer */
+};
+
+struct replay_call {
+	const struct trace_call *trace;
+	int64_t deadline_us;
+	struct pick_tried tried;
+	struct replay_attempt *active[2]; /* the attempt and its hedge */
+	uint32_t attempts;
+	uint32_t busy;
+	uint32_t hedges;
+	uint32_t turn; /* grows with each attempt; old timers do nothing */
+	bool may_have_run;
+	bool closed; /* the caller has its answer */
+	int64_t refused_us;
+	int64_t come_back_us;
+};
+
+struct replay_owner {
+	uint32_t running;
+	enum trace_fault_kind fault;
+	double factor; /* work takes so many times as long */
+	struct limit limit;
+	struct warm warm;
+	struct queue *queue;
+	struct measure measure;
+	int64_t stale_us; /* of the timer that is set */
+};
+
+struct replay_entry {
+	struct pick_set set;
+	struct pick_candidate *candidates;
+	struct health health;
+	struct health_upstream *upstreams;
+	struct deadline_path *paths;
+	struct retry retry;
+	struct hedge hedge;
+	int64_t ticked_us;
+};
+
+struct replay {
+	const struct trace *trace;
+	const struct replay_options *options;
+	struct replay_result *result;
+	struct events events;
+	struct replay_entry *entries;
+	struct replay_owner *owners;
+	struct replay_call *calls;
+	struct queue *central; /* where options->policy is NULL */
+	GPtrArray *attempts; /* all that were made */
+	struct random_state random;
+};
+
+/* replay.c */
+
+bool replay_has(const struct replay *r, enum replay_module module);
+bool replay_is_local(const struct replay *r, uint32_t entry, uint32_t upstream);
+int64_t replay_delay_us(const struct replay *r,
+			const struct replay_attempt *attempt);
+void replay_after(struct replay *r, int64_t delay_us,
+		  void (*handle)(void *replay, void *data), void *data);
+struct replay_attempt *replay_attempt_new(struct replay *r,
+					  struct replay_call *call);
+bool replay_is_judged(const struct replay *r, int64_t at_us);
+
+/* The caller's end; at most one for each call. */
+void replay_note_answer(struct replay *r, struct replay_call *call, bool error);
+void replay_note_not_run(struct replay *r, struct replay_call *call);
+void replay_note_unknown(struct replay *r, struct replay_call *call);
+
+/* entry.c */
+
+void replay_entry_init(struct replay *r, uint32_t number);
+void replay_entry_finish(struct replay_entry *entry);
+
+/* An event: data is the struct replay_call. */
+void replay_handle_call(void *replay, void *data);
+
+/* An event: data is the struct replay_attempt, which has its outcome. */
+void replay_handle_answer(void *replay, void *data);
+
+/* owner.c */
+
+void replay_owner_init(struct replay *r, struct replay_owner *owner);
+void replay_owner_finish(struct replay_owner *owner);
+
+/* Events: data is the struct replay_attempt. */
+void replay_handle_arrival(void *replay, void *data);
+void replay_handle_cancel(void *replay, void *data);
+
+/* An event: data is the struct replay_owner. */
+void replay_handle_probe(void *replay, void *data);
+
+/* Counts the slot time of an attempt at its end. */
+void replay_note_run(struct replay *r, const struct replay_attempt *attempt,
+		     bool of_use);
+
+/* central.c */
+
+void replay_handle_central(void *replay, void *data);
+
+#endif
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -82,6 +82,21 @@
 bool deadline_can_finish(int64_t deadline_us, int64_t wait_us,
 			 int64_t service_us, int64_t now_us);
 
+/*
+ * RETURN VALUE: when the owners are asked to cancel, shortly before the
+ * deadline: a "not run" that comes in time makes the end certain.
+ */
+int64_t deadline_cancel_us(int64_t began_us, int64_t deadline_us);
+
+/*
+ * How long to wait for one attempt where another may follow: half of the
+ * remaining time. An owner that is frozen answers nothing, and one whose host
+ * has lost its power takes seconds to be noticed; without this, all calls to
+ * such an upstream would end at their deadlines, though another could have
+ * answered them.
+ */
+int64_t deadline_patience_us(int64_t deadline_us, int64_t now_us);
+
 /* True where a call so deep is refused, a loop of calls being likely. */
 bool deadline_is_too_deep(uint32_t depth);
 
--- a/include/comfreydockd/decide/retry.h
+++ b/include/comfreydockd/decide/retry.h
@@ -58,6 +58,13 @@
 #define RETRY_BASE_US ((int64_t)10 * 1000)
 #define RETRY_CAP_US ((int64_t)1000 * 1000)
 #define RETRY_BURST 20.0
+/*
+ * How often one request may be refused because no slot was free. Such a
+ * refusal costs one round trip and is certain, so it doesn't count against the
+ * rule's attempts; after two the third upstream queues the request. Two covers
+ * a busy upstream after a busy one and bounds what a call costs at overload.
+ */
+#define RETRY_BUSY_MAX 2
 
 /* How the last attempt ended. */
 enum retry_outcome {
