queue: foresee the wait in a standing queue with what overtakes

Cause: the foreseen wait was never more than all that waits now. While others keep arriving, an item of a caller who has much in the queue is overtaken by what comes later to flows that hold less; it was let in, waited till near its deadline and was refused or run late.

Change: in a standing queue the wait is foreseen by the caller's own flow, without that bound.

--- a/comfreydockd/decide/fair.c
+++ b/comfreydockd/decide/fair.c
@@ -114,13 +114,17 @@
 	return fair->active_flows + (flow->length == 0 ? 1 : 0);
 }
 
-int64_t fair_work_ahead_us(const struct fair *fair, uint64_t key_hash)
+int64_t fair_work_ahead_later_us(const struct fair *fair, uint64_t key_hash)
 {
 	const struct fair_flow *flow = &fair->flows[fair_flow_of(fair, key_hash)];
 	int64_t flows = fair_flows_with(fair, flow);
 
-	return MIN(flow->work_us * flows + fair->quantum_us * (flows - 1),
-		   fair->work_us);
+	return flow->work_us * flows + fair->quantum_us * (flows - 1);
+}
+
+int64_t fair_work_ahead_us(const struct fair *fair, uint64_t key_hash)
+{
+	return MIN(fair_work_ahead_later_us(fair, key_hash), fair->work_us);
 }
 
 bool fair_is_over_share(const struct fair *fair, uint64_t key_hash)
--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -135,6 +135,19 @@
 	return (work_us + to_end * queue->overall.mean_us) / limit;
 }
 
+static int64_t queue_foresee_later_us(const struct queue *queue,
+				      const struct queue_item *item,
+				      const struct queue_slots *slots)
+{
+	uint32_t lane = queue_lane(queue, item->class);
+	int64_t work_us =
+		fair_work_ahead_later_us(&queue->lanes[lane], item->key_hash);
+
+	for (uint32_t above = 0; above < lane; above++)
+		work_us += queue->lanes[above].work_us;
+	return queue_wait_for_us(queue, work_us, slots);
+}
+
 int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
 			      uint64_t key_hash, const struct queue_slots *slots)
 {
@@ -234,6 +247,8 @@
 		return QUEUE_REFUSED_FULL;
 	wait_us =
 		queue_foresee_wait_us(queue, item->class, item->key_hash, slots);
+	if (queue->policy->by_class && queue_is_standing(queue, now_us))
+		wait_us = queue_foresee_later_us(queue, item, slots);
 	allowed_us = queue->policy->allowed_wait_us(queue, item, now_us);
 	if (wait_us <= allowed_us)
 		return QUEUE_ACCEPTED;
--- a/include/comfreydockd/decide/fair.h
+++ b/include/comfreydockd/decide/fair.h
@@ -93,6 +93,12 @@
  */
 int64_t fair_work_ahead_us(const struct fair *fair, uint64_t key_hash);
 
+/*
+ * The same where others keep arriving: what comes later to flows that hold
+ * less overtakes, so that no bound by what waits now holds.
+ */
+int64_t fair_work_ahead_later_us(const struct fair *fair, uint64_t key_hash);
+
 /* True where others wait too and this key's flow holds more than an equal
  * share of the waiting slot time. */
 bool fair_is_over_share(const struct fair *fair, uint64_t key_hash);
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -22,7 +22,9 @@
  *
  *	A queue that has not been empty for a while is standing: waits then
  *	serve nobody. Until it empties, an arrival may spend only half of its
- *	remaining time in waiting.
+ *	remaining time in waiting, and its wait is foreseen with those that will
+ *	overtake it: a caller whose flow holds more than others waits longer
+ *	than for all that waits now, while others keep arriving.
  *
  *	queue_fifo is the baseline: one order, no deadline, bounded by length.
  *
