entry: ask before giving up an attempt that takes long

Cause: at half of its remaining time an entry gave up an attempt unasked. At overload that is just when an attempt comes out of the queue: its run was broken off, its slot time lost and its caller told that it is not known whether it ran.

Change: a cancel can ask to end an attempt only if it has run for longer than time remains. The owner of one that waits or was started late says so, and the entry goes on waiting. An owner that says nothing within two round trips, at least 10 ms, is given up as before.

Tried first: cancelling what waits and taking its not run.

--- a/bench/decide/entry.c
+++ b/bench/decide/entry.c
@@ -196,19 +196,63 @@
 static void call_decide(struct replay *r, struct replay_call *call,
 			enum retry_outcome outcome, int64_t retry_after_us);
 
-static void handle_patience(void *replay, void *data)
+static void handle_no_verdict(void *replay, void *data)
 {
 	struct replay *r = replay;
 	struct replay_attempt *attempt = data;
 	struct replay_call *call = attempt->call;
 
-	if (call->closed || call->active[0] != attempt)
+	if (call->closed || call->active[0] != attempt || !call->is_impatient)
 		return;
 	call->may_have_run = true;
 	call_drop_attempts(r, call, true);
 	call_decide(r, call, RETRY_OUTCOME_UNKNOWN, 0);
 }
 
+static void call_arm_patience(struct replay *r, struct replay_attempt *attempt);
+
+static void handle_patience(void *replay, void *data)
+{
+	struct replay *r = replay;
+	struct replay_attempt *attempt = data;
+	struct replay_call *call = attempt->call;
+	struct replay_entry *entry = entry_of(r, call);
+
+	if (call->closed || call->active[0] != attempt)
+		return;
+	call->is_impatient = true;
+	for (size_t i = 0; i < G_N_ELEMENTS(call->active); i++) {
+		if (call->active[i])
+			replay_after(r, replay_delay_us(r, call->active[i]),
+				     replay_handle_ask, call->active[i]);
+	}
+	replay_after(r, deadline_verdict_us(&entry->paths[attempt->upstream]),
+		     handle_no_verdict, attempt);
+}
+
+static void call_arm_patience(struct replay *r, struct replay_attempt *attempt)
+{
+	struct replay_call *call = attempt->call;
+	struct deadline_path *path = &entry_of(r, call)->paths[attempt->upstream];
+	int64_t patience_us =
+		deadline_patience_us(call->deadline_us, r->events.now_us);
+
+	if (patience_us > deadline_verdict_us(path))
+		replay_after(r, patience_us, handle_patience, attempt);
+}
+
+/* It waits, or was started late, and keeps its place. */
+void replay_handle_waiting(void *replay, void *data)
+{
+	struct replay_attempt *attempt = data;
+	struct replay_call *call = attempt->call;
+
+	if (attempt->dropped || !call->is_impatient || !call->active[0])
+		return;
+	call->is_impatient = false;
+	call_arm_patience(replay, call->active[0]);
+}
+
 static uint32_t call_most_attempts(const struct replay *r)
 {
 	return replay_has(r, REPLAY_RETRY) ? MAX_ATTEMPTS : 1;
@@ -228,8 +272,7 @@
 		replay_after(r, delay_us, handle_hedge, attempt);
 	if (call->trace->idempotent &&
 	    call->attempts - call->busy < call_most_attempts(r))
-		replay_after(r, deadline_patience_us(call->deadline_us, now_us),
-			     handle_patience, attempt);
+		call_arm_patience(r, attempt);
 }
 
 static void call_send(struct replay *r, struct replay_call *call, bool is_hedge,
@@ -254,6 +297,7 @@
 	attempt->epoch = health_note_sent(
 		&entry->health, &entry->upstreams[attempt->upstream], now_us);
 	call->active[is_hedge] = attempt;
+	call->is_impatient &= is_hedge;
 	call->hedges += is_hedge;
 	call->attempts += !is_hedge;
 	r->result->attempts++;
@@ -354,11 +398,9 @@
 	struct replay_call *call = data;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(call->active); i++) {
-		struct replay_attempt *attempt = call->active[i];
-
-		if (attempt)
-			replay_after(r, replay_delay_us(r, attempt),
-				     replay_handle_cancel, attempt);
+		if (call->active[i])
+			replay_after(r, replay_delay_us(r, call->active[i]),
+				     replay_handle_cancel, call->active[i]);
 	}
 }
 
--- a/bench/decide/outcome.c
+++ b/bench/decide/outcome.c
@@ -127,44 +127,70 @@
 	return (x > y) - (x < y);
 }
 
+struct check {
+	const struct trace *trace;
+	const char *path;
+	struct findings *findings;
+	/* The replays of the last line's policy: the next line often has the
+	 * same. */
+	char policy[48];
+	struct replay_result results[OUTCOME_SEEDS];
+	size_t count;
+};
+
+static void check_forget(struct check *check)
+{
+	while (check->count > 0)
+		replay_result_finish(&check->results[--check->count]);
+}
+
+static void check_replay(struct check *check, struct replay_options *options)
+{
+	bool many = check->trace->calls->len > OUTCOME_MANY_CALLS;
+	size_t seeds = many ? 1 : OUTCOME_SEEDS;
+
+	check_forget(check);
+	while (check->count < seeds) {
+		options->seed = check->count + 1;
+		replay_run(check->trace, options,
+			   &check->results[check->count++]);
+	}
+}
+
 /* RETURN VALUE: false if the measure is unknown. */
-static bool measure(const struct trace *trace, struct replay_options *options,
-		    const char *name, double *value)
+static bool check_measure(const struct check *check, const char *name,
+			  double *value)
 {
 	double values[OUTCOME_SEEDS];
-	size_t seeds = trace->calls->len > OUTCOME_MANY_CALLS ? 1 : OUTCOME_SEEDS;
-	bool known = true;
 
-	for (size_t i = 0; i < seeds && known; i++) {
-		struct replay_result result;
-
-		options->seed = i + 1;
-		replay_run(trace, options, &result);
-		known = get_measure(&result, name, &values[i]);
-		replay_result_finish(&result);
+	for (size_t i = 0; i < check->count; i++) {
+		if (!get_measure(&check->results[i], name, &values[i]))
+			return false;
 	}
-	if (!known)
-		return false;
-	qsort(values, seeds, sizeof(*values), compare_values);
-	*value = values[seeds / 2];
+	qsort(values, check->count, sizeof(*values), compare_values);
+	*value = values[check->count / 2];
 	return true;
 }
 
-static void check_line(const struct trace *trace, const char *path, int line,
-		       const char *text, struct findings *findings)
+static void check_line(struct check *check, int line, const char *text)
 {
 	struct replay_options options = {0};
 	struct statement statement;
 	double measured;
 
-	if (!parse(text, &statement, &options))
-		findings_add(findings, FINDING_ERROR, path, line, NULL,
-			     "not a statement");
-	else if (!measure(trace, &options, statement.measure, &measured))
-		findings_add(findings, FINDING_ERROR, path, line, NULL,
-			     "unknown measure");
+	if (!parse(text, &statement, &options)) {
+		findings_add(check->findings, FINDING_ERROR, check->path, line,
+			     NULL, "not a statement");
+		return;
+	}
+	if (strcmp(check->policy, statement.policy) != 0)
+		check_replay(check, &options);
+	g_strlcpy(check->policy, statement.policy, sizeof(check->policy));
+	if (!check_measure(check, statement.measure, &measured))
+		findings_add(check->findings, FINDING_ERROR, check->path, line,
+			     NULL, "unknown measure");
 	else if (!holds(&statement, measured))
-		findings_add(findings, FINDING_ERROR, path, line,
+		findings_add(check->findings, FINDING_ERROR, check->path, line,
 			     statement.policy, "%s is %g, not %s %g",
 			     statement.measure, measured, statement.relation,
 			     statement.value);
@@ -173,6 +199,11 @@
 static void check_file(const struct trace *trace, const char *path,
 		       struct findings *findings)
 {
+	struct check check = {
+		.trace = trace,
+		.path = path,
+		.findings = findings,
+	};
 	FILE *in = fopen(path, "re");
 	char text[256];
 	int line = 0;
@@ -185,9 +216,10 @@
 	while (fgets(text, sizeof(text), in)) {
 		line++;
 		if (text[0] != '#' && text[0] != '\n')
-			check_line(trace, path, line, text, findings);
+			check_line(&check, line, text);
 	}
 	fclose(in);
+	check_forget(&check);
 }
 
 static char *outcome_path(const char *trace_path)
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -179,6 +179,19 @@
 	peer_send(attempt->peer, &frame);
 }
 
+void entry_attempt_ask(struct entry_attempt *attempt)
+{
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	attempt->asked = true;
+	cancel.seq = attempt->seq;
+	cancel.if_overdue = true;
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	peer_send(attempt->peer, &frame);
+}
+
 void entry_attempt_time_out(struct entry_attempt *attempt)
 {
 	entry_attempt_cancel(attempt);
@@ -313,13 +326,30 @@
 			const Cfd__Failed *failed)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, failed->seq);
+	bool given_up;
 
 	timeline_observe(&entry->daemon->timeline, failed->time);
 	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_FAILED))
 		return;
-	tell_end(attempt, attempt->cancelled ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
+	given_up = attempt->cancelled || attempt->asked;
+	tell_end(attempt, given_up ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
 		 failed->load);
-	call_note_unknown(attempt, !attempt->cancelled);
+	call_note_unknown(attempt, !given_up);
+}
+
+static void take_load_report(struct entry *entry, struct peer *peer,
+			     const Cfd__LoadReport *report)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, report->seq);
+	struct pick_load load;
+
+	if (!attempt)
+		return;
+	if (report->load && attempt->upstream->listed)
+		pick_note_load(&attempt->upstream->service->picks,
+			       &attempt->upstream->candidate,
+			       read_load(report->load, &load), clock_mono_us());
+	call_note_on_time(attempt);
 }
 
 static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
@@ -340,6 +370,9 @@
 	case CFD__FRAME__KIND_FAILED:
 		take_failed(entry, peer, frame->failed);
 		break;
+	case CFD__FRAME__KIND_LOAD_REPORT:
+		take_load_report(entry, peer, frame->load_report);
+		break;
 	case CFD__FRAME__KIND_WINDOW:
 		attempt = entry_find(entry, peer, frame->window->seq);
 		if (attempt)
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -84,11 +84,20 @@
 /* See deadline_patience_us(). */
 static void call_arm_patience(struct call *call)
 {
-	if (!call->rule->idempotent ||
+	int64_t patience_us =
+		deadline_patience_us(call->deadline_us, clock_mono_us());
+
+	call->is_impatient = false;
+	if (!call->rule->idempotent || patience_us < DEADLINE_VERDICT_MIN_US ||
 	    call_work_attempts(call) >= call->max_attempts)
 		return;
-	timer_start_us(call, &call->patience,
-		       deadline_patience_us(call->deadline_us, clock_mono_us()));
+	timer_start_us(call, &call->patience, patience_us);
+}
+
+static void call_stop_patience(struct call *call)
+{
+	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call->is_impatient = false;
 }
 
 static void call_send_attempt(struct call *call)
@@ -196,7 +205,7 @@
 	if (!was_hedge || call->reason == CFD__REASON__REASON_UNSPECIFIED)
 		call->reason = reason;
 	call->come_back_ms = retry_after_ms;
-	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call_stop_patience(call);
 	call_decide(call, outcome_of(reason, never_sent), state);
 }
 
@@ -220,7 +229,7 @@
 	call->lost = lost;
 	if (!LIST_EMPTY(&call->active))
 		return;
-	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call_stop_patience(call);
 	call_decide(call, RETRY_OUTCOME_UNKNOWN, state);
 }
 
@@ -234,7 +243,7 @@
 	call->answering = attempt;
 	ev_timer_stop(loop, &call->deadline);
 	ev_timer_stop(loop, &call->hedge);
-	ev_timer_stop(loop, &call->patience);
+	call_stop_patience(call);
 	hedge_note_latency(&call->service->hedge,
 			   attempt->head_us - call->began_us);
 	call_note_event(call, EV_ENTRY_ANSWERED, "from=%s status=%u",
@@ -302,6 +311,28 @@
 	entry_attempt_send(call, upstream, false, true);
 }
 
+void call_note_on_time(struct entry_attempt *attempt)
+{
+	if (attempt->call->is_impatient)
+		call_arm_patience(attempt->call);
+}
+
+static void call_ask_owners(struct call *call)
+{
+	struct entry_attempt *attempt;
+	int64_t verdict_us = 0;
+
+	call->is_impatient = true;
+	LIST_FOREACH (attempt, &call->active, link) {
+		const struct deadline_path *path = &attempt->upstream->path;
+
+		entry_attempt_ask(attempt);
+		verdict_us = MAX(verdict_us, deadline_verdict_us(path));
+	}
+	timer_start_us(call, &call->patience, verdict_us);
+}
+
+/* First to ask the owners; then, where none has answered, to give up. */
 static void handle_patience(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct call *call = timer->data;
@@ -309,7 +340,12 @@
 
 	(void)loop;
 	(void)events;
+	if (!call->is_impatient) {
+		call_ask_owners(call);
+		return;
+	}
 	counters.entry_impatient++;
+	call->is_impatient = false;
 	call->may_have_run = true;
 	while ((attempt = LIST_FIRST(&call->active))) {
 		entry_attempt_time_out(attempt);
--- a/comfreydockd/decide/deadline.c
+++ b/comfreydockd/decide/deadline.c
@@ -106,6 +106,16 @@
 	return (deadline_us - now_us) / DEADLINE_PATIENCE_SHARE;
 }
 
+int64_t deadline_verdict_us(const struct deadline_path *path)
+{
+	return MAX(2 * deadline_path_us(path), DEADLINE_VERDICT_MIN_US);
+}
+
+bool deadline_is_overdue(int64_t started_us, int64_t deadline_us, int64_t now_us)
+{
+	return now_us - started_us >= deadline_remaining_us(deadline_us, now_us);
+}
+
 bool deadline_is_too_deep(uint32_t depth)
 {
 	return depth > DEADLINE_DEPTH_MAX;
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -67,6 +67,24 @@
 	attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
 }
 
+static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq);
+
+/* A caller grows impatient. What waits its turn, or was started late, is left
+ * alone; what is stuck at the upstream is broken off. */
+static void owner_cancel_overdue(struct owner *owner,
+				 struct owner_attempt *attempt)
+{
+	bool is_silent =
+		attempt->state == OWNER_ATTEMPT_RUNNING && !attempt->head_us;
+
+	if (is_silent &&
+	    deadline_is_overdue(attempt->started_us, attempt->item.deadline_us,
+				clock_mono_us()))
+		owner_cancel(owner, attempt);
+	else
+		owner_send_load(owner, attempt->peer, attempt->request->seq);
+}
+
 static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq)
 {
 	Cfd__Load load = CFD__LOAD__INIT;
@@ -97,7 +115,9 @@
 		break;
 	case CFD__FRAME__KIND_CANCEL:
 		attempt = owner_find(peer, frame->cancel->seq);
-		if (attempt)
+		if (attempt && frame->cancel->if_overdue)
+			owner_cancel_overdue(owner, attempt);
+		else if (attempt)
 			owner_cancel(owner, attempt);
 		break;
 	case CFD__FRAME__KIND_WINDOW:
--- a/include/bench/decide/replay_internal.h
+++ b/include/bench/decide/replay_internal.h
@@ -51,6 +51,7 @@
 	uint32_t hedges;
 	uint32_t turn; /* grows with each attempt; old timers do nothing */
 	bool may_have_run;
+	bool is_impatient; /* waits for the verdict on a cancel */
 	bool closed; /* the caller has its answer */
 	int64_t refused_us;
 	int64_t come_back_us;
@@ -119,6 +120,9 @@
 /* An event: data is the struct replay_attempt, which has its outcome. */
 void replay_handle_answer(void *replay, void *data);
 
+/* An event: the struct replay_attempt is not overdue. */
+void replay_handle_waiting(void *replay, void *data);
+
 /* owner.c */
 
 void replay_owner_init(struct replay *r, struct replay_owner *owner);
@@ -128,6 +132,9 @@
 void replay_handle_arrival(void *replay, void *data);
 void replay_handle_cancel(void *replay, void *data);
 
+/* A cancel if it is overdue. */
+void replay_handle_ask(void *replay, void *data);
+
 /* An event: data is the struct replay_owner. */
 void replay_handle_probe(void *replay, void *data);
 
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -40,6 +40,7 @@
 	bool is_hedge;
 	bool failed; /* its answer is the upstream's own error */
 	bool cancelled;
+	bool asked; /* to end if it is overdue */
 };
 
 LIST_HEAD(entry_attempt_list, entry_attempt);
@@ -82,6 +83,7 @@
 	ev_timer next; /* of a retry */
 	ev_timer hedge;
 	ev_timer patience; /* with one attempt */
+	bool is_impatient; /* and waits for the owners' verdict */
 	bool cancels_sent;
 	bool is_started;
 };
@@ -107,6 +109,9 @@
 			bool may_queue, bool is_hedge);
 void entry_attempt_cancel(struct entry_attempt *attempt);
 
+/* Asks the owner to end the attempt if it is overdue. */
+void entry_attempt_ask(struct entry_attempt *attempt);
+
 /* Gives up an attempt that took too long: a mark against its upstream. */
 void entry_attempt_time_out(struct entry_attempt *attempt);
 
@@ -126,6 +131,9 @@
 void call_note_unknown(struct entry_attempt *attempt, bool lost);
 void call_note_head(struct entry_attempt *attempt, const Cfd__Answer *answer);
 void call_note_end(struct entry_attempt *attempt);
+
+/* The owner says that the attempt is not overdue. */
+void call_note_on_time(struct entry_attempt *attempt);
 void call_note_room(struct entry_attempt *attempt, uint32_t bytes);
 
 void call_note_event(struct call *call, enum event event, const char *format,
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -46,6 +46,8 @@
 
 #define DEADLINE_DEPTH_MAX 13
 #define DEADLINE_PATH_DEFAULT_US ((int64_t)3000)
+/* A verdict may wait for the end of a turn of the owner's loop. */
+#define DEADLINE_VERDICT_MIN_US ((int64_t)10000)
 
 /* Round trips to one peer; all zero at the start. */
 struct deadline_path {
@@ -94,8 +96,18 @@
  * has lost its power takes seconds to be noticed; without this, all calls to
  * such an upstream would end at their deadlines, though another could have
  * answered them.
+ *
+ * The owner is asked to cancel it if it is overdue, and has
+ * deadline_verdict_us() to say what became of it. One that waits, or was
+ * started late, keeps its place: the owner is alive. Were it given up unasked,
+ * each call that had waited for long would end as "unknown" or be broken off
+ * just after its start, and one saw these by the thousand under overload.
  */
 int64_t deadline_patience_us(int64_t deadline_us, int64_t now_us);
+int64_t deadline_verdict_us(const struct deadline_path *path);
+
+/* True where work has run for at least as long as time remains. */
+bool deadline_is_overdue(int64_t started_us, int64_t deadline_us, int64_t now_us);
 
 /* True where a call so deep is refused, a loop of calls being likely. */
 bool deadline_is_too_deep(uint32_t depth);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1255,7 +1255,7 @@
   (ProtobufCMessageInit) cfd__body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[2] =
 {
   {
     "seq",
@@ -1269,14 +1269,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "if_overdue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Cancel, if_overdue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__cancel__field_indices_by_name[] = {
+  1,   /* field[1] = if_overdue */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange cfd__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cfd__cancel__descriptor =
 {
@@ -1286,7 +1299,7 @@
   "Cfd__Cancel",
   "cfd",
   sizeof(Cfd__Cancel),
-  1,
+  2,
   cfd__cancel__field_descriptors,
   cfd__cancel__field_indices_by_name,
   1,  cfd__cancel__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -155,10 +155,15 @@
 {
   ProtobufCMessage base;
   uint64_t seq;
+  /*
+   * Only if it has run for longer than time remains. Otherwise it stays, and a
+   * LoadReport says so.
+   */
+  protobuf_c_boolean if_overdue;
 };
 #define CFD__CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__cancel__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Cfd__Answer
--- a/tests/test_deadline.c
+++ b/tests/test_deadline.c
@@ -93,6 +93,21 @@
 	g_assert_cmpint(deadline_path_us(&path), >, 3000);
 }
 
+/*
+ * Under overload a call has waited for half of its time and has just been
+ * started when its entry grows impatient. Broken off now, its slot time would
+ * be lost and its caller told that nobody knows; one that an upstream has sat
+ * on from the start is given up while another can still answer.
+ */
+static void test_started_late_is_not_overdue(void)
+{
+	g_assert_cmpint(deadline_patience_us(1000, 0), ==, 500);
+	g_assert_false(deadline_is_overdue(480, 1000, 500));
+	g_assert_true(deadline_is_overdue(0, 1000, 500));
+	g_assert_true(deadline_is_overdue(999, 1000, 1000));
+	g_assert_false(deadline_is_overdue(0, INT64_MAX, 500));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -101,5 +116,6 @@
 	g_test_add_func("/deadline/retries", test_retries_do_not_multiply);
 	g_test_add_func("/deadline/late", test_late_work_is_not_started);
 	g_test_add_func("/deadline/path", test_path_follows_round_trips);
+	g_test_add_func("/deadline/overdue", test_started_late_is_not_overdue);
 	return g_test_run();
 }
