pick: let owners tell how long their upstream takes

Cause: an entry learned that an upstream is slow from its own answers alone. One of 500 makes a call or two a second to each, and each of them found it out by itself.

Change: the load that travels with answers and refusals has the recent median service time of good answers. More than twice the usual one, the median of the upstreams, counts as slowness; less leaves the entry's own view as it is.

--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -21,6 +21,8 @@
 /* An error counts as an answer that took so many times as long as usual. The
  * median stays where it is until half of the answers are errors. */
 #define PICK_ERROR_SLOWNESS 10.0
+/* Below this, the reported median of some twenty calls says nothing. */
+#define PICK_REPORTED_SLOW 2.0
 #define PICK_SPEED_MIN 0.5
 #define PICK_SPEED_MAX 20.0
 /* Weight of one report in the mean. */
@@ -38,6 +40,7 @@
 	set->policy = policy;
 	set->candidates = g_ptr_array_new();
 	set->eligible = g_ptr_array_new();
+	set->services = g_array_new(FALSE, FALSE, sizeof(guint));
 	set->random.state = seed;
 	budget_init(&set->refusals, PICK_REFUSAL_SHARE, PICK_REFUSAL_BURST);
 }
@@ -46,6 +49,7 @@
 {
 	g_ptr_array_free(set->candidates, TRUE);
 	g_ptr_array_free(set->eligible, TRUE);
+	g_array_free(set->services, TRUE);
 }
 
 void pick_candidate_init(struct pick_candidate *candidate, uint64_t id)
@@ -233,14 +237,38 @@
 	       (1 - kept) * set->typical_latency_us;
 }
 
+/* What the owner says of its upstream's speed, over the usual one; 0 where that
+ * is nothing out of the ordinary. It sees all calls there, an entry among
+ * hundreds only a few of its own. */
+static double reported_slowness(const struct pick_set *set,
+				const struct pick_candidate *candidate,
+				int64_t now_us)
+{
+	double age = (double)(now_us - candidate->load_at_us);
+	double kept = exp(-age / PICK_LATENCY_AGE_US);
+	double slowness;
+
+	if (!candidate->load_known || candidate->load.service_us == 0 ||
+	    set->typical_service_us <= 0)
+		return 0;
+	slowness = candidate->load.service_us / set->typical_service_us;
+	return slowness < PICK_REPORTED_SLOW ? 0 : 1 + kept * (slowness - 1);
+}
+
+static double own_slowness(const struct pick_set *set,
+			   const struct pick_candidate *candidate, int64_t now_us)
+{
+	if (candidate->latency_samples == 0 || set->typical_latency_us <= 0)
+		return 1.0;
+	return aged_latency(set, candidate, now_us) / set->typical_latency_us;
+}
+
 double pick_relative_latency(const struct pick_set *set,
 			     const struct pick_candidate *candidate,
 			     int64_t now_us)
 {
-	if (candidate->latency_samples == 0 || set->typical_latency_us <= 0)
-		return 1.0;
-	return CLAMP(aged_latency(set, candidate, now_us) /
-			     set->typical_latency_us,
+	return CLAMP(MAX(own_slowness(set, candidate, now_us),
+			 reported_slowness(set, candidate, now_us)),
 		     PICK_SPEED_MIN, PICK_SPEED_MAX);
 }
 
@@ -270,6 +298,34 @@
 		set->reports++;
 }
 
+static gint compare_services(gconstpointer a, gconstpointer b)
+{
+	guint x = *(const guint *)a;
+	guint y = *(const guint *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* The median of the upstreams, not of the reports: one that answers nothing but
+ * errors reports most often, and the same all the time. */
+static void note_typical_service(struct pick_set *set)
+{
+	GArray *services = set->services;
+
+	g_array_set_size(services, 0);
+	for (guint i = 0; i < set->candidates->len; i++) {
+		const struct pick_candidate *c = set->candidates->pdata[i];
+
+		if (c->load_known && c->load.service_us > 0)
+			g_array_append_val(services, c->load.service_us);
+	}
+	if (services->len == 0)
+		return;
+	g_array_sort(services, compare_services);
+	set->typical_service_us =
+		g_array_index(services, guint, services->len / 2);
+}
+
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
 		    const struct pick_load *load, int64_t now_us)
 {
@@ -286,6 +342,7 @@
 	candidate->mean_utilisation +=
 		PICK_OWN_MEAN_ALPHA * (utilisation - candidate->mean_utilisation);
 	note_mean(set, utilisation);
+	note_typical_service(set);
 }
 
 /* Notes a latency of the candidate alone. */
