retry: spread the callers who are to come back

Cause: calls that one owner refuses get nearly the same hint, and their callers were told to come back within 10 ms of each other.

Change: the time told is the owner's hint and up to half of it more.

--- a/bench/decide/entry.c
+++ b/bench/decide/entry.c
@@ -343,6 +343,7 @@
 		.idempotent = call->trace->idempotent,
 		.untried = pick_count_untried(&entry->set, &call->tried),
 		.deadline_us = call->deadline_us,
+		.expected_us = (int64_t)entry->set.typical_service_us,
 		.retry_after_us = retry_after_us,
 	};
 	struct retry_answer answer;
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -159,6 +159,7 @@
 		.untried = call_untried(call),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
+		.expected_us = (int64_t)call->service->picks.typical_service_us,
 		.retry_after_us = (int64_t)call->come_back_ms * US_PER_MS,
 	};
 }
--- a/comfreydockd/decide/retry.c
+++ b/comfreydockd/decide/retry.c
@@ -73,6 +73,17 @@
 	return (int64_t)random_below(random, (uint64_t)MIN(bound, RETRY_CAP_US));
 }
 
+/*
+ * Calls that one owner refuses get nearly the same hint. Were it passed on as it
+ * is, all their callers would come back in the same few milliseconds, and the
+ * rush would repeat itself.
+ */
+static int64_t spread_us(int64_t hint_us, struct random_state *random)
+{
+	return (int64_t)random_below(random,
+				     (uint64_t)MAX(hint_us, 0) / RETRY_SPREAD);
+}
+
 static enum retry_verdict check_room(const struct retry_question *question,
 				     int64_t delay_us, int64_t now_us)
 {
@@ -105,7 +116,8 @@
 		answer.verdict = RETRY_NO_BUDGET;
 	if (answer.verdict != RETRY_GO) {
 		answer.delay_us = 0;
-		answer.come_back_us = MAX(wait_us, RETRY_BASE_US);
+		answer.come_back_us = MAX(wait_us, RETRY_BASE_US) +
+				      spread_us(question->retry_after_us, random);
 	}
 	return answer;
 }
--- a/include/comfreydockd/decide/retry.h
+++ b/include/comfreydockd/decide/retry.h
@@ -58,6 +58,8 @@
 #define RETRY_BASE_US ((int64_t)10 * 1000)
 #define RETRY_CAP_US ((int64_t)1000 * 1000)
 #define RETRY_BURST 20.0
+/* Callers come back within the owner's hint and one part in so many more. */
+#define RETRY_SPREAD 2
 /*
  * How often one request may be refused because no slot was free. Such a
  * refusal costs one round trip and is certain, so it doesn't count against the
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -82,6 +82,30 @@
 	g_assert_cmpint(a.come_back_us, >=, 3 * SECOND);
 }
 
+/*
+ * A rush of a thousand calls is refused within a few milliseconds, each with
+ * the hint of one second. If all came back then, they would be refused again.
+ */
+static void test_callers_come_back_spread(void)
+{
+	struct retry retry;
+	struct retry_question q = good;
+	int early = 0;
+
+	retry_init(&retry, 0);
+	q.outcome = RETRY_OUTCOME_OVERLOAD;
+	q.retry_after_us = SECOND;
+	for (int i = 0; i < 1000; i++) {
+		int64_t us = retry_decide(&retry, &q, &generator, 0).come_back_us;
+
+		g_assert_cmpint(us, >=, SECOND);
+		g_assert_cmpint(us, <, 2 * SECOND);
+		early += us < SECOND + SECOND / 4;
+	}
+	g_assert_cmpint(early, >, 400);
+	g_assert_cmpint(early, <, 600);
+}
+
 /*
  * The lowest of 13 layers fails for a moment. If each layer repeated as much as
  * the first, the calls to it would nearly quadruple; a retry there costs more.
@@ -184,5 +208,6 @@
 	g_test_add_func("/retry/at-once", test_gives_up_at_once_with_a_time);
 	g_test_add_func("/retry/depth", test_deep_calls_retry_less);
 	g_test_add_func("/retry/any", test_rules_hold_for_any_question);
+	g_test_add_func("/retry/spread", test_callers_come_back_spread);
 	return g_test_run();
 }
