settings: tell peers another address than the one bound

A daemon announced the address and port that it binds. One that binds all its addresses, or is reached through a port mapping, told the others an address that leads nowhere: it looked dead to everyone but itself. peer.advertise holds what the others are told; binding every address without it is an error now.

Ruled out: taking the address from where packets come from. Behind a mapping that is a port of the mapping's choice, not the one that takes connections.

--- a/comfreydockd/member/gossip.c
+++ b/comfreydockd/member/gossip.c
@@ -265,6 +265,7 @@
 static void gossip_create_swim(struct gossip *gossip)
 {
 	const struct daemon *daemon = gossip->daemon;
+	const struct settings_address *advertise = &daemon->settings->advertise;
 	struct member self = {.incarnation = daemon->incarnation,
 			      .peer_port = gossip->port,
 			      .admin_port = daemon->admin_port,
@@ -276,7 +277,11 @@
 				       .ops = &gossip->ops};
 
 	g_strlcpy(self.host, daemon->settings->host, sizeof(self.host));
-	g_strlcpy(self.address, daemon->settings->peer.address,
+	if (advertise->port)
+		self.peer_port = advertise->port;
+	g_strlcpy(self.address,
+		  advertise->address ? advertise->address :
+				       daemon->settings->peer.address,
 		  sizeof(self.address));
 	gossip->ops = (struct swim_ops){.send = gossip_send,
 					.handle_config_head = gossip_handle_head,
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -73,12 +73,38 @@
 	schema_finish(&admin);
 }
 
+/*
+ * A host may be reached at another address than it binds, as behind a port
+ * mapping or where it binds all its addresses. Without this setting it would
+ * announce one that nobody can reach, and would look dead to all others.
+ */
+static void read_advertise(struct schema *peer, struct settings *settings)
+{
+	struct settings_address *where = &settings->advertise;
+	struct schema advertise;
+
+	schema_init_child(&advertise, peer, "advertise", SCHEMA_OPTIONAL);
+	where->address = schema_string(&advertise, "address", SCHEMA_OPTIONAL);
+	where->port = (uint16_t)schema_uint(&advertise, "port", SCHEMA_OPTIONAL,
+					    0, 1, UINT16_MAX);
+	if (where->address && !address_is_ip_number(where->address))
+		schema_error(&advertise, "address",
+			     "an IP number is expected, not a name");
+	if (!where->address && settings->peer.address &&
+	    address_is_any(settings->peer.address))
+		schema_error(peer, "address",
+			     "binds every address: advertise.address must "
+			     "tell the one that peers reach");
+	schema_finish(&advertise);
+}
+
 static void read_peer(struct schema *root, struct settings *settings)
 {
 	struct schema peer;
 
 	schema_init_child(&peer, root, "peer", SCHEMA_REQUIRED);
 	read_address(&peer, &settings->peer);
+	read_advertise(&peer, settings);
 	settings->peer_key = (uint8_t *)read_beside(
 		&peer, "key_file", SCHEMA_REQUIRED, &settings->peer_key_size);
 	if (settings->peer_key && settings->peer_key_size < PEER_KEY_MIN_BYTES)
@@ -207,6 +233,7 @@
 	g_free(settings->region);
 	g_free(settings->caller.address);
 	g_free(settings->peer.address);
+	g_free(settings->advertise.address);
 	g_free(settings->admin.address);
 	g_free(settings->admin_token);
 	g_free(settings->peer_key);
--- a/common/address.c
+++ b/common/address.c
@@ -18,6 +18,17 @@
 	       (g_str_has_prefix(text, "127.") && address_is_ip_number(text));
 }
 
+bool address_is_any(const char *text)
+{
+	struct in6_addr in6;
+	struct in_addr in4;
+
+	if (inet_pton(AF_INET, text, &in4) == 1)
+		return in4.s_addr == htonl(INADDR_ANY);
+	return inet_pton(AF_INET6, text, &in6) == 1 &&
+	       IN6_IS_ADDR_UNSPECIFIED(&in6);
+}
+
 bool address_has_port(const char *text)
 {
 	const char *colon = strrchr(text, ':');
--- a/include/comfreydockd/settings.h
+++ b/include/comfreydockd/settings.h
@@ -26,6 +26,8 @@
 	char *region;
 	struct settings_address caller; /* HTTP from callers */
 	struct settings_address peer; /* TCP frames and UDP gossip */
+	/* What the others are told; address NULL or port 0: as bound. */
+	struct settings_address advertise;
 	struct settings_address admin; /* HTTP from operators and the upstream */
 	char *admin_token; /* content of admin.token_file; NULL: loopback only */
 	uint8_t *peer_key; /* content of peer.key_file */
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -14,6 +14,9 @@
 bool address_is_ip_number(const char *text);
 bool address_is_loopback(const char *text);
 
+/* All addresses of a host, as a listener binds them. */
+bool address_is_any(const char *text);
+
 /* "IP:PORT", an IPv6 number in brackets; the port is not 0. */
 bool address_has_port(const char *text);
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -75,7 +75,34 @@
 {
 	assert_refused("\"address\": \"127.0.0.1\",\n\t\t\"port\": 8082",
 		       "\"address\": \"0.0.0.0\",\n\t\t\"port\": 8082",
-		       "s.json:31: error: admin.address: beyond loopback");
+		       "s.json:32: error: admin.address: beyond loopback");
+}
+
+/*
+ * A host binds all its addresses, or is reached by another port than it binds.
+ * Its peers must be told where to reach it: "0.0.0.0" leads them to
+ * themselves, and the host looks dead to everyone but itself.
+ */
+static void test_advertised_address(void)
+{
+	struct settings *settings;
+	char *found = load("\"port\": 8081,",
+			   "\"port\": 8081, \"advertise\": "
+			   "{\"address\": \"10.0.0.7\", \"port\": 9081},",
+			   &settings);
+
+	g_assert_cmpstr(found, ==, "");
+	g_assert_cmpstr(settings->advertise.address, ==, "10.0.0.7");
+	g_assert_cmpuint(settings->advertise.port, ==, 9081);
+	settings_destroy(settings);
+	g_free(found);
+	assert_refused("\"127.0.0.1\",\n\t\t\"port\": 8081",
+		       "\"0.0.0.0\",\n\t\t\"port\": 8081",
+		       "peer.address: binds every address");
+	assert_refused("\"port\": 8081,",
+		       "\"port\": 8081, \"advertise\": "
+		       "{\"address\": \"esja-07\"},",
+		       "peer.advertise.address: an IP number is expected");
 }
 
 static void test_mistakes_are_named(void)
@@ -96,6 +123,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/settings/sample", test_sample_is_valid);
 	g_test_add_func("/settings/open-admin", test_open_admin_needs_token);
+	g_test_add_func("/settings/advertise", test_advertised_address);
 	g_test_add_func("/settings/mistakes", test_mistakes_are_named);
 	return g_test_run();
 }
