tests: hold what callers were told against what was run

The upstream's stand-in keeps its count of runs in memory, so a killed one took it along, and the judge of "at most once" with it. It now also appends the id of each run to a file, with one write at the start of the run. The ledger reads these files and the load's line per call: a POST that ran twice, a "not run" that ran, a "run" that no upstream knows, another's answer, a call without an end by its deadline and a second's margin.

The cluster starts a daemon again on its old ports, joins by any daemon that runs, announces for it, and puts a relay before daemons that are asked for.

--- a/standin/upstream/main.c
+++ b/standin/upstream/main.c
@@ -1,6 +1,8 @@
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/http_client.h"
@@ -45,6 +47,8 @@
 	 "admin API of the daemon beside it", "URL"},
 	{"group", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.groups,
 	 "upstream group announced; may be repeated", "NAME"},
+	{"runs", 0, 0, G_OPTION_ARG_FILENAME, &options.runs_path,
+	 "file to append the id of each run to", "FILE"},
 	{0},
 };
 
@@ -74,6 +78,20 @@
 		ev_break(upstream->loop, EVBREAK_ALL);
 }
 
+static int open_runs(const char *path)
+{
+	int fd;
+
+	if (!path)
+		return -1;
+	fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	if (fd < 0) {
+		perror(path);
+		exit(1);
+	}
+	return fd;
+}
+
 static void upstream_finish(struct upstream *upstream)
 {
 	http_client_destroy(upstream->client);
@@ -81,7 +99,10 @@
 	g_hash_table_destroy(upstream->runs);
 	g_rand_free(upstream->random);
 	ev_loop_destroy(upstream->loop);
+	if (upstream->runs_fd >= 0)
+		close(upstream->runs_fd);
 	g_strfreev(options.groups);
+	g_free(options.runs_path);
 	g_free(options.announce);
 	g_free(distribution);
 }
@@ -101,6 +122,7 @@
 	upstream.random = g_rand_new_with_seed((guint32)options.seed);
 	upstream.runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	upstream.runs_fd = open_runs(options.runs_path);
 	upstream.started_us = clock_mono_us();
 	TAILQ_INIT(&upstream.waiting);
 	TAILQ_INIT(&upstream.busy);
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -54,6 +54,7 @@
 	int64_t report_lag_ms;
 	char *announce; /* URL of the daemon's admin API, or NULL */
 	char **groups;
+	char *runs_path; /* a line for each run, which outlives a SIGKILL */
 };
 
 /* What a test commands through POST /standin/set. */
@@ -131,6 +132,7 @@
 	bool stopping;
 	GRand *random;
 	GHashTable *runs; /* id -> count */
+	int runs_fd; /* -1: none */
 	ev_timer report_timer;
 	ev_timer announce_timer;
 };
--- a/standin/upstream/work.c
+++ b/standin/upstream/work.c
@@ -1,7 +1,9 @@
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/http_server.h"
@@ -36,6 +38,19 @@
 			     (1.0 - (double)age_us / (double)warm_us);
 }
 
+/* Written at once: a killed process must not take its count with it. */
+static void write_run(const struct upstream *upstream, const char *id)
+{
+	char *line;
+
+	if (upstream->runs_fd < 0)
+		return;
+	line = g_strdup_printf("%s\n", id);
+	if (write(upstream->runs_fd, line, strlen(line)) < 0)
+		perror("runs");
+	g_free(line);
+}
+
 static void count_run(struct job *job)
 {
 	struct upstream *upstream = job->upstream;
@@ -44,6 +59,7 @@
 	upstream->counts.started++;
 	if (!job->id)
 		return;
+	write_run(upstream, job->id);
 	runs = GPOINTER_TO_UINT(g_hash_table_lookup(upstream->runs, job->id));
 	if (runs > 0)
 		upstream->counts.doubles++;
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -1,7 +1,11 @@
 #include "cluster.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define KEY "a key for tests only"
 
@@ -10,32 +14,92 @@
 	unsigned int count;
 };
 
+/* A port that is free for TCP and UDP at this moment. */
+static uint16_t find_free_port(void)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t size = sizeof(address);
+	int tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(bind(tcp, (struct sockaddr *)&address, size), ==, 0);
+	getsockname(tcp, (struct sockaddr *)&address, &size);
+	g_assert_cmpint(bind(udp, (struct sockaddr *)&address, size), ==, 0);
+	close(tcp);
+	close(udp);
+	return ntohs(address.sin_port);
+}
+
+static void start_relay(struct cluster *cluster, unsigned int i)
+{
+	char *target;
+
+	cluster->relayed_ports[i] = find_free_port();
+	target = g_strdup_printf("127.0.0.1:%u", cluster->relayed_ports[i]);
+	cluster->relays[i] = rig_start_standin(
+		cluster->rig, "tests/system/relay", "--target", target, NULL);
+	g_free(target);
+}
+
+static uint16_t peer_port_of(const struct cluster *cluster, unsigned int i)
+{
+	if (cluster->relayed_ports[i])
+		return cluster->relayed_ports[i];
+	return cluster->daemons[i] ? cluster->daemons[i]->peer_port : 0;
+}
+
+static void append_peer(GString *text, const struct cluster *cluster,
+			unsigned int i)
+{
+	const char *comma = "";
+
+	g_string_append_printf(text,
+			       "\"peer\": {\"address\": \"127.0.0.1\", "
+			       "\"port\": %u, \"key_file\": \"%s\", ",
+			       peer_port_of(cluster, i), cluster->key_file);
+	if (cluster->relays[i])
+		g_string_append_printf(text, "\"advertise\": {\"port\": %u}, ",
+				       cluster->relays[i]->port);
+	g_string_append(text, "\"join\": [");
+	for (unsigned int j = 0; j < cluster->count; j++) {
+		const struct rig_process *other = cluster->daemons[j];
+
+		if (j == i || !other || other->pid == 0)
+			continue;
+		g_string_append_printf(text, "%s\"127.0.0.1:%u\"", comma,
+				       cluster->relays[j] ?
+					       cluster->relays[j]->port :
+					       other->peer_port);
+		comma = ", ";
+	}
+	g_string_append(text, "]");
+}
+
 static char *daemon_settings(struct cluster *cluster, unsigned int i,
 			     const struct cluster_options *options)
 {
 	static const char *const domains[] = {"hall-esja", "hall-katla"};
 	const char *config = options->config ? options->config : CLUSTER_CONFIG;
+	const struct rig_process *old = cluster->daemons[i];
 	GString *text = g_string_new(NULL);
 
 	g_string_append_printf(
 		text,
 		"{\"host\": \"d%u\", \"domain\": \"%s\",\n"
 		"\"region\": \"reykjavik\", \"drain_timeout_ms\": 10000,\n"
-		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
-		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
+		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
 		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
 		"\"log_format\": \"json\",\n",
-		i, domains[i % 2], cluster->platform->port);
+		i, domains[i % 2], old ? old->caller_port : 0,
+		old ? old->admin_port : 0, cluster->platform->port);
 	if (*config)
 		g_string_append_printf(text, "\"config_file\": \"%s\",\n",
 				       cluster->config_file);
-	g_string_append_printf(text,
-			       "\"peer\": {\"address\": \"127.0.0.1\", "
-			       "\"port\": 0, \"key_file\": \"%s\"",
-			       cluster->key_file);
-	if (i > 0)
-		g_string_append_printf(text, ", \"join\": [\"127.0.0.1:%u\"]",
-				       cluster->daemons[0]->peer_port);
+	append_peer(text, cluster, i);
 	g_string_append(text, "}}\n");
 	return g_string_free(text, FALSE);
 }
@@ -65,14 +129,17 @@
 
 	cluster->upstreams[i] = rig_start_standin(
 		cluster->rig, "standin/upstream/standin-upstream", "--slots",
-		slots, "--service-time-us", time, "--group", "s", "--announce",
-		admin, NULL);
+		slots, "--service-time-us", time, "--group", "s", "--runs",
+		cluster->runs_files[i], "--backlog",
+		options->backlog ? options->backlog : "64", "--announce", admin,
+		NULL);
 	g_free(admin);
 }
 
 void cluster_start(struct cluster *cluster, const struct cluster_options *options)
 {
 	const char *config = options->config ? options->config : CLUSTER_CONFIG;
+	unsigned int upstreams = 0;
 
 	memset(cluster, 0, sizeof(*cluster));
 	cluster->rig = rig_create();
@@ -82,11 +149,21 @@
 		rig_write_file(cluster->rig, "ops.json", "%s", config);
 	cluster->platform = rig_start_standin(
 		cluster->rig, "standin/platform/standin-platform", NULL);
+	for (unsigned int i = 0; i < options->count; i++) {
+		if (options->relayed & (1u << i))
+			start_relay(cluster, i);
+		cluster->runs_files[i] =
+			rig_write_file(cluster->rig, "runs", "%s", "");
+	}
 	for (unsigned int i = 0; i < options->count; i++)
 		cluster_start_daemon(cluster, i, options);
-	for (unsigned int i = 0; i < options->count; i++)
+	for (unsigned int i = 0; i < options->count; i++) {
+		if (options->upstreams && !(options->upstreams & (1u << i)))
+			continue;
 		cluster_start_upstream(cluster, i, options);
-	cluster_wait_up(cluster, options->count, 15000);
+		upstreams++;
+	}
+	cluster_wait_up(cluster, upstreams, 15000);
 }
 
 void cluster_stop(struct cluster *cluster)
@@ -94,6 +171,33 @@
 	rig_destroy(cluster->rig);
 }
 
+void cluster_announce(struct cluster *cluster, unsigned int i,
+		      const struct cluster_options *options)
+{
+	char *body = g_strdup_printf(
+		"{\"groups\": [\"s\"], \"address\": \"127.0.0.1\", "
+		"\"port\": %u, \"slots\": %s}",
+		cluster->upstreams[i]->port,
+		options->slots ? options->slots : "4");
+
+	g_free(rig_http_ok("POST", cluster->daemons[i]->admin_port,
+			   "/v1/upstream/announce", body));
+	g_free(body);
+}
+
+void cluster_set_relay(struct cluster *cluster, unsigned int i, const char *body)
+{
+	g_free(rig_http_ok("POST", cluster->relays[i]->control_port, "/set",
+			   body));
+}
+
+void cluster_set_upstream(struct cluster *cluster, unsigned int i,
+			  const char *body)
+{
+	g_free(rig_http_ok("POST", cluster->upstreams[i]->port, "/standin/set",
+			   body));
+}
+
 static unsigned int count_up(const char *hosts)
 {
 	unsigned int count = 0;
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -6,6 +6,10 @@
  *	Daemons are named d0, d1, ... and lie in the failure domains hall-esja
  *	and hall-katla by turns. Each joins by d0. Upstreams announce the group
  *	"s". cluster_wait_up() returns once each daemon sees all others up.
+ *
+ *	A daemon that is started again takes the ports that it had, and joins by
+ *	any that runs. Where a relay is asked for, all other daemons reach that
+ *	one through it, frames and gossip.
  */
 #ifndef TESTS_SYSTEM_CLUSTER_H
 #define TESTS_SYSTEM_CLUSTER_H
@@ -32,6 +36,9 @@
 	struct rig_process *platform;
 	struct rig_process *daemons[CLUSTER_MAX];
 	struct rig_process *upstreams[CLUSTER_MAX];
+	struct rig_process *relays[CLUSTER_MAX]; /* NULL: none */
+	uint16_t relayed_ports[CLUSTER_MAX]; /* peer ports behind them */
+	const char *runs_files[CLUSTER_MAX]; /* the upstreams' own counts */
 	unsigned int count;
 };
 
@@ -40,6 +47,9 @@
 	const char *config; /* NULL: CLUSTER_CONFIG; "": nothing in force */
 	const char *slots; /* NULL: "4" */
 	const char *service_time_us; /* NULL: "2000" */
+	unsigned int upstreams; /* bit i: one beside daemon i; 0: all */
+	const char *backlog; /* of each upstream; NULL: "64" */
+	unsigned int relayed; /* bit i: a relay before daemon i */
 };
 
 void cluster_start(struct cluster *cluster,
@@ -52,6 +62,16 @@
 void cluster_start_upstream(struct cluster *cluster, unsigned int i,
 			    const struct cluster_options *options);
 
+/* Tells daemon number i of its upstream, as after a restart of the daemon. */
+void cluster_announce(struct cluster *cluster, unsigned int i,
+		      const struct cluster_options *options);
+
+/* Commands the relay before daemon i, or upstream i; body as in relay.h and
+ * standin/upstream/upstream.h. */
+void cluster_set_relay(struct cluster *cluster, unsigned int i, const char *body);
+void cluster_set_upstream(struct cluster *cluster, unsigned int i,
+			  const char *body);
+
 /* Waits until each running daemon sees so many upstreams up. */
 void cluster_wait_up(struct cluster *cluster, unsigned int count, int timeout_ms);
 
--- /dev/null
+++ b/tests/system/ledger.c
@@ -0,0 +1,170 @@
+#include "ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_END_MS 60000
+#define CALL_PARTS 5
+
+struct line {
+	const char *id;
+	bool idempotent;
+	int status;
+	const char *outcome;
+	int64_t latency_us;
+	bool wrong;
+};
+
+struct ledger_load ledger_start_load(struct cluster *cluster,
+				     unsigned int daemons, const char *rate,
+				     const char *seconds, const char *seed)
+{
+	struct ledger_load load;
+	char *targets[CLUSTER_MAX];
+	unsigned int count = 0;
+
+	load.calls_file = rig_write_file(cluster->rig, "calls", "%s", "");
+	for (unsigned int i = 0; i < cluster->count; i++) {
+		if (daemons & (1u << i))
+			targets[count++] =
+				g_strdup_printf("--target=http://127.0.0.1:%u",
+						cluster->daemons[i]->caller_port);
+	}
+	g_assert_cmpuint(count, >, 0);
+	/* The first target again where there are fewer: an option may come
+	 * more than once, and the shares stay even for one and for three. */
+	load.process =
+		rig_start(cluster->rig, "standin/load/standin-load", "--calls",
+			  load.calls_file, "--rate", rate, "--seconds", seconds,
+			  "--seed", seed, "--share-nonidempotent", "0.5",
+			  "--path", "/", "--path", "/bytes/100000", targets[0],
+			  targets[1 % count], targets[2 % count], NULL);
+	for (unsigned int i = 0; i < count; i++)
+		g_free(targets[i]);
+	return load;
+}
+
+static GHashTable *read_runs(const struct cluster *cluster)
+{
+	GHashTable *runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (unsigned int i = 0; i < cluster->count; i++) {
+		char *text = NULL;
+		char **ids;
+
+		g_assert_true(g_file_get_contents(cluster->runs_files[i], &text,
+						  NULL, NULL));
+		ids = g_strsplit(text, "\n", -1);
+		for (char **id = ids; *id; id++) {
+			guint count =
+				GPOINTER_TO_UINT(g_hash_table_lookup(runs, *id));
+
+			g_hash_table_replace(runs, g_strdup(*id),
+					     GUINT_TO_POINTER(count + 1));
+		}
+		g_strfreev(ids);
+		g_free(text);
+	}
+	return runs;
+}
+
+static bool parse_line(char **parts, struct line *line)
+{
+	if (g_strv_length(parts) < CALL_PARTS)
+		return false;
+	line->id = parts[0];
+	line->idempotent = strcmp(parts[1], "GET") == 0;
+	line->status = atoi(parts[2]);
+	line->outcome = parts[3];
+	line->latency_us = strtoll(parts[4], NULL, 10);
+	line->wrong = parts[CALL_PARTS] != NULL;
+	return true;
+}
+
+static void count_told(struct ledger *ledger, const struct line *line)
+{
+	bool run = strcmp(line->outcome, "run") == 0;
+
+	ledger->calls++;
+	ledger->run += run;
+	ledger->served += run && line->status / 100 == 2;
+	ledger->not_run += strcmp(line->outcome, "not-run") == 0;
+	ledger->unknown += strcmp(line->outcome, "unknown") == 0;
+	ledger->broken += strcmp(line->outcome, "broken") == 0;
+	ledger->unconnected += strcmp(line->outcome, "unconnected") == 0;
+	ledger->unsaid += strcmp(line->outcome, "unsaid") == 0;
+}
+
+static void judge(struct ledger *ledger, const struct line *line, guint runs)
+{
+	bool late = strcmp(line->outcome, "timed-out") == 0 ||
+		    line->latency_us >
+			    (LEDGER_DEADLINE_MS + LEDGER_MARGIN_MS) * 1000;
+	bool doubled = !line->idempotent && runs > 1;
+	bool false_not_run = strcmp(line->outcome, "not-run") == 0 && runs > 0;
+	bool false_run = strcmp(line->outcome, "run") == 0 &&
+			 line->status / 100 == 2 && runs == 0;
+
+	ledger->doubles += doubled;
+	ledger->false_not_run += false_not_run;
+	ledger->false_run += false_run;
+	ledger->wrong += line->wrong;
+	ledger->late += late;
+	if (doubled || false_not_run || false_run || line->wrong || late)
+		g_test_message("%s %s %d %s after %" G_GINT64_FORMAT
+			       " us, ran %u times%s",
+			       line->id, line->idempotent ? "GET" : "POST",
+			       line->status, line->outcome, line->latency_us,
+			       runs, line->wrong ? ", wrong answer" : "");
+}
+
+void ledger_add(struct ledger *ledger, struct cluster *cluster,
+		struct ledger_load *load)
+{
+	GHashTable *runs;
+	char *text = NULL;
+	char **lines;
+
+	rig_wait_end(load->process, LOAD_END_MS);
+	runs = read_runs(cluster);
+	g_assert_true(g_file_get_contents(load->calls_file, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (char **at = lines; *at; at++) {
+		char **parts = g_strsplit(*at, " ", -1);
+		struct line line;
+
+		if (parse_line(parts, &line)) {
+			count_told(ledger, &line);
+			judge(ledger, &line,
+			      GPOINTER_TO_UINT(
+				      g_hash_table_lookup(runs, line.id)));
+		}
+		g_strfreev(parts);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_hash_table_unref(runs);
+}
+
+unsigned int ledger_violations(const struct ledger *ledger)
+{
+	return ledger->doubles + ledger->false_not_run + ledger->false_run +
+	       ledger->wrong + ledger->late + ledger->unsaid;
+}
+
+void ledger_assert_clean(const struct ledger *ledger)
+{
+	g_test_message("%u calls: run %u (served %u), not run %u, unknown %u, "
+		       "broken %u, unconnected %u",
+		       ledger->calls, ledger->run, ledger->served,
+		       ledger->not_run, ledger->unknown, ledger->broken,
+		       ledger->unconnected);
+	g_assert_cmpuint(ledger->doubles, ==, 0);
+	g_assert_cmpuint(ledger->false_not_run, ==, 0);
+	g_assert_cmpuint(ledger->false_run, ==, 0);
+	g_assert_cmpuint(ledger->wrong, ==, 0);
+	g_assert_cmpuint(ledger->late, ==, 0);
+	g_assert_cmpuint(ledger->unsaid, ==, 0);
+	g_assert_cmpuint(ledger->calls, >, 0);
+}
