--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -167,11 +167,9 @@
 	};
 }
 
-uint32_t call_work_attempts_left(const struct call *call)
+uint32_t call_work_attempts(const struct call *call)
 {
-	uint32_t made = call->attempts - call->bounces;
-
-	return call->max_attempts > made ? call->max_attempts - made : 0;
+	return call->attempts - call->busy - call->unheard;
 }
 
 static struct call *call_create(struct entry *entry,
@@ -256,6 +254,13 @@
 	return LIST_FIRST(&entry->calls) == call ? call : NULL;
 }
 
+void entry_when_told(struct entry *entry, entry_answer_handler handle_answer,
+		     void *data)
+{
+	entry->handle_answer = handle_answer;
+	entry->answer_data = data;
+}
+
 void entry_drain(struct entry *entry)
 {
 	entry->draining = true;
