claim: run a request with an Idempotency-Key at most once

Cause: once_per_key was checked in files and never acted upon; a booking that was sent again, through any daemon, ran again.

Change: the entry claims the key by a conditional row of the platform's table before the first attempt, fenced by the claim's id. Lost answers are resolved by rereading; a claim whose request certainly did not run is deleted; expired rows are swept by the readers of the head. A file is refused that combines once_per_key with idempotent, or a lifetime below the deadline.

A test found that a write whose answer was lost landed after its claim had been deleted, and refused the key for its whole lifetime; such writes are counted now, and the row is looked for until they can't land any more.

A booking costs two writes, its repetition one (system /claims/writes).

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -8,6 +8,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "comfreydockd/caller/claim_sweep.h"
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/listener.h"
 #include "comfreydockd/config/platform_ops.h"
@@ -52,6 +53,7 @@
 	struct gossip_handlers gossip_handlers;
 	struct config_platform *config_platform; /* NULL: no platform */
 	struct spread_peers *spread;
+	struct claim_sweep *sweep; /* NULL: no platform */
 };
 
 static struct assembly *assembly_of(struct daemon *daemon)
@@ -247,6 +249,13 @@
 	member_table_observe(daemon->members, &observer);
 }
 
+static bool is_sweeper(void *data)
+{
+	const struct assembly *assembly = data;
+
+	return spread_peers_is_reader(assembly->spread);
+}
+
 static void connect_configuration(struct assembly *assembly)
 {
 	struct daemon *daemon = &assembly->daemon;
@@ -258,6 +267,8 @@
 			config_platform_create(daemon->loop, daemon->platform);
 		operator_api_set_platform(daemon->operator_api, ops,
 					  assembly->config_platform);
+		assembly->sweep = claim_sweep_create(
+			daemon->loop, daemon->platform, is_sweeper, assembly);
 	}
 	assembly->spread =
 		spread_peers_create(daemon, ops, assembly->config_platform);
@@ -319,6 +330,7 @@
 	operator_api_destroy(daemon->operator_api);
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
+	claim_sweep_destroy(assembly->sweep);
 	spread_peers_destroy(assembly->spread);
 	config_platform_destroy(assembly->config_platform);
 	member_table_destroy(daemon->members);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -53,6 +53,7 @@
 	struct ev_loop *loop = call->entry->daemon->loop;
 	struct entry_attempt *attempt;
 
+	call_end_claim(call, call->attempts == 0);
 	while ((attempt = LIST_FIRST(&call->active)))
 		entry_attempt_destroy(attempt);
 	ev_timer_stop(loop, &call->deadline);
@@ -72,6 +73,7 @@
 
 static void call_finish_unanswered(struct call *call)
 {
+	call_end_claim(call, !call->may_have_run);
 	if (call->may_have_run)
 		outcome_say_unknown(call);
 	else
@@ -112,7 +114,7 @@
 	timer_start_us(call, &call->patience, left / 2);
 }
 
-static void call_send_attempt(struct call *call)
+void call_send_attempt(struct call *call)
 {
 	int64_t now = clock_mono_us();
 	struct service_upstream *upstream;
@@ -259,6 +261,7 @@
 	struct fields fields;
 
 	call->answering = attempt;
+	call->status = answer->status;
 	ev_timer_stop(loop, &call->deadline);
 	ev_timer_stop(loop, &call->hedge);
 	ev_timer_stop(loop, &call->patience);
@@ -285,6 +288,7 @@
 	struct call *call = attempt->call;
 
 	counters.caller_run++;
+	call->answered = true;
 	call_note_event(call, EV_ENTRY_ENDED, "run");
 	call->sink->handle_end(call->sink_data);
 	call_free(call);
@@ -379,7 +383,8 @@
 	hedge_note_request(&call->service->hedge);
 	retry_note_request(&call->service->retry);
 	pick_note_request(&call->service->picks);
-	call_send_attempt(call);
+	if (!call_claim_key(call))
+		call_send_attempt(call);
 }
 
 void call_init_timers(struct call *call)
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -6,6 +6,7 @@
 
 #include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/call_internal.h"
+#include "comfreydockd/caller/claim.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/deadline.h"
 #include "common/clock.h"
@@ -35,6 +36,8 @@
 
 	entry->daemon = daemon;
 	entry->services = services_create(daemon);
+	if (daemon->platform)
+		entry->claims = claims_create(daemon->loop, daemon->platform);
 	LIST_INIT(&entry->calls);
 	entry->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->random.state = id_random_u64();
@@ -60,6 +63,7 @@
 	peers_set_entry(entry->daemon->peers, &none);
 	ev_timer_stop(entry->daemon->loop, &entry->tick);
 	g_hash_table_unref(entry->attempts);
+	claims_destroy(entry->claims);
 	services_destroy(entry->services);
 	g_free(entry);
 }
@@ -270,5 +274,5 @@
 
 size_t entry_count(const struct entry *entry)
 {
-	return entry->count;
+	return entry->count + (entry->claims ? claims_busy(entry->claims) : 0);
 }
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -5,6 +5,7 @@
 #define STATUS_NOT_RUN 503
 #define STATUS_LOST 502
 #define STATUS_TIMEOUT 504
+#define STATUS_KEY_IN_USE 409
 
 static const char *const reason_names[] = {
 	[CFD__REASON__REASON_UNSPECIFIED] = "unavailable",
@@ -18,6 +19,7 @@
 	[CFD__REASON__REASON_CONNECT] = "no-connection",
 	[CFD__REASON__REASON_OVERLOAD] = "overload",
 	[CFD__REASON__REASON_NOT_REPEATED] = "key-in-use",
+	[CFD__REASON__REASON_NO_CLAIM] = "no-claim",
 };
 
 static const char *reason_name(Cfd__Reason reason)
@@ -92,3 +94,26 @@
 				 &fields, "it is not known whether this ran\n");
 	fields_finish(&fields);
 }
+
+/* Of the request that was sent now nothing has run. But that is not the word
+ * to say: the caller would take it for its booking's, and make another. */
+void outcome_say_key_in_use(struct call *call, unsigned int first_status)
+{
+	const char *outcome = first_status ? "already-run" : "unknown";
+	struct fields fields;
+	char text[16];
+
+	counters.caller_key_in_use++;
+	call_note_event(call, EV_ENTRY_ENDED, "%s key-in-use", outcome);
+	fields_init(&fields);
+	outcome_add_fields(&fields, outcome, "key-in-use", call->trace);
+	if (first_status) {
+		g_snprintf(text, sizeof(text), "%u", first_status);
+		fields_add(&fields, FIELD_FIRST_STATUS, text);
+	} else {
+		add_come_back(&fields, call->come_back_ms);
+	}
+	call->sink->handle_whole(call->sink_data, STATUS_KEY_IN_USE, &fields,
+				 "a request with this key was taken before\n");
+	fields_finish(&fields);
+}
--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -69,6 +69,16 @@
 	rule->key_lifetime_s = (uint32_t)schema_uint(
 		&once, "lifetime_s", SCHEMA_REQUIRED, 0, 1, KEY_LIFETIME_MAX_S);
 	schema_finish(&once);
+	if (!rule->once_per_key)
+		return;
+	/* A retry or a hedge is a second run under the same claim. */
+	if (rule->idempotent)
+		schema_error(schema, "once_per_key",
+			     "an idempotent rule may run a request twice");
+	/* The claim would be free again while its request can still start. */
+	if ((uint64_t)rule->key_lifetime_s * 1000 < rule->deadline_ms)
+		schema_error(schema, "once_per_key.lifetime_s",
+			     "is shorter than the deadline");
 }
 
 static struct config_rule *read_rule(struct schema *schema)
--- a/comfreydockd/config/spread_peers.c
+++ b/comfreydockd/config/spread_peers.c
@@ -103,3 +103,8 @@
 	config_spread_destroy(peers->spread);
 	g_free(peers);
 }
+
+bool spread_peers_is_reader(const struct spread_peers *peers)
+{
+	return config_spread_is_reader(peers->spread);
+}
--- a/comfreydockd/peer/fields.c
+++ b/comfreydockd/peer/fields.c
@@ -19,6 +19,7 @@
 	"Upgrade",
 	FIELD_DEADLINE,
 	FIELD_DEPTH,
+	FIELD_FIRST_STATUS,
 	FIELD_OUTCOME,
 	FIELD_REASON,
 	FIELD_RETRY_AFTER_MS,
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -4,7 +4,8 @@
  *
  * DESCRIPTION
  *	Internal to caller/. call.c decides what follows what, attempts.c
- *	speaks the frames, outcome.c words the answers of our own.
+ *	speaks the frames, outcome.c words the answers of our own, and
+ *	call_claim.c claims the key of a request that has one.
  */
 #ifndef COMFREYDOCKD_CALLER_CALL_H
 #define COMFREYDOCKD_CALLER_CALL_H
@@ -83,6 +84,9 @@
 	ev_timer patience; /* with one attempt */
 	bool cancels_sent;
 	bool is_started;
+	struct claim *claim; /* of its Idempotency-Key; NULL: none */
+	unsigned int status; /* of the answer */
+	bool answered; /* whole */
 };
 
 LIST_HEAD(call_list, call);
@@ -97,6 +101,7 @@
 	struct random_state random;
 	ev_timer tick;
 	bool draining;
+	struct claims *claims; /* NULL: there is no platform */
 	entry_answer_handler handle_answer;
 	void *answer_data;
 };
@@ -137,6 +142,10 @@
 void outcome_say_not_run(struct call *call);
 void outcome_say_unknown(struct call *call);
 
+/* first_status is the answer's that the first request with this key had; 0:
+ * it runs still, or its outcome is unknown. */
+void outcome_say_key_in_use(struct call *call, unsigned int first_status);
+
 /* Answers a request that did not become a call. */
 void outcome_refuse(const struct call_sink *sink, void *data, unsigned int status,
 		    const char *reason, uint32_t come_back_ms, const char *text);
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -85,7 +85,8 @@
 /* Refuses new calls as not run from now on. */
 void entry_drain(struct entry *entry);
 
-/* RETURN VALUE: the calls that have not ended. */
+/* RETURN VALUE: the calls that have not ended, and the claims that are still
+ * being given up. */
 size_t entry_count(const struct entry *entry);
 
 #endif
--- a/include/comfreydockd/config/spread_peers.h
+++ b/include/comfreydockd/config/spread_peers.h
@@ -9,6 +9,8 @@
 #ifndef COMFREYDOCKD_CONFIG_SPREAD_PEERS_H
 #define COMFREYDOCKD_CONFIG_SPREAD_PEERS_H
 
+#include <stdbool.h>
+
 #include "comfreydockd/config/apply.h"
 #include "comfreydockd/daemon.h"
 
@@ -23,4 +25,7 @@
 /* After the platform and the peers, so that nothing calls back. */
 void spread_peers_destroy(struct spread_peers *peers);
 
+/* RETURN VALUE: whether this daemon reads the platform's head row for others. */
+bool spread_peers_is_reader(const struct spread_peers *peers);
+
 #endif
--- a/include/comfreydockd/peer/fields.h
+++ b/include/comfreydockd/peer/fields.h
@@ -21,6 +21,7 @@
 #define FIELD_TRACE "Comfreydock-Trace"
 #define FIELD_DEPTH "Comfreydock-Depth"
 #define FIELD_DEADLINE "Comfreydock-Deadline-Ms"
+#define FIELD_FIRST_STATUS "Comfreydock-First-Status"
 #define FIELD_RETRY_AFTER_MS "Comfreydock-Retry-After-Ms"
 
 struct fields {
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -132,6 +132,11 @@
 	assert_refused("\"POST\"", "\"post\"", "\"post\" is no method");
 	assert_refused("[503]", "[200]", "a status from 400 to 599");
 	assert_refused("\"deadline_ms\": 8000,", "", "deadline_ms: is missing");
+	assert_refused("\"lifetime_s\": 86400", "\"lifetime_s\": 7",
+		       "lifetime_s: is shorter than the deadline");
+	assert_refused("\"deadline_ms\": 8000,",
+		       "\"deadline_ms\": 8000, \"idempotent\": true,",
+		       "an idempotent rule may run a request twice");
 }
 
 /* Two teams claim one host name: requests would go to whichever sorts first. */
