bench: measure the spread of a change on up to 200 daemons

Cause: the promise of 10 s was tested on five daemons and measured on none.

Change: bench-config-spread starts daemons on the loopback interface, applies files, and reads from their logs when each adopted them. Counters tell the bytes of questions and answers, and of reads from the platform.

--- /dev/null
+++ b/bench/config_spread.c
@@ -0,0 +1,347 @@
+/*
+ * How long a change takes until it is in force in every daemon, and what its
+ * spread costs a daemon. Starts the platform's stand-in and COUNT daemons in
+ * four failure domains on the loopback interface, applies CHANGES files through
+ * daemons by turns, and reads from the daemons' logs when each adopted them.
+ *
+ *	bench-config-spread CHANGES COUNT...
+ *
+ * COMFREYDOCK_BUILD names the build folder with the programs.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "rig.h"
+
+#define IN_FORCE_MS 30000
+#define JOINED_MS 60000
+#define REST_S 10
+#define DOMAINS 4
+
+static const char *const domains[DOMAINS] = {"hall-esja", "hall-katla",
+					     "hall-hekla", "hall-askja"};
+
+struct bench {
+	struct rig *rig;
+	struct rig_process *platform;
+	struct rig_process **daemons;
+	unsigned int count;
+	const char *key_file;
+	uint64_t version;
+	GArray *after_us; /* int64_t: adoption, from the sending of the apply */
+	GArray *last_us; /* the last one of each change */
+};
+
+/* Sums over all daemons. */
+struct totals {
+	int64_t gossip_bytes;
+	int64_t config_bytes;
+	int64_t platform_bytes;
+	int64_t head_reads;
+	int64_t object_reads;
+	int64_t questions;
+	int64_t links;
+	int64_t cpu_ticks;
+	int64_t rss_kb;
+};
+
+static void start_daemon(struct bench *bench, unsigned int i)
+{
+	char *name = g_strdup_printf("d%u", i);
+	char *join = i ? g_strdup_printf(", \"join\": [\"127.0.0.1:%u\"]",
+					 bench->daemons[0]->peer_port) :
+			 g_strdup("");
+	const char *path = rig_write_file(
+		bench->rig, name,
+		"{\"host\": \"d%u\", \"domain\": \"%s\",\n"
+		"\"region\": \"reykjavik\", \"log_format\": \"json\",\n"
+		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
+		"\"peer\": {\"address\": \"127.0.0.1\", \"port\": 0,\n"
+		" \"key_file\": \"%s\"%s}}\n",
+		i, domains[i % DOMAINS], bench->platform->port, bench->key_file,
+		join);
+
+	bench->daemons[i] = rig_start_daemon(bench->rig, name, path);
+	g_free(join);
+	g_free(name);
+}
+
+static int64_t status_int(const struct rig_process *daemon, const char *name)
+{
+	char *json = rig_http_ok("GET", daemon->admin_port, "/v1/status", NULL);
+	int64_t value = rig_json_int(json, name);
+
+	g_free(json);
+	return value;
+}
+
+static bool all_joined(void *data)
+{
+	const struct bench *bench = data;
+
+	for (unsigned int i = 0; i < bench->count; i++) {
+		if (status_int(bench->daemons[i], "hosts") !=
+		    (int64_t)bench->count)
+			return false;
+	}
+	return true;
+}
+
+static bool all_hold(void *data)
+{
+	const struct bench *bench = data;
+
+	for (unsigned int i = 0; i < bench->count; i++) {
+		if (status_int(bench->daemons[i], "head") <
+		    (int64_t)bench->version)
+			return false;
+	}
+	return true;
+}
+
+static int64_t counter(const char *text, const char *name)
+{
+	char *key = g_strdup_printf("\ncomfreydock_%s ", name);
+	const char *found = strstr(text, key);
+	int64_t value =
+		found ? g_ascii_strtoll(found + strlen(key), NULL, 10) : 0;
+
+	g_free(key);
+	return value;
+}
+
+/* A field of /proc/PID/stat by its number in proc(5), from 3 on. */
+static int64_t stat_field(pid_t pid, int number)
+{
+	char *path = g_strdup_printf("/proc/%d/stat", (int)pid);
+	char *text = NULL;
+	int64_t value = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		char **fields = g_strsplit(strrchr(text, ')') + 2, " ", -1);
+
+		value = g_ascii_strtoll(fields[number - 3], NULL, 10);
+		g_strfreev(fields);
+	}
+	g_free(text);
+	g_free(path);
+	return value;
+}
+
+static void add_daemon(struct totals *totals, const struct rig_process *daemon)
+{
+	char *text = rig_http_ok("GET", daemon->admin_port, "/metrics", NULL);
+
+	totals->gossip_bytes += counter(text, "gossip_bytes_out");
+	totals->config_bytes += counter(text, "config_bytes_out");
+	totals->platform_bytes += counter(text, "config_platform_bytes");
+	totals->head_reads += counter(text, "config_head_reads");
+	totals->object_reads += counter(text, "config_object_reads");
+	totals->questions += counter(text, "config_fetches");
+	totals->links += counter(text, "peer_links_opened");
+	totals->cpu_ticks +=
+		stat_field(daemon->pid, 14) + stat_field(daemon->pid, 15);
+	totals->rss_kb += stat_field(daemon->pid, 24) * 4;
+	g_free(text);
+}
+
+static struct totals take_totals(const struct bench *bench)
+{
+	struct totals totals = {0};
+
+	for (unsigned int i = 0; i < bench->count; i++)
+		add_daemon(&totals, bench->daemons[i]);
+	return totals;
+}
+
+static char *file_text(uint64_t version)
+{
+	GString *text = g_string_new("{\"namespace\": \"t\", \"services\": {");
+
+	for (int i = 0; i < 8; i++)
+		g_string_append_printf(
+			text,
+			"%s\"s%d\": {\"path_prefixes\": [\"/%d\"], "
+			"\"group\": \"s\", \"rules\": [{\"name\": \"all\", "
+			"\"deadline_ms\": %" G_GUINT64_FORMAT "}]}",
+			i ? ", " : "", i, i, 1000 + version);
+	g_string_append(text, "}}\n");
+	return g_string_free(text, FALSE);
+}
+
+static int64_t line_time_us(const char *line)
+{
+	const char *time = strstr(line, "\"time\":\"") + strlen("\"time\":\"");
+	char *text = g_strndup(time, strcspn(time, "\""));
+	GDateTime *date = g_date_time_new_from_iso8601(text, NULL);
+	int64_t us = g_date_time_to_unix(date) * G_USEC_PER_SEC +
+		     g_date_time_get_microsecond(date);
+
+	g_date_time_unref(date);
+	g_free(text);
+	return us;
+}
+
+/* RETURN VALUE: when the daemon adopted the version, by its own log. */
+static int64_t adopted_us(const struct rig_process *daemon, uint64_t version)
+{
+	char *log = rig_read_log(daemon);
+	char *wanted = g_strdup_printf("\"version\":%" G_GUINT64_FORMAT, version);
+	char **lines = g_strsplit(log, "\n", -1);
+	int64_t at_us = 0;
+
+	for (char **line = lines; *line && !at_us; line++) {
+		const char *found = strstr(*line, wanted);
+
+		if (found && strstr(*line, "config.adopted") &&
+		    !g_ascii_isdigit(found[strlen(wanted)]))
+			at_us = line_time_us(*line);
+	}
+	g_strfreev(lines);
+	g_free(wanted);
+	g_free(log);
+	return at_us;
+}
+
+static void note_times(struct bench *bench, int64_t sent_us)
+{
+	int64_t last_us = 0;
+
+	for (unsigned int i = 0; i < bench->count; i++) {
+		int64_t after_us =
+			adopted_us(bench->daemons[i], bench->version) - sent_us;
+
+		g_array_append_val(bench->after_us, after_us);
+		last_us = MAX(last_us, after_us);
+	}
+	g_array_append_val(bench->last_us, last_us);
+}
+
+static void apply(struct bench *bench)
+{
+	char *text = file_text(bench->version);
+	char *path = g_strdup_printf(
+		"/v1/config/apply?who=bench&base=%" G_GUINT64_FORMAT,
+		bench->version);
+	unsigned int by = (unsigned int)bench->version % bench->count;
+	int64_t sent_us = g_get_real_time();
+
+	g_free(rig_http_ok("POST", bench->daemons[by]->admin_port, path, text));
+	bench->version++;
+	if (!rig_wait_until(all_hold, bench, IN_FORCE_MS))
+		g_error("not everywhere in time");
+	note_times(bench, sent_us);
+	g_free(path);
+	g_free(text);
+}
+
+static gint compare(gconstpointer a, gconstpointer b)
+{
+	int64_t left = *(const int64_t *)a;
+	int64_t right = *(const int64_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+static double quantile_ms(GArray *sorted, double share)
+{
+	guint i = (guint)((double)(sorted->len - 1) * share);
+
+	return (double)g_array_index(sorted, int64_t, i) / 1000.0;
+}
+
+static void print_costs(const struct bench *bench, const struct totals *before,
+			const struct totals *after, double seconds,
+			const char *what)
+{
+	double n = bench->count;
+	double ticks = (double)sysconf(_SC_CLK_TCK);
+
+	printf("  %s, %.0f s: a daemon and second: gossip %.0f B out, "
+	       "configuration %.0f B out, core %.2f%%; all daemons and second: "
+	       "head reads %.1f, platform bytes %.0f, object reads %.1f, "
+	       "questions %.1f, links opened %.1f\n",
+	       what, seconds,
+	       (double)(after->gossip_bytes - before->gossip_bytes) / n / seconds,
+	       (double)(after->config_bytes - before->config_bytes) / n / seconds,
+	       100.0 * (double)(after->cpu_ticks - before->cpu_ticks) / ticks /
+		       n / seconds,
+	       (double)(after->head_reads - before->head_reads) / seconds,
+	       (double)(after->platform_bytes - before->platform_bytes) / seconds,
+	       (double)(after->object_reads - before->object_reads) / seconds,
+	       (double)(after->questions - before->questions) / seconds,
+	       (double)(after->links - before->links) / seconds);
+}
+
+static void run_changes(struct bench *bench, int changes)
+{
+	struct totals before = take_totals(bench);
+	int64_t began_us = g_get_monotonic_time();
+	struct totals after;
+	double seconds;
+
+	for (int i = 0; i < changes; i++)
+		apply(bench);
+	seconds = (double)(g_get_monotonic_time() - began_us) / 1e6;
+	after = take_totals(bench);
+	g_array_sort(bench->after_us, compare);
+	g_array_sort(bench->last_us, compare);
+	printf("%u daemons, %d changes: adopted after p50 %.0f ms, p99 %.0f "
+	       "ms, "
+	       "all after p50 %.0f ms, most %.0f ms; resident %.1f MB each\n",
+	       bench->count, changes, quantile_ms(bench->after_us, 0.5),
+	       quantile_ms(bench->after_us, 0.99),
+	       quantile_ms(bench->last_us, 0.5), quantile_ms(bench->last_us, 1.0),
+	       (double)after.rss_kb / 1024.0 / bench->count);
+	print_costs(bench, &before, &after, seconds, "with changes");
+}
+
+static void run_rest(struct bench *bench)
+{
+	struct totals before = take_totals(bench);
+	struct totals after;
+
+	rig_sleep_ms(REST_S * 1000);
+	after = take_totals(bench);
+	print_costs(bench, &before, &after, REST_S, "at rest");
+}
+
+static void run_with(unsigned int count, int changes)
+{
+	struct bench bench = {.count = count};
+
+	bench.rig = rig_create();
+	bench.daemons = g_new0(struct rig_process *, count);
+	bench.after_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	bench.last_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	bench.key_file = rig_write_file(bench.rig, "key", "for the bench only");
+	bench.platform = rig_start_standin(
+		bench.rig, "standin/platform/standin-platform", NULL);
+	for (unsigned int i = 0; i < count; i++)
+		start_daemon(&bench, i);
+	if (!rig_wait_until(all_joined, &bench, JOINED_MS))
+		g_error("not all have joined in time");
+	run_rest(&bench);
+	run_changes(&bench, changes);
+	fflush(stdout);
+	g_array_unref(bench.last_us);
+	g_array_unref(bench.after_us);
+	g_free(bench.daemons);
+	rig_destroy(bench.rig);
+}
+
+int main(int argc, char **argv)
+{
+	printf("$");
+	for (int i = 0; i < argc; i++)
+		printf(" %s", i ? argv[i] : "bench/bench-config-spread");
+	printf("\n");
+	for (int i = 2; i < argc; i++)
+		run_with((unsigned int)atoi(argv[i]), atoi(argv[1]));
+	return argc > 2 ? 0 : 2;
+}
--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -87,7 +87,7 @@
 	struct config_spread *spread = data;
 
 	(void)row_version;
-	(void)size;
+	counters.config_platform_bytes += size;
 	spread->is_reading = false;
 	spread->platform_tried = true;
 	spread->platform_failed = status != CONFIG_PLATFORM_OK;
--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -124,6 +124,7 @@
 	enum config_offer result = CONFIG_OFFER_BAD_CONTENT;
 
 	(void)row_version;
+	counters.config_platform_bytes += size;
 	if (status == CONFIG_PLATFORM_OK && value)
 		result = config_store_offer(spread->store, spread->object_name,
 					    spread->object_version,
--- a/comfreydockd/config/spread_peers.c
+++ b/comfreydockd/config/spread_peers.c
@@ -9,6 +9,7 @@
 #include "comfreydockd/settings.h"
 #include "comfreydockd/upstream/owner.h"
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/id.h"
 
 struct spread_peers {
@@ -36,6 +37,7 @@
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_QUERY;
 	frame.config_query = (Cfd__ConfigQuery *)query;
+	counters.config_bytes_out += cfd__config_query__get_packed_size(query);
 	peer_send(peer, &frame);
 }
 
@@ -55,6 +57,8 @@
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_BODY;
 	frame.config_body = answer;
+	counters.config_bytes_in += cfd__config_query__get_packed_size(query);
+	counters.config_bytes_out += cfd__config_body__get_packed_size(answer);
 	peer_send(peer, &frame);
 	config_spread_free_answer(answer);
 }
@@ -64,6 +68,7 @@
 {
 	struct spread_peers *peers = data;
 
+	counters.config_bytes_in += cfd__config_body__get_packed_size(answer);
 	config_spread_take_answer(peers->spread, peer_host(peer), answer);
 }
 
