--- a/comfreydockd/config/spread_peers.c
+++ b/comfreydockd/config/spread_peers.c
@@ -7,6 +7,7 @@
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/settings.h"
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/id.h"
 
 struct spread_peers {
@@ -34,6 +35,7 @@
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_QUERY;
 	frame.config_query = (Cfd__ConfigQuery *)query;
+	counters.config_bytes_out += cfd__config_query__get_packed_size(query);
 	peer_send(peer, &frame);
 }
 
@@ -53,6 +55,8 @@
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_BODY;
 	frame.config_body = answer;
+	counters.config_bytes_in += cfd__config_query__get_packed_size(query);
+	counters.config_bytes_out += cfd__config_body__get_packed_size(answer);
 	peer_send(peer, &frame);
 	config_spread_free_answer(answer);
 }
@@ -61,6 +65,8 @@
 {
 	struct spread_peers *peers = data;
 
+	counters.config_bytes_in +=
+		cfd__config_body__get_packed_size(frame->config_body);
 	config_spread_take_answer(peers->spread, peer_host(peer),
 				  frame->config_body);
 }
@@ -103,3 +109,8 @@
 	config_spread_destroy(peers->spread);
 	g_free(peers);
 }
+
+bool spread_peers_is_reader(const struct spread_peers *peers)
+{
+	return config_spread_is_reader(peers->spread);
+}
