--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -12,21 +12,6 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
-/*
- * How often one call may be refused because no slot was free. Such a refusal
- * costs one round trip and is certain, so it doesn't count against the rule's
- * attempts; after two the third upstream queues the call. Two covers a busy
- * upstream after a busy one and bounds what a call costs at overload.
- */
-#define CALL_MAX_BUSY 2
-
-/* Before the deadline the owners are asked to cancel, and a "not run" that
- * comes in time makes the end certain. Half a millisecond covers a round trip
- * within a failure domain; 10 ms one to another region's nearest. */
-#define CANCEL_LEAD_MIN_US 1000
-#define CANCEL_LEAD_MAX_US 10000
-#define CANCEL_LEAD_SHARE 20
-
 void call_note_event(struct call *call, enum event event, const char *format, ...)
 {
 	char note[TIMELINE_NOTE_MAX];
@@ -98,21 +83,23 @@
 		timer_start_us(call, &call->hedge, delay);
 }
 
-/*
- * An owner that is frozen answers nothing, and one whose host has lost its
- * power takes seconds to be noticed. A call that may be repeated therefore
- * spends at most half of its remaining time on one attempt; without this, all
- * calls to such an upstream would end at their deadlines, though another
- * could have answered them.
- */
+/* See deadline_patience_us(). */
 static void call_arm_patience(struct call *call)
 {
-	int64_t left = call->deadline_us - clock_mono_us();
+	int64_t patience_us =
+		deadline_patience_us(call->deadline_us, clock_mono_us());
 
-	if (!call->rule->idempotent ||
+	call->is_impatient = false;
+	if (!call->rule->idempotent || patience_us < DEADLINE_VERDICT_MIN_US ||
 	    call_work_attempts(call) >= call->max_attempts)
 		return;
-	timer_start_us(call, &call->patience, left / 2);
+	timer_start_us(call, &call->patience, patience_us);
+}
+
+static void call_stop_patience(struct call *call)
+{
+	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call->is_impatient = false;
 }
 
 void call_send_attempt(struct call *call)
@@ -130,7 +117,7 @@
 	}
 	may_queue =
 		pick_may_queue(&call->service->picks, &upstream->candidate,
-			       &call->tried, call->busy >= CALL_MAX_BUSY, now);
+			       &call->tried, call->busy >= RETRY_BUSY_MAX, now);
 	pick_tried_add(&call->tried, upstream->candidate.id);
 	call->attempts++;
 	entry_attempt_send(call, upstream, may_queue, false);
@@ -170,7 +157,7 @@
 		.idempotent = call->rule->idempotent,
 		.answer_begun = call->answering != NULL,
 		.attempts = busy ? call->busy : call_work_attempts(call),
-		.max_attempts = busy ? CALL_MAX_BUSY + 1 : call->max_attempts,
+		.max_attempts = busy ? RETRY_BUSY_MAX + 1 : call->max_attempts,
 		.untried = call_untried(call),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
@@ -220,7 +207,7 @@
 	if (!was_hedge || call->reason == CFD__REASON__REASON_UNSPECIFIED)
 		call->reason = reason;
 	call->come_back_ms = retry_after_ms;
-	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call_stop_patience(call);
 	call_decide(call, outcome_of(reason, never_sent), state);
 }
 
@@ -244,7 +231,7 @@
 	call->lost = lost;
 	if (!LIST_EMPTY(&call->active))
 		return;
-	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call_stop_patience(call);
 	call_decide(call, RETRY_OUTCOME_UNKNOWN, state);
 }
 
@@ -259,7 +246,7 @@
 	call->status = answer->status;
 	ev_timer_stop(loop, &call->deadline);
 	ev_timer_stop(loop, &call->hedge);
-	ev_timer_stop(loop, &call->patience);
+	call_stop_patience(call);
 	hedge_note_latency(&call->service->hedge,
 			   attempt->head_us - call->began_us);
 	call_note_event(call, EV_ENTRY_ANSWERED, "from=%s status=%u",
@@ -328,6 +315,28 @@
 	entry_attempt_send(call, upstream, false, true);
 }
 
+void call_note_on_time(struct entry_attempt *attempt)
+{
+	if (attempt->call->is_impatient)
+		call_arm_patience(attempt->call);
+}
+
+static void call_ask_owners(struct call *call)
+{
+	struct entry_attempt *attempt;
+	int64_t verdict_us = 0;
+
+	call->is_impatient = true;
+	LIST_FOREACH (attempt, &call->active, link) {
+		const struct deadline_path *path = &attempt->upstream->path;
+
+		entry_attempt_ask(attempt);
+		verdict_us = MAX(verdict_us, deadline_verdict_us(path));
+	}
+	timer_start_us(call, &call->patience, verdict_us);
+}
+
+/* First to ask the owners; then, where none has answered, to give up. */
 static void handle_patience(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct call *call = timer->data;
@@ -335,7 +344,12 @@
 
 	(void)loop;
 	(void)events;
+	if (!call->is_impatient) {
+		call_ask_owners(call);
+		return;
+	}
 	counters.entry_impatient++;
+	call->is_impatient = false;
 	call->may_have_run = true;
 	while ((attempt = LIST_FIRST(&call->active))) {
 		entry_attempt_time_out(attempt);
@@ -344,13 +358,6 @@
 	call_decide(call, RETRY_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
 }
 
-static int64_t cancel_lead_us(const struct call *call)
-{
-	int64_t share = (call->deadline_us - call->began_us) / CANCEL_LEAD_SHARE;
-
-	return CLAMP(share, CANCEL_LEAD_MIN_US, CANCEL_LEAD_MAX_US);
-}
-
 /* First shortly before the deadline, to cancel; then at it, to give up. */
 static void handle_deadline(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -393,7 +400,8 @@
 	call->hedge.data = call;
 	call->patience.data = call;
 	timer_start_us(call, &call->deadline,
-		       call->deadline_us - cancel_lead_us(call) - clock_mono_us());
+		       deadline_cancel_us(call->began_us, call->deadline_us) -
+			       clock_mono_us());
 }
 
 size_t call_room(const struct call *call)
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1003,7 +1003,7 @@
   (ProtobufCMessageInit) cfd__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfd__load__field_descriptors[5] =
 {
   {
     "running",
@@ -1053,17 +1053,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Load, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__load__field_indices_by_name[] = {
   3,   /* field[3] = expected_wait_us */
   2,   /* field[2] = limit */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
+  4,   /* field[4] = service_us */
 };
 static const ProtobufCIntRange cfd__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cfd__load__descriptor =
 {
@@ -1073,7 +1086,7 @@
   "Cfd__Load",
   "cfd",
   sizeof(Cfd__Load),
-  4,
+  5,
   cfd__load__field_descriptors,
   cfd__load__field_indices_by_name,
   1,  cfd__load__number_ranges,
@@ -1390,7 +1403,7 @@
   (ProtobufCMessageInit) cfd__body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[2] =
 {
   {
     "seq",
@@ -1404,14 +1417,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "if_overdue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Cancel, if_overdue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__cancel__field_indices_by_name[] = {
+  1,   /* field[1] = if_overdue */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange cfd__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cfd__cancel__descriptor =
 {
@@ -1421,7 +1447,7 @@
   "Cfd__Cancel",
   "cfd",
   sizeof(Cfd__Cancel),
-  1,
+  2,
   cfd__cancel__field_descriptors,
   cfd__cancel__field_indices_by_name,
   1,  cfd__cancel__number_ranges,
