--- /dev/null
+++ b/bench/capacity/bench_services.c
@@ -0,0 +1,158 @@
+/*
+ * NAME
+ *	bench_services - what a change of one host costs an entry
+ *
+ * SYNOPSIS
+ *	bench-services HOSTS...
+ *
+ * DESCRIPTION
+ *	For each size: fills a member table and has the entry know every
+ *	service, one for each eight hosts, the first with LARGE_HOSTS. Prints
+ *	the time that the service state takes for one changed host, that of
+ *	finding a service when a host of another one has changed before each,
+ *	and that with no change.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "bench/capacity/usage.h"
+#include "comfreydockd/caller/services.h"
+#include "comfreydockd/settings.h"
+
+#define HOSTS_PER_SERVICE 8
+#define LARGE_HOSTS 600
+#define ROUNDS 20000
+#define FULL_SIZE 22000
+
+struct bench {
+	struct settings settings;
+	struct daemon daemon;
+	struct services *services;
+	GPtrArray *configs; /* of struct config_service */
+	int hosts;
+	uint64_t incarnation;
+	int64_t now_us;
+};
+
+static double now_s(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+static guint service_of(const struct bench *bench, int host)
+{
+	return host < LARGE_HOSTS ? 0 : (guint)host % bench->configs->len;
+}
+
+static void change_host(struct bench *bench, int host)
+{
+	const struct config_service *config =
+		g_ptr_array_index(bench->configs, service_of(bench, host));
+	char *groups[] = {config->group, NULL};
+	struct member member = {.incarnation = ++bench->incarnation,
+				.peer_port = 7000,
+				.domain = host % 13 ? "other" : "own",
+				.region = "region",
+				.service_state = MEMBER_SERVICE_UP,
+				.groups = groups,
+				.slots = 12};
+
+	snprintf(member.host, sizeof(member.host), "host-%05d", host);
+	snprintf(member.address, sizeof(member.address), "10.1.%d.%d",
+		 host / 250, host % 250);
+	member_table_update(bench->daemon.members, &member, ++bench->now_us);
+}
+
+static void add_service(struct bench *bench, int number)
+{
+	struct config_service *config = g_new0(struct config_service, 1);
+
+	config->namespace = g_strdup("bench");
+	config->name = g_strdup_printf("service-%d", number);
+	config->group = g_strdup(config->name);
+	config->rules = g_ptr_array_new();
+	g_ptr_array_add(bench->configs, config);
+}
+
+static void bench_init(struct bench *bench, int hosts)
+{
+	*bench = (struct bench){.hosts = hosts, .now_us = 1};
+	bench->settings.host = "host-00000";
+	bench->settings.domain = "own";
+	bench->daemon.settings = &bench->settings;
+	bench->daemon.members = member_table_create();
+	bench->configs = g_ptr_array_new();
+	for (int i = 0; i < hosts / HOSTS_PER_SERVICE; i++)
+		add_service(bench, i);
+	for (int i = 0; i < hosts; i++)
+		change_host(bench, i);
+	bench->services = services_create(&bench->daemon);
+}
+
+static void find_service(struct bench *bench, int number)
+{
+	services_get(bench->services,
+		     g_ptr_array_index(bench->configs,
+				       (guint)number % bench->configs->len));
+}
+
+/* RETURN VALUE: microseconds for one round. */
+static double time_rounds(struct bench *bench, bool with_change, bool with_find)
+{
+	double began = now_s();
+
+	for (int i = 0; i < ROUNDS; i++) {
+		/* Odd numbers change, even ones are looked for. */
+		if (with_change)
+			change_host(bench, (i * 2 + 1) % bench->hosts);
+		if (with_find)
+			find_service(bench, i * 2);
+	}
+	return (now_s() - began) / ROUNDS * 1e6;
+}
+
+static void run_size(int hosts, struct usage_fit *changed, struct usage_fit *found)
+{
+	struct bench bench;
+	size_t before;
+	double table_us;
+	double change_us;
+	double find_us;
+	double both_us;
+
+	bench_init(&bench, hosts);
+	table_us = time_rounds(&bench, true, false);
+	before = mallinfo2().uordblks;
+	for (guint i = 0; i < bench.configs->len; i++)
+		find_service(&bench, (int)i);
+	printf("hosts %d: %u services known, %.0f bytes each\n", hosts,
+	       bench.configs->len,
+	       (double)(mallinfo2().uordblks - before) / bench.configs->len);
+	change_us = time_rounds(&bench, true, false);
+	find_us = time_rounds(&bench, false, true);
+	both_us = time_rounds(&bench, true, true);
+	printf("hosts %d: a change %.2f us, of which the table %.2f; a service "
+	       "found %.2f us, after a change elsewhere %.2f us\n",
+	       hosts, change_us, table_us, find_us, both_us - change_us);
+	usage_fit_add(changed, hosts, change_us);
+	usage_fit_add(found, hosts, both_us - change_us);
+	services_destroy(bench.services);
+	member_table_destroy(bench.daemon.members);
+}
+
+int main(int argc, char **argv)
+{
+	struct usage_fit changed = {0};
+	struct usage_fit found = {0};
+
+	for (int i = 1; i < argc; i++)
+		run_size(MAX(atoi(argv[i]), LARGE_HOSTS * 2), &changed, &found);
+	usage_fit_print(&changed, "us a change", FULL_SIZE);
+	usage_fit_print(&found, "us a service found after a change", FULL_SIZE);
+	return 0;
+}
