caller: look at a service again only when its own group changed

Cause: each change of any host marked all services stale: a walk over all of them, and a new choice of upstreams at the next call of each.

Change: the member table keeps a version for each group, never the same twice; the entry compares it at each call and each attempt. Between two attempts of one call a host may have been forgotten, which the second attempt would not have noticed before.

--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -14,19 +14,6 @@
 	GHashTable *by_key; /* key -> struct service */
 };
 
-static void handle_member_changed(struct member *member, void *data)
-{
-	struct services *services = data;
-	GHashTableIter iter;
-	gpointer value;
-
-	(void)member;
-	/* Brought up to date at the next call; see services_get(). */
-	g_hash_table_iter_init(&iter, services->by_key);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct service *)value)->stale = true;
-}
-
 static void service_upstream_delist(struct service_upstream *upstream)
 {
 	struct service *service = upstream->service;
@@ -54,16 +41,10 @@
 struct services *services_create(struct daemon *daemon)
 {
 	struct services *services = g_new0(struct services, 1);
-	struct member_observer observer = {
-		.handle_changed = handle_member_changed,
-		.handle_removed = handle_member_changed,
-		.data = services,
-	};
 
 	services->daemon = daemon;
 	services->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 service_free);
-	member_table_observe(daemon->members, &observer);
 	return services;
 }
 
@@ -71,7 +52,6 @@
 {
 	if (!services)
 		return;
-	member_table_unobserve(services->daemon->members, services);
 	g_hash_table_unref(services->by_key);
 	g_free(services);
 }
@@ -179,6 +159,8 @@
 	struct service_upstream *next;
 
 	service->stale = false;
+	service->group_version =
+		member_table_group_version(members, service->group);
 	if (group)
 		service_choose_subset(service, group, subset);
 	for (struct subset_upstream *chosen = subset; chosen->host; chosen++) {
@@ -196,6 +178,16 @@
 	g_free(subset);
 }
 
+static void service_keep_fresh(struct service *service)
+{
+	struct member_table *members = service->services->daemon->members;
+
+	if (service->stale ||
+	    service->group_version !=
+		    member_table_group_version(members, service->group))
+		service_refresh(service);
+}
+
 static struct service *service_new(struct services *services, const char *key)
 {
 	struct service *service = g_new0(struct service, 1);
@@ -259,8 +251,7 @@
 	if (!service)
 		service = service_new(services, key);
 	service_configure(service, config);
-	if (service->stale)
-		service_refresh(service);
+	service_keep_fresh(service);
 	return service;
 }
 
@@ -271,6 +262,8 @@
 	struct service_upstream *upstream;
 	struct pick_candidate *chosen;
 
+	/* Between two attempts of one call a host may have gone for good. */
+	service_keep_fresh(service);
 	TAILQ_FOREACH (upstream, &service->upstreams, link)
 		upstream->candidate.usable = health_is_usable(&upstream->health);
 	chosen = pick_choose(&service->picks, tried, now_us);
--- a/comfreydockd/member/member_table.c
+++ b/comfreydockd/member/member_table.c
@@ -3,16 +3,30 @@
 
 #include "comfreydockd/member/member.h"
 
+struct group {
+	GPtrArray *members;
+	uint64_t version;
+};
+
 struct member_table {
 	struct member_list all;
 	GHashTable *by_host; /* member->host to member */
-	GHashTable *by_group; /* interned group to GPtrArray of members */
+	GHashTable *by_group; /* interned group to struct group */
+	uint64_t version; /* of the group that changed last */
 	GPtrArray *empty;
 	GArray *observers;
 	struct member_bucket buckets[MEMBER_BUCKETS];
 	uint64_t digests[MEMBER_BUCKETS];
 };
 
+static void group_free(gpointer data)
+{
+	struct group *group = data;
+
+	g_ptr_array_unref(group->members);
+	g_free(group);
+}
+
 struct member_table *member_table_create(void)
 {
 	struct member_table *table = g_new0(struct member_table, 1);
@@ -20,8 +34,7 @@
 	TAILQ_INIT(&table->all);
 	table->by_host = g_hash_table_new(g_str_hash, g_str_equal);
 	table->by_group =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-				      (GDestroyNotify)g_ptr_array_unref);
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
 	table->empty = g_ptr_array_new();
 	table->observers =
 		g_array_new(FALSE, FALSE, sizeof(struct member_observer));
@@ -75,9 +88,16 @@
 
 const GPtrArray *member_table_group(struct member_table *table, const char *group)
 {
-	const GPtrArray *members = g_hash_table_lookup(table->by_group, group);
+	const struct group *found = g_hash_table_lookup(table->by_group, group);
 
-	return members ? members : table->empty;
+	return found ? found->members : table->empty;
+}
+
+uint64_t member_table_group_version(struct member_table *table, const char *group)
+{
+	const struct group *found = g_hash_table_lookup(table->by_group, group);
+
+	return found ? found->version : 0;
 }
 
 struct member_bucket *member_table_bucket(struct member_table *table,
@@ -109,26 +129,40 @@
 static void member_table_index_groups(struct member_table *table,
 				      struct member *member)
 {
-	for (char **group = member->groups; group && *group; group++) {
-		GPtrArray *members = g_hash_table_lookup(table->by_group, *group);
+	for (char **name = member->groups; name && *name; name++) {
+		struct group *group = g_hash_table_lookup(table->by_group, *name);
 
-		if (!members) {
-			members = g_ptr_array_new();
-			g_hash_table_insert(table->by_group, *group, members);
+		if (!group) {
+			group = g_new0(struct group, 1);
+			group->members = g_ptr_array_new();
+			g_hash_table_insert(table->by_group, *name, group);
 		}
-		g_ptr_array_add(members, member);
+		g_ptr_array_add(group->members, member);
 	}
 }
 
 static void member_table_unindex_groups(struct member_table *table,
 					struct member *member)
 {
-	for (char **group = member->groups; group && *group; group++) {
-		GPtrArray *members = g_hash_table_lookup(table->by_group, *group);
+	for (char **name = member->groups; name && *name; name++) {
+		struct group *group = g_hash_table_lookup(table->by_group, *name);
+
+		g_ptr_array_remove_fast(group->members, member);
+		group->version = ++table->version;
+		if (group->members->len == 0)
+			g_hash_table_remove(table->by_group, *name);
+	}
+}
+
+/* Never the same number twice, so that a group which was empty for a while is
+ * not taken for the one before. */
+static void member_table_note_groups(struct member_table *table,
+				     const struct member *member)
+{
+	for (char **name = member->groups; name && *name; name++) {
+		struct group *group = g_hash_table_lookup(table->by_group, *name);
 
-		g_ptr_array_remove_fast(members, member);
-		if (members->len == 0)
-			g_hash_table_remove(table->by_group, *group);
+		group->version = ++table->version;
 	}
 }
 
@@ -244,6 +278,7 @@
 	member_take(member, record, now_us);
 	member_table_toggle_digest(table, member);
 	member_table_set_groups(table, member, record->groups);
+	member_table_note_groups(table, member);
 	for (guint i = 0; i < table->observers->len; i++) {
 		struct member_observer *observer = &g_array_index(
 			table->observers, struct member_observer, i);
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -49,7 +49,8 @@
 	struct health health;
 	struct retry retry;
 	struct hedge hedge;
-	bool stale; /* the members of the group have changed */
+	uint64_t group_version; /* of the group's members, as last seen */
+	bool stale; /* to be brought up to date whatever the version says */
 };
 
 struct services;
--- a/include/comfreydockd/member/member.h
+++ b/include/comfreydockd/member/member.h
@@ -96,6 +96,18 @@
 const GPtrArray *member_table_group(struct member_table *table,
 				    const char *group);
 
+/*
+ * Another number after each change of any member that announces the group,
+ * or that did so until this change. Who keeps something made from the group
+ * compares numbers: told of each change instead, an entry would look through
+ * all its services for each of 22,000 hosts.
+ *
+ * RETURN VALUE
+ *	0 if nobody announces it.
+ */
+uint64_t member_table_group_version(struct member_table *table,
+				    const char *group);
+
 /*
  * Takes a record from anywhere. A higher incarnation wins; at the same one
  * DEAD and LEFT beat SUSPECT beats ALIVE. The argument is copied; its
--- a/tests/test_member_table.c
+++ b/tests/test_member_table.c
@@ -118,6 +118,62 @@
 	member_table_destroy(b);
 }
 
+/*
+ * An entry keeps the upstreams of a service and looks at the group's version
+ * to learn of changes. If a host that moves from one group to another, or
+ * goes for good, left the version as it was, calls would still be sent to it.
+ */
+static void test_versions_tell_of_each_change(void)
+{
+	struct member_table *table = member_table_create();
+	struct member member = record("esja-1", 6, MEMBER_ALIVE);
+	char *moved[] = {"lookup-desk", NULL};
+	uint64_t lookup;
+	uint64_t archive;
+
+	g_assert_cmpuint(member_table_group_version(table, "lookup-desk"), ==, 0);
+	take(table, "esja-1", 5, MEMBER_ALIVE, true);
+	lookup = member_table_group_version(table, "lookup-desk");
+	archive = member_table_group_version(table, "archive-feed");
+	g_assert_cmpuint(lookup, !=, 0);
+	member.groups = moved;
+	member_table_update(table, &member, 1000);
+	g_assert_cmpuint(member_table_group_version(table, "lookup-desk"), !=,
+			 lookup);
+	g_assert_cmpuint(member_table_group_version(table, "archive-feed"), ==,
+			 0);
+	lookup = member_table_group_version(table, "lookup-desk");
+	take(table, "esja-1", 6, MEMBER_SUSPECT, true);
+	g_assert_cmpuint(member_table_group_version(table, "lookup-desk"), !=,
+			 lookup);
+	member_table_remove(table, "esja-1");
+	g_assert_cmpuint(member_table_group_version(table, "lookup-desk"), ==, 0);
+	take(table, "esja-1", 5, MEMBER_ALIVE, true);
+	g_assert_cmpuint(member_table_group_version(table, "archive-feed"), !=,
+			 archive);
+	g_assert_cmpuint(member_table_group_version(table, "lookup-desk"), !=,
+			 lookup);
+	member_table_destroy(table);
+}
+
+/* A change in one group must not have entries look at all others again. */
+static void test_a_change_leaves_other_groups(void)
+{
+	struct member_table *table = member_table_create();
+	struct member member = record("esja-2", 5, MEMBER_ALIVE);
+	char *other[] = {"videos", NULL};
+	uint64_t version;
+
+	take(table, "esja-1", 5, MEMBER_ALIVE, true);
+	version = member_table_group_version(table, "lookup-desk");
+	member.groups = other;
+	member_table_update(table, &member, 1000);
+	member_table_remove(table, "esja-2");
+	g_assert_cmpuint(member_table_group_version(table, "lookup-desk"), ==,
+			 version);
+	member_table_destroy(table);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -126,5 +182,9 @@
 	g_test_add_func("/member_table/observers",
 			test_observers_hear_changes_only);
 	g_test_add_func("/member_table/digest", test_digest_counts_the_living);
+	g_test_add_func("/member_table/versions",
+			test_versions_tell_of_each_change);
+	g_test_add_func("/member_table/other-groups",
+			test_a_change_leaves_other_groups);
 	return g_test_run();
 }
