--- /dev/null
+++ b/bench/capacity/bench_daemon.c
@@ -0,0 +1,243 @@
+/*
+ * NAME
+ *	bench_daemon - what one daemon costs among many hosts
+ *
+ * SYNOPSIS
+ *	bench-daemon SECONDS HOSTS...
+ *
+ * DESCRIPTION
+ *	For each size: starts a real daemon with a configuration of one service
+ *	for each eight hosts, lets it join a crowd of so many hosts by gossip,
+ *	and measures memory at each step, then processor time and bytes for so
+ *	many seconds at rest and at several rates of changes. Then it calls
+ *	each service once, so that the entry keeps state for it. The bytes
+ *	count 28 a packet for IP and UDP.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench/capacity/crowd.h"
+#include "bench/capacity/usage.h"
+#include "rig.h"
+
+#define HOSTS_PER_SERVICE 8
+#define HEADERS_BYTES 28
+#define FULL_SIZE 22000
+#define SETTLE_MS 5000
+#define JOIN_TURNS 600
+#define JOIN_TURN_MS 100
+
+struct fits {
+	struct usage_fit config;
+	struct usage_fit members;
+	struct usage_fit whole;
+	struct usage_fit rest;
+	struct usage_fit busy;
+	struct usage_fit join;
+};
+
+struct bench {
+	struct rig *rig;
+	struct rig_process *daemon;
+	struct crowd *crowd;
+	int hosts;
+	int services;
+};
+
+static const char *write_config(struct bench *bench)
+{
+	GString *text = g_string_new("{\"namespace\": \"bench\", "
+				     "\"services\": {");
+	const char *path;
+
+	for (int i = 0; i < bench->services; i++)
+		g_string_append_printf(
+			text,
+			"%s\"service-%d\": {\"path_prefixes\": [\"/s%d\"], "
+			"\"group\": \"service-%d\", \"rules\": ["
+			"{\"name\": \"get\", \"methods\": [\"GET\"], "
+			"\"idempotent\": true, \"deadline_ms\": 2000, "
+			"\"retry\": {\"max_attempts\": 3, "
+			"\"budget_percent\": 10}}, "
+			"{\"name\": \"post\", \"deadline_ms\": 8000}]}",
+			i ? ",\n" : "", i, i, i);
+	g_string_append(text, "}}\n");
+	path = rig_write_file(bench->rig, "ops.json", "%s", text->str);
+	g_string_free(text, TRUE);
+	return path;
+}
+
+static void start_daemon(struct bench *bench)
+{
+	struct rig_process *platform = rig_start_standin(
+		bench->rig, "standin/platform/standin-platform", NULL);
+	const char *key = rig_write_file(bench->rig, "peer.key", CROWD_KEY);
+	const char *config = write_config(bench);
+	const char *settings = rig_write_file(
+		bench->rig, "daemon.json",
+		"{\"host\": \"%s\", \"domain\": \"domain-a\",\n"
+		"\"region\": \"region-a\",\n"
+		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
+		"\"config_file\": \"%s\",\n"
+		"\"peer\": {\"address\": \"127.0.0.1\", \"port\": 0,\n"
+		" \"key_file\": \"%s\", \"join\": [\"127.0.0.1:%u\"]}}\n",
+		CROWD_DAEMON, platform->port, config, key,
+		crowd_port(bench->crowd));
+
+	bench->daemon = rig_start_daemon(bench->rig, "daemon", settings);
+	crowd_set_daemon(bench->crowd, bench->daemon->peer_port);
+}
+
+static double rss_mib(const struct bench *bench)
+{
+	return (double)usage_rss_kib(bench->daemon->pid) / 1024;
+}
+
+static int64_t count_hosts(struct bench *bench)
+{
+	char *status = rig_http_ok("GET", bench->daemon->admin_port,
+				   "/v1/status", NULL);
+	int64_t hosts = rig_json_int(status, "hosts");
+
+	g_free(status);
+	return hosts;
+}
+
+static int64_t read_counter(struct bench *bench, const char *name)
+{
+	char *text =
+		rig_http_ok("GET", bench->daemon->admin_port, "/metrics", NULL);
+	char *mark = g_strdup_printf("\ncomfreydock_%s ", name);
+	const char *found = strstr(text, mark);
+	int64_t value =
+		found ? g_ascii_strtoll(found + strlen(mark), NULL, 10) : 0;
+
+	g_free(mark);
+	g_free(text);
+	return value;
+}
+
+static double wire_bytes(struct bench *bench, const char *way)
+{
+	char *bytes = g_strdup_printf("gossip_bytes_%s", way);
+	char *packets = g_strdup_printf("gossip_packets_%s", way);
+	double sum = (double)(read_counter(bench, bytes) +
+			      HEADERS_BYTES * read_counter(bench, packets));
+
+	g_free(bytes);
+	g_free(packets);
+	return sum;
+}
+
+static void join(struct bench *bench, struct fits *fits)
+{
+	int64_t began = g_get_monotonic_time();
+	int64_t cpu = usage_cpu_ns(bench->daemon->pid);
+	double seconds;
+
+	for (int i = 0; i < JOIN_TURNS && count_hosts(bench) <= bench->hosts; i++)
+		crowd_run(bench->crowd, JOIN_TURN_MS);
+	seconds = (double)(g_get_monotonic_time() - began) / 1e6;
+	cpu = usage_cpu_ns(bench->daemon->pid) - cpu;
+	printf("hosts %d: joined with %d known after %.1f s, %.0f bytes in, "
+	       "%.0f bytes out, %.2f s of processor time\n",
+	       bench->hosts, (int)count_hosts(bench), seconds,
+	       wire_bytes(bench, "in"), wire_bytes(bench, "out"),
+	       (double)cpu / 1e9);
+	usage_fit_add(&fits->join, bench->hosts, seconds);
+}
+
+/* RETURN VALUE: percent of a core. */
+static double measure(struct bench *bench, int seconds, double changes_per_s)
+{
+	double in;
+	double out;
+	int64_t began;
+	int64_t cpu;
+	double spent_s;
+	double percent;
+
+	crowd_set_changes(bench->crowd, changes_per_s);
+	crowd_run(bench->crowd, SETTLE_MS);
+	in = wire_bytes(bench, "in");
+	out = wire_bytes(bench, "out");
+	began = g_get_monotonic_time();
+	cpu = usage_cpu_ns(bench->daemon->pid);
+	crowd_run(bench->crowd, seconds * 1000);
+	cpu = usage_cpu_ns(bench->daemon->pid) - cpu;
+	spent_s = (double)(g_get_monotonic_time() - began) / 1e6;
+	percent = (double)cpu / 1e9 / spent_s * 100;
+	printf("hosts %d: %.1f changes/s: %.3f%% of a core, %.0f bytes/s in, "
+	       "%.0f bytes/s out\n",
+	       bench->hosts, changes_per_s, percent,
+	       (wire_bytes(bench, "in") - in) / spent_s,
+	       (wire_bytes(bench, "out") - out) / spent_s);
+	return percent;
+}
+
+static void call_services(struct bench *bench)
+{
+	for (int i = 0; i < bench->services; i++) {
+		char *url = g_strdup_printf("http://127.0.0.1:%u/s%d/x",
+					    bench->daemon->caller_port, i);
+
+		rig_answer_free(rig_http("GET", url, NULL, NULL, 2000));
+		g_free(url);
+		crowd_run(bench->crowd, 1);
+	}
+}
+
+static void run_size(int hosts, int seconds, struct fits *fits)
+{
+	struct bench bench = {.hosts = hosts,
+			      .services = hosts / HOSTS_PER_SERVICE};
+	double config_mib;
+	double members_mib;
+
+	bench.rig = rig_create();
+	bench.crowd = crowd_create(hosts, bench.services);
+	start_daemon(&bench);
+	config_mib = rss_mib(&bench);
+	join(&bench, fits);
+	members_mib = rss_mib(&bench);
+	usage_fit_add(&fits->rest, hosts, measure(&bench, seconds, 0));
+	usage_fit_add(&fits->busy, hosts, measure(&bench, seconds, 0.2));
+	measure(&bench, seconds, 2);
+	measure(&bench, seconds, 20);
+	crowd_set_changes(bench.crowd, 0);
+	call_services(&bench);
+	printf("hosts %d: resident with %d services' configuration %.2f MiB, "
+	       "and all members %.2f MiB, and all services called %.2f MiB\n",
+	       hosts, bench.services, config_mib, members_mib, rss_mib(&bench));
+	fflush(stdout);
+	usage_fit_add(&fits->config, hosts, config_mib);
+	usage_fit_add(&fits->members, hosts, members_mib);
+	usage_fit_add(&fits->whole, hosts, rss_mib(&bench));
+	crowd_destroy(bench.crowd);
+	rig_destroy(bench.rig);
+}
+
+int main(int argc, char **argv)
+{
+	struct fits fits = {0};
+	int seconds = argc > 2 ? atoi(argv[1]) : 0;
+
+	if (seconds <= 0) {
+		fprintf(stderr, "usage: bench-daemon SECONDS HOSTS...\n");
+		return 2;
+	}
+	for (int i = 2; i < argc; i++)
+		run_size(MAX(atoi(argv[i]), CROWD_LARGE_HOSTS * 2), seconds,
+			 &fits);
+	usage_fit_print(&fits.config, "MiB with the configuration", FULL_SIZE);
+	usage_fit_print(&fits.members, "MiB with the members", FULL_SIZE);
+	usage_fit_print(&fits.whole, "MiB with the services", FULL_SIZE);
+	usage_fit_print(&fits.join, "s to join", FULL_SIZE);
+	usage_fit_print(&fits.rest, "percent of a core at rest", FULL_SIZE);
+	usage_fit_print(&fits.busy, "percent of a core at 0.2 changes/s",
+			FULL_SIZE);
+	return 0;
+}
