--- a/comfreydockctl/apply.c
+++ b/comfreydockctl/apply.c
@@ -42,23 +42,44 @@
 	return found;
 }
 
+static void note_holder(GHashTable *holders, const char *url)
+{
+	const char *path = strstr(url, "/v1/");
+
+	g_hash_table_add(holders, g_strndup(url, (gsize)(path - url)));
+}
+
+/* Asks those that were not seen to hold it; holders is the set of the URLs. */
 static size_t count_holders(struct ctl *ctl, const GPtrArray *urls,
-			    const char *name, uint64_t version)
+			    GHashTable *holders, const char *name,
+			    uint64_t version)
 {
 	struct ctl_call *calls = g_new0(struct ctl_call, urls->len);
-	size_t holders = 0;
+	char *escaped = g_uri_escape_string(name, NULL, FALSE);
+	char *path = g_strdup_printf("/v1/config?held=1&namespace=%s", escaped);
+	size_t known = 0;
+	size_t asked = 0;
 
 	for (guint i = 0; i < urls->len; i++) {
-		ctl_call_init(&calls[i], "GET", urls->pdata[i], "/v1/config");
-		calls[i].timeout_ms = ASK_TIMEOUT_MS;
+		if (g_hash_table_contains(holders, urls->pdata[i])) {
+			known++;
+			continue;
+		}
+		ctl_call_init(&calls[asked], "GET", urls->pdata[i], path);
+		calls[asked++].timeout_ms = ASK_TIMEOUT_MS;
 	}
-	ctl_run_calls(ctl, calls, urls->len);
-	for (guint i = 0; i < urls->len; i++) {
-		holders += holds(&calls[i], name, version);
+	ctl_run_calls(ctl, calls, asked);
+	for (size_t i = 0; i < asked; i++) {
+		if (holds(&calls[i], name, version)) {
+			note_holder(holders, calls[i].url);
+			known++;
+		}
 		ctl_call_finish(&calls[i]);
 	}
+	g_free(path);
+	g_free(escaped);
 	g_free(calls);
-	return holders;
+	return known;
 }
 
 static void handle_pause(struct ev_loop *loop, ev_timer *timer, int events)
@@ -83,20 +104,23 @@
 	int64_t end_us = clock_mono_us() + wait_s * US_PER_S;
 	const char *name = jsonc_get_text(outcome, "namespace");
 	uint64_t version = jsonc_get_uint(outcome, "version");
-	size_t holders;
-	size_t all;
+	GHashTable *known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	size_t holders = 0;
+	size_t all = 1;
 
 	do {
 		GPtrArray *urls = ctl_find_daemons(ctl);
 
 		if (!urls)
-			return CTL_FAILED;
+			break;
 		all = urls->len;
-		holders = count_holders(ctl, urls, name, version);
+		holders = count_holders(ctl, urls, known, name, version);
 		g_ptr_array_free(urls, TRUE);
 		if (holders < all)
 			pause_a_little(ctl);
 	} while (holders < all && clock_mono_us() < end_us);
+	g_hash_table_unref(known);
 	jsonc_add_uint(outcome, "daemons", all);
 	jsonc_add_uint(outcome, "daemons_holding", holders);
 	return holders == all ? CTL_OK : CTL_NOT_EVERYWHERE;
