--- a/comfreydockd/config/model.c
+++ b/comfreydockd/config/model.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "comfreydockd/config/routes.h"
+
 void config_body_sha256(const char *body, size_t size, char hex[65])
 {
 	char *sum = g_compute_checksum_for_data(G_CHECKSUM_SHA256,
@@ -67,6 +69,7 @@
 	snapshot->references = 1;
 	snapshot->namespaces = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)config_namespace_unref);
+	snapshot->routes = config_routes_create();
 	return snapshot;
 }
 
@@ -80,6 +83,7 @@
 {
 	if (!snapshot || --snapshot->references)
 		return;
+	config_routes_destroy(snapshot->routes);
 	g_ptr_array_free(snapshot->namespaces, TRUE);
 	g_free(snapshot);
 }
@@ -92,6 +96,17 @@
 	return strcmp((*left)->name, (*right)->name);
 }
 
+static void add_routes(struct config_snapshot *snapshot)
+{
+	for (guint i = 0; i < snapshot->namespaces->len; i++) {
+		struct config_namespace *ns = snapshot->namespaces->pdata[i];
+
+		for (guint j = 0; j < ns->services->len; j++)
+			config_routes_add(snapshot->routes,
+					  ns->services->pdata[j]);
+	}
+}
+
 struct config_snapshot *config_snapshot_with(const struct config_snapshot *snapshot,
 					     struct config_namespace *ns)
 {
@@ -106,6 +121,7 @@
 	}
 	g_ptr_array_add(next->namespaces, config_namespace_ref(ns));
 	g_ptr_array_sort(next->namespaces, compare_names);
+	add_routes(next);
 	return next;
 }
 
@@ -121,29 +137,6 @@
 	return NULL;
 }
 
-/* The length of the host without its port; an IPv6 number is in brackets. */
-static size_t host_length(const char *host)
-{
-	const char *colon = strrchr(host, ':');
-
-	if (!colon || strchr(colon, ']'))
-		return strlen(host);
-	return (size_t)(colon - host);
-}
-
-static bool service_has_host(const struct config_service *service,
-			     const char *host)
-{
-	size_t length = host ? host_length(host) : 0;
-
-	for (char **name = service->hosts; name && *name; name++) {
-		if (strlen(*name) == length &&
-		    g_ascii_strncasecmp(*name, host, length) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* RETURN VALUE: the prefix's length if it covers the path, else 0. */
 static size_t prefix_match(const char *prefix, const char *path)
 {
@@ -156,41 +149,6 @@
 	return 0;
 }
 
-static size_t service_prefix_match(const struct config_service *service,
-				   const char *path)
-{
-	size_t best = 0;
-
-	for (char **prefix = service->path_prefixes; prefix && *prefix; prefix++)
-		best = MAX(best, prefix_match(*prefix, path));
-	return best;
-}
-
-static const struct config_service *
-find_service(const struct config_snapshot *snapshot, const char *host,
-	     const char *path)
-{
-	const struct config_service *found = NULL;
-	size_t best = 0;
-
-	for (guint i = 0; i < snapshot->namespaces->len; i++) {
-		struct config_namespace *ns = snapshot->namespaces->pdata[i];
-
-		for (guint j = 0; j < ns->services->len; j++) {
-			struct config_service *service = ns->services->pdata[j];
-			size_t length = service_prefix_match(service, path);
-
-			if (service_has_host(service, host))
-				return service;
-			if (length <= best)
-				continue;
-			best = length;
-			found = service;
-		}
-	}
-	return found;
-}
-
 static bool rule_matches(const struct config_rule *rule, const char *method,
 			 const char *path)
 {
@@ -206,7 +164,7 @@
 			   const struct config_rule **rule)
 {
 	*rule = NULL;
-	*service = find_service(snapshot, host, path);
+	*service = config_routes_find(snapshot->routes, host, path);
 	if (!*service)
 		return false;
 	for (guint i = 0; i < (*service)->rules->len; i++) {
--- /dev/null
+++ b/comfreydockd/config/routes.c
@@ -0,0 +1,108 @@
+#include "comfreydockd/config/routes.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/config/model.h"
+
+struct config_routes {
+	GHashTable *by_host; /* in small letters, owned */
+	GHashTable *by_prefix; /* the service's own string */
+	size_t longest_prefix;
+};
+
+struct config_routes *config_routes_create(void)
+{
+	struct config_routes *routes = g_new0(struct config_routes, 1);
+
+	routes->by_host =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	routes->by_prefix = g_hash_table_new(g_str_hash, g_str_equal);
+	return routes;
+}
+
+void config_routes_destroy(struct config_routes *routes)
+{
+	if (!routes)
+		return;
+	g_hash_table_unref(routes->by_host);
+	g_hash_table_unref(routes->by_prefix);
+	g_free(routes);
+}
+
+void config_routes_add(struct config_routes *routes,
+		       const struct config_service *service)
+{
+	for (char **host = service->hosts; host && *host; host++) {
+		char *name = g_ascii_strdown(*host, -1);
+
+		if (g_hash_table_contains(routes->by_host, name))
+			g_free(name);
+		else
+			g_hash_table_insert(routes->by_host, name,
+					    (gpointer)service);
+	}
+	for (char **prefix = service->path_prefixes; prefix && *prefix; prefix++) {
+		if (g_hash_table_contains(routes->by_prefix, *prefix))
+			continue;
+		g_hash_table_insert(routes->by_prefix, *prefix,
+				    (gpointer)service);
+		routes->longest_prefix =
+			MAX(routes->longest_prefix, strlen(*prefix));
+	}
+}
+
+/* The length of the host without its port; an IPv6 number is in brackets. */
+static size_t host_length(const char *host)
+{
+	const char *colon = strrchr(host, ':');
+
+	if (!colon || strchr(colon, ']'))
+		return strlen(host);
+	return (size_t)(colon - host);
+}
+
+static const struct config_service *find_host(const struct config_routes *routes,
+					      const char *host)
+{
+	char *name = g_ascii_strdown(host, (gssize)host_length(host));
+	const struct config_service *service =
+		g_hash_table_lookup(routes->by_host, name);
+
+	g_free(name);
+	return service;
+}
+
+/* A caller chooses its path: no more of it is looked at than any prefix has,
+ * or a path of many thousand slashes would hold up the daemon. */
+static const struct config_service *find_path(const struct config_routes *routes,
+					      const char *path)
+{
+	size_t end = strcspn(path, "?");
+	size_t length = MIN(end, routes->longest_prefix);
+	char *prefix = g_strndup(path, length);
+	const struct config_service *service = NULL;
+
+	for (; length > 0 && !service; length--) {
+		bool is_whole = length == end || path[length] == '/' ||
+				path[length - 1] == '/';
+
+		if (!is_whole)
+			continue;
+		prefix[length] = '\0';
+		service = g_hash_table_lookup(routes->by_prefix, prefix);
+	}
+	g_free(prefix);
+	return service;
+}
+
+const struct config_service *config_routes_find(const struct config_routes *routes,
+						const char *host,
+						const char *path)
+{
+	const struct config_service *service = NULL;
+
+	if (host)
+		service = find_host(routes, host);
+	return service ? service : find_path(routes, path);
+}
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -63,6 +63,7 @@
 struct config_snapshot {
 	unsigned int references;
 	GPtrArray *namespaces; /* of struct config_namespace, by name */
+	struct config_routes *routes; /* of all their services */
 };
 
 /* RETURN VALUE: an empty namespace with one reference. */
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "comfreydockd/config/check.h"
+#include "comfreydockd/config/routes.h"
 
 static char *read_sample(void)
 {
@@ -68,6 +69,62 @@
 	config_snapshot_unref(snapshot);
 }
 
+static struct config_service *service_of(const char *host, const char *prefix)
+{
+	struct config_service *service = g_new0(struct config_service, 1);
+
+	service->name = g_strdup(prefix ? prefix : host);
+	if (host)
+		service->hosts = g_strsplit(host, " ", 0);
+	if (prefix)
+		service->path_prefixes = g_strsplit(prefix, " ", 0);
+	service->rules = g_ptr_array_new();
+	return service;
+}
+
+static void assert_route(const struct config_routes *routes, const char *host,
+			 const char *path, const char *expected)
+{
+	const struct config_service *service =
+		config_routes_find(routes, host, path);
+
+	g_assert_cmpstr(service ? service->name : NULL, ==, expected);
+}
+
+/*
+ * Teams share a host and nest their paths. A request that found a shorter
+ * prefix, or half of a segment, would be run by another team's servers.
+ */
+static void test_the_longest_whole_prefix_serves(void)
+{
+	struct config_service *services[] = {
+		service_of(NULL, "/a"),	     service_of(NULL, "/a/b"),
+		service_of(NULL, "/a/b/c/"), service_of("A.example", NULL),
+		service_of(NULL, "/a/b"),
+	};
+	struct config_routes *routes = config_routes_create();
+	char *long_path = g_strnfill(100000, '/');
+
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+		config_routes_add(routes, services[i]);
+	assert_route(routes, NULL, "/a", "/a");
+	assert_route(routes, NULL, "/a/", "/a");
+	assert_route(routes, NULL, "/ab", NULL);
+	assert_route(routes, NULL, "/a/bc", "/a");
+	assert_route(routes, NULL, "/a?b=/a/b", "/a");
+	assert_route(routes, NULL, "/a/b?x", "/a/b");
+	assert_route(routes, NULL, "/a/b/c", "/a/b");
+	assert_route(routes, NULL, "/a/b/c/d/e/f", "/a/b/c/");
+	assert_route(routes, "a.EXAMPLE:80", "/a/b", "A.example");
+	assert_route(routes, "b.example", "/a/b/c/", "/a/b/c/");
+	assert_route(routes, "", long_path, NULL);
+	g_assert_true(config_routes_find(routes, NULL, "/a/b") == services[1]);
+	config_routes_destroy(routes);
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+		config_service_destroy(services[i]);
+	g_free(long_path);
+}
+
 /* What a file does not say must never let a booking run twice. */
 static void test_defaults_are_careful(void)
 {
@@ -164,5 +221,7 @@
 	g_test_add_func("/check/defaults", test_defaults_are_careful);
 	g_test_add_func("/check/mistakes", test_mistakes_are_refused);
 	g_test_add_func("/check/teams", test_other_teams_hosts_are_refused);
+	g_test_add_func("/config_check/longest-prefix",
+			test_the_longest_whole_prefix_serves);
 	return g_test_run();
 }
