caller: find the attempts of a lost connection by a list

Cause: when a connection was lost, the entry looked through all its attempts, and anew after each that it ended.

Change: each connection has a list of its attempts.

Conclusion: a rack's loss in the middle of a burst no longer delays the calls of everybody else.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -125,6 +125,21 @@
 	return count;
 }
 
+/* The attempts on a connection, until it is lost. */
+static struct entry_attempt_list *attempts_of(struct entry *entry,
+					      struct peer *peer)
+{
+	struct entry_attempt_list *list =
+		g_hash_table_lookup(entry->by_peer, peer);
+
+	if (!list) {
+		list = g_new0(struct entry_attempt_list, 1);
+		LIST_INIT(list);
+		g_hash_table_insert(entry->by_peer, peer, list);
+	}
+	return list;
+}
+
 void entry_attempt_send(struct call *call, struct service_upstream *upstream,
 			bool may_queue, bool is_hedge)
 {
@@ -144,6 +159,7 @@
 	attempt->state = ENTRY_PICKED;
 	attempt->peer = peers_connect(entry->daemon->peers, member);
 	LIST_INSERT_HEAD(&call->active, attempt, link);
+	LIST_INSERT_HEAD(attempts_of(entry, attempt->peer), attempt, peer_link);
 	g_hash_table_insert(entry->attempts, &attempt->seq, attempt);
 	fill_attempt(call, &out, upstream);
 	out.seq = attempt->seq;
@@ -202,6 +218,7 @@
 		call->answering = NULL;
 	g_hash_table_remove(call->entry->attempts, &attempt->seq);
 	LIST_REMOVE(attempt, link);
+	LIST_REMOVE(attempt, peer_link);
 	service_upstream_unref(attempt->upstream);
 	g_free(attempt);
 }
@@ -370,27 +387,17 @@
 }
 
 /* Whatever one loss leads to may end other attempts of the same connection,
- * so the search starts over after each. */
+ * so the first of those left is taken each time. */
 static void handle_lost(struct peer *peer, const char *error, void *data)
 {
 	struct entry *entry = data;
-	struct entry_attempt *found;
-	GHashTableIter iter;
-	gpointer value;
+	struct entry_attempt_list *list = attempts_of(entry, peer);
+	struct entry_attempt *attempt;
 
 	(void)error;
-	do {
-		found = NULL;
-		g_hash_table_iter_init(&iter, entry->attempts);
-		while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
-			struct entry_attempt *attempt = value;
-
-			if (attempt->peer == peer)
-				found = attempt;
-		}
-		if (found)
-			attempt_lose(found);
-	} while (found);
+	while ((attempt = LIST_FIRST(list)))
+		attempt_lose(attempt);
+	g_hash_table_remove(entry->by_peer, peer);
 }
 
 void entry_fill_role(struct entry *entry, struct peers_role *role)
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -37,6 +37,8 @@
 	entry->services = services_create(daemon);
 	LIST_INIT(&entry->calls);
 	entry->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->by_peer = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					       NULL, g_free);
 	entry->random.state = id_random_u64();
 	ev_timer_init(&entry->tick, handle_tick, TICK_S, TICK_S);
 	entry->tick.data = entry;
@@ -60,6 +62,7 @@
 	peers_set_entry(entry->daemon->peers, &none);
 	ev_timer_stop(entry->daemon->loop, &entry->tick);
 	g_hash_table_unref(entry->attempts);
+	g_hash_table_unref(entry->by_peer);
 	services_destroy(entry->services);
 	g_free(entry);
 }
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -28,6 +28,7 @@
 
 struct entry_attempt {
 	LIST_ENTRY(entry_attempt) link; /* of its call */
+	LIST_ENTRY(entry_attempt) peer_link; /* of its connection */
 	struct call *call;
 	struct peer *peer;
 	struct service_upstream *upstream;
@@ -94,6 +95,7 @@
 	struct call_list calls;
 	size_t count;
 	GHashTable *attempts; /* seq -> struct entry_attempt */
+	GHashTable *by_peer; /* struct peer -> struct entry_attempt_list */
 	uint64_t next_seq;
 	struct random_state random;
 	ev_timer tick;
