peer: read into one buffer, and give back what silent links don't need

Cause: each end of a connection kept 64 KiB for reading, and the room of its largest frame for sending, for as long as it was open.

Change: a link reads into a buffer that all links of the loop share and keeps only what is not parsed yet; an empty buffer of over 2 KiB is given back.

--- /dev/null
+++ b/bench/capacity/bench_links.c
@@ -0,0 +1,183 @@
+/*
+ * NAME
+ *	bench_links - what connections between daemons cost
+ *
+ * SYNOPSIS
+ *	bench-links CONNECTIONS...
+ *
+ * DESCRIPTION
+ *	For each size: opens so many connections from one entry to so many
+ *	owners in one process, sends FRAMES frames of FRAME_BYTES each way on
+ *	each, and prints the memory of both ends of a connection, resident and
+ *	allocated, and the time of one connection's start.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "bench/capacity/usage.h"
+#include "comfreydockd/member/member.h"
+#include "comfreydockd/peer/peers.h"
+#include "comfreydockd/settings.h"
+#include "common/log.h"
+
+#define FRAMES 20
+#define FRAME_BYTES 1000
+#define FULL_SIZE 1264 /* see docs/CAPACITY.md */
+
+struct end {
+	struct settings settings;
+	struct daemon daemon;
+	char host[24];
+	size_t *frames;
+};
+
+static struct ev_loop *loop;
+
+static double now_s(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+static void send_body(struct peer *peer)
+{
+	static uint8_t bytes[FRAME_BYTES];
+	Cfd__Body body = CFD__BODY__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	body.data.data = bytes;
+	body.data.len = sizeof(bytes);
+	frame.kind_case = CFD__FRAME__KIND_BODY;
+	frame.body = &body;
+	peer_send(peer, &frame);
+}
+
+/* The owner sends each frame back; the entry counts. */
+static void handle_owner_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	(void)frame;
+	(void)data;
+	send_body(peer);
+}
+
+static void handle_entry_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	struct end *end = data;
+
+	(void)peer;
+	(void)frame;
+	(*end->frames)++;
+}
+
+static void handle_lost(struct peer *peer, const char *error, void *data)
+{
+	(void)peer;
+	(void)error;
+	(void)data;
+}
+
+static void end_init(struct end *end, size_t number, size_t *frames)
+{
+	struct peers_role owner = {handle_owner_frame, handle_lost, end};
+	struct peers_role entry = {handle_entry_frame, handle_lost, end};
+
+	snprintf(end->host, sizeof(end->host), "host-%zu", number);
+	end->frames = frames;
+	end->settings.host = end->host;
+	end->settings.peer.address = "127.0.0.1";
+	end->settings.peer_key = (uint8_t *)"a key for measurements";
+	end->settings.peer_key_size = 22;
+	end->daemon.loop = loop;
+	end->daemon.settings = &end->settings;
+	end->daemon.members = member_table_create();
+	end->daemon.peers = peers_create(&end->daemon);
+	g_assert_nonnull(end->daemon.peers);
+	peers_set_owner(end->daemon.peers, &owner);
+	peers_set_entry(end->daemon.peers, &entry);
+}
+
+static void end_finish(struct end *end)
+{
+	peers_destroy(end->daemon.peers);
+	member_table_destroy(end->daemon.members);
+}
+
+static struct peer *connect_to(struct end *from, const struct end *to)
+{
+	struct member member = {.peer_port = peers_port(to->daemon.peers)};
+
+	g_strlcpy(member.host, to->host, sizeof(member.host));
+	g_strlcpy(member.address, "127.0.0.1", sizeof(member.address));
+	return peers_connect(from->daemon.peers, &member);
+}
+
+static void run_until(const size_t *frames, size_t count)
+{
+	while (*frames < count)
+		ev_run(loop, EVRUN_ONCE);
+}
+
+static void exchange(struct end *ends, size_t count, size_t *frames)
+{
+	for (size_t i = 1; i <= count; i++) {
+		send_body(connect_to(&ends[0], &ends[i]));
+		run_until(frames, *frames + 1);
+	}
+	for (size_t round = 1; round < FRAMES; round++) {
+		for (size_t i = 1; i <= count; i++)
+			send_body(connect_to(&ends[0], &ends[i]));
+		run_until(frames, (round + 1) * count);
+	}
+}
+
+static void run_size(size_t count, struct usage_fit *resident,
+		     struct usage_fit *allocated)
+{
+	struct end *ends = g_new0(struct end, count + 1);
+	size_t frames = 0;
+	double began;
+	double rss_kib;
+	double heap_kib;
+
+	for (size_t i = 0; i <= count; i++)
+		end_init(&ends[i], i, &frames);
+	rss_kib = (double)usage_rss_kib(getpid());
+	heap_kib = (double)mallinfo2().uordblks / 1024;
+	began = now_s();
+	exchange(ends, count, &frames);
+	began = now_s() - began;
+	rss_kib = (double)usage_rss_kib(getpid()) - rss_kib;
+	heap_kib = (double)mallinfo2().uordblks / 1024 - heap_kib;
+	printf("connections %zu: both ends %.2f KiB resident and %.2f KiB "
+	       "allocated each, %.0f us for start and %d frames each way\n",
+	       count, rss_kib / (double)count, heap_kib / (double)count,
+	       began / (double)count * 1e6, FRAMES);
+	usage_fit_add(resident, (double)count, rss_kib / 1024);
+	usage_fit_add(allocated, (double)count, heap_kib / 1024);
+	for (size_t i = 0; i <= count; i++)
+		end_finish(&ends[i]);
+	g_free(ends);
+	malloc_trim(0);
+}
+
+int main(int argc, char **argv)
+{
+	struct usage_fit resident = {0};
+	struct usage_fit allocated = {0};
+
+	log_init(LOG_FORMAT_NONE, "bench");
+	loop = ev_default_loop(0);
+	for (int i = 1; i < argc; i++)
+		run_size((size_t)CLAMP(atoi(argv[i]), 1, 3000), &resident,
+			 &allocated);
+	usage_fit_print(&resident, "MiB resident, both ends", FULL_SIZE);
+	usage_fit_print(&allocated, "MiB allocated, both ends", FULL_SIZE);
+	return 0;
+}
--- a/comfreydockd/peer/link.c
+++ b/comfreydockd/peer/link.c
@@ -13,6 +13,10 @@
 /* A link reads this much in one turn, so that none holds up the others. */
 #define READ_TURN_BYTES (1024 * 1024)
 
+/* An empty buffer that was larger is given back: of a thousand links, most are
+ * silent at any moment, and each would keep the room of its largest frame. */
+#define KEPT_BYTES 2048
+
 struct link {
 	LIST_ENTRY(link) link;
 	LIST_ENTRY(link) dirty_link;
@@ -25,6 +29,8 @@
 	ev_timer closer; /* also: input for a memory link */
 	GByteArray *in;
 	GByteArray *out;
+	guint in_most; /* since the buffer was allocated */
+	guint out_most;
 	size_t out_start;
 	uint64_t queued; /* bytes ever sent by our side */
 	uint64_t handed; /* of them, given to the kernel or the far end */
@@ -43,6 +49,21 @@
 	g_free(link);
 }
 
+static void buffer_trim(GByteArray **buffer, guint *most)
+{
+	if (*most <= KEPT_BYTES)
+		return;
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+	*most = 0;
+}
+
+static void link_take_bytes(struct link *link, const uint8_t *bytes, guint size)
+{
+	g_byte_array_append(link->in, bytes, size);
+	link->in_most = MAX(link->in_most, link->in->len);
+}
+
 void link_fail(struct link *link, const char *error)
 {
 	if (link->failed)
@@ -111,18 +132,18 @@
 	}
 	if (at > 0)
 		g_byte_array_remove_range(link->in, 0, (guint)at);
+	if (link->in->len == 0)
+		buffer_trim(&link->in, &link->in_most);
 	return true;
 }
 
 static ssize_t link_read_chunk(struct link *link)
 {
-	guint before = link->in->len;
-	ssize_t got;
+	uint8_t *chunk = link->group->chunk;
+	ssize_t got = recv(link->fd, chunk, READ_CHUNK_BYTES, MSG_DONTWAIT);
 
-	g_byte_array_set_size(link->in, before + READ_CHUNK_BYTES);
-	got = recv(link->fd, link->in->data + before, READ_CHUNK_BYTES,
-		   MSG_DONTWAIT);
-	g_byte_array_set_size(link->in, before + (guint)MAX(got, 0));
+	if (got > 0)
+		link_take_bytes(link, chunk, (guint)got);
 	return got;
 }
 
@@ -161,6 +182,7 @@
 	if (link->out_start == link->out->len) {
 		g_byte_array_set_size(link->out, 0);
 		link->out_start = 0;
+		buffer_trim(&link->out, &link->out_most);
 	} else if (link->out_start > READ_TURN_BYTES) {
 		g_byte_array_remove_range(link->out, 0, (guint)link->out_start);
 		link->out_start = 0;
@@ -205,8 +227,7 @@
 		link_fail(link, "closed by the peer");
 		return;
 	}
-	g_byte_array_append(other->in, link->out->data + link->out_start,
-			    (guint)left);
+	link_take_bytes(other, link->out->data + link->out_start, (guint)left);
 	link_drop_written(link, left);
 	link_parse(other);
 }
@@ -252,6 +273,7 @@
 void link_group_init(struct link_group *group, struct ev_loop *loop)
 {
 	group->loop = loop;
+	group->chunk = g_malloc(READ_CHUNK_BYTES);
 	LIST_INIT(&group->dirty);
 	LIST_INIT(&group->all);
 	ev_prepare_init(&group->flush, handle_flush);
@@ -265,6 +287,7 @@
 {
 	ev_prepare_stop(group->loop, &group->flush);
 	ev_timer_stop(group->loop, &group->soon);
+	g_free(group->chunk);
 }
 
 void link_group_drain_input(struct link_group *group)
@@ -376,6 +399,7 @@
 	if (link->failed)
 		return position;
 	g_byte_array_set_size(link->out, at + LENGTH_BYTES + (guint)size);
+	link->out_most = MAX(link->out_most, link->out->len);
 	memcpy(link->out->data + at, &length, LENGTH_BYTES);
 	cfd__frame__pack(frame, link->out->data + at + LENGTH_BYTES);
 	link->queued += LENGTH_BYTES + size;
--- a/include/comfreydockd/peer/link.h
+++ b/include/comfreydockd/peer/link.h
@@ -42,6 +42,7 @@
 /* Shared by all links of a daemon: whose turn's frames must be written. */
 struct link_group {
 	struct ev_loop *loop;
+	uint8_t *chunk; /* what one link has just read */
 	ev_prepare flush;
 	ev_timer soon;
 	LIST_HEAD(, link) dirty;
