member: read no page of rows where the settings' peers answered

Cause: each start read a page of other hosts' rows within half a second, also where gossip had found peers by then. The return of a failure domain, 1,700 starts at once, made as many reads beside all others.

--- a/comfreydockd/member/rows.c
+++ b/comfreydockd/member/rows.c
@@ -96,7 +96,12 @@
 static void handle_page_timer(struct ev_loop *loop G_GNUC_UNUSED,
 			      ev_timer *timer, int events G_GNUC_UNUSED)
 {
-	rows_page_read(timer->data);
+	struct rows *rows = timer->data;
+
+	if (!rows->has_begun_pages)
+		rows_page_begin(rows);
+	else
+		rows_page_read(rows);
 }
 
 struct rows *rows_create(const struct rows_options *options)
--- a/comfreydockd/member/rows_internal.h
+++ b/comfreydockd/member/rows_internal.h
@@ -32,6 +32,7 @@
 	int64_t own_backoff_us;
 	/* Pages of others' rows. */
 	ev_timer page_timer;
+	bool has_begun_pages;
 	char *page_first;
 	int64_t page_backoff_us;
 	/* A row whose host nobody here has met. */
@@ -62,6 +63,9 @@
 void rows_own_check(struct rows *rows);
 
 /* rows_page.c */
+
+/* The first page, if it is needed. */
+void rows_page_begin(struct rows *rows);
 void rows_page_read(struct rows *rows);
 
 #endif
--- a/comfreydockd/member/rows_page.c
+++ b/comfreydockd/member/rows_page.c
@@ -179,3 +179,17 @@
 	}
 	rows_get(rows, rows->page_first, PAGE_END, ROWS_PAGE, page_handle_read);
 }
+
+/*
+ * A host that met its peers by the settings needs no page to find any. When a
+ * failure domain comes back, some 1,700 hosts would all read one in the same
+ * half second, most of what the platform gives to everybody.
+ */
+void rows_page_begin(struct rows *rows)
+{
+	rows->has_begun_pages = true;
+	if (has_peers(rows))
+		rows_timer_set(rows, &rows->page_timer, page_pause_us(rows));
+	else
+		rows_page_read(rows);
+}
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -270,6 +270,27 @@
 	finish();
 }
 
+/*
+ * A failure domain comes back, and its hosts meet peers by their settings. If
+ * each read a page nevertheless, the platform would be asked for all of them
+ * in one half second, and operators' applies would wait behind that.
+ */
+static void test_a_host_with_peers_reads_no_page_at_once(void)
+{
+	begin(STORE_UP);
+	put_row("zarate-1", 5);
+	meet("surco-2", 5, MEMBER_ALIVE);
+	run(4);
+	g_assert_cmpuint(joined->len, ==, 0);
+	run(60);
+	/* The own row alone. */
+	g_assert_cmpuint(store.reads, ==, 1);
+	run(1200);
+	/* In its turn a page comes all the same. */
+	g_assert_cmpuint(joined->len, >, 0);
+	finish();
+}
+
 /*
  * A host died with its row left behind, and its successor under the same id
  * writes its own row. Were the old word still acted on, the successor's row
@@ -399,6 +420,8 @@
 	g_test_add_func("/rows/lost-answer", test_lost_answer_is_resolved);
 	g_test_add_func("/rows/outage", test_outage_is_waited_out);
 	g_test_add_func("/rows/pages", test_peers_are_found_page_by_page);
+	g_test_add_func("/rows/no-page",
+			test_a_host_with_peers_reads_no_page_at_once);
 	g_test_add_func("/rows/stale", test_stale_rows_go_by_incarnation);
 	g_test_add_func("/rows/unknown", test_unknown_hosts_row_goes_after_hours);
 	g_test_add_func("/rows/later-start", test_later_start_keeps_its_row);
