--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -8,8 +8,11 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "comfreydockd/caller/claim_sweep.h"
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/listener.h"
+#include "comfreydockd/config/platform_ops.h"
+#include "comfreydockd/config/spread_peers.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/daemon.h"
 #include "comfreydockd/member/gossip.h"
@@ -51,13 +54,22 @@
 	ev_signal terminate;
 	ev_signal interrupt;
 	ev_timer stop_check;
-	ev_tstamp stopping_since; /* 0: not stopping */
-	ev_tstamp quiet_since;
-	ev_tstamp left_since; /* 0: the good-bye is not said yet */
+	double stopping_since; /* 0: not stopping */
+	double quiet_since;
+	double left_since; /* 0: the good-bye is not said yet */
 	bool row_is_left;
 	struct gossip_handlers gossip_handlers;
+	struct config_platform *config_platform; /* NULL: no platform */
+	struct spread_peers *spread;
+	struct claim_sweep *sweep; /* NULL: no platform */
 };
 
+/* Not ev_now(): that one follows the wall clock when it is set. */
+static double seconds_now(void)
+{
+	return (double)clock_mono_us() / US_PER_S;
+}
+
 static struct assembly *assembly_of(struct daemon *daemon)
 {
 	return (struct assembly *)((char *)daemon -
@@ -105,14 +117,14 @@
 	struct daemon *daemon = data;
 
 	if (member->state == MEMBER_DEAD)
-		peers_drop(daemon->peers, member->host, "the host is dead");
+		peers_note_dead(daemon->peers, member->host);
 }
 
-static void handle_member_removed(struct member *member, void *data)
+static void handle_config_head(const char *host, uint64_t head, void *data)
 {
 	struct daemon *daemon = data;
 
-	peers_drop(daemon->peers, member->host, "the host is gone");
+	config_store_note_head(daemon->config, head, host);
 }
 
 static void handle_config_changed(struct config_snapshot *snapshot, void *data)
@@ -144,8 +156,8 @@
 static void handle_stop_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct assembly *assembly = timer->data;
-	ev_tstamp now = ev_now(loop);
-	ev_tstamp spent = now - assembly->stopping_since;
+	double now = seconds_now();
+	double spent = now - assembly->stopping_since;
 	double most = assembly->daemon.settings->drain_timeout_ms / 1000.0;
 
 	(void)events;
@@ -175,7 +187,7 @@
 
 	if (assembly->stopping_since > 0)
 		return;
-	assembly->stopping_since = ev_now(daemon->loop);
+	assembly->stopping_since = seconds_now();
 	assembly->quiet_since = assembly->stopping_since;
 	log_event(EV_DAEMON_STOPPING);
 	owner_drain(daemon->owner);
@@ -233,6 +245,8 @@
 	daemon->operator_api = operator_api_create(daemon);
 	if (!daemon->operator_api)
 		return report_bind_error("admin", &settings->admin);
+	assembly->gossip_handlers.handle_config_head = handle_config_head;
+	assembly->gossip_handlers.data = daemon;
 	daemon->gossip = gossip_create(daemon, daemon->peer_port,
 				       &assembly->gossip_handlers);
 	if (!daemon->gossip)
@@ -251,7 +265,6 @@
 	struct daemon *daemon = &assembly->daemon;
 	struct member_observer observer = {
 		.handle_changed = handle_member_changed,
-		.handle_removed = handle_member_removed,
 		.data = daemon,
 	};
 	struct config_store_observer config_observer = {
@@ -264,6 +277,13 @@
 	member_table_observe(daemon->members, &observer);
 }
 
+static bool is_sweeper(void *data)
+{
+	const struct assembly *assembly = data;
+
+	return spread_peers_is_reader(assembly->spread);
+}
+
 static void create_rows(struct assembly *assembly)
 {
 	struct daemon *daemon = &assembly->daemon;
@@ -283,6 +303,24 @@
 	assembly->rows = rows_create(&options);
 }
 
+static void connect_configuration(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+	const struct config_platform_ops *ops = NULL;
+
+	if (daemon->platform) {
+		ops = &config_platform_ops;
+		assembly->config_platform =
+			config_platform_create(daemon->loop, daemon->platform);
+		operator_api_set_platform(daemon->operator_api, ops,
+					  assembly->config_platform);
+		assembly->sweep = claim_sweep_create(
+			daemon->loop, daemon->platform, is_sweeper, assembly);
+	}
+	assembly->spread =
+		spread_peers_create(daemon, ops, assembly->config_platform);
+}
+
 static void watch_signals(struct assembly *assembly)
 {
 	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
@@ -314,6 +352,7 @@
 	}
 	create_rows(assembly);
 	connect_parts(assembly);
+	connect_configuration(assembly);
 	log_event(EV_DAEMON_STARTED, LOG_STR("version", COMFREYDOCK_VERSION),
 		  LOG_INT("caller_port", daemon->caller_port),
 		  LOG_INT("peer_port", daemon->peer_port),
@@ -341,7 +380,10 @@
 		rows_destroy(assembly->rows);
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
+	claim_sweep_destroy(assembly->sweep);
 	rows_store_destroy(assembly->rows_store);
+	spread_peers_destroy(assembly->spread);
+	config_platform_destroy(assembly->config_platform);
 	member_table_destroy(daemon->members);
 	config_store_destroy(daemon->config);
 	http_client_destroy(daemon->http);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -38,6 +38,7 @@
 	struct ev_loop *loop = call->entry->daemon->loop;
 	struct entry_attempt *attempt;
 
+	call_end_claim(call, call->attempts == 0);
 	while ((attempt = LIST_FIRST(&call->active)))
 		entry_attempt_destroy(attempt);
 	ev_timer_stop(loop, &call->deadline);
@@ -57,6 +58,7 @@
 
 static void call_finish_unanswered(struct call *call)
 {
+	call_end_claim(call, !call->may_have_run);
 	if (call->may_have_run)
 		outcome_say_unknown(call);
 	else
@@ -100,7 +102,7 @@
 	call->is_impatient = false;
 }
 
-static void call_send_attempt(struct call *call)
+void call_send_attempt(struct call *call)
 {
 	int64_t now = clock_mono_us();
 	struct service_upstream *upstream;
@@ -242,6 +244,7 @@
 	struct fields fields;
 
 	call->answering = attempt;
+	call->status = answer->status;
 	ev_timer_stop(loop, &call->deadline);
 	ev_timer_stop(loop, &call->hedge);
 	call_stop_patience(call);
@@ -268,6 +271,7 @@
 	struct call *call = attempt->call;
 
 	counters.caller_run++;
+	call->answered = true;
 	call_note_event(call, EV_ENTRY_ENDED, "run");
 	call->sink->handle_end(call->sink_data);
 	call_free(call);
@@ -382,7 +386,8 @@
 	hedge_note_request(&call->service->hedge);
 	retry_note_request(&call->service->retry);
 	pick_note_request(&call->service->picks);
-	call_send_attempt(call);
+	if (!call_claim_key(call))
+		call_send_attempt(call);
 }
 
 void call_init_timers(struct call *call)
--- a/common/address.c
+++ b/common/address.c
@@ -4,12 +4,38 @@
 #include <glib.h>
 #include <string.h>
 
+socklen_t address_fill(union socket_address *to, const char *text, uint16_t port)
+{
+	memset(to, 0, sizeof(*to));
+	if (inet_pton(AF_INET, text, &to->v4.sin_addr) == 1) {
+		to->v4.sin_family = AF_INET;
+		to->v4.sin_port = htons(port);
+		return sizeof(to->v4);
+	}
+	if (inet_pton(AF_INET6, text, &to->v6.sin6_addr) == 1) {
+		to->v6.sin6_family = AF_INET6;
+		to->v6.sin6_port = htons(port);
+		return sizeof(to->v6);
+	}
+	return 0;
+}
+
+uint16_t address_read(const union socket_address *from,
+		      char text[ADDRESS_TEXT_SIZE])
+{
+	if (from->any.sa_family == AF_INET) {
+		inet_ntop(AF_INET, &from->v4.sin_addr, text, ADDRESS_TEXT_SIZE);
+		return ntohs(from->v4.sin_port);
+	}
+	inet_ntop(AF_INET6, &from->v6.sin6_addr, text, ADDRESS_TEXT_SIZE);
+	return ntohs(from->v6.sin6_port);
+}
+
 bool address_is_ip_number(const char *text)
 {
-	struct in6_addr out;
+	union socket_address out;
 
-	return inet_pton(AF_INET, text, &out) == 1 ||
-	       inet_pton(AF_INET6, text, &out) == 1;
+	return address_fill(&out, text, 0) != 0;
 }
 
 bool address_is_loopback(const char *text)
@@ -18,6 +44,17 @@
 	       (g_str_has_prefix(text, "127.") && address_is_ip_number(text));
 }
 
+bool address_is_any(const char *text)
+{
+	struct in6_addr in6;
+	struct in_addr in4;
+
+	if (inet_pton(AF_INET, text, &in4) == 1)
+		return in4.s_addr == htonl(INADDR_ANY);
+	return inet_pton(AF_INET6, text, &in6) == 1 &&
+	       IN6_IS_ADDR_UNSPECIFIED(&in6);
+}
+
 bool address_has_port(const char *text)
 {
 	const char *colon = strrchr(text, ':');
@@ -38,3 +75,13 @@
 	g_free(number);
 	return ok;
 }
+
+void address_to_text(const struct sockaddr *address, char out[INET6_ADDRSTRLEN])
+{
+	const void *number = &((const struct sockaddr_in *)address)->sin_addr;
+
+	if (address->sa_family == AF_INET6)
+		number = &((const struct sockaddr_in6 *)address)->sin6_addr;
+	if (!inet_ntop(address->sa_family, number, out, INET6_ADDRSTRLEN))
+		out[0] = '\0';
+}
--- a/include/comfreydockd/operator/operator.h
+++ b/include/comfreydockd/operator/operator.h
@@ -9,12 +9,14 @@
  *	GET  /metrics			counters as Prometheus text
  *	GET  /v1/config			versions held; ?body=1 adds the files,
  *					?namespace=NAME asks the platform for
- *					that namespace's last commits
+ *					that namespace's last commits, with
+ *					&held=1 only this daemon's version
  *	POST /v1/config/apply		?base=N&who=NAME[&file=NAME], body: file
  *	POST /v1/config/check		[?file=NAME], body: file
  *	GET  /v1/hosts			what is known of every host
  *	GET  /v1/status			this daemon
- *	GET  /v1/timeline		events of ?trace=ID, or all kept
+ *	GET  /v1/timeline		events of ?trace=ID from all daemons that
+ *					it passed; without, all kept here
  *	GET  /v1/upstream		the local upstream
  *	POST /v1/upstream/announce	{groups, address, port, slots, warm_ms}
  *	POST /v1/upstream/drain		no new work; answers at once
--- a/include/comfreydockd/peer/link.h
+++ b/include/comfreydockd/peer/link.h
@@ -42,6 +42,7 @@
 /* Shared by all links of a daemon: whose turn's frames must be written. */
 struct link_group {
 	struct ev_loop *loop;
+	uint8_t *chunk; /* what one link has just read */
 	ev_prepare flush;
 	ev_timer soon;
 	LIST_HEAD(, link) dirty;
@@ -54,7 +55,8 @@
 /* Reads whatever is readable on any link, without waiting. */
 void link_group_drain_input(struct link_group *group);
 
-/* Takes a connected, or connecting, non-blocking socket. */
+/* Takes a connected, or connecting, non-blocking socket; -1 where there is none
+ * because opening it failed: the creator then calls link_fail(). */
 struct link *link_create(struct link_group *group, int fd,
 			 const struct link_callbacks *callbacks);
 
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -29,7 +29,10 @@
 typedef struct Cfd__LoadQuery Cfd__LoadQuery;
 typedef struct Cfd__LoadReport Cfd__LoadReport;
 typedef struct Cfd__ConfigQuery Cfd__ConfigQuery;
+typedef struct Cfd__ConfigLine Cfd__ConfigLine;
 typedef struct Cfd__ConfigBody Cfd__ConfigBody;
+typedef struct Cfd__TimelineQuery Cfd__TimelineQuery;
+typedef struct Cfd__TimelineReport Cfd__TimelineReport;
 typedef struct Cfd__Frame Cfd__Frame;
 
 
@@ -46,7 +49,11 @@
   CFD__REASON__REASON_SHED = 7,
   CFD__REASON__REASON_CONNECT = 8,
   CFD__REASON__REASON_OVERLOAD = 9,
-  CFD__REASON__REASON_NOT_REPEATED = 10
+  CFD__REASON__REASON_NOT_REPEATED = 10,
+  /*
+   * the platform can't be asked; said by the entry only
+   */
+  CFD__REASON__REASON_NO_CLAIM = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFD__REASON)
 } Cfd__Reason;
 
@@ -275,31 +282,95 @@
 
 
 /*
- * Asks for a namespace's file, and gives it.
+ * Asks for what has changed in the configuration above a head, or for the
+ * bodies of some namespaces.
  */
 struct  Cfd__ConfigQuery
 {
   ProtobufCMessage base;
-  char *namespace_;
-  uint64_t above_version;
+  uint64_t seq;
+  uint64_t above_head;
+  protobuf_c_boolean head_only;
+  /*
+   * none: all that has changed
+   */
+  size_t n_wanted;
+  char **wanted;
 };
 #define CFD__CONFIG_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__config_query__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0,NULL }
 
 
-struct  Cfd__ConfigBody
+struct  Cfd__ConfigLine
 {
   ProtobufCMessage base;
   char *namespace_;
   uint64_t version;
   char *sha256;
+  /*
+   * the head that this version made; 0: not known
+   */
+  uint64_t at;
+  protobuf_c_boolean has_body;
   ProtobufCBinaryData body;
-  protobuf_c_boolean absent;
+};
+#define CFD__CONFIG_LINE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfd__config_line__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+
+
+struct  Cfd__ConfigBody
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * asked too often; nothing else is filled in
+   */
+  protobuf_c_boolean busy;
+  /*
+   * the sender has a configuration
+   */
+  protobuf_c_boolean ready;
+  uint64_t head;
+  /*
+   * lines name all that has changed
+   */
+  protobuf_c_boolean is_listing;
+  /*
+   * bodies only as far as they fit
+   */
+  size_t n_lines;
+  Cfd__ConfigLine **lines;
 };
 #define CFD__CONFIG_BODY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__config_body__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Asks a daemon for its events of a trace, and gives them as a JSON array.
+ */
+struct  Cfd__TimelineQuery
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *trace;
+};
+#define CFD__TIMELINE_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfd__timeline_query__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cfd__TimelineReport
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *events;
+};
+#define CFD__TIMELINE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfd__timeline_report__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
@@ -316,7 +387,9 @@
   CFD__FRAME__KIND_LOAD_QUERY = 10,
   CFD__FRAME__KIND_LOAD_REPORT = 11,
   CFD__FRAME__KIND_CONFIG_QUERY = 12,
-  CFD__FRAME__KIND_CONFIG_BODY = 13
+  CFD__FRAME__KIND_CONFIG_BODY = 13,
+  CFD__FRAME__KIND_TIMELINE_QUERY = 14,
+  CFD__FRAME__KIND_TIMELINE_REPORT = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFD__FRAME__KIND__CASE)
 } Cfd__Frame__KindCase;
 
@@ -338,6 +411,8 @@
     Cfd__LoadReport *load_report;
     Cfd__ConfigQuery *config_query;
     Cfd__ConfigBody *config_body;
+    Cfd__TimelineQuery *timeline_query;
+    Cfd__TimelineReport *timeline_report;
   };
 };
 #define CFD__FRAME__INIT \
@@ -611,6 +686,25 @@
 void   cfd__config_query__free_unpacked
                      (Cfd__ConfigQuery *message,
                       ProtobufCAllocator *allocator);
+/* Cfd__ConfigLine methods */
+void   cfd__config_line__init
+                     (Cfd__ConfigLine         *message);
+size_t cfd__config_line__get_packed_size
+                     (const Cfd__ConfigLine   *message);
+size_t cfd__config_line__pack
+                     (const Cfd__ConfigLine   *message,
+                      uint8_t             *out);
+size_t cfd__config_line__pack_to_buffer
+                     (const Cfd__ConfigLine   *message,
+                      ProtobufCBuffer     *buffer);
+Cfd__ConfigLine *
+       cfd__config_line__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfd__config_line__free_unpacked
+                     (Cfd__ConfigLine *message,
+                      ProtobufCAllocator *allocator);
 /* Cfd__ConfigBody methods */
 void   cfd__config_body__init
                      (Cfd__ConfigBody         *message);
@@ -630,6 +724,44 @@
 void   cfd__config_body__free_unpacked
                      (Cfd__ConfigBody *message,
                       ProtobufCAllocator *allocator);
+/* Cfd__TimelineQuery methods */
+void   cfd__timeline_query__init
+                     (Cfd__TimelineQuery         *message);
+size_t cfd__timeline_query__get_packed_size
+                     (const Cfd__TimelineQuery   *message);
+size_t cfd__timeline_query__pack
+                     (const Cfd__TimelineQuery   *message,
+                      uint8_t             *out);
+size_t cfd__timeline_query__pack_to_buffer
+                     (const Cfd__TimelineQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Cfd__TimelineQuery *
+       cfd__timeline_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfd__timeline_query__free_unpacked
+                     (Cfd__TimelineQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Cfd__TimelineReport methods */
+void   cfd__timeline_report__init
+                     (Cfd__TimelineReport         *message);
+size_t cfd__timeline_report__get_packed_size
+                     (const Cfd__TimelineReport   *message);
+size_t cfd__timeline_report__pack
+                     (const Cfd__TimelineReport   *message,
+                      uint8_t             *out);
+size_t cfd__timeline_report__pack_to_buffer
+                     (const Cfd__TimelineReport   *message,
+                      ProtobufCBuffer     *buffer);
+Cfd__TimelineReport *
+       cfd__timeline_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfd__timeline_report__free_unpacked
+                     (Cfd__TimelineReport *message,
+                      ProtobufCAllocator *allocator);
 /* Cfd__Frame methods */
 void   cfd__frame__init
                      (Cfd__Frame         *message);
@@ -693,9 +825,18 @@
 typedef void (*Cfd__ConfigQuery_Closure)
                  (const Cfd__ConfigQuery *message,
                   void *closure_data);
+typedef void (*Cfd__ConfigLine_Closure)
+                 (const Cfd__ConfigLine *message,
+                  void *closure_data);
 typedef void (*Cfd__ConfigBody_Closure)
                  (const Cfd__ConfigBody *message,
                   void *closure_data);
+typedef void (*Cfd__TimelineQuery_Closure)
+                 (const Cfd__TimelineQuery *message,
+                  void *closure_data);
+typedef void (*Cfd__TimelineReport_Closure)
+                 (const Cfd__TimelineReport *message,
+                  void *closure_data);
 typedef void (*Cfd__Frame_Closure)
                  (const Cfd__Frame *message,
                   void *closure_data);
@@ -720,7 +861,10 @@
 extern const ProtobufCMessageDescriptor cfd__load_query__descriptor;
 extern const ProtobufCMessageDescriptor cfd__load_report__descriptor;
 extern const ProtobufCMessageDescriptor cfd__config_query__descriptor;
+extern const ProtobufCMessageDescriptor cfd__config_line__descriptor;
 extern const ProtobufCMessageDescriptor cfd__config_body__descriptor;
+extern const ProtobufCMessageDescriptor cfd__timeline_query__descriptor;
+extern const ProtobufCMessageDescriptor cfd__timeline_report__descriptor;
 extern const ProtobufCMessageDescriptor cfd__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
