--- a/comfreydockd/config/spread_peers.c
+++ b/comfreydockd/config/spread_peers.c
@@ -2,13 +2,12 @@
 
 #include <ev.h>
 
-#include "comfreydockd/caller/entry.h"
 #include "comfreydockd/config/spread.h"
 #include "comfreydockd/member/gossip.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/settings.h"
-#include "comfreydockd/upstream/owner.h"
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/id.h"
 
 struct spread_peers {
@@ -36,6 +35,7 @@
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_QUERY;
 	frame.config_query = (Cfd__ConfigQuery *)query;
+	counters.config_bytes_out += cfd__config_query__get_packed_size(query);
 	peer_send(peer, &frame);
 }
 
@@ -46,25 +46,30 @@
 	gossip_set_config_head(peers->daemon->gossip, head);
 }
 
-static void handle_query(struct peer *peer, const Cfd__ConfigQuery *query,
-			 void *data)
+static void handle_query(struct peer *peer, const Cfd__Frame *asked, void *data)
 {
 	struct spread_peers *peers = data;
-	Cfd__ConfigBody *answer = config_spread_answer(peers->spread, query);
+	Cfd__ConfigBody *answer =
+		config_spread_answer(peers->spread, asked->config_query);
 	Cfd__Frame frame = CFD__FRAME__INIT;
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_BODY;
 	frame.config_body = answer;
+	counters.config_bytes_in +=
+		cfd__config_query__get_packed_size(asked->config_query);
+	counters.config_bytes_out += cfd__config_body__get_packed_size(answer);
 	peer_send(peer, &frame);
 	config_spread_free_answer(answer);
 }
 
-static void handle_answer(struct peer *peer, const Cfd__ConfigBody *answer,
-			  void *data)
+static void handle_answer(struct peer *peer, const Cfd__Frame *frame, void *data)
 {
 	struct spread_peers *peers = data;
 
-	config_spread_take_answer(peers->spread, peer_host(peer), answer);
+	counters.config_bytes_in +=
+		cfd__config_body__get_packed_size(frame->config_body);
+	config_spread_take_answer(peers->spread, peer_host(peer),
+				  frame->config_body);
 }
 
 struct spread_peers *spread_peers_create(struct daemon *daemon,
@@ -86,8 +91,10 @@
 	peers->daemon = daemon;
 	peers->ops = (struct config_spread_ops){ask, publish, peers};
 	peers->spread = config_spread_create(&options, clock_mono_us());
-	owner_when_asked(daemon->owner, handle_query, peers);
-	entry_when_told(daemon->entry, handle_answer, peers);
+	peers_on_frame(daemon->peers, CFD__FRAME__KIND_CONFIG_QUERY,
+		       handle_query, peers);
+	peers_on_frame(daemon->peers, CFD__FRAME__KIND_CONFIG_BODY,
+		       handle_answer, peers);
 	ev_timer_init(&peers->tick, handle_tick, 0.0,
 		      (double)CONFIG_SPREAD_TICK_US / US_PER_S);
 	peers->tick.data = peers;
@@ -103,3 +110,8 @@
 	config_spread_destroy(peers->spread);
 	g_free(peers);
 }
+
+bool spread_peers_is_reader(const struct spread_peers *peers)
+{
+	return config_spread_is_reader(peers->spread);
+}
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -4,7 +4,8 @@
  *
  * DESCRIPTION
  *	Internal to caller/. call.c decides what follows what, attempts.c
- *	speaks the frames, outcome.c words the answers of our own.
+ *	speaks the frames, outcome.c words the answers of our own, and
+ *	call_claim.c claims the key of a request that has one.
  */
 #ifndef COMFREYDOCKD_CALLER_CALL_H
 #define COMFREYDOCKD_CALLER_CALL_H
@@ -28,6 +29,7 @@
 
 struct entry_attempt {
 	LIST_ENTRY(entry_attempt) link; /* of its call */
+	LIST_ENTRY(entry_attempt) peer_link; /* of its connection */
 	struct call *call;
 	struct peer *peer;
 	struct service_upstream *upstream;
@@ -40,6 +42,7 @@
 	bool is_hedge;
 	bool failed; /* its answer is the upstream's own error */
 	bool cancelled;
+	bool asked; /* to end if it is overdue */
 };
 
 LIST_HEAD(entry_attempt_list, entry_attempt);
@@ -82,8 +85,12 @@
 	ev_timer next; /* of a retry */
 	ev_timer hedge;
 	ev_timer patience; /* with one attempt */
+	bool is_impatient; /* and waits for the owners' verdict */
 	bool cancels_sent;
 	bool is_started;
+	struct claim *claim; /* of its Idempotency-Key; NULL: none */
+	unsigned int status; /* of the answer */
+	bool answered; /* whole */
 };
 
 LIST_HEAD(call_list, call);
@@ -94,12 +101,12 @@
 	struct call_list calls;
 	size_t count;
 	GHashTable *attempts; /* seq -> struct entry_attempt */
+	GHashTable *by_peer; /* struct peer -> struct entry_attempt_list */
 	uint64_t next_seq;
 	struct random_state random;
 	ev_timer tick;
 	bool draining;
-	entry_answer_handler handle_answer;
-	void *answer_data;
+	struct claims *claims; /* NULL: there is no platform */
 };
 
 /* attempts.c */
@@ -109,6 +116,9 @@
 			bool may_queue, bool is_hedge);
 void entry_attempt_cancel(struct entry_attempt *attempt);
 
+/* Asks the owner to end the attempt if it is overdue. */
+void entry_attempt_ask(struct entry_attempt *attempt);
+
 /* Gives up an attempt that took too long: a mark against its upstream. */
 void entry_attempt_time_out(struct entry_attempt *attempt);
 
@@ -128,6 +138,9 @@
 void call_note_unknown(struct entry_attempt *attempt, bool lost);
 void call_note_head(struct entry_attempt *attempt, const Cfd__Answer *answer);
 void call_note_end(struct entry_attempt *attempt);
+
+/* The owner says that the attempt is not overdue. */
+void call_note_on_time(struct entry_attempt *attempt);
 void call_note_room(struct entry_attempt *attempt, uint32_t bytes);
 
 void call_note_event(struct call *call, enum event event, const char *format,
@@ -138,6 +151,10 @@
 void outcome_say_not_run(struct call *call);
 void outcome_say_unknown(struct call *call);
 
+/* first_status is the answer's that the first request with this key had; 0:
+ * it runs still, or its outcome is unknown. */
+void outcome_say_key_in_use(struct call *call, unsigned int first_status);
+
 /* Answers a request that did not become a call. */
 void outcome_refuse(const struct call_sink *sink, void *data, unsigned int status,
 		    const char *reason, uint32_t come_back_ms, const char *text);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -727,6 +727,96 @@
   assert(message->base.descriptor == &cfd__config_body__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfd__timeline_query__init
+                     (Cfd__TimelineQuery         *message)
+{
+  static const Cfd__TimelineQuery init_value = CFD__TIMELINE_QUERY__INIT;
+  *message = init_value;
+}
+size_t cfd__timeline_query__get_packed_size
+                     (const Cfd__TimelineQuery *message)
+{
+  assert(message->base.descriptor == &cfd__timeline_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfd__timeline_query__pack
+                     (const Cfd__TimelineQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfd__timeline_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfd__timeline_query__pack_to_buffer
+                     (const Cfd__TimelineQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfd__timeline_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfd__TimelineQuery *
+       cfd__timeline_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfd__TimelineQuery *)
+     protobuf_c_message_unpack (&cfd__timeline_query__descriptor,
+                                allocator, len, data);
+}
+void   cfd__timeline_query__free_unpacked
+                     (Cfd__TimelineQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfd__timeline_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfd__timeline_report__init
+                     (Cfd__TimelineReport         *message)
+{
+  static const Cfd__TimelineReport init_value = CFD__TIMELINE_REPORT__INIT;
+  *message = init_value;
+}
+size_t cfd__timeline_report__get_packed_size
+                     (const Cfd__TimelineReport *message)
+{
+  assert(message->base.descriptor == &cfd__timeline_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfd__timeline_report__pack
+                     (const Cfd__TimelineReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfd__timeline_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfd__timeline_report__pack_to_buffer
+                     (const Cfd__TimelineReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfd__timeline_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfd__TimelineReport *
+       cfd__timeline_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfd__TimelineReport *)
+     protobuf_c_message_unpack (&cfd__timeline_report__descriptor,
+                                allocator, len, data);
+}
+void   cfd__timeline_report__free_unpacked
+                     (Cfd__TimelineReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfd__timeline_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfd__frame__init
                      (Cfd__Frame         *message)
 {
@@ -913,7 +1003,7 @@
   (ProtobufCMessageInit) cfd__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfd__load__field_descriptors[5] =
 {
   {
     "running",
@@ -963,17 +1053,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Load, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__load__field_indices_by_name[] = {
   3,   /* field[3] = expected_wait_us */
   2,   /* field[2] = limit */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
+  4,   /* field[4] = service_us */
 };
 static const ProtobufCIntRange cfd__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cfd__load__descriptor =
 {
@@ -983,7 +1086,7 @@
   "Cfd__Load",
   "cfd",
   sizeof(Cfd__Load),
-  4,
+  5,
   cfd__load__field_descriptors,
   cfd__load__field_indices_by_name,
   1,  cfd__load__number_ranges,
@@ -1300,7 +1403,7 @@
   (ProtobufCMessageInit) cfd__body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[2] =
 {
   {
     "seq",
@@ -1314,14 +1417,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "if_overdue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Cancel, if_overdue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__cancel__field_indices_by_name[] = {
+  1,   /* field[1] = if_overdue */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange cfd__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cfd__cancel__descriptor =
 {
@@ -1331,7 +1447,7 @@
   "Cfd__Cancel",
   "cfd",
   sizeof(Cfd__Cancel),
-  1,
+  2,
   cfd__cancel__field_descriptors,
   cfd__cancel__field_indices_by_name,
   1,  cfd__cancel__number_ranges,
@@ -2121,7 +2237,109 @@
   (ProtobufCMessageInit) cfd__config_body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfd__timeline_query__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__TimelineQuery, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trace",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__TimelineQuery, trace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfd__timeline_query__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = trace */
+};
+static const ProtobufCIntRange cfd__timeline_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfd__timeline_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfd.TimelineQuery",
+  "TimelineQuery",
+  "Cfd__TimelineQuery",
+  "cfd",
+  sizeof(Cfd__TimelineQuery),
+  2,
+  cfd__timeline_query__field_descriptors,
+  cfd__timeline_query__field_indices_by_name,
+  1,  cfd__timeline_query__number_ranges,
+  (ProtobufCMessageInit) cfd__timeline_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfd__timeline_report__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__TimelineReport, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "events",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__TimelineReport, events),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfd__timeline_report__field_indices_by_name[] = {
+  1,   /* field[1] = events */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange cfd__timeline_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfd__timeline_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfd.TimelineReport",
+  "TimelineReport",
+  "Cfd__TimelineReport",
+  "cfd",
+  sizeof(Cfd__TimelineReport),
+  2,
+  cfd__timeline_report__field_descriptors,
+  cfd__timeline_report__field_indices_by_name,
+  1,  cfd__timeline_report__number_ranges,
+  (ProtobufCMessageInit) cfd__timeline_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfd__frame__field_descriptors[15] =
 {
   {
     "hello",
@@ -2279,6 +2497,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timeline_query",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfd__Frame, kind_case),
+    offsetof(Cfd__Frame, timeline_query),
+    &cfd__timeline_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeline_report",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfd__Frame, kind_case),
+    offsetof(Cfd__Frame, timeline_report),
+    &cfd__timeline_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -2293,12 +2535,14 @@
   9,   /* field[9] = load_query */
   10,   /* field[10] = load_report */
   6,   /* field[6] = not_run */
+  13,   /* field[13] = timeline_query */
+  14,   /* field[14] = timeline_report */
   8,   /* field[8] = window */
 };
 static const ProtobufCIntRange cfd__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor cfd__frame__descriptor =
 {
@@ -2308,14 +2552,14 @@
   "Cfd__Frame",
   "cfd",
   sizeof(Cfd__Frame),
-  13,
+  15,
   cfd__frame__field_descriptors,
   cfd__frame__field_indices_by_name,
   1,  cfd__frame__number_ranges,
   (ProtobufCMessageInit) cfd__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cfd__reason__enum_values_by_number[11] =
+static const ProtobufCEnumValue cfd__reason__enum_values_by_number[12] =
 {
   { "REASON_UNSPECIFIED", "CFD__REASON__REASON_UNSPECIFIED", 0 },
   { "REASON_BUSY", "CFD__REASON__REASON_BUSY", 1 },
@@ -2328,11 +2572,12 @@
   { "REASON_CONNECT", "CFD__REASON__REASON_CONNECT", 8 },
   { "REASON_OVERLOAD", "CFD__REASON__REASON_OVERLOAD", 9 },
   { "REASON_NOT_REPEATED", "CFD__REASON__REASON_NOT_REPEATED", 10 },
+  { "REASON_NO_CLAIM", "CFD__REASON__REASON_NO_CLAIM", 11 },
 };
 static const ProtobufCIntRange cfd__reason__value_ranges[] = {
-{0, 0},{0, 11}
+{0, 0},{0, 12}
 };
-static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[11] =
+static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[12] =
 {
   { "REASON_BUSY", 1 },
   { "REASON_CANCELLED", 4 },
@@ -2340,6 +2585,7 @@
   { "REASON_DEADLINE", 2 },
   { "REASON_DRAINING", 3 },
   { "REASON_NOT_REPEATED", 10 },
+  { "REASON_NO_CLAIM", 11 },
   { "REASON_NO_UPSTREAM", 6 },
   { "REASON_OVERLOAD", 9 },
   { "REASON_SHED", 7 },
@@ -2353,9 +2599,9 @@
   "Reason",
   "Cfd__Reason",
   "cfd",
-  11,
+  12,
   cfd__reason__enum_values_by_number,
-  11,
+  12,
   cfd__reason__enum_values_by_name,
   1,
   cfd__reason__value_ranges,
