--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -67,8 +67,8 @@
 	peers_set_entry(entry->daemon->peers, &none);
 	ev_timer_stop(entry->daemon->loop, &entry->tick);
 	g_hash_table_unref(entry->attempts);
-	g_hash_table_unref(entry->by_peer);
 	claims_destroy(entry->claims);
+	g_hash_table_unref(entry->by_peer);
 	services_destroy(entry->services);
 	g_free(entry);
 }
--- a/comfreydockd/config/spread_peers.c
+++ b/comfreydockd/config/spread_peers.c
@@ -35,8 +35,7 @@
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_QUERY;
 	frame.config_query = (Cfd__ConfigQuery *)query;
-	counters.config_bytes_out +=
-		cfd__config_query__get_packed_size(asked->config_query);
+	counters.config_bytes_out += cfd__config_query__get_packed_size(query);
 	peer_send(peer, &frame);
 }
 
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -97,10 +97,14 @@
   uint32_t queued;
   uint32_t limit;
   uint32_t expected_wait_us;
+  /*
+   * recent median; 0: not known
+   */
+  uint32_t service_us;
 };
 #define CFD__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Cfd__Attempt
@@ -162,10 +166,15 @@
 {
   ProtobufCMessage base;
   uint64_t seq;
+  /*
+   * Only if it has run for longer than time remains. Otherwise it stays, and a
+   * LoadReport says so.
+   */
+  protobuf_c_boolean if_overdue;
 };
 #define CFD__CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__cancel__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Cfd__Answer
