caller: tick only the services in use

Cause: ten times a second the entry looked at every upstream of every service that it had ever called.

Change: a service without calls for ten seconds and without attempts is left out; its next call does first what the tick would have done.

--- a/bench/capacity/bench_services.c
+++ b/bench/capacity/bench_services.c
@@ -10,7 +10,8 @@
  *	service, one for each eight hosts, the first with LARGE_HOSTS. Prints
  *	the time that the service state takes for one changed host, that of
  *	finding a service when a host of another one has changed before each,
- *	and that with no change.
+ *	and that with no change; and that of the tick, which comes ten times a
+ *	second, with all services in use and a minute after the last call.
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -20,10 +21,13 @@
 #include "bench/capacity/usage.h"
 #include "comfreydockd/caller/services.h"
 #include "comfreydockd/settings.h"
+#include "common/clock.h"
 
 #define HOSTS_PER_SERVICE 8
 #define LARGE_HOSTS 600
 #define ROUNDS 20000
+#define TICKS 100
+#define LATER_US (60 * US_PER_S)
 #define FULL_SIZE 22000
 
 struct bench {
@@ -116,7 +120,20 @@
 	return (now_s() - began) / ROUNDS * 1e6;
 }
 
-static void run_size(int hosts, struct usage_fit *changed, struct usage_fit *found)
+/* The first tick, not counted, drops the services that nobody calls. */
+static double time_ticks(struct bench *bench, int64_t now_us)
+{
+	double began;
+
+	services_tick(bench->services, now_us);
+	began = now_s();
+	for (int i = 0; i < TICKS; i++)
+		services_tick(bench->services, now_us);
+	return (now_s() - began) / TICKS * 1e6;
+}
+
+static void run_size(int hosts, struct usage_fit *changed,
+		     struct usage_fit *found, struct usage_fit *tick)
 {
 	struct bench bench;
 	size_t before;
@@ -124,6 +141,8 @@
 	double change_us;
 	double find_us;
 	double both_us;
+	double busy_us;
+	double idle_us;
 
 	bench_init(&bench, hosts);
 	table_us = time_rounds(&bench, true, false);
@@ -139,6 +158,12 @@
 	printf("hosts %d: a change %.2f us, of which the table %.2f; a service "
 	       "found %.2f us, after a change elsewhere %.2f us\n",
 	       hosts, change_us, table_us, find_us, both_us - change_us);
+	busy_us = time_ticks(&bench, clock_mono_us());
+	idle_us = time_ticks(&bench, clock_mono_us() + LATER_US);
+	printf("hosts %d: a tick %.1f us with all services in use, %.2f us a "
+	       "minute after the last call\n",
+	       hosts, busy_us, idle_us);
+	usage_fit_add(tick, hosts, busy_us);
 	usage_fit_add(changed, hosts, change_us);
 	usage_fit_add(found, hosts, both_us - change_us);
 	services_destroy(bench.services);
@@ -149,10 +174,13 @@
 {
 	struct usage_fit changed = {0};
 	struct usage_fit found = {0};
+	struct usage_fit tick = {0};
 
 	for (int i = 1; i < argc; i++)
-		run_size(MAX(atoi(argv[i]), LARGE_HOSTS * 2), &changed, &found);
+		run_size(MAX(atoi(argv[i]), LARGE_HOSTS * 2), &changed, &found,
+			 &tick);
 	usage_fit_print(&changed, "us a change", FULL_SIZE);
 	usage_fit_print(&found, "us a service found after a change", FULL_SIZE);
+	usage_fit_print(&tick, "us a tick, all in use", FULL_SIZE);
 	return 0;
 }
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -9,8 +9,14 @@
 #include "common/id.h"
 #include "common/log.h"
 
+/* A service without calls for so long is left out of the tick. */
+#define ACTIVE_US (10 * US_PER_S)
+
+LIST_HEAD(service_list, service);
+
 struct services {
 	struct daemon *daemon;
+	struct service_list active;
 	GHashTable *by_key; /* key -> struct service */
 };
 
@@ -30,6 +36,8 @@
 	struct service *service = data;
 	struct service_upstream *upstream;
 
+	if (service->is_active)
+		LIST_REMOVE(service, active_link);
 	while ((upstream = TAILQ_FIRST(&service->upstreams)))
 		service_upstream_delist(upstream);
 	pick_set_finish(&service->picks);
@@ -43,6 +51,7 @@
 	struct services *services = g_new0(struct services, 1);
 
 	services->daemon = daemon;
+	LIST_INIT(&services->active);
 	services->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 service_free);
 	return services;
@@ -178,10 +187,22 @@
 	g_free(subset);
 }
 
+/* What the tick would have done while the service was not in use. */
+static void service_activate(struct service *service, int64_t now_us)
+{
+	service->is_active = true;
+	service->stale = true;
+	LIST_INSERT_HEAD(&service->services->active, service, active_link);
+	health_tick(&service->health, now_us);
+}
+
 static void service_keep_fresh(struct service *service)
 {
 	struct member_table *members = service->services->daemon->members;
 
+	service->used_us = clock_mono_us();
+	if (!service->is_active)
+		service_activate(service, service->used_us);
 	if (service->stale ||
 	    service->group_version !=
 		    member_table_group_version(members, service->group))
@@ -282,17 +303,32 @@
 	return false;
 }
 
+static bool service_has_attempts(const struct service *service)
+{
+	const struct service_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
+		if (upstream->candidate.outstanding > 0)
+			return true;
+	}
+	return false;
+}
+
 void services_tick(struct services *services, int64_t now_us)
 {
-	GHashTableIter iter;
-	gpointer value;
+	struct service *service = LIST_FIRST(&services->active);
 
-	g_hash_table_iter_init(&iter, services->by_key);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct service *service = value;
+	while (service) {
+		struct service *next = LIST_NEXT(service, active_link);
 
 		health_tick(&service->health, now_us);
 		service->stale |= service_is_warming(service);
+		if (now_us - service->used_us > ACTIVE_US &&
+		    !service_has_attempts(service)) {
+			LIST_REMOVE(service, active_link);
+			service->is_active = false;
+		}
+		service = next;
 	}
 }
 
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -39,6 +39,9 @@
 TAILQ_HEAD(service_upstream_list, service_upstream);
 
 struct service {
+	LIST_ENTRY(service) active_link;
+	bool is_active; /* used of late, or attempts are out */
+	int64_t used_us;
 	struct services *services;
 	char *key; /* "NAMESPACE/NAME" */
 	char *group;
@@ -70,7 +73,9 @@
 struct service_upstream *service_upstream_ref(struct service_upstream *upstream);
 void service_upstream_unref(struct service_upstream *upstream);
 
-/* Ends ejections and finds silent upstreams; called ten times a second. */
+/* Ends ejections and finds silent upstreams; called ten times a second. Looks
+ * at the services in use only: of the thousands that an entry has once called,
+ * few are, and a walk over all would hold up every call that comes meanwhile. */
 void services_tick(struct services *services, int64_t now_us);
 
 /* RETURN VALUE: the number of upstreams that members say are up. */
