config: read a row of the last changes, not of everything

Cause: the readers took the whole head row each second.

Change: an apply writes a third row in the same transaction, with the head and the last eight changes. Readers read that one; the head row is read by who starts or has fallen further behind.

With the gap between row and daemon ignored /spread/property fails: net_agrees(&net) should be TRUE

--- a/bench/config_spread.c
+++ b/bench/config_spread.c
@@ -1,10 +1,10 @@
 /*
  * How long a change takes until it is in force in every daemon, and what its
  * spread costs a daemon. Starts the platform's stand-in and COUNT daemons in
- * four failure domains on the loopback interface, applies CHANGES files through
- * daemons by turns, and reads from the daemons' logs when each adopted them.
+ * four failure domains on the loopback interface and puts NAMESPACES in force.
+ * Then it applies CHANGES files of one of them through daemons by turns, and reads from the daemons' logs when each adopted them.
  *
- *	bench-config-spread CHANGES COUNT...
+ *	bench-config-spread NAMESPACES CHANGES COUNT...
  *
  * COMFREYDOCK_BUILD names the build folder with the programs.
  */
@@ -20,6 +20,7 @@
 #define JOINED_MS 60000
 #define REST_S 10
 #define DOMAINS 4
+#define CHANGING "t" /* the namespace */
 
 static const char *const domains[DOMAINS] = {"hall-esja", "hall-katla",
 					     "hall-hekla", "hall-askja"};
@@ -30,7 +31,8 @@
 	struct rig_process **daemons;
 	unsigned int count;
 	const char *key_file;
-	uint64_t version;
+	uint64_t head;
+	uint64_t version; /* of the namespace that changes */
 	GArray *after_us; /* int64_t: adoption, from the sending of the apply */
 	GArray *last_us; /* the last one of each change */
 };
@@ -97,8 +99,7 @@
 	const struct bench *bench = data;
 
 	for (unsigned int i = 0; i < bench->count; i++) {
-		if (status_int(bench->daemons[i], "head") <
-		    (int64_t)bench->version)
+		if (status_int(bench->daemons[i], "head") < (int64_t)bench->head)
 			return false;
 	}
 	return true;
@@ -159,17 +160,18 @@
 	return totals;
 }
 
-static char *file_text(uint64_t version)
+static char *file_text(const char *name, uint64_t version)
 {
-	GString *text = g_string_new("{\"namespace\": \"t\", \"services\": {");
+	GString *text = g_string_new("{\"namespace\": ");
 
+	g_string_append_printf(text, "\"%s\", \"services\": {", name);
 	for (int i = 0; i < 8; i++)
 		g_string_append_printf(
 			text,
-			"%s\"s%d\": {\"path_prefixes\": [\"/%d\"], "
+			"%s\"s%d\": {\"path_prefixes\": [\"/%s%d\"], "
 			"\"group\": \"s\", \"rules\": [{\"name\": \"all\", "
 			"\"deadline_ms\": %" G_GUINT64_FORMAT "}]}",
-			i ? ", " : "", i, i, 1000 + version);
+			i ? ", " : "", i, name, i, 1000 + version);
 	g_string_append(text, "}}\n");
 	return g_string_free(text, FALSE);
 }
@@ -191,7 +193,9 @@
 static int64_t adopted_us(const struct rig_process *daemon, uint64_t version)
 {
 	char *log = rig_read_log(daemon);
-	char *wanted = g_strdup_printf("\"version\":%" G_GUINT64_FORMAT, version);
+	char *wanted = g_strdup_printf("\"namespace\":\"" CHANGING
+				       "\",\"version\":%" G_GUINT64_FORMAT,
+				       version);
 	char **lines = g_strsplit(log, "\n", -1);
 	int64_t at_us = 0;
 
@@ -222,22 +226,43 @@
 	g_array_append_val(bench->last_us, last_us);
 }
 
-static void apply(struct bench *bench)
+static void apply(struct bench *bench, const char *name, uint64_t base)
 {
-	char *text = file_text(bench->version);
+	char *text = file_text(name, base);
 	char *path = g_strdup_printf(
-		"/v1/config/apply?who=bench&base=%" G_GUINT64_FORMAT,
-		bench->version);
-	unsigned int by = (unsigned int)bench->version % bench->count;
-	int64_t sent_us = g_get_real_time();
+		"/v1/config/apply?who=bench&base=%" G_GUINT64_FORMAT, base);
+	unsigned int by = (unsigned int)bench->head % bench->count;
 
 	g_free(rig_http_ok("POST", bench->daemons[by]->admin_port, path, text));
-	bench->version++;
+	bench->head++;
+	g_free(path);
+	g_free(text);
+}
+
+static void wait_everywhere(struct bench *bench)
+{
 	if (!rig_wait_until(all_hold, bench, IN_FORCE_MS))
 		g_error("not everywhere in time");
+}
+
+static void change(struct bench *bench)
+{
+	int64_t sent_us = g_get_real_time();
+
+	apply(bench, CHANGING, bench->version++);
+	wait_everywhere(bench);
 	note_times(bench, sent_us);
-	g_free(path);
-	g_free(text);
+}
+
+static void apply_others(struct bench *bench, int count)
+{
+	for (int i = 0; i < count; i++) {
+		char *name = g_strdup_printf("team-%04d", i);
+
+		apply(bench, name, 0);
+		g_free(name);
+	}
+	wait_everywhere(bench);
 }
 
 static gint compare(gconstpointer a, gconstpointer b)
@@ -286,15 +311,17 @@
 	double seconds;
 
 	for (int i = 0; i < changes; i++)
-		apply(bench);
+		change(bench);
 	seconds = (double)(g_get_monotonic_time() - began_us) / 1e6;
 	after = take_totals(bench);
 	g_array_sort(bench->after_us, compare);
 	g_array_sort(bench->last_us, compare);
-	printf("%u daemons, %d changes: adopted after p50 %.0f ms, p99 %.0f "
+	printf("%u daemons, %" G_GUINT64_FORMAT " namespaces, %d changes: "
+	       "adopted after p50 %.0f ms, p99 %.0f "
 	       "ms, "
 	       "all after p50 %.0f ms, most %.0f ms; resident %.1f MB each\n",
-	       bench->count, changes, quantile_ms(bench->after_us, 0.5),
+	       bench->count, bench->head - bench->version + 1, changes,
+	       quantile_ms(bench->after_us, 0.5),
 	       quantile_ms(bench->after_us, 0.99),
 	       quantile_ms(bench->last_us, 0.5), quantile_ms(bench->last_us, 1.0),
 	       (double)after.rss_kb / 1024.0 / bench->count);
@@ -311,7 +338,7 @@
 	print_costs(bench, &before, &after, REST_S, "at rest");
 }
 
-static void run_with(unsigned int count, int changes)
+static void run_with(unsigned int count, int namespaces, int changes)
 {
 	struct bench bench = {.count = count};
 
@@ -326,6 +353,7 @@
 		start_daemon(&bench, i);
 	if (!rig_wait_until(all_joined, &bench, JOINED_MS))
 		g_error("not all have joined in time");
+	apply_others(&bench, namespaces - 1);
 	run_rest(&bench);
 	run_changes(&bench, changes);
 	fflush(stdout);
@@ -341,7 +369,8 @@
 	for (int i = 0; i < argc; i++)
 		printf(" %s", i ? argv[i] : "bench/bench-config-spread");
 	printf("\n");
-	for (int i = 2; i < argc; i++)
-		run_with((unsigned int)atoi(argv[i]), atoi(argv[1]));
-	return argc > 2 ? 0 : 2;
+	for (int i = 3; i < argc; i++)
+		run_with((unsigned int)atoi(argv[i]), atoi(argv[1]),
+			 atoi(argv[2]));
+	return argc > 3 ? 0 : 2;
 }
--- a/comfreydockd/config/apply.c
+++ b/comfreydockd/config/apply.c
@@ -143,6 +143,7 @@
 		     uint64_t head_row_version)
 {
 	char *key = config_namespace_key(apply->ns->name);
+	char *recent_text;
 	char *head_text;
 	char *row_text;
 
@@ -150,6 +151,7 @@
 			 apply->ns->sha256);
 	apply->head = head->head;
 	config_history_push(&apply->history, &apply->commit);
+	recent_text = config_head_to_recent_text(head);
 	head_text = config_head_to_text(head);
 	row_text = config_history_to_text(&apply->history);
 	apply->ops->transact(
@@ -157,10 +159,13 @@
 		(const struct config_write[]){
 			{key, apply->row_version, row_text},
 			{CONFIG_HEAD_KEY, head_row_version, head_text},
+			/* The head row's condition holds for it as well. */
+			{CONFIG_RECENT_KEY, CONFIG_ANY_VERSION, recent_text},
 		},
-		2, handle_transacted, apply);
+		3, handle_transacted, apply);
 	g_free(row_text);
 	g_free(head_text);
+	g_free(recent_text);
 	g_free(key);
 }
 
--- a/comfreydockd/config/platform_ops.c
+++ b/comfreydockd/config/platform_ops.c
@@ -147,7 +147,9 @@
 	for (size_t i = 0; i < count; i++) {
 		ops[i].kind = PLATFORM_PUT;
 		ops[i].key = writes[i].key;
-		ops[i].if_version = (int64_t)writes[i].row_version;
+		ops[i].if_version = writes[i].row_version == CONFIG_ANY_VERSION ?
+					    PLATFORM_ANY_VERSION :
+					    (int64_t)writes[i].row_version;
 		ops[i].value = writes[i].value;
 	}
 	id_random(id);
--- a/comfreydockd/config/rows.c
+++ b/comfreydockd/config/rows.c
@@ -26,6 +26,7 @@
 void config_head_init(struct config_head *head)
 {
 	head->head = 0;
+	head->above = 0;
 	head->versions = config_versions_create();
 }
 
@@ -55,13 +56,15 @@
 			  sizeof(version.sha256));
 		g_array_append_val(head->versions, version);
 	}
-	if (root)
+	if (root) {
 		head->head = jsonc_get_uint(root, "head");
+		head->above = jsonc_get_uint(root, "above");
+	}
 	json_object_put(root);
 	return true;
 }
 
-char *config_head_to_text(const struct config_head *head)
+static char *changes_to_text(const struct config_head *head, uint64_t above)
 {
 	json_object *root = json_object_new_object();
 	json_object *array = json_object_new_array();
@@ -69,8 +72,12 @@
 	for (guint i = 0; i < head->versions->len; i++) {
 		struct config_version *version =
 			&g_array_index(head->versions, struct config_version, i);
-		json_object *item = json_object_new_object();
+		json_object *item;
 
+		/* at 0: written by a release that did not count it. */
+		if (above && version->at && version->at <= above)
+			continue;
+		item = json_object_new_object();
 		jsonc_add_text(item, "name", version->name);
 		jsonc_add_uint(item, "version", version->version);
 		jsonc_add_text(item, "sha256", version->sha256);
@@ -78,10 +85,23 @@
 		json_object_array_add(array, item);
 	}
 	jsonc_add_uint(root, "head", head->head);
+	jsonc_add_uint(root, "above", above);
 	json_object_object_add(root, "namespaces", array);
 	return jsonc_to_text(root);
 }
 
+char *config_head_to_text(const struct config_head *head)
+{
+	return changes_to_text(head, 0);
+}
+
+char *config_head_to_recent_text(const struct config_head *head)
+{
+	uint64_t most = CONFIG_RECENT_MOST;
+
+	return changes_to_text(head, head->head > most ? head->head - most : 0);
+}
+
 static struct config_version *head_line(struct config_head *head, const char *name)
 {
 	struct config_version fresh = {.name = NULL};
--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -62,27 +62,48 @@
 	return true;
 }
 
-static void note_head_row(struct config_spread *spread, const char *value)
+static void read_row(struct config_spread *spread, const char *key);
+
+static bool needs(const struct config_spread *spread,
+		  const struct config_head *row)
+{
+	return row->head > config_store_head(spread->store) ||
+	       !config_store_is_ready(spread->store);
+}
+
+/* RETURN VALUE: false if the row does not reach back to what is held here. */
+static bool note_row(struct config_spread *spread, const struct config_head *row)
+{
+	if (!needs(spread, row))
+		return true;
+	if (row->above > 0 && (!config_store_is_ready(spread->store) ||
+			       row->above > config_store_head(spread->store)))
+		return false;
+	config_store_note_listing(
+		spread->store, row->head,
+		(const struct config_version *)row->versions->data,
+		row->versions->len);
+	return true;
+}
+
+static bool take_row(struct config_spread *spread, const char *value)
 {
-	struct config_head head;
+	struct config_head row;
+	bool suffices = true;
 
-	config_head_init(&head);
-	if (!config_head_parse(&head, value)) {
+	config_head_init(&row);
+	if (config_head_parse(&row, value)) {
+		suffices = note_row(spread, &row);
+	} else {
 		log_event(EV_CONFIG_HEAD_UNREADABLE);
 		spread->platform_failed = true;
-	} else if (head.head > config_store_head(spread->store) ||
-		   !config_store_is_ready(spread->store)) {
-		config_store_note_listing(
-			spread->store, head.head,
-			(const struct config_version *)head.versions->data,
-			head.versions->len);
 	}
-	config_head_finish(&head);
+	config_head_finish(&row);
+	return suffices;
 }
 
-static void handle_head_row(enum config_platform_status status,
-			    uint64_t row_version, const char *value,
-			    size_t size, void *data)
+static void handle_row(enum config_platform_status status, uint64_t row_version,
+		       const char *value, size_t size, void *data)
 {
 	struct config_spread *spread = data;
 
@@ -91,19 +112,20 @@
 	spread->is_reading = false;
 	spread->platform_tried = true;
 	spread->platform_failed = status != CONFIG_PLATFORM_OK;
-	if (!spread->platform_failed)
-		note_head_row(spread, value);
+	if (!spread->platform_failed && !take_row(spread, value)) {
+		read_row(spread, CONFIG_HEAD_KEY);
+		return;
+	}
 	config_spread_publish(spread);
 	config_fetch_next(spread);
 }
 
-static void read_head_row(struct config_spread *spread)
+static void read_row(struct config_spread *spread, const char *key)
 {
 	spread->is_reading = true;
 	spread->must_read = false;
 	counters.config_head_reads++;
-	spread->platform_ops->get(spread->platform, CONFIG_HEAD_KEY,
-				  handle_head_row, spread);
+	spread->platform_ops->get(spread->platform, key, handle_row, spread);
 }
 
 static void read_if_due(struct config_spread *spread)
@@ -125,7 +147,7 @@
 	if (spread->must_read ||
 	    (is_due &&
 	     (spread->is_reader || !config_store_is_ready(spread->store))))
-		read_head_row(spread);
+		read_row(spread, CONFIG_RECENT_KEY);
 }
 
 static void handle_behind(uint64_t head, const char *from_host, void *data)
--- a/include/comfreydockd/config/apply.h
+++ b/include/comfreydockd/config/apply.h
@@ -28,10 +28,13 @@
 	CONFIG_PLATFORM_UNKNOWN, /* the answer was lost */
 };
 
+#define CONFIG_ANY_VERSION UINT64_MAX
+
 /* One row of a transaction. */
 struct config_write {
 	const char *key;
-	uint64_t row_version; /* as read; 0: the row must be absent */
+	/* As read; 0: the row must be absent; or CONFIG_ANY_VERSION. */
+	uint64_t row_version;
 	const char *value;
 };
 
--- a/include/comfreydockd/config/rows.h
+++ b/include/comfreydockd/config/rows.h
@@ -4,7 +4,10 @@
  *
  * DESCRIPTION
  *	The head row counts all applies and lists what is in force, so that
- *	reading one row tells a daemon whether it lacks anything, and what. The
+ *	reading one row tells a daemon whether it lacks anything, and what. It
+ *	grows with the number of namespaces; the recent row is written with it
+ *	and lists only the last few changes, so that reading it each second
+ *	costs the same however many teams there are. The
  *	namespace row tells who applied the version in force, and keeps the
  *	last few before it: an apply whose answer was lost finds itself there
  *	even after somebody else applied on top of it.
@@ -18,6 +21,8 @@
 #include "common/id.h"
 
 #define CONFIG_HEAD_KEY "config/head"
+#define CONFIG_RECENT_KEY "config/recent"
+#define CONFIG_RECENT_MOST 8
 
 /* The caller frees the result. */
 char *config_namespace_key(const char *name);
@@ -25,6 +30,7 @@
 
 struct config_head {
 	uint64_t head;
+	uint64_t above; /* versions lists what has changed above this head */
 	GArray *versions; /* of struct config_version, names owned */
 };
 
@@ -36,6 +42,9 @@
 bool config_head_parse(struct config_head *head, const char *text);
 char *config_head_to_text(const struct config_head *head);
 
+/* The recent row that goes with a head row. */
+char *config_head_to_recent_text(const struct config_head *head);
+
 /* Counts one apply and lists its version. */
 void config_head_note(struct config_head *head, const char *name,
 		      uint64_t version, const char *sha256);
--- a/tests/spread_net.c
+++ b/tests/spread_net.c
@@ -113,9 +113,12 @@
 		event->get(CONFIG_PLATFORM_UNAVAILABLE, 0, NULL, 0, event->data);
 		return;
 	}
-	if (strcmp(event->key, CONFIG_HEAD_KEY) == 0) {
+	if (strcmp(event->key, CONFIG_HEAD_KEY) == 0 ||
+	    strcmp(event->key, CONFIG_RECENT_KEY) == 0) {
 		net->head_reads++;
-		text = config_head_to_text(&net->head);
+		text = strcmp(event->key, CONFIG_HEAD_KEY) == 0 ?
+			       config_head_to_text(&net->head) :
+			       config_head_to_recent_text(&net->head);
 		event->get(CONFIG_PLATFORM_OK, net->head.head,
 			   net->head.head ? text : NULL, strlen(text),
 			   event->data);
--- a/tests/test_config_apply.c
+++ b/tests/test_config_apply.c
@@ -5,6 +5,8 @@
 #include "common/clock.h"
 #include "paused_clock.h"
 
+#define ROWS 3 /* of a transaction: the namespace, the head, the last changes */
+
 /* What goes wrong with a call, in percent. */
 struct faults {
 	int unavailable;
@@ -30,9 +32,9 @@
 struct task {
 	int64_t at_us;
 	struct platform *platform;
-	char *keys[2];
-	uint64_t row_versions[2];
-	char *values[2];
+	char *keys[ROWS];
+	uint64_t row_versions[ROWS];
+	char *values[ROWS];
 	bool is_object;
 	bool writes;
 	bool silent;
@@ -74,13 +76,14 @@
 {
 	GHashTable *rows = task->platform->rows;
 
-	for (int i = 0; i < 2 && !task->is_object; i++) {
+	for (int i = 0; i < ROWS && !task->is_object; i++) {
 		struct row *row = g_hash_table_lookup(rows, task->keys[i]);
 
-		if ((row ? row->version : 0) != task->row_versions[i])
+		if (task->row_versions[i] != CONFIG_ANY_VERSION &&
+		    (row ? row->version : 0) != task->row_versions[i])
 			return false;
 	}
-	for (int i = 0; i < 2 && !task->is_object; i++) {
+	for (int i = 0; i < ROWS && !task->is_object; i++) {
 		struct row *row = g_new0(struct row, 1);
 
 		row->version = task->row_versions[i] + 1;
@@ -112,7 +115,7 @@
 		if (!task->silent)
 			task->done(task->status, task->data);
 	}
-	for (int i = 0; i < 2; i++) {
+	for (int i = 0; i < ROWS; i++) {
 		g_free(task->keys[i]);
 		g_free(task->values[i]);
 	}
@@ -148,7 +151,7 @@
 		task.status = CONFIG_PLATFORM_UNKNOWN;
 		task.writes = task.writes && happens(50);
 	} else if (task.writes && happens(p->faults.late)) {
-		for (int i = 0; i < 2; i++) {
+		for (int i = 0; i < ROWS; i++) {
 			late.keys[i] = g_strdup(task.keys[i]);
 			late.values[i] = g_strdup(task.values[i]);
 		}
@@ -173,7 +176,7 @@
 {
 	struct task task = {.writes = true, .done = handler, .data = data};
 
-	g_assert_cmpuint(count, ==, 2);
+	g_assert_cmpuint(count, ==, ROWS);
 	for (size_t i = 0; i < count; i++) {
 		task.keys[i] = g_strdup(writes[i].key);
 		task.values[i] = g_strdup(writes[i].value);
