--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -28,6 +28,7 @@
 	out->queued = load->queued;
 	out->limit = load->limit;
 	out->expected_wait_us = load->expected_wait_us;
+	out->service_us = load->service_us;
 	return out;
 }
 
@@ -125,6 +126,21 @@
 	return count;
 }
 
+/* The attempts on a connection, until it is lost. */
+static struct entry_attempt_list *attempts_of(struct entry *entry,
+					      struct peer *peer)
+{
+	struct entry_attempt_list *list =
+		g_hash_table_lookup(entry->by_peer, peer);
+
+	if (!list) {
+		list = g_new0(struct entry_attempt_list, 1);
+		LIST_INIT(list);
+		g_hash_table_insert(entry->by_peer, peer, list);
+	}
+	return list;
+}
+
 void entry_attempt_send(struct call *call, struct service_upstream *upstream,
 			bool may_queue, bool is_hedge)
 {
@@ -144,6 +160,7 @@
 	attempt->state = ENTRY_PICKED;
 	attempt->peer = peers_connect(entry->daemon->peers, member);
 	LIST_INSERT_HEAD(&call->active, attempt, link);
+	LIST_INSERT_HEAD(attempts_of(entry, attempt->peer), attempt, peer_link);
 	g_hash_table_insert(entry->attempts, &attempt->seq, attempt);
 	fill_attempt(call, &out, upstream);
 	out.seq = attempt->seq;
@@ -179,6 +196,19 @@
 	peer_send(attempt->peer, &frame);
 }
 
+void entry_attempt_ask(struct entry_attempt *attempt)
+{
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	attempt->asked = true;
+	cancel.seq = attempt->seq;
+	cancel.if_overdue = true;
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	peer_send(attempt->peer, &frame);
+}
+
 void entry_attempt_time_out(struct entry_attempt *attempt)
 {
 	entry_attempt_cancel(attempt);
@@ -202,6 +232,7 @@
 		call->answering = NULL;
 	g_hash_table_remove(call->entry->attempts, &attempt->seq);
 	LIST_REMOVE(attempt, link);
+	LIST_REMOVE(attempt, peer_link);
 	service_upstream_unref(attempt->upstream);
 	g_free(attempt);
 }
@@ -313,13 +344,30 @@
 			const Cfd__Failed *failed)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, failed->seq);
+	bool given_up;
 
 	timeline_observe(&entry->daemon->timeline, failed->time);
 	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_FAILED))
 		return;
-	tell_end(attempt, attempt->cancelled ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
+	given_up = attempt->cancelled || attempt->asked;
+	tell_end(attempt, given_up ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
 		 failed->load);
-	call_note_unknown(attempt, !attempt->cancelled);
+	call_note_unknown(attempt, !given_up);
+}
+
+static void take_load_report(struct entry *entry, struct peer *peer,
+			     const Cfd__LoadReport *report)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, report->seq);
+	struct pick_load load;
+
+	if (!attempt)
+		return;
+	if (report->load && attempt->upstream->listed)
+		pick_note_load(&attempt->upstream->service->picks,
+			       &attempt->upstream->candidate,
+			       read_load(report->load, &load), clock_mono_us());
+	call_note_on_time(attempt);
 }
 
 static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
@@ -340,16 +388,14 @@
 	case CFD__FRAME__KIND_FAILED:
 		take_failed(entry, peer, frame->failed);
 		break;
+	case CFD__FRAME__KIND_LOAD_REPORT:
+		take_load_report(entry, peer, frame->load_report);
+		break;
 	case CFD__FRAME__KIND_WINDOW:
 		attempt = entry_find(entry, peer, frame->window->seq);
 		if (attempt)
 			call_note_room(attempt, frame->window->bytes);
 		break;
-	case CFD__FRAME__KIND_CONFIG_BODY:
-		if (entry->handle_answer)
-			entry->handle_answer(peer, frame->config_body,
-					     entry->answer_data);
-		break;
 	default:
 		counters.peer_bad_frames++;
 		break;
@@ -370,27 +416,17 @@
 }
 
 /* Whatever one loss leads to may end other attempts of the same connection,
- * so the search starts over after each. */
+ * so the first of those left is taken each time. */
 static void handle_lost(struct peer *peer, const char *error, void *data)
 {
 	struct entry *entry = data;
-	struct entry_attempt *found;
-	GHashTableIter iter;
-	gpointer value;
+	struct entry_attempt_list *list = attempts_of(entry, peer);
+	struct entry_attempt *attempt;
 
 	(void)error;
-	do {
-		found = NULL;
-		g_hash_table_iter_init(&iter, entry->attempts);
-		while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
-			struct entry_attempt *attempt = value;
-
-			if (attempt->peer == peer)
-				found = attempt;
-		}
-		if (found)
-			attempt_lose(found);
-	} while (found);
+	while ((attempt = LIST_FIRST(list)))
+		attempt_lose(attempt);
+	g_hash_table_remove(entry->by_peer, peer);
 }
 
 void entry_fill_role(struct entry *entry, struct peers_role *role)
--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -10,6 +10,7 @@
 #define QUEUE_SERVICE_MAX_US (3600 * US_PER_S)
 #define QUEUE_MEAN_GAIN 64
 #define QUEUE_MEDIAN_GAIN 32
+#define QUEUE_RECENT_GAIN 8
 #define QUEUE_STANDING_US (100 * US_PER_MS)
 #define QUEUE_STANDING_SERVICES 32
 #define QUEUE_STANDING_SHARE 2 /* of the remaining time, one part in so many */
@@ -135,6 +136,19 @@
 	return (work_us + to_end * queue->overall.mean_us) / limit;
 }
 
+static int64_t queue_foresee_later_us(const struct queue *queue,
+				      const struct queue_item *item,
+				      const struct queue_slots *slots)
+{
+	uint32_t lane = queue_lane(queue, item->class);
+	int64_t work_us =
+		fair_work_ahead_later_us(&queue->lanes[lane], item->key_hash);
+
+	for (uint32_t above = 0; above < lane; above++)
+		work_us += queue->lanes[above].work_us;
+	return queue_wait_for_us(queue, work_us, slots);
+}
+
 int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
 			      uint64_t key_hash, const struct queue_slots *slots)
 {
@@ -234,6 +248,8 @@
 		return QUEUE_REFUSED_FULL;
 	wait_us =
 		queue_foresee_wait_us(queue, item->class, item->key_hash, slots);
+	if (queue->policy->by_class && queue_is_standing(queue, now_us))
+		wait_us = queue_foresee_later_us(queue, item, slots);
 	allowed_us = queue->policy->allowed_wait_us(queue, item, now_us);
 	if (wait_us <= allowed_us)
 		return QUEUE_ACCEPTED;
@@ -374,11 +390,19 @@
 	return item;
 }
 
-static void queue_service_note(struct queue_service *service, int64_t sample_us)
+/* A step of one part in gain toward the sample. */
+static void queue_move_median(int64_t *median_us, int64_t sample_us, int64_t gain)
 {
-	int64_t step_us = MAX(service->median_us / QUEUE_MEDIAN_GAIN, 1);
+	int64_t step_us = MAX(*median_us / gain, 1);
 
-	sample_us = CLAMP(sample_us, 1, QUEUE_SERVICE_MAX_US);
+	if (sample_us > *median_us)
+		*median_us += MIN(step_us, sample_us - *median_us);
+	else
+		*median_us -= MIN(step_us, *median_us - sample_us);
+}
+
+static void queue_service_note(struct queue_service *service, int64_t sample_us)
+{
 	if (!service->known) {
 		service->mean_us = sample_us;
 		service->median_us = sample_us;
@@ -386,19 +410,24 @@
 		return;
 	}
 	service->mean_us += (sample_us - service->mean_us) / QUEUE_MEAN_GAIN;
-	if (sample_us > service->median_us)
-		service->median_us +=
-			MIN(step_us, sample_us - service->median_us);
-	else
-		service->median_us -=
-			MIN(step_us, service->median_us - sample_us);
+	queue_move_median(&service->median_us, sample_us, QUEUE_MEDIAN_GAIN);
 }
 
 void queue_note_done(struct queue *queue, enum config_class class,
 		     int64_t occupancy_us)
 {
-	queue_service_note(&queue->service[class], occupancy_us);
-	queue_service_note(&queue->overall, occupancy_us);
+	int64_t sample_us = CLAMP(occupancy_us, 1, QUEUE_SERVICE_MAX_US);
+
+	queue_service_note(&queue->service[class], sample_us);
+	queue_service_note(&queue->overall, sample_us);
+	if (queue->recent_us == 0)
+		queue->recent_us = sample_us;
+	queue_move_median(&queue->recent_us, sample_us, QUEUE_RECENT_GAIN);
+}
+
+int64_t queue_recent_service_us(const struct queue *queue)
+{
+	return queue->recent_us;
 }
 
 bool queue_is_standing(const struct queue *queue, int64_t now_us)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -68,6 +68,8 @@
 	load->expected_wait_us =
 		(uint32_t)MIN(queue_expected_wait_us(&owner->queue, &slots),
 			      (int64_t)UINT32_MAX);
+	load->service_us = (uint32_t)MIN(queue_recent_service_us(&owner->queue),
+					 (int64_t)UINT32_MAX);
 }
 
 struct daemon *owner_daemon(const struct owner *owner)
@@ -462,13 +464,6 @@
 	owner->state_data = data;
 }
 
-void owner_when_asked(struct owner *owner, owner_query_handler handle_query,
-		      void *data)
-{
-	owner->handle_query = handle_query;
-	owner->query_data = data;
-}
-
 const struct owner_announcement *owner_announced(const struct owner *owner)
 {
 	return owner->pool ? &owner->announced : NULL;
