--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -40,6 +40,7 @@
 	set->policy = policy;
 	set->candidates = g_ptr_array_new();
 	set->eligible = g_ptr_array_new();
+	set->services = g_array_new(FALSE, FALSE, sizeof(guint));
 	set->random.state = seed;
 	budget_init(&set->refusals, PICK_REFUSAL_SHARE, PICK_REFUSAL_BURST);
 }
@@ -48,6 +49,7 @@
 {
 	g_ptr_array_free(set->candidates, TRUE);
 	g_ptr_array_free(set->eligible, TRUE);
+	g_array_free(set->services, TRUE);
 }
 
 void pick_candidate_init(struct pick_candidate *candidate, uint64_t id)
@@ -235,8 +237,9 @@
 	       (1 - kept) * set->typical_latency_us;
 }
 
-/* What the owner says of its upstream's speed, over the usual one. It sees all
- * calls there, an entry among hundreds only a few of its own. */
+/* What the owner says of its upstream's speed, over the usual one; 0 where that
+ * is nothing out of the ordinary. It sees all calls there, an entry among
+ * hundreds only a few of its own. */
 static double reported_slowness(const struct pick_set *set,
 				const struct pick_candidate *candidate,
 				int64_t now_us)
@@ -247,9 +250,9 @@
 
 	if (!candidate->load_known || candidate->load.service_us == 0 ||
 	    set->typical_service_us <= 0)
-		return 1.0;
+		return 0;
 	slowness = candidate->load.service_us / set->typical_service_us;
-	return slowness < PICK_REPORTED_SLOW ? 1.0 : 1 + kept * (slowness - 1);
+	return slowness < PICK_REPORTED_SLOW ? 0 : 1 + kept * (slowness - 1);
 }
 
 static double own_slowness(const struct pick_set *set,
@@ -295,6 +298,35 @@
 		set->reports++;
 }
 
+static gint compare_services(gconstpointer a, gconstpointer b)
+{
+	guint x = *(const guint *)a;
+	guint y = *(const guint *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* The median of the upstreams, not of the reports: one that answers nothing but
+ * errors reports most often, and the same all the time. */
+static void note_typical_service(struct pick_set *set)
+{
+	GArray *services = set->services;
+	guint middle;
+
+	g_array_set_size(services, 0);
+	for (guint i = 0; i < set->candidates->len; i++) {
+		const struct pick_candidate *c = set->candidates->pdata[i];
+
+		if (c->load_known && c->load.service_us > 0)
+			g_array_append_val(services, c->load.service_us);
+	}
+	middle = services->len / 2;
+	if (services->len == 0)
+		return;
+	g_array_sort(services, compare_services);
+	set->typical_service_us = g_array_index(services, guint, middle);
+}
+
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
 		    const struct pick_load *load, int64_t now_us)
 {
@@ -311,9 +343,7 @@
 	candidate->mean_utilisation +=
 		PICK_OWN_MEAN_ALPHA * (utilisation - candidate->mean_utilisation);
 	note_mean(set, utilisation);
-	if (load->service_us > 0)
-		move_median(&set->typical_service_us, &set->service_reports,
-			    load->service_us);
+	note_typical_service(set);
 }
 
 /* Notes a latency of the candidate alone. */
--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -420,6 +420,12 @@
 
 	queue_service_note(&queue->service[class], sample_us);
 	queue_service_note(&queue->overall, sample_us);
+}
+
+void queue_note_answered(struct queue *queue, int64_t service_us)
+{
+	int64_t sample_us = CLAMP(service_us, 1, QUEUE_SERVICE_MAX_US);
+
 	if (queue->recent_us == 0)
 		queue->recent_us = sample_us;
 	queue_move_median(&queue->recent_us, sample_us, QUEUE_RECENT_GAIN);
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -119,6 +119,8 @@
 				now - attempt->started_us);
 		probe_note_traffic(owner->probe);
 	}
+	if (outcome == LIMIT_OUTCOME_OK)
+		queue_note_answered(&owner->queue, now - attempt->started_us);
 	if (first_us > attempt->item.deadline_us)
 		counters.owner_late++;
 	TAILQ_REMOVE(&owner->runs, attempt, running_link);
