--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -217,19 +217,14 @@
 	http_client_begin(owner->daemon->http);
 }
 
-/* Only keeps the loop from waiting; see handle_turn_end(). */
-static void handle_wake(struct ev_loop *loop, ev_timer *timer, int events)
+/* Of both timers: keeps the loop from waiting before handle_turn_end(). */
+static void handle_due(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	(void)loop;
-	(void)timer;
-	(void)events;
-}
+	struct owner *owner = timer->data;
 
-static void handle_stale(struct ev_loop *loop, ev_timer *timer, int events)
-{
 	(void)loop;
 	(void)events;
-	owner_turn(timer->data);
+	owner->turn_is_due = true;
 }
 
 static void owner_sweep_runs(struct owner *owner, int64_t now)
@@ -347,13 +342,14 @@
 	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
 	owner->probe = probe_create(daemon, handle_reachable, owner);
 	owner->swept_us = clock_mono_us();
-	ev_timer_init(&owner->wake, handle_wake, 0.0, 0.0);
+	ev_timer_init(&owner->wake, handle_due, 0.0, 0.0);
 	ev_prepare_init(&owner->turn_end, handle_turn_end);
 	/* Before the frames are written: refusals go out in the same turn. */
 	ev_set_priority(&owner->turn_end, EV_MAXPRI);
-	ev_timer_init(&owner->stale, handle_stale, 0.0, 0.0);
+	ev_timer_init(&owner->stale, handle_due, 0.0, 0.0);
 	ev_timer_init(&owner->sweep, handle_sweep, SWEEP_S, SWEEP_S);
 	owner->turn_end.data = owner;
+	owner->wake.data = owner;
 	owner->stale.data = owner;
 	owner->sweep.data = owner;
 	ev_prepare_start(daemon->loop, &owner->turn_end);
