peer: compare the lengths of field names first

Each field of a request and of an answer was compared with each name that is not passed on, 18 of them, without regard to its length.

--- a/comfreydockd/peer/fields.c
+++ b/comfreydockd/peer/fields.c
@@ -1,29 +1,39 @@
 #include "comfreydockd/peer/fields.h"
 
 #include <glib.h>
+#include <string.h>
 #include <strings.h>
 
 #define FIRST_CAPACITY 16
 
-static const char *const not_passed[] = {
-	"Connection",
-	"Content-Length", /* the frames tell the length */
-	"Expect",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Proxy-Connection",
-	"TE",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-	FIELD_DEADLINE,
-	FIELD_DEPTH,
-	FIELD_FIRST_STATUS,
-	FIELD_OUTCOME,
-	FIELD_REASON,
-	FIELD_RETRY_AFTER_MS,
-	FIELD_TRACE,
+struct name {
+	const char *text;
+	size_t length;
+};
+
+/* clang-format off */
+#define NAME(text) {text, sizeof(text) - 1}
+/* clang-format on */
+
+static const struct name not_passed[] = {
+	NAME("Connection"),
+	NAME("Content-Length"), /* the frames tell the length */
+	NAME("Expect"),
+	NAME("Keep-Alive"),
+	NAME("Proxy-Authenticate"),
+	NAME("Proxy-Authorization"),
+	NAME("Proxy-Connection"),
+	NAME("TE"),
+	NAME("Trailer"),
+	NAME("Transfer-Encoding"),
+	NAME("Upgrade"),
+	NAME(FIELD_DEADLINE),
+	NAME(FIELD_DEPTH),
+	NAME(FIELD_FIRST_STATUS),
+	NAME(FIELD_OUTCOME),
+	NAME(FIELD_REASON),
+	NAME(FIELD_RETRY_AFTER_MS),
+	NAME(FIELD_TRACE),
 };
 
 void fields_init(struct fields *fields)
@@ -59,10 +69,14 @@
 	fields->items[fields->count++] = header;
 }
 
+/* Lengths first: nearly every field of every call is compared with each name. */
 bool field_is_hop_by_hop(const char *name)
 {
+	size_t length = strlen(name);
+
 	for (size_t i = 0; i < G_N_ELEMENTS(not_passed); i++) {
-		if (strcasecmp(name, not_passed[i]) == 0)
+		if (not_passed[i].length == length &&
+		    strcasecmp(name, not_passed[i].text) == 0)
 			return true;
 	}
 	return false;
