--- a/common/id.c
+++ b/common/id.c
@@ -5,14 +5,20 @@
 #include <stdlib.h>
 #include <sys/random.h>
 
+/* Up to 256 bytes are never cut short once the kernel's pool is ready. */
+#define STOCK 32
+
 uint64_t id_random_u64(void)
 {
-	uint64_t value;
+	static uint64_t stock[STOCK];
+	static unsigned int left;
 
-	/* Eight bytes are never cut short once the kernel's pool is ready. */
-	if (getrandom(&value, sizeof(value), 0) != sizeof(value))
-		abort();
-	return value;
+	if (left == 0) {
+		if (getrandom(stock, sizeof(stock), 0) != sizeof(stock))
+			abort();
+		left = STOCK;
+	}
+	return stock[--left];
 }
 
 void id_random(char text[ID_TEXT_SIZE])
