--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -200,8 +200,8 @@
 static void append_field(struct run *run, const char *name, const char *value)
 {
 	/* libcurl sends an empty field only where it ends in a semicolon. */
-	char *line = *value ? g_strdup_printf("%s: %s", name, value) :
-			      g_strdup_printf("%s;", name);
+	char *line = *value ? g_strconcat(name, ": ", value, NULL) :
+			      g_strconcat(name, ";", NULL);
 
 	run->request_fields = curl_slist_append(run->request_fields, line);
 	g_free(line);
