decide: let an entry choose more upstreams of a large service

Cause: 24 upstreams for each of 50 entries leave some of a service of 600 in nobody's subset.

Change: a subset has one upstream in eight, and 24 at least.

Conclusion: rendezvous hashing is good enough. Weighed as well: rounds over numbered entries, and ranks on several rings. Both even out who chose whom, which the load doesn't need, and change a third of the places or more at each start.

--- a/bench/capacity/bench_cluster.c
+++ b/bench/capacity/bench_cluster.c
@@ -214,7 +214,7 @@
 	       (double)(to.bytes_in - from.bytes_in) / s / n,
 	       (double)(to.bytes_out - from.bytes_out) / s / n);
 	printf("daemons %u: since their starts the platform has served %.2f "
-	       "reads of hosts' rows and %.2f writes each; now %.2f reads/s "
+	       "reads and %.2f writes each but for head rows; now %.2f reads/s "
 	       "and %.2f writes/s in all\n",
 	       bench->count, (double)(from.reads - from.head_reads) / n,
 	       (double)from.writes / n, (double)(to.reads - from.reads) / s,
--- a/bench/capacity/bench_subset.c
+++ b/bench/capacity/bench_subset.c
@@ -32,6 +32,7 @@
 #define UPSTREAMS_MAX 600
 #define ENTRIES_MAX 22000
 #define CALLS 200
+#define SUBSET_MOST (UPSTREAMS_MAX / SUBSET_PART + 1)
 
 struct bench {
 	char names[UPSTREAMS_MAX + 1][24];
@@ -40,7 +41,8 @@
 	size_t entries;
 	unsigned int chosen_by[UPSTREAMS_MAX + 1];
 	bool before[UPSTREAMS_MAX + 1];
-	uint16_t subsets[ENTRIES_MAX][SUBSET_SIZE];
+	uint16_t subsets[ENTRIES_MAX][SUBSET_MOST];
+	size_t size; /* of each subset */
 	unsigned int load[UPSTREAMS_MAX + 1];
 };
 
@@ -62,7 +64,7 @@
 			.host = bench->names[i],
 			.local = i % DOMAINS == entry % DOMAINS,
 		};
-	subset_choose(name, bench->upstreams + first, count, SUBSET_SIZE);
+	subset_choose(name, bench->upstreams + first, count, subset_size(count));
 }
 
 /* RETURN VALUE: places a subset that another upstream took. */
@@ -88,7 +90,7 @@
 	const uint16_t *subset = bench->subsets[entry];
 	uint16_t least = subset[0];
 
-	for (size_t i = 1; i < SUBSET_SIZE; i++) {
+	for (size_t i = 1; i < bench->size; i++) {
 		if (bench->load[subset[i]] < bench->load[least])
 			least = subset[i];
 	}
@@ -138,6 +140,7 @@
 
 	bench->count = count;
 	bench->entries = entries;
+	bench->size = subset_size(count);
 	memset(bench->chosen_by, 0, sizeof(bench->chosen_by));
 	for (size_t i = 0; i <= count; i++)
 		g_snprintf(bench->names[i], sizeof(bench->names[i]),
@@ -149,7 +152,8 @@
 	}
 	began = now_s() - began;
 	run_calls(bench);
-	printf("%zu entries, %zu upstreams: ", entries, count);
+	printf("%zu entries, %zu upstreams, %zu each: ", entries, count,
+	       bench->size);
 	print_spread(bench->chosen_by, count, "chosen by");
 	print_spread(bench->load, count, "load");
 	printf("%.2f places change on a leave, %.2f on a join, %.1f us\n",
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -144,7 +144,7 @@
 		subset[count].chosen = false;
 		count++;
 	}
-	subset_choose(settings->host, subset, count, SUBSET_SIZE);
+	subset_choose(settings->host, subset, count, subset_size(count));
 	subset[count].host = NULL;
 }
 
--- a/comfreydockd/decide/subset.c
+++ b/comfreydockd/decide/subset.c
@@ -36,6 +36,11 @@
 	return chosen;
 }
 
+size_t subset_size(size_t count)
+{
+	return MIN(count, MAX((size_t)SUBSET_SIZE, count / SUBSET_PART));
+}
+
 size_t subset_choose(const char *entry_host, struct subset_upstream *upstreams,
 		     size_t count, size_t size)
 {
--- a/include/comfreydockd/decide/subset.h
+++ b/include/comfreydockd/decide/subset.h
@@ -18,9 +18,23 @@
  *
  * GROUNDS
  *	SUBSET_SIZE is an assumption: above the 7 upstreams of today's
- *	services, so that these stay whole. Measured by tests/test_subset.c
- *	with 300 entries, 300 upstreams and 3 failure domains: the upstream that
- *	most entries chose has 1.54 times the mean.
+ *	services, so that these stay whole. How many entries chose an upstream
+ *	does not set its load, since entries send less to who is loaded. What
+ *	sets it is that each upstream is chosen by some entry at all, so a
+ *	large service has larger subsets: one part in SUBSET_PART.
+ *
+ *	bench-subset 50 300 1500, 3 failure domains; each call goes to the
+ *	least loaded of the entry's subset:
+ *
+ *	entries	     upstreams	   chosen by, max and min  load (mean 1)
+ *	     50	     300, 37 each  2.27, 0.16		    1.02, 0.99
+ *	     50	     600, 75 each  2.24, 0.00		    1.02, 0.00
+ *	    300	     300, 37 each  1.54, 0.65		    1.00, 0.99
+ *	    300	     600, 75 each  1.55, 0.56		    1.01, 0.99
+ *	   1500	     600, 75 each  1.25, 0.80		    1.00, 1.00
+ *
+ *	With 24 of 600 for each of 50 entries the load was up to 1.20, and some
+ *	upstreams were in nobody's subset.
  *
  * SOURCE
  *	Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
@@ -33,7 +47,11 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#define SUBSET_SIZE 24
+#define SUBSET_SIZE 24 /* at least, as far as there are any */
+#define SUBSET_PART 8
+
+/* RETURN VALUE: how many an entry chooses of so many. */
+size_t subset_size(size_t count);
 
 struct subset_upstream {
 	const char *host;
--- a/tests/test_subset.c
+++ b/tests/test_subset.c
@@ -86,11 +86,47 @@
 			 ==, 0);
 }
 
+/*
+ * Fifty entries call a service of 600 upstreams. With the same small subset for
+ * each service, one upstream in eight would be in nobody's, and its slots would
+ * stay idle while the others are full.
+ */
+static void test_few_entries_reach_a_large_service(void)
+{
+	enum {
+		LARGE = 600,
+		ENTRIES = 50
+	};
+	struct subset_upstream upstreams[LARGE];
+	char names[LARGE][16];
+	bool reached[LARGE] = {false};
+	size_t missed = LARGE;
+
+	for (size_t i = 0; i < LARGE; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "host-%zu", i);
+		upstreams[i] = (struct subset_upstream){.host = names[i]};
+	}
+	for (size_t entry = 0; entry < ENTRIES; entry++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "entry-%zu", entry);
+		subset_choose(name, upstreams, LARGE, subset_size(LARGE));
+		for (size_t i = 0; i < LARGE; i++)
+			reached[i] |= upstreams[i].chosen;
+	}
+	for (size_t i = 0; i < LARGE; i++)
+		missed -= reached[i];
+	g_assert_cmpuint(missed, <=, LARGE / 100);
+	g_assert_cmpuint(subset_size(7), ==, 7);
+	g_assert_cmpuint(subset_size(100), ==, SUBSET_SIZE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/subset/balance", test_choices_are_balanced);
 	g_test_add_func("/subset/stable", test_a_leave_changes_little);
 	g_test_add_func("/subset/small", test_small_service_stays_whole);
+	g_test_add_func("/subset/large", test_few_entries_reach_a_large_service);
 	return g_test_run();
 }
