--- a/bench/decide/owner.c
+++ b/bench/decide/owner.c
@@ -112,6 +112,8 @@
 		queue_note_done(owner->queue, attempt->item.class, took_us);
 		measure_note_traffic(&owner->measure, r->events.now_us);
 	}
+	if (outcome == LIMIT_OUTCOME_OK)
+		queue_note_answered(owner->queue, took_us);
 	owner->running--;
 }
 
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -129,13 +129,13 @@
 	const struct pick_policy *policy;
 	GPtrArray *candidates; /* of struct pick_candidate, the entry's own */
 	GPtrArray *eligible; /* scratch of pick_choose() */
+	GArray *services; /* scratch of pick_note_load() */
 	struct random_state random;
 	struct budget refusals;
 	uint64_t turn; /* round robin */
 	double mean_utilisation; /* of the others' work, over all reports */
 	uint32_t reports;
-	double typical_service_us; /* running median over all reports */
-	uint32_t service_reports;
+	double typical_service_us; /* median of the upstreams' last reports */
 	double typical_latency_us; /* running median over all upstreams */
 	uint32_t typical_samples;
 };
