hedge: pay more for hedges that don't win

Cause: late answers are mostly late because their work is long, and then a second attempt is as late.

Change: the share of hedges that win is kept; where it is low, a hedge costs up to five times as much of the budget. The burst is 5 in place of 10, which 500 entries each have.

Tried: a price of up to ten with a burst of three.

A rule whose jobs differ widely in length is still better off without hedges.

--- a/bench/decide/entry.c
+++ b/bench/decide/entry.c
@@ -368,6 +368,8 @@
 
 	hedge_note_latency(&entry_of(r, call)->hedge,
 			   r->events.now_us - call->trace->at_us);
+	if (call_is_active(call))
+		hedge_note_race(&entry_of(r, call)->hedge, attempt->is_hedge);
 	call_drop_attempts(r, call, false);
 	replay_note_answer(r, call, attempt->error);
 }
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -260,6 +260,8 @@
 	call->sink->handle_head(call->sink_data, answer->status, &fields,
 				answer->length);
 	fields_finish(&fields);
+	if (LIST_NEXT(LIST_FIRST(&call->active), link))
+		hedge_note_race(&call->service->hedge, attempt->is_hedge);
 	/* The slower of a hedged pair. */
 	while ((other = LIST_FIRST(&call->active)) != attempt ||
 	       (other = LIST_NEXT(attempt, link)))
--- a/comfreydockd/decide/hedge.c
+++ b/comfreydockd/decide/hedge.c
@@ -10,6 +10,7 @@
 		    budget_percent ? HEDGE_BURST : 0);
 	quantile_init(&hedge->latency);
 	hedge->samples = 0;
+	hedge->win_share = HEDGE_WIN_FIRST;
 }
 
 void hedge_note_request(struct hedge *hedge)
@@ -23,6 +24,18 @@
 	hedge->samples++;
 }
 
+void hedge_note_race(struct hedge *hedge, bool won)
+{
+	hedge->win_share +=
+		HEDGE_WIN_ALPHA * ((won ? 1.0 : 0.0) - hedge->win_share);
+}
+
+static double hedge_price(const struct hedge *hedge)
+{
+	return CLAMP(HEDGE_WIN_FIRST / MAX(hedge->win_share, 0.001), 1.0,
+		     HEDGE_DEAR);
+}
+
 /* Whether a hedge sent at at_us could run and still be of use. */
 static bool is_allowed(const struct hedge *hedge,
 		       const struct hedge_question *question, int64_t at_us)
@@ -53,5 +66,6 @@
 {
 	if (!is_allowed(hedge, question, now_us))
 		return false;
-	return budget_take(&hedge->budget, 1.0 + question->depth);
+	return budget_take(&hedge->budget,
+			   (1.0 + question->depth) * hedge_price(hedge));
 }
--- a/include/comfreydockd/decide/hedge.h
+++ b/include/comfreydockd/decide/hedge.h
@@ -13,6 +13,11 @@
  *	Only for requests that are idempotent. There is no retry budget in it:
  *	hedges have their own.
  *
+ *	A hedge that seldom wins is dear: the budget pays up to HEDGE_DEAR times
+ *	for it. Where an answer is late because its work is long, or because
+ *	all upstreams are slow alike, the second attempt is as late as the first
+ *	and only takes a slot.
+ *
  *	The time of an attempt that was cancelled because its hedge won is told
  *	to hedge_note_latency() too, as far as it got: leaving it out would cut
  *	the slow end off, lower the delay and so bring more hedges.
@@ -48,12 +53,17 @@
 
 #define HEDGE_PERCENTILE 0.95
 #define HEDGE_MIN_SAMPLES 100
-#define HEDGE_BURST 10.0
+#define HEDGE_BURST 5.0
+#define HEDGE_DEAR 5.0
+/* Weight of one hedge in the share that wins, and what that begins with. */
+#define HEDGE_WIN_ALPHA 0.25
+#define HEDGE_WIN_FIRST 0.5
 
 struct hedge {
 	struct budget budget;
 	struct quantile latency;
 	uint64_t samples;
+	double win_share; /* of recent hedges */
 };
 
 struct hedge_question {
@@ -72,6 +82,9 @@
 void hedge_note_request(struct hedge *hedge);
 void hedge_note_latency(struct hedge *hedge, int64_t latency_us);
 
+/* Where an answer came while both attempts were out: whether the hedge's. */
+void hedge_note_race(struct hedge *hedge, bool won);
+
 /* RETURN VALUE: the time to wait from now on, or -1 for no hedge. */
 int64_t hedge_delay_us(const struct hedge *hedge,
 		       const struct hedge_question *question, int64_t now_us);
--- a/tests/test_hedge.c
+++ b/tests/test_hedge.c
@@ -82,11 +82,48 @@
 	g_assert_cmpfloat(spent, >, 500);
 }
 
+static int count_hedges(struct hedge *hedge, int calls, bool won)
+{
+	int hedges = 0;
+
+	for (int i = 0; i < calls; i++) {
+		hedge_note_request(hedge);
+		if (!hedge_take(hedge, &good, 0))
+			continue;
+		hedges++;
+		hedge_note_race(hedge, won);
+	}
+	return hedges;
+}
+
+/*
+ * The late calls of a service are late because there is much to do for them. A
+ * second attempt does it all again and is later still; it takes a slot that
+ * somebody waits for, and nobody gets an answer sooner.
+ */
+static void test_losing_hedges_are_few(void)
+{
+	struct hedge losing;
+	struct hedge winning;
+	int few;
+
+	set_up(&losing, 10);
+	set_up(&winning, 10);
+	few = count_hedges(&losing, 10000, false);
+	g_assert_cmpint(few, >, 100);
+	g_assert_cmpint(few, <, 300);
+	g_assert_cmpint(count_hedges(&winning, 10000, true), >, 900);
+	/* The upstreams change; what wins again is found out. */
+	count_hedges(&losing, 1000, true);
+	g_assert_cmpint(count_hedges(&losing, 10000, true), >, 900);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/hedge/percentile", test_waits_for_the_percentile);
 	g_test_add_func("/hedge/samples", test_no_hedge_without_samples);
 	g_test_add_func("/hedge/any", test_rules_hold_for_any_question);
+	g_test_add_func("/hedge/losing", test_losing_hedges_are_few);
 	return g_test_run();
 }
