--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -389,6 +389,10 @@
 	     "\"winner\":\"anna\"");
 	call(f, "GET", "/v1/config?namespace=spurningalina", NULL, 200,
 	     "\"who\":\"anna\"");
+	/* Asked of every daemon after an apply: the platform is left alone. */
+	call(f, "GET", "/v1/config?namespace=spurningalina&held=1", NULL, 200,
+	     "\"version\":1");
+	g_assert_null(strstr(f->answer.body->str, "platform_answered"));
 	call(f, "GET", "/v1/config?body=1", NULL, 200, "connect-through");
 	g_free(sample);
 }
