common: let no two sockets share the port that the kernel chose

Cause: a test ended with "listen: Address already in use" though the kernel was to choose the port: two sockets with SO_REUSEADDR can be given the same free port, and the one that listens second fails. A daemon's UDP port, the number of its TCP port, could be taken in the same way.

Change: the option is set after bind(2) where the kernel chooses, and all our listeners, libmicrohttpd's as well, are made in common/socket; the peer port is chosen so that UDP has it, too. Setting no option at all was tried first and failed two tests: a restarted listener did not get its port back.

The rig survived g_error()'s trap, and GLib then loops for ever: two tests hung for 120 s instead of failing at once. It aborts now.

--- a/bench/capacity/bench_lost.c
+++ b/bench/capacity/bench_lost.c
@@ -22,10 +22,10 @@
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/peer/peers.h"
-#include "comfreydockd/peer/socket.h"
 #include "comfreydockd/settings.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "common/socket.h"
 
 #define FULL_SIZE 4096 /* callers' connections at most, by the settings */
 #define LOST_SHARE 10
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -7,11 +7,11 @@
 
 #include "comfreydockd/peer/greeting.h"
 #include "comfreydockd/peer/link.h"
-#include "comfreydockd/peer/socket.h"
 #include "comfreydockd/settings.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "common/socket.h"
 
 #define SWEEP_S 1.0
 
@@ -351,8 +351,8 @@
 {
 	struct peers *peers;
 	uint16_t port = 0;
-	int fd = socket_listen(daemon->settings->peer.address,
-			       daemon->settings->peer.port, &port);
+	int fd = socket_listen_both(daemon->settings->peer.address,
+				    daemon->settings->peer.port, &port);
 
 	if (fd < 0)
 		return NULL;
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -3,13 +3,12 @@
 #include <errno.h>
 #include <string.h>
 
-#include "common/address.h"
+#include "common/socket.h"
 
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_IDLE_TIMEOUT_S 60
 #define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
 #define DEFAULT_MEMORY_PER_CONNECTION (32 * 1024)
-#define LISTEN_BACKLOG 1024
 
 struct http_server {
 	struct ev_loop *loop;
@@ -72,9 +71,9 @@
 
 static struct MHD_Daemon *
 start_daemon(const struct http_server_options *options,
-	     const union socket_address *address,
-	     const struct http_server_callbacks *callbacks)
+	     const struct http_server_callbacks *callbacks, uint16_t *port)
 {
+	int fd = socket_listen(options->address, options->port, port);
 	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
 	unsigned int connections = options->max_connections ?
 					   options->max_connections :
@@ -86,15 +85,14 @@
 				options->memory_per_connection :
 				DEFAULT_MEMORY_PER_CONNECTION;
 
-	if (address->any.sa_family == AF_INET6)
-		flags |= MHD_USE_IPv6;
+	if (fd < 0)
+		return NULL;
 	return MHD_start_daemon(
-		flags, options->port, NULL, NULL, callbacks->handle_access,
-		callbacks->data, MHD_OPTION_SOCK_ADDR, &address->any,
+		flags, *port, NULL, NULL, callbacks->handle_access,
+		callbacks->data, MHD_OPTION_LISTEN_SOCKET, fd,
 		MHD_OPTION_CONNECTION_LIMIT, connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
-		MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)LISTEN_BACKLOG,
 		MHD_OPTION_NOTIFY_COMPLETED, callbacks->handle_completed,
 		callbacks->data, MHD_OPTION_URI_LOG_CALLBACK,
 		callbacks->handle_target, callbacks->data,
@@ -106,8 +104,6 @@
 {
 	const union MHD_DaemonInfo *info;
 
-	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
-	server->port = info->port;
 	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	ev_io_init(&server->io, handle_io, info->epoll_fd, EV_READ);
 	ev_init(&server->timer, handle_timer);
@@ -125,19 +121,13 @@
 		       const struct http_server_callbacks *callbacks)
 {
 	struct http_server *server;
-	union socket_address address;
 
-	if (!address_fill(&address, options->address, options->port)) {
-		errno = EINVAL;
-		return NULL;
-	}
 	server = g_new0(struct http_server, 1);
 	server->loop = loop;
 	server->quiesced_fd = MHD_INVALID_SOCKET;
-	server->daemon = start_daemon(options, &address, callbacks);
+	server->daemon = start_daemon(options, callbacks, &server->port);
 	if (!server->daemon) {
 		g_free(server);
-		errno = errno ? errno : EADDRINUSE;
 		return NULL;
 	}
 	http_server_watch(server);
@@ -280,7 +270,6 @@
 		.handle_target = handle_target,
 		.data = server,
 	};
-	union socket_address address;
 
 	server->loop = loop;
 	server->handler = handler;
@@ -289,9 +278,7 @@
 	server->max_body_bytes = options->max_body_bytes ?
 					 options->max_body_bytes :
 					 DEFAULT_MAX_BODY_BYTES;
-	errno = EINVAL;
-	if (address_fill(&address, options->address, options->port))
-		server->daemon = start_daemon(options, &address, &callbacks);
+	server->daemon = start_daemon(options, &callbacks, &server->port);
 	if (!server->daemon) {
 		g_free(server);
 		return NULL;
--- a/comfreydockd/peer/socket.c
+++ b/common/socket.c
@@ -1,4 +1,4 @@
-#include "comfreydockd/peer/socket.h"
+#include "common/socket.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -7,6 +7,7 @@
 #include "common/address.h"
 
 #define LISTEN_BACKLOG 1024
+#define PORT_TRIES 16
 /* How long a host may leave sent bytes unacknowledged. */
 #define USER_TIMEOUT_MS 5000
 
@@ -51,6 +52,11 @@
 	char number[ADDRESS_TEXT_SIZE];
 	union socket_address address;
 	socklen_t size = address_fill(&address, text, port);
+	/* Two sockets with SO_REUSEADDR can be given the same free port; the
+	 * one that listens second then fails. So a socket for any port gets
+	 * the option only after bind(2): its connections then don't keep a
+	 * restarted process from the port. */
+	int reuse = port != 0;
 	int one = 1;
 	int fd;
 
@@ -60,14 +66,41 @@
 	fd = open_stream(&address);
 	if (fd < 0)
 		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, &address.any, size) < 0 || listen(fd, LISTEN_BACKLOG) < 0 ||
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+	if (bind(fd, &address.any, size) < 0 ||
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) < 0 ||
+	    listen(fd, LISTEN_BACKLOG) < 0 ||
 	    getsockname(fd, &address.any, &size) < 0)
 		return close_failed(fd);
 	*bound = address_read(&address, number);
 	return fd;
 }
 
+static bool is_free_for_udp(const char *text, uint16_t port)
+{
+	union socket_address address;
+	socklen_t size = address_fill(&address, text, port);
+	int fd = socket(address.any.sa_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	bool free = fd >= 0 && bind(fd, &address.any, size) == 0;
+
+	if (fd >= 0)
+		close(fd);
+	return free;
+}
+
+int socket_listen_both(const char *text, uint16_t port, uint16_t *bound)
+{
+	int fd = socket_listen(text, port, bound);
+
+	for (int i = 0; i < PORT_TRIES && port == 0 && fd >= 0 &&
+			!is_free_for_udp(text, *bound);
+	     i++) {
+		close(fd);
+		fd = socket_listen(text, port, bound);
+	}
+	return fd;
+}
+
 int socket_connect(const char *text, uint16_t port)
 {
 	union socket_address address;
--- a/include/comfreydockd/peer/socket.h
+++ b/include/common/socket.h
@@ -1,6 +1,6 @@
 /*
  * NAME
- *	socket - TCP sockets between daemons
+ *	socket - listening and connecting TCP sockets
  *
  * DESCRIPTION
  *	Non-blocking, closed on exec, without delay of small writes, and with
@@ -9,14 +9,17 @@
  * RETURN VALUE
  *	A descriptor, or -1 with errno set.
  */
-#ifndef COMFREYDOCKD_PEER_SOCKET_H
-#define COMFREYDOCKD_PEER_SOCKET_H
+#ifndef COMMON_SOCKET_H
+#define COMMON_SOCKET_H
 
 #include <stdint.h>
 
-/* *bound gets the port, also where the kernel chose it. */
+/* *bound gets the port, also where the kernel chose it (port 0). */
 int socket_listen(const char *text, uint16_t port, uint16_t *bound);
 
+/* The same, but a port that the kernel chooses is free for UDP as well. */
+int socket_listen_both(const char *text, uint16_t port, uint16_t *bound);
+
 /* Begins to connect. */
 int socket_connect(const char *text, uint16_t port);
 
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -64,9 +64,12 @@
 		print_log_end(process->err_path);
 	}
 	remove_files(current);
-	if (signal != SIGABRT && signal != SIGTRAP)
-		_exit(1);
 	current = NULL;
+	/* g_error() expects that its trap is not survived: it would loop. */
+	if (signal == SIGTRAP)
+		abort();
+	if (signal != SIGABRT)
+		_exit(1);
 }
 
 static void process_free(void *data)
@@ -104,6 +107,10 @@
 	g_free(rig->directory);
 	g_free(rig);
 	current = NULL;
+	signal(SIGABRT, SIG_DFL);
+	signal(SIGTRAP, SIG_DFL);
+	signal(SIGTERM, SIG_DFL);
+	signal(SIGINT, SIG_DFL);
 }
 
 static char *new_path(struct rig *rig, const char *name, const char *suffix)
