caller: refuse at once beyond the limit of connections

At its limit of connections the daemon read no further one. Their callers, and all behind them in the kernel's queue, learned nothing until their own time was over. Up to 1,024 more are now read, to be told when to come back, and closed; caller_surplus_connections counts them. tests/system/test_ports.c failed before by a caller without an answer.

--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -13,6 +13,10 @@
 #include "common/http_server.h"
 
 #define STATUS_BAD_REQUEST 400
+#define STATUS_UNAVAILABLE 503
+#define COME_BACK_MS 1000
+/* Connections that are opened beyond the limit, to be refused. */
+#define SURPLUS 1024
 /* After an early answer so much of the rest of a body is read and dropped. */
 #define DISCARD_MAX (16 * 1024 * 1024)
 
@@ -24,20 +28,54 @@
 	return MHD_YES;
 }
 
-/* What follows on the connection may be part of this request: it is closed. */
-static enum MHD_Result request_refuse_form(struct caller_request *request,
-					   const char *fault)
+/* One of a caller. Kept beside each other: libmicrohttpd's and what is ours. */
+struct caller_connection {
+	bool has_request; /* a request line was read */
+	bool is_surplus; /* more are open than may be served */
+};
+
+static struct caller_connection *connection_of(struct MHD_Connection *connection)
 {
-	char *text = g_strdup_printf("not run: %s\n", fault);
+	return MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		->socket_context;
+}
 
-	counters.caller_bad_requests++;
-	outcome_refuse(&request_sink, request, STATUS_BAD_REQUEST,
-		       "bad-request", 0, text);
+/* Ends the connection with a refusal. */
+static enum MHD_Result request_refuse(struct caller_request *request,
+				      unsigned int status, const char *reason,
+				      uint32_t come_back_ms, const char *why)
+{
+	char *text = g_strdup_printf("not run: %s\n", why);
+
+	outcome_refuse(&request_sink, request, status, reason, come_back_ms,
+		       text);
 	MHD_add_response_header(request->response, "Connection", "close");
 	g_free(text);
 	return request_queue(request);
 }
 
+/* What follows on the connection may be part of this request. */
+static enum MHD_Result request_refuse_form(struct caller_request *request,
+					   const char *fault)
+{
+	counters.caller_bad_requests++;
+	return request_refuse(request, STATUS_BAD_REQUEST, "bad-request", 0,
+			      fault);
+}
+
+/*
+ * Were connections beyond the limit left unread, their callers would learn
+ * nothing until their own time is over, and so would all behind them in the
+ * kernel's queue. They are read, to be told at once when to come back.
+ */
+static enum MHD_Result request_refuse_surplus(struct caller_request *request)
+{
+	counters.caller_surplus_connections++;
+	return request_refuse(request, STATUS_UNAVAILABLE, "connections",
+			      COME_BACK_MS, "too many connections are open");
+}
+
 static void request_begin_call(struct caller_request *request,
 			       const char *method, const struct head *head)
 {
@@ -72,6 +110,8 @@
 	fault = head_fault(&head, method, version);
 	if (fault) {
 		result = request_refuse_form(request, fault);
+	} else if (connection_of(request->connection)->is_surplus) {
+		result = request_refuse_surplus(request);
 	} else {
 		request->body_done = !head.has_body;
 		request_begin_call(request, method, &head);
@@ -138,35 +178,31 @@
 	return MHD_YES;
 }
 
-/* Not even a request line could be read where none has begun. */
 static void handle_connection(void *data, struct MHD_Connection *connection,
 			      void **context,
 			      enum MHD_ConnectionNotificationCode code)
 {
-	bool *has_request = *context;
+	struct listener *listener = data;
+	uint32_t most = listener->daemon->settings->max_connections;
+	struct caller_connection *ours = *context;
 
-	(void)data;
 	(void)connection;
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-		*context = g_new0(bool, 1);
+		ours = g_new0(struct caller_connection, 1);
+		ours->is_surplus = ++listener->connections > most;
+		*context = ours;
 		return;
 	}
-	counters.caller_empty_connections += !*has_request;
-	g_free(has_request);
-}
-
-static void note_connection_used(struct MHD_Connection *connection)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-
-	*(bool *)info->socket_context = true;
+	listener->connections--;
+	/* Not even a request line could be read where none has begun. */
+	counters.caller_empty_connections += !ours->has_request;
+	g_free(ours);
 }
 
 static void *handle_target(void *data, const char *target,
 			   struct MHD_Connection *connection)
 {
-	note_connection_used(connection);
+	connection_of(connection)->has_request = true;
 	return request_create(data, connection, target);
 }
 
@@ -195,7 +231,7 @@
 	struct http_server_options options = {
 		.address = settings->caller.address,
 		.port = settings->caller.port,
-		.max_connections = settings->max_connections,
+		.max_connections = settings->max_connections + SURPLUS,
 		.memory_per_connection = settings->max_head_bytes,
 	};
 	struct http_server_callbacks callbacks = {
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -21,6 +21,7 @@
 struct listener {
 	struct daemon *daemon;
 	struct http_server *server;
+	size_t connections; /* open ones */
 	bool closes; /* see listener_announce_close() */
 };
 
--- a/tests/system/test_ports.c
+++ b/tests/system/test_ports.c
@@ -1,4 +1,4 @@
-/* Strangers on the ports for operators and for peers. */
+/* Strangers on the ports for operators and for peers; too many callers. */
 #include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
@@ -22,7 +22,8 @@
 	const char *path = rig_write_file(
 		cluster.rig, file,
 		"{\"host\": \"%s\", \"domain\": \"x\", \"region\": \"r\",\n"
-		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
+		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": 0,\n"
+		" \"max_connections\": 4},\n"
 		"\"admin\": {\"address\": \"%s\", \"port\": 0%s},\n"
 		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
 		"\"peer\": {\"address\": \"127.0.0.1\", \"port\": 0,\n"
@@ -119,6 +120,43 @@
 	g_free(body);
 }
 
+/* RETURN VALUE: the answer to one call over a connection that stays open. */
+static GString *call_over(int fd)
+{
+	GString *answer = g_string_new(NULL);
+
+	raw_send_text(fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	g_assert_true(raw_read_marks(fd, answer, "not run: ", 1, CLOSE_MS));
+	return answer;
+}
+
+/*
+ * Callers open more connections than the daemon holds. The surplus ones are
+ * told at once when to come back; left unread they would wait until their own
+ * time is over. The others go on.
+ */
+static void test_too_many_callers(void)
+{
+	GString *answer;
+	int fds[5];
+
+	for (int i = 0; i < 5; i++)
+		fds[i] = raw_connect(guarded->caller_port);
+	answer = call_over(fds[4]);
+	g_assert_true(g_str_has_prefix(answer->str, "HTTP/1.1 503"));
+	g_assert_nonnull(
+		strstr(answer->str, "Comfreydock-Reason: connections"));
+	g_assert_nonnull(strstr(answer->str, "Retry-After: 1"));
+	g_assert_true(raw_read_to_close(fds[4], answer, CLOSE_MS));
+	g_string_free(answer, TRUE);
+	/* This daemon has no configuration, which is another refusal. */
+	answer = call_over(fds[3]);
+	g_assert_nonnull(strstr(answer->str, "no-configuration"));
+	g_string_free(answer, TRUE);
+	for (int i = 0; i < 5; i++)
+		close(fds[i]);
+}
+
 static void send_frame(int fd, const Cfd__Frame *frame)
 {
 	size_t size = cfd__frame__get_packed_size(frame);
@@ -284,6 +322,7 @@
 	g_test_add_func("/ports/admin/open", test_open_admin_does_not_start);
 	g_test_add_func("/ports/admin/token", test_admin_token);
 	g_test_add_func("/ports/admin/oversize", test_admin_oversize_body);
+	g_test_add_func("/ports/caller/too-many", test_too_many_callers);
 	g_test_add_func("/ports/peer/garbage", test_peer_garbage);
 	g_test_add_func("/ports/peer/version", test_peer_version);
 	g_test_add_func("/ports/peer/no-greeting", test_peer_without_greeting);
