operator: list the hosts in pages

Cause: GET /v1/hosts made one answer of all hosts in one turn of the loop.

Change: a page has 250 hosts; "next" is what to give as "after". The command-line tool asks for all of them.

--- a/bench/capacity/bench_daemon.c
+++ b/bench/capacity/bench_daemon.c
@@ -10,8 +10,8 @@
  *	for each eight hosts, lets it join a crowd of so many hosts by gossip,
  *	and measures memory at each step, then processor time and bytes for so
  *	many seconds at rest and at several rates of changes. Then it calls
- *	each service once, so that the entry keeps state for it. The bytes
- *	count 28 a packet for IP and UDP.
+ *	each service once, so that the entry keeps state for it, and lists the
+ *	hosts. The bytes count 28 a packet for IP and UDP.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -35,6 +35,7 @@
 	struct usage_fit rest;
 	struct usage_fit busy;
 	struct usage_fit join;
+	struct usage_fit list;
 };
 
 struct bench {
@@ -178,6 +179,39 @@
 	return percent;
 }
 
+/* The daemon makes each page in one turn of its loop. */
+static void list_hosts(struct bench *bench, struct fits *fits)
+{
+	char *path = g_strdup("/v1/hosts");
+	size_t bytes = 0;
+	double most_ms = 0;
+	unsigned int pages = 0;
+
+	while (path) {
+		int64_t cpu = usage_cpu_ns(bench->daemon->pid);
+		char *page = rig_http_ok("GET", bench->daemon->admin_port, path,
+					 NULL);
+		char *next = strstr(page, "\"next\":\"");
+
+		cpu = usage_cpu_ns(bench->daemon->pid) - cpu;
+		most_ms = MAX(most_ms, (double)cpu / 1e6);
+		bytes += strlen(page);
+		pages++;
+		g_free(path);
+		path = NULL;
+		if (next) {
+			next += strlen("\"next\":\"");
+			*strchr(next, '"') = '\0';
+			path = g_strconcat("/v1/hosts?after=", next, NULL);
+		}
+		g_free(page);
+	}
+	printf("hosts %d: listed in %u pages, %zu bytes, %.1f ms of processor "
+	       "time for a page at most\n",
+	       bench->hosts, pages, bytes, most_ms);
+	usage_fit_add(&fits->list, bench->hosts, most_ms);
+}
+
 static void call_services(struct bench *bench)
 {
 	for (int i = 0; i < bench->services; i++) {
@@ -216,6 +250,10 @@
 	usage_fit_add(&fits->config, hosts, config_mib);
 	usage_fit_add(&fits->members, hosts, members_mib);
 	usage_fit_add(&fits->whole, hosts, rss_mib(&bench));
+	list_hosts(&bench, fits);
+	printf("hosts %d: resident after the list %.2f MiB\n", hosts,
+	       rss_mib(&bench));
+	fflush(stdout);
 	crowd_destroy(bench.crowd);
 	rig_destroy(bench.rig);
 }
@@ -239,5 +277,6 @@
 	usage_fit_print(&fits.rest, "percent of a core at rest", FULL_SIZE);
 	usage_fit_print(&fits.busy, "percent of a core at 0.2 changes/s",
 			FULL_SIZE);
+	usage_fit_print(&fits.list, "ms for a page of hosts", FULL_SIZE);
 	return 0;
 }
--- a/comfreydockctl/ctl.c
+++ b/comfreydockctl/ctl.c
@@ -169,6 +169,45 @@
 	return root;
 }
 
+static void take_page(json_object *all, json_object *page)
+{
+	json_object *hosts = jsonc_get_array(page, "hosts");
+
+	for (size_t i = 0; hosts && i < json_object_array_length(hosts); i++)
+		json_object_array_add(
+			all,
+			json_object_get(json_object_array_get_idx(hosts, i)));
+}
+
+json_object *ctl_ask_hosts(struct ctl *ctl)
+{
+	json_object *root = json_object_new_object();
+	json_object *all = json_object_new_array();
+	char *path = g_strdup("/v1/hosts");
+
+	json_object_object_add(root, "hosts", all);
+	while (path) {
+		json_object *page = ctl_ask(ctl, "GET", path);
+		const char *next = page ? jsonc_get_text(page, "next") : "";
+
+		g_free(path);
+		path = NULL;
+		if (!page) {
+			json_object_put(root);
+			return NULL;
+		}
+		take_page(all, page);
+		if (*next) {
+			char *after = g_uri_escape_string(next, NULL, FALSE);
+
+			path = g_strconcat("/v1/hosts?after=", after, NULL);
+			g_free(after);
+		}
+		json_object_put(page);
+	}
+	return root;
+}
+
 static char *admin_url_of(json_object *host)
 {
 	const char *address = jsonc_get_text(host, "address");
@@ -189,7 +228,7 @@
 GPtrArray *ctl_find_daemons(struct ctl *ctl)
 {
 	json_object *status = ctl_ask(ctl, "GET", "/v1/status");
-	json_object *hosts = status ? ctl_ask(ctl, "GET", "/v1/hosts") : NULL;
+	json_object *hosts = status ? ctl_ask_hosts(ctl) : NULL;
 	json_object *array = jsonc_get_array(hosts, "hosts");
 	const char *own = jsonc_get_text(status, "host");
 	GPtrArray *urls = NULL;
--- a/comfreydockctl/hosts.c
+++ b/comfreydockctl/hosts.c
@@ -20,7 +20,7 @@
 
 static int run(struct ctl *ctl, char **arguments)
 {
-	json_object *root = ctl_ask(ctl, "GET", "/v1/hosts");
+	json_object *root = ctl_ask_hosts(ctl);
 	json_object *hosts = jsonc_get_array(root, "hosts");
 
 	(void)arguments;
--- a/comfreydockd/operator/status.c
+++ b/comfreydockd/operator/status.c
@@ -6,6 +6,8 @@
 #include "common/counters.h"
 #include "common/jsonc.h"
 
+#define HOSTS_PAGE 250
+
 static void append_gauge(GString *text, const char *name, uint64_t value)
 {
 	g_string_append_printf(text,
@@ -83,18 +85,50 @@
 	return root;
 }
 
+/* RETURN VALUE: false where the page begins after a host that isn't known any
+ * more; *first is NULL where the list is at its end. */
+static bool find_page(struct operator_api *api, struct http_request *request,
+		      struct member **first)
+{
+	const char *after = http_request_argument(request, "after");
+	struct member_table *members = api->daemon->members;
+	struct member *member;
+
+	*first = members ? TAILQ_FIRST(member_table_all(members)) : NULL;
+	if (!after)
+		return true;
+	member = members ? member_table_find(members, after) : NULL;
+	*first = member ? TAILQ_NEXT(member, link) : NULL;
+	return member != NULL;
+}
+
+/*
+ * All of 22,000 hosts in one answer would keep the loop, and with it every call,
+ * waiting for a fifth of a second, and take more memory than the daemon may
+ * have. So there are pages: "next" is the host to give as "after".
+ */
 void operator_get_hosts(struct operator_api *api, struct http_request *request)
 {
-	json_object *root = json_object_new_object();
-	json_object *hosts = json_object_new_array();
+	json_object *hosts;
+	json_object *root;
 	struct member *member;
+	const char *last = NULL;
 
-	if (api->daemon->members) {
-		TAILQ_FOREACH (member, member_table_all(api->daemon->members),
-			       link)
-			json_object_array_add(hosts, member_to_json(member));
+	if (!find_page(api, request, &member)) {
+		operator_reply_error(request, 404,
+				     "no such host any more: begin anew");
+		return;
+	}
+	root = json_object_new_object();
+	hosts = json_object_new_array();
+	for (int i = 0; member && i < HOSTS_PAGE; i++) {
+		json_object_array_add(hosts, member_to_json(member));
+		last = member->host;
+		member = TAILQ_NEXT(member, link);
 	}
 	json_object_object_add(root, "hosts", hosts);
+	if (member)
+		jsonc_add_text(root, "next", last);
 	operator_reply(request, 200, root);
 }
 
--- a/include/comfreydockctl/ctl.h
+++ b/include/comfreydockctl/ctl.h
@@ -83,6 +83,10 @@
  */
 json_object *ctl_ask(struct ctl *ctl, const char *method, const char *path);
 
+/* All pages of the daemon's list of hosts, as one object with "hosts".
+ * RETURN VALUE: NULL after a complaint; else the caller puts it. */
+json_object *ctl_ask_hosts(struct ctl *ctl);
+
 /*
  * The base URLs of the admin APIs of this daemon and of all others that are
  * not known dead, this one first.
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -29,17 +29,25 @@
 	http_request_reply_text(request, status, "application/json", text);
 }
 
+/* In two pages, as a daemon lists hundreds of hosts. */
 static void reply_hosts(struct fixture *f, struct http_request *request)
 {
-	char *text = g_strdup_printf(
-		"{\"hosts\": ["
-		"{\"host\": \"self\", \"state\": \"alive\"},"
-		"{\"host\": \"b\", \"state\": \"alive\", \"address\": "
-		"\"127.0.0.1\", \"admin_port\": %u},"
-		"{\"host\": \"c\", \"state\": \"dead\", \"address\": "
-		"\"127.0.0.1\", \"admin_port\": 1}]}",
-		http_server_port(f->server));
+	const char *after = http_request_argument(request, "after");
+	char *text;
 
+	if (!after)
+		text = g_strdup("{\"hosts\": [{\"host\": \"self\", \"state\": "
+				"\"alive\"}], \"next\": \"self&x\"}");
+	else if (strcmp(after, "self&x") == 0)
+		text = g_strdup_printf(
+			"{\"hosts\": ["
+			"{\"host\": \"b\", \"state\": \"alive\", \"address\": "
+			"\"127.0.0.1\", \"admin_port\": %u},"
+			"{\"host\": \"c\", \"state\": \"dead\", \"address\": "
+			"\"127.0.0.1\", \"admin_port\": 1}]}",
+			http_server_port(f->server));
+	else
+		g_error("page after %s", after);
 	reply(request, 200, text);
 	g_free(text);
 }
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -72,8 +72,12 @@
 
 struct member *member_table_find(struct member_table *table, const char *host)
 {
-	(void)table;
-	(void)host;
+	struct member *member;
+
+	TAILQ_FOREACH (member, &table->all, link) {
+		if (strcmp(member->host, host) == 0)
+			return member;
+	}
 	return NULL;
 }
 
@@ -237,6 +241,52 @@
 	call(f, "GET", "/v1/upstream/drain", NULL, 405, "wrong method");
 }
 
+/*
+ * An operator lists the hosts of a daemon that knows hundreds. In one answer all
+ * of 22,000 would take more memory than a daemon may have and hold up its calls;
+ * a page that left one out would hide a host from the operator.
+ */
+static void test_hosts_come_in_pages(struct fixture *f, gconstpointer unused)
+{
+	enum {
+		MORE = 600
+	};
+	struct member *more = g_new0(struct member, MORE);
+	char *path = g_strdup("/v1/hosts");
+	unsigned int hosts = 0;
+	unsigned int pages = 0;
+
+	(void)unused;
+	for (int i = 0; i < MORE; i++) {
+		g_snprintf(more[i].host, sizeof(more[i].host), "katla-%d", i);
+		more[i].domain = more[i].region = "katla";
+		TAILQ_INSERT_TAIL(&f->members.all, &more[i], link);
+	}
+	while (path) {
+		char *at;
+
+		call(f, "GET", path, NULL, 200, "\"hosts\":[{");
+		for (at = f->answer.body->str; (at = strstr(at, "\"host\":"));
+		     at++)
+			hosts++;
+		g_free(path);
+		at = strstr(f->answer.body->str, "\"next\":\"");
+		path = NULL;
+		if (at) {
+			at += strlen("\"next\":\"");
+			path = g_strdup_printf("/v1/hosts?after=%.*s",
+					       (int)strcspn(at, "\""), at);
+		}
+		pages++;
+	}
+	g_assert_cmpuint(hosts, ==, MORE + 1);
+	g_assert_cmpuint(pages, ==, 3);
+	call(f, "GET", "/v1/hosts?after=gone", NULL, 404, "begin anew");
+	for (int i = 0; i < MORE; i++)
+		TAILQ_REMOVE(&f->members.all, &more[i], link);
+	g_free(more);
+}
+
 /* Somebody else on the network finds the admin port. */
 static void test_token_is_needed(struct fixture *f, gconstpointer token)
 {
@@ -404,6 +454,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD("/operator/paths", NULL, test_paths);
+	ADD("/operator/hosts", NULL, test_hosts_come_in_pages);
 	ADD("/operator/token", "secret", test_token_is_needed);
 	ADD("/operator/announce", NULL, test_upstream_announces_itself);
 	ADD("/operator/stop", NULL, test_stop_waits_for_the_last_request);
