speed: count errors in what owners tell of their upstream

Cause: with 500 entries each finds out by itself that an upstream fails each call at once; its owner knows at the first dozen.

--- a/bench/decide/owner.c
+++ b/bench/decide/owner.c
@@ -73,8 +73,7 @@
 		.limit = slots.limit,
 		.expected_wait_us = (uint32_t)MIN(
 			queue_expected_wait_us(owner->queue, &slots), UINT32_MAX),
-		.service_us = (uint32_t)MIN(
-			queue_recent_service_us(owner->queue), UINT32_MAX),
+		.service_us = (uint32_t)MIN(speed_us(&owner->speed), UINT32_MAX),
 	};
 	replay_after(r, replay_delay_us(r, attempt), replay_handle_answer,
 		     attempt);
@@ -113,7 +112,9 @@
 		measure_note_traffic(&owner->measure, r->events.now_us);
 	}
 	if (outcome == LIMIT_OUTCOME_OK)
-		queue_note_answered(owner->queue, took_us);
+		speed_note_answer(&owner->speed, took_us);
+	else if (outcome == LIMIT_OUTCOME_FAILED)
+		speed_note_error(&owner->speed);
 	owner->running--;
 }
 
--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -4,13 +4,13 @@
 #include <string.h>
 
 #include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/speed.h"
 #include "common/clock.h"
 
 #define QUEUE_SERVICE_INITIAL_US (10 * US_PER_MS)
 #define QUEUE_SERVICE_MAX_US (3600 * US_PER_S)
 #define QUEUE_MEAN_GAIN 64
 #define QUEUE_MEDIAN_GAIN 32
-#define QUEUE_RECENT_GAIN 8
 #define QUEUE_STANDING_US (100 * US_PER_MS)
 #define QUEUE_STANDING_SERVICES 32
 #define QUEUE_STANDING_SHARE 2 /* of the remaining time, one part in so many */
@@ -390,17 +390,6 @@
 	return item;
 }
 
-/* A step of one part in gain toward the sample. */
-static void queue_move_median(int64_t *median_us, int64_t sample_us, int64_t gain)
-{
-	int64_t step_us = MAX(*median_us / gain, 1);
-
-	if (sample_us > *median_us)
-		*median_us += MIN(step_us, sample_us - *median_us);
-	else
-		*median_us -= MIN(step_us, *median_us - sample_us);
-}
-
 static void queue_service_note(struct queue_service *service, int64_t sample_us)
 {
 	if (!service->known) {
@@ -410,7 +399,7 @@
 		return;
 	}
 	service->mean_us += (sample_us - service->mean_us) / QUEUE_MEAN_GAIN;
-	queue_move_median(&service->median_us, sample_us, QUEUE_MEDIAN_GAIN);
+	speed_move_median(&service->median_us, sample_us, QUEUE_MEDIAN_GAIN);
 }
 
 void queue_note_done(struct queue *queue, enum config_class class,
@@ -422,20 +411,6 @@
 	queue_service_note(&queue->overall, sample_us);
 }
 
-void queue_note_answered(struct queue *queue, int64_t service_us)
-{
-	int64_t sample_us = CLAMP(service_us, 1, QUEUE_SERVICE_MAX_US);
-
-	if (queue->recent_us == 0)
-		queue->recent_us = sample_us;
-	queue_move_median(&queue->recent_us, sample_us, QUEUE_RECENT_GAIN);
-}
-
-int64_t queue_recent_service_us(const struct queue *queue)
-{
-	return queue->recent_us;
-}
-
 bool queue_is_standing(const struct queue *queue, int64_t now_us)
 {
 	int64_t limit_us = MAX(QUEUE_STANDING_US,
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -68,8 +68,8 @@
 	load->expected_wait_us =
 		(uint32_t)MIN(queue_expected_wait_us(&owner->queue, &slots),
 			      (int64_t)UINT32_MAX);
-	load->service_us = (uint32_t)MIN(queue_recent_service_us(&owner->queue),
-					 (int64_t)UINT32_MAX);
+	load->service_us =
+		(uint32_t)MIN(speed_us(&owner->speed), (int64_t)UINT32_MAX);
 }
 
 struct daemon *owner_daemon(const struct owner *owner)
@@ -120,7 +120,9 @@
 		probe_note_traffic(owner->probe);
 	}
 	if (outcome == LIMIT_OUTCOME_OK)
-		queue_note_answered(&owner->queue, now - attempt->started_us);
+		speed_note_answer(&owner->speed, now - attempt->started_us);
+	else if (outcome == LIMIT_OUTCOME_FAILED)
+		speed_note_error(&owner->speed);
 	if (first_us > attempt->item.deadline_us)
 		counters.owner_late++;
 	TAILQ_REMOVE(&owner->runs, attempt, running_link);
--- a/include/bench/decide/replay_internal.h
+++ b/include/bench/decide/replay_internal.h
@@ -18,6 +18,7 @@
 #include "comfreydockd/decide/measure.h"
 #include "comfreydockd/decide/queue.h"
 #include "comfreydockd/decide/retry.h"
+#include "comfreydockd/decide/speed.h"
 #include "comfreydockd/decide/warm.h"
 
 struct replay_call;
@@ -65,6 +66,7 @@
 	struct warm warm;
 	struct queue *queue;
 	struct measure measure;
+	struct speed speed;
 	int64_t stale_us; /* of the timer that is set */
 };
 
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -160,7 +160,6 @@
 	struct heap by_latest_start;
 	struct queue_service service[QUEUE_CLASSES];
 	struct queue_service overall;
-	int64_t recent_us; /* median of the last few services; 0: none */
 	int64_t busy_since_us; /* when it was last empty; valid if length > 0 */
 };
 
@@ -204,10 +203,6 @@
 void queue_note_done(struct queue *queue, enum config_class class,
 		     int64_t occupancy_us);
 
-/* Notes how long a good answer took. An upstream that fails each request at
- * once must not be reported as a quick one. */
-void queue_note_answered(struct queue *queue, int64_t service_us);
-
 /* RETURN VALUE: the wait foreseen for a new item of the class and key. */
 int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
 			      uint64_t key_hash, const struct queue_slots *slots);
@@ -224,11 +219,6 @@
 bool queue_is_standing(const struct queue *queue, int64_t now_us);
 int64_t queue_median_service_us(const struct queue *queue,
 				enum config_class class);
-
-/* RETURN VALUE: the median service time of the last 20 or so good answers, as
- * reported to other daemons; 0 if there were none. A rare long one hardly moves
- * it, and ten times the time shows after 20. */
-int64_t queue_recent_service_us(const struct queue *queue);
 uint32_t queue_length(const struct queue *queue);
 
 #endif
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -10,6 +10,7 @@
 
 #include "comfreydockd/decide/limit.h"
 #include "comfreydockd/decide/queue.h"
+#include "comfreydockd/decide/speed.h"
 #include "comfreydockd/decide/warm.h"
 #include "comfreydockd/upstream/attempts.h"
 #include "comfreydockd/upstream/owner.h"
@@ -27,6 +28,7 @@
 	struct limit limit;
 	struct warm warm;
 	struct queue queue;
+	struct speed speed;
 	struct probe *probe;
 	uint32_t running;
 	TAILQ_HEAD(, owner_attempt) runs;
