owner: after a pause, read for 50 ms before anything starts

A daemon that was stopped for seconds wakes with old attempts in its buffers. It read what was readable and then started what was queued. But entries hold part of what they sent in their own buffers, and what flows only now is their cancels and the ends of their connections: a booking whose caller had hung up, or whose entry had died, was started (test_thaw, both cases: 1 run of a call that nobody waited for). A queued request falling due could also start others before anything was read.

A request that falls due only wakes the owner.

Ruled out: only reading until nothing more is readable. With it thaw/gone-callers: assertion failed (count_runs(prefix) == 0): (1 == 0) thaw/dead-entry: assertion failed (count_runs(prefix) == 0): (1 == 0) With neither cancels nor the pause: (30 == 0). With the change: 0 runs.

--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -15,15 +15,6 @@
 #include "common/id.h"
 #include "common/log.h"
 
-#define SWEEP_S 0.1
-/* An upstream that gives no head this long after the deadline is broken off:
- * nobody waits for it, and its slot would be lost for good. */
-#define HEAD_GRACE_US (1 * US_PER_S)
-/* A caller that takes no byte of its answer for so long is broken off. */
-#define STALL_US (60 * US_PER_S)
-/* A loop that did not turn for so long was stopped or starved. */
-#define FREEZE_US (300 * US_PER_MS)
-
 static Cfd__Reason reason_of(enum queue_verdict verdict)
 {
 	switch (verdict) {
@@ -91,7 +82,7 @@
 }
 
 /* Starting waits for the end of the turn, see handle_turn_end(). */
-static void owner_wake(struct owner *owner)
+void owner_wake(struct owner *owner)
 {
 	owner->turn_is_due = true;
 	ev_timer_start(owner->daemon->loop, &owner->wake);
@@ -198,21 +189,27 @@
  * callers who gave up; started in the order of arrival, the old work would
  * take the slots from callers who still wait, and a call that could have been
  * told "not run" would run. One would notice a burst of late runs after each
- * pause. After a pause everything readable is read first.
+ * pause. After a pause everything readable is read first, for THAW_US.
  */
 static void handle_turn_end(struct ev_loop *loop, ev_prepare *prepare, int events)
 {
 	struct owner *owner = prepare->data;
+	int64_t now = clock_mono_us();
 
 	(void)events;
 	if (!owner->turn_is_due)
 		return;
-	owner->turn_is_due = false;
-	ev_timer_stop(loop, &owner->wake);
-	if (owner->was_frozen) {
-		owner->was_frozen = false;
+	owner_notice_freeze(owner, now);
+	if (now < owner->thawed_us) {
 		peers_drain_input(owner->daemon->peers);
+		ev_timer_stop(loop, &owner->wake);
+		ev_timer_set(&owner->wake,
+			     (double)(owner->thawed_us - now) / US_PER_S, 0.0);
+		ev_timer_start(loop, &owner->wake);
+		return;
 	}
+	owner->turn_is_due = false;
+	ev_timer_stop(loop, &owner->wake);
 	owner_turn(owner);
 	http_client_begin(owner->daemon->http);
 }
@@ -229,44 +226,7 @@
 {
 	(void)loop;
 	(void)events;
-	owner_turn(timer->data);
-}
-
-static void owner_sweep_runs(struct owner *owner, int64_t now)
-{
-	struct owner_attempt *attempt = TAILQ_FIRST(&owner->runs);
-
-	while (attempt) {
-		struct owner_attempt *next = TAILQ_NEXT(attempt, running_link);
-
-		if (!attempt->head_us &&
-		    now > attempt->item.deadline_us + HEAD_GRACE_US)
-			attempt_break(attempt, "no answer long after deadline");
-		else if (attempt->stalled_since_us &&
-			 now - attempt->stalled_since_us > STALL_US)
-			attempt_break(attempt, "the caller takes nothing");
-		attempt = next;
-	}
-}
-
-static void handle_sweep(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	struct owner *owner = timer->data;
-	int64_t now = clock_mono_us();
-
-	(void)loop;
-	(void)events;
-	if (now - owner->swept_us > FREEZE_US) {
-		owner->was_frozen = true;
-		counters.owner_freezes++;
-		log_event(EV_OWNER_FROZEN,
-			  LOG_INT("ms", (now - owner->swept_us) / US_PER_MS));
-	}
-	owner->swept_us = now;
-	owner_sweep_runs(owner, now);
-	/* A warming upstream gains slots by time alone. */
-	if (queue_length(&owner->queue))
-		owner_wake(owner);
+	owner_wake(timer->data); /* it may be due because of a pause */
 }
 
 bool owner_has_group(const struct owner *owner, const char *group)
@@ -346,16 +306,14 @@
 	queue_init(&owner->queue, &options);
 	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
 	owner->probe = probe_create(daemon, handle_reachable, owner);
-	owner->swept_us = clock_mono_us();
 	ev_timer_init(&owner->wake, handle_wake, 0.0, 0.0);
 	ev_prepare_init(&owner->turn_end, handle_turn_end);
 	/* Before the frames are written: refusals go out in the same turn. */
 	ev_set_priority(&owner->turn_end, EV_MAXPRI);
 	ev_timer_init(&owner->stale, handle_stale, 0.0, 0.0);
-	ev_timer_init(&owner->sweep, handle_sweep, SWEEP_S, SWEEP_S);
+	owner_init_sweep(owner);
 	owner->turn_end.data = owner;
 	owner->stale.data = owner;
-	owner->sweep.data = owner;
 	ev_prepare_start(daemon->loop, &owner->turn_end);
 	ev_timer_start(daemon->loop, &owner->sweep);
 	owner_fill_role(owner, &role);
--- /dev/null
+++ b/comfreydockd/upstream/sweep.c
@@ -0,0 +1,69 @@
+#include "comfreydockd/upstream/attempts.h"
+#include "comfreydockd/upstream/owner_internal.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+#define SWEEP_S 0.1
+/* An upstream that gives no head this long after the deadline is broken off:
+ * nobody waits for it, and its slot would be lost for good. */
+#define HEAD_GRACE_US (1 * US_PER_S)
+/* A caller that takes no byte of its answer for so long is broken off. */
+#define STALL_US (60 * US_PER_S)
+/* A loop that did not turn for so long was stopped or starved. */
+#define FREEZE_US (300 * US_PER_MS)
+/* After it nothing is started for so long: what entries sent while this daemon
+ * stood still, cancels and ends of connections above all, lies partly in their
+ * own send buffers and flows only now. */
+#define THAW_US (50 * US_PER_MS)
+
+/* The sweep is due each SWEEP_S: the time since the last one tells. */
+void owner_notice_freeze(struct owner *owner, int64_t now)
+{
+	if (now - owner->swept_us <= FREEZE_US)
+		return;
+	counters.owner_freezes++;
+	log_event(EV_OWNER_FROZEN,
+		  LOG_INT("ms", (now - owner->swept_us) / US_PER_MS));
+	owner->swept_us = now;
+	owner->thawed_us = now + THAW_US;
+}
+
+static void owner_sweep_runs(struct owner *owner, int64_t now)
+{
+	struct owner_attempt *attempt = TAILQ_FIRST(&owner->runs);
+
+	while (attempt) {
+		struct owner_attempt *next = TAILQ_NEXT(attempt, running_link);
+
+		if (!attempt->head_us &&
+		    now > attempt->item.deadline_us + HEAD_GRACE_US)
+			attempt_break(attempt, "no answer long after deadline");
+		else if (attempt->stalled_since_us &&
+			 now - attempt->stalled_since_us > STALL_US)
+			attempt_break(attempt, "the caller takes nothing");
+		attempt = next;
+	}
+}
+
+static void handle_sweep(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct owner *owner = timer->data;
+	int64_t now = clock_mono_us();
+
+	(void)loop;
+	(void)events;
+	owner_notice_freeze(owner, now);
+	owner->swept_us = now;
+	owner_sweep_runs(owner, now);
+	/* A warming upstream gains slots by time alone. */
+	if (queue_length(&owner->queue))
+		owner_wake(owner);
+}
+
+void owner_init_sweep(struct owner *owner)
+{
+	owner->swept_us = clock_mono_us();
+	ev_timer_init(&owner->sweep, handle_sweep, SWEEP_S, SWEEP_S);
+	owner->sweep.data = owner;
+}
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -36,7 +36,7 @@
 	ev_timer stale;
 	ev_timer sweep;
 	int64_t swept_us;
-	bool was_frozen;
+	int64_t thawed_us; /* nothing starts before, see handle_turn_end() */
 	void (*handle_idle)(void *data);
 	void *idle_data;
 	void (*handle_state)(struct owner *owner, void *data);
@@ -49,6 +49,13 @@
 void owner_offer(struct owner *owner, struct owner_attempt *attempt);
 bool owner_has_group(const struct owner *owner, const char *group);
 
+/* Has what may start be started at the end of the loop's turn. */
+void owner_wake(struct owner *owner);
+
+/* sweep.c: looks for runs to break off, and for pauses of this daemon */
+void owner_init_sweep(struct owner *owner);
+void owner_notice_freeze(struct owner *owner, int64_t now);
+
 /* frames.c: the handlers for the connections from entries */
 void owner_fill_role(struct owner *owner, struct peers_role *role);
 
