--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -72,6 +72,12 @@
 	fault = head_fault(&head, method, version);
 	if (fault) {
 		result = request_refuse_form(request, fault);
+	} else if (request_is_hung_up(request)) {
+		/* Read after a pause of this daemon: nobody waits for it any
+		 * more, and it may have been sent elsewhere since. */
+		counters.caller_gone++;
+		request->aborted = true;
+		result = MHD_NO;
 	} else {
 		request->body_done = !head.has_body;
 		request_begin_call(request, method, &head);
--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -44,7 +44,7 @@
 		->connect_fd;
 }
 
-static bool request_is_hung_up(const struct caller_request *request)
+bool request_is_hung_up(const struct caller_request *request)
 {
 	struct pollfd poller = {
 		.fd = request_fd(request),
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -65,4 +65,7 @@
 /* What the call tells its caller. */
 extern const struct call_sink request_sink;
 
+/* Asks the kernel whether the caller has closed its side. */
+bool request_is_hung_up(const struct caller_request *request);
+
 #endif
