owner: break off a request of which the rest never came

When an entry died in the middle of a long POST, its owner ended the body that it had passed on so far, so that the run could go on to its end. To the upstream that looked like the whole: half a booking was booked (test_upstream_faults, cut-request: 1 run of a request that no caller finished, then 0). Such a run is now broken off; the upstream sees a request that was cut.

Ruled out: keeping the run for requests whose body was whole already. That is unchanged: those go on, and what is left of their answers is thrown away.

--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -226,7 +226,11 @@
 
 void attempt_give_up(struct owner_attempt *attempt)
 {
-	if (attempt->request->idempotent || !run_has_begun(attempt->run)) {
+	/* A request of which the rest never came is broken off as well: ended
+	 * here, its part would look like the whole, and the upstream would book
+	 * what nobody asked for. */
+	if (attempt->request->idempotent || !run_has_begun(attempt->run) ||
+	    !attempt->body_ends) {
 		attempt_break(attempt, "cancelled");
 		return;
 	}
@@ -236,7 +240,6 @@
 	if (attempt->peer)
 		LIST_REMOVE(attempt, link);
 	attempt->peer = NULL;
-	run_add_body(attempt->run, NULL, 0, true);
 	attempt_take_window(attempt, INT32_MAX);
 }
 
