caller: serve what a crashed upstream refused

An upstream that has crashed refuses each connection at once, so that its slots look free. Health counted that as a mere refusal, which it was never ejected for.

A refusal for want of a connection now counts as a lost one for health. A call that has tried all, and was last refused for a cause other than a busy upstream, goes back once to those that were busy, to queue there: "not run" is certain, so this is safe for every call.

Ruled out: the health change alone. Until the ejection the first calls of each entry would still be refused.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -14,6 +14,7 @@
 	ATTEMPT_FAILED, /* the upstream's own error, a 5xx */
 	ATTEMPT_REFUSED,
 	ATTEMPT_REFUSED_BUSY,
+	ATTEMPT_UNREACHED, /* refused: its owner found no connection to it */
 	ATTEMPT_LOST,
 	ATTEMPT_TIMED_OUT,
 	ATTEMPT_CANCELLED,
@@ -38,6 +39,7 @@
 	case ATTEMPT_FAILED:
 		return HEALTH_ERROR;
 	case ATTEMPT_LOST:
+	case ATTEMPT_UNREACHED:
 		return HEALTH_LOST;
 	case ATTEMPT_TIMED_OUT:
 		return HEALTH_TIMEOUT;
@@ -278,17 +280,31 @@
 	return NULL;
 }
 
+/*
+ * An upstream that has crashed refuses each connection at once, so its slots
+ * look free and it draws the calls. Told to health as a mere refusal, it would
+ * stay in use for as long as its daemon lives.
+ */
+static enum attempt_end refusal_end(Cfd__Reason reason)
+{
+	if (reason == CFD__REASON__REASON_BUSY)
+		return ATTEMPT_REFUSED_BUSY;
+	if (reason == CFD__REASON__REASON_CONNECT)
+		return ATTEMPT_UNREACHED;
+	return ATTEMPT_REFUSED;
+}
+
 static void take_not_run(struct entry *entry, struct peer *peer,
 			 const Cfd__NotRun *not_run)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, not_run->seq);
 	bool busy = not_run->reason == CFD__REASON__REASON_BUSY;
+	enum attempt_end end = refusal_end(not_run->reason);
 
 	timeline_observe(&entry->daemon->timeline, not_run->time);
 	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_NOT_RUN))
 		return;
-	tell_end(attempt, busy ? ATTEMPT_REFUSED_BUSY : ATTEMPT_REFUSED,
-		 not_run->load);
+	tell_end(attempt, end, not_run->load);
 	/* A refusal does no work: its time is the way there and back. */
 	if (busy)
 		deadline_path_note(&attempt->upstream->path,
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -116,6 +116,7 @@
 		return;
 	}
 	may_queue =
+		call->returns ||
 		pick_may_queue(&call->service->picks, &upstream->candidate,
 			       &call->tried, call->busy >= RETRY_BUSY_MAX, now);
 	pick_tried_add(&call->tried, upstream->candidate.id);
@@ -166,6 +167,28 @@
 	};
 }
 
+/*
+ * Refused as busy by some, because another seemed to have room, and then that
+ * one turned out to be gone or to drain: the call goes back, once, to wait at
+ * those that are only busy. Without this it would be told "not run" while
+ * upstreams that could serve it in milliseconds are up; callers would notice
+ * for as long as a crashed upstream looks idle.
+ */
+static bool call_return_to_busy(struct call *call)
+{
+	struct pick_tried kept = {.count = 0};
+
+	if (call->returns || call->tried_busy.count == 0)
+		return false;
+	call->returns = true;
+	for (size_t i = 0; i < call->tried.count; i++) {
+		if (!pick_tried_has(&call->tried_busy, call->tried.ids[i]))
+			pick_tried_add(&kept, call->tried.ids[i]);
+	}
+	call->tried = kept;
+	return true;
+}
+
 /* What follows after an attempt, where no other is out. */
 static void call_decide(struct call *call, enum retry_outcome outcome,
 			enum attempt_entry_state state)
@@ -179,6 +202,9 @@
 	else if (!retry_counts(outcome))
 		call->unheard++;
 	call_fill_question(call, outcome, &question);
+	if (!retry_counts(outcome) && question.untried == 0 &&
+	    call_return_to_busy(call))
+		question.untried = call_untried(call);
 	answer = retry_decide(&call->service->retry, &question,
 			      &call->entry->random, now);
 	/* A body of which more is gone than is kept can't be sent again. */
@@ -200,6 +226,9 @@
 	enum attempt_entry_state state = attempt->state;
 	bool was_hedge = attempt->is_hedge;
 
+	if (reason == CFD__REASON__REASON_BUSY)
+		pick_tried_add(&call->tried_busy,
+			       attempt->upstream->candidate.id);
 	call_note_event(call, EV_ENTRY_NOT_RUN, "from=%s reason=%d",
 			attempt->upstream->host, reason);
 	entry_attempt_destroy(attempt);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -69,6 +69,8 @@
 	bool body_ends;
 	bool body_streams; /* more came than is kept: no further attempt */
 	struct pick_tried tried;
+	struct pick_tried tried_busy; /* of them, refused for want of a slot */
+	bool returns; /* to the busy ones, to queue there */
 	uint32_t attempts; /* without hedges */
 	uint32_t busy; /* of them, refused for want of a free slot */
 	uint32_t unheard; /* of them, never sent or not for this upstream */
