caller: break off an answer that stops; hedge only whole requests

The deadline was over with the answer's head. A begun answer is now broken off if it stands still for two seconds at a time after the deadline, unless bytes of it wait for the caller: that silence is the caller's own.

A hedge was sent while the request's body was still coming in. Later parts of it went to the first attempt only, the end of it to both, so that the second upstream would have taken the beginning for the whole. Found by reading; there is no test for it yet.

Ruled out: a deadline for the whole answer. A bundle takes as long as it takes.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -340,6 +340,8 @@
 	if (!attempt || attempt->state != ENTRY_ANSWERING)
 		return;
 	call = attempt->call;
+	call->heard_us = clock_mono_us();
+	call->unread += body->data.len;
 	if (body->data.len)
 		call->sink->handle_body(call->sink_data, body->data.data,
 					body->data.len);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -274,7 +274,8 @@
 
 	call->answering = attempt;
 	call->status = answer->status;
-	ev_timer_stop(loop, &call->deadline);
+	call->heard_us = attempt->head_us;
+	call_watch_answer(call);
 	ev_timer_stop(loop, &call->hedge);
 	call_stop_patience(call);
 	hedge_note_latency(&call->service->hedge,
@@ -331,7 +332,7 @@
 
 	(void)loop;
 	(void)events;
-	if (LIST_EMPTY(&call->active) || call->body_streams)
+	if (LIST_EMPTY(&call->active) || !call->body_ends || call->body_streams)
 		return;
 	call_fill_hedge_question(call, &question);
 	if (!hedge_take(&call->service->hedge, &question, now))
@@ -396,6 +397,10 @@
 
 	(void)loop;
 	(void)events;
+	if (call->answering) {
+		call_watch_answer(call);
+		return;
+	}
 	if (!call->cancels_sent) {
 		call->cancels_sent = true;
 		LIST_FOREACH (attempt, &call->active, link)
@@ -470,6 +475,7 @@
 void call_note_consumed(struct call *call, size_t size)
 {
 	call->consumed += size;
+	call->unread -= size;
 	if (call->consumed < CALL_CREDIT_STEP || !call->answering)
 		return;
 	entry_attempt_send_window(call->answering, (uint32_t)call->consumed);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -83,6 +83,8 @@
 	struct entry_attempt_list active;
 	struct entry_attempt *answering;
 	size_t consumed; /* not yet given back as credit */
+	size_t unread; /* of the answer, waits for the caller to take it */
+	int64_t heard_us; /* the answer's last sign of life */
 	ev_timer deadline;
 	ev_timer next; /* of a retry */
 	ev_timer hedge;
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -32,4 +32,8 @@
 /* RETURN VALUE: the attempts so far that count against the rule's. */
 uint32_t call_work_attempts(const struct call *call);
 
+/* silence.c: sees to it that a begun answer goes on. The call may be gone
+ * after this, but not when its answer has just begun. */
+void call_watch_answer(struct call *call);
+
 #endif
