--- /dev/null
+++ b/tests/system/test_thaw.c
@@ -0,0 +1,187 @@
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "ledger.h"
+
+#define OWNER 1
+#define ENTRY 0
+#define WAIT_UP_MS 15000
+/* What is allowed to start after a pause has started by then. */
+#define SETTLE_MS 1500
+
+/* One slot, so that all but one call wait at the owner. */
+static const struct cluster_options options = {
+	.count = 2,
+	.config = LEDGER_CONFIG,
+	.slots = "1",
+	.service_time_us = "30000",
+	.upstreams = 1u << OWNER,
+};
+static struct cluster cluster;
+
+/* POST calls through the entry, 60 kB each; their callers hang up after a
+ * second. RETURN VALUE: the load, for ledger_add(). */
+static struct ledger_load start_bookings(const char *prefix)
+{
+	char *target = g_strdup_printf("http://127.0.0.1:%u",
+				       cluster.daemons[ENTRY]->caller_port);
+	struct ledger_load load;
+
+	load.calls_file = rig_write_file(cluster.rig, "calls", "%s", "");
+	load.process = rig_start(
+		cluster.rig, "standin/load/standin-load", "--target", target,
+		"--calls", load.calls_file, "--id-prefix", prefix, "--rate",
+		"100", "--seconds", "0.3", "--even", "--deadline-ms", "1000",
+		"--share-nonidempotent", "1", "--body-bytes", "60000", NULL);
+	g_free(target);
+	return load;
+}
+
+/* RETURN VALUE: how many runs the upstreams wrote down for the prefix. */
+static unsigned int count_runs(const char *prefix)
+{
+	unsigned int count = 0;
+	char *text = NULL;
+	char **ids;
+
+	g_assert_true(g_file_get_contents(cluster.runs_files[OWNER], &text,
+					  NULL, NULL));
+	ids = g_strsplit(text, "\n", -1);
+	for (char **id = ids; *id; id++)
+		count += g_str_has_prefix(*id, prefix);
+	g_strfreev(ids);
+	g_free(text);
+	return count;
+}
+
+/* All calls of the load were given up by their callers, and none ran. */
+static void assert_none_ran(struct ledger_load *load, const char *prefix)
+{
+	rig_sleep_ms(SETTLE_MS);
+	rig_wait_end(load->process, 10000);
+	g_assert_cmpuint(count_runs(prefix), ==, 0);
+}
+
+/* Makes the entry greet the owner, so that what it sends next leaves at once. */
+static void open_connection(void)
+{
+	rig_answer_free(
+		cluster_call(&cluster, ENTRY, "GET", "/", "open", NULL, 5000));
+}
+
+/*
+ * An owner is paused; callers send bookings to it, hang up and book elsewhere.
+ * When it wakes, their requests lie in its buffers and behind them the word
+ * that nobody waits any more. A booking that starts now is a second one.
+ */
+static void test_work_of_gone_callers_does_not_start(void)
+{
+	static const char *const prefixes[] = {"gone-a", "gone-b"};
+
+	for (int round = 0; round < 2; round++) {
+		struct ledger_load load;
+
+		open_connection();
+		rig_signal(cluster.daemons[OWNER], SIGSTOP);
+		load = start_bookings(prefixes[round]);
+		rig_sleep_ms(1800);
+		rig_signal(cluster.daemons[OWNER], SIGCONT);
+		assert_none_ran(&load, prefixes[round]);
+		cluster_wait_up(&cluster, 1, WAIT_UP_MS);
+	}
+}
+
+/*
+ * The same, but the entry has died meanwhile: in place of a cancel the end of
+ * its connection tells that nobody waits, behind more than one read's worth of
+ * requests.
+ */
+static void test_work_of_a_dead_entry_does_not_start(void)
+{
+	static const char *const prefixes[] = {"dead-a", "dead-b"};
+
+	for (int round = 0; round < 2; round++) {
+		struct ledger_load load;
+
+		/* Opens the connection between the two. */
+		rig_answer_free(cluster_call(&cluster, ENTRY, "GET", "/",
+					     "open", NULL, 5000));
+		rig_signal(cluster.daemons[OWNER], SIGSTOP);
+		load = start_bookings(prefixes[round]);
+		rig_sleep_ms(600);
+		rig_kill(cluster.daemons[ENTRY]);
+		rig_signal(cluster.daemons[OWNER], SIGCONT);
+		assert_none_ran(&load, prefixes[round]);
+		cluster_start_daemon(&cluster, ENTRY, &options);
+		cluster_wait_up(&cluster, 1, WAIT_UP_MS);
+	}
+}
+
+/*
+ * The entry itself is paused. Requests wait in its listener's backlog; their
+ * callers have hung up long before it reads them.
+ */
+static void test_a_paused_entry_starts_nothing_old(void)
+{
+	static const char *const prefixes[] = {"entry-a", "entry-b"};
+
+	for (int round = 0; round < 2; round++) {
+		struct ledger_load load;
+
+		rig_signal(cluster.daemons[ENTRY], SIGSTOP);
+		load = start_bookings(prefixes[round]);
+		rig_sleep_ms(1800);
+		rig_signal(cluster.daemons[ENTRY], SIGCONT);
+		assert_none_ran(&load, prefixes[round]);
+		cluster_wait_up(&cluster, 1, WAIT_UP_MS);
+	}
+}
+
+/*
+ * A booking runs while its owner is paused. Its caller is told at the deadline
+ * that the outcome is not known. The answer arrives when the owner wakes; it
+ * must not reach the next caller of the same connection.
+ */
+static void test_a_late_answer_reaches_nobody(void)
+{
+	struct rig_answer *answer;
+	struct ledger_load load = start_bookings("late");
+	int64_t before;
+
+	rig_sleep_ms(50);
+	rig_signal(cluster.daemons[OWNER], SIGSTOP);
+	before = cluster_counter(&cluster, ENTRY, "peer_unmatched");
+	rig_sleep_ms(1800);
+	rig_signal(cluster.daemons[OWNER], SIGCONT);
+	answer = cluster_call(&cluster, ENTRY, "GET", "/", "after-late", NULL,
+			      5000);
+	g_assert_true(answer->arrived);
+	g_assert_cmpint((int)answer->status, ==, 200);
+	g_assert_nonnull(strstr(answer->body->str, "after-late"));
+	rig_answer_free(answer);
+	rig_wait_end(load.process, 10000);
+	g_assert_cmpint(cluster_counter(&cluster, ENTRY, "peer_unmatched"), >,
+			before);
+	/* Those that had run before the pause, and the one of the slot. */
+	g_assert_cmpuint(count_runs("late"), <=, 4);
+	g_assert_cmpuint(count_runs("late"), >=, 1);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	cluster_start(&cluster, &options);
+	g_test_add_func("/thaw/gone-callers",
+			test_work_of_gone_callers_does_not_start);
+	g_test_add_func("/thaw/dead-entry",
+			test_work_of_a_dead_entry_does_not_start);
+	g_test_add_func("/thaw/paused-entry",
+			test_a_paused_entry_starts_nothing_old);
+	g_test_add_func("/thaw/late-answer", test_a_late_answer_reaches_nobody);
+	status = g_test_run();
+	cluster_stop(&cluster);
+	return status;
+}
