tests: planned changes under load cut nobody off

Three hosts under a load of both kinds, each change twice: drain and resume, a stop of an upstream that ends when it is told it may, and SIGTERM of a daemon that is an entry to some callers and owner to the others. Every call is served, and two seconds after the word nothing new begins on the leaving upstream.

It proves that nobody is cut off, not who stops the work.

--- /dev/null
+++ b/tests/system/test_planned.c
@@ -0,0 +1,148 @@
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "ledger.h"
+
+#define ALL 7u /* daemons 0, 1 and 2 */
+#define LEAVING 2 /* in the failure domain of daemon 0 */
+#define WAIT_UP_MS 15000
+/* "A few seconds": what the brief allows for the last new work. */
+#define LAST_WORK_MS 2000
+
+static const struct cluster_options options = {
+	.count = 3,
+	.config = LEDGER_CONFIG,
+	.service_time_us = "20000",
+};
+static struct cluster cluster;
+
+/* RETURN VALUE: how many runs the leaving upstream has begun in all. */
+static unsigned int count_runs(void)
+{
+	unsigned int count = 0;
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(cluster.runs_files[LEAVING], &text,
+					  NULL, NULL));
+	for (const char *at = text; (at = strchr(at, '\n')); at++)
+		count++;
+	g_free(text);
+	return count;
+}
+
+static void command(const char *path)
+{
+	g_free(rig_http_ok("POST", cluster.daemons[LEAVING]->admin_port, path,
+			   ""));
+}
+
+/* Nobody was cut off, refused or left in doubt. */
+static void assert_nobody_noticed(const struct ledger *ledger)
+{
+	ledger_assert_clean(ledger);
+	g_assert_cmpuint(ledger->served, ==, ledger->calls);
+}
+
+/* After two seconds nothing new begins there. */
+static void assert_no_new_work(void)
+{
+	unsigned int before;
+
+	rig_sleep_ms(LAST_WORK_MS);
+	before = count_runs();
+	rig_sleep_ms(500);
+	g_assert_cmpuint(count_runs(), ==, before);
+}
+
+/*
+ * An operator takes an upstream out of use and puts it back, twice, while
+ * callers book. Work in flight finishes; new work goes elsewhere.
+ */
+static void test_drain_and_resume(void)
+{
+	struct ledger ledger = {0};
+	struct ledger_load load =
+		ledger_start_load(&cluster, ALL, "200", "8", "71");
+
+	for (int round = 0; round < 2; round++) {
+		unsigned int before;
+
+		rig_sleep_ms(600);
+		command("/v1/upstream/drain");
+		assert_no_new_work();
+		before = count_runs();
+		command("/v1/upstream/resume");
+		rig_sleep_ms(600);
+		g_assert_cmpuint(count_runs(), >, before);
+	}
+	ledger_add(&ledger, &cluster, &load);
+	assert_nobody_noticed(&ledger);
+}
+
+/*
+ * An upstream asks to stop, is told when it may, and ends at once. It is then
+ * replaced by a new one.
+ */
+static void test_stop_of_an_upstream(void)
+{
+	struct ledger ledger = {0};
+	struct ledger_load load =
+		ledger_start_load(&cluster, ALL, "200", "7", "72");
+
+	for (int round = 0; round < 2; round++) {
+		rig_sleep_ms(800);
+		command("/v1/upstream/stop");
+		rig_kill(cluster.upstreams[LEAVING]);
+		rig_sleep_ms(1000);
+		cluster_start_upstream(&cluster, LEAVING, &options);
+	}
+	ledger_add(&ledger, &cluster, &load);
+	cluster_wait_up(&cluster, cluster.count, WAIT_UP_MS);
+	assert_nobody_noticed(&ledger);
+}
+
+/*
+ * A host is replaced: its daemon gets SIGTERM while callers use it as their
+ * entry and the others send it work. Its callers have two seconds to go
+ * elsewhere; no call of theirs is cut off, and it ends by itself.
+ */
+static void test_sigterm_of_a_daemon(void)
+{
+	for (int round = 0; round < 2; round++) {
+		struct ledger ledger = {0};
+		struct ledger_load others =
+			ledger_start_load(&cluster, ALL & ~(1u << LEAVING),
+					  "150", "5", round ? "74" : "73");
+		struct ledger_load own =
+			ledger_start_load(&cluster, 1u << LEAVING, "100", "2.5",
+					  round ? "76" : "75");
+
+		rig_sleep_ms(1000);
+		rig_signal(cluster.daemons[LEAVING], SIGTERM);
+		assert_no_new_work();
+		ledger_add(&ledger, &cluster, &own);
+		ledger_add(&ledger, &cluster, &others);
+		assert_nobody_noticed(&ledger);
+		g_assert_cmpint(rig_wait_end(cluster.daemons[LEAVING], 10000),
+				==, 0);
+		rig_kill(cluster.upstreams[LEAVING]);
+		cluster_start_daemon(&cluster, LEAVING, &options);
+		cluster_start_upstream(&cluster, LEAVING, &options);
+		cluster_wait_up(&cluster, cluster.count, WAIT_UP_MS);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	cluster_start(&cluster, &options);
+	g_test_add_func("/planned/drain", test_drain_and_resume);
+	g_test_add_func("/planned/stop", test_stop_of_an_upstream);
+	g_test_add_func("/planned/sigterm", test_sigterm_of_a_daemon);
+	status = g_test_run();
+	cluster_stop(&cluster);
+	return status;
+}
