--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -53,6 +53,8 @@
  */
 static void handle_end(int signal)
 {
+	if (!current && signal != SIGABRT)
+		_exit(1);
 	if (!current)
 		return;
 	for (guint i = 0; i < current->processes->len; i++) {
