docs: name the outcome of a second request with the same key

Cause: the glossary and the page on a call's path knew three outcomes; a claim adds "already-run", and "unknown" with 409.

--- a/bench/config_spread.c
+++ b/bench/config_spread.c
@@ -6,7 +6,8 @@
  *
  *	bench-config-spread NAMESPACES CHANGES COUNT...
  *
- * COMFREYDOCK_BUILD names the build folder with the programs.
+ * COMFREYDOCK_BUILD names the build folder with the programs; tools/measure sets
+ * it and keeps the output.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -365,10 +366,6 @@
 
 int main(int argc, char **argv)
 {
-	printf("$");
-	for (int i = 0; i < argc; i++)
-		printf(" %s", i ? argv[i] : "bench/bench-config-spread");
-	printf("\n");
 	for (int i = 3; i < argc; i++)
 		run_with((unsigned int)atoi(argv[i]), atoi(argv[1]),
 			 atoi(argv[2]));
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -9,7 +9,10 @@
  *
  *	run	 the answer of the upstream
  *	not-run	 503: every attempt was refused or never left
- *	unknown	 502 or 504: an attempt may have run
+ *	unknown	 502 or 504: an attempt may have run; 409: one of an earlier
+ *		 request with the same Idempotency-Key may
+ *	already-run
+ *		 409: that earlier request was answered
  *
  *	The caller's side is a table of functions, so that tests need no HTTP.
  *	The sink's functions are called from the loop, and after one of
