peer: keep a connection that an attempt is out on

A connection without a frame for 60 s was closed as idle, whatever was expected on it. A lone job with a deadline of minutes gives none for so long: its connection was closed under it, and its caller told that the outcome was not known. A connection now counts the attempts that are out on it.

test_peers with the paused clock, two minutes with an attempt out: before assertion failed (a.lost == 0): (1 == 0) after passed; ten seconds after the attempt ended the connection is closed

Ruled out: a longer time. A rule's deadline may be an hour.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -161,6 +161,7 @@
 	attempt->sent_us = clock_mono_us();
 	attempt->state = ENTRY_PICKED;
 	attempt->peer = peers_connect(entry->daemon->peers, member);
+	peer_begin_use(attempt->peer);
 	LIST_INSERT_HEAD(&call->active, attempt, link);
 	LIST_INSERT_HEAD(attempts_of(entry, attempt->peer), attempt, peer_link);
 	g_hash_table_insert(entry->attempts, &attempt->seq, attempt);
@@ -235,6 +236,7 @@
 	g_hash_table_remove(call->entry->attempts, &attempt->seq);
 	LIST_REMOVE(attempt, link);
 	LIST_REMOVE(attempt, peer_link);
+	peer_end_use(attempt->peer);
 	service_upstream_unref(attempt->upstream);
 	g_free(attempt);
 }
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -45,6 +45,7 @@
 	uint64_t base; /* of positions in the link's stream */
 	int64_t last_used_us;
 	int64_t last_heard_us;
+	uint32_t uses; /* attempts that are out */
 	void *role_data;
 };
 
@@ -309,9 +310,14 @@
 	}
 }
 
+/*
+ * A long job gives no frame for minutes. Taken for idle, its connection would
+ * be closed after one, and its caller told that nobody knows what became of
+ * it, long before its deadline.
+ */
 static bool peer_is_idle(const struct peer *peer, int64_t now_us)
 {
-	return peer->outgoing && peer->state == PEER_READY &&
+	return peer->outgoing && peer->state == PEER_READY && peer->uses == 0 &&
 	       now_us - peer->last_used_us > PEERS_IDLE_US;
 }
 
@@ -511,6 +517,16 @@
 	return peer->state == PEER_READY;
 }
 
+void peer_begin_use(struct peer *peer)
+{
+	peer->uses++;
+}
+
+void peer_end_use(struct peer *peer)
+{
+	peer->uses--;
+}
+
 const char *peer_host(const struct peer *peer)
 {
 	return peer->host;
--- a/include/comfreydockd/peer/peers.h
+++ b/include/comfreydockd/peer/peers.h
@@ -5,7 +5,8 @@
  * DESCRIPTION
  *	One TCP connection for each ordered pair of daemons: the one that opens
  *	it is the entry, the one that takes it the owner. It is opened when the
- *	first frame is to be sent and closed after PEERS_IDLE_US without one.
+ *	first frame is to be sent and closed after PEERS_IDLE_US without one,
+ *	unless something is still expected on it.
  *	A daemon's connection to itself goes through memory.
  *
  *	Before any other frame each side proves by HMAC-SHA256 over the other's
@@ -74,6 +75,10 @@
 bool peer_has_handed_over(const struct peer *peer, uint64_t position);
 bool peer_is_ready(const struct peer *peer);
 
+/* From an attempt's sending to its end: the connection is not idle. */
+void peer_begin_use(struct peer *peer);
+void peer_end_use(struct peer *peer);
+
 const char *peer_host(const struct peer *peer);
 uint64_t peer_incarnation(const struct peer *peer);
 
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -137,6 +137,41 @@
 	end_finish(&b);
 }
 
+/*
+ * A caller waits for a job of two minutes, and nothing else passes between the
+ * two daemons. Its connection gives no frame for longer than idle ones are
+ * kept.
+ */
+static void test_a_connection_with_an_attempt_out_is_not_idle(void)
+{
+	struct end a, b;
+	struct member member;
+	struct peer *peer;
+
+	end_init(&a, "a", "secret");
+	end_init(&b, "b", "secret");
+	member = member_of(&b);
+	member_table_update(a.daemon.members, &member, 0);
+	peer = peers_connect(a.peers, &member);
+	send_cancel(peer, 1);
+	while (strcmp(b.heard->str, "1 ") != 0)
+		run_for(1);
+	peer_begin_use(peer);
+	for (int second = 0; second < 120; second++) {
+		paused_clock_advance_us(1000 * 1000);
+		run_for(1);
+	}
+	g_assert_cmpuint(a.lost, ==, 0);
+	peer_end_use(peer);
+	for (int second = 0; second < 10 && a.lost == 0; second++) {
+		paused_clock_advance_us(1000 * 1000);
+		run_for(1);
+	}
+	g_assert_cmpuint(a.lost, ==, 1);
+	end_finish(&a);
+	end_finish(&b);
+}
+
 static void test_own_owner_is_reached_through_memory(void)
 {
 	struct end a;
@@ -333,6 +368,8 @@
 	g_test_init(&argc, &argv, NULL);
 	log_init(LOG_FORMAT_NONE, "test");
 	loop = ev_loop_new(0);
+	g_test_add_func("/peers/in-use",
+			test_a_connection_with_an_attempt_out_is_not_idle);
 	g_test_add_func("/peers/held",
 			test_frames_held_for_the_greeting_keep_their_order);
 	g_test_add_func("/peers/memory",
