--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -69,6 +69,8 @@
 	bool body_ends;
 	bool body_streams; /* more came than is kept: no further attempt */
 	struct pick_tried tried;
+	struct pick_tried tried_busy; /* of them, refused for want of a slot */
+	bool returns; /* to the busy ones, to queue there */
 	uint32_t attempts; /* without hedges */
 	uint32_t busy; /* of them, refused for want of a free slot */
 	uint32_t unheard; /* of them, never sent or not for this upstream */
@@ -81,6 +83,8 @@
 	struct entry_attempt_list active;
 	struct entry_attempt *answering;
 	size_t consumed; /* not yet given back as credit */
+	size_t unread; /* of the answer, waits for the caller to take it */
+	int64_t heard_us; /* the answer's last sign of life */
 	ev_timer deadline;
 	ev_timer next; /* of a retry */
 	ev_timer hedge;
