--- a/tests/system/test_gone.c
+++ b/tests/system/test_gone.c
@@ -220,6 +220,31 @@
 	g_assert_cmpint(cluster_runs(&cluster, "gone-sending"), ==, 0);
 }
 
+/*
+ * A caller breaks off inside a long body, of which the first part has reached
+ * the upstream. Ended there, what came would look whole, and half a file would
+ * be kept as the file. The upstream's connection breaks as the caller's did.
+ */
+static void test_gone_while_sending_long(void)
+{
+	int64_t gone = entry_count("caller_gone");
+	int64_t started = owner_count("owner_started");
+	char *part = g_strnfill(500 * 1000, 'x');
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	raw_send_text(fd, "POST /book HTTP/1.1\r\nHost: h\r\n"
+			  "X-Request-Id: half-a-body\r\n"
+			  "Content-Length: 1000000\r\n\r\n");
+	raw_send_text(fd, part);
+	wait_for(owner_reaches, "owner_started", started + 1);
+	rig_sleep_ms(100);
+	close(fd);
+	wait_for(entry_reaches, "caller_gone", gone + 1);
+	expect_slot_is_free();
+	g_assert_cmpint(cluster_runs(&cluster, "half-a-body"), ==, 0);
+	g_free(part);
+}
+
 /*
  * A caller closes its sending side and still reads. TCP shows the same as for
  * one that has gone, so it is treated as gone: its connection ends at once and
@@ -260,6 +285,7 @@
 	g_test_add_func("/gone/booking", test_gone_while_booking);
 	g_test_add_func("/gone/answered", test_gone_while_answered);
 	g_test_add_func("/gone/sending", test_gone_while_sending);
+	g_test_add_func("/gone/sending-long", test_gone_while_sending_long);
 	g_test_add_func("/gone/half-closed", test_half_closed);
 	status = g_test_run();
 	cluster_stop(&cluster);
