--- /dev/null
+++ b/tests/system/test_links.c
@@ -0,0 +1,110 @@
+#include <glib.h>
+#include <string.h>
+
+#include "ledger.h"
+
+/* Reached by the others through a relay only. It lies in the failure domain of
+ * daemon 0, which therefore sends it much work. */
+#define RELAYED 2
+#define CALLERS (1u << 0 | 1u << 1)
+#define WAIT_UP_MS 15000
+/* Longer than the deadline and than the suspicion of a lost host. */
+#define HOLD_MS 4500
+
+static const struct cluster_options options = {
+	.count = 3,
+	.config = LEDGER_CONFIG,
+	/* So that several calls run on each upstream at any time. */
+	.slots = "16",
+	.service_time_us = "60000",
+	.relayed = 1u << RELAYED,
+};
+static struct cluster cluster;
+
+/* Disturbs the link twice under a load of both kinds.
+ * RETURN VALUE: what callers were told. */
+static struct ledger disturb(const char *on, const char *off, int for_ms,
+			     const char *seed)
+{
+	struct ledger ledger = {0};
+	struct ledger_load load = ledger_start_load(
+		&cluster, CALLERS, for_ms > 1000 ? "150" : "400",
+		for_ms > 1000 ? "13" : "4", seed);
+
+	for (int round = 0; round < 2; round++) {
+		rig_sleep_ms(1000);
+		cluster_set_relay(&cluster, RELAYED, on);
+		rig_sleep_ms(for_ms);
+		cluster_set_relay(&cluster, RELAYED, off);
+		rig_sleep_ms(500);
+	}
+	ledger_add(&ledger, &cluster, &load);
+	cluster_wait_up(&cluster, cluster.count, WAIT_UP_MS);
+	ledger_assert_clean(&ledger);
+	return ledger;
+}
+
+/*
+ * A switch resets all connections to a host. Calls that were out to it end
+ * unknown; those whose frames never left go elsewhere.
+ */
+static void test_cut_links(void)
+{
+	struct ledger ledger =
+		disturb("{\"cut\": true}", "{\"cut\": false}", 300, "51");
+
+	g_assert_cmpuint(ledger.served, >, ledger.calls * 9 / 10);
+}
+
+/*
+ * The network to a host swallows everything without a reset, both ways, for
+ * seconds. Connections look open. No caller may wait beyond its deadline, and
+ * the work that arrives when it is over must not run.
+ */
+static void test_half_open_links(void)
+{
+	struct ledger ledger =
+		disturb("{\"hold_forward\": true, \"hold_backward\": true}",
+			"{\"hold_forward\": false, \"hold_backward\": false}",
+			HOLD_MS, "52");
+
+	g_assert_cmpuint(ledger.served, >, ledger.calls * 9 / 10);
+}
+
+/*
+ * Only what comes from the host is swallowed: it gets work and runs it, and
+ * its answers and refusals arrive seconds later, together.
+ */
+static void test_answers_that_come_late(void)
+{
+	struct ledger ledger =
+		disturb("{\"hold_backward\": true}",
+			"{\"hold_backward\": false}", HOLD_MS, "53");
+
+	g_assert_cmpuint(ledger.served, >, ledger.calls * 9 / 10);
+}
+
+/* The other way: requests and cancels are held back, and flow together. */
+static void test_requests_that_come_late(void)
+{
+	struct ledger ledger =
+		disturb("{\"hold_forward\": true}", "{\"hold_forward\": false}",
+			HOLD_MS, "54");
+
+	g_assert_cmpuint(ledger.served, >, ledger.calls * 9 / 10);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	cluster_start(&cluster, &options);
+	g_test_add_func("/links/cut", test_cut_links);
+	g_test_add_func("/links/half-open", test_half_open_links);
+	g_test_add_func("/links/late-answers", test_answers_that_come_late);
+	g_test_add_func("/links/late-requests", test_requests_that_come_late);
+	status = g_test_run();
+	cluster_stop(&cluster);
+	return status;
+}
