entry: stop the wait for a verdict once it has come

Cause: near the deadline, where patience is not set anew, the timer for the owners' verdict went on and asked them a second time. Change: it is stopped first.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -83,25 +83,25 @@
 		timer_start_us(call, &call->hedge, delay);
 }
 
+static void call_stop_patience(struct call *call)
+{
+	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call->is_impatient = false;
+}
+
 /* See deadline_patience_us(). */
 static void call_arm_patience(struct call *call)
 {
 	int64_t patience_us =
 		deadline_patience_us(call->deadline_us, clock_mono_us());
 
-	call->is_impatient = false;
+	call_stop_patience(call);
 	if (!call->rule->idempotent || patience_us < DEADLINE_VERDICT_MIN_US ||
 	    call_work_attempts(call) >= call->max_attempts)
 		return;
 	timer_start_us(call, &call->patience, patience_us);
 }
 
-static void call_stop_patience(struct call *call)
-{
-	ev_timer_stop(call->entry->daemon->loop, &call->patience);
-	call->is_impatient = false;
-}
-
 void call_send_attempt(struct call *call)
 {
 	int64_t now = clock_mono_us();
