queue: give up a service time that requests disprove

Cause: an estimate left high by a slow spell came down by a thirty-second with each request that was let through against it; in a quiet hour that took some fifty refusals by an idle upstream.

Change: a request that the estimate spoke against and that ends below half of it halves it.

--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -230,9 +230,11 @@
 		return false;
 	if (queue->policy->latest_start_us(queue, item) >= now_us)
 		return false;
-	if (slots->running == 0)
-		return true;
-	return ++queue->doubts[item->class] % QUEUE_DOUBT_TURN == 0;
+	if (slots->running > 0 &&
+	    ++queue->doubts[item->class] % QUEUE_DOUBT_TURN != 0)
+		return false;
+	queue->in_doubt[item->class] = true;
+	return true;
 }
 
 static enum queue_verdict queue_judge(const struct queue *queue,
@@ -426,11 +428,28 @@
 	speed_move_median(&service->median_us, sample_us, QUEUE_MEDIAN_GAIN);
 }
 
+/*
+ * A request that the estimate spoke against has ended, and far below it: the
+ * estimate is of other times. Brought down by the usual small steps it would
+ * refuse most of some hundred requests yet.
+ */
+static void queue_service_correct(struct queue_service *service, int64_t sample_us)
+{
+	service->mean_us = MAX(service->mean_us / 2, sample_us);
+	service->median_us = MAX(service->median_us / 2, sample_us);
+}
+
 void queue_note_done(struct queue *queue, enum config_class class,
 		     int64_t occupancy_us)
 {
 	int64_t sample_us = CLAMP(occupancy_us, 1, QUEUE_SERVICE_MAX_US);
 
+	if (sample_us > queue->service[class].median_us / 2) {
+		queue->in_doubt[class] = false;
+	} else if (queue->in_doubt[class]) {
+		queue_service_correct(&queue->service[class], sample_us);
+		queue_service_correct(&queue->overall, sample_us);
+	}
 	queue_service_note(&queue->service[class], sample_us);
 	queue_service_note(&queue->overall, sample_us);
 }
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -162,6 +162,7 @@
 	struct fair lanes[QUEUE_CLASSES]; /* fifo uses the first only */
 	uint32_t passed_over[QUEUE_CLASSES];
 	uint32_t doubts[QUEUE_CLASSES]; /* items the estimate spoke against */
+	bool in_doubt[QUEUE_CLASSES]; /* some of them were let through */
 	struct heap by_latest_start;
 	struct queue_service service[QUEUE_CLASSES];
 	struct queue_service overall;
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -323,6 +323,25 @@
 	}
 }
 
+/*
+ * The same in a quiet hour: a few calls a second, with the host's pause of some
+ * seconds just over. While the estimate goes down bit by bit with each call
+ * that gets through, most are refused, though all slots are free; a caller sees
+ * "not run" from an idle service.
+ */
+static void test_quiet_hour_after_a_slow_spell(void)
+{
+	struct owner *owner = owner_create(&queue_by_deadline, true);
+
+	for (int i = 0; i < 50; i++)
+		queue_note_done(&owner->queue, CONFIG_CLASS_INTERACTIVE,
+				10 * US_PER_S);
+	owner_plan(owner, 0.1, 10 * MS, 1000 * MS);
+	owner_play(owner, "quiet, after a slow spell");
+	g_assert_cmpint(CALLS - owner_in_time(owner), <=, 10);
+	owner_destroy(owner);
+}
+
 /*
  * Lookups alone could fill the upstream. Strictly by class the archive's
  * checks would never run; one in seventeen turns is theirs.
@@ -484,6 +503,7 @@
 	g_test_add_func("/queue/long-jobs", test_short_jobs_among_long_ones);
 	g_test_add_func("/queue/hot", test_hot_caller_bears_the_refusals);
 	g_test_add_func("/queue/slow-spell", test_slow_spell_is_forgotten);
+	g_test_add_func("/queue/quiet-hour", test_quiet_hour_after_a_slow_spell);
 	g_test_add_func("/queue/classes", test_no_class_starves);
 	g_test_add_func("/queue/order", test_earliest_deadline_comes_first);
 	g_test_add_func("/queue/busy", test_refuses_busy_at_once);
