deadline: don't take a pause for the way to a peer

The time line: one entry's attempts to one owner were refused as late within a millisecond, by the hundred, after that owner had been paused for 2.5 s. Its refusals of "busy" had come after the pause and were taken for the way there and back; the path of some 5 s left the attempts no time, so they were refused, and nothing corrected the estimate.

Change: a round trip above 400 ms is no path, and the path takes a quarter of the remaining time at most.

The new test fails without the change with a path of 2,521 ms.

--- a/comfreydockd/decide/deadline.c
+++ b/comfreydockd/decide/deadline.c
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 
 #define DEADLINE_HOP_SHARE 32 /* one part in so many is kept by each hop */
+#define DEADLINE_PATH_SHARE 4 /* one part in so many goes to the path at most */
 #define DEADLINE_PERMILLE_PER_PERCENT 10
 
 /* Gains and weight of RFC 6298. */
@@ -27,6 +28,8 @@
 {
 	int64_t error_us = round_trip_us - path->mean_us;
 
+	if (round_trip_us > DEADLINE_PATH_MAX_US)
+		return;
 	if (!path->known) {
 		path->mean_us = round_trip_us;
 		path->deviation_us = round_trip_us / 2;
@@ -80,7 +83,8 @@
 	if (remaining_us == INT64_MAX)
 		return INT64_MAX;
 	remaining_us -= remaining_us / DEADLINE_HOP_SHARE;
-	return MAX(remaining_us - MAX(path_us, 0), 0);
+	return remaining_us -
+	       CLAMP(path_us, 0, remaining_us / DEADLINE_PATH_SHARE);
 }
 
 bool deadline_can_finish(int64_t deadline_us, int64_t wait_us,
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -56,7 +56,12 @@
 	bool known;
 };
 
-/* Notes a round trip in which no work was done: a refusal, a load report. */
+/* A longer round trip was a pause of one side. Regions on opposite sides of the
+ * earth are some 300 ms apart, there and back; an assumption. */
+#define DEADLINE_PATH_MAX_US ((int64_t)400 * 1000)
+
+/* Notes a round trip in which no work was done: a refusal, a load report. One
+ * above DEADLINE_PATH_MAX_US is left out. */
 void deadline_path_note(struct deadline_path *path, int64_t round_trip_us);
 
 /* RETURN VALUE: time to allow for the way there and back;
--- a/tests/test_deadline.c
+++ b/tests/test_deadline.c
@@ -79,6 +79,28 @@
 	g_assert_cmpint(deadline_for_hop_us(INT64_MAX, 5, 5), ==, INT64_MAX);
 }
 
+/*
+ * A daemon was paused for some seconds, and its refusals of "busy" came after
+ * that. Taken for the way there and back they would leave no time to any call
+ * to its upstream: each is refused as late, so nothing corrects the estimate,
+ * and callers are told "not run" by a service that is idle.
+ */
+static void test_a_pause_is_no_path(void)
+{
+	struct deadline_path path = {0};
+	int64_t all_us = 2 * US_PER_S;
+
+	for (int i = 0; i < 20; i++)
+		deadline_path_note(&path, 2500 * US_PER_MS);
+	g_assert_cmpint(deadline_path_us(&path), ==, DEADLINE_PATH_DEFAULT_US);
+	for (int i = 0; i < 20; i++)
+		deadline_path_note(&path, DEADLINE_PATH_MAX_US * (i % 2));
+	g_assert_cmpint(deadline_for_hop_us(all_us, deadline_path_us(&path), 0),
+			>, all_us / 2);
+	g_assert_cmpint(deadline_for_hop_us(100, deadline_path_us(&path), 0), >,
+			50);
+}
+
 /* A path of 1 ms is allowed little more, one that varies its variance. */
 static void test_path_follows_round_trips(void)
 {
@@ -111,6 +133,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/deadline/pause", test_a_pause_is_no_path);
 	g_test_add_func("/deadline/hops", test_no_hop_extends_a_deadline);
 	g_test_add_func("/deadline/depth", test_time_left_after_13_hops);
 	g_test_add_func("/deadline/retries", test_retries_do_not_multiply);
