tests: take the cluster's ports from the kernel and keep them

Cause: a daemon that a test starts again needs its port; it was taken from a fixed range below the kernel's, by the test's process id, so that a verdict could hang on what else runs there.

Change: a socket that never listens holds each port, which the kernel chose, until the test ends; with SO_REUSEADDR on both sides the daemon listens there.

--- /dev/null
+++ b/include/comfreydockd/peer/peers_internal.h
@@ -0,0 +1,67 @@
+/*
+ * NAME
+ *	peers_internal - the state of connections, for the files in peer/
+ */
+#ifndef COMFREYDOCKD_PEER_PEERS_INTERNAL_H
+#define COMFREYDOCKD_PEER_PEERS_INTERNAL_H
+
+#include "comfreydockd/peer/greeting.h"
+#include "comfreydockd/peer/link.h"
+#include "comfreydockd/peer/peers.h"
+
+/* Kinds of frames are numbered from 1. */
+#define PEERS_KINDS 32
+
+struct peers_handler {
+	void (*handle)(struct peer *peer, const Cfd__Frame *frame, void *data);
+	void *data;
+};
+
+enum peer_state {
+	PEER_GREETING,
+	PEER_READY,
+};
+
+struct peer {
+	LIST_ENTRY(peer) link_all;
+	struct peers *peers;
+	struct link *link;
+	const struct peers_role *role;
+	bool outgoing;
+	enum peer_state state;
+	ev_timer timeout; /* of the greeting */
+	char host[MEMBER_HOST_MAX];
+	uint64_t incarnation;
+	uint8_t our_nonce[GREETING_NONCE_BYTES];
+	uint8_t their_nonce[GREETING_NONCE_BYTES];
+	GPtrArray *held; /* of GByteArray: frames that wait for the greeting */
+	uint64_t held_bytes;
+	uint64_t base; /* of positions in the link's stream */
+	int64_t last_used_us;
+	int64_t last_heard_us;
+	uint32_t uses; /* attempts that are out */
+	void *role_data;
+};
+
+struct peers {
+	struct daemon *daemon;
+	struct link_group links;
+	int fd;
+	uint16_t port;
+	ev_io acceptor;
+	ev_timer sweep;
+	struct peers_role entry;
+	struct peers_role owner;
+	struct peers_handler handlers[PEERS_KINDS];
+	GHashTable *outgoing; /* host -> struct peer */
+	LIST_HEAD(, peer) all;
+	size_t count;
+};
+
+/* hello.c: the greeting, up to PEER_READY or the end of the link */
+
+void peer_send_hello(struct peer *peer, bool with_proof);
+void peer_take_hello(struct peer *peer, const Cfd__Hello *hello);
+void peer_refuse(struct peer *peer, const char *why);
+
+#endif
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -7,10 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Below the ports that the kernel gives to outgoing connections. */
-#define FIRST_PORT 12000
-#define PORT_COUNT 20000
-#define PORTS_A_TEST 40
+#define PORT_TRIES 100
 #define KEY "a key for tests only"
 
 struct up_wait {
@@ -18,39 +15,51 @@
 	unsigned int count;
 };
 
-static bool port_is_free(uint16_t port, int type)
+static int bind_port(int type, uint16_t *port)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
-		.sin_port = htons(port),
+		.sin_port = htons(*port),
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	};
+	socklen_t size = sizeof(address);
 	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-	bool is_free =
-		bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
 
-	close(fd);
-	return is_free;
+	if (bind(fd, (struct sockaddr *)&address, size) != 0) {
+		close(fd);
+		return -1;
+	}
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	*port = ntohs(address.sin_port);
+	return fd;
 }
 
 /*
- * A daemon that is started again needs the port that it had. One that the
- * kernel gave may belong to anybody's outgoing connection by then, and the
- * test would fail on a busy machine; those below are given to nobody.
+ * A port that the kernel chooses, kept for this test until it ends. A daemon
+ * that is started again needs the port that it had, and without a hold on it
+ * the kernel may have given it to anybody's outgoing connection by then. The
+ * socket stays bound and never listens; with SO_REUSEADDR on both sides another
+ * process may listen there, and the kernel gives the port to nobody else.
  */
 static uint16_t find_port(void)
 {
-	static unsigned int tried;
-	uint16_t port;
-
-	do {
-		port = (uint16_t)(FIRST_PORT +
-				  ((unsigned int)getpid() * PORTS_A_TEST +
-				   tried++) %
-					  PORT_COUNT);
-	} while (!port_is_free(port, SOCK_STREAM) ||
-		 !port_is_free(port, SOCK_DGRAM));
-	return port;
+	int one = 1;
+
+	for (int i = 0; i < PORT_TRIES; i++) {
+		uint16_t port = 0;
+		int tcp = bind_port(SOCK_STREAM, &port);
+		int udp = tcp < 0 ? -1 : bind_port(SOCK_DGRAM, &port);
+
+		if (udp >= 0) {
+			close(udp);
+			setsockopt(tcp, SOL_SOCKET, SO_REUSEADDR, &one,
+				   sizeof(one));
+			return port;
+		}
+		if (tcp >= 0)
+			close(tcp);
+	}
+	g_error("no port is free for TCP and UDP");
 }
 
 static void find_ports(struct cluster_ports *ports)
--- a/tests/system/relay.c
+++ b/tests/system/relay.c
@@ -20,7 +20,10 @@
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	};
 	int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int reuse = type == SOCK_STREAM && port != 0;
 
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
 	if (fd >= 0 &&
 	    bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
 		close(fd);
