--- a/comfreydockctl/ctl.c
+++ b/comfreydockctl/ctl.c
@@ -27,6 +27,20 @@
 	json_object_put(root);
 }
 
+int ctl_print(const struct ctl *ctl, json_object *root,
+	      void (*print)(json_object *root))
+{
+	if (!root)
+		return CTL_FAILED;
+	if (ctl->json) {
+		ctl_print_json(root);
+		return CTL_OK;
+	}
+	print(root);
+	json_object_put(root);
+	return CTL_OK;
+}
+
 void ctl_print_findings(json_object *findings)
 {
 	size_t count = findings ? json_object_array_length(findings) : 0;
--- a/comfreydockctl/drain.c
+++ b/comfreydockctl/drain.c
@@ -49,24 +49,19 @@
 	return status;
 }
 
-static int run(struct ctl *ctl, char **arguments)
+static void print_running(json_object *root)
 {
-	json_object *root;
+	printf("draining, %" G_GUINT64_FORMAT " running\n",
+	       jsonc_get_uint(root, "running"));
+}
 
+static int run(struct ctl *ctl, char **arguments)
+{
 	(void)arguments;
 	if (wait_until_idle)
 		return wait_for_stop(ctl);
-	root = ctl_ask(ctl, "POST", "/v1/upstream/drain");
-	if (!root)
-		return CTL_FAILED;
-	if (ctl->json) {
-		ctl_print_json(root);
-		return CTL_OK;
-	}
-	printf("draining, %" G_GUINT64_FORMAT " running\n",
-	       jsonc_get_uint(root, "running"));
-	json_object_put(root);
-	return CTL_OK;
+	return ctl_print(ctl, ctl_ask(ctl, "POST", "/v1/upstream/drain"),
+			 print_running);
 }
 
 const struct ctl_command ctl_drain = {
--- a/comfreydockctl/hosts.c
+++ b/comfreydockctl/hosts.c
@@ -18,24 +18,20 @@
 	putchar('\n');
 }
 
-static int run(struct ctl *ctl, char **arguments)
+static void print_hosts(json_object *root)
 {
-	json_object *root = ctl_ask_hosts(ctl);
 	json_object *hosts = jsonc_get_array(root, "hosts");
 
-	(void)arguments;
-	if (!root)
-		return CTL_FAILED;
-	if (ctl->json) {
-		ctl_print_json(root);
-		return CTL_OK;
-	}
 	printf("%-24s %-16s %-8s %-8s %5s %s\n", "HOST", "DOMAIN", "STATE",
 	       "UPSTREAM", "SLOTS", "GROUPS");
 	for (size_t i = 0; hosts && i < json_object_array_length(hosts); i++)
 		print_host(json_object_array_get_idx(hosts, i));
-	json_object_put(root);
-	return CTL_OK;
+}
+
+static int run(struct ctl *ctl, char **arguments)
+{
+	(void)arguments;
+	return ctl_print(ctl, ctl_ask_hosts(ctl), print_hosts);
 }
 
 const struct ctl_command ctl_hosts = {
--- a/comfreydockctl/resume.c
+++ b/comfreydockctl/resume.c
@@ -3,20 +3,16 @@
 #include "comfreydockctl/ctl.h"
 #include "common/jsonc.h"
 
-static int run(struct ctl *ctl, char **arguments)
+static void print_state(json_object *root)
 {
-	json_object *root = ctl_ask(ctl, "POST", "/v1/upstream/resume");
+	printf("upstream is %s\n", jsonc_get_text(root, "state"));
+}
 
+static int run(struct ctl *ctl, char **arguments)
+{
 	(void)arguments;
-	if (!root)
-		return CTL_FAILED;
-	if (ctl->json) {
-		ctl_print_json(root);
-		return CTL_OK;
-	}
-	printf("upstream is %s\n", jsonc_get_text(root, "state"));
-	json_object_put(root);
-	return CTL_OK;
+	return ctl_print(ctl, ctl_ask(ctl, "POST", "/v1/upstream/resume"),
+			 print_state);
 }
 
 const struct ctl_command ctl_resume = {
--- a/comfreydockctl/show.c
+++ b/comfreydockctl/show.c
@@ -61,15 +61,7 @@
 		g_string_append(path, "body=1");
 	root = ctl_ask(ctl, "GET", path->str);
 	g_string_free(path, TRUE);
-	if (!root)
-		return CTL_FAILED;
-	if (ctl->json) {
-		ctl_print_json(root);
-		return CTL_OK;
-	}
-	print_namespaces(root);
-	json_object_put(root);
-	return CTL_OK;
+	return ctl_print(ctl, root, print_namespaces);
 }
 
 const struct ctl_command ctl_show = {
--- a/comfreydockctl/status.c
+++ b/comfreydockctl/status.c
@@ -28,18 +28,8 @@
 
 static int run(struct ctl *ctl, char **arguments)
 {
-	json_object *root = ctl_ask(ctl, "GET", "/v1/status");
-
 	(void)arguments;
-	if (!root)
-		return CTL_FAILED;
-	if (ctl->json) {
-		ctl_print_json(root);
-		return CTL_OK;
-	}
-	print_status(root);
-	json_object_put(root);
-	return CTL_OK;
+	return ctl_print(ctl, ctl_ask(ctl, "GET", "/v1/status"), print_status);
 }
 
 const struct ctl_command ctl_status = {
--- a/include/comfreydockctl/ctl.h
+++ b/include/comfreydockctl/ctl.h
@@ -83,6 +83,13 @@
  */
 json_object *ctl_ask(struct ctl *ctl, const char *method, const char *path);
 
+/*
+ * Prints an answer as JSON, or by print where that was not asked for, and puts
+ * it. RETURN VALUE: the exit status; root NULL is a failure told already.
+ */
+int ctl_print(const struct ctl *ctl, json_object *root,
+	      void (*print)(json_object *root));
+
 /* All pages of the daemon's list of hosts, as one object with "hosts".
  * RETURN VALUE: NULL after a complaint; else the caller puts it. */
 json_object *ctl_ask_hosts(struct ctl *ctl);
