member: halve what news may take of the network

Cause: at 20 changes of hosts a second a daemon sent 13,798 bytes/s, and took in as much, where 14 KB/s are allowed for all control, both ways.

Change: news and syncs stop at 5,400 bytes a second in place of 12,000.

The price is worked out: after a region's return refutations take up to four hours by news alone, two before.

--- a/include/comfreydockd/member/swim.h
+++ b/include/comfreydockd/member/swim.h
@@ -49,7 +49,7 @@
 #define SWIM_CONFIRMERS 3 /* independent suspicions that shorten it fully */
 #define SWIM_BODY_MAX 1150 /* bytes; the envelope needs up to 30 more */
 #define SWIM_RECORD_MAX 800 /* bytes; a record must fit beside the rest */
-#define SWIM_BYTES_PER_S 12000
+#define SWIM_BYTES_PER_S 5400
 #define SWIM_PAGE_BYTES_PER_S 200000
 #define SWIM_REPROBE_US (2 * 1000 * 1000) /* one dead member */
 #define SWIM_FORGET_DEAD_US ((int64_t)24 * 3600 * 1000 * 1000)
