upstream: use the client's guard against a second send

The rule that a request is written once stood twice: in run.c and, added since, in common/http_client. The run now uses the client's, which tells as well whether the request began to be written; tests/test_run fails with it switched off, by then because a run that was made counts as not begun.

Taken out, as nothing calls them: entry_drain() and its state, peer_is_ready(), attempt_owner_is_over(), service_count_available().

--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -213,9 +213,8 @@
 	bool found;
 
 	counters.caller_requests++;
-	if (entry->draining || !config_store_is_ready(entry->daemon->config)) {
-		outcome_refuse(sink, data, STATUS_UNAVAILABLE,
-			       entry->draining ? "draining" : "no-configuration",
+	if (!config_store_is_ready(entry->daemon->config)) {
+		outcome_refuse(sink, data, STATUS_UNAVAILABLE, "no-configuration",
 			       COME_BACK_MS, "not run: not ready\n");
 		return NULL;
 	}
@@ -247,11 +246,6 @@
 	return LIST_FIRST(&entry->calls) == call ? call : NULL;
 }
 
-void entry_drain(struct entry *entry)
-{
-	entry->draining = true;
-}
-
 size_t entry_count(const struct entry *entry)
 {
 	return entry->count + (entry->claims ? claims_busy(entry->claims) : 0);
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -331,13 +331,3 @@
 		service = next;
 	}
 }
-
-size_t service_count_available(const struct service *service)
-{
-	const struct service_upstream *upstream;
-	size_t count = 0;
-
-	TAILQ_FOREACH (upstream, &service->upstreams, link)
-		count += upstream->health.available;
-	return count;
-}
--- a/comfreydockd/peer/attempt.c
+++ b/comfreydockd/peer/attempt.c
@@ -77,12 +77,6 @@
 	       state == ENTRY_UNKNOWN;
 }
 
-bool attempt_owner_is_over(enum attempt_owner_state state)
-{
-	return state == OWNER_ATTEMPT_NOT_RUN || state == OWNER_ATTEMPT_DONE ||
-	       state == OWNER_ATTEMPT_FAILED;
-}
-
 bool attempt_allows_another(enum attempt_entry_state state, bool idempotent)
 {
 	if (state == ENTRY_NOT_RUN)
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -331,11 +331,6 @@
 	       link_has_handed_over(peer->link, peer->base + position);
 }
 
-bool peer_is_ready(const struct peer *peer)
-{
-	return peer->state == PEER_READY;
-}
-
 void peer_begin_use(struct peer *peer)
 {
 	peer->uses++;
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -31,7 +31,6 @@
 	int64_t answer_length;
 	int64_t credit;
 	bool answer_paused;
-	bool begun;
 	bool has_head;
 	bool refused; /* handle_head said no */
 	bool running;
@@ -79,22 +78,6 @@
 	g_ptr_array_add(pool->idle, easy);
 }
 
-/* Called before each time a request is written: see run.h. */
-static int handle_before_request(void *data, char *primary_ip, char *local_ip,
-				 int primary_port, int local_port)
-{
-	struct run *run = data;
-
-	(void)primary_ip;
-	(void)local_ip;
-	(void)primary_port;
-	(void)local_port;
-	if (run->begun)
-		return CURL_PREREQFUNC_ABORT;
-	run->begun = true;
-	return CURL_PREREQFUNC_OK;
-}
-
 static size_t handle_read(char *out, size_t size, size_t count, void *data)
 {
 	struct run *run = data;
@@ -182,7 +165,7 @@
 
 static enum run_result run_judge(const struct run *run, CURLcode result)
 {
-	if (!run->begun)
+	if (!run_has_begun(run))
 		return RUN_NOT_BEGUN;
 	if (result == CURLE_OK && run->has_head)
 		return RUN_WHOLE;
@@ -267,8 +250,6 @@
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_IDLE_CONNECTION_S);
-	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_request);
-	curl_easy_setopt(easy, CURLOPT_PREREQDATA, run);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, run);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_write);
@@ -291,6 +272,7 @@
 	run->transfer.easy = pool_take(pool);
 	run->transfer.handle_done = handle_done;
 	run->transfer.data = run;
+	run->transfer.send_once = true;
 	run_set_transport(run, request->target);
 	run_set_fields(run, request->fields);
 	run_set_body(run, request);
@@ -336,5 +318,5 @@
 
 bool run_has_begun(const struct run *run)
 {
-	return run->begun;
+	return run->transfer.sent;
 }
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -109,7 +109,6 @@
 	uint64_t next_seq;
 	struct random_state random;
 	ev_timer tick;
-	bool draining;
 	struct claims *claims; /* NULL: there is no platform */
 };
 
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -77,9 +77,6 @@
 /* The caller went away; no function of the sink follows. */
 void call_abandon(struct call *call);
 
-/* Refuses new calls as not run from now on. */
-void entry_drain(struct entry *entry);
-
 /* RETURN VALUE: the calls that have not ended, and the claims that are still
  * being given up. */
 size_t entry_count(const struct entry *entry);
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -78,7 +78,4 @@
  * few are, and a walk over all would hold up every call that comes meanwhile. */
 void services_tick(struct services *services, int64_t now_us);
 
-/* RETURN VALUE: the number of upstreams that members say are up. */
-size_t service_count_available(const struct service *service);
-
 #endif
--- a/include/comfreydockd/peer/attempt.h
+++ b/include/comfreydockd/peer/attempt.h
@@ -77,7 +77,6 @@
 			enum attempt_owner_event event);
 
 bool attempt_entry_is_over(enum attempt_entry_state state);
-bool attempt_owner_is_over(enum attempt_owner_state state);
 
 /* True if the request may be sent again after this attempt. */
 bool attempt_allows_another(enum attempt_entry_state state, bool idempotent);
--- a/include/comfreydockd/peer/peers.h
+++ b/include/comfreydockd/peer/peers.h
@@ -73,7 +73,6 @@
 /* RETURN VALUE: the frame's position, for peer_has_handed_over(). */
 uint64_t peer_send(struct peer *peer, const Cfd__Frame *frame);
 bool peer_has_handed_over(const struct peer *peer, uint64_t position);
-bool peer_is_ready(const struct peer *peer);
 
 /* From an attempt's sending to its end: the connection is not idle. */
 void peer_begin_use(struct peer *peer);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -34,7 +34,7 @@
 	void (*handle_done)(struct http_transfer *transfer, CURLcode result);
 	void *data;
 	bool send_once; /* takes CURLOPT_PREREQFUNCTION */
-	bool sent; /* the client's own */
+	bool sent; /* kept with send_once: the request began to be written */
 };
 
 void http_client_start(struct http_client *client,
