--- a/bench/capacity/bench_services.c
+++ b/bench/capacity/bench_services.c
@@ -20,6 +20,7 @@
 
 #include "bench/capacity/usage.h"
 #include "comfreydockd/caller/services.h"
+#include "comfreydockd/config/store.h"
 #include "comfreydockd/settings.h"
 #include "common/clock.h"
 
@@ -90,6 +91,7 @@
 	bench->settings.domain = "own";
 	bench->daemon.settings = &bench->settings;
 	bench->daemon.members = member_table_create();
+	bench->daemon.config = config_store_create();
 	bench->configs = g_ptr_array_new();
 	for (int i = 0; i < hosts / HOSTS_PER_SERVICE; i++)
 		add_service(bench, i);
@@ -100,9 +102,10 @@
 
 static void find_service(struct bench *bench, int number)
 {
-	services_get(bench->services,
-		     g_ptr_array_index(bench->configs,
-				       (guint)number % bench->configs->len));
+	const struct config_service *config = g_ptr_array_index(
+		bench->configs, (guint)number % bench->configs->len);
+
+	services_get(bench->services, config->group);
 }
 
 /* RETURN VALUE: microseconds for one round. */
--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -8,7 +8,6 @@
 #include <ev.h>
 #include <glib.h>
 
-#include "comfreydockd/caller/claim_sweep.h"
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/listener.h"
 #include "comfreydockd/config/platform_ops.h"
@@ -18,34 +17,22 @@
 #include "comfreydockd/member/gossip.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/member/rows.h"
+#include "comfreydockd/on_platform.h"
 #include "comfreydockd/operator/operator.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/platform/platform.h"
 #include "comfreydockd/platform/rows_store.h"
 #include "comfreydockd/settings.h"
+#include "comfreydockd/stop.h"
 #include "comfreydockd/upstream/owner.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/http_client.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "platform/headers.h"
 
 #define TIMELINE_ENTRIES 8192
-#define STOP_CHECK_S 0.05
-/*
- * A daemon that stops goes on taking calls for so long. Gossip needs a few
- * rounds until no peer sends work here, and callers learn from the answers
- * ("Connection: close") to go elsewhere. Closing the port at once would reset
- * the connections that wait to be accepted: calls cut off by a planned stop.
- */
-#define LAME_DUCK_S 2.0
-/* After the port is closed, what was accepted last still gets its answer. */
-#define LAST_CALLS_S 0.3
-/* The good-bye's way through gossip. */
-#define LEAVE_S 0.5
-/* For the row's deletion; others delete it later if the platform is out. */
-#define LEAVE_MAX_S 3.0
-
 struct assembly {
 	struct daemon daemon;
 	struct listener *listener;
@@ -53,23 +40,13 @@
 	struct rows *rows;
 	ev_signal terminate;
 	ev_signal interrupt;
-	ev_timer stop_check;
-	double stopping_since; /* 0: not stopping */
-	double quiet_since;
-	double left_since; /* 0: the good-bye is not said yet */
-	bool row_is_left;
+	struct stop *stop;
+	struct on_platform *on_platform;
 	struct gossip_handlers gossip_handlers;
 	struct config_platform *config_platform; /* NULL: no platform */
 	struct spread_peers *spread;
-	struct claim_sweep *sweep; /* NULL: no platform */
 };
 
-/* Not ev_now(): that one follows the wall clock when it is set. */
-static double seconds_now(void)
-{
-	return (double)clock_mono_us() / US_PER_S;
-}
-
 static struct assembly *assembly_of(struct daemon *daemon)
 {
 	return (struct assembly *)((char *)daemon -
@@ -94,7 +71,6 @@
 			     announced ? announced->groups : NULL,
 			     announced ? announced->slots : 0,
 			     announced ? announced->warm_ms : 0);
-	rows_touch(assembly->rows);
 }
 
 /* A row of a host that gossip has not told of. */
@@ -135,64 +111,11 @@
 	owner_note_config(daemon->owner);
 }
 
-static bool stop_is_quiet(const struct assembly *assembly)
-{
-	const struct daemon *daemon = &assembly->daemon;
-	struct owner_status status;
-
-	owner_get_status(daemon->owner, &status);
-	return status.running == 0 && status.queued == 0 &&
-	       entry_count(daemon->entry) == 0;
-}
-
-static void handle_row_left(bool is_deleted, void *data)
-{
-	struct assembly *assembly = data;
-
-	(void)is_deleted;
-	assembly->row_is_left = true;
-}
-
-static void handle_stop_check(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	struct assembly *assembly = timer->data;
-	double now = seconds_now();
-	double spent = now - assembly->stopping_since;
-	double most = assembly->daemon.settings->drain_timeout_ms / 1000.0;
-
-	(void)events;
-	if (spent >= LAME_DUCK_S)
-		listener_quiesce(assembly->listener);
-	if (spent < LAME_DUCK_S || !stop_is_quiet(assembly))
-		assembly->quiet_since = now;
-	if (now - assembly->quiet_since < LAST_CALLS_S &&
-	    spent < LAME_DUCK_S + most)
-		return;
-	if (assembly->left_since <= 0) {
-		assembly->left_since = now;
-		gossip_leave(assembly->daemon.gossip);
-		rows_leave(assembly->rows, handle_row_left, assembly);
-	}
-	if (now - assembly->left_since < LEAVE_S ||
-	    (!assembly->row_is_left && now - assembly->left_since < LEAVE_MAX_S))
-		return;
-	log_event(EV_DAEMON_STOPPED,
-		  LOG_INT("calls", entry_count(assembly->daemon.entry)));
-	ev_break(loop, EVBREAK_ALL);
-}
-
 void daemon_stop(struct daemon *daemon)
 {
 	struct assembly *assembly = assembly_of(daemon);
 
-	if (assembly->stopping_since > 0)
-		return;
-	assembly->stopping_since = seconds_now();
-	assembly->quiet_since = assembly->stopping_since;
-	log_event(EV_DAEMON_STOPPING);
-	owner_drain(daemon->owner);
-	listener_announce_close(assembly->listener);
-	ev_timer_start(daemon->loop, &assembly->stop_check);
+	stop_begin(assembly->stop);
 }
 
 static void handle_signal(struct ev_loop *loop, ev_signal *signal, int events)
@@ -237,7 +160,7 @@
 	daemon->config = config_store_create();
 	if (!load_config_file(daemon))
 		return false;
-	daemon->platform = platform_create(daemon);
+	daemon->platform = platform_create(daemon->http, settings->platform_url);
 	daemon->peers = peers_create(daemon);
 	if (!daemon->peers)
 		return report_bind_error("peer", &settings->peer);
@@ -277,13 +200,6 @@
 	member_table_observe(daemon->members, &observer);
 }
 
-static bool is_sweeper(void *data)
-{
-	const struct assembly *assembly = data;
-
-	return spread_peers_is_reader(assembly->spread);
-}
-
 static void create_rows(struct assembly *assembly)
 {
 	struct daemon *daemon = &assembly->daemon;
@@ -308,28 +224,34 @@
 	struct daemon *daemon = &assembly->daemon;
 	const struct config_platform_ops *ops = NULL;
 
-	if (daemon->platform) {
+	if (daemon->platform && !daemon->settings->follows_platform) {
 		ops = &config_platform_ops;
 		assembly->config_platform =
 			config_platform_create(daemon->loop, daemon->platform);
 		operator_api_set_platform(daemon->operator_api, ops,
 					  assembly->config_platform);
-		assembly->sweep = claim_sweep_create(
-			daemon->loop, daemon->platform, is_sweeper, assembly);
 	}
 	assembly->spread =
 		spread_peers_create(daemon, ops, assembly->config_platform);
 }
 
+static bool join_platform(struct assembly *assembly)
+{
+	struct daemon *daemon = &assembly->daemon;
+
+	assembly->stop = stop_create(daemon, assembly->listener, assembly->rows);
+	assembly->on_platform = on_platform_create(daemon, assembly->stop);
+	if (!assembly->on_platform)
+		return report_bind_error("platform's", &daemon->settings->ready);
+	return true;
+}
+
 static void watch_signals(struct assembly *assembly)
 {
 	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
 	ev_signal_init(&assembly->interrupt, handle_signal, SIGINT);
-	ev_timer_init(&assembly->stop_check, handle_stop_check, STOP_CHECK_S,
-		      STOP_CHECK_S);
 	assembly->terminate.data = assembly;
 	assembly->interrupt.data = assembly;
-	assembly->stop_check.data = assembly;
 	ev_signal_start(assembly->daemon.loop, &assembly->terminate);
 	ev_signal_start(assembly->daemon.loop, &assembly->interrupt);
 }
@@ -341,6 +263,8 @@
 
 	daemon->settings = settings;
 	daemon->loop = ev_default_loop(0);
+	daemon->headers =
+		settings->follows_platform ? &platform_headers : &headers_own;
 	/* Grows with each start, as long as the host's clock does; refutation
 	 * by gossip mends the case where it was set back. */
 	daemon->incarnation = (uint64_t)clock_wall_us();
@@ -353,6 +277,10 @@
 	create_rows(assembly);
 	connect_parts(assembly);
 	connect_configuration(assembly);
+	if (!join_platform(assembly)) {
+		assembly_destroy(assembly);
+		return NULL;
+	}
 	log_event(EV_DAEMON_STARTED, LOG_STR("version", COMFREYDOCK_VERSION),
 		  LOG_INT("caller_port", daemon->caller_port),
 		  LOG_INT("peer_port", daemon->peer_port),
@@ -380,7 +308,8 @@
 		rows_destroy(assembly->rows);
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
-	claim_sweep_destroy(assembly->sweep);
+	on_platform_destroy(assembly->on_platform);
+	stop_destroy(assembly->stop);
 	rows_store_destroy(assembly->rows_store);
 	spread_peers_destroy(assembly->spread);
 	config_platform_destroy(assembly->config_platform);
@@ -389,7 +318,6 @@
 	http_client_destroy(daemon->http);
 	ev_signal_stop(daemon->loop, &assembly->terminate);
 	ev_signal_stop(daemon->loop, &assembly->interrupt);
-	ev_timer_stop(daemon->loop, &assembly->stop_check);
 	timeline_finish(&daemon->timeline);
 	ev_loop_destroy(daemon->loop);
 	g_free(assembly);
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -99,7 +99,7 @@
 	int64_t path_us = deadline_path_us(&upstream->path);
 
 	out->trace = (char *)call->trace;
-	out->group = call->config->group;
+	out->group = (char *)call->group;
 	out->method = call->method;
 	out->target = call->target;
 	out->headers = call->fields.items;
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -38,7 +38,6 @@
 	struct ev_loop *loop = call->entry->daemon->loop;
 	struct entry_attempt *attempt;
 
-	call_end_claim(call, call->attempts == 0);
 	while ((attempt = LIST_FIRST(&call->active)))
 		entry_attempt_destroy(attempt);
 	ev_timer_stop(loop, &call->deadline);
@@ -58,7 +57,6 @@
 
 static void call_finish_unanswered(struct call *call)
 {
-	call_end_claim(call, !call->may_have_run);
 	if (call->may_have_run)
 		outcome_say_unknown(call);
 	else
@@ -284,9 +282,11 @@
 			attempt->upstream->host, answer->status);
 	fields_init(&fields);
 	for (size_t i = 0; i < answer->n_headers; i++)
-		fields_add_passed(&fields, answer->headers[i]->name,
+		fields_add_passed(&fields, call->entry->daemon->headers,
+				  answer->headers[i]->name,
 				  answer->headers[i]->value);
-	outcome_add_fields(&fields, "run", NULL, call->trace);
+	outcome_add_fields(&fields, call->entry->daemon->headers, "run", NULL,
+			   call->trace);
 	call->sink->handle_head(call->sink_data, answer->status, &fields,
 				answer->length);
 	fields_finish(&fields);
@@ -422,8 +422,7 @@
 	hedge_note_request(&call->service->hedge);
 	retry_note_request(&call->service->retry);
 	pick_note_request(&call->service->picks);
-	if (!call_claim_key(call))
-		call_send_attempt(call);
+	call_send_attempt(call);
 }
 
 void call_init_timers(struct call *call)
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -6,7 +6,6 @@
 
 #include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/call_internal.h"
-#include "comfreydockd/caller/claim.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/settings.h"
@@ -38,8 +37,6 @@
 
 	entry->daemon = daemon;
 	entry->services = services_create(daemon);
-	if (daemon->platform)
-		entry->claims = claims_create(daemon->loop, daemon->platform);
 	LIST_INIT(&entry->calls);
 	entry->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->by_peer = g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -67,7 +64,6 @@
 	peers_set_entry(entry->daemon->peers, &none);
 	ev_timer_stop(entry->daemon->loop, &entry->tick);
 	g_hash_table_unref(entry->attempts);
-	claims_destroy(entry->claims);
 	g_hash_table_unref(entry->by_peer);
 	services_destroy(entry->services);
 	g_free(entry);
@@ -93,7 +89,8 @@
 
 static void call_set_trace(struct call *call, const struct fields *fields)
 {
-	const char *given = fields_find(fields, FIELD_TRACE);
+	const char *given =
+		fields_find(fields, call->entry->daemon->headers->trace);
 
 	if (trace_is_sound(given))
 		g_strlcpy(call->trace, given, sizeof(call->trace));
@@ -104,7 +101,7 @@
 static int64_t read_number(const struct fields *fields, const char *name,
 			   int64_t most, int64_t missing)
 {
-	const char *text = fields_find(fields, name);
+	const char *text = name ? fields_find(fields, name) : NULL;
 	char *end;
 	int64_t value;
 
@@ -118,7 +115,9 @@
 
 static void call_set_deadline(struct call *call, const struct fields *fields)
 {
-	int64_t given_ms = read_number(fields, FIELD_DEADLINE, INT32_MAX, -1);
+	int64_t given_ms =
+		read_number(fields, call->entry->daemon->headers->deadline_ms,
+			    INT32_MAX, -1);
 	uint32_t rule_ms = call->rule->deadline_ms ? call->rule->deadline_ms :
 						     DEFAULT_DEADLINE_MS;
 
@@ -139,10 +138,25 @@
 
 static void call_copy_fields(struct call *call, const struct fields *fields)
 {
+	const struct daemon *daemon = call->entry->daemon;
+	const struct headers *headers = daemon->headers;
+
 	fields_init(&call->fields);
 	for (size_t i = 0; i < fields->count; i++)
-		fields_add_passed(&call->fields, fields->items[i]->name,
+		fields_add_passed(&call->fields, headers, fields->items[i]->name,
 				  fields->items[i]->value);
+	if (headers->caller_service)
+		fields_add(&call->fields, headers->caller_service,
+			   daemon->settings->service);
+}
+
+/* The services that a rule leads to share its calls by their weights. */
+static const char *call_draw_group(struct entry *entry,
+				   const struct config_rule *rule)
+{
+	uint64_t weights = config_rule_weights(rule);
+
+	return config_rule_draw(rule, random_below(&entry->random, weights));
 }
 
 void call_fill_hedge_question(const struct call *call,
@@ -178,7 +192,8 @@
 	call->config = config;
 	call->rule = rule;
 	call->depth = depth;
-	call->service = services_get(entry->services, config);
+	call->group = call_draw_group(entry, rule);
+	call->service = services_get(entry->services, call->group);
 	call->method = g_strdup(request->method);
 	call->target = g_strdup(request->target);
 	call->body = g_byte_array_new();
@@ -205,8 +220,8 @@
 		config_store_current(entry->daemon->config);
 	const struct config_service *config = NULL;
 	const struct config_rule *rule = NULL;
-	uint32_t depth = (uint32_t)read_number(request->fields, FIELD_DEPTH,
-					       INT32_MAX, 0);
+	uint32_t depth = (uint32_t)read_number(
+		request->fields, entry->daemon->headers->depth, INT32_MAX, 0);
 	struct call *call;
 	char host[256];
 	char *path;
@@ -214,7 +229,8 @@
 
 	counters.caller_requests++;
 	if (!config_store_is_ready(entry->daemon->config)) {
-		outcome_refuse(sink, data, STATUS_UNAVAILABLE, "no-configuration",
+		outcome_refuse(entry->daemon->headers, sink, data,
+			       STATUS_UNAVAILABLE, "no-configuration",
 			       COME_BACK_MS, "not run: not ready\n");
 		return NULL;
 	}
@@ -225,14 +241,15 @@
 	g_free(path);
 	if (!found) {
 		counters.caller_no_route++;
-		outcome_refuse(sink, data, STATUS_NO_ROUTE,
-			       config ? "no-rule" : "no-service", 0,
-			       "not run: no service or rule matches\n");
+		outcome_refuse(entry->daemon->headers, sink, data,
+			       STATUS_NO_ROUTE, config ? "no-rule" : "no-service",
+			       0, "not run: no service or rule matches\n");
 		return NULL;
 	}
 	if (deadline_is_too_deep(depth)) {
 		counters.caller_too_deep++;
-		outcome_refuse(sink, data, STATUS_TOO_DEEP, "too-deep", 0,
+		outcome_refuse(entry->daemon->headers, sink, data,
+			       STATUS_TOO_DEEP, "too-deep", 0,
 			       "not run: calls are nested too deep\n");
 		return NULL;
 	}
@@ -248,5 +265,5 @@
 
 size_t entry_count(const struct entry *entry)
 {
-	return entry->count + (entry->claims ? claims_busy(entry->claims) : 0);
+	return entry->count;
 }
--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -48,8 +48,8 @@
 {
 	char *text = g_strdup_printf("not run: %s\n", why);
 
-	outcome_refuse(&request_sink, request, status, reason, come_back_ms,
-		       text);
+	outcome_refuse(request->listener->daemon->headers, &request_sink,
+		       request, status, reason, come_back_ms, text);
 	MHD_add_response_header(request->response, "Connection", "close");
 	g_free(text);
 	return request_queue(request);
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/subset.h"
 #include "comfreydockd/decide/warm.h"
 #include "comfreydockd/settings.h"
@@ -17,7 +18,7 @@
 struct services {
 	struct daemon *daemon;
 	struct service_list active;
-	GHashTable *by_key; /* key -> struct service */
+	GHashTable *by_group; /* group -> struct service */
 };
 
 static void service_upstream_delist(struct service_upstream *upstream)
@@ -41,7 +42,6 @@
 	while ((upstream = TAILQ_FIRST(&service->upstreams)))
 		service_upstream_delist(upstream);
 	pick_set_finish(&service->picks);
-	g_free(service->key);
 	g_free(service->group);
 	g_free(service);
 }
@@ -52,8 +52,8 @@
 
 	services->daemon = daemon;
 	LIST_INIT(&services->active);
-	services->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-						 service_free);
+	services->by_group = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, service_free);
 	return services;
 }
 
@@ -61,7 +61,7 @@
 {
 	if (!services)
 		return;
-	g_hash_table_unref(services->by_key);
+	g_hash_table_unref(services->by_group);
 	g_free(services);
 }
 
@@ -209,69 +209,51 @@
 		service_refresh(service);
 }
 
-static struct service *service_new(struct services *services, const char *key)
+static struct service *service_new(struct services *services, const char *group)
 {
 	struct service *service = g_new0(struct service, 1);
 
 	service->services = services;
-	service->key = g_strdup(key);
+	service->group = g_strdup(group);
 	TAILQ_INIT(&service->upstreams);
 	pick_set_init(&service->picks, pick_default_policy, id_random_u64());
 	health_init(&service->health, &health_outlier, id_random_u64());
-	g_hash_table_insert(services->by_key, service->key, service);
+	g_hash_table_insert(services->by_group, service->group, service);
 	service->stale = true;
 	retry_init(&service->retry, 0);
 	hedge_init(&service->hedge, 0);
 	return service;
 }
 
-/*
- * One budget for a service, the largest that any of its rules allows. Were it
- * set anew for the rule of each call, two rules that differ would fill it up
- * again and again, and a failing service would get all the retries that the
- * budget is there to prevent.
- */
-static void service_configure(struct service *service,
-			      const struct config_service *config)
+static void service_configure(struct service *service)
 {
-	uint32_t retry_percent = 0;
-	uint32_t hedge_percent = 0;
+	const struct daemon *daemon = service->services->daemon;
+	const struct config_group *config = config_snapshot_group(
+		config_store_current(daemon->config), service->group);
 
-	for (guint i = 0; i < config->rules->len; i++) {
-		const struct config_rule *rule =
-			g_ptr_array_index(config->rules, i);
-
-		retry_percent = MAX(retry_percent, rule->retry_budget_percent);
-		if (rule->hedge)
-			hedge_percent =
-				MAX(hedge_percent, rule->hedge_budget_percent);
-	}
-	if (g_strcmp0(service->group, config->group) != 0) {
-		g_free(service->group);
-		service->group = g_strdup(config->group);
-		service->stale = true;
-	}
-	if (service->retry_budget_percent != retry_percent) {
-		service->retry_budget_percent = retry_percent;
-		retry_init(&service->retry, retry_percent);
+	if (!config)
+		return;
+	if (daemon->settings->retry_budget.slack > 0) {
+		retry_set_shared(&service->retry, config->retry_budget_percent,
+				 daemon->settings->retry_budget.slack,
+				 member_table_size(daemon->members));
+	} else if (service->retry_budget_percent != config->retry_budget_percent) {
+		service->retry_budget_percent = config->retry_budget_percent;
+		retry_init(&service->retry, config->retry_budget_percent);
 	}
-	if (service->hedge_budget_percent != hedge_percent) {
-		service->hedge_budget_percent = hedge_percent;
-		hedge_init(&service->hedge, hedge_percent);
+	if (service->hedge_budget_percent != config->hedge_budget_percent) {
+		service->hedge_budget_percent = config->hedge_budget_percent;
+		hedge_init(&service->hedge, config->hedge_budget_percent);
 	}
 }
 
-struct service *services_get(struct services *services,
-			     const struct config_service *config)
+struct service *services_get(struct services *services, const char *group)
 {
-	char key[256];
-	struct service *service;
+	struct service *service = g_hash_table_lookup(services->by_group, group);
 
-	g_snprintf(key, sizeof(key), "%s/%s", config->namespace, config->name);
-	service = g_hash_table_lookup(services->by_key, key);
 	if (!service)
-		service = service_new(services, key);
-	service_configure(service, config);
+		service = service_new(services, group);
+	service_configure(service);
 	service_keep_fresh(service);
 	return service;
 }
--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -6,7 +6,7 @@
 
 #define DEADLINE_MAX_MS 3600000
 #define ATTEMPTS_MAX 10
-#define KEY_LIFETIME_MAX_S (30 * 86400)
+#define WEIGHT_MAX 1000000
 #define NAME_MAX_BYTES 63
 #define HOST_MAX_BYTES 253
 
@@ -60,30 +60,42 @@
 			     "only an idempotent rule may be hedged");
 }
 
-static void read_once_per_key(struct schema *schema, struct config_rule *rule)
+static void read_destination(struct schema *item, struct config_rule *rule)
 {
-	struct schema once;
-
-	rule->once_per_key = schema_init_child(&once, schema, "once_per_key",
-					       SCHEMA_OPTIONAL);
-	rule->key_lifetime_s = (uint32_t)schema_uint(
-		&once, "lifetime_s", SCHEMA_REQUIRED, 0, 1, KEY_LIFETIME_MAX_S);
-	schema_finish(&once);
-	if (!rule->once_per_key)
-		return;
-	/* A retry or a hedge is a second run under the same claim. */
-	if (rule->idempotent)
-		schema_error(schema, "once_per_key",
-			     "an idempotent rule may run a request twice");
-	/* The claim would be free again while its request can still start. */
-	if ((uint64_t)rule->key_lifetime_s * 1000 < rule->deadline_ms)
-		schema_error(schema, "once_per_key.lifetime_s",
-			     "is shorter than the deadline");
+	char *group = schema_name(item, "group", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+	uint64_t weight =
+		schema_uint(item, "weight", SCHEMA_OPTIONAL, 1, 0, WEIGHT_MAX);
+
+	if (group)
+		config_rule_add_destination(rule, group, (uint32_t)weight);
+	g_free(group);
 }
 
-static struct config_rule *read_rule(struct schema *schema)
+static void read_destinations(struct schema *schema, const char *group,
+			      struct config_rule *rule)
 {
-	struct config_rule *rule = g_new0(struct config_rule, 1);
+	json_object *array = schema_array(schema, "to", SCHEMA_OPTIONAL);
+	size_t length = array ? json_object_array_length(array) : 0;
+
+	for (size_t i = 0; i < length; i++) {
+		struct schema item;
+
+		schema_init_item(&item, schema, "to", i);
+		read_destination(&item, rule);
+		schema_finish(&item);
+	}
+	if (!array && group)
+		config_rule_add_destination(rule, group, 1);
+	else if (!array)
+		schema_error(schema, "to",
+			     "is needed where the service has no group");
+	else if (config_rule_weights(rule) == 0)
+		schema_error(schema, "to", "needs a weight above 0");
+}
+
+static struct config_rule *read_rule(struct schema *schema, const char *group)
+{
+	struct config_rule *rule = config_rule_create();
 
 	rule->name = schema_name(schema, "name", SCHEMA_REQUIRED, NAME_MAX_BYTES);
 	read_methods(schema, rule);
@@ -94,13 +106,15 @@
 	rule->idempotent = schema_bool(schema, "idempotent", false);
 	rule->deadline_ms = (uint32_t)schema_uint(
 		schema, "deadline_ms", SCHEMA_REQUIRED, 0, 1, DEADLINE_MAX_MS);
+	rule->target_ms = (uint32_t)schema_uint(
+		schema, "target_ms", SCHEMA_OPTIONAL, 0, 1, DEADLINE_MAX_MS);
+	read_destinations(schema, group, rule);
 	rule->class = (enum config_class)schema_enum(schema, "class", classes,
 						     CONFIG_CLASS_NORMAL);
 	read_retry(schema, rule);
 	read_hedge(schema, rule);
 	rule->fairness_header =
 		schema_string(schema, "fairness_header", SCHEMA_OPTIONAL);
-	read_once_per_key(schema, rule);
 	return rule;
 }
 
@@ -148,7 +162,7 @@
 		struct schema item;
 
 		schema_init_item(&item, schema, "rules", i);
-		rule = read_rule(&item);
+		rule = read_rule(&item, service->group);
 		check_reach(&item, service->rules, rule);
 		g_ptr_array_add(service->rules, rule);
 		schema_finish(&item);
@@ -269,7 +283,7 @@
 	read_reach(schema, service);
 	check_overlap(schema, ns->services, service);
 	service->group =
-		schema_name(schema, "group", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+		schema_name(schema, "group", SCHEMA_OPTIONAL, NAME_MAX_BYTES);
 	read_shed_statuses(schema, service);
 	read_measure(schema, service);
 	read_rules(schema, service);
@@ -298,6 +312,40 @@
 	schema_finish(&services);
 }
 
+static struct config_upstreams *read_upstreams(struct schema *schema,
+					       const char *group)
+{
+	struct config_upstreams *upstreams = g_new0(struct config_upstreams, 1);
+
+	upstreams->group = g_strdup(group);
+	upstreams->health_path =
+		schema_string(schema, "health_path", SCHEMA_OPTIONAL);
+	check_path(schema, "health_path", upstreams->health_path);
+	upstreams->max_connections = (uint32_t)schema_uint(
+		schema, "max_connections", SCHEMA_OPTIONAL, 0, 0, UINT32_MAX);
+	return upstreams;
+}
+
+static void read_groups(struct schema *root, struct config_namespace *ns)
+{
+	struct schema groups;
+
+	if (schema_init_child(&groups, root, "groups", SCHEMA_OPTIONAL)) {
+		json_object_object_foreach(groups.object, name, value)
+		{
+			struct schema schema;
+
+			(void)value;
+			schema_init_child(&schema, &groups, name,
+					  SCHEMA_REQUIRED);
+			g_ptr_array_add(ns->upstreams,
+					read_upstreams(&schema, name));
+			schema_finish(&schema);
+		}
+	}
+	schema_finish(&groups);
+}
+
 struct config_namespace *config_namespace_load(const char *file, const char *text,
 					       struct findings *findings)
 {
@@ -312,6 +360,7 @@
 	schema_init(&root, doc, findings);
 	ns->name =
 		schema_name(&root, "namespace", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+	read_groups(&root, ns);
 	read_services(&root, ns);
 	schema_finish(&root);
 	jsonc_doc_destroy(doc);
--- /dev/null
+++ b/comfreydockd/config/follow.c
@@ -0,0 +1,166 @@
+#include "comfreydockd/config/follow.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/decide/random.h"
+#include "comfreydockd/decide/rendezvous.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+struct config_follow {
+	struct config_follow_options options;
+	struct random_state random;
+	ev_timer timer;
+	bool is_watching; /* the version of the store is known */
+	uint64_t version; /* of the store, up to which all was seen */
+	int64_t backoff_us;
+};
+
+static void follow_later(struct config_follow *follow, int64_t us)
+{
+	ev_timer_stop(follow->options.loop, &follow->timer);
+	ev_timer_set(&follow->timer, (double)us / US_PER_S, 0.0);
+	ev_timer_start(follow->options.loop, &follow->timer);
+}
+
+/* Half of the time is drawn, so that daemons which lost the store together
+ * don't come back together. */
+static void follow_after_failure(struct config_follow *follow)
+{
+	follow->backoff_us =
+		CLAMP(follow->backoff_us * 2, CONFIG_FOLLOW_RETRY_MIN_US,
+		      CONFIG_FOLLOW_RETRY_MAX_US);
+	counters.config_fetch_failures++;
+	follow_later(follow, follow->backoff_us / 2 +
+				     (int64_t)random_below(
+					     &follow->random,
+					     (uint64_t)follow->backoff_us / 2));
+}
+
+static void offer(struct config_follow *follow, uint64_t number, const char *body)
+{
+	struct config_version version = {
+		.name = follow->options.namespace,
+		.version = number,
+		.at = number,
+	};
+
+	config_body_sha256(body, strlen(body), version.sha256);
+	config_store_note_listing(follow->options.store, number, &version, 1);
+	config_store_offer(follow->options.store, version.name, number,
+			   version.sha256, body, strlen(body));
+}
+
+static void take_row(struct config_follow *follow, const struct platform_row *row)
+{
+	const struct config_follow_ops *ops = follow->options.ops;
+	const char *error = "";
+	uint64_t number = 0;
+	char *body = NULL;
+
+	if (strcmp(row->key, follow->options.key) != 0)
+		return;
+	counters.config_platform_bytes += row->size;
+	if (!row->value) {
+		log_event(EV_CONFIG_ROW_UNREADABLE,
+			  LOG_STR("error", "deleted"));
+	} else if (!ops->read(row->value, row->size, &number, &body, &error,
+			      ops->data)) {
+		log_event(EV_CONFIG_ROW_UNREADABLE, LOG_STR("error", error),
+			  LOG_INT("row_version", row->version));
+	} else {
+		log_event(EV_CONFIG_ROW_SEEN, LOG_INT("version", number),
+			  LOG_INT("row_version", row->version));
+		offer(follow, number, body);
+	}
+	g_free(body);
+}
+
+static void handle_answer(const struct platform_answer *answer, void *data)
+{
+	struct config_follow *follow = data;
+
+	if (answer->status == PLATFORM_HISTORY_GONE) {
+		/* The row itself is still there. */
+		follow->is_watching = false;
+		follow_later(follow, 0);
+		return;
+	}
+	if (answer->status != PLATFORM_OK &&
+	    answer->status != PLATFORM_NOT_FOUND) {
+		follow_after_failure(follow);
+		return;
+	}
+	for (size_t i = 0; i < answer->row_count; i++)
+		take_row(follow, &answer->rows[i]);
+	follow->version = MAX(follow->version, answer->version);
+	follow->is_watching = true;
+	follow->backoff_us = 0;
+	follow_later(follow, answer->row_count ? CONFIG_FOLLOW_PAUSE_US : 0);
+}
+
+static bool is_rival(const struct config_follow *follow,
+		     const struct member *member)
+{
+	return member->state == MEMBER_ALIVE &&
+	       strcmp(member->domain, follow->options.domain) == 0 &&
+	       strcmp(member->host, follow->options.host) != 0;
+}
+
+static bool is_drawn(const struct config_follow *follow)
+{
+	uint64_t own =
+		rendezvous_weight(follow->options.host, follow->options.domain);
+	unsigned int above = 0;
+	struct member *member;
+
+	TAILQ_FOREACH (member, member_table_all(follow->options.members), link) {
+		if (is_rival(follow, member) &&
+		    rendezvous_weight(member->host, follow->options.domain) > own)
+			above++;
+		if (above >= CONFIG_FOLLOWERS)
+			return false;
+	}
+	return true;
+}
+
+static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct config_follow *follow = timer->data;
+	const struct config_follow_options *options = &follow->options;
+
+	(void)loop;
+	(void)events;
+	counters.config_head_reads++;
+	if (!follow->is_watching)
+		platform_get(options->platform, options->key, handle_answer,
+			     follow);
+	else if (is_drawn(follow))
+		platform_watch(options->platform, options->table, follow->version,
+			       CONFIG_FOLLOW_WAIT_MS, handle_answer, follow);
+	else
+		follow_later(follow, CONFIG_FOLLOW_RETRY_MAX_US);
+}
+
+struct config_follow *
+config_follow_create(const struct config_follow_options *options)
+{
+	struct config_follow *follow = g_new0(struct config_follow, 1);
+
+	follow->options = *options;
+	follow->random.state = options->seed;
+	ev_init(&follow->timer, handle_timer);
+	follow->timer.data = follow;
+	follow_later(follow, 0);
+	return follow;
+}
+
+void config_follow_destroy(struct config_follow *follow)
+{
+	if (!follow)
+		return;
+	ev_timer_stop(follow->options.loop, &follow->timer);
+	g_free(follow);
+}
--- a/comfreydockd/config/platform_ops.c
+++ b/comfreydockd/config/platform_ops.c
@@ -84,6 +84,7 @@
 	case PLATFORM_CONFLICT:
 		return CONFIG_PLATFORM_CONFLICT;
 	case PLATFORM_REJECTED:
+	case PLATFORM_HISTORY_GONE:
 	case PLATFORM_UNAVAILABLE:
 		return CONFIG_PLATFORM_UNAVAILABLE;
 	case PLATFORM_UNKNOWN:
@@ -102,8 +103,7 @@
 	if (answer->status != PLATFORM_OK)
 		row = NULL;
 	copy.get(status_of(answer->status), row ? row->version : 0,
-		 row ? row->value : NULL, row ? strlen(row->value) : 0,
-		 copy.data);
+		 row ? row->value : NULL, row ? row->size : 0, copy.data);
 }
 
 static void handle_object(const struct platform_answer *answer, void *data)
@@ -142,7 +142,6 @@
 	struct config_platform *owner = platform;
 	struct config_call *call = config_call_new(owner, data);
 	struct platform_op *ops = g_new0(struct platform_op, count);
-	char id[ID_TEXT_SIZE];
 
 	for (size_t i = 0; i < count; i++) {
 		ops[i].kind = PLATFORM_PUT;
@@ -152,9 +151,8 @@
 					    (int64_t)writes[i].row_version;
 		ops[i].value = writes[i].value;
 	}
-	id_random(id);
 	call->done = handler;
-	platform_transact(owner->platform, id, ops, count, handle_done, call);
+	platform_transact(owner->platform, ops, count, handle_done, call);
 	g_free(ops);
 }
 
--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -1,10 +1,10 @@
 #include "comfreydockd/config/spread.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "comfreydockd/config/rows.h"
 #include "comfreydockd/config/spread_internal.h"
+#include "comfreydockd/decide/rendezvous.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
@@ -33,20 +33,13 @@
 	spread->ops->publish(head, spread->ops->data);
 }
 
-static uint64_t weight_of(const char *host, const char *domain)
-{
-	uint64_t seed = XXH64(domain, strlen(domain), 0);
-
-	return XXH64(host, strlen(host), seed);
-}
-
 /*
  * A suspected member does not count: it may be dead, and until that is certain
  * its domain would have a reader less. One more in its place does no harm.
  */
 static bool draw_reader(const struct config_spread *spread)
 {
-	uint64_t own = weight_of(spread->host, spread->domain);
+	uint64_t own = rendezvous_weight(spread->host, spread->domain);
 	unsigned int above = 0;
 	struct member *member;
 
@@ -55,7 +48,7 @@
 		    strcmp(member->domain, spread->domain) != 0 ||
 		    strcmp(member->host, spread->host) == 0)
 			continue;
-		above += weight_of(member->host, spread->domain) > own;
+		above += rendezvous_weight(member->host, spread->domain) > own;
 		if (above >= CONFIG_SPREAD_READERS)
 			return false;
 	}
--- a/comfreydockd/decide/retry.c
+++ b/comfreydockd/decide/retry.c
@@ -24,6 +24,17 @@
 		    budget_percent ? RETRY_BURST : 0);
 }
 
+void retry_set_shared(struct retry *retry, uint32_t budget_percent,
+		      double slack, size_t daemons)
+{
+	double part = slack / RETRY_SHARED_PARTS / (double)MAX(daemons, 1);
+
+	retry->budget.share = budget_percent / 100.0 / RETRY_SHARED_PARTS;
+	/* Below one no repeat would ever be made. */
+	retry->budget.burst = MAX(part, 1.0);
+	retry->budget.tokens = MIN(retry->budget.tokens, retry->budget.burst);
+}
+
 void retry_note_request(struct retry *retry)
 {
 	budget_note_call(&retry->budget);
--- a/comfreydockd/member/rows.c
+++ b/comfreydockd/member/rows.c
@@ -1,7 +1,8 @@
 #include "common/clock.h"
 #include "rows_internal.h"
 
-#define FIRST_PAGE_US (500 * US_PER_MS)
+/* If the own row could not be written by then. */
+#define FIRST_PAGE_US (1000 * US_PER_MS)
 
 int64_t rows_random_us(struct rows *rows, int64_t below_us)
 {
@@ -145,13 +146,6 @@
 	g_free(rows);
 }
 
-void rows_touch(struct rows *rows)
-{
-	if (!rows->is_leaving)
-		rows_timer_set(rows, &rows->own_timer,
-			       rows_random_us(rows, ROWS_TOUCH_JITTER_US));
-}
-
 void rows_leave(struct rows *rows,
 		void (*handle_left)(bool is_deleted, void *data), void *data)
 {
--- a/comfreydockd/member/rows_codec.c
+++ b/comfreydockd/member/rows_codec.c
@@ -18,11 +18,8 @@
 char *rows_encode(const struct member *member, uint64_t incarnation)
 {
 	struct json_object *object = json_object_new_object();
-	struct json_object *groups = json_object_new_array();
 	char *text;
 
-	for (char **group = member->groups; group && *group; group++)
-		json_object_array_add(groups, json_object_new_string(*group));
 	add_string(object, "host", member->host);
 	add_number(object, "incarnation", incarnation);
 	add_string(object, "address", member->address);
@@ -30,8 +27,6 @@
 	add_number(object, "admin_port", member->admin_port);
 	add_string(object, "domain", member->domain);
 	add_string(object, "region", member->region);
-	json_object_object_add(object, "groups", groups);
-	add_number(object, "slots", member->slots);
 	text = g_strdup(
 		json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
 	json_object_put(object);
--- a/comfreydockd/member/rows_own.c
+++ b/comfreydockd/member/rows_own.c
@@ -8,7 +8,7 @@
 {
 	rows->own_is_busy = false;
 	if (rows->own_is_due)
-		us = MIN(us, rows_random_us(rows, ROWS_TOUCH_JITTER_US));
+		us = 0;
 	rows->own_is_due = false;
 	rows_timer_set(rows, &rows->own_timer, us);
 }
@@ -49,6 +49,10 @@
 	log_event(EV_ROW_WRITTEN, LOG_STR("key", rows->own_key),
 		  LOG_INT("incarnation", rows->own_incarnation));
 	rows->own_backoff_us = 0;
+	/* Two daemons that start at the same moment both write before they
+	 * read: so one of them at least finds the other. */
+	if (!rows->has_begun_pages)
+		rows_timer_set(rows, &rows->page_timer, 0);
 	own_again(rows, rows->is_leaving ?
 				0 :
 				ROWS_CHECK_US / 2 +
--- a/comfreydockd/member/rows_page.c
+++ b/comfreydockd/member/rows_page.c
@@ -7,7 +7,7 @@
 
 #define PAGE_END "hosts0" /* the first key after the prefix */
 #define PAGE_PAUSE_US US_PER_S /* between pages while there are no peers */
-#define PEERS_MAX 8 /* joined from a page */
+#define PEERS_MAX 16 /* joined from a page */
 #define DELETES_MAX 4 /* from a page */
 
 static bool has_peers(struct rows *rows)
--- a/comfreydockd/operator/api.c
+++ b/comfreydockd/operator/api.c
@@ -110,6 +110,30 @@
 		route->handle(api, request);
 }
 
+/* Whoever collects metrics needs no token and gets nothing else. */
+static void handle_metrics_request(struct http_request *request, void *data)
+{
+	if (strcmp(http_request_path(request), "/metrics") == 0)
+		operator_get_metrics(data, request);
+	else
+		operator_reply_error(request, 404, "no such path");
+}
+
+static bool listen_for_metrics(struct operator_api *api)
+{
+	const struct settings_address *where = &api->daemon->settings->metrics;
+	struct http_server_options options = {
+		.address = where->address,
+		.port = where->port,
+	};
+
+	if (!where->address)
+		return true;
+	api->metrics_server = http_server_create(api->daemon->loop, &options,
+						 handle_metrics_request, api);
+	return api->metrics_server;
+}
+
 struct operator_api *operator_api_create(struct daemon *daemon)
 {
 	struct operator_api *api = g_new0(struct operator_api, 1);
@@ -121,7 +145,8 @@
 	api->daemon = daemon;
 	api->server =
 		http_server_create(daemon->loop, &options, handle_request, api);
-	if (!api->server) {
+	if (!api->server || !listen_for_metrics(api)) {
+		http_server_destroy(api->server);
 		g_free(api);
 		return NULL;
 	}
@@ -137,6 +162,7 @@
 		return;
 	operator_end_stops(api, 503, "the daemon ends");
 	gatherer_destroy(api->gatherer);
+	http_server_destroy(api->metrics_server);
 	http_server_destroy(api->server);
 	g_ptr_array_free(api->stopping, TRUE);
 	g_free(api);
--- a/comfreydockd/operator/config.c
+++ b/comfreydockd/operator/config.c
@@ -110,10 +110,12 @@
 {
 	for (guint i = 0; api->daemon->members && i < ns->services->len; i++) {
 		const struct config_service *service = ns->services->pdata[i];
-		const GPtrArray *group =
-			member_table_group(api->daemon->members, service->group);
+		const GPtrArray *group = NULL;
 		char *path;
 
+		if (!service->group)
+			continue;
+		group = member_table_group(api->daemon->members, service->group);
 		if (group && group->len)
 			continue;
 		path = g_strdup_printf("services.%s.group", service->name);
--- a/comfreydockd/peer/fields.c
+++ b/comfreydockd/peer/fields.c
@@ -27,13 +27,15 @@
 	NAME("Trailer"),
 	NAME("Transfer-Encoding"),
 	NAME("Upgrade"),
-	NAME(FIELD_DEADLINE),
-	NAME(FIELD_DEPTH),
-	NAME(FIELD_FIRST_STATUS),
 	NAME(FIELD_OUTCOME),
 	NAME(FIELD_REASON),
 	NAME(FIELD_RETRY_AFTER_MS),
-	NAME(FIELD_TRACE),
+};
+
+const struct headers headers_own = {
+	.trace = "Comfreydock-Trace",
+	.deadline_ms = "Comfreydock-Deadline-Ms",
+	.depth = "Comfreydock-Depth",
 };
 
 void fields_init(struct fields *fields)
@@ -70,7 +72,24 @@
 }
 
 /* Lengths first: nearly every field of every call is compared with each name. */
-bool field_is_hop_by_hop(const char *name)
+static bool is_ours(const struct headers *headers, const char *name)
+{
+	const char *const ours[] = {
+		headers->trace,
+		headers->deadline_ms,
+		headers->depth,
+		headers->caller_service,
+		headers->expected_instance,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ours); i++) {
+		if (ours[i] && strcasecmp(name, ours[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool field_is_hop_by_hop(const struct headers *headers, const char *name)
 {
 	size_t length = strlen(name);
 
@@ -79,12 +98,13 @@
 		    strcasecmp(name, not_passed[i].text) == 0)
 			return true;
 	}
-	return false;
+	return is_ours(headers, name);
 }
 
-void fields_add_passed(struct fields *fields, const char *name, const char *value)
+void fields_add_passed(struct fields *fields, const struct headers *headers,
+		       const char *name, const char *value)
 {
-	if (!field_is_hop_by_hop(name))
+	if (!field_is_hop_by_hop(headers, name))
 		fields_add(fields, name, value);
 }
 
--- a/comfreydockd/platform/rows_store.c
+++ b/comfreydockd/platform/rows_store.c
@@ -5,7 +5,6 @@
 #include <sys/queue.h>
 
 #include "comfreydockd/platform/platform.h"
-#include "common/id.h"
 
 struct rows_store {
 	struct platform *platform;
@@ -63,6 +62,7 @@
 	case PLATFORM_CONFLICT:
 		return ROWS_CONFLICT;
 	case PLATFORM_REJECTED:
+	case PLATFORM_HISTORY_GONE:
 	case PLATFORM_UNAVAILABLE:
 		return ROWS_UNAVAILABLE;
 	case PLATFORM_UNKNOWN:
@@ -80,7 +80,7 @@
 	for (size_t i = 0; i < count; i++) {
 		rows[i].key = answer->rows[i].key;
 		rows[i].value = answer->rows[i].value;
-		rows[i].size = strlen(answer->rows[i].value);
+		rows[i].size = answer->rows[i].size;
 		rows[i].version = answer->rows[i].version;
 	}
 	call->handle_rows(status_of(answer->status), rows, count, call->data);
@@ -109,19 +109,17 @@
 	if (limit == 1)
 		platform_get(platform, first, handle_rows, call);
 	else
-		platform_list(platform, ROWS_PREFIX, first, limit, handle_rows,
-			      call);
+		platform_list(platform, ROWS_TABLE, first + strlen(ROWS_PREFIX),
+			      limit, handle_rows, call);
 }
 
 static void transact(struct rows_store *store, const struct platform_op *op,
 		     rows_done_handler handler, void *data)
 {
 	struct store_call *call = call_begin(store, data);
-	char id[ID_TEXT_SIZE];
 
 	call->handle_done = handler;
-	id_random(id);
-	platform_transact(store->platform, id, op, 1, handle_done, call);
+	platform_transact(store->platform, op, 1, handle_done, call);
 }
 
 static void put_if(void *store, const char *key, const char *value,
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -7,17 +7,59 @@
 #include "common/schema.h"
 
 #define DEFAULT_DRAIN_TIMEOUT_MS 600000
+/* A daemon that stops goes on taking calls for so long. Gossip needs a few
+ * rounds until no peer sends work here, and callers learn from the answers
+ * ("Connection: close") to go elsewhere. Closing the port at once would reset
+ * the connections that wait to be accepted: calls cut off by a planned stop. */
+#define DEFAULT_REFUSE_AFTER_MS 2000
+#define STOP_STEP_MAX_MS 3600000
+#define MS_PER_S 1000
+/* Parts of the time until the process is killed. Gossip and the way out of it
+ * take half a second of the rest. */
+#define GRACE_DRAIN 0.33
+#define GRACE_CLOSE 0.43
+#define GRACE_REFUSE 0.53
+#define GRACE_END 0.86
+#define PERCENT 100
+#define DEFAULT_RETRY_RATIO 0.1
+#define RETRY_SLACK_MAX 1e6
+#define PROBES_MAX_PER_S 1000
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
 #define DEFAULT_MAX_BUFFERED_BYTES (64 * 1024 * 1024)
 #define PEER_KEY_MIN_BYTES 16
 /* Names travel in frames and in members' records of fixed size. */
+#define HOST_MAX_BYTES 47
 #define NAME_MAX_BYTES 31
+#define SERVICE_MAX_BYTES 63
 
 static const char *const log_formats[] = {"json", "text", "none", NULL};
 
+/* "IP:PORT" in one text, for settings that others fill in. */
+static bool read_at(struct schema *schema, struct settings_address *out)
+{
+	char *at = schema_string(schema, "at", SCHEMA_OPTIONAL);
+	char *colon = at ? strrchr(at, ':') : NULL;
+
+	if (!at)
+		return false;
+	if (!address_has_port(at) || *at == '[') {
+		schema_error(schema, "at", "IP:PORT is expected");
+		colon = NULL;
+	}
+	if (colon) {
+		out->port = (uint16_t)g_ascii_strtoull(colon + 1, NULL, 10);
+		*colon = '\0';
+		out->address = g_strdup(at);
+	}
+	g_free(at);
+	return true;
+}
+
 static void read_address(struct schema *schema, struct settings_address *out)
 {
+	if (read_at(schema, out))
+		return;
 	out->address = schema_string(schema, "address", SCHEMA_REQUIRED);
 	out->port = (uint16_t)schema_uint(schema, "port", SCHEMA_REQUIRED, 0, 0,
 					  UINT16_MAX);
@@ -26,6 +68,17 @@
 			     "an IP number is expected, not a name");
 }
 
+/* An address that may be left out. */
+static void read_optional_address(struct schema *parent, const char *key,
+				  struct settings_address *out)
+{
+	struct schema child;
+
+	if (schema_init_child(&child, parent, key, SCHEMA_OPTIONAL))
+		read_address(&child, out);
+	schema_finish(&child);
+}
+
 static char *read_beside(struct schema *schema, const char *key,
 			 enum schema_need need, gsize *size)
 {
@@ -98,6 +151,26 @@
 	schema_finish(&advertise);
 }
 
+/* In the settings themselves where they come without other files. */
+static void read_peer_key(struct schema *peer, struct settings *settings)
+{
+	char *key = schema_string(peer, "key", SCHEMA_OPTIONAL);
+	enum schema_need need = key ? SCHEMA_OPTIONAL : SCHEMA_REQUIRED;
+
+	settings->peer_key = (uint8_t *)read_beside(peer, "key_file", need,
+						    &settings->peer_key_size);
+	if (key && settings->peer_key) {
+		schema_error(peer, "key", "stands beside a key_file");
+		g_free(key);
+	} else if (key) {
+		settings->peer_key = (uint8_t *)key;
+		settings->peer_key_size = strlen(key);
+	}
+	if (settings->peer_key && settings->peer_key_size < PEER_KEY_MIN_BYTES)
+		schema_error(peer, key ? "key" : "key_file",
+			     "holds fewer than %d bytes", PEER_KEY_MIN_BYTES);
+}
+
 static void read_peer(struct schema *root, struct settings *settings)
 {
 	struct schema peer;
@@ -105,11 +178,7 @@
 	schema_init_child(&peer, root, "peer", SCHEMA_REQUIRED);
 	read_address(&peer, &settings->peer);
 	read_advertise(&peer, settings);
-	settings->peer_key = (uint8_t *)read_beside(
-		&peer, "key_file", SCHEMA_REQUIRED, &settings->peer_key_size);
-	if (settings->peer_key && settings->peer_key_size < PEER_KEY_MIN_BYTES)
-		schema_error(&peer, "key_file", "holds fewer than %d bytes",
-			     PEER_KEY_MIN_BYTES);
+	read_peer_key(&peer, settings);
 	settings->join = schema_strings(&peer, "join", SCHEMA_OPTIONAL);
 	if (!settings->join)
 		settings->join = g_new0(char *, 1);
@@ -153,9 +222,74 @@
 			schema_error(&platform, "url",
 				     "\"http://IP:PORT\" is expected");
 	}
+	settings->follows_platform =
+		schema_bool(&platform, "follow_operator", false);
+	read_optional_address(&platform, "ready", &settings->ready);
+	read_optional_address(&platform, "reports", &settings->reports);
 	schema_finish(&platform);
 }
 
+static uint32_t read_ms(struct schema *schema, const char *key,
+			uint32_t fallback, uint32_t least)
+{
+	return (uint32_t)schema_uint(schema, key, SCHEMA_OPTIONAL, fallback,
+				     least, STOP_STEP_MAX_MS);
+}
+
+/*
+ * For a host that kills the process a fixed time after the wish to stop.
+ * Whoever directs callers notices within a third of it; what is in flight then
+ * has the rest.
+ */
+static void set_steps_of_grace(struct settings *settings, double grace_ms)
+{
+	struct settings_stop *times = &settings->stop;
+
+	times->drain_after_ms = (uint32_t)(grace_ms * GRACE_DRAIN);
+	times->close_after_ms = (uint32_t)(grace_ms * GRACE_CLOSE);
+	times->refuse_after_ms = (uint32_t)(grace_ms * GRACE_REFUSE);
+	settings->drain_timeout_ms =
+		(uint32_t)(grace_ms * (GRACE_END - GRACE_REFUSE));
+}
+
+static void read_retry_budget(struct schema *root, struct settings *settings)
+{
+	struct settings_retry_budget *budget = &settings->retry_budget;
+	struct schema retry;
+
+	schema_init_child(&retry, root, "retry_budget", SCHEMA_OPTIONAL);
+	budget->percent =
+		(uint32_t)(PERCENT * schema_double(&retry, "ratio",
+						   DEFAULT_RETRY_RATIO, 1.0));
+	budget->slack = schema_double(&retry, "slack", 0, RETRY_SLACK_MAX);
+	schema_finish(&retry);
+}
+
+static void read_stop(struct schema *root, struct settings *settings)
+{
+	struct settings_stop *times = &settings->stop;
+	struct schema stop;
+	double grace_ms;
+
+	schema_init_child(&stop, root, "stop", SCHEMA_OPTIONAL);
+	grace_ms = MS_PER_S * schema_double(&stop, "grace_s", 0,
+					    STOP_STEP_MAX_MS / MS_PER_S);
+	if (grace_ms > 0) {
+		set_steps_of_grace(settings, grace_ms);
+		schema_finish(&stop);
+		return;
+	}
+	times->drain_after_ms = read_ms(&stop, "drain_after_ms", 0, 0);
+	times->close_after_ms =
+		read_ms(&stop, "close_after_ms", times->drain_after_ms,
+			times->drain_after_ms);
+	times->refuse_after_ms =
+		read_ms(&stop, "refuse_after_ms",
+			MAX(DEFAULT_REFUSE_AFTER_MS, times->close_after_ms),
+			times->close_after_ms);
+	schema_finish(&stop);
+}
+
 static char *resolve_beside(const char *file, char *name)
 {
 	char *directory;
@@ -177,11 +311,15 @@
 
 	schema_init(&root, doc, findings);
 	settings->host =
-		schema_name(&root, "host", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+		schema_name(&root, "host", SCHEMA_REQUIRED, HOST_MAX_BYTES);
 	settings->domain =
 		schema_name(&root, "domain", SCHEMA_REQUIRED, NAME_MAX_BYTES);
 	settings->region =
 		schema_name(&root, "region", SCHEMA_REQUIRED, NAME_MAX_BYTES);
+	settings->service = schema_name(&root, "service", SCHEMA_OPTIONAL,
+					SERVICE_MAX_BYTES);
+	read_optional_address(&root, "upstream", &settings->upstream);
+	read_optional_address(&root, "metrics", &settings->metrics);
 	read_caller(&root, settings);
 	read_peer(&root, settings);
 	read_admin(&root, settings);
@@ -191,6 +329,10 @@
 	settings->drain_timeout_ms =
 		(uint32_t)schema_uint(&root, "drain_timeout_ms", SCHEMA_OPTIONAL,
 				      DEFAULT_DRAIN_TIMEOUT_MS, 0, UINT32_MAX);
+	read_stop(&root, settings);
+	read_retry_budget(&root, settings);
+	settings->probes_per_s = (uint32_t)schema_uint(
+		&root, "probes_per_s", SCHEMA_OPTIONAL, 0, 0, PROBES_MAX_PER_S);
 	settings->config_file = resolve_beside(
 		doc->file, schema_string(&root, "config_file", SCHEMA_OPTIONAL));
 	schema_finish(&root);
@@ -231,6 +373,11 @@
 	g_free(settings->host);
 	g_free(settings->domain);
 	g_free(settings->region);
+	g_free(settings->service);
+	g_free(settings->upstream.address);
+	g_free(settings->ready.address);
+	g_free(settings->reports.address);
+	g_free(settings->metrics.address);
 	g_free(settings->caller.address);
 	g_free(settings->peer.address);
 	g_free(settings->advertise.address);
--- /dev/null
+++ b/comfreydockd/stop.c
@@ -0,0 +1,153 @@
+#include "comfreydockd/stop.h"
+
+#include <ev.h>
+#include <glib.h>
+
+#include "comfreydockd/caller/entry.h"
+#include "comfreydockd/caller/listener.h"
+#include "comfreydockd/member/gossip.h"
+#include "comfreydockd/member/rows.h"
+#include "comfreydockd/settings.h"
+#include "comfreydockd/upstream/owner.h"
+#include "common/clock.h"
+#include "common/log.h"
+
+#define CHECK_S 0.05
+/* After the port is closed, what was accepted last still gets its answer. */
+#define LAST_CALLS_US (300 * US_PER_MS)
+/* The good-bye's way through gossip. */
+#define LEAVE_US (500 * US_PER_MS)
+/* For the row's deletion; others delete it later if the platform is out. */
+#define LEAVE_MAX_US (3 * US_PER_S)
+
+enum stop_step {
+	STOP_NOT,
+	STOP_SERVES, /* everything, as before */
+	STOP_DRAINED,
+	STOP_CLOSES,
+	STOP_REFUSES,
+	STOP_LEAVES,
+};
+
+struct stop {
+	struct daemon *daemon;
+	struct listener *listener;
+	struct rows *rows;
+	ev_timer check;
+	enum stop_step step;
+	int64_t since_us;
+	int64_t busy_us; /* when something was in flight last */
+	int64_t left_us; /* since the good-bye */
+	bool row_is_left;
+};
+
+static bool is_quiet(const struct stop *stop)
+{
+	struct owner_status status;
+
+	owner_get_status(stop->daemon->owner, &status);
+	return status.running == 0 && status.queued == 0 &&
+	       entry_count(stop->daemon->entry) == 0;
+}
+
+static void handle_row_left(bool is_deleted, void *data)
+{
+	struct stop *stop = data;
+
+	(void)is_deleted;
+	stop->row_is_left = true;
+}
+
+static void leave(struct stop *stop, int64_t now)
+{
+	stop->step = STOP_LEAVES;
+	stop->left_us = now;
+	gossip_leave(stop->daemon->gossip);
+	rows_leave(stop->rows, handle_row_left, stop);
+}
+
+/* Steps that are due; several at once where their times are the same. */
+static void advance(struct stop *stop, int64_t spent_us)
+{
+	const struct settings_stop *times = &stop->daemon->settings->stop;
+
+	if (stop->step == STOP_SERVES &&
+	    spent_us >= times->drain_after_ms * US_PER_MS) {
+		stop->step = STOP_DRAINED;
+		owner_drain(stop->daemon->owner);
+	}
+	if (stop->step == STOP_DRAINED &&
+	    spent_us >= times->close_after_ms * US_PER_MS) {
+		stop->step = STOP_CLOSES;
+		listener_announce_close(stop->listener);
+	}
+	if (stop->step == STOP_CLOSES &&
+	    spent_us >= times->refuse_after_ms * US_PER_MS) {
+		stop->step = STOP_REFUSES;
+		listener_quiesce(stop->listener);
+	}
+}
+
+static void handle_check(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct stop *stop = timer->data;
+	const struct settings *settings = stop->daemon->settings;
+	int64_t now = clock_mono_us();
+	int64_t spent_us = now - stop->since_us;
+	int64_t most_us = (settings->stop.refuse_after_ms +
+			   (int64_t)settings->drain_timeout_ms) *
+			  US_PER_MS;
+
+	(void)events;
+	advance(stop, spent_us);
+	if (stop->step < STOP_REFUSES || !is_quiet(stop))
+		stop->busy_us = now;
+	if (stop->step < STOP_LEAVES) {
+		if (now - stop->busy_us < LAST_CALLS_US && spent_us < most_us)
+			return;
+		leave(stop, now);
+	}
+	if (now - stop->left_us < LEAVE_US ||
+	    (!stop->row_is_left && now - stop->left_us < LEAVE_MAX_US))
+		return;
+	log_event(EV_DAEMON_STOPPED,
+		  LOG_INT("calls", entry_count(stop->daemon->entry)));
+	ev_break(loop, EVBREAK_ALL);
+}
+
+struct stop *stop_create(struct daemon *daemon, struct listener *listener,
+			 struct rows *rows)
+{
+	struct stop *stop = g_new0(struct stop, 1);
+
+	stop->daemon = daemon;
+	stop->listener = listener;
+	stop->rows = rows;
+	ev_timer_init(&stop->check, handle_check, 0.0, CHECK_S);
+	stop->check.data = stop;
+	return stop;
+}
+
+void stop_destroy(struct stop *stop)
+{
+	if (!stop)
+		return;
+	ev_timer_stop(stop->daemon->loop, &stop->check);
+	g_free(stop);
+}
+
+void stop_begin(struct stop *stop)
+{
+	if (stop->step != STOP_NOT)
+		return;
+	stop->step = STOP_SERVES;
+	stop->since_us = clock_mono_us();
+	stop->busy_us = stop->since_us;
+	log_event(EV_DAEMON_STOPPING);
+	ev_timer_start(stop->daemon->loop, &stop->check);
+}
+
+bool stop_has_begun(const struct stop *stop)
+{
+	return stop->step != STOP_NOT;
+}
--- /dev/null
+++ b/comfreydockd/upstream/answer.c
@@ -0,0 +1,99 @@
+#include "comfreydockd/upstream/answer.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define STATUS_MISDIRECTED 421
+#define LOAD_FIGURES 4
+
+static const char *const verdict_names[] = {
+	[ANSWER_GOOD] = "good",
+	[ANSWER_NOT_RUN] = "not-run",
+	[ANSWER_OTHER_INSTANCE] = "other-instance",
+	[ANSWER_STRANGE] = "strange",
+	[ANSWER_UNCLEAR] = "unclear",
+};
+
+const char *answer_verdict_name(enum answer_verdict verdict)
+{
+	return verdict_names[verdict];
+}
+
+/* 408, 421, 429 and 503 tell a caller that nothing has run. */
+static bool is_promise(unsigned int status)
+{
+	return status == 408 || status == STATUS_MISDIRECTED || status == 429 ||
+	       status == 503;
+}
+
+static bool has_trace(const struct headers *headers, const char *trace,
+		      const struct fields *fields)
+{
+	const char *given = fields_find(fields, headers->trace);
+
+	return given && strcmp(given, trace) == 0;
+}
+
+static bool is_coded(const struct fields *fields)
+{
+	const char *coding = fields_find(fields, "Content-Encoding");
+
+	return coding && strcmp(coding, "identity") != 0;
+}
+
+enum answer_verdict answer_judge(const struct headers *headers,
+				 const char *trace, unsigned int status,
+				 const struct fields *fields)
+{
+	bool has_signature;
+
+	if (!headers->signature)
+		return ANSWER_GOOD;
+	if (!has_trace(headers, trace, fields) &&
+	    fields_find(fields, headers->trace))
+		return ANSWER_STRANGE;
+	if (fields_find(fields, headers->not_run))
+		return ANSWER_NOT_RUN;
+	if (status == STATUS_MISDIRECTED)
+		return ANSWER_OTHER_INSTANCE;
+	if (is_promise(status))
+		return ANSWER_UNCLEAR;
+	has_signature = fields_find(fields, headers->signature);
+	if (!has_trace(headers, trace, fields) || is_coded(fields) ||
+	    (!has_signature && status < 400))
+		return ANSWER_STRANGE;
+	return ANSWER_GOOD;
+}
+
+bool answer_parse_load(const char *text, struct answer_load *load)
+{
+	uint32_t *const figures[LOAD_FIGURES] = {
+		&load->running,
+		&load->waiting,
+		&load->slots,
+		&load->percent,
+	};
+	char *end;
+
+	memset(load, 0, sizeof(*load));
+	for (size_t i = 0; i < LOAD_FIGURES; i++) {
+		uint64_t figure = g_ascii_strtoull(text, &end, 10);
+
+		if (end == text || figure > UINT32_MAX)
+			return false;
+		*figures[i] = (uint32_t)figure;
+		if (*end != ',')
+			return *end == '\0' && i >= 2;
+		text = end + 1;
+	}
+	return true;
+}
+
+bool answer_read_load(const struct headers *headers,
+		      const struct fields *fields, struct answer_load *load)
+{
+	const char *text =
+		headers->load ? fields_find(fields, headers->load) : NULL;
+
+	return text && answer_parse_load(text, load);
+}
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -2,8 +2,11 @@
 
 #include <inttypes.h>
 
+#include "comfreydockd/daemon.h"
+#include "comfreydockd/upstream/answer.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/log.h"
 
 static void attempt_note(struct owner_attempt *attempt, enum event event,
 			 const char *note)
@@ -104,6 +107,16 @@
 	return false;
 }
 
+static enum answer_verdict attempt_judge(const struct owner_attempt *attempt,
+					 unsigned int status,
+					 const struct fields *fields)
+{
+	if (status_is_shed(attempt, status))
+		return ANSWER_NOT_RUN;
+	return answer_judge(owner_daemon(attempt->owner)->headers,
+			    attempt->request->trace, status, fields);
+}
+
 static bool handle_head(void *data, unsigned int status,
 			const struct fields *fields, int64_t length)
 {
@@ -114,8 +127,9 @@
 
 	attempt->head_us = clock_mono_us();
 	attempt->status = status;
-	attempt->is_shed = status_is_shed(attempt, status);
-	if (attempt->is_shed)
+	owner_note_answer(attempt->owner, fields);
+	attempt->verdict = attempt_judge(attempt, status, fields);
+	if (attempt->verdict != ANSWER_GOOD)
 		return false;
 	if (!attempt->peer)
 		return true;
@@ -175,14 +189,19 @@
 {
 	struct owner *owner = attempt->owner;
 
+	Cfd__Reason reason = CFD__REASON__REASON_CONNECT;
+
 	attempt_owner_step(&attempt->state, OWNER_NEVER_BEGAN);
 	owner_note_over(owner, attempt, LIMIT_OUTCOME_OVERLOAD);
-	if (!attempt->is_shed)
+	if (attempt->verdict == ANSWER_NOT_RUN) {
+		reason = CFD__REASON__REASON_SHED;
+	} else if (attempt->verdict == ANSWER_OTHER_INSTANCE) {
+		reason = CFD__REASON__REASON_NO_UPSTREAM;
+		owner_note_other_instance(owner);
+	} else {
 		owner_note_refused(owner);
-	attempt_refuse(attempt,
-		       attempt->is_shed ? CFD__REASON__REASON_SHED :
-					  CFD__REASON__REASON_CONNECT,
-		       owner_retry_after_ms(owner));
+	}
+	attempt_refuse(attempt, reason, owner_retry_after_ms(owner));
 }
 
 static void attempt_finish_broken(struct owner_attempt *attempt, bool has_head,
@@ -199,12 +218,26 @@
 	attempt_destroy(attempt);
 }
 
+/* The run has ended its connection: what else is on it belongs to nobody. */
+static void attempt_finish_strange(struct owner_attempt *attempt)
+{
+	log_event(EV_OWNER_STRANGE_ANSWER,
+		  LOG_STR("trace", attempt->request->trace),
+		  LOG_STR("verdict", answer_verdict_name(attempt->verdict)),
+		  LOG_INT("status", attempt->status));
+	attempt_finish_broken(attempt, false,
+			      answer_verdict_name(attempt->verdict));
+}
+
 static void handle_done(void *data, enum run_result result)
 {
 	struct owner_attempt *attempt = data;
 
-	if (attempt->is_shed || result == RUN_NOT_BEGUN)
+	if (attempt->verdict == ANSWER_NOT_RUN ||
+	    attempt->verdict == ANSWER_OTHER_INSTANCE || result == RUN_NOT_BEGUN)
 		attempt_finish_not_begun(attempt);
+	else if (attempt->verdict != ANSWER_GOOD)
+		attempt_finish_strange(attempt);
 	else if (result == RUN_WHOLE)
 		attempt_finish_whole(attempt);
 	else
@@ -256,15 +289,21 @@
 static void attempt_fill_fields(const struct owner_attempt *attempt,
 				struct fields *fields, int64_t remaining_us)
 {
+	const struct headers *headers = owner_daemon(attempt->owner)->headers;
+	const char *instance = owner_instance(attempt->owner);
 	const Cfd__Attempt *request = attempt->request;
 
 	fields_init(fields);
 	for (size_t i = 0; i < request->n_headers; i++)
 		fields_add(fields, request->headers[i]->name,
 			   request->headers[i]->value);
-	fields_add(fields, FIELD_TRACE, request->trace);
-	add_number_field(fields, FIELD_DEPTH, (int64_t)request->depth + 1);
-	add_number_field(fields, FIELD_DEADLINE, remaining_us / US_PER_MS);
+	fields_add(fields, headers->trace, request->trace);
+	if (headers->depth)
+		add_number_field(fields, headers->depth,
+				 (int64_t)request->depth + 1);
+	add_number_field(fields, headers->deadline_ms, remaining_us / US_PER_MS);
+	if (headers->expected_instance && instance)
+		fields_add(fields, headers->expected_instance, instance);
 }
 
 void attempt_start(struct owner_attempt *attempt)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -286,6 +286,12 @@
 	owner_publish(owner);
 }
 
+/* An upstream that tells its slots and its load needs no guess at them. */
+static const struct limit_policy *owner_limit_policy(const struct owner *owner)
+{
+	return owner->daemon->headers->load ? &limit_fixed : &limit_adaptive;
+}
+
 struct owner *owner_create(struct daemon *daemon)
 {
 	struct owner *owner = g_new0(struct owner, 1);
@@ -301,7 +307,7 @@
 		g_ptr_array_new_with_free_func((GDestroyNotify)run_pool_destroy);
 	TAILQ_INIT(&owner->runs);
 	queue_init(&owner->queue, &options);
-	limit_init(&owner->limit, &limit_adaptive, 1, clock_mono_us());
+	limit_init(&owner->limit, owner_limit_policy(owner), 1, clock_mono_us());
 	owner->probe = probe_create(daemon, handle_reachable, owner);
 	ev_timer_init(&owner->wake, handle_due, 0.0, 0.0);
 	ev_prepare_init(&owner->turn_end, handle_turn_end);
@@ -355,8 +361,22 @@
 {
 	if (owner->pool)
 		g_ptr_array_add(owner->old_pools, owner->pool);
-	owner->pool = run_pool_create(owner->daemon->http,
-				      announcement->address, announcement->port);
+	owner->pool =
+		run_pool_create(owner->daemon->http, owner->daemon->headers,
+				announcement->address, announcement->port);
+}
+
+static bool is_known(const struct owner *owner,
+		     const struct owner_announcement *announcement)
+{
+	const struct owner_announcement *known = &owner->announced;
+
+	return owner->pool && !announcement->is_new_start &&
+	       known->port == announcement->port &&
+	       known->slots == MAX(announcement->slots, 1) &&
+	       strcmp(known->address, announcement->address) == 0 &&
+	       g_strv_equal((const char *const *)known->groups,
+			    (const char *const *)announcement->groups);
 }
 
 void owner_announce(struct owner *owner,
@@ -370,20 +390,28 @@
 		.slots = MAX(announcement->slots, 1),
 		.warm_ms = announcement->warm_ms,
 	};
-	bool moved = !owner->pool || owner->announced.port != copy.port ||
+	bool moved = !owner->pool || announcement->is_new_start ||
+		     owner->announced.port != copy.port ||
 		     g_strcmp0(owner->announced.address, copy.address) != 0;
 
+	if (is_known(owner, announcement) && owner->state == OWNER_UP) {
+		announcement_finish(&copy);
+		return;
+	}
+
 	if (moved)
 		owner_use_pool(owner, &copy);
 	announcement_finish(&owner->announced);
 	owner->announced = copy;
 	if (moved)
-		limit_init(&owner->limit, &limit_adaptive, copy.slots, now);
+		limit_init(&owner->limit, owner_limit_policy(owner), copy.slots,
+			   now);
 	else
 		limit_set_slots(&owner->limit, copy.slots);
 	if (moved || owner->state != OWNER_UP)
 		warm_begin(&owner->warm, copy.warm_ms, now);
-	owner->state = OWNER_UP;
+	if (!owner->is_closed)
+		owner->state = OWNER_UP;
 	probe_set_upstream(owner->probe, &owner->announced);
 	log_event(EV_OWNER_ANNOUNCED, LOG_STR("address", copy.address),
 		  LOG_INT("port", copy.port), LOG_INT("slots", copy.slots));
@@ -392,6 +420,12 @@
 }
 
 void owner_drain(struct owner *owner)
+{
+	owner->is_closed = true;
+	owner_drain_upstream(owner);
+}
+
+void owner_drain_upstream(struct owner *owner)
 {
 	if (owner->state == OWNER_DRAINING)
 		return;
@@ -405,6 +439,7 @@
 
 void owner_resume(struct owner *owner)
 {
+	owner->is_closed = false;
 	if (owner->state != OWNER_DRAINING || !owner->pool)
 		return;
 	owner->state = OWNER_UP;
@@ -418,6 +453,28 @@
 	probe_note_refused(owner->probe);
 }
 
+void owner_note_answer(struct owner *owner, const struct fields *fields)
+{
+	if (answer_read_load(owner->daemon->headers, fields, &owner->load))
+		owner->load_at_us = clock_mono_us();
+}
+
+const char *owner_instance(const struct owner *owner)
+{
+	return owner->lifetime.instance[0] ? owner->lifetime.instance : NULL;
+}
+
+void owner_note_other_instance(struct owner *owner)
+{
+	log_event(EV_OWNER_OTHER_INSTANCE,
+		  LOG_STR("expected", owner->lifetime.instance));
+	if (owner->state != OWNER_UP)
+		return;
+	owner->state = OWNER_NO_UPSTREAM;
+	owner_refuse_waiting(owner, CFD__REASON__REASON_NO_UPSTREAM);
+	owner_publish(owner);
+}
+
 void owner_note_config(struct owner *owner)
 {
 	probe_configure(owner->probe);
--- a/comfreydockd/upstream/probe.c
+++ b/comfreydockd/upstream/probe.c
@@ -183,28 +183,20 @@
 	g_free(probe);
 }
 
-static bool announces(const struct owner_announcement *announced,
-		      const char *group)
-{
-	return announced->groups &&
-	       g_strv_contains((const char *const *)announced->groups, group);
-}
-
 struct probe_rule {
 	uint32_t permille;
 	const char *path;
 	bool known;
 };
 
-static void take_service(const struct config_service *service,
-			 struct probe_rule *rule)
+static void take_group(const struct config_group *group, struct probe_rule *rule)
 {
 	rule->permille = rule->known ? MIN(rule->permille,
-					   service->measure_budget_permille) :
-				       service->measure_budget_permille;
+					   group->measure_budget_permille) :
+				       group->measure_budget_permille;
 	rule->known = true;
 	if (!rule->path)
-		rule->path = service->health_path;
+		rule->path = group->health_path;
 }
 
 static void find_rule(const struct probe *probe, struct probe_rule *rule)
@@ -212,17 +204,12 @@
 	const struct config_snapshot *snapshot =
 		config_store_current(probe->daemon->config);
 
-	for (guint i = 0; i < snapshot->namespaces->len; i++) {
-		const struct config_namespace *namespace =
-			g_ptr_array_index(snapshot->namespaces, i);
-
-		for (guint j = 0; j < namespace->services->len; j++) {
-			const struct config_service *service =
-				g_ptr_array_index(namespace->services, j);
+	for (char **name = probe->announced->groups; name && *name; name++) {
+		const struct config_group *group =
+			config_snapshot_group(snapshot, *name);
 
-			if (announces(probe->announced, service->group))
-				take_service(service, rule);
-		}
+		if (group)
+			take_group(group, rule);
 	}
 }
 
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -8,11 +8,15 @@
 
 #define POOL_MAX_IDLE 64
 #define CONNECT_TIMEOUT_MS 1000L
-/* A kept connection is left alone before common servers close theirs. */
+/* A kept connection is left alone before common servers close theirs. One that
+ * tells its own time is believed, but for a second on the way. */
 #define MAX_IDLE_CONNECTION_S 4L
+#define IDLE_MARGIN_S 1L
 
 struct run_pool {
 	struct http_client *client;
+	const struct headers *headers;
+	long idle_s; /* for which the upstream keeps a connection */
 	char *url;
 	GPtrArray *idle; /* of CURL */
 };
@@ -37,12 +41,15 @@
 };
 
 struct run_pool *run_pool_create(struct http_client *client,
+				 const struct headers *headers,
 				 const char *address, uint16_t port)
 {
 	struct run_pool *pool = g_new0(struct run_pool, 1);
 	bool is_v6 = strchr(address, ':') != NULL;
 
 	pool->client = client;
+	pool->headers = headers;
+	pool->idle_s = MAX_IDLE_CONNECTION_S;
 	pool->url = g_strdup_printf(is_v6 ? "http://[%s]:%u/" : "http://%s:%u/",
 				    address, port);
 	pool->idle = g_ptr_array_new();
@@ -103,6 +110,30 @@
 	run->status = (unsigned int)strtoul(line + strcspn(line, " "), NULL, 10);
 }
 
+/* "timeout=10, max=100" */
+static void pool_note_keep_alive(struct run_pool *pool, const char *value)
+{
+	const char *timeout = strstr(value, "timeout=");
+	gint64 seconds;
+
+	if (!timeout)
+		return;
+	seconds = g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
+	if (seconds > IDLE_MARGIN_S)
+		pool->idle_s = (long)seconds - IDLE_MARGIN_S;
+}
+
+/* The trace shows whose answer it is; all else that is set here is left out. */
+static void run_add_field(struct run *run, const char *name, const char *value)
+{
+	const struct headers *headers = run->pool->headers;
+
+	if (strcasecmp(name, headers->trace) == 0)
+		fields_add(&run->answer_fields, name, value);
+	else
+		fields_add_passed(&run->answer_fields, headers, name, value);
+}
+
 static void run_take_field(struct run *run, char *line)
 {
 	char *colon = strchr(line, ':');
@@ -114,7 +145,9 @@
 	g_strstrip(colon + 1);
 	if (strcasecmp(line, "Content-Length") == 0)
 		run->answer_length = g_ascii_strtoll(colon + 1, NULL, 10);
-	fields_add_passed(&run->answer_fields, line, colon + 1);
+	else if (strcasecmp(line, "Keep-Alive") == 0)
+		pool_note_keep_alive(run->pool, colon + 1);
+	run_add_field(run, line, colon + 1);
 }
 
 static size_t run_take_head_end(struct run *run, size_t size)
@@ -249,7 +282,7 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_IDLE_CONNECTION_S);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, run->pool->idle_s);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, run);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_write);
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -5,6 +5,8 @@
 
 #define DEFAULT_TIMEOUT_MS 5000
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000
+/* More than an upstream takes in all. */
+#define KEPT_CONNECTIONS 1024L
 
 struct http_pending {
 	LIST_ENTRY(http_pending) link;
@@ -124,6 +126,9 @@
 	ev_init(&client->timer, handle_timeout);
 	client->timer.data = client;
 	LIST_INIT(&client->pending);
+	/* By default libcurl keeps four connections for each transfer that
+	 * runs at this moment: after each lull they would be made anew. */
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, KEPT_CONNECTIONS);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION,
 			  handle_set_socket);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
--- a/common/schema.c
+++ b/common/schema.c
@@ -267,6 +267,28 @@
 	return fallback;
 }
 
+double schema_double(struct schema *schema, const char *key, double fallback,
+		     double max)
+{
+	json_object *value = NULL;
+	double number;
+
+	if (schema->object)
+		json_object_object_get_ex(schema->object, key, &value);
+	if (json_object_is_type(value, json_type_int)) {
+		number = (double)json_object_get_int64(value);
+		schema_get(schema, key, json_type_int, SCHEMA_OPTIONAL);
+	} else {
+		value = schema_get(schema, key, json_type_double,
+				   SCHEMA_OPTIONAL);
+		number = value ? json_object_get_double(value) : fallback;
+	}
+	if (number >= 0 && number <= max)
+		return number;
+	schema_error(schema, key, "must lie between 0 and %g", max);
+	return fallback;
+}
+
 int schema_enum(struct schema *schema, const char *key,
 		const char *const *names, int fallback)
 {
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -4,8 +4,7 @@
  *
  * DESCRIPTION
  *	Internal to caller/. call.c decides what follows what, attempts.c
- *	speaks the frames, outcome.c words the answers of our own, and
- *	call_claim.c claims the key of a request that has one.
+ *	speaks the frames, and outcome.c words the answers of our own.
  */
 #ifndef COMFREYDOCKD_CALLER_CALL_H
 #define COMFREYDOCKD_CALLER_CALL_H
@@ -55,6 +54,7 @@
 	struct config_snapshot *snapshot;
 	const struct config_service *config;
 	const struct config_rule *rule;
+	const char *group; /* the upstreams that it goes to */
 	struct service *service;
 	char trace[TIMELINE_TRACE_MAX];
 	uint32_t depth;
@@ -92,7 +92,6 @@
 	bool is_impatient; /* and waits for the owners' verdict */
 	bool cancels_sent;
 	bool is_started;
-	struct claim *claim; /* of its Idempotency-Key; NULL: none */
 	unsigned int status; /* of the answer */
 	bool answered; /* whole */
 };
@@ -109,7 +108,6 @@
 	uint64_t next_seq;
 	struct random_state random;
 	ev_timer tick;
-	struct claims *claims; /* NULL: there is no platform */
 };
 
 /* attempts.c */
@@ -154,16 +152,14 @@
 void outcome_say_not_run(struct call *call);
 void outcome_say_unknown(struct call *call);
 
-/* first_status is the answer's that the first request with this key had; 0:
- * it runs still, or its outcome is unknown. */
-void outcome_say_key_in_use(struct call *call, unsigned int first_status);
-
 /* Answers a request that did not become a call. */
-void outcome_refuse(const struct call_sink *sink, void *data, unsigned int status,
-		    const char *reason, uint32_t come_back_ms, const char *text);
+void outcome_refuse(const struct headers *headers, const struct call_sink *sink,
+		    void *data, unsigned int status, const char *reason,
+		    uint32_t come_back_ms, const char *text);
 
 /* The fields that tell a caller what became of its request. */
-void outcome_add_fields(struct fields *fields, const char *outcome,
-			const char *reason, const char *trace);
+void outcome_add_fields(struct fields *fields, const struct headers *headers,
+			const char *outcome, const char *reason,
+			const char *trace);
 
 #endif
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -15,17 +15,6 @@
 
 void call_send_attempt(struct call *call);
 
-/* call_claim.c */
-
-/* Claims the call's key where its rule asks for it; the first attempt follows
- * once it is claimed. The call may be gone after this.
- * RETURN VALUE: false where there is nothing to claim. */
-bool call_claim_key(struct call *call);
-
-/* Gives the claim up, as the call ends: its request was answered, or it was
- * told "not run", or neither. */
-void call_end_claim(struct call *call, bool not_run);
-
 void call_fill_hedge_question(const struct call *call,
 			      struct hedge_question *question);
 
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -9,10 +9,7 @@
  *
  *	run	 the answer of the upstream
  *	not-run	 503: every attempt was refused or never left
- *	unknown	 502 or 504: an attempt may have run; 409: one of an earlier
- *		 request with the same Idempotency-Key may
- *	already-run
- *		 409: that earlier request was answered
+ *	unknown	 502 or 504: an attempt may have run
  *
  *	The caller's side is a table of functions, so that tests need no HTTP.
  *	The sink's functions are called from the loop, and after one of
@@ -77,8 +74,7 @@
 /* The caller went away; no function of the sink follows. */
 void call_abandon(struct call *call);
 
-/* RETURN VALUE: the calls that have not ended, and the claims that are still
- * being given up. */
+/* RETURN VALUE: the calls that have not ended. */
 size_t entry_count(const struct entry *entry);
 
 #endif
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -3,8 +3,8 @@
  *	services - what an entry knows of each service and its upstreams
  *
  * DESCRIPTION
- *	One struct service for each service that was called: the candidates
- *	for a pick, their health, and the budgets for retries and hedges. The
+ *	One struct service for each group of upstreams that was called,
+ *	whichever rules led there: the candidates for a pick, their health, and the budgets for retries and hedges. The
  *	candidates follow the member table; a service with more upstreams than
  *	SUBSET_SIZE uses a subset of them.
  */
@@ -43,8 +43,7 @@
 	bool is_active; /* used of late, or attempts are out */
 	int64_t used_us;
 	struct services *services;
-	char *key; /* "NAMESPACE/NAME" */
-	char *group;
+	char *group; /* whose upstreams these are */
 	uint32_t retry_budget_percent;
 	uint32_t hedge_budget_percent;
 	struct service_upstream_list upstreams;
@@ -61,9 +60,8 @@
 struct services *services_create(struct daemon *daemon);
 void services_destroy(struct services *services);
 
-/* The state for a service of the configuration, brought up to date. */
-struct service *services_get(struct services *services,
-			     const struct config_service *config);
+/* The state for the upstreams of a group, brought up to date. */
+struct service *services_get(struct services *services, const char *group);
 
 /* The upstream for the next attempt, with the weights of this moment. */
 struct service_upstream *service_choose(struct service *service,
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -28,14 +28,20 @@
 	char *path_prefix; /* "/" : any */
 	bool idempotent;
 	uint32_t deadline_ms;
+	uint32_t target_ms; /* an answer by then is a good one; 0: not told */
 	enum config_class class;
 	uint32_t max_attempts; /* 1: no retry */
 	uint32_t retry_budget_percent; /* of recent calls */
 	bool hedge;
 	uint32_t hedge_budget_percent;
 	char *fairness_header; /* NULL: by the caller's address */
-	bool once_per_key; /* claim an Idempotency-Key */
-	uint32_t key_lifetime_s;
+	GArray *destinations; /* of struct config_destination, at least one */
+};
+
+/* One part of a rule's requests goes to the upstreams of this group. */
+struct config_destination {
+	char *group;
+	uint32_t weight; /* over the sum of the rule's */
 };
 
 struct config_service {
@@ -43,7 +49,7 @@
 	char *namespace;
 	char **hosts; /* NULL: none */
 	char **path_prefixes; /* NULL: none */
-	char *group; /* what its upstreams announce */
+	char *group; /* of rules that name no other; NULL: all do */
 	uint16_t *shed_statuses; /* ends with 0 */
 	uint32_t measure_budget_permille; /* of the upstream's slot time */
 	char *health_path; /* NULL: the upstream is never probed */
@@ -51,6 +57,23 @@
 	GPtrArray *rules; /* of struct config_rule, first match wins */
 };
 
+/* What holds for the upstreams of a group, whichever service leads there. */
+struct config_group {
+	uint32_t retry_budget_percent; /* the largest of the rules' */
+	uint32_t hedge_budget_percent;
+	uint32_t measure_budget_permille; /* the least of the services' */
+	const char *health_path; /* its own, or a service's */
+	uint32_t max_connections; /* 0: not told */
+	bool has_measure;
+};
+
+/* What the operator says of a group itself. */
+struct config_upstreams {
+	char *group;
+	char *health_path; /* NULL: never probed */
+	uint32_t max_connections; /* that one upstream takes; 0: not told */
+};
+
 struct config_namespace {
 	unsigned int references;
 	char *name;
@@ -58,12 +81,14 @@
 	char sha256[65];
 	char *body; /* the file as it was applied */
 	GPtrArray *services; /* of struct config_service */
+	GPtrArray *upstreams; /* of struct config_upstreams */
 };
 
 struct config_snapshot {
 	unsigned int references;
 	GPtrArray *namespaces; /* of struct config_namespace, by name */
 	struct config_routes *routes; /* of all their services */
+	GHashTable *groups; /* name -> struct config_group */
 };
 
 /* RETURN VALUE: an empty namespace with one reference. */
@@ -71,7 +96,16 @@
 struct config_namespace *config_namespace_ref(struct config_namespace *ns);
 void config_namespace_unref(struct config_namespace *ns);
 
+/* RETURN VALUE: an empty rule with an empty list of destinations. */
+struct config_rule *config_rule_create(void);
+void config_rule_add_destination(struct config_rule *rule, const char *group,
+				 uint32_t weight);
 void config_rule_destroy(struct config_rule *rule);
+
+/* RETURN VALUE: the destination's group for a number drawn below the sum of
+ * the weights. */
+const char *config_rule_draw(const struct config_rule *rule, uint64_t drawn);
+uint64_t config_rule_weights(const struct config_rule *rule);
 void config_service_destroy(struct config_service *service);
 
 /* Fills in hex the SHA-256 of a file's body. */
@@ -87,6 +121,10 @@
 /* RETURN VALUE: the snapshot's namespace, or NULL. */
 struct config_namespace *
 config_snapshot_find(const struct config_snapshot *snapshot, const char *name);
+
+/* RETURN VALUE: what holds for a group, or NULL where no rule leads there. */
+const struct config_group *
+config_snapshot_group(const struct config_snapshot *snapshot, const char *name);
 struct config_snapshot *config_snapshot_ref(struct config_snapshot *snapshot);
 void config_snapshot_unref(struct config_snapshot *snapshot);
 
--- a/include/comfreydockd/daemon.h
+++ b/include/comfreydockd/daemon.h
@@ -17,6 +17,7 @@
 struct config_store;
 struct entry;
 struct gossip;
+struct headers;
 struct http_client;
 struct member_table;
 struct operator_api;
@@ -28,6 +29,7 @@
 struct daemon {
 	struct ev_loop *loop;
 	const struct settings *settings;
+	const struct headers *headers;
 	uint64_t incarnation;
 	struct timeline timeline;
 	struct http_client *http;
--- /dev/null
+++ b/include/comfreydockd/decide/rendezvous.h
@@ -0,0 +1,27 @@
+/*
+ * NAME
+ *	rendezvous - draws a few hosts of many, the same at each daemon
+ *
+ * DESCRIPTION
+ *	Each daemon computes the weights of all hosts; those with the highest
+ *	are drawn. One that comes or goes changes one of them.
+ *
+ * SOURCE
+ *	Thaler, Ravishankar, "Using name-based mappings to increase hit
+ *	rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+ */
+#ifndef COMFREYDOCKD_DECIDE_RENDEZVOUS_H
+#define COMFREYDOCKD_DECIDE_RENDEZVOUS_H
+
+#include <stdint.h>
+#include <string.h>
+#include <xxhash.h>
+
+static inline uint64_t rendezvous_weight(const char *host, const char *domain)
+{
+	uint64_t seed = XXH64(domain, strlen(domain), 0);
+
+	return XXH64(host, strlen(host), seed);
+}
+
+#endif
--- a/include/comfreydockd/decide/retry.h
+++ b/include/comfreydockd/decide/retry.h
@@ -58,6 +58,13 @@
 #define RETRY_BASE_US ((int64_t)10 * 1000)
 #define RETRY_CAP_US ((int64_t)1000 * 1000)
 #define RETRY_BURST 20.0
+/*
+ * A repeat of a request makes its upstream repeat the calls that it made, and
+ * these count against the budgets of the services called. So where a budget
+ * holds for all daemons together, repeats of one's own use one part in so many.
+ * With three services deep, 1 + 1.4 + 0.6 repeats for each come to about that.
+ */
+#define RETRY_SHARED_PARTS 3
 /* Callers come back within the owner's hint and one part in so many more. */
 #define RETRY_SPREAD 2
 /*
@@ -82,7 +89,7 @@
 	RETRY_OUTCOME_NOT_HERE,
 	/* NOT_RUN for lack of capacity: overload, shed, unfair, deadline. */
 	RETRY_OUTCOME_OVERLOAD,
-	/* NOT_RUN and not to be repeated: cancelled, key already claimed. */
+	/* NOT_RUN and not to be repeated: cancelled. */
 	RETRY_OUTCOME_FINAL,
 };
 
@@ -125,6 +132,14 @@
 
 void retry_init(struct retry *retry, uint32_t budget_percent);
 
+/*
+ * This daemon's part of a budget that all daemons share: so many percent of
+ * the requests, and slack repeats more in each window. Tokens that were there
+ * stay, up to the new bound.
+ */
+void retry_set_shared(struct retry *retry, uint32_t budget_percent,
+		      double slack, size_t daemons);
+
 /* Counts one request, whatever its number of attempts. */
 void retry_note_request(struct retry *retry);
 
--- a/include/comfreydockd/member/rows.h
+++ b/include/comfreydockd/member/rows.h
@@ -5,8 +5,8 @@
  * DESCRIPTION
  *	The row tells daemons that start whom to join; whether a host is alive
  *	is not kept there. Key "hosts/HOST", value a JSON object of host,
- *	incarnation, address, peer_port, admin_port, domain, region, groups and
- *	slots.
+ *	incarnation, address, peer_port, admin_port, domain and region: nothing
+ *	that changes while a daemon runs.
  *
  *	The own row is read, and written if it is missing or differs, at a
  *	random moment after the start and then at a low rate. A lost answer is
@@ -28,10 +28,12 @@
 
 #include "comfreydockd/member/member.h"
 
-#define ROWS_PREFIX "hosts/"
+#define ROWS_TABLE "hosts"
+#define ROWS_PREFIX ROWS_TABLE "/"
 #define ROWS_PAGE 50
-#define ROWS_START_JITTER_US ((int64_t)60 * 1000 * 1000) /* before the write */
-#define ROWS_TOUCH_JITTER_US ((int64_t)5 * 1000 * 1000)
+/* Before the first write: whoever starts at the same moment reads after it. A
+ * start of 22,000 at once is refused for the most part and comes back later. */
+#define ROWS_START_JITTER_US ((int64_t)100 * 1000)
 #define ROWS_CHECK_US ((int64_t)600 * 1000 * 1000)
 #define ROWS_BACKOFF_MIN_US ((int64_t)1000 * 1000)
 #define ROWS_BACKOFF_MAX_US ((int64_t)300 * 1000 * 1000)
@@ -90,9 +92,6 @@
 /* Answers that come later are dropped. */
 void rows_destroy(struct rows *rows);
 
-/* What the upstream announced has changed. */
-void rows_touch(struct rows *rows);
-
 /* Deletes the own row, if it still is this daemon's. handle_left is called
  * once; is_deleted is false where the store stayed out. */
 void rows_leave(struct rows *rows,
--- a/include/comfreydockd/operator/handler.h
+++ b/include/comfreydockd/operator/handler.h
@@ -18,6 +18,7 @@
 struct operator_api {
 	struct daemon *daemon;
 	struct http_server *server;
+	struct http_server *metrics_server; /* NULL: on the other only */
 	const struct config_platform_ops *platform_ops;
 	void *platform;
 	GPtrArray *stopping; /* of struct http_request that await idleness */
--- a/include/comfreydockd/peer/fields.h
+++ b/include/comfreydockd/peer/fields.h
@@ -14,14 +14,11 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "comfreydockd/headers.h"
 #include "proto/peer.pb-c.h"
 
 #define FIELD_OUTCOME "Comfreydock-Outcome"
 #define FIELD_REASON "Comfreydock-Reason"
-#define FIELD_TRACE "Comfreydock-Trace"
-#define FIELD_DEPTH "Comfreydock-Depth"
-#define FIELD_DEADLINE "Comfreydock-Deadline-Ms"
-#define FIELD_FIRST_STATUS "Comfreydock-First-Status"
 #define FIELD_RETRY_AFTER_MS "Comfreydock-Retry-After-Ms"
 
 struct fields {
@@ -37,13 +34,13 @@
 void fields_add(struct fields *fields, const char *name, const char *value);
 
 /* The same, but for fields that must not be passed on. */
-void fields_add_passed(struct fields *fields, const char *name,
-		       const char *value);
+void fields_add_passed(struct fields *fields, const struct headers *headers,
+		       const char *name, const char *value);
 
 /* RETURN VALUE: the first value of the name, whatever its case, or NULL. */
 const char *fields_find(const struct fields *fields, const char *name);
 
 /* True for fields that are never passed from one connection to the next. */
-bool field_is_hop_by_hop(const char *name);
+bool field_is_hop_by_hop(const struct headers *headers, const char *name);
 
 #endif
--- a/include/comfreydockd/platform/platform.h
+++ b/include/comfreydockd/platform/platform.h
@@ -6,10 +6,14 @@
  *	Every call ends in exactly one callback, from the loop and never from
  *	within the call itself, unless platform_destroy() comes first.
  *
+ *	A key is "TABLE/REST". A row's version grows with each change of any
+ *	row; a version that a row once had never comes again.
+ *
  *	A write is sent at most once. Its answer can be lost after it took
  *	effect: PLATFORM_UNKNOWN says that, and only reading again can tell.
- *	PLATFORM_UNAVAILABLE is said of a write only where no byte of it left,
- *	of a read on any failure.
+ *	Even then it may take effect later, as long as its conditions hold.
+ *	PLATFORM_UNAVAILABLE is said of a write only where it certainly did
+ *	nothing, of a read on any failure.
  *
  * RETURN VALUE
  *	The status in the answer; platform_status_message() has its reason.
@@ -21,13 +25,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
-struct daemon;
+struct http_client;
 struct platform;
 
 enum platform_status {
 	PLATFORM_OK,
 	PLATFORM_NOT_FOUND,
 	PLATFORM_CONFLICT, /* a condition did not hold; nothing was applied */
+	PLATFORM_HISTORY_GONE, /* a watch: read the rows anew */
 	PLATFORM_REJECTED, /* the platform refused it as malformed; not applied */
 	PLATFORM_UNAVAILABLE, /* certainly not applied */
 	PLATFORM_UNKNOWN, /* may have been applied */
@@ -36,17 +41,21 @@
 struct platform_row {
 	char *key;
 	uint64_t version;
-	char *value; /* JSON text; NULL after a transaction */
+	char *value; /* a 0 follows its size; NULL: the row was deleted */
+	size_t size;
 };
 
 /* Valid during the callback only. */
 struct platform_answer {
 	enum platform_status status;
-	/* get: the row; list: one page; transact: keys with their new versions */
+	/* get: the row; list: one page; watch: what has changed, in order;
+	 * transact: nothing, or with PLATFORM_CONFLICT the rows that were
+	 * checked, as they are. */
 	const struct platform_row *rows;
 	size_t row_count;
-	const char *conflict_key;
-	uint64_t conflict_version; /* 0: the key has no row */
+	/* The newest of the store as the rows were read, or what a
+	 * transaction made: a watch goes on from here. */
+	uint64_t version;
 	const char *body; /* get_object: the bytes, ended by a 0 beyond size */
 	size_t size;
 };
@@ -68,7 +77,7 @@
 	enum platform_op_kind kind;
 	const char *key;
 	int64_t if_version;
-	const char *value; /* JSON text, for PLATFORM_PUT */
+	const char *value; /* for PLATFORM_PUT */
 };
 
 struct platform_counts {
@@ -78,8 +87,8 @@
 	uint64_t unknown;
 };
 
-/* Uses daemon->http and daemon->settings->platform_url. */
-struct platform *platform_create(struct daemon *daemon);
+/* url: "http://IP:PORT" */
+struct platform *platform_create(struct http_client *http, const char *url);
 
 /* Calls still open end without their callbacks. */
 void platform_destroy(struct platform *platform);
@@ -87,16 +96,20 @@
 void platform_get(struct platform *platform, const char *key,
 		  platform_handler handler, void *data);
 
-/* Rows whose keys have the prefix, in order, beyond the key after (or NULL);
+/* Rows of a table in order of their keys, beyond the key after (or NULL);
  * limit 0 leaves the page's size to the platform. */
-void platform_list(struct platform *platform, const char *prefix,
+void platform_list(struct platform *platform, const char *table,
 		   const char *after, unsigned int limit,
 		   platform_handler handler, void *data);
 
-/* All operations or none. The id goes into the platform's history. */
-void platform_transact(struct platform *platform, const char *id,
-		       const struct platform_op *ops, size_t count,
-		       platform_handler handler, void *data);
+/* Answers once a row of the table has changed after the version, or after
+ * wait_ms without one. */
+void platform_watch(struct platform *platform, const char *table, uint64_t after,
+		    uint32_t wait_ms, platform_handler handler, void *data);
+
+/* All operations or none. */
+void platform_transact(struct platform *platform, const struct platform_op *ops,
+		       size_t count, platform_handler handler, void *data);
 
 void platform_put_object(struct platform *platform, const char *name,
 			 const char *body, size_t size,
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -15,6 +15,7 @@
 #include "comfreydockd/decide/queue.h"
 #include "comfreydockd/peer/attempt.h"
 #include "comfreydockd/peer/peers.h"
+#include "comfreydockd/upstream/answer.h"
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/run.h"
 
@@ -39,7 +40,7 @@
 	int64_t stalled_since_us; /* no credit since; 0: has credit */
 	int64_t credit;
 	unsigned int status;
-	bool is_shed;
+	enum answer_verdict verdict;
 };
 
 LIST_HEAD(owner_attempt_list, owner_attempt);
@@ -73,6 +74,15 @@
 void owner_note_over(struct owner *owner, struct owner_attempt *attempt,
 		     enum limit_outcome outcome);
 
+/* The head of an answer, of whatever request. */
+void owner_note_answer(struct owner *owner, const struct fields *fields);
+
+/* Another upstream has the address of the one that was announced. */
+void owner_note_other_instance(struct owner *owner);
+
+/* RETURN VALUE: the id of the upstream's present start, or NULL. */
+const char *owner_instance(const struct owner *owner);
+
 /* The upstream refused a connection. */
 void owner_note_refused(struct owner *owner);
 
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -18,10 +18,11 @@
 /* What an upstream says of itself. */
 struct owner_announcement {
 	char **groups;
-	char *address; /* IP number, loopback */
+	char *address; /* IP number, of this host */
 	uint16_t port;
 	uint32_t slots;
 	uint32_t warm_ms;
+	bool is_new_start; /* nothing of before is there any more */
 };
 
 enum owner_state {
@@ -48,6 +49,9 @@
 
 /* Refuses all new and queued work as not run from now on; what runs goes on. */
 void owner_drain(struct owner *owner);
+
+/* The same, at the wish of the upstream itself: it may take it back. */
+void owner_drain_upstream(struct owner *owner);
 void owner_resume(struct owner *owner);
 
 /* Another configuration is in force: the measuring budget may be another. */
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -15,6 +15,7 @@
 #include "comfreydockd/upstream/attempts.h"
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/probe.h"
+#include "comfreydockd/upstream/report.h"
 
 /* Told where nothing better is known, as on a drain. */
 #define OWNER_RETRY_AFTER_MS 1000
@@ -23,6 +24,10 @@
 	struct daemon *daemon;
 	enum owner_state state;
 	struct owner_announcement announced;
+	struct report_lifetime lifetime; /* of the upstream, if it reports */
+	bool is_closed; /* by the operator or this daemon's stop */
+	struct answer_load load; /* as the upstream told it last */
+	int64_t load_at_us; /* 0: never */
 	struct run_pool *pool;
 	GPtrArray *old_pools; /* of upstreams before a move; runs may use them */
 	struct limit limit;
--- a/include/comfreydockd/upstream/run.h
+++ b/include/comfreydockd/upstream/run.h
@@ -56,6 +56,7 @@
 
 /* Handles kept for reuse, all to one upstream. */
 struct run_pool *run_pool_create(struct http_client *client,
+				 const struct headers *headers,
 				 const char *address, uint16_t port);
 void run_pool_destroy(struct run_pool *pool);
 
--- a/include/common/id.h
+++ b/include/common/id.h
@@ -3,7 +3,7 @@
  *	id - random ids as text
  *
  * DESCRIPTION
- *	Ids that name a thing across processes: traces, applies, claims. Taken
+ *	Ids that name a thing across processes: traces, applies. Taken
  *	from the kernel's random numbers, so that two daemons that start in the
  *	same microsecond differ.
  */
--- a/include/common/schema.h
+++ b/include/common/schema.h
@@ -62,6 +62,10 @@
 		     enum schema_need need, uint64_t fallback, uint64_t min,
 		     uint64_t max);
 
+/* A number with or without a fraction, up to max. */
+double schema_double(struct schema *schema, const char *key, double fallback,
+		     double max);
+
 /* RETURN VALUE: the index in names, which ends with NULL. */
 int schema_enum(struct schema *schema, const char *key,
 		const char *const *names, int fallback);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2559,7 +2559,7 @@
   (ProtobufCMessageInit) cfd__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cfd__reason__enum_values_by_number[12] =
+static const ProtobufCEnumValue cfd__reason__enum_values_by_number[10] =
 {
   { "REASON_UNSPECIFIED", "CFD__REASON__REASON_UNSPECIFIED", 0 },
   { "REASON_BUSY", "CFD__REASON__REASON_BUSY", 1 },
@@ -2571,21 +2571,17 @@
   { "REASON_SHED", "CFD__REASON__REASON_SHED", 7 },
   { "REASON_CONNECT", "CFD__REASON__REASON_CONNECT", 8 },
   { "REASON_OVERLOAD", "CFD__REASON__REASON_OVERLOAD", 9 },
-  { "REASON_NOT_REPEATED", "CFD__REASON__REASON_NOT_REPEATED", 10 },
-  { "REASON_NO_CLAIM", "CFD__REASON__REASON_NO_CLAIM", 11 },
 };
 static const ProtobufCIntRange cfd__reason__value_ranges[] = {
-{0, 0},{0, 12}
+{0, 0},{0, 10}
 };
-static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[12] =
+static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[10] =
 {
   { "REASON_BUSY", 1 },
   { "REASON_CANCELLED", 4 },
   { "REASON_CONNECT", 8 },
   { "REASON_DEADLINE", 2 },
   { "REASON_DRAINING", 3 },
-  { "REASON_NOT_REPEATED", 10 },
-  { "REASON_NO_CLAIM", 11 },
   { "REASON_NO_UPSTREAM", 6 },
   { "REASON_OVERLOAD", 9 },
   { "REASON_SHED", 7 },
@@ -2599,9 +2595,9 @@
   "Reason",
   "Cfd__Reason",
   "cfd",
-  12,
+  10,
   cfd__reason__enum_values_by_number,
-  12,
+  10,
   cfd__reason__enum_values_by_name,
   1,
   cfd__reason__value_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -48,12 +48,7 @@
   CFD__REASON__REASON_NO_UPSTREAM = 6,
   CFD__REASON__REASON_SHED = 7,
   CFD__REASON__REASON_CONNECT = 8,
-  CFD__REASON__REASON_OVERLOAD = 9,
-  CFD__REASON__REASON_NOT_REPEATED = 10,
-  /*
-   * the platform can't be asked; said by the entry only
-   */
-  CFD__REASON__REASON_NO_CLAIM = 11
+  CFD__REASON__REASON_OVERLOAD = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFD__REASON)
 } Cfd__Reason;
 
