caller: overtake a stuck attempt instead of breaking it off

Cause: at half of its time a call had its owner break off an attempt that was overdue and then looked for another; where the budget for repeats was spent, or the second failed, the caller got 504 although an upstream was at work. Change: the owner only tells that an attempt is overdue, and within the budget another is sent beside it. SIGHUP reloads the settings (a daemon that got it ended, code 129), and the row's deletion is bounded by the grace (four processes were killed while the store was silent).

--- a/bench/decide/entry.c
+++ b/bench/decide/entry.c
@@ -122,7 +122,7 @@
 		if (!attempt)
 			continue;
 		attempt->outcome = RETRY_OUTCOME_UNKNOWN;
-		tell_end(r, attempt, timed_out);
+		tell_end(r, attempt, timed_out || attempt->is_overtaken);
 		attempt->dropped = true;
 		replay_after(r, replay_delay_us(r, attempt),
 			     replay_handle_cancel, attempt);
@@ -195,18 +195,56 @@
 
 static void call_decide(struct replay *r, struct replay_call *call,
 			enum retry_outcome outcome, int64_t retry_after_us);
+static uint32_t call_most_attempts(const struct replay *r);
+
+/* Another attempt beside one that gives nothing. */
+static void call_overtake(struct replay *r, struct replay_call *call)
+{
+	struct replay_entry *entry = entry_of(r, call);
+	struct retry_question question = {
+		.outcome = RETRY_OUTCOME_UNKNOWN,
+		.idempotent = call->trace->idempotent,
+		.untried = pick_count_untried(&entry->set, &call->tried),
+		.deadline_us = call->deadline_us,
+		.expected_us = (int64_t)entry->set.typical_service_us,
+		.attempts = call->attempts - call->busy,
+		.max_attempts = call_most_attempts(r),
+	};
+	struct pick_candidate *c;
+
+	call->is_impatient = false;
+	if (!call->active[0] || call->active[1])
+		return;
+	if (question.untried == 0 ||
+	    retry_decide(&entry->retry, &question, &r->random, r->events.now_us)
+			    .verdict != RETRY_GO)
+		return;
+	entry_refresh(r, entry);
+	c = pick_choose(&entry->set, &call->tried, r->events.now_us);
+	if (!c)
+		return;
+	call->active[0]->is_overtaken = true;
+	call_send(r, call, true, false, c);
+}
 
 static void handle_no_verdict(void *replay, void *data)
 {
-	struct replay *r = replay;
 	struct replay_attempt *attempt = data;
 	struct replay_call *call = attempt->call;
 
 	if (call->closed || call->active[0] != attempt || !call->is_impatient)
 		return;
-	call->may_have_run = true;
-	call_drop_attempts(r, call, true);
-	call_decide(r, call, RETRY_OUTCOME_UNKNOWN, 0);
+	call_overtake(replay, call);
+}
+
+void replay_handle_overdue(void *replay, void *data)
+{
+	struct replay_attempt *attempt = data;
+	struct replay_call *call = attempt->call;
+
+	if (attempt->dropped || call->closed || !call->is_impatient)
+		return;
+	call_overtake(replay, call);
 }
 
 static void call_arm_patience(struct replay *r, struct replay_attempt *attempt);
--- a/bench/decide/owner.c
+++ b/bench/decide/owner.c
@@ -253,15 +253,17 @@
 	struct replay *r = replay;
 	struct replay_attempt *attempt = data;
 
+	bool overdue;
+
 	if (attempt->over || !attempt->arrived)
 		return;
-	if (!attempt->running ||
-	    !deadline_is_overdue(attempt->started_us, attempt->item.deadline_us,
-				 r->events.now_us))
-		replay_after(r, replay_delay_us(r, attempt),
-			     replay_handle_waiting, attempt);
-	else
-		replay_handle_cancel(r, attempt);
+	overdue = attempt->running &&
+		  deadline_is_overdue(attempt->started_us,
+				      attempt->item.deadline_us,
+				      r->events.now_us);
+	replay_after(r, replay_delay_us(r, attempt),
+		     overdue ? replay_handle_overdue : replay_handle_waiting,
+		     attempt);
 }
 
 static void handle_probe_end(void *replay, void *data)
--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -22,6 +22,7 @@
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/platform/platform.h"
 #include "comfreydockd/platform/rows_store.h"
+#include "comfreydockd/reload.h"
 #include "comfreydockd/settings.h"
 #include "comfreydockd/stop.h"
 #include "comfreydockd/upstream/owner.h"
@@ -42,6 +43,7 @@
 	ev_signal interrupt;
 	struct stop *stop;
 	struct on_platform *on_platform;
+	struct reload *reload;
 	struct gossip_handlers gossip_handlers;
 	struct config_platform *config_platform; /* NULL: no platform */
 	struct spread_peers *spread;
@@ -256,7 +258,7 @@
 	ev_signal_start(assembly->daemon.loop, &assembly->interrupt);
 }
 
-struct assembly *assembly_create(const struct settings *settings)
+struct assembly *assembly_create(struct settings *settings, const char *file)
 {
 	struct assembly *assembly = g_new0(struct assembly, 1);
 	struct daemon *daemon = &assembly->daemon;
@@ -270,6 +272,7 @@
 	daemon->incarnation = (uint64_t)clock_wall_us();
 	timeline_init(&daemon->timeline, TIMELINE_ENTRIES);
 	watch_signals(assembly);
+	assembly->reload = reload_create(daemon->loop, file, settings);
 	if (!create_parts(assembly)) {
 		assembly_destroy(assembly);
 		return NULL;
@@ -309,6 +312,7 @@
 	gossip_destroy(daemon->gossip);
 	platform_destroy(daemon->platform);
 	on_platform_destroy(assembly->on_platform);
+	reload_destroy(assembly->reload);
 	stop_destroy(assembly->stop);
 	rows_store_destroy(assembly->rows_store);
 	spread_peers_destroy(assembly->spread);
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -216,24 +216,15 @@
 
 void entry_attempt_ask(struct entry_attempt *attempt)
 {
-	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__LoadQuery query = CFD__LOAD_QUERY__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
 
-	attempt->asked = true;
-	cancel.seq = attempt->seq;
-	cancel.if_overdue = true;
-	frame.kind_case = CFD__FRAME__KIND_CANCEL;
-	frame.cancel = &cancel;
+	query.seq = attempt->seq;
+	frame.kind_case = CFD__FRAME__KIND_LOAD_QUERY;
+	frame.load_query = &query;
 	peer_send(attempt->peer, &frame);
 }
 
-void entry_attempt_time_out(struct entry_attempt *attempt)
-{
-	entry_attempt_cancel(attempt);
-	attempt_entry_step(&attempt->state, ENTRY_GIVE_UP);
-	tell_end(attempt, ATTEMPT_TIMED_OUT, NULL);
-}
-
 void entry_attempt_destroy(struct entry_attempt *attempt)
 {
 	struct call *call = attempt->call;
@@ -243,7 +234,9 @@
 
 		entry_attempt_cancel(attempt);
 		attempt_entry_step(&attempt->state, ENTRY_GIVE_UP);
-		tell_end(attempt, late ? ATTEMPT_TIMED_OUT : ATTEMPT_CANCELLED,
+		tell_end(attempt,
+			 late || attempt->is_overtaken ? ATTEMPT_TIMED_OUT :
+							 ATTEMPT_CANCELLED,
 			 NULL);
 	}
 	if (call->answering == attempt)
@@ -380,15 +373,13 @@
 			const Cfd__Failed *failed)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, failed->seq);
-	bool given_up;
 
 	timeline_observe(&entry->daemon->timeline, failed->time);
 	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_FAILED))
 		return;
-	given_up = attempt->cancelled || attempt->asked;
-	tell_end(attempt, given_up ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
+	tell_end(attempt, attempt->cancelled ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
 		 failed->load);
-	call_note_unknown(attempt, !given_up);
+	call_note_unknown(attempt, !attempt->cancelled);
 }
 
 static void take_load_report(struct entry *entry, struct peer *peer,
@@ -409,7 +400,7 @@
 		pick_note_load(&attempt->upstream->service->picks,
 			       &attempt->upstream->candidate,
 			       read_load(report->load, &load), clock_mono_us());
-	call_note_on_time(attempt);
+	call_note_verdict(attempt, report->overdue);
 }
 
 static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -350,47 +350,72 @@
 	entry_attempt_send(call, upstream, false, true);
 }
 
-void call_note_on_time(struct entry_attempt *attempt)
+/*
+ * The attempt that is out gives nothing: its upstream hangs, or its host has
+ * lost its power. Another is sent beside it, within the budget for repeats. The
+ * first goes on: broken off, it would be lost where the second fails too.
+ */
+static void call_overtake(struct call *call)
 {
-	if (attempt->call->is_impatient)
-		call_arm_patience(attempt->call);
+	struct entry_attempt *slow = LIST_FIRST(&call->active);
+	struct retry_question question;
+	struct service_upstream *upstream;
+	int64_t now = clock_mono_us();
+
+	call->is_impatient = false;
+	if (!slow || LIST_NEXT(slow, link) || call->body_streams ||
+	    !call->body_ends)
+		return;
+	call_fill_question(call, RETRY_OUTCOME_UNKNOWN, &question);
+	if (question.untried == 0 || retry_decide(&call->service->retry, &question,
+						  &call->entry->random, now)
+						     .verdict != RETRY_GO)
+		return;
+	upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream)
+		return;
+	counters.entry_impatient++;
+	slow->is_overtaken = true;
+	pick_tried_add(&call->tried, upstream->candidate.id);
+	call->attempts++;
+	entry_attempt_send(call, upstream, false, true);
 }
 
-static void call_ask_owners(struct call *call)
+void call_note_verdict(struct entry_attempt *attempt, bool is_overdue)
 {
-	struct entry_attempt *attempt;
-	int64_t verdict_us = 0;
+	struct call *call = attempt->call;
 
-	call->is_impatient = true;
-	LIST_FOREACH (attempt, &call->active, link) {
-		const struct deadline_path *path = &attempt->upstream->path;
+	if (!call->is_impatient)
+		return;
+	if (is_overdue)
+		call_overtake(call);
+	else
+		call_arm_patience(call);
+}
 
-		entry_attempt_ask(attempt);
-		verdict_us = MAX(verdict_us, deadline_verdict_us(path));
-	}
-	timer_start_us(call, &call->patience, verdict_us);
+static void call_ask_owner(struct call *call)
+{
+	struct entry_attempt *attempt = LIST_FIRST(&call->active);
+
+	call->is_impatient = true;
+	entry_attempt_ask(attempt);
+	timer_start_us(call, &call->patience,
+		       deadline_verdict_us(&attempt->upstream->path));
 }
 
-/* First to ask the owners; then, where none has answered, to give up. */
+/* First to ask the owner; then, where it does not answer, to overtake it. */
 static void handle_patience(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct call *call = timer->data;
-	struct entry_attempt *attempt;
 
 	(void)loop;
 	(void)events;
-	if (!call->is_impatient) {
-		call_ask_owners(call);
+	if (LIST_EMPTY(&call->active))
 		return;
-	}
-	counters.entry_impatient++;
-	call->is_impatient = false;
-	call->may_have_run = true;
-	while ((attempt = LIST_FIRST(&call->active))) {
-		entry_attempt_time_out(attempt);
-		entry_attempt_destroy(attempt);
-	}
-	call_decide(call, RETRY_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+	if (!call->is_impatient)
+		call_ask_owner(call);
+	else
+		call_overtake(call);
 }
 
 /* First shortly before the deadline, to cancel; then at it, to give up. */
--- a/comfreydockd/main.c
+++ b/comfreydockd/main.c
@@ -83,14 +83,14 @@
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-static int run_daemon(struct settings *settings)
+static int run_daemon(struct settings *settings, const char *file)
 {
 	struct assembly *assembly;
 
 	signal(SIGPIPE, SIG_IGN);
 	raise_descriptor_limit();
 	log_init(settings->log_format, settings->host);
-	assembly = assembly_create(settings);
+	assembly = assembly_create(settings, file);
 	if (!assembly)
 		return EXIT_START;
 	assembly_run(assembly);
@@ -116,7 +116,7 @@
 	if (!settings)
 		return EXIT_SETTINGS;
 	if (!options->check)
-		status = run_daemon(settings);
+		status = run_daemon(settings, options->config);
 	settings_destroy(settings);
 	return status;
 }
--- /dev/null
+++ b/comfreydockd/reload.c
@@ -0,0 +1,137 @@
+#include "comfreydockd/reload.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "common/log.h"
+
+struct reload {
+	struct ev_loop *loop;
+	char *file;
+	struct settings *settings;
+	ev_signal hang_up;
+	ev_timer look;
+	struct timespec changed;
+	off_t size;
+};
+
+static bool is_same_address(const struct settings_address *a,
+			    const struct settings_address *b)
+{
+	return a->port == b->port && g_strcmp0(a->address, b->address) == 0;
+}
+
+/* What is bound, advertised or written into rows at the start. */
+static bool has_same_place(const struct settings *a, const struct settings *b)
+{
+	return g_strcmp0(a->host, b->host) == 0 &&
+	       g_strcmp0(a->domain, b->domain) == 0 &&
+	       g_strcmp0(a->region, b->region) == 0 &&
+	       g_strcmp0(a->service, b->service) == 0 &&
+	       g_strcmp0(a->platform_url, b->platform_url) == 0 &&
+	       is_same_address(&a->caller, &b->caller) &&
+	       is_same_address(&a->peer, &b->peer) &&
+	       is_same_address(&a->advertise, &b->advertise) &&
+	       is_same_address(&a->admin, &b->admin) &&
+	       is_same_address(&a->upstream, &b->upstream) &&
+	       is_same_address(&a->ready, &b->ready) &&
+	       is_same_address(&a->reports, &b->reports) &&
+	       is_same_address(&a->metrics, &b->metrics);
+}
+
+enum reload_result settings_take_over(struct settings *settings,
+				      const struct settings *changed)
+{
+	settings->stop = changed->stop;
+	settings->drain_timeout_ms = changed->drain_timeout_ms;
+	settings->retry_budget = changed->retry_budget;
+	settings->probes_per_s = changed->probes_per_s;
+	settings->max_buffered_bytes = changed->max_buffered_bytes;
+	return has_same_place(settings, changed) ? RELOAD_DONE : RELOAD_PARTLY;
+}
+
+static void reload_now(struct reload *reload, const char *why)
+{
+	static const char *const names[] = {"done", "refused", "partly"};
+	enum reload_result result = RELOAD_REFUSED;
+	struct settings *changed;
+	struct findings findings;
+
+	findings_init(&findings);
+	changed = settings_load(reload->file, &findings);
+	if (changed)
+		result = settings_take_over(reload->settings, changed);
+	findings_print(&findings, stderr);
+	log_event(EV_SETTINGS_RELOADED, LOG_STR("why", why),
+		  LOG_STR("result", names[result]),
+		  LOG_INT("errors", findings.errors));
+	findings_finish(&findings);
+	settings_destroy(changed);
+}
+
+/* RETURN VALUE: whether the file is another one than at the last look. */
+static bool look(struct reload *reload)
+{
+	struct stat now;
+	bool differs;
+
+	/* Gone for a moment, as while it is replaced. */
+	if (stat(reload->file, &now) < 0)
+		return false;
+	differs = now.st_mtim.tv_sec != reload->changed.tv_sec ||
+		  now.st_mtim.tv_nsec != reload->changed.tv_nsec ||
+		  now.st_size != reload->size;
+	reload->changed = now.st_mtim;
+	reload->size = now.st_size;
+	return differs;
+}
+
+static void handle_hang_up(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	struct reload *reload = signal->data;
+
+	(void)loop;
+	(void)events;
+	look(reload);
+	reload_now(reload, "signal");
+}
+
+static void handle_look(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct reload *reload = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (look(reload))
+		reload_now(reload, "changed");
+}
+
+struct reload *reload_create(struct ev_loop *loop, const char *file,
+			     struct settings *settings)
+{
+	struct reload *reload = g_new0(struct reload, 1);
+
+	reload->loop = loop;
+	reload->file = g_strdup(file);
+	reload->settings = settings;
+	look(reload);
+	ev_signal_init(&reload->hang_up, handle_hang_up, SIGHUP);
+	ev_timer_init(&reload->look, handle_look, RELOAD_LOOK_S, RELOAD_LOOK_S);
+	reload->hang_up.data = reload;
+	reload->look.data = reload;
+	ev_signal_start(loop, &reload->hang_up);
+	ev_timer_start(loop, &reload->look);
+	return reload;
+}
+
+void reload_destroy(struct reload *reload)
+{
+	if (!reload)
+		return;
+	ev_signal_stop(reload->loop, &reload->hang_up);
+	ev_timer_stop(reload->loop, &reload->look);
+	g_free(reload->file);
+	g_free(reload);
+}
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -13,13 +13,16 @@
  * the connections that wait to be accepted: calls cut off by a planned stop. */
 #define DEFAULT_REFUSE_AFTER_MS 2000
 #define STOP_STEP_MAX_MS 3600000
+/* Others delete the row later if the platform is out. */
+#define DEFAULT_LEAVE_MS 3000
 #define MS_PER_S 1000
 /* Parts of the time until the process is killed. Gossip and the way out of it
  * take half a second of the rest. */
 #define GRACE_DRAIN 0.33
 #define GRACE_CLOSE 0.43
 #define GRACE_REFUSE 0.53
-#define GRACE_END 0.86
+#define GRACE_END 0.84
+#define GRACE_LEAVE 0.1
 #define PERCENT 100
 #define DEFAULT_RETRY_RATIO 0.1
 #define RETRY_SLACK_MAX 1e6
@@ -248,6 +251,7 @@
 	times->drain_after_ms = (uint32_t)(grace_ms * GRACE_DRAIN);
 	times->close_after_ms = (uint32_t)(grace_ms * GRACE_CLOSE);
 	times->refuse_after_ms = (uint32_t)(grace_ms * GRACE_REFUSE);
+	times->leave_ms = (uint32_t)(grace_ms * GRACE_LEAVE);
 	settings->drain_timeout_ms =
 		(uint32_t)(grace_ms * (GRACE_END - GRACE_REFUSE));
 }
@@ -287,6 +291,7 @@
 		read_ms(&stop, "refuse_after_ms",
 			MAX(DEFAULT_REFUSE_AFTER_MS, times->close_after_ms),
 			times->close_after_ms);
+	times->leave_ms = DEFAULT_LEAVE_MS;
 	schema_finish(&stop);
 }
 
--- a/comfreydockd/stop.c
+++ b/comfreydockd/stop.c
@@ -17,8 +17,6 @@
 #define LAST_CALLS_US (300 * US_PER_MS)
 /* The good-bye's way through gossip. */
 #define LEAVE_US (500 * US_PER_MS)
-/* For the row's deletion; others delete it later if the platform is out. */
-#define LEAVE_MAX_US (3 * US_PER_S)
 
 enum stop_step {
 	STOP_NOT,
@@ -108,7 +106,8 @@
 		leave(stop, now);
 	}
 	if (now - stop->left_us < LEAVE_US ||
-	    (!stop->row_is_left && now - stop->left_us < LEAVE_MAX_US))
+	    (!stop->row_is_left &&
+	     now - stop->left_us < settings->stop.leave_ms * US_PER_MS))
 		return;
 	log_event(EV_DAEMON_STOPPED,
 		  LOG_INT("calls", entry_count(stop->daemon->entry)));
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -72,33 +72,26 @@
 	attempt_refuse(attempt, CFD__REASON__REASON_CANCELLED, 0);
 }
 
-static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq);
-
-/* A caller grows impatient. What waits its turn, or was started late, is left
- * alone; what is stuck at the upstream is broken off. */
-static void owner_cancel_overdue(struct owner *owner,
-				 struct owner_attempt *attempt)
+/* A caller grows impatient. What waits its turn, or was started late, is not
+ * stuck; what has run for so long and gives no head may be. */
+static bool attempt_is_overdue(const struct owner_attempt *attempt)
 {
-	bool is_silent =
-		attempt->state == OWNER_ATTEMPT_RUNNING && !attempt->head_us;
-
-	if (is_silent &&
-	    deadline_is_overdue(attempt->started_us, attempt->item.deadline_us,
-				clock_mono_us()))
-		owner_cancel(owner, attempt);
-	else
-		owner_send_load(owner, attempt->peer, attempt->request->seq);
+	return attempt->state == OWNER_ATTEMPT_RUNNING && !attempt->head_us &&
+	       deadline_is_overdue(attempt->started_us,
+				   attempt->item.deadline_us, clock_mono_us());
 }
 
-static void owner_send_load(struct owner *owner, struct peer *peer, uint64_t seq)
+static void owner_send_load(struct owner *owner, struct peer *peer,
+			    const struct owner_attempt *attempt)
 {
 	Cfd__Load load = CFD__LOAD__INIT;
 	Cfd__LoadReport report = CFD__LOAD_REPORT__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
 
 	owner_fill_load(owner, &load);
-	report.seq = seq;
+	report.seq = attempt->request->seq;
 	report.load = &load;
+	report.overdue = attempt_is_overdue(attempt);
 	frame.kind_case = CFD__FRAME__KIND_LOAD_REPORT;
 	frame.load_report = &report;
 	peer_send(peer, &frame);
@@ -120,9 +113,7 @@
 		break;
 	case CFD__FRAME__KIND_CANCEL:
 		attempt = owner_find(peer, frame->cancel->seq);
-		if (attempt && frame->cancel->if_overdue)
-			owner_cancel_overdue(owner, attempt);
-		else if (attempt)
+		if (attempt)
 			owner_cancel(owner, attempt);
 		break;
 	case CFD__FRAME__KIND_WINDOW:
@@ -131,7 +122,9 @@
 			attempt_take_window(attempt, frame->window->bytes);
 		break;
 	case CFD__FRAME__KIND_LOAD_QUERY:
-		owner_send_load(owner, peer, frame->load_query->seq);
+		attempt = owner_find(peer, frame->load_query->seq);
+		if (attempt)
+			owner_send_load(owner, peer, attempt);
 		break;
 	default:
 		counters.peer_bad_frames++;
--- a/include/bench/decide/replay_internal.h
+++ b/include/bench/decide/replay_internal.h
@@ -29,6 +29,7 @@
 	uint32_t upstream;
 	uint32_t epoch;
 	bool is_hedge;
+	bool is_overtaken; /* another was sent as it gave nothing */
 	bool running;
 	bool arrived; /* at the owner */
 	bool over; /* at the owner */
@@ -52,7 +53,7 @@
 	uint32_t hedges;
 	uint32_t turn; /* grows with each attempt; old timers do nothing */
 	bool may_have_run;
-	bool is_impatient; /* waits for the verdict on a cancel */
+	bool is_impatient; /* waits for the owner's verdict */
 	bool closed; /* the caller has its answer */
 	int64_t refused_us;
 	int64_t come_back_us;
@@ -122,7 +123,8 @@
 /* An event: data is the struct replay_attempt, which has its outcome. */
 void replay_handle_answer(void *replay, void *data);
 
-/* An event: the struct replay_attempt is not overdue. */
+/* An event: the struct replay_attempt is overdue; or it is not. */
+void replay_handle_overdue(void *replay, void *data);
 void replay_handle_waiting(void *replay, void *data);
 
 /* owner.c */
@@ -134,7 +136,7 @@
 void replay_handle_arrival(void *replay, void *data);
 void replay_handle_cancel(void *replay, void *data);
 
-/* A cancel if it is overdue. */
+/* The entry asks whether it is overdue. */
 void replay_handle_ask(void *replay, void *data);
 
 /* An event: data is the struct replay_owner. */
--- a/include/comfreydockd/assembly.h
+++ b/include/comfreydockd/assembly.h
@@ -13,7 +13,7 @@
 struct settings;
 
 /* RETURN VALUE: NULL where a port can't be bound; the error is printed. */
-struct assembly *assembly_create(const struct settings *settings);
+struct assembly *assembly_create(struct settings *settings, const char *file);
 
 /* Returns after a stop was asked for and nothing is in flight any more. */
 void assembly_run(struct assembly *assembly);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -42,7 +42,7 @@
 	bool is_hedge;
 	bool failed; /* its answer is the upstream's own error */
 	bool cancelled;
-	bool asked; /* to end if it is overdue */
+	bool is_overtaken; /* by another, as it gave nothing for too long */
 };
 
 LIST_HEAD(entry_attempt_list, entry_attempt);
@@ -118,12 +118,9 @@
 			bool may_queue, bool is_hedge);
 void entry_attempt_cancel(struct entry_attempt *attempt);
 
-/* Asks the owner to end the attempt if it is overdue. */
+/* Asks the owner whether the attempt is overdue. */
 void entry_attempt_ask(struct entry_attempt *attempt);
 
-/* Gives up an attempt that took too long: a mark against its upstream. */
-void entry_attempt_time_out(struct entry_attempt *attempt);
-
 /* Takes the attempt out of all lists and frees it. */
 void entry_attempt_destroy(struct entry_attempt *attempt);
 void entry_attempt_send_body(struct entry_attempt *attempt, const void *bytes,
@@ -141,8 +138,8 @@
 void call_note_head(struct entry_attempt *attempt, const Cfd__Answer *answer);
 void call_note_end(struct entry_attempt *attempt);
 
-/* The owner says that the attempt is not overdue. */
-void call_note_on_time(struct entry_attempt *attempt);
+/* The owner tells whether the attempt is overdue. */
+void call_note_verdict(struct entry_attempt *attempt, bool is_overdue);
 void call_note_room(struct entry_attempt *attempt, uint32_t bytes);
 
 void call_note_event(struct call *call, enum event event, const char *format,
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -102,11 +102,10 @@
  * such an upstream would end at their deadlines, though another could have
  * answered them.
  *
- * The owner is asked to cancel it if it is overdue, and has
- * deadline_verdict_us() to say what became of it. One that waits, or was
- * started late, keeps its place: the owner is alive. Were it given up unasked,
- * each call that had waited for long would end as "unknown" or be broken off
- * just after its start, and one saw these by the thousand under overload.
+ * The owner is asked whether it is overdue, and has deadline_verdict_us() to
+ * say so. Only then, or without an answer, another attempt is sent beside it.
+ * Sent unasked, each call that had waited for long would make a second one, and
+ * one saw these by the thousand under overload.
  */
 int64_t deadline_patience_us(int64_t deadline_us, int64_t now_us);
 int64_t deadline_verdict_us(const struct deadline_path *path);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1429,7 +1429,7 @@
   (ProtobufCMessageInit) cfd__body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[1] =
 {
   {
     "seq",
@@ -1443,27 +1443,14 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "if_overdue",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Cfd__Cancel, if_overdue),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned cfd__cancel__field_indices_by_name[] = {
-  1,   /* field[1] = if_overdue */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange cfd__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
 const ProtobufCMessageDescriptor cfd__cancel__descriptor =
 {
@@ -1473,7 +1460,7 @@
   "Cfd__Cancel",
   "cfd",
   sizeof(Cfd__Cancel),
-  2,
+  1,
   cfd__cancel__field_descriptors,
   cfd__cancel__field_indices_by_name,
   1,  cfd__cancel__number_ranges,
@@ -1942,7 +1929,7 @@
   (ProtobufCMessageInit) cfd__load_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__load_report__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfd__load_report__field_descriptors[3] =
 {
   {
     "seq",
@@ -1968,15 +1955,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "overdue",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__LoadReport, overdue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__load_report__field_indices_by_name[] = {
   1,   /* field[1] = load */
+  2,   /* field[2] = overdue */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange cfd__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cfd__load_report__descriptor =
 {
@@ -1986,7 +1986,7 @@
   "Cfd__LoadReport",
   "cfd",
   sizeof(Cfd__LoadReport),
-  2,
+  3,
   cfd__load_report__field_descriptors,
   cfd__load_report__field_indices_by_name,
   1,  cfd__load_report__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -173,15 +173,10 @@
 {
   ProtobufCMessage base;
   uint64_t seq;
-  /*
-   * Only if it has run for longer than time remains. Otherwise it stays, and a
-   * LoadReport says so.
-   */
-  protobuf_c_boolean if_overdue;
 };
 #define CFD__CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__cancel__descriptor) \
-    , 0, 0 }
+    , 0 }
 
 
 struct  Cfd__Answer
@@ -271,6 +266,9 @@
     , 0, 0 }
 
 
+/*
+ * Asks how an attempt stands.
+ */
 struct  Cfd__LoadQuery
 {
   ProtobufCMessage base;
@@ -281,15 +279,22 @@
     , 0 }
 
 
+/*
+ * Without a seq: the owner tells by itself that its host's pace has changed.
+ */
 struct  Cfd__LoadReport
 {
   ProtobufCMessage base;
   uint64_t seq;
   Cfd__Load *load;
+  /*
+   * it has run for longer than time remains
+   */
+  protobuf_c_boolean overdue;
 };
 #define CFD__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__load_report__descriptor) \
-    , 0, NULL }
+    , 0, NULL, 0 }
 
 
 /*
