stop: end only in a moment without work, and answer what is left

Change: from half of the grace on new requests are told at once to go elsewhere; the end waits for a moment without work; at the last limit what has not begun is answered as not run, and what runs goes on to the end.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -200,6 +200,18 @@
 			upstream->host, may_queue);
 }
 
+void entry_attempt_cancel_waiting(struct entry_attempt *attempt)
+{
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	cancel.seq = attempt->seq;
+	cancel.if_waiting = true;
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	peer_send(attempt->peer, &frame);
+}
+
 void entry_attempt_cancel(struct entry_attempt *attempt)
 {
 	Cfd__Cancel cancel = CFD__CANCEL__INIT;
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -207,7 +207,7 @@
 	answer = retry_decide(&call->service->retry, &question,
 			      &call->entry->random, now);
 	/* A body of which more is gone than is kept can't be sent again. */
-	if (answer.verdict == RETRY_GO && !call->body_streams &&
+	if (answer.verdict == RETRY_GO && !call->body_streams && !call->gives_up &&
 	    attempt_allows_another(state, call->rule->idempotent)) {
 		counters.entry_retries++;
 		timer_start_us(call, &call->next, answer.delay_us);
@@ -443,6 +443,17 @@
 	call_finish_unanswered(call);
 }
 
+void call_give_up(struct call *call)
+{
+	struct entry_attempt *attempt;
+
+	call->gives_up = true;
+	LIST_FOREACH (attempt, &call->active, link)
+		entry_attempt_cancel_waiting(attempt);
+	if (LIST_EMPTY(&call->active))
+		call_finish_unanswered(call);
+}
+
 void call_start(struct call *call)
 {
 	call->is_started = true;
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -263,6 +263,18 @@
 	return LIST_FIRST(&entry->calls) == call ? call : NULL;
 }
 
+void entry_cancel_all(struct entry *entry)
+{
+	struct call *call = LIST_FIRST(&entry->calls);
+
+	while (call) {
+		struct call *next = LIST_NEXT(call, link);
+
+		call_give_up(call);
+		call = next;
+	}
+}
+
 size_t entry_count(const struct entry *entry)
 {
 	return entry->count;
--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -15,6 +15,8 @@
 #define STATUS_BAD_REQUEST 400
 #define STATUS_UNAVAILABLE 503
 #define COME_BACK_MS 1000
+/* Another daemon can take it at once. */
+#define ELSEWHERE_MS 10
 /* Connections that are opened beyond the limit, to be refused. */
 #define SURPLUS 1024
 /* After an early answer so much of the rest of a body is read and dropped. */
@@ -112,6 +114,9 @@
 		result = request_refuse_form(request, fault);
 	} else if (connection_of(request->connection)->is_surplus) {
 		result = request_refuse_surplus(request);
+	} else if (request->listener->turns_away) {
+		result = request_refuse(request, STATUS_UNAVAILABLE, "stopping",
+					ELSEWHERE_MS, "this daemon ends");
 	} else if (request_is_hung_up(request)) {
 		/* Read after a pause of this daemon: nobody waits for it any
 		 * more, and it may have been sent elsewhere since. */
@@ -276,6 +281,11 @@
 	listener->closes = true;
 }
 
+void listener_turn_away(struct listener *listener)
+{
+	listener->turns_away = true;
+}
+
 void listener_quiesce(struct listener *listener)
 {
 	http_server_quiesce(listener->server);
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -20,8 +20,9 @@
  * take half a second of the rest. */
 #define GRACE_DRAIN 0.33
 #define GRACE_CLOSE 0.43
-#define GRACE_REFUSE 0.53
-#define GRACE_END 0.84
+#define GRACE_REFUSE 0.5
+#define GRACE_TURN_AWAY 0.5
+#define GRACE_END 0.88
 #define GRACE_LEAVE 0.1
 #define PERCENT 100
 #define DEFAULT_RETRY_RATIO 0.1
@@ -251,6 +252,7 @@
 	times->drain_after_ms = (uint32_t)(grace_ms * GRACE_DRAIN);
 	times->close_after_ms = (uint32_t)(grace_ms * GRACE_CLOSE);
 	times->refuse_after_ms = (uint32_t)(grace_ms * GRACE_REFUSE);
+	times->turn_away_after_ms = (uint32_t)(grace_ms * GRACE_TURN_AWAY);
 	times->leave_ms = (uint32_t)(grace_ms * GRACE_LEAVE);
 	settings->drain_timeout_ms =
 		(uint32_t)(grace_ms * (GRACE_END - GRACE_REFUSE));
@@ -291,6 +293,9 @@
 		read_ms(&stop, "refuse_after_ms",
 			MAX(DEFAULT_REFUSE_AFTER_MS, times->close_after_ms),
 			times->close_after_ms);
+	times->turn_away_after_ms =
+		read_ms(&stop, "turn_away_after_ms", STOP_STEP_MAX_MS,
+			times->refuse_after_ms);
 	times->leave_ms = DEFAULT_LEAVE_MS;
 	schema_finish(&stop);
 }
--- a/comfreydockd/stop.c
+++ b/comfreydockd/stop.c
@@ -24,7 +24,7 @@
 	STOP_DRAINED,
 	STOP_CLOSES,
 	STOP_REFUSES,
-	STOP_LEAVES,
+	STOP_TURNS_AWAY,
 };
 
 struct stop {
@@ -35,8 +35,9 @@
 	enum stop_step step;
 	int64_t since_us;
 	int64_t busy_us; /* when something was in flight last */
-	int64_t left_us; /* since the good-bye */
+	int64_t left_us; /* since the good-bye; 0: not said yet */
 	bool row_is_left;
+	bool has_cancelled;
 };
 
 static bool is_quiet(const struct stop *stop)
@@ -58,7 +59,6 @@
 
 static void leave(struct stop *stop, int64_t now)
 {
-	stop->step = STOP_LEAVES;
 	stop->left_us = now;
 	gossip_leave(stop->daemon->gossip);
 	rows_leave(stop->rows, handle_row_left, stop);
@@ -84,6 +84,37 @@
 		stop->step = STOP_REFUSES;
 		listener_quiesce(stop->listener);
 	}
+	if (stop->step == STOP_REFUSES &&
+	    spent_us >= times->turn_away_after_ms * US_PER_MS) {
+		stop->step = STOP_TURNS_AWAY;
+		listener_turn_away(stop->listener);
+	}
+}
+
+/*
+ * Calls that are still out when time is up: what was not begun can be told so,
+ * and comes back to another daemon at once. Left to the end of the process,
+ * their callers would see a connection that breaks, and not know.
+ */
+static void cancel_rest(struct stop *stop)
+{
+	if (stop->has_cancelled)
+		return;
+	stop->has_cancelled = true;
+	entry_cancel_all(stop->daemon->entry);
+}
+
+/* Callers with a connection of before may still send on it after the good-bye,
+ * so it ends only in a moment without work. */
+static bool may_end(const struct stop *stop, int64_t now, bool is_over)
+{
+	int64_t leave_us = now - stop->left_us;
+
+	if (is_over)
+		return true;
+	return stop->left_us && is_quiet(stop) && leave_us >= LEAVE_US &&
+	       (stop->row_is_left ||
+		leave_us >= stop->daemon->settings->stop.leave_ms * US_PER_MS);
 }
 
 static void handle_check(struct ev_loop *loop, ev_timer *timer, int events)
@@ -95,19 +126,17 @@
 	int64_t most_us = (settings->stop.refuse_after_ms +
 			   (int64_t)settings->drain_timeout_ms) *
 			  US_PER_MS;
+	bool is_late = spent_us >= most_us;
 
 	(void)events;
 	advance(stop, spent_us);
 	if (stop->step < STOP_REFUSES || !is_quiet(stop))
 		stop->busy_us = now;
-	if (stop->step < STOP_LEAVES) {
-		if (now - stop->busy_us < LAST_CALLS_US && spent_us < most_us)
-			return;
+	if (is_late)
+		cancel_rest(stop);
+	if (!stop->left_us && (is_late || now - stop->busy_us >= LAST_CALLS_US))
 		leave(stop, now);
-	}
-	if (now - stop->left_us < LEAVE_US ||
-	    (!stop->row_is_left &&
-	     now - stop->left_us < settings->stop.leave_ms * US_PER_MS))
+	if (!may_end(stop, now, spent_us >= most_us + LEAVE_US))
 		return;
 	log_event(EV_DAEMON_STOPPED,
 		  LOG_INT("calls", entry_count(stop->daemon->entry)));
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -113,7 +113,8 @@
 		break;
 	case CFD__FRAME__KIND_CANCEL:
 		attempt = owner_find(peer, frame->cancel->seq);
-		if (attempt)
+		if (attempt && (!frame->cancel->if_waiting ||
+				attempt->state != OWNER_ATTEMPT_RUNNING))
 			owner_cancel(owner, attempt);
 		break;
 	case CFD__FRAME__KIND_WINDOW:
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -401,7 +401,8 @@
 		     owner->announced.port != copy.port ||
 		     g_strcmp0(owner->announced.address, copy.address) != 0;
 
-	if (is_known(owner, announcement) && owner->state == OWNER_UP) {
+	if (is_known(owner, announcement) &&
+	    (owner->state == OWNER_UP || owner->is_closed)) {
 		announcement_finish(&copy);
 		return;
 	}
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -92,6 +92,7 @@
 	ev_timer patience; /* with one attempt */
 	bool is_impatient; /* and waits for the owners' verdict */
 	bool cancels_sent;
+	bool gives_up; /* no further attempt: this daemon ends */
 	bool is_started;
 	unsigned int status; /* of the answer */
 	bool answered; /* whole */
@@ -118,6 +119,9 @@
 			bool may_queue, bool is_hedge);
 void entry_attempt_cancel(struct entry_attempt *attempt);
 
+/* The same, but what runs goes on. */
+void entry_attempt_cancel_waiting(struct entry_attempt *attempt);
+
 /* Asks the owner whether the attempt is overdue. */
 void entry_attempt_ask(struct entry_attempt *attempt);
 
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -15,6 +15,9 @@
 
 void call_send_attempt(struct call *call);
 
+/* Makes no further attempt, and cancels those that wait: what runs goes on. */
+void call_give_up(struct call *call);
+
 void call_fill_hedge_question(const struct call *call,
 			      struct hedge_question *question);
 
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -74,6 +74,9 @@
 /* The caller went away; no function of the sink follows. */
 void call_abandon(struct call *call);
 
+/* Ends the calls of which nothing runs, as not run. */
+void entry_cancel_all(struct entry *entry);
+
 /* RETURN VALUE: the calls that have not ended. */
 size_t entry_count(const struct entry *entry);
 
--- a/include/comfreydockd/caller/listener.h
+++ b/include/comfreydockd/caller/listener.h
@@ -31,6 +31,9 @@
 /* Answers with "Connection: close" from now on, so that callers go elsewhere. */
 void listener_announce_close(struct listener *listener);
 
+/* Answers each new request as not run, to be sent elsewhere. */
+void listener_turn_away(struct listener *listener);
+
 /* Takes no new connections; those that are open go on. */
 void listener_quiesce(struct listener *listener);
 
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -23,6 +23,7 @@
 	struct http_server *server;
 	size_t connections; /* open ones */
 	bool closes; /* see listener_announce_close() */
+	bool turns_away; /* see listener_turn_away() */
 };
 
 /* One request of one caller, from its head to the last byte of its answer. */
--- a/include/comfreydockd/settings.h
+++ b/include/comfreydockd/settings.h
@@ -26,6 +26,7 @@
 	uint32_t drain_after_ms;
 	uint32_t close_after_ms;
 	uint32_t refuse_after_ms;
+	uint32_t turn_away_after_ms;
 	uint32_t leave_ms; /* for the row's deletion at most */
 };
 
--- a/include/comfreydockd/stop.h
+++ b/include/comfreydockd/stop.h
@@ -11,9 +11,11 @@
  *	drain	the owner refuses new work as not run
  *	close	answers to callers say "Connection: close"
  *	refuse	no new connections from callers
+ *	turn away
+ *		requests on old connections are told at once to go elsewhere
  *	leave	once nothing is in flight, good-bye to the others
  *
- *	What is still in flight after the last limit is broken off.
+ *	What is still out at the last limit is cancelled: not run, or unknown.
  */
 #ifndef COMFREYDOCKD_STOP_H
 #define COMFREYDOCKD_STOP_H
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1429,7 +1429,7 @@
   (ProtobufCMessageInit) cfd__body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cfd__cancel__field_descriptors[2] =
 {
   {
     "seq",
@@ -1443,14 +1443,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "if_waiting",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Cancel, if_waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__cancel__field_indices_by_name[] = {
+  1,   /* field[1] = if_waiting */
   0,   /* field[0] = seq */
 };
-static const ProtobufCIntRange cfd__cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfd__cancel__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 3, 1 },
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cfd__cancel__descriptor =
 {
@@ -1460,10 +1474,10 @@
   "Cfd__Cancel",
   "cfd",
   sizeof(Cfd__Cancel),
-  1,
+  2,
   cfd__cancel__field_descriptors,
   cfd__cancel__field_indices_by_name,
-  1,  cfd__cancel__number_ranges,
+  2,  cfd__cancel__number_ranges,
   (ProtobufCMessageInit) cfd__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -173,10 +173,14 @@
 {
   ProtobufCMessage base;
   uint64_t seq;
+  /*
+   * what runs goes on
+   */
+  protobuf_c_boolean if_waiting;
 };
 #define CFD__CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__cancel__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Cfd__Answer
