upstream: confirm a start of the upstream before it gets work

Requests reached it 2.2 s after its leaving had been acknowledged. Ruled out: a row for each good-bye in the store; it costs a call each and was out of reach just then. Change: a start is confirmed by the health path, where the same instance must say that it serves, or by reports that go on.

--- a/comfreydockd/stop.c
+++ b/comfreydockd/stop.c
@@ -72,7 +72,7 @@
 	if (stop->step == STOP_SERVES &&
 	    spent_us >= times->drain_after_ms * US_PER_MS) {
 		stop->step = STOP_DRAINED;
-		owner_drain(stop->daemon->owner);
+		owner_stop(stop->daemon->owner);
 	}
 	if (stop->step == STOP_DRAINED &&
 	    spent_us >= times->close_after_ms * US_PER_MS) {
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -356,6 +356,7 @@
 		TAILQ_REMOVE(&owner->runs, attempt, running_link);
 		attempt_destroy(attempt);
 	}
+	report_check_finish(&owner->check);
 	probe_destroy(owner->probe);
 	run_pool_destroy(owner->pool);
 	g_ptr_array_unref(owner->old_pools);
@@ -401,6 +402,8 @@
 		     owner->announced.port != copy.port ||
 		     g_strcmp0(owner->announced.address, copy.address) != 0;
 
+	if (!announcement->is_report)
+		owner->is_closed = owner->is_stopping;
 	if (is_known(owner, announcement) &&
 	    (owner->state == OWNER_UP || owner->is_closed)) {
 		announcement_finish(&copy);
@@ -433,6 +436,12 @@
 	owner_drain_upstream(owner);
 }
 
+void owner_stop(struct owner *owner)
+{
+	owner->is_stopping = true;
+	owner_drain(owner);
+}
+
 void owner_drain_upstream(struct owner *owner)
 {
 	if (owner->state == OWNER_DRAINING)
@@ -447,7 +456,7 @@
 
 void owner_resume(struct owner *owner)
 {
-	owner->is_closed = false;
+	owner->is_closed = owner->is_stopping;
 	if (owner->state != OWNER_DRAINING || !owner->pool)
 		return;
 	owner->state = OWNER_UP;
@@ -493,6 +502,11 @@
 {
 	log_event(EV_OWNER_OTHER_INSTANCE,
 		  LOG_STR("expected", owner->lifetime.instance));
+	owner_lose_upstream(owner);
+}
+
+void owner_lose_upstream(struct owner *owner)
+{
 	if (owner->state != OWNER_UP)
 		return;
 	owner->state = OWNER_NO_UPSTREAM;
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -3,9 +3,11 @@
 #include <glib.h>
 #include <string.h>
 
+#include "comfreydockd/config/store.h"
 #include "comfreydockd/settings.h"
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/owner_internal.h"
+#include "common/http_client.h"
 #include "common/log.h"
 
 static const char *const verdict_names[] = {
@@ -99,22 +101,123 @@
 				 strcmp(own->address, report->address) == 0);
 }
 
-static void take_ready(struct owner *owner, const struct report *report,
-		       bool is_new_start)
+void report_check_finish(struct report_check *check)
+{
+	if (check->pending)
+		http_client_cancel(check->pending);
+	g_free(check->group);
+	g_free(check->address);
+	memset(check, 0, sizeof(*check));
+}
+
+static void announce(struct owner *owner, const struct report_check *check,
+		     bool is_new_start)
 {
-	char *groups[] = {(char *)report->group, NULL};
+	char *groups[] = {check->group, NULL};
 	struct owner_announcement announcement = {
 		.groups = groups,
-		.address = (char *)report->address,
-		.port = report->port,
-		.slots = report->slots,
-		.warm_ms = report->warm_ms,
+		.address = check->address,
+		.port = check->port,
+		.slots = check->slots,
+		.warm_ms = check->warm_ms,
 		.is_new_start = is_new_start,
+		.is_report = true,
 	};
 
 	owner_announce(owner, &announcement);
 }
 
+static void confirm(struct owner *owner, const char *by)
+{
+	log_event(EV_OWNER_CONFIRMED,
+		  LOG_STR("instance", owner->lifetime.instance),
+		  LOG_STR("by", by), LOG_INT("reports", owner->check.reports));
+	owner->check.is_open = false;
+	announce(owner, &owner->check, true);
+}
+
+static void handle_health(const struct http_answer *answer, void *data)
+{
+	struct owner *owner = data;
+	const char *name = owner->daemon->headers->instance;
+	const char *instance = answer->result == CURLE_OK ?
+				       http_answer_header(answer, name) :
+				       NULL;
+
+	owner->check.pending = NULL;
+	if (!owner->check.is_open || owner->lifetime.left)
+		return;
+	if (answer->status / 100 == 2 && instance &&
+	    strcmp(instance, owner->lifetime.instance) == 0)
+		confirm(owner, "health");
+	else
+		log_event(EV_OWNER_UNCONFIRMED,
+			  LOG_STR("instance", owner->lifetime.instance),
+			  LOG_STR("answers", instance ? instance : ""),
+			  LOG_INT("status", answer->status));
+}
+
+/* RETURN VALUE: false where no health path is known to ask at. */
+static bool ask_health(struct owner *owner)
+{
+	const struct config_group *group = config_snapshot_group(
+		config_store_current(owner->daemon->config), owner->check.group);
+	struct http_call call = {
+		.method = "GET",
+		.timeout_ms = REPORT_CHECK_TIMEOUT_MS,
+	};
+	char *url;
+
+	if (!group || !group->health_path)
+		return false;
+	if (owner->check.pending)
+		return true;
+	url = g_strdup_printf(
+		strchr(owner->check.address, ':') ? "http://[%s]:%u%s" :
+						    "http://%s:%u%s",
+		owner->check.address, owner->check.port, group->health_path);
+	call.url = url;
+	owner->check.pending = http_client_call(owner->daemon->http, &call,
+						handle_health, owner);
+	g_free(url);
+	return true;
+}
+
+static void check_fill(struct report_check *check, const struct report *report)
+{
+	g_free(check->group);
+	g_free(check->address);
+	check->group = g_strdup(report->group);
+	check->address = g_strdup(report->address);
+	check->port = report->port;
+	check->slots = report->slots;
+	check->warm_ms = report->warm_ms;
+}
+
+static void take_ready(struct owner *owner, const struct report *report,
+		       bool is_new_start)
+{
+	struct report_check *check = &owner->check;
+
+	if (is_new_start) {
+		report_check_finish(check);
+		check->is_open = true;
+		/* Nothing of what was announced before holds any more. */
+		owner_lose_upstream(owner);
+	}
+	check_fill(check, report);
+	if (!check->is_open) {
+		announce(owner, check, false);
+		return;
+	}
+	check->reports++;
+	if (!owner->daemon->headers->instance ||
+	    check->reports >= REPORT_CONFIRMING)
+		confirm(owner, "reports");
+	else
+		ask_health(owner);
+}
+
 enum report_verdict owner_take_report(struct owner *owner,
 				      const struct report *report)
 {
@@ -132,10 +235,12 @@
 			  LOG_STR("verdict", report_verdict_name(verdict)));
 	if (verdict != REPORT_NEWS && verdict != REPORT_NEW_START)
 		return verdict;
-	if (report->drains)
+	if (report->drains) {
+		owner->check.is_open = false;
 		owner_drain_upstream(owner);
-	else
+	} else {
 		take_ready(owner, report, verdict == REPORT_NEW_START);
+	}
 	return verdict;
 }
 
@@ -149,7 +254,9 @@
 
 	log_event(EV_OWNER_LEFT, LOG_STR("instance", instance),
 		  LOG_INT("counts", counts));
-	if (counts)
+	if (counts) {
+		owner->check.is_open = false;
 		owner_drain_upstream(owner);
+	}
 	return counts;
 }
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -23,6 +23,7 @@
 	uint32_t slots;
 	uint32_t warm_ms;
 	bool is_new_start; /* nothing of before is there any more */
+	bool is_report; /* one of many: does not take back an operator's drain */
 };
 
 enum owner_state {
@@ -50,6 +51,9 @@
 /* Refuses all new and queued work as not run from now on; what runs goes on. */
 void owner_drain(struct owner *owner);
 
+/* The same, for good: this daemon ends. */
+void owner_stop(struct owner *owner);
+
 /* The same, at the wish of the upstream itself: it may take it back. */
 void owner_drain_upstream(struct owner *owner);
 void owner_resume(struct owner *owner);
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -28,6 +28,8 @@
 	struct owner_announcement announced;
 	struct report_lifetime lifetime; /* of the upstream, if it reports */
 	bool is_closed; /* by the operator or this daemon's stop */
+	bool is_stopping;
+	struct report_check check; /* of a start that is not confirmed yet */
 	struct gauge *gauge;
 	struct pace pace;
 	TAILQ_HEAD(, owner_attempt) held; /* at the gate */
@@ -62,6 +64,9 @@
 void owner_offer(struct owner *owner, struct owner_attempt *attempt);
 bool owner_has_group(const struct owner *owner, const char *group);
 
+/* No upstream is known to be there until the next announcement. */
+void owner_lose_upstream(struct owner *owner);
+
 /* Has what may start be started at the end of the loop's turn. */
 void owner_wake(struct owner *owner);
 
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -73,6 +73,33 @@
 
 const char *report_verdict_name(enum report_verdict verdict);
 
+/*
+ * A daemon that has just started has forgotten who said good-bye to the one
+ * before it, and the last report of one that left may still come. Believed, it
+ * would send work to an upstream that was told it may end. So a start is
+ * confirmed first: by the health path, where the same instance must say that
+ * it serves; or, as health may mislead, by reports that go on, which those of
+ * one that has left do not.
+ */
+#define REPORT_CONFIRMING 3 /* reports of one start */
+#define REPORT_CHECK_TIMEOUT_MS 200 /* a health answer on the same host */
+
+struct http_pending;
+
+/* All zero where there is none. */
+struct report_check {
+	bool is_open; /* a start waits to be confirmed */
+	unsigned int reports; /* of this start */
+	struct http_pending *pending;
+	char *group; /* and the rest, as last reported */
+	char *address;
+	uint16_t port;
+	uint32_t slots;
+	uint32_t warm_ms;
+};
+
+void report_check_finish(struct report_check *check);
+
 /* The owner's side: takes a report or a good-bye, and acts on it. */
 enum report_verdict owner_take_report(struct owner *owner,
 				      const struct report *report);
