log: a line for each decision, within a budget, on standard output

The time line and the log are told by one call with named fields: trace, inputs with their age or version, outcome. Classes (beliefs, failures, routine) share a budget of lines and bytes a second; above it requests are drawn by their trace, the same at each daemon. Written once a turn of the loop without blocking. A failed call says in one line whom it was sent to.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -41,6 +41,7 @@
 	struct rows *rows;
 	ev_signal terminate;
 	ev_signal interrupt;
+	ev_prepare log_turn; /* writes what one turn of the loop has told */
 	struct stop *stop;
 	struct on_platform *on_platform;
 	struct reload *reload;
@@ -248,8 +249,19 @@
 	return true;
 }
 
+static void handle_log_turn(struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+	(void)loop;
+	(void)prepare;
+	(void)events;
+	log_flush();
+}
+
 static void watch_signals(struct assembly *assembly)
 {
+	ev_prepare_init(&assembly->log_turn, handle_log_turn);
+	ev_prepare_start(assembly->daemon.loop, &assembly->log_turn);
+	log_collect();
 	ev_signal_init(&assembly->terminate, handle_signal, SIGTERM);
 	ev_signal_init(&assembly->interrupt, handle_signal, SIGINT);
 	assembly->terminate.data = assembly;
@@ -321,6 +333,8 @@
 	config_store_destroy(daemon->config);
 	http_client_destroy(daemon->http);
 	ev_signal_stop(daemon->loop, &assembly->terminate);
+	ev_prepare_stop(daemon->loop, &assembly->log_turn);
+	log_flush();
 	ev_signal_stop(daemon->loop, &assembly->interrupt);
 	timeline_finish(&daemon->timeline);
 	ev_loop_destroy(daemon->loop);
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -1,7 +1,5 @@
 #include "comfreydockd/caller/call.h"
 
-#include <inttypes.h>
-
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/health.h"
 #include "comfreydockd/decide/pace.h"
@@ -195,9 +193,14 @@
 	attempt->epoch = health_note_sent(&upstream->service->health,
 					  &upstream->health, attempt->sent_us);
 	counters.entry_attempts++;
-	call_note_event(call, is_hedge ? EV_ENTRY_HEDGED : EV_ENTRY_SENT,
-			"seq=%" PRIu64 " to=%s may-queue=%d", attempt->seq,
-			upstream->host, may_queue);
+	call_note(call, is_hedge ? EV_ENTRY_HEDGED : EV_ENTRY_SENT,
+		  LOG_INT("seq", attempt->seq), LOG_STR("to", upstream->host),
+		  LOG_INT("may_queue", may_queue),
+		  LOG_INT("outstanding", upstream->candidate.outstanding),
+		  LOG_INT("running", upstream->candidate.load.running),
+		  LOG_INT("pace", upstream->candidate.load.pace_percent),
+		  LOG_INT("load_age_us",
+			  attempt->sent_us - upstream->candidate.load_at_us));
 }
 
 void entry_attempt_cancel_waiting(struct entry_attempt *attempt)
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -1,6 +1,5 @@
 #include "comfreydockd/caller/call.h"
 
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,16 +11,14 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
-void call_note_event(struct call *call, enum event event, const char *format, ...)
+/* What became of its attempts, for the one line that tells of a failure. */
+static void call_remember(struct call *call,
+			  const struct entry_attempt *attempt, const char *end)
 {
-	char note[TIMELINE_NOTE_MAX];
-	va_list args;
+	size_t used = strlen(call->history);
 
-	va_start(args, format);
-	vsnprintf(note, sizeof(note), format, args);
-	va_end(args);
-	timeline_add(&call->entry->daemon->timeline, call->trace, event, "%s",
-		     note);
+	g_snprintf(call->history + used, sizeof(call->history) - used,
+		   "%s%s:%s", used ? "," : "", attempt->upstream->host, end);
 }
 
 static void timer_start_us(struct call *call, ev_timer *timer, int64_t us)
@@ -229,8 +226,12 @@
 	    reason == CFD__REASON__REASON_SLOW)
 		pick_tried_add(&call->tried_busy,
 			       attempt->upstream->candidate.id);
-	call_note_event(call, EV_ENTRY_NOT_RUN, "from=%s reason=%d",
-			attempt->upstream->host, reason);
+	call_note(call, EV_ENTRY_NOT_RUN,
+		  LOG_STR("from", attempt->upstream->host),
+		  LOG_STR("reason", outcome_reason_name(reason)),
+		  LOG_INT("after_us", clock_mono_us() - attempt->sent_us),
+		  LOG_INT("come_back_ms", retry_after_ms));
+	call_remember(call, attempt, outcome_reason_name(reason));
 	entry_attempt_destroy(attempt);
 	if (!LIST_EMPTY(&call->active))
 		return; /* the other one goes on */
@@ -247,8 +248,11 @@
 	enum attempt_entry_state state = attempt->state;
 	bool answering = call->answering == attempt;
 
-	call_note_event(call, EV_ENTRY_UNKNOWN, "from=%s",
-			attempt->upstream->host);
+	call_note(call, EV_ENTRY_UNKNOWN,
+		  LOG_STR("from", attempt->upstream->host),
+		  LOG_STR("why", lost ? "lost" : "timeout"),
+		  LOG_INT("after_us", clock_mono_us() - attempt->sent_us));
+	call_remember(call, attempt, lost ? "lost" : "timeout");
 	entry_attempt_destroy(attempt);
 	if (answering) {
 		/* Ended here it would look whole: the connection must break. */
@@ -280,8 +284,10 @@
 	call_stop_patience(call);
 	hedge_note_latency(&call->service->hedge,
 			   attempt->head_us - call->began_us);
-	call_note_event(call, EV_ENTRY_ANSWERED, "from=%s status=%u",
-			attempt->upstream->host, answer->status);
+	call_note(call, EV_ENTRY_ANSWERED,
+		  LOG_STR("from", attempt->upstream->host),
+		  LOG_INT("status", answer->status),
+		  LOG_INT("after_us", attempt->head_us - attempt->sent_us));
 	fields_init(&fields);
 	for (size_t i = 0; i < answer->n_headers; i++)
 		fields_add_passed(&fields, call->entry->daemon->headers,
@@ -306,7 +312,9 @@
 
 	counters.caller_run++;
 	call->answered = true;
-	call_note_event(call, EV_ENTRY_ENDED, "run");
+	call_note(call, EV_ENTRY_ENDED, LOG_STR("outcome", "run"),
+		  LOG_INT("status", call->status),
+		  LOG_INT("took_us", clock_mono_us() - call->began_us));
 	call->sink->handle_end(call->sink_data);
 	call_free(call);
 }
@@ -524,6 +532,7 @@
 void call_abandon(struct call *call)
 {
 	counters.caller_gone++;
-	call_note_event(call, EV_ENTRY_CALLER_GONE, "%s", "");
+	call_note(call, EV_ENTRY_CALLER_GONE, LOG_STR("attempts", call->history),
+		  LOG_INT("took_us", clock_mono_us() - call->began_us));
 	call_free(call);
 }
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -207,9 +207,11 @@
 	LIST_INSERT_HEAD(&entry->calls, call, link);
 	entry->count++;
 	call_init_timers(call);
-	call_note_event(call, EV_ENTRY_TAKEN, "%s/%s rule=%s %s",
-			config->namespace, config->name,
-			rule->name ? rule->name : "-", request->method);
+	call_note(call, EV_ENTRY_TAKEN, LOG_STR("method", request->method),
+		  LOG_STR("service", config->name), LOG_STR("rule", rule->name),
+		  LOG_STR("group", call->group),
+		  LOG_INT("head", config_store_head(entry->daemon->config)),
+		  LOG_INT("left_us", call->deadline_us - call->began_us));
 	return call;
 }
 
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -1,5 +1,6 @@
 #include "comfreydockd/caller/call.h"
 
+#include "common/clock.h"
 #include "common/counters.h"
 
 #define STATUS_NOT_RUN 503
@@ -20,7 +21,7 @@
 	[CFD__REASON__REASON_SLOW] = "slow",
 };
 
-static const char *reason_name(Cfd__Reason reason)
+const char *outcome_reason_name(Cfd__Reason reason)
 {
 	if ((size_t)reason >= G_N_ELEMENTS(reason_names))
 		return reason_names[CFD__REASON__REASON_UNSPECIFIED];
@@ -68,15 +69,25 @@
 	fields_finish(&fields);
 }
 
+static void note_failed(struct call *call, const char *outcome, const char *reason)
+{
+	call_note(call, EV_ENTRY_FAILED, LOG_STR("outcome", outcome),
+		  LOG_STR("reason", reason), LOG_STR("group", call->group),
+		  LOG_STR("rule", call->rule->name),
+		  LOG_INT("took_us", clock_mono_us() - call->began_us),
+		  LOG_INT("left_us", call->deadline_us - clock_mono_us()),
+		  LOG_INT("come_back_ms", call->come_back_ms),
+		  LOG_STR("attempts", call->history));
+}
+
 void outcome_say_not_run(struct call *call)
 {
 	const struct headers *headers = call->entry->daemon->headers;
-	const char *reason = reason_name(call->reason);
+	const char *reason = outcome_reason_name(call->reason);
 	struct fields fields;
 
 	counters.caller_not_run++;
-	call_note_event(call, EV_ENTRY_ENDED, "not-run %s come back in %u ms",
-			reason, call->come_back_ms);
+	note_failed(call, "not-run", reason);
 	fields_init(&fields);
 	outcome_add_fields(&fields, headers, "not-run", reason, call->trace);
 	add_come_back(&fields, headers, MAX(call->come_back_ms, 1));
@@ -90,8 +101,7 @@
 	struct fields fields;
 
 	counters.caller_unknown++;
-	call_note_event(call, EV_ENTRY_ENDED, "unknown %s",
-			call->lost ? "lost" : "timeout");
+	note_failed(call, "unknown", call->lost ? "lost" : "timeout");
 	fields_init(&fields);
 	outcome_add_fields(&fields, call->entry->daemon->headers, "unknown",
 			   call->lost ? "lost" : "timeout", call->trace);
--- a/comfreydockd/caller/silence.c
+++ b/comfreydockd/caller/silence.c
@@ -32,7 +32,9 @@
 		return;
 	}
 	counters.caller_aborted++;
-	call_note_event(call, EV_ENTRY_ENDED, "aborted: the answer stopped");
+	call_note(call, EV_ENTRY_FAILED, LOG_STR("outcome", "aborted"),
+		  LOG_STR("reason", "the answer stopped"),
+		  LOG_STR("attempts", call->history));
 	call->sink->handle_abort(call->sink_data);
 	call_free(call);
 }
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -8,15 +8,15 @@
 #include "common/counters.h"
 #include "common/log.h"
 
-static void attempt_note(struct owner_attempt *attempt, enum event event,
-			 const char *note)
-{
-	struct daemon *daemon = owner_daemon(attempt->owner);
-
-	timeline_add(&daemon->timeline, attempt->request->trace, event,
-		     "seq=%" PRIu64 " from=%s %s", attempt->request->seq,
-		     attempt->peer ? peer_host(attempt->peer) : "-", note);
-}
+/* Into the time line and the log, with the attempt's number and entry. */
+#define attempt_note(attempt, event, ...)                                  \
+	timeline_note(&owner_daemon((attempt)->owner)->timeline,           \
+		      (attempt)->request->trace, event,                    \
+		      LOG_INT("seq", (attempt)->request->seq),             \
+		      LOG_STR("from", (attempt)->peer ?                    \
+					      peer_host((attempt)->peer) : \
+					      "-"),                        \
+		      __VA_ARGS__)
 
 void attempt_destroy(struct owner_attempt *attempt)
 {
@@ -41,7 +41,11 @@
 	name = protobuf_c_enum_descriptor_get_value(&cfd__reason__descriptor,
 						    (int)reason);
 	counters.owner_refused++;
-	attempt_note(attempt, EV_OWNER_REFUSED, name ? name->name : "");
+	attempt_note(attempt, EV_OWNER_REFUSED,
+		     LOG_STR("reason", name ? name->name : ""),
+		     LOG_INT("running", owner_running(attempt->owner)),
+		     LOG_INT("pace", owner_pace_percent(attempt->owner)),
+		     LOG_INT("pace_age_us", owner_pace_age_us(attempt->owner)));
 	if (attempt->peer) {
 		owner_fill_load(attempt->owner, &load);
 		not_run.seq = attempt->request->seq;
@@ -179,7 +183,8 @@
 	bool failed = attempt->status >= 500;
 
 	attempt_owner_step(&attempt->state, OWNER_FINISH);
-	attempt_note(attempt, EV_OWNER_DONE, "");
+	attempt_note(attempt, EV_OWNER_DONE, LOG_INT("status", attempt->status),
+		     LOG_INT("took_us", clock_mono_us() - attempt->started_us));
 	owner_note_over(attempt->owner, attempt,
 			failed ? LIMIT_OUTCOME_FAILED : LIMIT_OUTCOME_OK);
 	attempt_send_body(attempt, NULL, 0, true, false);
@@ -211,7 +216,8 @@
 {
 	attempt_owner_step(&attempt->state, OWNER_BREAK);
 	counters.owner_broken++;
-	attempt_note(attempt, EV_OWNER_BROKEN, why);
+	attempt_note(attempt, EV_OWNER_BROKEN, LOG_STR("why", why),
+		     LOG_INT("took_us", clock_mono_us() - attempt->started_us));
 	owner_note_over(attempt->owner, attempt, LIMIT_OUTCOME_CANCELLED);
 	if (has_head)
 		attempt_send_body(attempt, NULL, 0, false, true);
@@ -332,7 +338,11 @@
 	attempt->started_us = now;
 	attempt->pace_percent = owner_pace_percent(attempt->owner);
 	attempt->credit = ATTEMPT_ANSWER_WINDOW;
-	attempt_note(attempt, EV_OWNER_STARTED, "");
+	attempt_note(attempt, EV_OWNER_STARTED,
+		     LOG_INT("waited_us", now - attempt->arrived_us),
+		     LOG_INT("running", owner_running(attempt->owner)),
+		     LOG_INT("pace", attempt->pace_percent),
+		     LOG_INT("pace_age_us", owner_pace_age_us(attempt->owner)));
 	counters.owner_started++;
 	attempt_fill_fields(attempt, &fields, attempt->item.deadline_us - now);
 	attempt->run = run_create(owner_pool(attempt->owner), &run,
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -20,6 +20,7 @@
 	counters.owner_attempts++;
 	timeline_observe(&owner->daemon->timeline, request->time);
 	attempt->owner = owner;
+	attempt->arrived_us = now;
 	attempt->peer = peer;
 	attempt->request = request;
 	attempt->body_ends = request->body_ends;
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -488,6 +488,16 @@
 	TAILQ_REMOVE(&owner->held, attempt, held_link);
 }
 
+int64_t owner_pace_age_us(const struct owner *owner)
+{
+	return owner->pace.at_us ? clock_mono_us() - owner->pace.at_us : -1;
+}
+
+uint32_t owner_running(const struct owner *owner)
+{
+	return owner->running;
+}
+
 uint32_t owner_pace_percent(const struct owner *owner)
 {
 	return owner->pace.percent;
--- a/common/log.c
+++ b/common/log.c
@@ -1,33 +1,52 @@
 #include "common/log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
-#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/clock.h"
-
-static struct {
-	enum log_format format;
-	char process[64];
-} log_state = {.format = LOG_FORMAT_TEXT};
+#include "common/counters.h"
 
 /* Event numbers lie between 1000 and 1999. */
-#define LOG_RATES 1000
-#define LOG_LINES_PER_SECOND 50
+#define RATES 1000
+/* Of one event, where it is a belief: a host that flaps must not take the
+ * lines of all others. */
+#define BELIEF_LINES_PER_S 50
 
 struct log_rate {
-	int64_t second;
-	unsigned int lines;
-	uint64_t dropped;
+	unsigned int lines; /* in this second */
+	uint64_t dropped; /* since it was last told */
 };
 
-static struct log_rate log_rates[LOG_RATES];
+static struct {
+	enum log_format format;
+	char process[64];
+	unsigned int lines_per_s;
+	unsigned int bytes_per_s;
+	int64_t second;
+	unsigned int lines; /* in this second */
+	unsigned int bytes;
+	unsigned int routine_asked; /* lines that wanted to be written */
+	double routine_share; /* of the requests, drawn by their trace */
+	bool has_dropped;
+	bool collects;
+	bool is_told; /* what was left out: no line may lead to another */
+	GString *buffer;
+	struct log_rate rates[RATES];
+} state = {
+	.format = LOG_FORMAT_TEXT,
+	.lines_per_s = LOG_LINES_PER_S,
+	.bytes_per_s = LOG_BYTES_PER_S,
+	.routine_share = 1.0,
+};
 
 const char *log_event_name(enum event id)
 {
 	switch (id) {
-#define EVENT(number, name, text) \
-	case EV_##name:           \
+#define EVENT(number, name, text, class) \
+	case EV_##name:                  \
 		return text;
 #include "common/events.def"
 #undef EVENT
@@ -35,6 +54,18 @@
 	return "unknown";
 }
 
+enum log_class log_event_class(enum event id)
+{
+	switch (id) {
+#define EVENT(number, name, text, class) \
+	case EV_##name:                  \
+		return LOG_CLASS_##class;
+#include "common/events.def"
+#undef EVENT
+	}
+	return LOG_CLASS_BELIEF;
+}
+
 static void append_json_string(GString *line, const char *s)
 {
 	g_string_append_c(line, '"');
@@ -71,27 +102,36 @@
 		g_string_append_printf(line, "%" G_GINT64_FORMAT, field->number);
 }
 
+/* The seconds are the same in some hundred lines: rendered once. */
 static void append_time(GString *line)
 {
+	static int64_t rendered = -1;
+	static char text[32];
 	int64_t now = clock_wall_us();
-	GDateTime *time = g_date_time_new_from_unix_utc(now / US_PER_S);
-	char *text = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
 
+	if (now / US_PER_S != rendered) {
+		GDateTime *time = g_date_time_new_from_unix_utc(now / US_PER_S);
+		char *whole = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
+
+		g_strlcpy(text, whole, sizeof(text));
+		g_free(whole);
+		g_date_time_unref(time);
+		rendered = now / US_PER_S;
+	}
 	g_string_append_printf(line, "%s.%06" G_GINT64_FORMAT "Z", text,
 			       now % US_PER_S);
-	g_free(text);
-	g_date_time_unref(time);
 }
 
 static char *render_json(enum event id, const struct log_field *fields)
 {
-	GString *line = g_string_new("{\"time\":\"");
+	GString *line = g_string_sized_new(256);
 
+	g_string_append(line, "{\"time\":\"");
 	append_time(line);
 	g_string_append_printf(line, "\",\"event\":%d,\"name\":\"%s\",", id,
 			       log_event_name(id));
 	g_string_append(line, "\"process\":");
-	append_json_string(line, log_state.process);
+	append_json_string(line, state.process);
 	for (; fields->key; fields++)
 		append_json_field(line, fields);
 	g_string_append_c(line, '}');
@@ -100,16 +140,54 @@
 
 static char *render_text(enum event id, const struct log_field *fields)
 {
-	GString *line = g_string_new(NULL);
+	GString *line = g_string_sized_new(256);
 
 	append_time(line);
-	g_string_append_printf(line, " %d %s %s", id, log_state.process,
+	g_string_append_printf(line, " %d %s %s", id, state.process,
 			       log_event_name(id));
 	for (; fields->key; fields++)
 		append_text_field(line, fields);
 	return g_string_free(line, FALSE);
 }
 
+/* Whole lines only: half of one would spoil the next. */
+static void drop_rest(void)
+{
+	char *end = strchr(state.buffer->str, '\n');
+
+	/* The line that was begun is kept, to be ended later. */
+	for (char *at = end ? end + 1 : NULL; at && *at; at = end + 1) {
+		counters.log_lines_dropped++;
+		end = strchr(at, '\n');
+		if (!end)
+			break;
+	}
+	if (end)
+		g_string_truncate(state.buffer,
+				  (gsize)(strchr(state.buffer->str, '\n') + 1 -
+					  state.buffer->str));
+}
+
+void log_flush(void)
+{
+	ssize_t written;
+
+	if (!state.buffer || state.buffer->len == 0)
+		return;
+	written = write(STDOUT_FILENO, state.buffer->str, state.buffer->len);
+	if (written > 0)
+		g_string_erase(state.buffer, 0, written);
+	else if (written < 0 && errno != EAGAIN && errno != EINTR)
+		g_string_truncate(state.buffer, 0); /* nobody reads */
+	if (state.buffer->len > LOG_BUFFER_BYTES)
+		drop_rest();
+}
+
+void log_collect(void)
+{
+	state.collects = true;
+}
+
 /* Lines reach the writer rendered; whatever GLib itself warns of does not. */
 static GLogWriterOutput handle_log_line(GLogLevelFlags level,
 					const GLogField *fields, gsize count,
@@ -117,50 +195,138 @@
 {
 	const char *message = "";
 
-	(void)level;
 	(void)data;
 	for (gsize i = 0; i < count; i++) {
 		if (strcmp(fields[i].key, "MESSAGE") == 0)
 			message = fields[i].value;
 	}
-	fprintf(stderr, "%s\n", message);
+	if (!state.buffer)
+		state.buffer = g_string_new(NULL);
+	g_string_append(state.buffer, message);
+	g_string_append_c(state.buffer, '\n');
+	if (!state.collects || state.buffer->len > LOG_BUFFER_BYTES ||
+	    (level & G_LOG_FLAG_FATAL))
+		log_flush();
 	return G_LOG_WRITER_HANDLED;
 }
 
 void log_init(enum log_format format, const char *process)
 {
 	static bool writer_is_set;
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
 
-	log_state.format = format;
-	g_strlcpy(log_state.process, process, sizeof(log_state.process));
+	state.format = format;
+	g_strlcpy(state.process, process, sizeof(state.process));
 	if (!writer_is_set)
 		g_log_set_writer_func(handle_log_line, NULL, NULL);
 	writer_is_set = true;
+	if (format != LOG_FORMAT_NONE && flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-/*
- * A stranger that knocks a thousand times a second, or a host that flaps, would
- * otherwise fill the log's disk or pipe and take the loop's time. RETURN VALUE:
- * false where this event has had its lines for this second.
- */
-static bool log_is_allowed(enum event id)
+void log_set_budget(unsigned int lines, unsigned int bytes)
 {
-	struct log_rate *rate = &log_rates[(unsigned int)id % LOG_RATES];
-	int64_t second = clock_mono_us() / US_PER_S;
-	uint64_t dropped = rate->dropped;
+	state.lines_per_s = lines ? lines : state.lines_per_s;
+	state.bytes_per_s = bytes ? bytes : state.bytes_per_s;
+}
 
-	if (rate->second != second) {
-		rate->second = second;
-		rate->lines = 0;
-		rate->dropped = 0;
-		if (dropped)
+/* One line for each event that was cut short. */
+static void tell_dropped(void)
+{
+	state.has_dropped = false;
+	state.is_told = true;
+	for (unsigned int i = 0; i < RATES; i++) {
+		struct log_rate *rate = &state.rates[i];
+
+		if (rate->dropped)
 			log_event(EV_LOG_SUPPRESSED,
-				  LOG_STR("event", log_event_name(id)),
-				  LOG_INT("lines", dropped));
+				  LOG_STR("event", log_event_name((enum event)(
+							   i + RATES))),
+				  LOG_INT("lines", rate->dropped));
+		counters.log_lines_left_out += rate->dropped;
+		rate->dropped = 0;
 	}
-	if (++rate->lines <= LOG_LINES_PER_SECOND)
+	state.is_told = false;
+}
+
+/* How many of the requests fit into the share of the routine, by what there was
+ * to tell in the last second. */
+static void adapt_routine_share(void)
+{
+	double allowed = state.lines_per_s * LOG_ROUTINE_SHARE;
+	double asked = state.routine_asked;
+
+	state.routine_share = asked > allowed ? allowed / asked : 1.0;
+	state.routine_asked = 0;
+}
+
+static void begin_second(int64_t second)
+{
+	state.second = second;
+	state.lines = 0;
+	state.bytes = 0;
+	for (unsigned int i = 0; i < RATES; i++)
+		state.rates[i].lines = 0;
+	adapt_routine_share();
+	if (state.has_dropped)
+		tell_dropped();
+}
+
+static const char *find_trace(const struct log_field *fields)
+{
+	for (; fields->key; fields++) {
+		if (fields->text && strcmp(fields->key, LOG_TRACE_KEY) == 0)
+			return fields->text;
+	}
+	return NULL;
+}
+
+/* The same at each daemon: whichever has the least share writes a part of what
+ * the others write. */
+static bool trace_is_drawn(const char *trace)
+{
+	return !trace || g_str_hash(trace) * 2654435761u <=
+				 state.routine_share * (double)G_MAXUINT32;
+}
+
+static bool has_budget(double share)
+{
+	return state.lines < state.lines_per_s * share &&
+	       state.bytes < state.bytes_per_s * share;
+}
+
+static bool is_allowed(enum event id, const struct log_field *fields)
+{
+	const struct log_rate *rate = &state.rates[(unsigned int)id % RATES];
+
+	switch (log_event_class(id)) {
+	case LOG_CLASS_BELIEF:
+		return has_budget(1.0) && rate->lines < BELIEF_LINES_PER_S;
+	case LOG_CLASS_FAILURE:
+		return has_budget(LOG_FAILURE_SHARE);
+	case LOG_CLASS_ROUTINE:
+		state.routine_asked++;
+		return trace_is_drawn(find_trace(fields)) &&
+		       has_budget(LOG_ROUTINE_SHARE);
+	}
+	return true;
+}
+
+/* RETURN VALUE: false where this event has had its part of this second. */
+static bool take_budget(enum event id, const struct log_field *fields)
+{
+	struct log_rate *rate = &state.rates[(unsigned int)id % RATES];
+	int64_t second = clock_mono_us() / US_PER_S;
+
+	if (state.second != second && !state.is_told)
+		begin_second(second);
+	if (id == EV_LOG_SUPPRESSED || is_allowed(id, fields)) {
+		rate->lines++;
+		state.lines++;
 		return true;
+	}
 	rate->dropped++;
+	state.has_dropped = true;
 	return false;
 }
 
@@ -168,10 +334,12 @@
 {
 	char *line;
 
-	if (log_state.format == LOG_FORMAT_NONE || !log_is_allowed(id))
+	if (state.format == LOG_FORMAT_NONE || !take_budget(id, fields))
 		return;
-	line = log_state.format == LOG_FORMAT_JSON ? render_json(id, fields) :
-						     render_text(id, fields);
+	line = state.format == LOG_FORMAT_JSON ? render_json(id, fields) :
+						 render_text(id, fields);
+	state.bytes += (unsigned int)strlen(line) + 1;
+	counters.log_lines++;
 	g_log_structured("comfreydock", G_LOG_LEVEL_MESSAGE, "MESSAGE", "%s",
 			 line);
 	g_free(line);
--- a/common/timeline.c
+++ b/common/timeline.c
@@ -50,6 +50,30 @@
 	va_end(args);
 }
 
+void timeline_note_fields(struct timeline *timeline, const char *trace,
+			  enum event id, const struct log_field *fields)
+{
+	char note[TIMELINE_NOTE_MAX] = "";
+	size_t used = 0;
+
+	for (const struct log_field *field = fields + 1;
+	     field->key && used < sizeof(note); field++) {
+		const char *gap = used ? " " : "";
+
+		if (field->text)
+			used += (size_t)g_snprintf(
+				note + used, sizeof(note) - used, "%s%s=%s",
+				gap, field->key, field->text);
+		else
+			used += (size_t)g_snprintf(note + used,
+						   sizeof(note) - used,
+						   "%s%s=%" G_GINT64_FORMAT, gap,
+						   field->key, field->number);
+	}
+	timeline_add(timeline, trace, id, "%s", note);
+	log_event_fields(id, fields);
+}
+
 static json_object *entry_to_json(const struct timeline_entry *entry,
 				  const char *process)
 {
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -25,6 +25,8 @@
 #define CALL_BODY_KEPT (64 * 1024)
 /* Credit for an answer is given back in pieces of this size. */
 #define CALL_CREDIT_STEP (64 * 1024)
+/* Half a dozen attempts with the names of their hosts. */
+#define CALL_HISTORY_MAX 256
 
 struct entry_attempt {
 	LIST_ENTRY(entry_attempt) link; /* of its call */
@@ -81,6 +83,7 @@
 	bool lost; /* and by a lost connection, not by time */
 	Cfd__Reason reason; /* of the last refusal */
 	uint32_t come_back_ms;
+	char history[CALL_HISTORY_MAX]; /* "HOST:END,...", of its attempts */
 	struct entry_attempt_list active;
 	struct entry_attempt *answering;
 	size_t consumed; /* not yet given back as credit */
@@ -146,8 +149,12 @@
 void call_note_verdict(struct entry_attempt *attempt, bool is_overdue);
 void call_note_room(struct entry_attempt *attempt, uint32_t bytes);
 
-void call_note_event(struct call *call, enum event event, const char *format,
-		     ...) G_GNUC_PRINTF(3, 4);
+/* Into the time line and the log. */
+#define call_note(call, event, ...)                                           \
+	timeline_note(&(call)->entry->daemon->timeline, (call)->trace, event, \
+		      __VA_ARGS__)
+
+const char *outcome_reason_name(Cfd__Reason reason);
 
 /* outcome.c: answers of our own; the call is freed by the caller of these */
 
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -39,6 +39,7 @@
 	int64_t target_us; /* an answer by then is in time */
 	uint32_t pace_percent; /* of the host at the start */
 	struct run *run;
+	int64_t arrived_us;
 	int64_t started_us;
 	int64_t head_us; /* when the answer began; 0: not yet */
 	int64_t stalled_since_us; /* no credit since; 0: has credit */
@@ -92,6 +93,8 @@
 
 /* RETURN VALUE: the host's pace as last told; 0: never. */
 uint32_t owner_pace_percent(const struct owner *owner);
+int64_t owner_pace_age_us(const struct owner *owner);
+uint32_t owner_running(const struct owner *owner);
 
 /* The upstream refused a connection. */
 void owner_note_refused(struct owner *owner);
--- a/include/common/timeline.h
+++ b/include/common/timeline.h
@@ -45,6 +45,20 @@
 void timeline_add(struct timeline *timeline, const char *trace, enum event id,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
 
+/*
+ * The same, and a line in the log: the fields become the note, "key=value".
+ * They end with a key of NULL.
+ */
+#define timeline_note(timeline, trace, id, ...)              \
+	timeline_note_fields(                                \
+		(timeline), (trace), (id),                   \
+		(const struct log_field[]){LOG_TRACE(trace), \
+					   __VA_ARGS__ __VA_OPT__(, ){0}})
+
+/* The first field is the trace. */
+void timeline_note_fields(struct timeline *timeline, const char *trace,
+			  enum event id, const struct log_field *fields);
+
 /* The time to put on a frame that leaves. */
 uint64_t timeline_now(struct timeline *timeline);
 
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -63,6 +63,7 @@
 
 		if (process->pid > 0)
 			kill(process->pid, SIGKILL);
+		print_log_end(process->out_path);
 		print_log_end(process->err_path);
 	}
 	remove_files(current);
@@ -297,7 +298,7 @@
 	char *argv[] = {program_path("comfreydockd/comfreydockd"), "--config",
 			(char *)settings_path, NULL};
 	struct rig_process *process = spawn(rig, name, argv);
-	char *line = wait_for_line(process, process->err_path, "\"event\":1000,");
+	char *line = wait_for_line(process, process->out_path, "\"event\":1000,");
 
 	process->caller_port = port_in(line, "caller_port");
 	process->peer_port = port_in(line, "peer_port");
@@ -394,5 +395,5 @@
 
 char *rig_read_log(const struct rig_process *process)
 {
-	return read_file(process->err_path);
+	return read_file(process->out_path);
 }
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -10,7 +10,7 @@
 };
 
 static const struct event_row events[] = {
-#define EVENT(number, name, text) {number, text},
+#define EVENT(number, name, text, class) {number, text},
 #include "common/events.def"
 #undef EVENT
 };
