--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -5,6 +5,7 @@
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/subset.h"
 #include "comfreydockd/decide/warm.h"
+#include "comfreydockd/headers.h"
 #include "comfreydockd/settings.h"
 #include "common/clock.h"
 #include "common/id.h"
@@ -12,6 +13,10 @@
 
 /* A service without calls for so long is left out of the tick. */
 #define ACTIVE_US (10 * US_PER_S)
+/* Of an upstream that warms up and tells its load: it takes all its slots, at
+ * about half the speed. With a tenth at first, nearly all calls would be told
+ * that there is no room where all upstreams start together. */
+#define WARM_LEAST 0.5
 
 LIST_HEAD(service_list, service);
 
@@ -121,6 +126,9 @@
 	upstream->candidate.warm =
 		(double)warm_weight_permille(&ramp, clock_mono_us()) /
 		WARM_FULL_PERMILLE;
+	if (service->services->daemon->headers->load)
+		upstream->candidate.warm =
+			MAX(upstream->candidate.warm, WARM_LEAST);
 	health_set_available(&service->health, &upstream->health,
 			     member_is_usable(member));
 }
--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -29,7 +29,8 @@
 /*
  * Held while an end of the spell would still bring the answer in time; then
  * begun if it can be answered at all at this pace; else held to the last
- * moment that an end of the spell leaves for it.
+ * moment that an end of the spell leaves for it, and then refused: begun, it
+ * would take a slot for an answer that nobody gets.
  */
 enum pace_verdict pace_judge(const struct pace *pace,
 			     const struct pace_item *item, int64_t now_us)
@@ -48,5 +49,5 @@
 		return PACE_START;
 	if (now_us + item->work_us <= item->deadline_us)
 		return PACE_HOLD;
-	return PACE_START;
+	return PACE_TOO_LATE;
 }
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -90,6 +90,9 @@
 		counters.gate_turned_back++;
 		gate_refuse(owner, attempt, CFD__REASON__REASON_SLOW);
 		break;
+	case PACE_TOO_LATE:
+		gate_refuse(owner, attempt, CFD__REASON__REASON_DEADLINE);
+		break;
 	case PACE_HOLD:
 		gate_hold(owner, attempt);
 		break;
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -36,12 +36,18 @@
 
 static struct queue_slots owner_slots(const struct owner *owner)
 {
+	uint32_t limit = limit_current(&owner->limit);
 	struct queue_slots slots = {
 		.running = owner->running,
-		.limit = warm_slots(&owner->warm, limit_current(&owner->limit),
-				    clock_mono_us()),
+		.limit = limit,
 	};
 
+	/* One that tells its slots and its load takes them all from the start,
+	 * more slowly: held back by its own daemon, too, it would refuse nine
+	 * in ten where all upstreams have just been started together. */
+	if (!owner->daemon->headers->load)
+		slots.limit = warm_slots(&owner->warm, limit, clock_mono_us());
+
 	return slots;
 }
 
@@ -321,6 +327,7 @@
 	ev_timer_init(&owner->stale, handle_due, 0.0, 0.0);
 	owner_init_sweep(owner);
 	gate_init(owner);
+	report_check_init(owner);
 	owner->turn_end.data = owner;
 	owner->wake.data = owner;
 	owner->stale.data = owner;
@@ -356,6 +363,7 @@
 		TAILQ_REMOVE(&owner->runs, attempt, running_link);
 		attempt_destroy(attempt);
 	}
+	ev_timer_stop(owner->daemon->loop, &owner->check_timer);
 	report_check_finish(&owner->check);
 	probe_destroy(owner->probe);
 	run_pool_destroy(owner->pool);
@@ -527,6 +535,7 @@
 void owner_note_config(struct owner *owner)
 {
 	probe_configure(owner->probe);
+	report_check_again(owner);
 }
 
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -148,9 +148,12 @@
 	if (!owner->check.is_open || owner->lifetime.left)
 		return;
 	if (answer->status / 100 == 2 && instance &&
-	    strcmp(instance, owner->lifetime.instance) == 0)
+	    strcmp(instance, owner->lifetime.instance) == 0) {
 		confirm(owner, "health");
-	else
+		return;
+	}
+	ev_timer_again(owner->daemon->loop, &owner->check_timer);
+	if (owner->check.asked++ == 0)
 		log_event(EV_OWNER_UNCONFIRMED,
 			  LOG_STR("instance", owner->lifetime.instance),
 			  LOG_STR("answers", instance ? instance : ""),
@@ -183,6 +186,28 @@
 	return true;
 }
 
+static void handle_check_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct owner *owner = timer->data;
+
+	(void)events;
+	ev_timer_stop(loop, timer);
+	report_check_again(owner);
+}
+
+void report_check_init(struct owner *owner)
+{
+	ev_timer_init(&owner->check_timer, handle_check_timer, 0.0,
+		      REPORT_CHECK_AGAIN_S);
+	owner->check_timer.data = owner;
+}
+
+void report_check_again(struct owner *owner)
+{
+	if (owner->check.is_open && !owner->lifetime.left)
+		ask_health(owner);
+}
+
 static void check_fill(struct report_check *check, const struct report *report)
 {
 	g_free(check->group);
--- a/include/comfreydockd/decide/pace.h
+++ b/include/comfreydockd/decide/pace.h
@@ -56,6 +56,7 @@
 	PACE_START,
 	PACE_HOLD,
 	PACE_TURN_BACK,
+	PACE_TOO_LATE, /* not even an end of the spell now would help */
 };
 
 /* RETURN VALUE: true if a slow spell begins or ends with this figure. */
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -29,6 +29,7 @@
 	struct report_lifetime lifetime; /* of the upstream, if it reports */
 	bool is_closed; /* by the operator or this daemon's stop */
 	bool is_stopping;
+	ev_timer check_timer;
 	struct report_check check; /* of a start that is not confirmed yet */
 	struct gauge *gauge;
 	struct pace pace;
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -83,6 +83,7 @@
  */
 #define REPORT_CONFIRMING 3 /* reports of one start */
 #define REPORT_CHECK_TIMEOUT_MS 200 /* a health answer on the same host */
+#define REPORT_CHECK_AGAIN_S 0.25 /* a start takes longer than that */
 
 struct http_pending;
 
@@ -90,6 +91,7 @@
 struct report_check {
 	bool is_open; /* a start waits to be confirmed */
 	unsigned int reports; /* of this start */
+	unsigned int asked; /* in vain */
 	struct http_pending *pending;
 	char *group; /* and the rest, as last reported */
 	char *address;
@@ -100,6 +102,12 @@
 
 void report_check_finish(struct report_check *check);
 
+/* Sets up the owner's timer for it. */
+void report_check_init(struct owner *owner);
+
+/* Asks now, as where the health path has just become known. */
+void report_check_again(struct owner *owner);
+
 /* The owner's side: takes a report or a good-bye, and acts on it. */
 enum report_verdict owner_take_report(struct owner *owner,
 				      const struct report *report);
