--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -114,11 +114,11 @@
 	heap_init(&queue->by_latest_start, queue_is_stale_before);
 	queue->overall.mean_us = QUEUE_SERVICE_INITIAL_US;
 	queue->overall.median_us = QUEUE_SERVICE_INITIAL_US;
-	for (uint32_t i = 0; i < QUEUE_CLASSES; i++) {
+	for (uint32_t i = 0; i < QUEUE_LANES; i++)
 		fair_init(&queue->lanes[i], options->fair, options->seed,
 			  options->policy->is_before);
+	for (uint32_t i = 0; i < QUEUE_CLASSES; i++)
 		queue->service[i] = queue->overall;
-	}
 }
 
 static uint32_t queue_lane(const struct queue *queue, enum config_class class)
@@ -142,7 +142,7 @@
 				      const struct queue_item *item,
 				      const struct queue_slots *slots)
 {
-	uint32_t lane = queue_lane(queue, item->class);
+	uint32_t lane = item->lane;
 	int64_t work_us =
 		fair_work_ahead_later_us(&queue->lanes[lane], item->key_hash);
 
@@ -151,10 +151,10 @@
 	return queue_wait_for_us(queue, work_us, slots);
 }
 
-int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
-			      uint64_t key_hash, const struct queue_slots *slots)
+static int64_t queue_foresee_in_us(const struct queue *queue, uint32_t lane,
+				   uint64_t key_hash,
+				   const struct queue_slots *slots)
 {
-	uint32_t lane = queue_lane(queue, class);
 	int64_t work_us = fair_work_ahead_us(&queue->lanes[lane], key_hash);
 
 	for (uint32_t above = 0; above < lane; above++)
@@ -162,12 +162,45 @@
 	return queue_wait_for_us(queue, work_us, slots);
 }
 
+int64_t queue_foresee_wait_us(const struct queue *queue, enum config_class class,
+			      uint64_t key_hash, const struct queue_slots *slots)
+{
+	return queue_foresee_in_us(queue, queue_lane(queue, class), key_hash,
+				   slots);
+}
+
+/* True where a start after wait_us would be answered beyond the target. */
+static bool queue_misses_target(const struct queue *queue,
+				const struct queue_item *item, int64_t wait_us,
+				int64_t now_us)
+{
+	int64_t service_us = queue_median_service_us(queue, item->class);
+
+	return item->target_us &&
+	       now_us + wait_us + service_us > item->target_us;
+}
+
+/* The lane that an item would wait in. */
+static uint32_t queue_lane_for(const struct queue *queue,
+			       const struct queue_item *item,
+			       const struct queue_slots *slots, int64_t now_us)
+{
+	uint32_t lane = queue_lane(queue, item->class);
+	int64_t wait_us =
+		queue_foresee_in_us(queue, lane, item->key_hash, slots);
+
+	if (queue->policy->by_class &&
+	    queue_misses_target(queue, item, wait_us, now_us))
+		lane += QUEUE_CLASSES;
+	return lane;
+}
+
 int64_t queue_expected_wait_us(const struct queue *queue,
 			       const struct queue_slots *slots)
 {
 	int64_t work_us = 0;
 
-	for (uint32_t i = 0; i < QUEUE_CLASSES; i++)
+	for (uint32_t i = 0; i < QUEUE_LANES; i++)
 		work_us += queue->lanes[i].work_us;
 	return queue_wait_for_us(queue, work_us, slots);
 }
@@ -250,8 +283,7 @@
 		return QUEUE_REFUSED_BUSY;
 	if (queue_is_full_for(queue, item))
 		return QUEUE_REFUSED_FULL;
-	wait_us =
-		queue_foresee_wait_us(queue, item->class, item->key_hash, slots);
+	wait_us = queue_foresee_in_us(queue, item->lane, item->key_hash, slots);
 	if (queue->policy->by_class && queue_is_standing(queue, now_us))
 		wait_us = queue_foresee_later_us(queue, item, slots);
 	allowed_us = queue->policy->allowed_wait_us(queue, item, now_us);
@@ -265,7 +297,6 @@
 			 int64_t now_us)
 {
 	item->sequence = queue->next_sequence++;
-	item->lane = queue_lane(queue, item->class);
 	item->fair.key_hash = item->key_hash;
 	item->fair.cost_us = queue->service[item->class].mean_us;
 	item->is_queued = true;
@@ -304,6 +335,7 @@
 
 	queue_note_offered(queue, item, slots, now_us);
 	item->is_queued = false;
+	item->lane = queue_lane_for(queue, item, slots, now_us);
 	item->latest_start_us = queue->policy->latest_start_us(queue, item);
 	if (queue_doubts_estimate(queue, item, slots, now_us)) {
 		item->latest_start_us = item->deadline_us;
@@ -373,12 +405,13 @@
 /* The first lane that has been passed over for long, or else the first. */
 static uint32_t queue_choose_lane(const struct queue *queue)
 {
-	uint32_t first = QUEUE_CLASSES;
+	uint32_t first = QUEUE_LANES;
 
-	for (uint32_t i = 0; i < QUEUE_CLASSES; i++) {
+	for (uint32_t i = 0; i < QUEUE_LANES; i++) {
 		if (queue->lanes[i].length == 0)
 			continue;
-		if (queue->passed_over[i] >= QUEUE_CLASS_TURN)
+		if (i < QUEUE_CLASSES &&
+		    queue->passed_over[i] >= QUEUE_CLASS_TURN)
 			return i;
 		first = MIN(first, i);
 	}
@@ -395,6 +428,14 @@
 	}
 }
 
+/* It waited among those that could be in time, and can't be any more. */
+static bool queue_is_late_now(const struct queue *queue,
+			      const struct queue_item *item, int64_t now_us)
+{
+	return queue->policy->by_class && item->lane < QUEUE_CLASSES &&
+	       queue_misses_target(queue, item, 0, now_us);
+}
+
 struct queue_item *queue_pop(struct queue *queue, int64_t now_us,
 			     enum queue_verdict *verdict)
 {
@@ -407,10 +448,16 @@
 		return item;
 	if (queue->length == 0)
 		return NULL;
-	lane = queue_choose_lane(queue);
+	for (;;) {
+		lane = queue_choose_lane(queue);
+		next = fair_pop(&queue->lanes[lane]);
+		item = heap_entry(next, struct queue_item, fair);
+		if (!queue_is_late_now(queue, item, now_us))
+			break;
+		item->lane += QUEUE_CLASSES;
+		fair_push(&queue->lanes[item->lane], &item->fair);
+	}
 	queue_note_turn(queue, lane);
-	next = fair_pop(&queue->lanes[lane]);
-	item = heap_entry(next, struct queue_item, fair);
 	queue_forget(queue, item);
 	*verdict = QUEUE_ACCEPTED;
 	return item;
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -15,6 +15,11 @@
  *	becomes so: a timer set by it gives such a request its final answer at
  *	once, not first when a slot comes free.
  *
+ *	An item with a target comes out before all that can't meet theirs any
+ *	more, whatever their class: these get what the others leave. Without
+ *	this, once arrivals exceed the slots for a moment, each answer is late
+ *	by the same little, and nobody's is in time until arrivals fall.
+ *
  *	Where a slot is free, each fourth item that only the estimate speaks
  *	against is let through, and each one where nothing runs. Otherwise an
  *	estimate left high by a slow spell would refuse everything, and nothing
@@ -87,6 +92,8 @@
 #include "comfreydockd/decide/heap.h"
 
 #define QUEUE_CLASSES (CONFIG_CLASS_BULK + 1)
+/* By class those that can still be in time, then by class the others. */
+#define QUEUE_LANES (2 * QUEUE_CLASSES)
 #define QUEUE_CLASS_TURN 16
 
 enum queue_verdict {
@@ -103,6 +110,7 @@
 struct queue_item {
 	enum config_class class;
 	int64_t deadline_us;
+	int64_t target_us; /* an answer by then is in time; 0: any is */
 	uint64_t key_hash; /* fair_hash() of the fairness key */
 	bool may_queue; /* false: refuse rather than wait */
 
@@ -159,7 +167,7 @@
 	uint32_t max_items;
 	uint32_t length;
 	uint64_t next_sequence;
-	struct fair lanes[QUEUE_CLASSES]; /* fifo uses the first only */
+	struct fair lanes[QUEUE_LANES]; /* fifo uses the first only */
 	uint32_t passed_over[QUEUE_CLASSES];
 	uint32_t doubts[QUEUE_CLASSES]; /* items the estimate spoke against */
 	bool in_doubt[QUEUE_CLASSES]; /* some of them were let through */
