--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -181,6 +181,9 @@
 	fill_attempt(call, &out, upstream);
 	out.seq = attempt->seq;
 	out.may_queue = may_queue;
+	out.other_pace_percent =
+		pick_other_pace(&upstream->service->picks, &upstream->candidate,
+				&call->tried, attempt->sent_us);
 	out.shed_statuses = shed;
 	out.n_shed_statuses =
 		fill_shed_statuses(call->config, shed, G_N_ELEMENTS(shed));
--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -1,12 +1,42 @@
 #include "comfreydockd/decide/pace.h"
 
+#define MIN_OF(a, b) ((a) < (b) ? (a) : (b))
+
+bool pace_is_worse(uint32_t percent, uint32_t other_percent)
+{
+	return percent >= PACE_SLOW_TIMES * other_percent;
+}
+
+static void note_least(struct pace *pace, uint32_t percent, int64_t now_us)
+{
+	if (now_us - pace->window_us > PACE_WINDOW_US) {
+		pace->least_before = pace->least;
+		pace->least = 0;
+		pace->window_us = now_us;
+	}
+	if (!pace->least || percent < pace->least)
+		pace->least = percent;
+}
+
+/* What this host had at its best of late. */
+static uint32_t pace_usual(const struct pace *pace)
+{
+	if (!pace->least_before)
+		return pace->least;
+	return MIN_OF(pace->least, pace->least_before);
+}
+
 bool pace_note(struct pace *pace, uint32_t percent, int64_t now_us)
 {
-	bool was_slow = pace_is_slow(pace);
+	bool differs = pace_is_worse(percent, pace->told_percent) ||
+		       pace_is_worse(pace->told_percent, percent);
 
 	pace->percent = percent;
 	pace->at_us = now_us;
-	return pace_is_slow(pace) != was_slow;
+	note_least(pace, percent, now_us);
+	if (differs)
+		pace->told_percent = percent;
+	return differs;
 }
 
 bool pace_is_fresh(const struct pace *pace, int64_t now_us)
@@ -16,7 +46,7 @@
 
 bool pace_is_slow(const struct pace *pace)
 {
-	return pace->percent >= PACE_SLOW_PERCENT;
+	return pace->percent && pace_is_worse(pace->percent, pace_usual(pace));
 }
 
 int64_t pace_usual_us(uint32_t percent, int64_t took_us)
@@ -32,22 +62,31 @@
  * moment that an end of the spell leaves for it, and then refused: begun, it
  * would take a slot for an answer that nobody gets.
  */
-enum pace_verdict pace_judge(const struct pace *pace,
-			     const struct pace_item *item, int64_t now_us)
+static enum pace_verdict judge_in_spell(const struct pace *pace,
+					const struct pace_item *item,
+					int64_t now_us)
 {
+	int64_t usual_us = item->work_us * pace_usual(pace) / PACE_USUAL_PERCENT;
 	int64_t slow_us = item->work_us * pace->percent / PACE_USUAL_PERCENT;
 
-	if (!pace_is_slow(pace))
-		return PACE_START;
-	if (item->may_turn_back)
-		return PACE_TURN_BACK;
 	if (now_us + slow_us <= item->target_us)
 		return PACE_START;
-	if (now_us + item->work_us <= item->target_us)
+	if (now_us + usual_us <= item->target_us)
 		return PACE_HOLD;
 	if (now_us + slow_us <= item->deadline_us)
 		return PACE_START;
-	if (now_us + item->work_us <= item->deadline_us)
+	if (now_us + usual_us <= item->deadline_us)
 		return PACE_HOLD;
 	return PACE_TOO_LATE;
 }
+
+enum pace_verdict pace_judge(const struct pace *pace,
+			     const struct pace_item *item, int64_t now_us)
+{
+	if (item->may_turn_back && item->other_percent &&
+	    pace_is_worse(pace->percent, item->other_percent))
+		return PACE_TURN_BACK;
+	if (!pace_is_slow(pace))
+		return PACE_START;
+	return judge_in_spell(pace, item, now_us);
+}
--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -199,10 +199,30 @@
 	       room * capacity_of(candidate);
 }
 
-bool pick_is_slow(const struct pick_candidate *candidate, int64_t now_us)
+uint32_t pick_pace(const struct pick_candidate *candidate, int64_t now_us)
 {
-	return candidate->load.pace_percent >= PACE_SLOW_PERCENT &&
-	       now_us - candidate->load_at_us < PICK_SLOW_MEMORY_US;
+	if (!candidate->load.pace_percent ||
+	    now_us - candidate->load_at_us > PICK_SLOW_MEMORY_US)
+		return PACE_USUAL_PERCENT;
+	return candidate->load.pace_percent;
+}
+
+uint32_t pick_other_pace(const struct pick_set *set,
+			 const struct pick_candidate *candidate,
+			 const struct pick_tried *tried, int64_t now_us)
+{
+	uint32_t best = 0;
+
+	for (guint i = 0; i < set->candidates->len; i++) {
+		const struct pick_candidate *other = set->candidates->pdata[i];
+		uint32_t pace = pick_pace(other, now_us);
+
+		if (other == candidate || !is_eligible(other, tried))
+			continue;
+		if (!best || pace < best)
+			best = pace;
+	}
+	return best;
 }
 
 bool pick_may_queue(const struct pick_set *set,
@@ -210,13 +230,16 @@
 		    const struct pick_tried *tried, bool last_attempt,
 		    int64_t now_us)
 {
+	uint32_t pace = pick_pace(candidate, now_us);
+
 	if (last_attempt || !budget_has(&set->refusals, 1.0))
 		return true;
 	for (guint i = 0; i < set->candidates->len; i++) {
 		const struct pick_candidate *other = set->candidates->pdata[i];
 
 		if (other != candidate && is_eligible(other, tried) &&
-		    !pick_is_slow(other, now_us) && has_room(set, other, now_us))
+		    !pace_is_worse(pick_pace(other, now_us), pace) &&
+		    has_room(set, other, now_us))
 			return false;
 	}
 	return true;
--- a/comfreydockd/decide/pick_policy.c
+++ b/comfreydockd/decide/pick_policy.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "comfreydockd/decide/pace.h"
 #include "comfreydockd/decide/pick.h"
 
 /* Work stays in the entry's failure domain up to this utilisation: early
@@ -127,6 +128,16 @@
 	return choose_of_two(set, candidates, count, now_us, pick_score);
 }
 
+static uint32_t best_pace(struct pick_candidate **candidates, size_t count,
+			  int64_t now_us)
+{
+	uint32_t best = pick_pace(candidates[0], now_us);
+
+	for (size_t i = 1; i < count; i++)
+		best = MIN(best, pick_pace(candidates[i], now_us));
+	return best;
+}
+
 /* Moves those that don't run slow, and have room, to the front. RETURN VALUE:
  * how many are left to choose from. */
 static size_t prefer_fast(const struct pick_set *set,
@@ -134,11 +145,12 @@
 			  int64_t now_us)
 {
 	size_t fast = 0;
+	uint32_t best = best_pace(candidates, count, now_us);
 
 	for (size_t i = 0; i < count; i++) {
 		struct pick_candidate *c = candidates[i];
 
-		if (pick_is_slow(c, now_us) ||
+		if (pace_is_worse(pick_pace(c, now_us), best) ||
 		    pick_utilisation(set, c, now_us) > PICK_FULL_UTILISATION)
 			continue;
 		candidates[i] = candidates[fast];
--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -176,8 +176,7 @@
 {
 	int64_t service_us = queue_median_service_us(queue, item->class);
 
-	return item->target_us &&
-	       now_us + wait_us + service_us > item->target_us;
+	return item->target_us && now_us + wait_us + service_us > item->target_us;
 }
 
 /* The lane that an item would wait in. */
@@ -186,8 +185,7 @@
 			       const struct queue_slots *slots, int64_t now_us)
 {
 	uint32_t lane = queue_lane(queue, item->class);
-	int64_t wait_us =
-		queue_foresee_in_us(queue, lane, item->key_hash, slots);
+	int64_t wait_us = queue_foresee_in_us(queue, lane, item->key_hash, slots);
 
 	if (queue->policy->by_class &&
 	    queue_misses_target(queue, item, wait_us, now_us))
@@ -410,8 +408,7 @@
 	for (uint32_t i = 0; i < QUEUE_LANES; i++) {
 		if (queue->lanes[i].length == 0)
 			continue;
-		if (i < QUEUE_CLASSES &&
-		    queue->passed_over[i] >= QUEUE_CLASS_TURN)
+		if (i < QUEUE_CLASSES && queue->passed_over[i] >= QUEUE_CLASS_TURN)
 			return i;
 		first = MIN(first, i);
 	}
--- a/include/comfreydockd/decide/pace.h
+++ b/include/comfreydockd/decide/pace.h
@@ -20,9 +20,13 @@
  *	the slots are free elsewhere.
  *
  * GROUNDS
- *	PACE_SLOW_PERCENT: turning back costs a round trip between failure
+ *	PACE_SLOW_TIMES: turning back costs a round trip between failure
  *	domains and some work of two daemons, 1 to 3 ms; half as long again is
  *	7 ms for the shortest work of 15 ms.
+ *	A host is slow only beside others, or beside itself a moment ago: where
+ *	all have just been started each takes twice as long for seconds, and
+ *	turning back from one to the next would only take time.
+ *	PACE_WINDOW_US: three spells' length; slower for longer is usual.
  *	PACE_FRESH_US: with changes each 500 ms a figure that is 25 ms old is
  *	wrong in one case of 80; asking anew costs a hundredth of a request.
  *
@@ -36,17 +40,24 @@
 #include <stdint.h>
 
 #define PACE_USUAL_PERCENT 100
-#define PACE_SLOW_PERCENT 150
+#define PACE_SLOW_TIMES 1.5
+#define PACE_WINDOW_US ((int64_t)1500 * 1000)
 #define PACE_FRESH_US ((int64_t)25 * 1000)
 
 /* All zero before the first figure. */
 struct pace {
 	uint32_t percent; /* of the usual time; 0: never told */
 	int64_t at_us;
+	uint32_t told_percent; /* to the entries, last */
+	/* The least figures of this window and of the one before; 0: none. */
+	int64_t window_us;
+	uint32_t least;
+	uint32_t least_before;
 };
 
 struct pace_item {
 	bool may_turn_back; /* another host might take it */
+	uint32_t other_percent; /* the best of these, as last told; 0: none */
 	int64_t work_us; /* foreseen, at the usual pace */
 	int64_t target_us; /* an answer by then is in time */
 	int64_t deadline_us;
@@ -59,12 +70,18 @@
 	PACE_TOO_LATE, /* not even an end of the spell now would help */
 };
 
-/* RETURN VALUE: true if a slow spell begins or ends with this figure. */
+/* RETURN VALUE: true if the figure differs so much from the one told last that
+ * the entries should know. */
 bool pace_note(struct pace *pace, uint32_t percent, int64_t now_us);
 
 bool pace_is_fresh(const struct pace *pace, int64_t now_us);
+
+/* True in a slow spell: by what this host had a moment ago. */
 bool pace_is_slow(const struct pace *pace);
 
+/* True where work takes clearly longer at percent than at other. */
+bool pace_is_worse(uint32_t percent, uint32_t other_percent);
+
 /* RETURN VALUE: the time as it would have been at the usual pace. */
 int64_t pace_usual_us(uint32_t percent, int64_t took_us);
 
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -205,8 +205,15 @@
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
 		    const struct pick_load *load, int64_t now_us);
 
-/* True if its owner told of a slow spell that may still last. */
-bool pick_is_slow(const struct pick_candidate *candidate, int64_t now_us);
+/* RETURN VALUE: the host's pace as last told; PACE_USUAL_PERCENT where nothing
+ * of late is known. */
+uint32_t pick_pace(const struct pick_candidate *candidate, int64_t now_us);
+
+/* RETURN VALUE: the best pace among those that are usable and not tried, this
+ * one left out; 0: there is no other. */
+uint32_t pick_other_pace(const struct pick_set *set,
+			 const struct pick_candidate *candidate,
+			 const struct pick_tried *tried, int64_t now_us);
 
 /* The estimate of work over limit, with the attempt to be placed included. */
 double pick_utilisation(const struct pick_set *set,
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1106,7 +1106,7 @@
   (ProtobufCMessageInit) cfd__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[18] =
+static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[19] =
 {
   {
     "seq",
@@ -1324,6 +1324,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "other_pace_percent",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, other_pace_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__attempt__field_indices_by_name[] = {
   12,   /* field[12] = body */
@@ -1336,6 +1348,7 @@
   8,   /* field[8] = idempotent */
   9,   /* field[9] = may_queue */
   4,   /* field[4] = method */
+  18,   /* field[18] = other_pace_percent */
   10,   /* field[10] = priority */
   7,   /* field[7] = remaining_us */
   0,   /* field[0] = seq */
@@ -1348,7 +1361,7 @@
 static const ProtobufCIntRange cfd__attempt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cfd__attempt__descriptor =
 {
@@ -1358,7 +1371,7 @@
   "Cfd__Attempt",
   "cfd",
   sizeof(Cfd__Attempt),
-  18,
+  19,
   cfd__attempt__field_descriptors,
   cfd__attempt__field_indices_by_name,
   1,  cfd__attempt__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -151,10 +151,14 @@
    * an answer within it is in time
    */
   uint64_t target_us;
+  /*
+   * the best of the others it might go to; 0: none
+   */
+  uint32_t other_pace_percent;
 };
 #define CFD__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__attempt__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Cfd__Body
