owner: leave slots free where a full upstream does less; hold longer where slots are scarce

decide/knee.c compares requests begun beyond four fifths of the slots with those below. Where half of the slots are taken, a request waits for the end of a slow spell as long as half as much time again as it needs is left: begun slow it would keep its slot seven times as long.

--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -57,8 +57,8 @@
 }
 
 /*
- * Held while an end of the spell would still bring the answer in time; then
- * begun if it can be answered at all at this pace; else held to the last
+ * Held while an end of the spell would still bring the answer in time, or slots
+ * are scarce; then begun if it can be answered at all at this pace; else held to the last
  * moment that an end of the spell leaves for it, and then refused: begun, it
  * would take a slot for an answer that nobody gets.
  */
@@ -73,6 +73,9 @@
 		return PACE_START;
 	if (now_us + usual_us <= item->target_us)
 		return PACE_HOLD;
+	if (item->is_busy &&
+	    now_us + (int64_t)(PACE_HOLD_SPARE * usual_us) <= item->deadline_us)
+		return PACE_HOLD;
 	if (now_us + slow_us <= item->deadline_us)
 		return PACE_START;
 	if (now_us + usual_us <= item->deadline_us)
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -336,6 +336,7 @@
 
 	attempt_owner_step(&attempt->state, OWNER_START);
 	attempt->started_us = now;
+	attempt->busy = owner_running(attempt->owner);
 	attempt->pace_percent = owner_pace_percent(attempt->owner);
 	attempt->credit = ATTEMPT_ANSWER_WINDOW;
 	attempt_note(attempt, EV_OWNER_STARTED,
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -64,6 +64,7 @@
 {
 	struct pace_item item = {
 		.may_turn_back = !attempt->item.may_queue,
+		.is_busy = 2 * owner_running(owner) >= owner->announced.slots,
 		.other_percent = attempt->request->other_pace_percent,
 		.work_us = queue_median_service_us(&owner->queue,
 						   attempt->item.class),
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -45,7 +45,9 @@
 	/* One that tells its slots and its load takes them all from the start,
 	 * more slowly: held back by its own daemon, too, it would refuse nine
 	 * in ten where all upstreams have just been started together. */
-	if (!owner->daemon->headers->load)
+	if (owner->daemon->headers->load)
+		slots.limit = knee_slots(&owner->knee, limit);
+	else
 		slots.limit = warm_slots(&owner->warm, limit, clock_mono_us());
 
 	return slots;
@@ -107,6 +109,16 @@
 	handle_idle(owner->idle_data);
 }
 
+static void owner_note_knee(struct owner *owner,
+			    const struct owner_attempt *attempt, int64_t usual_us)
+{
+	int64_t median_us =
+		queue_median_service_us(&owner->queue, attempt->item.class);
+
+	knee_note(&owner->knee, attempt->busy, owner->announced.slots,
+		  (double)usual_us / (double)MAX(median_us, 1), clock_mono_us());
+}
+
 void owner_note_over(struct owner *owner, struct owner_attempt *attempt,
 		     enum limit_outcome outcome)
 {
@@ -118,6 +130,7 @@
 	limit_note_done(&owner->limit, first_us - attempt->started_us, outcome,
 			owner->running, now);
 	if (outcome == LIMIT_OUTCOME_OK || outcome == LIMIT_OUTCOME_FAILED) {
+		owner_note_knee(owner, attempt, usual_us);
 		queue_note_done(&owner->queue, attempt->item.class, usual_us);
 		probe_note_traffic(owner->probe);
 	}
@@ -422,6 +435,8 @@
 		owner_use_pool(owner, &copy);
 	announcement_finish(&owner->announced);
 	owner->announced = copy;
+	if (moved)
+		memset(&owner->knee, 0, sizeof(owner->knee));
 	if (moved)
 		limit_init(&owner->limit, owner_limit_policy(owner), copy.slots,
 			   now);
--- /dev/null
+++ b/include/comfreydockd/decide/knee.h
@@ -0,0 +1,58 @@
+/*
+ * NAME
+ *	knee - how many of its slots an upstream should be given
+ *
+ * DESCRIPTION
+ *	Compares how long requests take that began with few slots busy and that
+ *	began with nearly all. Where the latter take so much longer that the
+ *	upstream does more with some slots left free, these are left free.
+ *
+ * LOAD PATTERN
+ *	Upstreams that slow down when they are nearly full, under load that
+ *	would fill them.
+ *
+ * WITHOUT IT
+ *	An upstream whose requests take 1.7 times as long beyond four fifths of
+ *	its slots does 40 % less when it is full than at four fifths, just when
+ *	it is needed most.
+ *
+ * GROUNDS
+ *	KNEE_SHARE is where upstreams that slow down were seen to do so. At that
+ *	share they do as much as when full if these take 1 / KNEE_SHARE = 1.25
+ *	times as long; KNEE_WORSE leaves room for chance. Times spread by a
+ *	third around their mean: with KNEE_SAMPLES on each side the ratio of
+ *	the means strays by a tenth.
+ */
+#ifndef COMFREYDOCKD_DECIDE_KNEE_H
+#define COMFREYDOCKD_DECIDE_KNEE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define KNEE_SHARE 0.8
+#define KNEE_WORSE 1.35
+#define KNEE_SAMPLES 20
+/* A finding is forgotten half in this time, so that it is tried again. */
+#define KNEE_HALF_US ((int64_t)30 * 1000 * 1000)
+
+struct knee_side {
+	double mean; /* of the time over the usual of its class */
+	double samples; /* fades */
+};
+
+/* All zero at the start. */
+struct knee {
+	struct knee_side below;
+	struct knee_side beyond;
+	int64_t faded_us;
+};
+
+/* A request ended: busy slots at its start, itself included, and how long it
+ * took over the usual time of its class. */
+void knee_note(struct knee *knee, uint32_t busy, uint32_t slots, double times,
+	       int64_t now_us);
+
+/* RETURN VALUE: of so many slots, those to be given. */
+uint32_t knee_slots(const struct knee *knee, uint32_t slots);
+
+#endif
--- a/include/comfreydockd/decide/pace.h
+++ b/include/comfreydockd/decide/pace.h
@@ -26,6 +26,9 @@
  *	A host is slow only beside others, or beside itself a moment ago: where
  *	all have just been started each takes twice as long for seconds, and
  *	turning back from one to the next would only take time.
+ *	PACE_HOLD_SPARE: what is begun slow keeps its slot seven times as long,
+ *	also after the spell; where slots are scarce it is held as long as half
+ *	as much time again as it needs is left.
  *	PACE_WINDOW_US: three spells' length; slower for longer is usual.
  *	PACE_FRESH_US: with changes each 500 ms a figure that is 25 ms old is
  *	wrong in one case of 80; asking anew costs a hundredth of a request.
@@ -41,6 +44,7 @@
 
 #define PACE_USUAL_PERCENT 100
 #define PACE_SLOW_TIMES 1.5
+#define PACE_HOLD_SPARE 1.5
 #define PACE_WINDOW_US ((int64_t)1500 * 1000)
 #define PACE_FRESH_US ((int64_t)25 * 1000)
 
@@ -58,6 +62,7 @@
 struct pace_item {
 	bool may_turn_back; /* another host might take it */
 	uint32_t other_percent; /* the best of these, as last told; 0: none */
+	bool is_busy; /* half of the slots or more are taken */
 	int64_t work_us; /* foreseen, at the usual pace */
 	int64_t target_us; /* an answer by then is in time */
 	int64_t deadline_us;
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -41,6 +41,7 @@
 	struct run *run;
 	int64_t arrived_us;
 	int64_t started_us;
+	uint32_t busy; /* slots at the start, with its own */
 	int64_t head_us; /* when the answer began; 0: not yet */
 	int64_t stalled_since_us; /* no credit since; 0: has credit */
 	int64_t credit;
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -8,6 +8,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "comfreydockd/decide/knee.h"
 #include "comfreydockd/decide/limit.h"
 #include "comfreydockd/decide/pace.h"
 #include "comfreydockd/decide/queue.h"
@@ -33,6 +34,7 @@
 	struct report_check check; /* of a start that is not confirmed yet */
 	struct gauge *gauge;
 	struct pace pace;
+	struct knee knee;
 	TAILQ_HEAD(, owner_attempt) held; /* at the gate */
 	ev_timer gate_timer;
 	struct answer_load load; /* as the upstream told it last */
