--- /dev/null
+++ b/tests/test_answer.c
@@ -0,0 +1,128 @@
+#include <glib.h>
+#include <stdarg.h>
+
+#include "comfreydockd/upstream/answer.h"
+#include "platform/headers.h"
+
+#define TRACE "9c41d07be2a35f68"
+#define ID "X-Comfreydock-Request-Id"
+#define SIGNED "X-Comfreydock-Response-Signature"
+#define NOT_RUN "X-Comfreydock-Not-Executed"
+
+/* The arguments are names and values, ended by NULL. */
+static enum answer_verdict judge(unsigned int status, ...)
+{
+	enum answer_verdict verdict;
+	struct fields fields;
+	const char *name;
+	va_list args;
+
+	fields_init(&fields);
+	va_start(args, status);
+	while ((name = va_arg(args, const char *)))
+		fields_add(&fields, name, va_arg(args, const char *));
+	va_end(args);
+	verdict = answer_judge(&platform_headers, TRACE, status, &fields);
+	fields_finish(&fields);
+	return verdict;
+}
+
+static void test_own_answers_pass(void)
+{
+	g_assert_cmpint(judge(200, ID, TRACE, SIGNED, "3e1b", NULL), ==,
+			ANSWER_GOOD);
+	/* A failure of the upstream is its answer, too. */
+	g_assert_cmpint(judge(500, ID, TRACE, SIGNED, "3e1b", NULL), ==,
+			ANSWER_GOOD);
+	g_assert_cmpint(judge(504, ID, TRACE, NULL), ==, ANSWER_GOOD);
+	g_assert_cmpint(judge(404, ID, TRACE, NULL), ==, ANSWER_GOOD);
+}
+
+/*
+ * An upstream sends an answer twice, or late, on a connection that is kept. It
+ * stands where the answer to the next request is due, and its caller would get
+ * somebody else's listing.
+ */
+static void test_others_answers_reach_nobody(void)
+{
+	g_assert_cmpint(judge(200, ID, "another", SIGNED, "3e1b", NULL), ==,
+			ANSWER_STRANGE);
+	g_assert_cmpint(judge(503, ID, "another", NOT_RUN, "1", NULL), ==,
+			ANSWER_STRANGE);
+	g_assert_cmpint(judge(200, SIGNED, "3e1b", NULL), ==, ANSWER_STRANGE);
+	g_assert_cmpint(judge(200, ID, TRACE, NULL), ==, ANSWER_STRANGE);
+	g_assert_cmpint(judge(200, NULL), ==, ANSWER_STRANGE);
+	g_assert_cmpint(judge(200, ID, TRACE, SIGNED, "3e1b",
+			      "Content-Encoding", "gzip", NULL),
+			==, ANSWER_STRANGE);
+}
+
+/* Nothing was run, by the upstream's own word. */
+static void test_refusals_of_the_upstream(void)
+{
+	g_assert_cmpint(judge(503, ID, TRACE, NOT_RUN, "1", NULL), ==,
+			ANSWER_NOT_RUN);
+	g_assert_cmpint(judge(400, NOT_RUN, "1", NULL), ==, ANSWER_NOT_RUN);
+	g_assert_cmpint(judge(421, "X-Comfreydock-Instance-Id", "i-02", NULL),
+			==, ANSWER_OTHER_INSTANCE);
+}
+
+/*
+ * A proxy before the upstream, or a fault in it, says 503 of a booking that was
+ * made. Passed on, the caller would take it for "not run" and book again.
+ */
+static void test_promises_without_the_word_are_not_passed_on(void)
+{
+	static const unsigned int statuses[] = {408, 429, 503};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++)
+		g_assert_cmpint(
+			judge(statuses[i], ID, TRACE, SIGNED, "3e1b", NULL), ==,
+			ANSWER_UNCLEAR);
+}
+
+/* comfreydock's own headers name no signature: answers are as they are. */
+static void test_own_headers_ask_for_nothing(void)
+{
+	struct fields fields;
+
+	fields_init(&fields);
+	g_assert_cmpint(answer_judge(&headers_own, TRACE, 503, &fields), ==,
+			ANSWER_GOOD);
+	fields_finish(&fields);
+}
+
+static void test_load_is_read_or_left(void)
+{
+	static const char *const bad[] = {
+		"",	     "3",     "3,0",
+		"3,0,",	     "a,b,c", "3,0,8,",
+		"-1,0,8",    "3;0;8", "3,0,99999999999",
+		"3,0,8,700x"};
+	struct answer_load load;
+
+	g_assert_true(answer_parse_load("3,1,8,700", &load));
+	g_assert_cmpuint(load.running, ==, 3);
+	g_assert_cmpuint(load.waiting, ==, 1);
+	g_assert_cmpuint(load.slots, ==, 8);
+	g_assert_cmpuint(load.percent, ==, 700);
+	g_assert_true(answer_parse_load("3,1,8", &load));
+	g_assert_cmpuint(load.percent, ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		if (answer_parse_load(bad[i], &load))
+			g_error("taken: \"%s\"", bad[i]);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/answer/own", test_own_answers_pass);
+	g_test_add_func("/answer/others", test_others_answers_reach_nobody);
+	g_test_add_func("/answer/refusals", test_refusals_of_the_upstream);
+	g_test_add_func("/answer/promises",
+			test_promises_without_the_word_are_not_passed_on);
+	g_test_add_func("/answer/own-headers", test_own_headers_ask_for_nothing);
+	g_test_add_func("/answer/load", test_load_is_read_or_left);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_manifest.c
@@ -0,0 +1,187 @@
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/config/check.h"
+#include "comfreydockd/config/model.h"
+#include "platform/manifest.h"
+
+#define ROUTE(name, kind, prefix, action)              \
+	"{\"name\":\"" name "\",\"routeType\":\"" kind \
+	"\",\"targetLatencyMs\":200,\"priority\":2,"   \
+	"\"match\":{\"pathPrefix\":\"" prefix "\"},\"action\":" action "}"
+#define TO(service) \
+	"{\"service\":\"" service "\",\"timeoutMs\":500,\"attempts\":2}"
+#define MANIFEST(version, routes)                                            \
+	"{\"version\":" version ",\"limits\":{\"maxHeaderBytes\":16384},"    \
+	"\"listeners\":[{\"host\":\"a.example\",\"ruleSet\":[" routes "]}]," \
+	"\"clusters\":[{\"name\":\"desk\",\"healthPath\":\"/health\","       \
+	"\"maxConnections\":220,\"protocol\":\"h1\",\"tls\":false}]}"
+
+static struct config_snapshot *load(const char *manifest, uint64_t *version)
+{
+	struct config_snapshot *empty = config_snapshot_create();
+	struct config_snapshot *snapshot;
+	struct config_namespace *ns;
+	struct findings findings;
+	const char *error = "";
+	char *body = NULL;
+
+	findings_init(&findings);
+	if (!platform_manifest_read(manifest, strlen(manifest), 20, version,
+				    &body, &error))
+		g_error("not read: %s", error);
+	ns = config_namespace_load("manifest", body, &findings);
+	findings_print(&findings, stderr);
+	g_assert_nonnull(ns);
+	snapshot = config_snapshot_with(empty, ns);
+	config_namespace_unref(ns);
+	config_snapshot_unref(empty);
+	findings_finish(&findings);
+	g_free(body);
+	return snapshot;
+}
+
+static const struct config_rule *match(const struct config_snapshot *snapshot,
+				       const char *path)
+{
+	const struct config_service *service;
+	const struct config_rule *rule = NULL;
+
+	config_snapshot_match(snapshot, "a.example", "GET", path, &service,
+			      &rule);
+	return rule;
+}
+
+static void test_routes_become_rules(void)
+{
+	uint64_t version = 0;
+	struct config_snapshot *snapshot = load(
+		MANIFEST("\"r7\"",
+			 ROUTE("list", "idempotent", "/l/", TO("desk")) "," ROUTE(
+				 "book", "non_idempotent", "/b/",
+				 TO("desk")) "," ROUTE("pull", "download",
+						       "/p/", TO("feed"))),
+		&version);
+	const struct config_rule *rule = match(snapshot, "/l/2f");
+	const struct config_group *group;
+
+	g_assert_cmpuint(version, ==, 7);
+	g_assert_cmpstr(rule->name, ==, "list");
+	g_assert_true(rule->idempotent);
+	g_assert_cmpuint(rule->deadline_ms, ==, 500);
+	g_assert_cmpuint(rule->target_ms, ==, 200);
+	g_assert_cmpuint(rule->max_attempts, ==, 2);
+	g_assert_cmpuint(rule->retry_budget_percent, ==, 20);
+	g_assert_cmpint(rule->class, ==, CONFIG_CLASS_BULK);
+	g_assert_cmpstr(config_rule_draw(rule, 0), ==, "desk");
+	/* A large answer may be fetched again; a booking may not. */
+	g_assert_true(match(snapshot, "/p/1")->idempotent);
+	g_assert_false(match(snapshot, "/b/1")->idempotent);
+	g_assert_null(match(snapshot, "/x/1"));
+	group = config_snapshot_group(snapshot, "desk");
+	g_assert_cmpstr(group->health_path, ==, "/health");
+	g_assert_cmpuint(group->max_connections, ==, 220);
+	config_snapshot_unref(snapshot);
+}
+
+/* The operator lists routes in any order; the longest prefix must count. */
+static void test_longest_prefix_counts(void)
+{
+	uint64_t version;
+	struct config_snapshot *snapshot = load(
+		MANIFEST("\"r1\"",
+			 ROUTE("short", "idempotent", "/l/", TO("desk")) "," ROUTE(
+				 "longest", "idempotent", "/l/a/b/",
+				 TO("desk")) "," ROUTE("longer", "idempotent",
+						       "/l/a/", TO("desk"))),
+		&version);
+
+	g_assert_cmpstr(match(snapshot, "/l/a/b/c")->name, ==, "longest");
+	g_assert_cmpstr(match(snapshot, "/l/a/c")->name, ==, "longer");
+	g_assert_cmpstr(match(snapshot, "/l/c")->name, ==, "short");
+	config_snapshot_unref(snapshot);
+}
+
+static void test_splits_keep_their_weights(void)
+{
+	uint64_t version;
+	struct config_snapshot *snapshot =
+		load(MANIFEST("\"r1\"",
+			      ROUTE("split", "idempotent", "/l/",
+				    "{\"trafficSplit\":[{\"service\":\"desk\","
+				    "\"weight\":90},{\"service\":\"new\","
+				    "\"weight\":10}],"
+				    "\"timeoutMs\":500,\"attempts\":2}")),
+		     &version);
+	const struct config_rule *rule = match(snapshot, "/l/1");
+
+	g_assert_cmpuint(config_rule_weights(rule), ==, 100);
+	g_assert_cmpstr(config_rule_draw(rule, 89), ==, "desk");
+	g_assert_cmpstr(config_rule_draw(rule, 90), ==, "new");
+	config_snapshot_unref(snapshot);
+}
+
+/* A row cut off on its way, or written by something else, names no version. */
+static void test_unreadable_rows_are_refused(void)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"7",
+		"{\"version\":7}",
+		"{\"version\":\"7\"}",
+		"{\"version\":\"r\"}",
+		"{\"version\":\"r7x\"}",
+		"{\"version\":\"r0\"}",
+		"{\"version\":\"r7\",\"listeners\":[{\"host\":",
+	};
+	const char *error = NULL;
+	uint64_t version;
+	char *body;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		if (platform_manifest_read(bad[i], strlen(bad[i]), 20, &version,
+					   &body, &error))
+			g_error("read: %s", bad[i]);
+		g_assert_nonnull(error);
+	}
+}
+
+/* Whatever parts of it are of another type: it is read or refused, and the
+ * check of a file stands behind it. */
+static void test_any_damage_ends_well(void)
+{
+	static const char whole[] = MANIFEST(
+		"\"r7\"", ROUTE("list", "idempotent", "/l/", TO("desk")));
+
+	for (int i = 0; i < 5000; i++) {
+		char *text = g_strdup(whole);
+		struct findings findings;
+		const char *error;
+		uint64_t version;
+		char *body = NULL;
+
+		for (int flips = g_test_rand_int_range(1, 5); flips > 0; flips--)
+			text[g_test_rand_int_range(0, (gint32)strlen(whole))] =
+				(char)g_test_rand_int_range(32, 127);
+		findings_init(&findings);
+		if (platform_manifest_read(text, strlen(text), 20, &version,
+					   &body, &error))
+			config_namespace_unref(config_namespace_load(
+				"manifest", body, &findings));
+		findings_finish(&findings);
+		g_free(body);
+		g_free(text);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/manifest/routes", test_routes_become_rules);
+	g_test_add_func("/manifest/prefixes", test_longest_prefix_counts);
+	g_test_add_func("/manifest/splits", test_splits_keep_their_weights);
+	g_test_add_func("/manifest/unreadable", test_unreadable_rows_are_refused);
+	g_test_add_func("/manifest/damage", test_any_damage_ends_well);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_pace.c
@@ -0,0 +1,212 @@
+#include <glib.h>
+
+#include "comfreydockd/decide/pace.h"
+#include "comfreydockd/decide/random.h"
+
+#define MS ((int64_t)1000)
+#define SPELL_US (500 * MS)
+#define FAST 100
+#define SLOW 700
+
+static struct pace told(uint32_t percent, int64_t at_us)
+{
+	struct pace pace = {0};
+
+	pace_note(&pace, FAST, at_us - 2 * MS);
+	pace_note(&pace, percent, at_us);
+	return pace;
+}
+
+static struct pace_item item_of(int64_t work_ms, int64_t target_ms,
+				int64_t deadline_ms)
+{
+	return (struct pace_item){
+		.work_us = work_ms * MS,
+		.target_us = target_ms * MS,
+		.deadline_us = deadline_ms * MS,
+	};
+}
+
+/*
+ * A neighbour on the same host takes the processor for half a second. Work that
+ * begins meanwhile takes seven times as long to its end: the caller on the line
+ * waits 420 ms in place of 60, while other hosts have free slots.
+ */
+static void test_slow_host_turns_back(void)
+{
+	struct pace pace = told(SLOW, 10 * MS);
+	struct pace_item item = item_of(60, 200, 500);
+
+	item.may_turn_back = true;
+	item.other_percent = FAST;
+	g_assert_cmpint(pace_judge(&pace, &item, 10 * MS), ==, PACE_TURN_BACK);
+	/* All others are as slow: turning back only costs the way. */
+	item.other_percent = SLOW;
+	g_assert_cmpint(pace_judge(&pace, &item, 10 * MS), ==, PACE_HOLD);
+}
+
+static void test_last_host_holds_then_begins(void)
+{
+	struct pace pace = told(SLOW, 10 * MS);
+	struct pace_item item = item_of(60, 200, 600);
+
+	g_assert_cmpint(pace_judge(&pace, &item, 100 * MS), ==, PACE_HOLD);
+	g_assert_cmpint(pace_judge(&pace, &item, 140 * MS), ==, PACE_HOLD);
+	/* Late in any case, and 420 ms still fit: begun now it is answered. */
+	g_assert_cmpint(pace_judge(&pace, &item, 150 * MS), ==, PACE_START);
+	/* They don't fit any more, an end of the spell might help. */
+	g_assert_cmpint(pace_judge(&pace, &item, 200 * MS), ==, PACE_HOLD);
+	g_assert_cmpint(pace_judge(&pace, &item, 560 * MS), ==, PACE_TOO_LATE);
+	pace_note(&pace, FAST, 180 * MS);
+	g_assert_cmpint(pace_judge(&pace, &item, 180 * MS), ==, PACE_START);
+}
+
+/* Short work is in time even so, and gains nothing by waiting. */
+static void test_short_work_begins_in_a_spell(void)
+{
+	struct pace pace = told(SLOW, 10 * MS);
+	struct pace_item item = item_of(15, 200, 500);
+
+	g_assert_cmpint(pace_judge(&pace, &item, 10 * MS), ==, PACE_START);
+}
+
+/*
+ * One upstream is left of a service, and most of its slots are taken. Whatever
+ * is begun in a slow spell keeps its slot seven times as long, so that callers
+ * of the next seconds find none.
+ */
+static void test_scarce_slots_are_not_given_to_slow_work(void)
+{
+	struct pace pace = told(SLOW, 10 * MS);
+	struct pace_item item = item_of(55, 150, 600);
+
+	g_assert_cmpint(pace_judge(&pace, &item, 150 * MS), ==, PACE_START);
+	item.is_busy = true;
+	g_assert_cmpint(pace_judge(&pace, &item, 150 * MS), ==, PACE_HOLD);
+	g_assert_cmpint(pace_judge(&pace, &item, 500 * MS), ==, PACE_HOLD);
+	g_assert_cmpint(pace_judge(&pace, &item, 520 * MS), ==, PACE_HOLD);
+	g_assert_cmpint(pace_judge(&pace, &item, 550 * MS), ==, PACE_TOO_LATE);
+}
+
+/*
+ * All hosts have just been started, and each takes twice as long for three
+ * seconds. Were that held for a slow spell, each would turn back what all others
+ * turn back too, and hold it for an end that does not come.
+ */
+static void test_a_cold_start_is_no_spell(void)
+{
+	struct pace pace = {0};
+	struct pace_item item = item_of(60, 200, 500);
+
+	for (int64_t at = 0; at < 1000 * MS; at += 20 * MS)
+		pace_note(&pace, 200, at);
+	g_assert_false(pace_is_slow(&pace));
+	item.may_turn_back = true;
+	item.other_percent = 200;
+	g_assert_cmpint(pace_judge(&pace, &item, 20 * MS), ==, PACE_START);
+	pace_note(&pace, 1400, 1000 * MS);
+	g_assert_true(pace_is_slow(&pace));
+	/* Slower for good: that is what is usual now. */
+	for (int64_t at = 1000 * MS; at < 5000 * MS; at += 20 * MS)
+		pace_note(&pace, 1400, at);
+	g_assert_false(pace_is_slow(&pace));
+}
+
+static void test_entries_hear_of_turns_only(void)
+{
+	struct pace pace = {0};
+
+	g_assert_true(pace_note(&pace, FAST, 1));
+	g_assert_false(pace_note(&pace, 110, 2));
+	g_assert_false(pace_note(&pace, 140, 3));
+	g_assert_true(pace_note(&pace, SLOW, 4));
+	g_assert_false(pace_note(&pace, 650, 5));
+	g_assert_true(pace_note(&pace, FAST, 6));
+	g_assert_true(pace_is_fresh(&pace, 6 + PACE_FRESH_US));
+	g_assert_false(pace_is_fresh(&pace, 7 + PACE_FRESH_US));
+}
+
+static void test_times_at_the_usual_pace(void)
+{
+	g_assert_cmpint(pace_usual_us(SLOW, 420 * MS), ==, 60 * MS);
+	g_assert_cmpint(pace_usual_us(FAST, 60 * MS), ==, 60 * MS);
+	g_assert_cmpint(pace_usual_us(0, 60 * MS), ==, 60 * MS);
+}
+
+/* Of so many hosts, which are slow at a time: drawn anew each spell. */
+static bool is_slow_at(unsigned int host, int64_t at_us)
+{
+	struct random_state random = {
+		.state = host * 7919 + (uint64_t)(at_us / SPELL_US) * 104729};
+
+	return random_unit(&random) < 0.25;
+}
+
+/* RETURN VALUE: how long a call takes that asks one host after another, with
+ * a way of 2 ms to each; or that begins wherever it comes. */
+static int64_t play(bool judges, unsigned int first, int64_t at_us)
+{
+	struct pace_item item = item_of(60, 200, 500);
+	int64_t began_us = at_us;
+	unsigned int host = first;
+
+	item.target_us += at_us;
+	item.deadline_us += at_us;
+	for (unsigned int i = 0;; i++, host = (host + 1) % 7) {
+		struct pace pace =
+			told(is_slow_at(host, at_us) ? SLOW : FAST, at_us);
+
+		item.may_turn_back = i < 6;
+		item.other_percent = i < 6 ? FAST : 0;
+		switch (judges ? pace_judge(&pace, &item, at_us) : PACE_START) {
+		case PACE_TURN_BACK:
+			at_us += 2 * MS;
+			break;
+		case PACE_HOLD:
+			at_us += 20 * MS;
+			i = 5;
+			host = (host + 6) % 7;
+			break;
+		case PACE_TOO_LATE:
+			return INT64_MAX;
+		case PACE_START:
+			return at_us - began_us + 60 * MS * pace.percent / FAST;
+		}
+	}
+}
+
+/*
+ * Two thousand calls over seven hosts of which a quarter is slow at any time,
+ * each for half a second. What counts is how many of their callers have an
+ * answer within 200 ms: 1,454 where calls begin wherever they come, all where
+ * the hosts judge.
+ */
+static void test_callers_get_answers_in_time(void)
+{
+	unsigned int in_time[2] = {0};
+
+	for (unsigned int judges = 0; judges < 2; judges++) {
+		for (unsigned int i = 0; i < 2000; i++)
+			in_time[judges] +=
+				play(judges, i % 7, i * 13 * MS) <= 200 * MS;
+	}
+	g_test_message("in time: %u without judging, %u with", in_time[0],
+		       in_time[1]);
+	g_assert_cmpuint(in_time[0], <, 1600);
+	g_assert_cmpuint(in_time[1], >=, 1990);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pace/turns-back", test_slow_host_turns_back);
+	g_test_add_func("/pace/last-host", test_last_host_holds_then_begins);
+	g_test_add_func("/pace/short-work", test_short_work_begins_in_a_spell);
+	g_test_add_func("/pace/scarce-slots",
+			test_scarce_slots_are_not_given_to_slow_work);
+	g_test_add_func("/pace/cold-start", test_a_cold_start_is_no_spell);
+	g_test_add_func("/pace/turns", test_entries_hear_of_turns_only);
+	g_test_add_func("/pace/usual", test_times_at_the_usual_pace);
+	g_test_add_func("/pace/load", test_callers_get_answers_in_time);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_report.c
@@ -0,0 +1,122 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "comfreydockd/upstream/report.h"
+
+static enum report_verdict tell(struct report_lifetime *lifetime,
+				const char *instance, int64_t born_ms,
+				uint64_t sequence)
+{
+	struct report report = {
+		.instance = instance,
+		.born_ms = born_ms,
+		.sequence = sequence,
+	};
+
+	return report_judge(lifetime, &report);
+}
+
+static void test_reports_in_order_are_news(void)
+{
+	struct report_lifetime lifetime = {0};
+
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 4), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 5), ==, REPORT_NEWS);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 9), ==, REPORT_NEWS);
+}
+
+/*
+ * A heartbeat that was held up says "ready" after a later one said "draining".
+ * Taken for the last word it would bring work to an upstream that may end.
+ */
+static void test_late_report_changes_nothing(void)
+{
+	struct report_lifetime lifetime = {0};
+
+	tell(&lifetime, "i-1", 0, 9);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 8), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 9), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 10), ==, REPORT_NEWS);
+}
+
+/* Who has said good-bye stays away, however late its reports come. */
+static void test_one_that_left_is_gone(void)
+{
+	struct report_lifetime lifetime = {0};
+
+	tell(&lifetime, "i-1", 0, 9);
+	g_assert_false(report_note_leave(&lifetime, "i-2"));
+	g_assert_true(report_note_leave(&lifetime, "i-1"));
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 10), ==, REPORT_GONE);
+	g_assert_cmpint(tell(&lifetime, "i-2", 0, 1), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 11), ==, REPORT_LATE);
+}
+
+/*
+ * An upstream crashes behind a cut and another takes its address. The report
+ * that the cut held up arrives after the new one's.
+ */
+static void test_earlier_starts_report_is_late(void)
+{
+	struct report_lifetime lifetime = {0};
+
+	tell(&lifetime, "i-1", 0, 7);
+	g_assert_cmpint(tell(&lifetime, "i-2", 0, 1), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&lifetime, "i-1", 0, 8), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&lifetime, "i-2", 0, 2), ==, REPORT_NEWS);
+}
+
+/* The same id starts anew: its numbers begin again, its time of start tells. */
+static void test_same_id_starts_again(void)
+{
+	struct report_lifetime lifetime = {0};
+
+	tell(&lifetime, "i-1", 1000, 50);
+	g_assert_cmpint(tell(&lifetime, "i-1", 2000, 1), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&lifetime, "i-1", 1000, 51), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&lifetime, "i-1", 2000, 2), ==, REPORT_NEWS);
+	report_note_leave(&lifetime, "i-1");
+	g_assert_cmpint(tell(&lifetime, "i-1", 3000, 1), ==, REPORT_NEW_START);
+}
+
+/*
+ * Reports of a row of starts arrive in any order and some twice. Whatever the
+ * order, the start that counts never goes back, and the number of its last
+ * report never does.
+ */
+static void test_any_order_never_goes_back(void)
+{
+	for (int round = 0; round < 2000; round++) {
+		struct report_lifetime lifetime = {0};
+		int64_t born = 0;
+		uint64_t sequence = 0;
+
+		for (int i = 0; i < 30; i++) {
+			int64_t start = g_test_rand_int_range(1, 6);
+			uint64_t number = (uint64_t)g_test_rand_int_range(1, 9);
+			char id[16];
+
+			snprintf(id, sizeof(id), "i-%d", (int)start / 2);
+			tell(&lifetime, id, start, number);
+			g_assert_cmpint(lifetime.born_ms, >=, born);
+			if (lifetime.born_ms == born)
+				g_assert_cmpuint(lifetime.sequence, >=, sequence);
+			born = lifetime.born_ms;
+			sequence = lifetime.sequence;
+		}
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/report/order", test_reports_in_order_are_news);
+	g_test_add_func("/report/late", test_late_report_changes_nothing);
+	g_test_add_func("/report/left", test_one_that_left_is_gone);
+	g_test_add_func("/report/earlier-start",
+			test_earlier_starts_report_is_late);
+	g_test_add_func("/report/same-id", test_same_id_starts_again);
+	g_test_add_func("/report/any-order", test_any_order_never_goes_back);
+	return g_test_run();
+}
