--- a/standin/upstream/control.c
+++ b/standin/upstream/control.c
@@ -45,6 +45,8 @@
 	add_count(object, "cancelled_running", counts->cancelled_running);
 	add_count(object, "late", counts->late);
 	add_count(object, "probes", counts->probes);
+	add_count(object, "misdirected", counts->misdirected);
+	add_count(object, "acknowledged", counts->acknowledged);
 	return object;
 }
 
@@ -54,6 +56,8 @@
 	struct upstream_faults *faults = &upstream->faults;
 	struct json_object *command = standin_parse_body(job->body);
 	gboolean cold = FALSE;
+	gboolean leaves = FALSE;
+	gboolean old_report = FALSE;
 
 	if (!command)
 		return NULL;
@@ -64,7 +68,17 @@
 	standin_read_bool(command, "drop_runs", &faults->drop_runs);
 	standin_read_bool(command, "sick", &faults->sick);
 	standin_read_bool(command, "cold", &cold);
+	standin_read_bool(command, "draining", &faults->draining);
+	standin_read_int(command, "pace_percent", &faults->pace_percent);
+	standin_read_int(command, "strange_next", &faults->strange_next);
+	standin_read_int(command, "promise_next", &faults->promise_next);
+	standin_read_bool(command, "leave", &leaves);
+	standin_read_bool(command, "old_report", &old_report);
 	json_object_put(command);
+	if (leaves)
+		reports_leave(upstream);
+	if (old_report)
+		reports_send_old(upstream);
 	if (cold)
 		upstream->started_us = clock_mono_us();
 	if (!faults->freeze)
@@ -93,6 +107,38 @@
 	return object;
 }
 
+static bool is_leaving(const struct upstream *upstream)
+{
+	return upstream->faults.draining || upstream->faults.left;
+}
+
+static unsigned int status_of(const struct job *job,
+			      const struct json_object *object)
+{
+	if (!object)
+		return MHD_HTTP_BAD_REQUEST;
+	if (job->upstream->options.instance && strcmp(job->path, "/health") == 0 &&
+	    (job->upstream->faults.sick || is_leaving(job->upstream)))
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	return MHD_HTTP_OK;
+}
+
+static void add_health_headers(const struct job *job,
+			       struct MHD_Response *response)
+{
+	const struct upstream *upstream = job->upstream;
+	char text[64];
+
+	if (!upstream->options.instance)
+		return;
+	g_snprintf(text, sizeof(text), "%d,%d,%d,%" G_GINT64_FORMAT,
+		   upstream->running, upstream->queued, upstream->options.slots,
+		   upstream->faults.pace_percent);
+	MHD_add_response_header(response, "X-Comfreydock-Server-Load", text);
+	MHD_add_response_header(response, "X-Comfreydock-Instance-Id",
+				upstream->options.instance);
+}
+
 enum MHD_Result control_answer(struct job *job)
 {
 	struct json_object *object = NULL;
@@ -112,8 +158,8 @@
 	response = MHD_create_response_from_buffer(strlen(text), (void *)text,
 						   MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(response, "Content-Type", "application/json");
-	result = MHD_queue_response(job->connection,
-				    object ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+	add_health_headers(job, response);
+	result = MHD_queue_response(job->connection, status_of(job, object),
 				    response);
 	MHD_destroy_response(response);
 	json_object_put(object);
--- a/standin/upstream/main.c
+++ b/standin/upstream/main.c
@@ -20,6 +20,7 @@
 	.seed = 1,
 	.cold_factor = 5.0,
 	.report_lag_ms = 1000,
+	.heartbeat_ms = 200,
 };
 static char *distribution;
 
@@ -49,6 +50,14 @@
 	 "upstream group announced; may be repeated", "NAME"},
 	{"runs", 0, 0, G_OPTION_ARG_FILENAME, &options.runs_path,
 	 "file to append the id of each run to", "FILE"},
+	{"instance", 0, 0, G_OPTION_ARG_STRING, &options.instance,
+	 "id of this start, as on the users' platform", "ID"},
+	{"service", 0, 0, G_OPTION_ARG_STRING, &options.service,
+	 "service told in heartbeats", "NAME"},
+	{"report-to", 0, 0, G_OPTION_ARG_STRING, &options.report_to,
+	 "where heartbeats go", "IP:PORT"},
+	{"heartbeat-ms", 0, 0, G_OPTION_ARG_INT64, &options.heartbeat_ms,
+	 "between two of them", "MS"},
 	{0},
 };
 
@@ -104,12 +113,16 @@
 	g_strfreev(options.groups);
 	g_free(options.runs_path);
 	g_free(options.announce);
+	g_free(options.instance);
+	g_free(options.service);
+	g_free(options.report_to);
 	g_free(distribution);
 }
 
 int main(int argc, char **argv)
 {
-	struct upstream upstream = {.faults.factor = 1.0};
+	struct upstream upstream = {.faults.factor = 1.0,
+				    .faults.pace_percent = 100};
 
 	standin_parse_options(&argc, &argv, entries, "A back end for tests.");
 	if (!parse_distribution()) {
@@ -135,6 +148,7 @@
 	standin_on_stop(upstream.loop, handle_stop, &upstream);
 	control_start_reports(&upstream);
 	announce_start(&upstream);
+	reports_start(&upstream);
 	standin_announce_port("standin-upstream",
 			      http_server_port(upstream.server));
 	ev_run(upstream.loop, 0);
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -98,6 +98,35 @@
 	return response;
 }
 
+/* What upstreams on the users' platform tell with each answer. */
+static void add_platform_headers(struct job *job, struct MHD_Response *response)
+{
+	struct upstream *upstream = job->upstream;
+	const char *id = job->id ? job->id : "";
+	char text[64];
+
+	if (upstream->faults.strange_next > 0) {
+		upstream->faults.strange_next--;
+		id = "of-another-request";
+	}
+	MHD_add_response_header(response, "X-Comfreydock-Request-Id", id);
+	if (job->status == MHD_HTTP_OK)
+		MHD_add_response_header(response,
+					"X-Comfreydock-Response-Signature", id);
+	if (job->caller_service)
+		MHD_add_response_header(response, "X-Seen-Caller-Service",
+					job->caller_service);
+	if (job->status == MHD_HTTP_SERVICE_UNAVAILABLE && !job->has_run)
+		MHD_add_response_header(response, "X-Comfreydock-Not-Executed",
+					"1");
+	g_snprintf(text, sizeof(text), "%d,%d,%d,%" G_GINT64_FORMAT,
+		   upstream->running, upstream->queued, upstream->options.slots,
+		   upstream->faults.pace_percent);
+	MHD_add_response_header(response, "X-Comfreydock-Server-Load", text);
+	MHD_add_response_header(response, "X-Comfreydock-Instance-Id",
+				upstream->options.instance);
+}
+
 static enum MHD_Result answer(struct job *job)
 {
 	struct MHD_Response *response;
@@ -118,16 +147,26 @@
 	MHD_add_response_header(response, "X-Upstream-Port", number);
 	if (job->status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		MHD_add_response_header(response, "X-Shed", "1");
+	if (job->upstream->options.instance)
+		add_platform_headers(job, response);
 	result = MHD_queue_response(job->connection, job->status, response);
 	MHD_destroy_response(response);
 	return result;
 }
 
+static char *copy_header(const struct job *job, const char *name)
+{
+	return g_strdup(MHD_lookup_connection_value(job->connection,
+						    MHD_HEADER_KIND, name));
+}
+
 static void begin_job(struct job *job, const char *method)
 {
 	job->method = g_strdup(method);
-	job->id = g_strdup(MHD_lookup_connection_value(
-		job->connection, MHD_HEADER_KIND, "X-Request-Id"));
+	job->id = copy_header(job, job->upstream->options.instance ?
+					   "X-Comfreydock-Request-Id" :
+					   "X-Request-Id");
+	job->caller_service = copy_header(job, "X-Comfreydock-Caller-Service");
 	if (job->id && !*job->id)
 		g_clear_pointer(&job->id, g_free);
 	job->digest = g_checksum_new(G_CHECKSUM_SHA256);
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -15,8 +15,13 @@
  *	X-Body-Size, X-Body-Sha256 and X-Upstream-Port; one that is shed is a
  *	503 with X-Shed.
  *
+ *	With an instance it speaks as upstreams on the users' platform do: their
+ *	headers, a load header with the host's pace, 421 to requests that mean
+ *	another instance, and heartbeats to the daemon beside it.
+ *
  *	For the test: POST /standin/set takes the members of struct
- *	upstream_faults and "cold", which begins the cold start again; GET
+ *	upstream_faults, "cold", which begins the cold start again, "leave" and
+ *	"old_report"; GET
  *	/standin/runs?id=ID or for all ids gives struct upstream_counts.
  */
 #ifndef STANDIN_UPSTREAM_UPSTREAM_H
@@ -55,6 +60,11 @@
 	char *announce; /* URL of the daemon's admin API, or NULL */
 	char **groups;
 	char *runs_path; /* a line for each run, which outlives a SIGKILL */
+	/* As on the users' platform: its headers, and heartbeats. */
+	char *instance; /* NULL: not so */
+	char *service;
+	char *report_to; /* "IP:PORT" */
+	int64_t heartbeat_ms;
 };
 
 /* What a test commands through POST /standin/set. */
@@ -65,6 +75,11 @@
 	int64_t drop_next; /* connections to break without an answer */
 	gboolean drop_runs; /* the dropped ones run first */
 	gboolean sick; /* /health says so */
+	gboolean draining; /* heartbeats and /health say so */
+	gboolean left; /* said good-bye: no heartbeats */
+	int64_t pace_percent; /* of the host, and times the service time */
+	int64_t strange_next; /* answers with another request's id */
+	int64_t promise_next; /* 503 after the run, without a word on it */
 };
 
 struct upstream_report {
@@ -84,6 +99,8 @@
 	uint64_t cancelled_running;
 	uint64_t late;
 	uint64_t probes; /* GET /health and GET /load */
+	uint64_t misdirected; /* meant for another instance */
+	uint64_t acknowledged; /* heartbeats and good-byes */
 };
 
 enum job_state {
@@ -102,11 +119,13 @@
 	char *method;
 	char *path;
 	char *id;
+	char *caller_service; /* as told by the daemon; NULL: not told */
 	GChecksum *digest;
 	GString *body; /* kept for /echo and commands only */
 	uint64_t body_size;
 	unsigned int status;
 	bool drop;
+	bool has_run;
 	bool suspended;
 	struct precise_timer service;
 	ev_timer deadline;
@@ -135,6 +154,8 @@
 	int runs_fd; /* -1: none */
 	ev_timer report_timer;
 	ev_timer announce_timer;
+	ev_timer heartbeat;
+	uint64_t sequence; /* of the last one */
 };
 
 /* server.c */
@@ -151,6 +172,12 @@
 enum MHD_Result control_answer(struct job *job);
 void control_start_reports(struct upstream *upstream);
 
+/* reports.c: heartbeats, a good-bye, and the last heartbeat once more, as one
+ * that was held up on its way. */
+void reports_start(struct upstream *upstream);
+void reports_leave(struct upstream *upstream);
+void reports_send_old(struct upstream *upstream);
+
 /* announce.c: tells the daemon beside it, again until that accepts. */
 void announce_start(struct upstream *upstream);
 
--- a/standin/upstream/work.c
+++ b/standin/upstream/work.c
@@ -115,6 +115,11 @@
 		return;
 	}
 	job->upstream->counts.finished++;
+	if (job->upstream->faults.promise_next > 0) {
+		job->upstream->faults.promise_next--;
+		job_answer(job, MHD_HTTP_SERVICE_UNAVAILABLE);
+		return;
+	}
 	job_answer(job, MHD_HTTP_OK);
 }
 
@@ -137,12 +142,14 @@
 {
 	struct upstream *upstream = job->upstream;
 	double service_us = draw_service_us(upstream) *
-			    upstream->faults.factor * cold_factor(upstream);
+			    upstream->faults.factor * cold_factor(upstream) *
+			    (double)upstream->faults.pace_percent / 100.0;
 
 	ev_timer_stop(upstream->loop, &job->deadline);
 	TAILQ_INSERT_TAIL(&upstream->busy, job, link);
 	upstream->running++;
 	job->state = JOB_RUNNING;
+	job->has_run = true;
 	count_run(job);
 	precise_timer_init(&job->service, upstream->loop, handle_service_end,
 			   job);
@@ -206,8 +213,10 @@
 	job->closed.data = job;
 	job->deadline.data = job;
 	ev_io_start(job->upstream->loop, &job->closed);
-	deadline = MHD_lookup_connection_value(job->connection, MHD_HEADER_KIND,
-					       "X-Deadline-Ms");
+	deadline = MHD_lookup_connection_value(
+		job->connection, MHD_HEADER_KIND,
+		job->upstream->options.instance ? "X-Comfreydock-Deadline-Ms" :
+						  "X-Deadline-Ms");
 	if (!deadline)
 		return;
 	remaining_ms = MAX(g_ascii_strtod(deadline, NULL), 0.0);
@@ -215,10 +224,26 @@
 	ev_timer_start(job->upstream->loop, &job->deadline);
 }
 
+/* The address was another instance's, which the sender meant. */
+static bool is_misdirected(const struct job *job)
+{
+	const char *expected =
+		MHD_lookup_connection_value(job->connection, MHD_HEADER_KIND,
+					    "X-Comfreydock-Expected-Instance");
+
+	return job->upstream->options.instance && expected &&
+	       strcmp(expected, job->upstream->options.instance) != 0;
+}
+
 static bool job_refuse(struct job *job)
 {
 	struct upstream *upstream = job->upstream;
 
+	if (is_misdirected(job)) {
+		upstream->counts.misdirected++;
+		job->status = MHD_HTTP_MISDIRECTED_REQUEST;
+		return true;
+	}
 	if (upstream->faults.drop_next > 0) {
 		upstream->faults.drop_next--;
 		upstream->counts.dropped++;
@@ -268,6 +293,7 @@
 	g_free(job->method);
 	g_free(job->path);
 	g_free(job->id);
+	g_free(job->caller_service);
 	g_free(job);
 	upstream->open_jobs--;
 	if (upstream->stopping && upstream->open_jobs == 0)
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -41,7 +41,7 @@
  * socket stays bound and never listens; with SO_REUSEADDR on both sides another
  * process may listen there, and the kernel gives the port to nobody else.
  */
-static uint16_t find_port(void)
+uint16_t cluster_find_port(void)
 {
 	int one = 1;
 
@@ -64,15 +64,15 @@
 
 static void find_ports(struct cluster_ports *ports)
 {
-	ports->caller = find_port();
-	ports->peer = find_port();
-	ports->admin = find_port();
+	ports->caller = cluster_find_port();
+	ports->peer = cluster_find_port();
+	ports->admin = cluster_find_port();
 }
 
 static void start_relay(struct cluster *cluster, unsigned int i)
 {
 	char *target = g_strdup_printf("127.0.0.1:%u", cluster->ports[i].peer);
-	char *port = g_strdup_printf("%u", find_port());
+	char *port = g_strdup_printf("%u", cluster_find_port());
 
 	cluster->relays[i] =
 		rig_start_standin(cluster->rig, "tests/system/relay",
@@ -156,7 +156,7 @@
 	const char *slots = options->slots ? options->slots : "4";
 	const char *time =
 		options->service_time_us ? options->service_time_us : "2000";
-	char *port = g_strdup_printf("%u", find_port());
+	char *port = g_strdup_printf("%u", cluster_find_port());
 
 	cluster->upstreams[i] = rig_start_standin(
 		cluster->rig, "standin/upstream/standin-upstream", "--port",
@@ -180,7 +180,7 @@
 	cluster->key_file = rig_write_file(cluster->rig, "peer.key", "%s", KEY);
 	cluster->config_file =
 		rig_write_file(cluster->rig, "ops.json", "%s", config);
-	port = g_strdup_printf("%u", find_port());
+	port = g_strdup_printf("%u", cluster_find_port());
 	cluster->platform = rig_start_standin(
 		cluster->rig, "standin/platform/standin-platform", "--port",
 		port, NULL);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -58,6 +58,9 @@
 	unsigned int relayed; /* bit i: a relay before daemon i */
 };
 
+/* RETURN VALUE: a port for TCP and UDP, kept for this test until it ends. */
+uint16_t cluster_find_port(void);
+
 void cluster_start(struct cluster *cluster,
 		   const struct cluster_options *options);
 void cluster_stop(struct cluster *cluster);
--- /dev/null
+++ b/tests/system/test_on_platform.c
@@ -0,0 +1,508 @@
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "cluster.h"
+
+/*
+ * The daemons as the users' platform runs them: the operator's row in the
+ * store, heartbeats from the upstreams, readiness asked from outside.
+ */
+
+#define HOSTS 3
+#define SERVICE "desk"
+#define WAIT_MS 10000
+#define CALL_MS 5000
+#define IN_FORCE_MS 2000
+
+struct host {
+	uint16_t caller;
+	uint16_t peer;
+	uint16_t admin;
+	uint16_t ready;
+	uint16_t reports;
+	struct rig_process *daemon;
+	struct rig_process *upstream;
+	const char *runs_file;
+	unsigned int starts; /* of the upstream */
+};
+
+static struct rig *rig;
+static struct rig_process *store;
+static struct host hosts[HOSTS];
+static unsigned int requests;
+
+static void start_daemon(unsigned int i)
+{
+	struct host *host = &hosts[i];
+	char *name = g_strdup_printf("d%u", i);
+	char *file = g_strdup_printf("d%u.json", i);
+	const char *path = rig_write_file(
+		rig, file,
+		"{\"host\": \"d%u\", \"domain\": \"hall-%u\", "
+		"\"region\": \"reykjavik\", \"service\": \"beside-%u\",\n"
+		"\"caller\": {\"at\": \"127.0.0.1:%u\"},\n"
+		"\"peer\": {\"address\": \"127.0.0.1\", \"port\": %u, "
+		"\"key\": \"a key for tests only\"},\n"
+		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
+		"\"platform\": {\"url\": \"http://127.0.0.1:%u\", "
+		"\"follow_operator\": true,\n"
+		" \"ready\": {\"at\": \"127.0.0.1:%u\"}, "
+		"\"reports\": {\"at\": \"127.0.0.1:%u\"}},\n"
+		"\"retry_budget\": {\"ratio\": 0.2, \"slack\": 60}, "
+		"\"probes_per_s\": 60, \"stop\": {\"grace_s\": 6}}\n",
+		i, i, i, host->caller, host->peer, host->admin, store->port,
+		host->ready, host->reports);
+
+	host->daemon = rig_start_daemon(rig, name, path);
+	g_free(name);
+	g_free(file);
+}
+
+static void start_upstream(unsigned int i)
+{
+	struct host *host = &hosts[i];
+	char *port = g_strdup_printf("%u", cluster_find_port());
+	char *instance = g_strdup_printf("i-%u-%u", i, ++host->starts);
+	char *report_to = g_strdup_printf("127.0.0.1:%u", host->reports);
+
+	host->upstream = rig_start_standin(
+		rig, "standin/upstream/standin-upstream", "--port", port,
+		"--instance", instance, "--service", SERVICE, "--report-to",
+		report_to, "--service-time-us", "10000", "--slots", "8",
+		"--runs", host->runs_file, NULL);
+	g_free(port);
+	g_free(instance);
+	g_free(report_to);
+}
+
+static void write_manifest(unsigned int version, const char *prefix)
+{
+	char *row = g_strdup_printf(
+		"{\"version\":\"r%u\",\"listeners\":[{\"host\":\"a.example\","
+		"\"ruleSet\":["
+		"{\"name\":\"get\",\"routeType\":\"idempotent\","
+		"\"targetLatencyMs\":500,\"priority\":2,"
+		"\"match\":{\"pathPrefix\":\"/%s/\"},"
+		"\"action\":{\"service\":\"" SERVICE
+		"\",\"timeoutMs\":2000,\"attempts\":3}},"
+		"{\"name\":\"post\",\"routeType\":\"non_idempotent\","
+		"\"targetLatencyMs\":500,\"priority\":1,"
+		"\"match\":{\"pathPrefix\":\"/book/\"},"
+		"\"action\":{\"service\":\"" SERVICE
+		"\",\"timeoutMs\":2000,\"attempts\":3}}]}],"
+		"\"clusters\":[{\"name\":\"" SERVICE
+		"\",\"healthPath\":\"/health\",\"maxConnections\":200}]}",
+		version, prefix);
+	char *value = g_base64_encode((const guchar *)row, strlen(row));
+	char *body = g_strdup_printf(
+		"{\"expect\":[],\"setKeys\":[{\"table\":\"op\",\"part\":\"\","
+		"\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
+		value);
+
+	g_free(rig_http_ok("POST", store->port, "/standin/operator", body));
+	g_free(row);
+	g_free(value);
+	g_free(body);
+}
+
+static void set_store(const char *faults)
+{
+	g_free(rig_http_ok("POST", store->port, "/standin/fault", faults));
+}
+
+static void set_upstream(unsigned int i, const char *faults)
+{
+	g_free(rig_http_ok("POST", hosts[i].upstream->port, "/standin/set",
+			   faults));
+}
+
+static struct rig_answer *call_as(unsigned int i, const char *method,
+				  const char *path, const char *id)
+{
+	const char *headers[] = {"Host",
+				 "a.example",
+				 "X-Comfreydock-Request-Id",
+				 id,
+				 "X-Comfreydock-Deadline-Ms",
+				 "3000",
+				 "X-Comfreydock-Caller-Service",
+				 "forged",
+				 NULL};
+	char *url =
+		g_strdup_printf("http://127.0.0.1:%u%s", hosts[i].caller, path);
+	struct rig_answer *answer = rig_http(
+		method, url, headers, *method == 'P' ? "{}" : NULL, CALL_MS);
+
+	g_free(url);
+	return answer;
+}
+
+/* RETURN VALUE: the status, 0 where no answer came. */
+static long call(unsigned int i, const char *method, const char *path)
+{
+	char id[32];
+	struct rig_answer *answer;
+	long status;
+
+	g_snprintf(id, sizeof(id), "request-%u", ++requests);
+	answer = call_as(i, method, path, id);
+	status = answer->arrived ? answer->status : 0;
+	rig_answer_free(answer);
+	return status;
+}
+
+/* How often the upstreams ran a request. */
+static unsigned int runs_of(const char *id)
+{
+	unsigned int runs = 0;
+
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		char *text = NULL;
+		char **lines;
+
+		g_assert_true(g_file_get_contents(hosts[i].runs_file, &text,
+						  NULL, NULL));
+		lines = g_strsplit(text, "\n", -1);
+		for (char **line = lines; *line; line++)
+			runs += strcmp(*line, id) == 0;
+		g_strfreev(lines);
+		g_free(text);
+	}
+	return runs;
+}
+
+static unsigned int runs_at(unsigned int i)
+{
+	unsigned int runs = 0;
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(hosts[i].runs_file, &text, NULL, NULL));
+	for (const char *at = text; (at = strchr(at, '\n')); at++)
+		runs++;
+	g_free(text);
+	return runs;
+}
+
+static long readiness(unsigned int i)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/comfreydock/ready",
+				    hosts[i].ready);
+	struct rig_answer *answer = rig_http("GET", url, NULL, NULL, CALL_MS);
+	long status = answer->arrived ? answer->status : 0;
+
+	rig_answer_free(answer);
+	g_free(url);
+	return status;
+}
+
+static bool is_ready(void *data)
+{
+	return readiness(GPOINTER_TO_UINT(data)) == 200;
+}
+
+struct served {
+	unsigned int entry;
+	const char *path;
+};
+
+static bool is_served(void *data)
+{
+	const struct served *served = data;
+
+	return call(served->entry, "GET", served->path) == 200;
+}
+
+static void wait_served(unsigned int entry, const char *path, int timeout_ms)
+{
+	struct served served = {entry, path};
+
+	g_assert_true(rig_wait_until(is_served, &served, timeout_ms));
+}
+
+static bool has_upstream(void *data)
+{
+	char *json = rig_http_ok("GET", hosts[GPOINTER_TO_UINT(data)].admin,
+				 "/v1/upstream", NULL);
+	bool has = strstr(json, "\"up\"") != NULL;
+
+	g_free(json);
+	return has;
+}
+
+static void wait_upstream(unsigned int i)
+{
+	g_assert_true(rig_wait_until(has_upstream, GUINT_TO_POINTER(i), WAIT_MS));
+}
+
+static void call_some(unsigned int entry, unsigned int count)
+{
+	for (unsigned int n = 0; n < count; n++)
+		g_assert_cmpint(call(entry, "GET", "/list/1"), ==, 200);
+}
+
+/* Without a configuration nobody may be sent here: each path would be told
+ * that it does not exist. */
+static void test_ready_with_a_configuration_only(void)
+{
+	g_assert_cmpint(readiness(0), ==, 503);
+	g_assert_cmpint(call(0, "GET", "/list/1"), ==, 503);
+	write_manifest(3, "list");
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		g_assert_true(rig_wait_until(is_ready, GUINT_TO_POINTER(i),
+					     IN_FORCE_MS));
+		wait_upstream(i);
+		wait_served(i, "/list/1", WAIT_MS);
+	}
+	g_assert_cmpint(call(0, "GET", "/none/1"), ==, 404);
+}
+
+/* The answer is the upstream's, and names the service of the entry's host,
+ * whatever the caller claimed. */
+static void test_answers_are_the_upstreams(void)
+{
+	struct rig_answer *answer = call_as(1, "POST", "/book/1", "booking-1");
+
+	g_assert_cmpint(answer->status, ==, 200);
+	g_assert_cmpstr(g_hash_table_lookup(answer->headers,
+					    "x-comfreydock-request-id"),
+			==, "booking-1");
+	g_assert_cmpstr(g_hash_table_lookup(answer->headers,
+					    "x-comfreydock-response-signature"),
+			==, "booking-1");
+	g_assert_cmpstr(
+		g_hash_table_lookup(answer->headers, "x-seen-caller-service"),
+		==, "beside-1");
+	g_assert_cmpuint(runs_of("booking-1"), ==, 1);
+	rig_answer_free(answer);
+}
+
+/*
+ * An upstream leaves another request's answer on its connection. The caller who
+ * comes next must not get it: a listing is fetched again, a booking of which
+ * nobody knows is told so, and made once.
+ */
+static void test_strange_answers_reach_nobody(void)
+{
+	for (unsigned int i = 0; i < HOSTS; i++)
+		set_upstream(i, "{\"strange_next\": 1}");
+	for (unsigned int n = 0; n < 12; n++) {
+		char id[32];
+		struct rig_answer *answer;
+
+		g_snprintf(id, sizeof(id), "strange-%u", n);
+		answer = call_as(n % HOSTS, "POST", "/book/1", id);
+		g_assert_true(answer->arrived);
+		if (answer->status == 200)
+			g_assert_cmpstr(
+				g_hash_table_lookup(answer->headers,
+						    "x-comfreydock-request-id"),
+				==, id);
+		else
+			g_assert_cmpint(answer->status, ==, 502);
+		g_assert_cmpuint(runs_of(id), ==, 1);
+		rig_answer_free(answer);
+	}
+}
+
+/* 503 of a booking that was made, without a word that it was not: it must not
+ * be passed on, nor lead to a second one. */
+static void test_empty_promises_are_not_passed_on(void)
+{
+	unsigned int broken = 0;
+
+	for (unsigned int i = 0; i < HOSTS; i++)
+		set_upstream(i, "{\"promise_next\": 1}");
+	for (unsigned int n = 0; n < 12; n++) {
+		char id[32];
+		struct rig_answer *answer;
+
+		g_snprintf(id, sizeof(id), "promise-%u", n);
+		answer = call_as(n % HOSTS, "POST", "/book/1", id);
+		g_assert_cmpint(answer->status, !=, 503);
+		broken += answer->status == 502;
+		g_assert_cmpuint(runs_of(id), ==, 1);
+		rig_answer_free(answer);
+	}
+	g_assert_cmpuint(broken, ==, HOSTS);
+}
+
+/* A slow spell of one host: its share of the calls goes to the others. */
+static void test_slow_host_is_avoided(void)
+{
+	unsigned int before;
+
+	call_some(0, 10);
+	set_upstream(0, "{\"pace_percent\": 1000}");
+	rig_sleep_ms(200);
+	call_some(0, 5);
+	before = runs_at(0);
+	call_some(0, 40);
+	g_assert_cmpuint(runs_at(0) - before, <=, 4);
+	set_upstream(0, "{\"pace_percent\": 100}");
+	rig_sleep_ms(500);
+	call_some(0, 40);
+	g_assert_cmpuint(runs_at(0) - before, >, 4);
+}
+
+/* Heartbeats say that the upstream drains: nothing new begins there, and no
+ * caller notices. */
+static void test_drain_by_heartbeat(void)
+{
+	unsigned int before;
+
+	set_upstream(1, "{\"draining\": true}");
+	rig_sleep_ms(1000);
+	before = runs_at(1);
+	call_some(1, 30);
+	g_assert_cmpuint(runs_at(1), ==, before);
+	g_assert_cmpint(readiness(1), ==, 200);
+	set_upstream(1, "{\"draining\": false}");
+	wait_upstream(1);
+}
+
+/*
+ * An upstream says good-bye without having drained and goes on for a while. Its
+ * daemon is killed and started again just then: it knows nothing of the
+ * good-bye, and a heartbeat of before comes seconds late. What was told that it
+ * may end must not get work by that.
+ */
+static void test_late_report_after_a_good_bye(void)
+{
+	unsigned int before;
+
+	set_upstream(2, "{\"leave\": true}");
+	rig_sleep_ms(500);
+	before = runs_at(2);
+	call_some(2, 10);
+	rig_kill(hosts[2].daemon);
+	start_daemon(2);
+	g_assert_true(rig_wait_until(is_ready, GUINT_TO_POINTER(2), WAIT_MS));
+	set_upstream(2, "{\"old_report\": true}");
+	rig_sleep_ms(1000);
+	g_assert_false(has_upstream(GUINT_TO_POINTER(2)));
+	for (unsigned int i = 0; i < HOSTS; i++)
+		call_some(i, 10);
+	g_assert_cmpuint(runs_at(2), ==, before);
+	/* Another start at another address is taken. */
+	rig_kill(hosts[2].upstream);
+	start_upstream(2);
+	wait_upstream(2);
+	wait_served(2, "/list/1", WAIT_MS);
+}
+
+/*
+ * The upstream crashes and another instance takes its place without a
+ * heartbeat yet. It must not run what was meant for the other.
+ */
+static void test_other_instance_runs_nothing(void)
+{
+	char *port = g_strdup_printf("%u", hosts[0].upstream->port);
+	struct rig_process *other;
+	char *counts;
+
+	rig_kill(hosts[0].upstream);
+	other = rig_start_standin(rig, "standin/upstream/standin-upstream",
+				  "--port", port, "--instance", "i-other",
+				  "--service", SERVICE, "--runs",
+				  hosts[0].runs_file, NULL);
+	for (unsigned int n = 0; n < 20; n++)
+		g_assert_cmpint(call(0, "POST", "/book/1"), ==, 200);
+	counts = rig_http_ok("GET", other->port, "/standin/runs", NULL);
+	g_assert_cmpint(rig_json_int(counts, "started"), ==, 0);
+	g_free(counts);
+	rig_kill(other);
+	start_upstream(0);
+	wait_upstream(0);
+	g_free(port);
+}
+
+/*
+ * The store is away while a daemon is replaced. It finds its peers and the
+ * configuration all the same, since those that knew the one before it look for
+ * it; without that its callers would be refused until the store is back.
+ */
+static void test_restart_without_the_store(void)
+{
+	set_store("{\"down\": true}");
+	rig_signal(hosts[1].daemon, SIGTERM);
+	g_assert_cmpint(readiness(1), ==, 503);
+	g_assert_cmpint(call(1, "GET", "/list/1"), ==, 200);
+	g_assert_cmpint(rig_wait_end(hosts[1].daemon, WAIT_MS), ==, 0);
+	start_daemon(1);
+	g_assert_true(rig_wait_until(is_ready, GUINT_TO_POINTER(1), WAIT_MS));
+	wait_upstream(1);
+	wait_served(1, "/list/1", WAIT_MS);
+	g_assert_cmpint(call(1, "GET", "/none/1"), ==, 404);
+	set_store("{\"down\": false}");
+}
+
+/* A change is in force everywhere within seconds, also where the store has
+ * dropped its history in between. */
+static void test_changes_are_in_force(void)
+{
+	write_manifest(5, "moved");
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		wait_served(i, "/moved/1", IN_FORCE_MS + 1000);
+		g_assert_cmpint(call(i, "GET", "/list/1"), ==, 404);
+	}
+	set_store("{\"status\": 503}");
+	write_manifest(9, "again");
+	g_free(rig_http_ok("POST", store->port, "/standin/compact", ""));
+	rig_sleep_ms(300);
+	set_store("{\"status\": 0}");
+	for (unsigned int i = 0; i < HOSTS; i++)
+		wait_served(i, "/again/1", IN_FORCE_MS + 1000);
+	/* An older one, or one that can't be read, changes nothing. */
+	write_manifest(8, "older");
+	rig_sleep_ms(500);
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		g_assert_cmpint(call(i, "GET", "/again/1"), ==, 200);
+		g_assert_cmpint(call(i, "GET", "/older/1"), ==, 404);
+	}
+	write_manifest(10, "list");
+	for (unsigned int i = 0; i < HOSTS; i++)
+		wait_served(i, "/list/1", IN_FORCE_MS + 1000);
+}
+
+static void start_all(void)
+{
+	rig = rig_create();
+	store = rig_start_standin(rig, "standin/platform/standin-platform", NULL);
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		hosts[i].caller = cluster_find_port();
+		hosts[i].peer = cluster_find_port();
+		hosts[i].admin = cluster_find_port();
+		hosts[i].ready = cluster_find_port();
+		hosts[i].reports = cluster_find_port();
+		hosts[i].runs_file = rig_write_file(rig, "runs", "%s", "");
+		start_daemon(i);
+		start_upstream(i);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	start_all();
+	g_test_add_func("/on-platform/ready",
+			test_ready_with_a_configuration_only);
+	g_test_add_func("/on-platform/answers", test_answers_are_the_upstreams);
+	g_test_add_func("/on-platform/strange",
+			test_strange_answers_reach_nobody);
+	g_test_add_func("/on-platform/promises",
+			test_empty_promises_are_not_passed_on);
+	g_test_add_func("/on-platform/slow", test_slow_host_is_avoided);
+	g_test_add_func("/on-platform/drain", test_drain_by_heartbeat);
+	g_test_add_func("/on-platform/good-bye",
+			test_late_report_after_a_good_bye);
+	g_test_add_func("/on-platform/other-instance",
+			test_other_instance_runs_nothing);
+	g_test_add_func("/on-platform/restart", test_restart_without_the_store);
+	g_test_add_func("/on-platform/changes", test_changes_are_in_force);
+	status = g_test_run();
+	rig_destroy(rig);
+	return status;
+}
