caller: refuse heads with a NUL byte or a folded line

libmicrohttpd ends a value at a NUL byte and hangs a folded line on the field's name, so an upstream saw fields that nobody had sent. Such heads were answered 200; the bytes that belong to no field show them. Before the change the eight new shapes of system-edges failed at the first one (200 in place of 400).

--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -98,6 +98,18 @@
 				    &request_sink, request);
 }
 
+static bool request_has_rest(const struct caller_request *request,
+			     const struct head *head, const char *method,
+			     const char *version)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		request->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	size_t line_bytes = strlen(method) + strlen(request->target) +
+			    strlen(version) + strlen("  \r\n");
+
+	return info && head_has_rest(head, line_bytes, info->header_size);
+}
+
 static enum MHD_Result request_take_head(struct caller_request *request,
 					 const char *method, const char *version)
 {
@@ -110,6 +122,8 @@
 	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
 				  handle_field, &head);
 	fault = head_fault(&head, method, version);
+	if (!fault && request_has_rest(request, &head, method, version))
+		fault = "a line is folded or holds a NUL byte";
 	if (fault) {
 		result = request_refuse_form(request, fault);
 	} else if (connection_of(request->connection)->is_surplus) {
--- a/include/comfreydockd/caller/head.h
+++ b/include/comfreydockd/caller/head.h
@@ -20,6 +20,7 @@
 #define COMFREYDOCKD_CALLER_HEAD_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 #include "comfreydockd/peer/fields.h"
 
@@ -29,6 +30,8 @@
 	char *authority; /* of an absolute target, or NULL */
 	bool has_body;
 	bool has_bad_field;
+	size_t field_bytes; /* of all fields, without the space after a colon */
+	unsigned int field_count;
 	unsigned int lengths;
 	unsigned int codings;
 	unsigned int hosts;
@@ -45,6 +48,19 @@
 const char *head_fault(const struct head *head, const char *method,
 		       const char *version);
 
+/*
+ * Whether the head, as it came, holds more than its request line and fields.
+ * libmicrohttpd ends a value at a NUL byte and drops what follows, and it hangs
+ * a folded line on the field's name: "X: a", folded with "b", becomes a field
+ * "Xb". Who looks at the request upstream sees fields that its caller never
+ * sent. Both leave bytes over here. One space for each field is allowed for; a
+ * caller that pads its values with more is refused as well.
+ *
+ * line_bytes: of the request line, size_bytes: of the whole head, both with the
+ * ends of their lines.
+ */
+bool head_has_rest(const struct head *head, size_t line_bytes, size_t size_bytes);
+
 /* RETURN VALUE: the host asked for, with its port if any, or NULL. */
 const char *head_host(const struct head *head);
 
--- a/tests/system/test_edges.c
+++ b/tests/system/test_edges.c
@@ -25,8 +25,11 @@
 	const char *name;
 	const char *head; /* of a request with the id "outer" */
 	const char *counter; /* NULL: caller_bad_requests */
+	size_t size; /* of a head that holds a NUL byte; 0: its text */
 };
 
+#define SIZED(text) .head = (text), .size = sizeof(text) - 1
+
 static const struct shape bad_shapes[] = {
 	{"length-and-chunked",
 	 "POST /s HTTP/1.1\r\n" OUTER "Content-Length: 4\r\n"
@@ -86,6 +89,16 @@
 	{"connect", "CONNECT h:443 HTTP/1.1\r\n" OUTER "\r\n"},
 	{"odd-method", "G(T /s HTTP/1.1\r\n" OUTER "\r\n"},
 	{"value-control", "GET /s HTTP/1.1\r\n" OUTER "X-A: a\001b\r\n\r\n"},
+	{"value-nul", SIZED("GET /s HTTP/1.1\r\n" OUTER "X-A: a\0b\r\n\r\n")},
+	{"name-nul", SIZED("GET /s HTTP/1.1\r\n" OUTER "X-A\0: a\r\n\r\n")},
+	{"target-nul", SIZED("GET /s\0x HTTP/1.1\r\n" OUTER "\r\n")},
+	{"version-nul", SIZED("GET /s HTTP/1.1\0x\r\n" OUTER "\r\n"),
+	 .counter = "caller_empty_connections"},
+	{"folded", "GET /s HTTP/1.1\r\n" OUTER "X-A: a\r\n b\r\n\r\n"},
+	{"folded-tab", "GET /s HTTP/1.1\r\n" OUTER "X-A: a\r\n\tb\r\n\r\n"},
+	{"folded-first", "GET /s HTTP/1.1\r\n X: a\r\n" OUTER "\r\n"},
+	{"folded-length",
+	 "POST /s HTTP/1.1\r\n" OUTER "Content-Length: 5\r\n 6\r\n\r\n"},
 	{"no-version", "GET /s\r\n" OUTER "\r\n", "caller_empty_connections"},
 	{"other-version", "GET /s HTTP/2.7\r\n" OUTER "\r\n",
 	 "caller_empty_connections"},
@@ -112,7 +125,8 @@
 	int fd = raw_connect(cluster.daemons[0]->caller_port);
 	bool closed;
 
-	raw_send_text(fd, shape->head);
+	raw_send(fd, shape->head,
+		 shape->size ? shape->size : strlen(shape->head));
 	raw_send_text(fd, NEXT);
 	closed = raw_read_to_close(fd, answer, CLOSE_MS);
 	g_test_message("%.*s", 60, answer->str);
