ctl: time lines and a summary of failures from logs; metrics with labels and histograms

On the metrics address there were counts only: neither how long callers waited nor what of it was ours could be told. Calls by rule and outcome, refusals by reason, calls of the store, members by state, the time of each stage in buckets and the host's pace are there now. An attempt that was silent at the deadline is named in entry.failed; before, a timeout named only the attempts that had answered.

--- a/comfreydockctl/timeline.c
+++ b/comfreydockctl/timeline.c
@@ -1,6 +1,8 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "comfreydockctl/ctl.h"
+#include "comfreydockctl/logs.h"
 #include "common/jsonc.h"
 
 static int compare_time(const void *a, const void *b)
@@ -39,6 +41,69 @@
 	}
 }
 
+struct search {
+	const char *trace;
+	json_object *events;
+};
+
+static char **files;
+
+/* What an event says of itself, beside what each line has. */
+static char *fields_to_note(json_object *line)
+{
+	static const char *const known[] = {"time", "event", "name", "process",
+					    "trace"};
+	GString *note = g_string_new(NULL);
+
+	json_object_object_foreach(line, key, value)
+	{
+		bool is_known = false;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
+			is_known |= strcmp(key, known[i]) == 0;
+		if (!is_known)
+			g_string_append_printf(note, "%s%s=%s",
+					       note->len ? " " : "", key,
+					       json_object_get_string(value));
+	}
+	return g_string_free(note, FALSE);
+}
+
+static void handle_line(json_object *line, void *data)
+{
+	struct search *search = data;
+	json_object *event;
+	char *note;
+
+	if (strcmp(jsonc_get_text(line, "trace"), search->trace) != 0)
+		return;
+	event = json_object_new_object();
+	note = fields_to_note(line);
+	jsonc_add_uint(event, "time", logs_time_us(line));
+	jsonc_add_text(event, "process", jsonc_get_text(line, "process"));
+	jsonc_add_text(event, "name", jsonc_get_text(line, "name"));
+	jsonc_add_text(event, "note", note);
+	json_object_array_add(search->events, event);
+	g_free(note);
+}
+
+/* RETURN VALUE: as a daemon would answer, or NULL after telling why not. */
+static json_object *search_logs(const char *trace)
+{
+	json_object *root = json_object_new_object();
+	struct search search = {
+		.trace = trace,
+		.events = json_object_new_array(),
+	};
+	size_t unreadable;
+
+	json_object_object_add(root, "events", search.events);
+	if (logs_read(files, handle_line, &search, &unreadable))
+		return root;
+	json_object_put(root);
+	return NULL;
+}
+
 static json_object *ask(struct ctl *ctl, const char *trace)
 {
 	char *escaped = g_uri_escape_string(trace, NULL, FALSE);
@@ -52,7 +117,8 @@
 
 static int run(struct ctl *ctl, char **arguments)
 {
-	json_object *root = ask(ctl, arguments[0]);
+	json_object *root =
+		files ? search_logs(arguments[0]) : ask(ctl, arguments[0]);
 	json_object *events = jsonc_get_array(root, "events");
 	int status = CTL_OK;
 
@@ -75,11 +141,20 @@
 	return status;
 }
 
+static const GOptionEntry options[] = {
+	{"log", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &files,
+	 "Read this log in place of asking daemons, - for standard input; may "
+	 "come several times",
+	 "FILE"},
+	{NULL},
+};
+
 const struct ctl_command ctl_timeline = {
 	.name = "timeline",
 	.arguments = "TRACE",
 	.summary = "show one request's events over all daemons",
 	.min_arguments = 1,
 	.max_arguments = 1,
+	.options = options,
 	.run = run,
 };
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -10,6 +10,8 @@
 #include "comfreydockd/decide/retry.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/latency.h"
+#include "common/tally.h"
 
 /* What became of its attempts, for the one line that tells of a failure. */
 static void call_remember(struct call *call,
@@ -284,6 +286,9 @@
 	call_stop_patience(call);
 	hedge_note_latency(&call->service->hedge,
 			   attempt->head_us - call->began_us);
+	latency_note_us(&latencies.call_added,
+			attempt->head_us - call->began_us -
+				(int64_t)answer->upstream_us);
 	call_note(call, EV_ENTRY_ANSWERED,
 		  LOG_STR("from", attempt->upstream->host),
 		  LOG_INT("status", answer->status),
@@ -311,6 +316,8 @@
 	struct call *call = attempt->call;
 
 	counters.caller_run++;
+	latency_note_us(&latencies.call_run, clock_mono_us() - call->began_us);
+	tally_add(TALLY_CALLS, call->rule->name, "run");
 	call->answered = true;
 	call_note(call, EV_ENTRY_ENDED, LOG_STR("outcome", "run"),
 		  LOG_INT("status", call->status),
@@ -445,6 +452,8 @@
 		timer_start_us(call, timer, call->deadline_us - clock_mono_us());
 		return;
 	}
+	LIST_FOREACH (attempt, &call->active, link)
+		call_remember(call, attempt, "silent");
 	call->reason = CFD__REASON__REASON_DEADLINE;
 	if (!LIST_EMPTY(&call->active))
 		call->may_have_run = true;
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -6,7 +6,9 @@
 #include "comfreydockd/upstream/answer.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/latency.h"
 #include "common/log.h"
+#include "common/tally.h"
 
 /* Into the time line and the log, with the attempt's number and entry. */
 #define attempt_note(attempt, event, ...)                                  \
@@ -41,6 +43,7 @@
 	name = protobuf_c_enum_descriptor_get_value(&cfd__reason__descriptor,
 						    (int)reason);
 	counters.owner_refused++;
+	tally_add(TALLY_REFUSALS, name ? name->name : "", NULL);
 	attempt_note(attempt, EV_OWNER_REFUSED,
 		     LOG_STR("reason", name ? name->name : ""),
 		     LOG_INT("running", owner_running(attempt->owner)),
@@ -132,6 +135,8 @@
 
 	attempt->head_us = clock_mono_us();
 	attempt->status = status;
+	latency_note_us(&latencies.owner_upstream,
+			attempt->head_us - attempt->started_us);
 	owner_note_answer(attempt->owner, fields);
 	attempt->verdict = attempt_judge(attempt, status, fields);
 	if (attempt->verdict != ANSWER_GOOD)
@@ -146,6 +151,7 @@
 	answer.length = length;
 	answer.load = &load;
 	answer.pace_percent = attempt->pace_percent;
+	answer.upstream_us = (uint64_t)(attempt->head_us - attempt->started_us);
 	answer.time = timeline_now(&owner_daemon(attempt->owner)->timeline);
 	frame.kind_case = CFD__FRAME__KIND_ANSWER;
 	frame.answer = &answer;
@@ -345,6 +351,7 @@
 		     LOG_INT("pace", attempt->pace_percent),
 		     LOG_INT("pace_age_us", owner_pace_age_us(attempt->owner)));
 	counters.owner_started++;
+	latency_note_us(&latencies.owner_waited, now - attempt->arrived_us);
 	attempt_fill_fields(attempt, &fields, attempt->item.deadline_us - now);
 	attempt->run = run_create(owner_pool(attempt->owner), &run,
 				  ATTEMPT_ANSWER_WINDOW, &callbacks, attempt);
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -583,6 +583,8 @@
 	status->limit = slots.limit;
 	status->running = owner->running;
 	status->queued = queue_length(&owner->queue);
+	status->pace_percent = owner_pace_percent(owner);
+	status->pace_age_us = owner_pace_age_us(owner);
 	status->expected_wait_us = (uint32_t)MIN(
 		queue_expected_wait_us(&owner->queue, &slots), UINT32_MAX);
 }
--- a/include/comfreydockctl/ctl.h
+++ b/include/comfreydockctl/ctl.h
@@ -49,6 +49,7 @@
 extern const struct ctl_command ctl_apply;
 extern const struct ctl_command ctl_check;
 extern const struct ctl_command ctl_drain;
+extern const struct ctl_command ctl_failures;
 extern const struct ctl_command ctl_hosts;
 extern const struct ctl_command ctl_metrics;
 extern const struct ctl_command ctl_resume;
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -39,6 +39,8 @@
 	uint32_t running;
 	uint32_t queued;
 	uint32_t expected_wait_us;
+	uint32_t pace_percent; /* of the usual time that work takes now */
+	int64_t pace_age_us; /* -1: nothing is known yet */
 };
 
 struct owner *owner_create(struct daemon *daemon);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1494,7 +1494,7 @@
   (ProtobufCMessageInit) cfd__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__answer__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cfd__answer__field_descriptors[8] =
 {
   {
     "seq",
@@ -1580,6 +1580,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Answer, upstream_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__answer__field_indices_by_name[] = {
   2,   /* field[2] = headers */
@@ -1589,11 +1601,12 @@
   0,   /* field[0] = seq */
   1,   /* field[1] = status */
   5,   /* field[5] = time */
+  7,   /* field[7] = upstream_us */
 };
 static const ProtobufCIntRange cfd__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cfd__answer__descriptor =
 {
@@ -1603,7 +1616,7 @@
   "Cfd__Answer",
   "cfd",
   sizeof(Cfd__Answer),
-  7,
+  8,
   cfd__answer__field_descriptors,
   cfd__answer__field_indices_by_name,
   1,  cfd__answer__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -204,10 +204,14 @@
    * of the host, as the run began
    */
   uint32_t pace_percent;
+  /*
+   * from the start of the run to the answer's head
+   */
+  uint64_t upstream_us;
 };
 #define CFD__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__answer__descriptor) \
-    , 0, 0, 0,NULL, 0, NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0, NULL, 0, 0, 0 }
 
 
 struct  Cfd__AnswerBody
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -260,6 +260,87 @@
 	assert_output(f, "no time line from esja-07");
 }
 
+static const char entry_log[] =
+	"node-1 {\"time\":\"2026-01-31T12:00:00.300000Z\",\"event\":1508,"
+	"\"name\":\"entry.failed\",\"process\":\"a-1\",\"trace\":\"t1\","
+	"\"outcome\":\"unknown\",\"reason\":\"lost\",\"rule\":\"book\","
+	"\"attempts\":\"b-1:busy,b-2:lost\"}\n"
+	"this is no line of ours\n"
+	"{\"time\":\"2026-01-31T12:00:05.000000Z\",\"event\":1508,"
+	"\"name\":\"entry.failed\",\"process\":\"a-1\",\"trace\":\"t2\","
+	"\"outcome\":\"unknown\",\"reason\":\"lost\",\"rule\":\"book\","
+	"\"attempts\":\"b-2:lost\"}\n";
+
+static const char owner_log[] =
+	"{\"time\":\"2026-01-31T12:00:00.100000Z\",\"event\":1410,"
+	"\"name\":\"owner.started\",\"process\":\"b-2\",\"trace\":\"t1\","
+	"\"waited_us\":250}\n";
+
+static char *write_log(const char *text)
+{
+	char *file = NULL;
+	int fd = g_file_open_tmp("log-XXXXXX", &file, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	return file;
+}
+
+/*
+ * A customer complains a day later: the daemons' own memory of the request is
+ * long gone, and only the logs of several hosts are left. The entry's last word
+ * must come after the owner's, whichever file is read first.
+ */
+static void test_timeline_from_logs(struct fixture *f, gconstpointer unused)
+{
+	char *entry = write_log(entry_log);
+	char *owner = write_log(owner_log);
+	char *options = g_strdup_printf("--log %s --log %s", entry, owner);
+	const char *started;
+	const char *failed;
+
+	(void)unused;
+	run(f, "timeline", options, "t1", 0);
+	started = strstr(f->output->str, "owner.started");
+	failed = strstr(f->output->str, "entry.failed");
+	g_assert_nonnull(started);
+	g_assert_nonnull(failed);
+	g_assert_true(started < failed);
+	assert_output(f, "waited_us=250");
+	assert_output(f, "+200.000 ms");
+	run(f, "timeline", options, "t9", 5);
+	run(f, "timeline", "--log /nowhere/at-all", "t1", 5);
+	assert_output(f, "/nowhere/at-all: ");
+	g_unlink(entry);
+	g_unlink(owner);
+	g_free(options);
+	g_free(entry);
+	g_free(owner);
+}
+
+/*
+ * After an incident nobody has one request's id but a span of time. Calls that
+ * failed alike must stand in one line with what they met, and a span must leave
+ * out what lies beyond it.
+ */
+static void test_failures_are_summed_up(struct fixture *f, gconstpointer unused)
+{
+	char *entry = write_log(entry_log);
+
+	(void)unused;
+	run(f, "failures", "--", entry, 0);
+	assert_output(f, "      2  unknown  lost");
+	assert_output(f, "b-2:lost");
+	assert_output(f, "1 lines are no JSON");
+	run(f, "failures", "--until=2026-01-31T12:00:05Z", entry, 0);
+	assert_output(f, "      1  unknown  lost");
+	run(f, "failures", "--since=yesterday", entry, 2);
+	assert_output(f, "--since: \"yesterday\" is no time");
+	g_unlink(entry);
+	g_free(entry);
+}
+
 #define ADD(path, function) \
 	g_test_add(path, struct fixture, NULL, setup, function, teardown)
 
@@ -271,5 +352,7 @@
 	ADD("/ctl/wait", test_wait_counts_daemons);
 	ADD("/ctl/drain", test_drain_waits);
 	ADD("/ctl/timeline", test_timeline_is_sorted_and_its_gaps_named);
+	ADD("/ctl/timeline-from-logs", test_timeline_from_logs);
+	ADD("/ctl/failures", test_failures_are_summed_up);
 	return g_test_run();
 }
