health: leave out owners that answer no question; refuse at once where all are mute

Owners were asked whether they live only for calls that could be repeated.

Change: each call that has taken half of its time asks; an owner that leaves two questions open with nothing heard for 300 ms is left out of new work, past the ceiling; where all are mute one call in 100 ms is tried and the others are refused as not run with the time to come back.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -352,6 +352,7 @@
 		return;
 	attempt->head_us = clock_mono_us();
 	attempt->failed = answer->status >= 500;
+	service_upstream_note_heard(attempt->upstream, attempt->head_us);
 	attempt->pace_percent = answer->pace_percent;
 	if (answer->load && attempt->upstream->listed)
 		pick_note_load(&attempt->upstream->service->picks,
@@ -414,6 +415,7 @@
 	attempt = entry_find(entry, peer, report->seq);
 	if (!attempt)
 		return;
+	service_upstream_note_heard(attempt->upstream, clock_mono_us());
 	if (report->load && attempt->upstream->listed)
 		pick_note_load(&attempt->upstream->service->picks,
 			       &attempt->upstream->candidate,
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -13,6 +13,10 @@
 #include "common/latency.h"
 #include "common/tally.h"
 
+/* Another daemon can most likely take the call; this one knows more after its
+ * next trial, see HEALTH_MUTE_TRIAL_US. */
+#define UNREACHABLE_COME_BACK_MS 100
+
 /* What became of its attempts, for the one line that tells of a failure. */
 static void call_remember(struct call *call,
 			  const struct entry_attempt *attempt, const char *end)
@@ -93,8 +97,7 @@
 		deadline_patience_us(call->deadline_us, clock_mono_us());
 
 	call_stop_patience(call);
-	if (!call->rule->idempotent || patience_us < DEADLINE_VERDICT_MIN_US ||
-	    call_work_attempts(call) >= call->max_attempts)
+	if (patience_us < DEADLINE_VERDICT_MIN_US)
 		return;
 	timer_start_us(call, &call->patience, patience_us);
 }
@@ -105,6 +108,13 @@
 	struct service_upstream *upstream;
 	bool may_queue;
 
+	if (call->attempts == 0 &&
+	    !service_may_try(call->service, call->rule->idempotent, now)) {
+		call->reason = CFD__REASON__REASON_UNREACHABLE;
+		call->come_back_ms = UNREACHABLE_COME_BACK_MS;
+		call_finish_unanswered(call);
+		return;
+	}
 	upstream = service_choose(call->service, &call->tried, now);
 	if (!upstream) {
 		if (call->attempts == 0)
@@ -427,10 +437,13 @@
 	(void)events;
 	if (LIST_EMPTY(&call->active))
 		return;
-	if (!call->is_impatient)
+	if (!call->is_impatient) {
 		call_ask_owner(call);
-	else
-		call_overtake(call);
+		return;
+	}
+	service_upstream_note_mute(LIST_FIRST(&call->active)->upstream,
+				   clock_mono_us());
+	call_overtake(call);
 }
 
 /* First shortly before the deadline, to cancel; then at it, to give up. */
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -281,6 +281,52 @@
 	return chosen ? chosen->data : NULL;
 }
 
+bool service_may_try(struct service *service, bool idempotent, int64_t now_us)
+{
+	return health_may_try(&service->health, idempotent, now_us);
+}
+
+void service_upstream_note_mute(struct service_upstream *upstream, int64_t now_us)
+{
+	if (upstream->listed)
+		health_note_mute(&upstream->service->health, &upstream->health,
+				 now_us);
+}
+
+void service_upstream_note_heard(struct service_upstream *upstream, int64_t now_us)
+{
+	if (upstream->listed)
+		health_note_heard(&upstream->health, now_us);
+}
+
+/* What this entry holds of an upstream changes with the ends of attempts; it is
+ * told once a tick, so that an upstream that flaps fills no log. */
+static void service_log_health(struct service *service, int64_t now_us)
+{
+	static const char *const states[] = {
+		[HEALTH_CLOSED] = "in-use",
+		[HEALTH_EJECTED] = "left-out",
+		[HEALTH_HALF_OPEN] = "on-trial",
+	};
+	struct service_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
+		const struct health_upstream *health = &upstream->health;
+
+		if (upstream->logged_state == health->state)
+			continue;
+		upstream->logged_state = health->state;
+		log_event(EV_ENTRY_HEALTH, LOG_STR("group", service->group),
+			  LOG_STR("host", upstream->host),
+			  LOG_STR("state", states[health->state]),
+			  LOG_INT("mute", health_is_mute(health, now_us)),
+			  LOG_INT("questions_open", health->mutes),
+			  LOG_INT("unanswered", health->unanswered),
+			  LOG_INT("errors_percent", 100 * health->error_rate),
+			  LOG_INT("heard_us_ago", now_us - health->heard_us));
+	}
+}
+
 void services_note_load(struct services *services, const char *host,
 			const struct pick_load *load)
 {
@@ -289,6 +335,8 @@
 	LIST_FOREACH (service, &services->active, active_link) {
 		struct service_upstream *upstream = service_find(service, host);
 
+		if (upstream)
+			health_note_heard(&upstream->health, clock_mono_us());
 		if (upstream)
 			pick_note_load(&service->picks, &upstream->candidate,
 				       load, clock_mono_us());
@@ -326,6 +374,7 @@
 		struct service *next = LIST_NEXT(service, active_link);
 
 		health_tick(&service->health, now_us);
+		service_log_health(service, now_us);
 		service->stale |= service_is_warming(service);
 		if (now_us - service->used_us > ACTIVE_US &&
 		    !service_has_attempts(service)) {
--- a/comfreydockd/decide/health.c
+++ b/comfreydockd/decide/health.c
@@ -11,6 +11,7 @@
 {
 	health->policy = policy;
 	health->random.state = seed;
+	health->tried_us = 0;
 	TAILQ_INIT(&health->upstreams);
 }
 
@@ -84,17 +85,25 @@
 	return upstream->state == HEALTH_CLOSED || upstream->trials_out == 0;
 }
 
+static size_t count_in_use(const struct health *health)
+{
+	const struct health_upstream *upstream;
+	size_t in_use = 0;
+
+	TAILQ_FOREACH (upstream, &health->upstreams, link)
+		in_use += is_in_use(upstream);
+	return in_use;
+}
+
 static bool may_eject(const struct health *health)
 {
 	const struct health_upstream *upstream;
+	size_t in_use = count_in_use(health);
 	size_t available = 0;
-	size_t in_use = 0;
 	size_t out;
 
-	TAILQ_FOREACH (upstream, &health->upstreams, link) {
+	TAILQ_FOREACH (upstream, &health->upstreams, link)
 		available += upstream->available;
-		in_use += is_in_use(upstream);
-	}
 	out = available - in_use + 1;
 	return in_use > 1 &&
 	       (double)out <= MAX(1.0, HEALTH_CEILING * (double)available);
@@ -127,7 +136,8 @@
 		return;
 	if (!health->policy->should_eject(health, upstream, now_us))
 		return;
-	if (may_eject(health))
+	if (health_is_mute(upstream, now_us) ? count_in_use(health) > 1 :
+					       may_eject(health))
 		eject(health, upstream, now_us);
 }
 
@@ -136,7 +146,7 @@
 {
 	uint32_t epoch = upstream->epoch;
 
-	if (upstream->unanswered++ == 0)
+	if (upstream->unanswered++ == 0 && upstream->mutes == 0)
 		upstream->heard_us = now_us;
 	if (upstream->state == HEALTH_HALF_OPEN)
 		upstream->trials_out++;
@@ -181,7 +191,7 @@
 
 	end_attempt(upstream);
 	if (outcome == HEALTH_OK || outcome == HEALTH_ERROR)
-		upstream->heard_us = now_us;
+		health_note_heard(upstream, now_us);
 	if (epoch != upstream->epoch)
 		return;
 	if (upstream->state == HEALTH_HALF_OPEN)
@@ -195,12 +205,59 @@
 {
 	end_attempt(upstream);
 	if (heard)
-		upstream->heard_us = now_us;
+		health_note_heard(upstream, now_us);
 	if (epoch == upstream->epoch && upstream->trials_out > 0)
 		upstream->trials_out--;
 	check(health, upstream, now_us);
 }
 
+void health_note_heard(struct health_upstream *upstream, int64_t now_us)
+{
+	upstream->heard_us = now_us;
+	upstream->mutes = 0;
+}
+
+void health_note_mute(struct health *health, struct health_upstream *upstream,
+		      int64_t now_us)
+{
+	upstream->mutes++;
+	check(health, upstream, now_us);
+}
+
+bool health_is_mute(const struct health_upstream *upstream, int64_t now_us)
+{
+	return upstream->mutes >= HEALTH_MUTE_ASKED &&
+	       now_us - upstream->heard_us >= HEALTH_MUTE_US;
+}
+
+static bool all_are_mute(const struct health *health, int64_t now_us)
+{
+	const struct health_upstream *upstream;
+	bool any = false;
+
+	TAILQ_FOREACH (upstream, &health->upstreams, link) {
+		if (!upstream->available)
+			continue;
+		if (!health_is_mute(upstream, now_us))
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+bool health_may_try(struct health *health, bool idempotent, int64_t now_us)
+{
+	int64_t gap_us =
+		idempotent ? HEALTH_MUTE_TRIAL_US : HEALTH_MUTE_RISKY_TRIAL_US;
+
+	if (!all_are_mute(health, now_us))
+		return true;
+	if (now_us - health->tried_us < gap_us)
+		return false;
+	health->tried_us = now_us;
+	return true;
+}
+
 void health_tick(struct health *health, int64_t now_us)
 {
 	struct health_upstream *upstream;
@@ -245,6 +302,8 @@
 {
 	double others = rate_of_others(health, upstream);
 
+	if (health_is_mute(upstream, now_us))
+		return true;
 	if (upstream->unanswered >= HEALTH_SILENT_ATTEMPTS &&
 	    now_us - upstream->heard_us >= HEALTH_SILENCE_US)
 		return true;
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -33,6 +33,7 @@
 	char host[MEMBER_HOST_MAX];
 	struct pick_candidate candidate;
 	struct health_upstream health;
+	enum health_state logged_state;
 	struct deadline_path path;
 };
 
@@ -68,6 +69,15 @@
 					const struct pick_tried *tried,
 					int64_t now_us);
 
+/* RETURN VALUE: false where no owner of the group answers; see health.h. */
+bool service_may_try(struct service *service, bool idempotent, int64_t now_us);
+
+/* The upstream's owner left a question open, or gave a sign of life. */
+void service_upstream_note_mute(struct service_upstream *upstream,
+				int64_t now_us);
+void service_upstream_note_heard(struct service_upstream *upstream,
+				 int64_t now_us);
+
 struct service_upstream *service_upstream_ref(struct service_upstream *upstream);
 void service_upstream_unref(struct service_upstream *upstream);
 
--- a/include/comfreydockd/decide/health.h
+++ b/include/comfreydockd/decide/health.h
@@ -14,6 +14,14 @@
  *	never the last one that is usable: when all fail alike the cause lies
  *	elsewhere, and an answer from a poor upstream beats none.
  *
+ *	An owner that is asked for an attempt answers within a turn of its loop,
+ *	however slow its upstream is. One that leaves HEALTH_MUTE_ASKED questions
+ *	open, with nothing else heard for HEALTH_MUTE_US, is mute: frozen, cut
+ *	off or without power. The mute are ejected beyond the ceiling, as a call
+ *	sent there is lost. Where all are mute it is this entry that is cut off:
+ *	health_may_try() then lets one call through now and then to find out, and
+ *	the others are refused at once, so that their callers can go elsewhere.
+ *
  *	Errors are the upstream's own 5xx answers, lost connections and
  *	timeouts. A refusal (NOT_RUN) is no error and is not told here.
  *
@@ -61,6 +69,14 @@
 /* Ejected if so many attempts are out and nothing came for so long. */
 #define HEALTH_SILENT_ATTEMPTS 3
 #define HEALTH_SILENCE_US ((int64_t)2 * 1000 * 1000)
+/* As long as a pause of a daemon that is called one; a daemon on a fifth of a
+ * core stands still for 80 ms at a time when it has spent its share. */
+#define HEALTH_MUTE_US ((int64_t)300 * 1000)
+#define HEALTH_MUTE_ASKED 2
+/* Between two trials of a group that is mute as a whole: what a caller that may
+ * not be served twice loses by a trial is more. */
+#define HEALTH_MUTE_TRIAL_US ((int64_t)100 * 1000)
+#define HEALTH_MUTE_RISKY_TRIAL_US ((int64_t)1000 * 1000)
 #define HEALTH_CEILING 0.34
 #define HEALTH_TRIALS 3
 #define HEALTH_EJECT_US ((int64_t)1000 * 1000)
@@ -90,6 +106,7 @@
 	uint32_t streak; /* errors in a row */
 	uint32_t unanswered; /* attempts out */
 	int64_t heard_us; /* last sign, or the first send after none was out */
+	uint32_t mutes; /* questions left open since */
 	int64_t until_us; /* HEALTH_EJECTED */
 	int64_t ejected_us; /* the last time */
 	uint32_t ejections; /* in a row, for the growing time */
@@ -116,6 +133,7 @@
 	const struct health_policy *policy;
 	struct health_list upstreams;
 	struct random_state random;
+	int64_t tried_us; /* the last trial while all were mute */
 };
 
 void health_init(struct health *health, const struct health_policy *policy,
@@ -147,6 +165,21 @@
 void health_note_refused(struct health *health, struct health_upstream *upstream,
 			 uint32_t epoch, bool heard, int64_t now_us);
 
+/* A sign of life beside these: a head, a load report. */
+void health_note_heard(struct health_upstream *upstream, int64_t now_us);
+
+/* The owner left a question of this entry open. */
+void health_note_mute(struct health *health, struct health_upstream *upstream,
+		      int64_t now_us);
+
+bool health_is_mute(const struct health_upstream *upstream, int64_t now_us);
+
+/*
+ * RETURN VALUE: false where all available upstreams are mute and it is too early
+ * for another trial; true counts as a trial then.
+ */
+bool health_may_try(struct health *health, bool idempotent, int64_t now_us);
+
 /* Ends ejections whose time is over and ejects the silent. Call it now and
  * then, at least every 100 ms; the ends of attempts do the rest. */
 void health_tick(struct health *health, int64_t now_us);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2638,7 +2638,7 @@
   (ProtobufCMessageInit) cfd__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cfd__reason__enum_values_by_number[11] =
+static const ProtobufCEnumValue cfd__reason__enum_values_by_number[12] =
 {
   { "REASON_UNSPECIFIED", "CFD__REASON__REASON_UNSPECIFIED", 0 },
   { "REASON_BUSY", "CFD__REASON__REASON_BUSY", 1 },
@@ -2651,11 +2651,12 @@
   { "REASON_CONNECT", "CFD__REASON__REASON_CONNECT", 8 },
   { "REASON_OVERLOAD", "CFD__REASON__REASON_OVERLOAD", 9 },
   { "REASON_SLOW", "CFD__REASON__REASON_SLOW", 12 },
+  { "REASON_UNREACHABLE", "CFD__REASON__REASON_UNREACHABLE", 13 },
 };
 static const ProtobufCIntRange cfd__reason__value_ranges[] = {
-{0, 0},{12, 10},{0, 11}
+{0, 0},{12, 10},{0, 12}
 };
-static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[11] =
+static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[12] =
 {
   { "REASON_BUSY", 1 },
   { "REASON_CANCELLED", 4 },
@@ -2667,6 +2668,7 @@
   { "REASON_SHED", 7 },
   { "REASON_SLOW", 10 },
   { "REASON_UNFAIR", 5 },
+  { "REASON_UNREACHABLE", 11 },
   { "REASON_UNSPECIFIED", 0 },
 };
 const ProtobufCEnumDescriptor cfd__reason__descriptor =
@@ -2676,9 +2678,9 @@
   "Reason",
   "Cfd__Reason",
   "cfd",
-  11,
+  12,
   cfd__reason__enum_values_by_number,
-  11,
+  12,
   cfd__reason__enum_values_by_name,
   2,
   cfd__reason__value_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -52,7 +52,11 @@
   /*
    * the host is, at this moment
    */
-  CFD__REASON__REASON_SLOW = 12
+  CFD__REASON__REASON_SLOW = 12,
+  /*
+   * said by an entry: no owner of the group answers
+   */
+  CFD__REASON__REASON_UNREACHABLE = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFD__REASON)
 } Cfd__Reason;
 
--- a/tests/test_health.c
+++ b/tests/test_health.c
@@ -181,6 +181,79 @@
 	}
 }
 
+/*
+ * Half of the hosts lose their network. A fifth of all calls is sent to each of
+ * them, to be lost at its deadline: the ceiling, made for common faults, would
+ * keep most of them in use although the others answer.
+ */
+static void test_mute_beyond_the_ceiling(void)
+{
+	struct fixture f;
+
+	set_up(&f, &health_outlier);
+	for (size_t u = 0; u < UPSTREAMS; u++)
+		health_note_sent(&f.health, &f.upstreams[u], 0);
+	for (size_t u = 0; u < 4; u++) {
+		for (int i = 0; i < HEALTH_MUTE_ASKED; i++)
+			health_note_mute(&f.health, &f.upstreams[u], 250 * MS);
+		g_assert_true(health_is_usable(&f.upstreams[u]));
+	}
+	for (size_t u = 4; u < UPSTREAMS; u++)
+		health_note_heard(&f.upstreams[u], 250 * MS);
+	health_tick(&f.health, HEALTH_MUTE_US);
+	for (size_t u = 0; u < UPSTREAMS; u++)
+		g_assert_cmpint(health_is_usable(&f.upstreams[u]), ==, u >= 4);
+}
+
+/*
+ * A slow upstream keeps a call for seconds, and its owner says so each time it
+ * is asked. It must stay in use: its answer comes.
+ */
+static void test_slow_is_not_mute(void)
+{
+	struct fixture f;
+
+	set_up(&f, &health_outlier);
+	health_note_sent(&f.health, &f.upstreams[0], 0);
+	for (int i = 1; i < 20; i++) {
+		health_note_mute(&f.health, &f.upstreams[0], i * 100 * MS);
+		health_note_heard(&f.upstreams[0], i * 100 * MS + 20 * MS);
+		health_tick(&f.health, i * 100 * MS + 50 * MS);
+		g_assert_true(health_is_usable(&f.upstreams[0]));
+	}
+}
+
+/*
+ * This host itself is cut off. Its callers would each wait for their whole
+ * deadline, to hear that nobody knows what became of their call, while other
+ * daemons could serve them. They are refused at once instead, but for a trial
+ * now and then, and with the first sign of life all go through again.
+ */
+static void test_all_mute(void)
+{
+	int64_t now = SECOND;
+	struct fixture f;
+	int tried = 0;
+
+	set_up(&f, &health_outlier);
+	for (size_t u = 0; u < UPSTREAMS; u++) {
+		health_note_sent(&f.health, &f.upstreams[u], 0);
+		g_assert_true(health_may_try(&f.health, false, now));
+		for (int i = 0; i < HEALTH_MUTE_ASKED; i++)
+			health_note_mute(&f.health, &f.upstreams[u], now);
+	}
+	for (int i = 0; i < 1000; i++)
+		tried += health_may_try(&f.health, true, now + i * MS);
+	g_assert_cmpint(tried, ==, 10);
+	tried = 0;
+	for (int i = 1000; i < 4000; i++)
+		tried += health_may_try(&f.health, false, now + i * MS);
+	g_assert_cmpint(tried, ==, 3);
+	health_note_heard(&f.upstreams[3], now + 4000 * MS);
+	g_assert_true(health_may_try(&f.health, false, now + 4000 * MS));
+	g_assert_true(health_may_try(&f.health, false, now + 4000 * MS));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -188,6 +261,9 @@
 	g_test_add_func("/health/common", test_common_fault_ejects_few);
 	g_test_add_func("/health/black-hole", test_black_hole_is_ejected);
 	g_test_add_func("/health/flapping", test_flapping_costs_less_and_less);
+	g_test_add_func("/health/mute", test_mute_beyond_the_ceiling);
+	g_test_add_func("/health/slow", test_slow_is_not_mute);
+	g_test_add_func("/health/all-mute", test_all_mute);
 	g_test_add_func("/health/last", test_never_ejects_the_last);
 	return g_test_run();
 }
