--- /dev/null
+++ b/comfreydockd/caller/beside.c
@@ -0,0 +1,139 @@
+#include "comfreydockd/caller/call.h"
+#include "comfreydockd/caller/call_internal.h"
+#include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/decide/hedge.h"
+#include "comfreydockd/decide/retry.h"
+#include "common/clock.h"
+#include "common/counters.h"
+
+void call_arm_hedge(struct call *call)
+{
+	struct hedge_question question;
+	int64_t now = clock_mono_us();
+	int64_t delay;
+
+	call_fill_hedge_question(call, &question);
+	delay = hedge_delay_us(&call->service->hedge, &question, now);
+	if (delay >= 0)
+		call_start_timer(call, &call->hedge, delay);
+}
+
+void call_stop_patience(struct call *call)
+{
+	ev_timer_stop(call->entry->daemon->loop, &call->patience);
+	call->is_impatient = false;
+}
+
+/* See deadline_patience_us(). */
+void call_arm_patience(struct call *call)
+{
+	int64_t patience_us =
+		deadline_patience_us(call->deadline_us, clock_mono_us());
+
+	call_stop_patience(call);
+	if (patience_us < DEADLINE_VERDICT_MIN_US)
+		return;
+	call_start_timer(call, &call->patience, patience_us);
+}
+
+static void handle_hedge(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct call *call = timer->data;
+	struct service_upstream *upstream;
+	struct hedge_question question;
+	int64_t now = clock_mono_us();
+
+	(void)loop;
+	(void)events;
+	if (LIST_EMPTY(&call->active) || !call->body_ends || call->body_streams)
+		return;
+	call_fill_hedge_question(call, &question);
+	if (!hedge_take(&call->service->hedge, &question, now))
+		return;
+	upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream)
+		return;
+	pick_tried_add(&call->tried, upstream->candidate.id);
+	call->hedges++;
+	counters.entry_hedges++;
+	entry_attempt_send(call, upstream, false, true);
+}
+
+/*
+ * The attempt that is out gives nothing: its upstream hangs, or its host has
+ * lost its power. Another is sent beside it, within the budget for repeats. The
+ * first goes on: broken off, it would be lost where the second fails too.
+ */
+static void call_overtake(struct call *call)
+{
+	struct entry_attempt *slow = LIST_FIRST(&call->active);
+	struct retry_question question;
+	struct service_upstream *upstream;
+	int64_t now = clock_mono_us();
+
+	call->is_impatient = false;
+	if (!slow || LIST_NEXT(slow, link) || call->body_streams ||
+	    !call->body_ends)
+		return;
+	call_fill_retry_question(call, RETRY_OUTCOME_UNKNOWN, &question);
+	if (question.untried == 0 || retry_decide(&call->service->retry, &question,
+						  &call->entry->random, now)
+						     .verdict != RETRY_GO)
+		return;
+	upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream)
+		return;
+	counters.entry_impatient++;
+	slow->is_overtaken = true;
+	pick_tried_add(&call->tried, upstream->candidate.id);
+	call->attempts++;
+	entry_attempt_send(call, upstream, false, true);
+}
+
+void call_note_verdict(struct entry_attempt *attempt, bool is_overdue)
+{
+	struct call *call = attempt->call;
+
+	if (!call->is_impatient)
+		return;
+	if (is_overdue)
+		call_overtake(call);
+	else
+		call_arm_patience(call);
+}
+
+static void call_ask_owner(struct call *call)
+{
+	struct entry_attempt *attempt = LIST_FIRST(&call->active);
+
+	call->is_impatient = true;
+	entry_attempt_ask(attempt);
+	call_start_timer(call, &call->patience,
+			 deadline_verdict_us(&attempt->upstream->path));
+}
+
+/* First to ask the owner; then, where it does not answer, to overtake it. */
+static void handle_patience(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct call *call = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (LIST_EMPTY(&call->active))
+		return;
+	if (!call->is_impatient) {
+		call_ask_owner(call);
+		return;
+	}
+	service_upstream_note_mute(LIST_FIRST(&call->active)->upstream,
+				   clock_mono_us());
+	call_overtake(call);
+}
+
+void call_init_beside(struct call *call)
+{
+	ev_init(&call->hedge, handle_hedge);
+	ev_init(&call->patience, handle_patience);
+	call->hedge.data = call;
+	call->patience.data = call;
+}
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -6,7 +6,6 @@
 
 #include "comfreydockd/caller/call_internal.h"
 #include "comfreydockd/decide/deadline.h"
-#include "comfreydockd/decide/hedge.h"
 #include "comfreydockd/decide/retry.h"
 #include "common/clock.h"
 #include "common/counters.h"
@@ -27,7 +26,7 @@
 		   "%s%s:%s", used ? "," : "", attempt->upstream->host, end);
 }
 
-static void timer_start_us(struct call *call, ev_timer *timer, int64_t us)
+void call_start_timer(struct call *call, ev_timer *timer, int64_t us)
 {
 	struct ev_loop *loop = call->entry->daemon->loop;
 
@@ -72,36 +71,6 @@
 	return pick_count_untried(&call->service->picks, &call->tried);
 }
 
-static void call_arm_hedge(struct call *call)
-{
-	struct hedge_question question;
-	int64_t now = clock_mono_us();
-	int64_t delay;
-
-	call_fill_hedge_question(call, &question);
-	delay = hedge_delay_us(&call->service->hedge, &question, now);
-	if (delay >= 0)
-		timer_start_us(call, &call->hedge, delay);
-}
-
-static void call_stop_patience(struct call *call)
-{
-	ev_timer_stop(call->entry->daemon->loop, &call->patience);
-	call->is_impatient = false;
-}
-
-/* See deadline_patience_us(). */
-static void call_arm_patience(struct call *call)
-{
-	int64_t patience_us =
-		deadline_patience_us(call->deadline_us, clock_mono_us());
-
-	call_stop_patience(call);
-	if (patience_us < DEADLINE_VERDICT_MIN_US)
-		return;
-	timer_start_us(call, &call->patience, patience_us);
-}
-
 void call_send_attempt(struct call *call)
 {
 	int64_t now = clock_mono_us();
@@ -155,9 +124,8 @@
 	}
 }
 
-static void call_fill_question(const struct call *call,
-			       enum retry_outcome outcome,
-			       struct retry_question *question)
+void call_fill_retry_question(const struct call *call, enum retry_outcome outcome,
+			      struct retry_question *question)
 {
 	bool busy = outcome == RETRY_OUTCOME_BUSY;
 
@@ -209,7 +177,7 @@
 		call->busy++;
 	else if (!retry_counts(outcome))
 		call->unheard++;
-	call_fill_question(call, outcome, &question);
+	call_fill_retry_question(call, outcome, &question);
 	if (!retry_counts(outcome) && question.untried == 0 &&
 	    call_return_to_busy(call))
 		question.untried = call_untried(call);
@@ -219,7 +187,7 @@
 	if (answer.verdict == RETRY_GO && !call->body_streams && !call->gives_up &&
 	    attempt_allows_another(state, call->rule->idempotent)) {
 		counters.entry_retries++;
-		timer_start_us(call, &call->next, answer.delay_us);
+		call_start_timer(call, &call->next, answer.delay_us);
 		return;
 	}
 	call->come_back_ms = MAX(call->come_back_ms,
@@ -352,100 +320,6 @@
 	call_send_attempt(timer->data);
 }
 
-static void handle_hedge(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	struct call *call = timer->data;
-	struct service_upstream *upstream;
-	struct hedge_question question;
-	int64_t now = clock_mono_us();
-
-	(void)loop;
-	(void)events;
-	if (LIST_EMPTY(&call->active) || !call->body_ends || call->body_streams)
-		return;
-	call_fill_hedge_question(call, &question);
-	if (!hedge_take(&call->service->hedge, &question, now))
-		return;
-	upstream = service_choose(call->service, &call->tried, now);
-	if (!upstream)
-		return;
-	pick_tried_add(&call->tried, upstream->candidate.id);
-	call->hedges++;
-	counters.entry_hedges++;
-	entry_attempt_send(call, upstream, false, true);
-}
-
-/*
- * The attempt that is out gives nothing: its upstream hangs, or its host has
- * lost its power. Another is sent beside it, within the budget for repeats. The
- * first goes on: broken off, it would be lost where the second fails too.
- */
-static void call_overtake(struct call *call)
-{
-	struct entry_attempt *slow = LIST_FIRST(&call->active);
-	struct retry_question question;
-	struct service_upstream *upstream;
-	int64_t now = clock_mono_us();
-
-	call->is_impatient = false;
-	if (!slow || LIST_NEXT(slow, link) || call->body_streams ||
-	    !call->body_ends)
-		return;
-	call_fill_question(call, RETRY_OUTCOME_UNKNOWN, &question);
-	if (question.untried == 0 || retry_decide(&call->service->retry, &question,
-						  &call->entry->random, now)
-						     .verdict != RETRY_GO)
-		return;
-	upstream = service_choose(call->service, &call->tried, now);
-	if (!upstream)
-		return;
-	counters.entry_impatient++;
-	slow->is_overtaken = true;
-	pick_tried_add(&call->tried, upstream->candidate.id);
-	call->attempts++;
-	entry_attempt_send(call, upstream, false, true);
-}
-
-void call_note_verdict(struct entry_attempt *attempt, bool is_overdue)
-{
-	struct call *call = attempt->call;
-
-	if (!call->is_impatient)
-		return;
-	if (is_overdue)
-		call_overtake(call);
-	else
-		call_arm_patience(call);
-}
-
-static void call_ask_owner(struct call *call)
-{
-	struct entry_attempt *attempt = LIST_FIRST(&call->active);
-
-	call->is_impatient = true;
-	entry_attempt_ask(attempt);
-	timer_start_us(call, &call->patience,
-		       deadline_verdict_us(&attempt->upstream->path));
-}
-
-/* First to ask the owner; then, where it does not answer, to overtake it. */
-static void handle_patience(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	struct call *call = timer->data;
-
-	(void)loop;
-	(void)events;
-	if (LIST_EMPTY(&call->active))
-		return;
-	if (!call->is_impatient) {
-		call_ask_owner(call);
-		return;
-	}
-	service_upstream_note_mute(LIST_FIRST(&call->active)->upstream,
-				   clock_mono_us());
-	call_overtake(call);
-}
-
 /* First shortly before the deadline, to cancel; then at it, to give up. */
 static void handle_deadline(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -462,7 +336,8 @@
 		call->cancels_sent = true;
 		LIST_FOREACH (attempt, &call->active, link)
 			entry_attempt_cancel(attempt);
-		timer_start_us(call, timer, call->deadline_us - clock_mono_us());
+		call_start_timer(call, timer,
+				 call->deadline_us - clock_mono_us());
 		return;
 	}
 	LIST_FOREACH (attempt, &call->active, link)
@@ -497,15 +372,12 @@
 {
 	ev_init(&call->deadline, handle_deadline);
 	ev_init(&call->next, handle_next);
-	ev_init(&call->hedge, handle_hedge);
-	ev_init(&call->patience, handle_patience);
 	call->deadline.data = call;
 	call->next.data = call;
-	call->hedge.data = call;
-	call->patience.data = call;
-	timer_start_us(call, &call->deadline,
-		       deadline_cancel_us(call->began_us, call->deadline_us) -
-			       clock_mono_us());
+	call_init_beside(call);
+	call_start_timer(call, &call->deadline,
+			 deadline_cancel_us(call->began_us, call->deadline_us) -
+				 clock_mono_us());
 }
 
 size_t call_room(const struct call *call)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -53,12 +53,6 @@
 	return slots;
 }
 
-static struct owner_attempt *attempt_of(struct queue_item *item)
-{
-	return (struct owner_attempt *)((char *)item -
-					offsetof(struct owner_attempt, item));
-}
-
 void owner_fill_load(const struct owner *owner, Cfd__Load *load)
 {
 	struct queue_slots slots = owner_slots(owner);
@@ -148,7 +142,7 @@
 static void owner_refuse_item(struct owner *owner, struct queue_item *item,
 			      enum queue_verdict verdict)
 {
-	struct owner_attempt *attempt = attempt_of(item);
+	struct owner_attempt *attempt = owner_attempt_of(item);
 
 	attempt_owner_step(&attempt->state, OWNER_REFUSE);
 	attempt_refuse(attempt, reason_of(verdict), owner_retry_after_ms(owner));
@@ -172,8 +166,9 @@
 			continue;
 		}
 		owner->running++;
-		TAILQ_INSERT_TAIL(&owner->runs, attempt_of(item), running_link);
-		attempt_start(attempt_of(item));
+		TAILQ_INSERT_TAIL(&owner->runs, owner_attempt_of(item),
+				  running_link);
+		attempt_start(owner_attempt_of(item));
 	}
 }
 
@@ -275,47 +270,6 @@
 	owner_wake(owner);
 }
 
-static void owner_publish(struct owner *owner)
-{
-	if (owner->handle_state)
-		owner->handle_state(owner, owner->state_data);
-}
-
-static void owner_refuse_waiting(struct owner *owner, Cfd__Reason reason)
-{
-	struct queue_item *item;
-
-	gate_refuse_all(owner, reason);
-	while ((item = queue_take_any(&owner->queue))) {
-		struct owner_attempt *attempt = attempt_of(item);
-
-		attempt_owner_step(&attempt->state, OWNER_REFUSE);
-		attempt_refuse(attempt, reason, OWNER_RETRY_AFTER_MS);
-	}
-}
-
-/* Nobody listens at the upstream's address, or somebody does again. */
-static void handle_reachable(bool reachable, void *data)
-{
-	struct owner *owner = data;
-
-	if (!reachable && owner->state == OWNER_UP) {
-		owner->state = OWNER_NO_UPSTREAM;
-		owner_refuse_waiting(owner, CFD__REASON__REASON_NO_UPSTREAM);
-	} else if (reachable && owner->state == OWNER_NO_UPSTREAM) {
-		owner->state = OWNER_UP;
-		warm_begin(&owner->warm, owner->announced.warm_ms,
-			   clock_mono_us());
-	}
-	owner_publish(owner);
-}
-
-/* An upstream that tells its slots and its load needs no guess at them. */
-static const struct limit_policy *owner_limit_policy(const struct owner *owner)
-{
-	return owner->daemon->headers->load ? &limit_fixed : &limit_adaptive;
-}
-
 struct owner *owner_create(struct daemon *daemon)
 {
 	struct owner *owner = g_new0(struct owner, 1);
@@ -332,7 +286,7 @@
 	TAILQ_INIT(&owner->runs);
 	queue_init(&owner->queue, &options);
 	limit_init(&owner->limit, owner_limit_policy(owner), 1, clock_mono_us());
-	owner->probe = probe_create(daemon, handle_reachable, owner);
+	owner->probe = probe_create(daemon, owner_note_reachable, owner);
 	ev_timer_init(&owner->wake, handle_due, 0.0, 0.0);
 	ev_prepare_init(&owner->turn_end, handle_turn_end);
 	/* Before the frames are written: refusals go out in the same turn. */
@@ -351,13 +305,6 @@
 	return owner;
 }
 
-static void announcement_finish(struct owner_announcement *announcement)
-{
-	g_strfreev(announcement->groups);
-	g_free(announcement->address);
-	memset(announcement, 0, sizeof(*announcement));
-}
-
 void owner_destroy(struct owner *owner)
 {
 	struct owner_attempt *attempt;
@@ -371,7 +318,7 @@
 	ev_timer_stop(owner->daemon->loop, &owner->sweep);
 	gate_finish(owner);
 	while ((item = queue_take_any(&owner->queue)))
-		attempt_destroy(attempt_of(item));
+		attempt_destroy(owner_attempt_of(item));
 	while ((attempt = TAILQ_FIRST(&owner->runs))) {
 		TAILQ_REMOVE(&owner->runs, attempt, running_link);
 		attempt_destroy(attempt);
@@ -381,113 +328,10 @@
 	probe_destroy(owner->probe);
 	run_pool_destroy(owner->pool);
 	g_ptr_array_unref(owner->old_pools);
-	announcement_finish(&owner->announced);
+	owner_announcement_finish(&owner->announced);
 	g_free(owner);
 }
 
-static void owner_use_pool(struct owner *owner,
-			   const struct owner_announcement *announcement)
-{
-	if (owner->pool)
-		g_ptr_array_add(owner->old_pools, owner->pool);
-	owner->pool =
-		run_pool_create(owner->daemon->http, owner->daemon->headers,
-				announcement->address, announcement->port);
-}
-
-static bool is_known(const struct owner *owner,
-		     const struct owner_announcement *announcement)
-{
-	const struct owner_announcement *known = &owner->announced;
-
-	return owner->pool && !announcement->is_new_start &&
-	       known->port == announcement->port &&
-	       known->slots == MAX(announcement->slots, 1) &&
-	       strcmp(known->address, announcement->address) == 0 &&
-	       g_strv_equal((const char *const *)known->groups,
-			    (const char *const *)announcement->groups);
-}
-
-void owner_announce(struct owner *owner,
-		    const struct owner_announcement *announcement)
-{
-	int64_t now = clock_mono_us();
-	struct owner_announcement copy = {
-		.groups = g_strdupv(announcement->groups),
-		.address = g_strdup(announcement->address),
-		.port = announcement->port,
-		.slots = MAX(announcement->slots, 1),
-		.warm_ms = announcement->warm_ms,
-	};
-	bool moved = !owner->pool || announcement->is_new_start ||
-		     owner->announced.port != copy.port ||
-		     g_strcmp0(owner->announced.address, copy.address) != 0;
-
-	if (!announcement->is_report)
-		owner->is_closed = owner->is_stopping;
-	if (is_known(owner, announcement) &&
-	    (owner->state == OWNER_UP || owner->is_closed)) {
-		announcement_finish(&copy);
-		return;
-	}
-
-	if (moved)
-		owner_use_pool(owner, &copy);
-	announcement_finish(&owner->announced);
-	owner->announced = copy;
-	if (moved)
-		memset(&owner->knee, 0, sizeof(owner->knee));
-	if (moved)
-		limit_init(&owner->limit, owner_limit_policy(owner), copy.slots,
-			   now);
-	else
-		limit_set_slots(&owner->limit, copy.slots);
-	if (moved || owner->state != OWNER_UP)
-		warm_begin(&owner->warm, copy.warm_ms, now);
-	if (!owner->is_closed)
-		owner->state = OWNER_UP;
-	probe_set_upstream(owner->probe, &owner->announced);
-	log_event(EV_OWNER_ANNOUNCED, LOG_STR("address", copy.address),
-		  LOG_INT("port", copy.port), LOG_INT("slots", copy.slots));
-	owner_publish(owner);
-	owner_wake(owner);
-}
-
-void owner_drain(struct owner *owner)
-{
-	owner->is_closed = true;
-	owner_drain_upstream(owner);
-}
-
-void owner_stop(struct owner *owner)
-{
-	owner->is_stopping = true;
-	owner_drain(owner);
-}
-
-void owner_drain_upstream(struct owner *owner)
-{
-	if (owner->state == OWNER_DRAINING)
-		return;
-	owner->state = OWNER_DRAINING;
-	log_event(EV_OWNER_DRAINING, LOG_INT("running", owner->running),
-		  LOG_INT("queued", queue_length(&owner->queue)));
-	owner_refuse_waiting(owner, CFD__REASON__REASON_DRAINING);
-	owner_publish(owner);
-	owner_wake(owner);
-}
-
-void owner_resume(struct owner *owner)
-{
-	owner->is_closed = owner->is_stopping;
-	if (owner->state != OWNER_DRAINING || !owner->pool)
-		return;
-	owner->state = OWNER_UP;
-	warm_begin(&owner->warm, owner->announced.warm_ms, clock_mono_us());
-	log_event(EV_OWNER_RESUMED);
-	owner_publish(owner);
-}
-
 void owner_note_refused(struct owner *owner)
 {
 	probe_note_refused(owner->probe);
@@ -531,28 +375,6 @@
 	return owner->lifetime.instance[0] ? owner->lifetime.instance : NULL;
 }
 
-void owner_note_other_instance(struct owner *owner)
-{
-	log_event(EV_OWNER_OTHER_INSTANCE,
-		  LOG_STR("expected", owner->lifetime.instance));
-	owner_lose_upstream(owner);
-}
-
-void owner_lose_upstream(struct owner *owner)
-{
-	if (owner->state != OWNER_UP)
-		return;
-	owner->state = OWNER_NO_UPSTREAM;
-	owner_refuse_waiting(owner, CFD__REASON__REASON_NO_UPSTREAM);
-	owner_publish(owner);
-}
-
-void owner_note_config(struct owner *owner)
-{
-	probe_configure(owner->probe);
-	report_check_again(owner);
-}
-
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
 		     void *data)
 {
@@ -561,19 +383,6 @@
 	owner_report_idle(owner);
 }
 
-void owner_when_changed(struct owner *owner,
-			void (*handle_state)(struct owner *owner, void *data),
-			void *data)
-{
-	owner->handle_state = handle_state;
-	owner->state_data = data;
-}
-
-const struct owner_announcement *owner_announced(const struct owner *owner)
-{
-	return owner->pool ? &owner->announced : NULL;
-}
-
 void owner_get_status(const struct owner *owner, struct owner_status *status)
 {
 	struct queue_slots slots = owner_slots(owner);
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -6,6 +6,7 @@
 #define COMFREYDOCKD_CALLER_CALL_INTERNAL_H
 
 #include "comfreydockd/caller/call.h"
+#include "comfreydockd/decide/retry.h"
 
 void call_init_timers(struct call *call);
 
@@ -24,6 +25,17 @@
 /* RETURN VALUE: the attempts so far that count against the rule's. */
 uint32_t call_work_attempts(const struct call *call);
 
+void call_start_timer(struct call *call, ev_timer *timer, int64_t us);
+void call_fill_retry_question(const struct call *call, enum retry_outcome outcome,
+			      struct retry_question *question);
+
+/* beside.c: attempts that are sent beside one that is out, as it may be slow
+ * (a hedge) or its owner may be gone (an overtaking one). */
+void call_init_beside(struct call *call);
+void call_arm_hedge(struct call *call);
+void call_arm_patience(struct call *call);
+void call_stop_patience(struct call *call);
+
 /* silence.c: sees to it that a begun answer goes on. The call may be gone
  * after this, but not when its answer has just begun. */
 void call_watch_answer(struct call *call);
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -7,6 +7,7 @@
 
 #include <ev.h>
 #include <glib.h>
+#include <stddef.h>
 
 #include "comfreydockd/decide/knee.h"
 #include "comfreydockd/decide/limit.h"
@@ -73,6 +74,24 @@
 /* Has what may start be started at the end of the loop's turn. */
 void owner_wake(struct owner *owner);
 
+static inline struct owner_attempt *owner_attempt_of(struct queue_item *item)
+{
+	return (struct owner_attempt *)((char *)item -
+					offsetof(struct owner_attempt, item));
+}
+
+/* owner_state.c: what the upstream is, and whether it gets work */
+
+/* An upstream that tells its slots and its load needs no guess at them. */
+const struct limit_policy *owner_limit_policy(const struct owner *owner);
+void owner_announcement_finish(struct owner_announcement *announcement);
+
+/* Tells the other daemons of the state. */
+void owner_publish(struct owner *owner);
+
+/* Nobody listens at the upstream's address, or somebody does again. */
+void owner_note_reachable(bool reachable, void *data);
+
 /* sweep.c: looks for runs to break off, and for pauses of this daemon */
 void owner_init_sweep(struct owner *owner);
 void owner_notice_freeze(struct owner *owner, int64_t now);
