upstream: turn back what a failing upstream would break off

Its owner knows first: after five runs in a row without an answer it turns back, as not run, what another may take, and begins a trial now and then.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -113,6 +113,7 @@
 	case CFD__REASON__REASON_NO_UPSTREAM:
 	case CFD__REASON__REASON_CONNECT:
 	case CFD__REASON__REASON_SLOW:
+	case CFD__REASON__REASON_FAILING:
 		return RETRY_OUTCOME_NOT_HERE;
 	case CFD__REASON__REASON_OVERLOAD:
 	case CFD__REASON__REASON_SHED:
@@ -203,7 +204,8 @@
 	bool was_hedge = attempt->is_hedge;
 
 	if (reason == CFD__REASON__REASON_BUSY ||
-	    reason == CFD__REASON__REASON_SLOW)
+	    reason == CFD__REASON__REASON_SLOW ||
+	    reason == CFD__REASON__REASON_FAILING)
 		pick_tried_add(&call->tried_busy,
 			       attempt->upstream->candidate.id);
 	call_note(call, EV_ENTRY_NOT_RUN,
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -21,6 +21,7 @@
 	[CFD__REASON__REASON_CONNECT] = "no-connection",
 	[CFD__REASON__REASON_OVERLOAD] = "overload",
 	[CFD__REASON__REASON_SLOW] = "slow",
+	[CFD__REASON__REASON_FAILING] = "failing",
 	[CFD__REASON__REASON_UNREACHABLE] = "unreachable",
 };
 
--- /dev/null
+++ b/comfreydockd/decide/breaker.c
@@ -0,0 +1,35 @@
+#include "comfreydockd/decide/breaker.h"
+
+static bool note_answer(struct breaker *breaker)
+{
+	breaker->streak = 0;
+	if (!breaker->is_open || ++breaker->good < BREAKER_GOOD)
+		return false;
+	breaker->is_open = false;
+	return true;
+}
+
+bool breaker_note(struct breaker *breaker, bool is_answer)
+{
+	if (is_answer)
+		return note_answer(breaker);
+	breaker->streak++;
+	breaker->good = 0;
+	if (breaker->is_open || breaker->streak < BREAKER_STREAK)
+		return false;
+	breaker->is_open = true;
+	return true;
+}
+
+bool breaker_turns_back(struct breaker *breaker, bool may_turn_back,
+			bool idempotent, int64_t now_us)
+{
+	int64_t gap_us = idempotent ? BREAKER_TRIAL_US : BREAKER_RISKY_TRIAL_US;
+
+	if (!breaker->is_open || !may_turn_back)
+		return false;
+	if (now_us - breaker->tried_us < gap_us)
+		return true;
+	breaker->tried_us = now_us;
+	return false;
+}
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -193,6 +193,7 @@
 		     LOG_INT("took_us", clock_mono_us() - attempt->started_us));
 	owner_note_over(attempt->owner, attempt,
 			failed ? LIMIT_OUTCOME_FAILED : LIMIT_OUTCOME_OK);
+	owner_note_run(attempt->owner, true);
 	attempt_send_body(attempt, NULL, 0, true, false);
 	attempt_destroy(attempt);
 }
@@ -246,17 +247,23 @@
 static void handle_done(void *data, enum run_result result)
 {
 	struct owner_attempt *attempt = data;
+	struct owner *owner = attempt->owner;
 
 	if (attempt->verdict == ANSWER_NOT_RUN ||
-	    attempt->verdict == ANSWER_OTHER_INSTANCE || result == RUN_NOT_BEGUN)
+	    attempt->verdict == ANSWER_OTHER_INSTANCE || result == RUN_NOT_BEGUN) {
 		attempt_finish_not_begun(attempt);
-	else if (attempt->verdict != ANSWER_GOOD)
-		attempt_finish_strange(attempt);
-	else if (result == RUN_WHOLE)
+		return;
+	}
+	if (attempt->verdict == ANSWER_GOOD && result == RUN_WHOLE) {
 		attempt_finish_whole(attempt);
+		return;
+	}
+	if (attempt->verdict != ANSWER_GOOD)
+		attempt_finish_strange(attempt);
 	else
 		attempt_finish_broken(attempt, result == RUN_CUT,
 				      "the upstream broke off");
+	owner_note_run(owner, false);
 }
 
 void attempt_break(struct owner_attempt *attempt, const char *why)
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -108,6 +108,11 @@
 
 void gate_offer(struct owner *owner, struct owner_attempt *attempt)
 {
+	if (breaker_turns_back(&owner->breaker, !attempt->request->last_resort,
+			       attempt->request->idempotent, clock_mono_us())) {
+		gate_refuse(owner, attempt, CFD__REASON__REASON_FAILING);
+		return;
+	}
 	if (!pace_is_fresh(&owner->pace, clock_mono_us()) && gate_ask(owner)) {
 		gate_hold(owner, attempt);
 		return;
@@ -163,6 +168,16 @@
 	}
 }
 
+void gate_note_run(struct owner *owner, bool is_answer)
+{
+	if (!breaker_note(&owner->breaker, is_answer))
+		return;
+	log_event(EV_OWNER_BREAKER, LOG_INT("open", owner->breaker.is_open),
+		  LOG_INT("streak", owner->breaker.streak),
+		  LOG_INT("running", owner->running));
+	gate_tell_entries(owner);
+}
+
 static void handle_gauge(const struct answer_load *load, void *data)
 {
 	struct owner *owner = data;
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -61,6 +61,9 @@
 	load->queued = queue_length(&owner->queue);
 	load->pace_percent = owner->pace.percent;
 	load->limit = owner->state == OWNER_UP ? slots.limit : 0;
+	/* Shown as full but for a trial, so that entries try others first. */
+	if (owner->breaker.is_open)
+		load->limit = MIN(load->limit, MAX(slots.running, 1));
 	load->expected_wait_us =
 		(uint32_t)MIN(queue_expected_wait_us(&owner->queue, &slots),
 			      (int64_t)UINT32_MAX);
@@ -332,6 +335,11 @@
 	g_free(owner);
 }
 
+void owner_note_run(struct owner *owner, bool is_answer)
+{
+	gate_note_run(owner, is_answer);
+}
+
 void owner_note_refused(struct owner *owner)
 {
 	probe_note_refused(owner->probe);
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -107,6 +107,8 @@
 	owner->announced = copy;
 	if (moved)
 		memset(&owner->knee, 0, sizeof(owner->knee));
+	if (moved)
+		memset(&owner->breaker, 0, sizeof(owner->breaker));
 	if (moved)
 		limit_init(&owner->limit, owner_limit_policy(owner), copy.slots,
 			   now);
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -37,10 +37,11 @@
 		struct owner_attempt *next = TAILQ_NEXT(attempt, running_link);
 
 		if (!attempt->head_us &&
-		    now > attempt->item.deadline_us + HEAD_GRACE_US)
+		    now > attempt->item.deadline_us + HEAD_GRACE_US) {
 			attempt_break(attempt, "no answer long after deadline");
-		else if (attempt->stalled_since_us &&
-			 now - attempt->stalled_since_us > STALL_US)
+			owner_note_run(owner, false);
+		} else if (attempt->stalled_since_us &&
+			   now - attempt->stalled_since_us > STALL_US)
 			attempt_break(attempt, "the caller takes nothing");
 		attempt = next;
 	}
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -100,6 +100,9 @@
 /* The upstream refused a connection. */
 void owner_note_refused(struct owner *owner);
 
+/* A run gave a whole answer, or none by the upstream's doing. */
+void owner_note_run(struct owner *owner, bool is_answer);
+
 /* The load to put on an answer. */
 void owner_fill_load(const struct owner *owner, Cfd__Load *load);
 
--- a/include/comfreydockd/upstream/gate.h
+++ b/include/comfreydockd/upstream/gate.h
@@ -24,6 +24,9 @@
 /* What the upstream told of itself; load is NULL where it told nothing. */
 void gate_note_load(struct owner *owner, const struct answer_load *load);
 
+/* A run gave a whole answer, or none by the upstream's doing. */
+void gate_note_run(struct owner *owner, bool is_answer);
+
 /* All that is held goes back. */
 void gate_refuse_all(struct owner *owner, Cfd__Reason reason);
 
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <stddef.h>
 
+#include "comfreydockd/decide/breaker.h"
 #include "comfreydockd/decide/knee.h"
 #include "comfreydockd/decide/limit.h"
 #include "comfreydockd/decide/pace.h"
@@ -36,6 +37,7 @@
 	struct gauge *gauge;
 	struct pace pace;
 	struct knee knee;
+	struct breaker breaker;
 	TAILQ_HEAD(, owner_attempt) held; /* at the gate */
 	ev_timer gate_timer;
 	struct answer_load load; /* as the upstream told it last */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1106,7 +1106,7 @@
   (ProtobufCMessageInit) cfd__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[20] =
 {
   {
     "seq",
@@ -1336,6 +1336,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "last_resort",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, last_resort),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__attempt__field_indices_by_name[] = {
   12,   /* field[12] = body */
@@ -1346,6 +1358,7 @@
   3,   /* field[3] = group */
   6,   /* field[6] = headers */
   8,   /* field[8] = idempotent */
+  19,   /* field[19] = last_resort */
   9,   /* field[9] = may_queue */
   4,   /* field[4] = method */
   18,   /* field[18] = other_pace_percent */
@@ -1361,7 +1374,7 @@
 static const ProtobufCIntRange cfd__attempt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cfd__attempt__descriptor =
 {
@@ -1371,7 +1384,7 @@
   "Cfd__Attempt",
   "cfd",
   sizeof(Cfd__Attempt),
-  19,
+  20,
   cfd__attempt__field_descriptors,
   cfd__attempt__field_indices_by_name,
   1,  cfd__attempt__number_ranges,
@@ -2638,7 +2651,7 @@
   (ProtobufCMessageInit) cfd__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cfd__reason__enum_values_by_number[12] =
+static const ProtobufCEnumValue cfd__reason__enum_values_by_number[13] =
 {
   { "REASON_UNSPECIFIED", "CFD__REASON__REASON_UNSPECIFIED", 0 },
   { "REASON_BUSY", "CFD__REASON__REASON_BUSY", 1 },
@@ -2652,17 +2665,19 @@
   { "REASON_OVERLOAD", "CFD__REASON__REASON_OVERLOAD", 9 },
   { "REASON_SLOW", "CFD__REASON__REASON_SLOW", 12 },
   { "REASON_UNREACHABLE", "CFD__REASON__REASON_UNREACHABLE", 13 },
+  { "REASON_FAILING", "CFD__REASON__REASON_FAILING", 14 },
 };
 static const ProtobufCIntRange cfd__reason__value_ranges[] = {
-{0, 0},{12, 10},{0, 12}
+{0, 0},{12, 10},{0, 13}
 };
-static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[12] =
+static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[13] =
 {
   { "REASON_BUSY", 1 },
   { "REASON_CANCELLED", 4 },
   { "REASON_CONNECT", 8 },
   { "REASON_DEADLINE", 2 },
   { "REASON_DRAINING", 3 },
+  { "REASON_FAILING", 12 },
   { "REASON_NO_UPSTREAM", 6 },
   { "REASON_OVERLOAD", 9 },
   { "REASON_SHED", 7 },
@@ -2678,9 +2693,9 @@
   "Reason",
   "Cfd__Reason",
   "cfd",
-  12,
+  13,
   cfd__reason__enum_values_by_number,
-  12,
+  13,
   cfd__reason__enum_values_by_name,
   2,
   cfd__reason__value_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -53,6 +53,10 @@
    * the host is, at this moment
    */
   CFD__REASON__REASON_SLOW = 12,
+  /*
+   * the upstream breaks off what it is given
+   */
+  CFD__REASON__REASON_FAILING = 14,
   /*
    * said by an entry: no owner of the group answers
    */
@@ -159,10 +163,14 @@
    * the best of the others it might go to; 0: none
    */
   uint32_t other_pace_percent;
+  /*
+   * no other upstream is left to take it
+   */
+  protobuf_c_boolean last_resort;
 };
 #define CFD__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__attempt__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Cfd__Body
--- /dev/null
+++ b/tests/test_breaker.c
@@ -0,0 +1,96 @@
+#include <glib.h>
+
+#include "comfreydockd/decide/breaker.h"
+#include "comfreydockd/decide/random.h"
+
+#define MS ((int64_t)1000)
+
+/* What one owner got of a load in which one request in three may not run
+ * twice, and how many of these its upstream broke off. */
+struct play {
+	struct breaker breaker;
+	unsigned int begun;
+	unsigned int lost; /* of those that may not run twice */
+	unsigned int turned_back;
+};
+
+static void offer(struct play *play, bool idempotent, bool may_turn_back,
+		  bool is_answer, int64_t now_us)
+{
+	if (breaker_turns_back(&play->breaker, may_turn_back, idempotent, now_us)) {
+		play->turned_back++;
+		return;
+	}
+	play->begun++;
+	play->lost += !is_answer && !idempotent;
+	breaker_note(&play->breaker, is_answer);
+}
+
+/*
+ * The health path of an upstream says that all is well, and it resets each
+ * request. Requests that may not run twice end as unknown there: the caller
+ * is told neither that the booking was made nor that it was not. With 30
+ * requests a second for six seconds 60 such callers would be left so.
+ */
+static void test_reset_upstream_loses_few(void)
+{
+	struct play play = {.lost = 0};
+
+	for (int i = 0; i < 180; i++)
+		offer(&play, i % 3 != 0, true, false, i * 33 * MS);
+	g_assert_cmpuint(play.lost, <=, BREAKER_STREAK);
+	g_assert_cmpuint(play.turned_back, >, 100);
+}
+
+/* Well again, it gets its share back within a fifth of a second or so. */
+static void test_closes_after_good_answers(void)
+{
+	struct play play = {.lost = 0};
+	int64_t now = 0;
+
+	for (int i = 0; i < BREAKER_STREAK; i++)
+		offer(&play, true, true, false, now += 33 * MS);
+	g_assert_true(play.breaker.is_open);
+	for (int i = 0; i < 10; i++)
+		offer(&play, true, true, true, now += 33 * MS);
+	g_assert_false(play.breaker.is_open);
+}
+
+/*
+ * A network that loses one answer in twenty. Were such an upstream closed off,
+ * and its likes with it, the rest would be overrun for little.
+ */
+static void test_some_losses_are_borne(void)
+{
+	struct random_state random = {.state = 5};
+	struct play play = {.lost = 0};
+
+	for (int i = 0; i < 100000; i++)
+		offer(&play, true, true, random_unit(&random) >= 0.05, i * MS);
+	g_assert_cmpuint(play.turned_back, ==, 0);
+}
+
+/*
+ * All upstreams of the group reset what they get. A request that has been
+ * turned back everywhere is begun where it returns to: a poor chance is better
+ * than none, and its caller decides about another try.
+ */
+static void test_last_resort_is_begun(void)
+{
+	struct play play = {.lost = 0};
+
+	for (int i = 0; i < 20; i++)
+		offer(&play, true, false, false, i * MS);
+	g_assert_true(play.breaker.is_open);
+	g_assert_cmpuint(play.begun, ==, 20);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/breaker/reset", test_reset_upstream_loses_few);
+	g_test_add_func("/breaker/closes", test_closes_after_good_answers);
+	g_test_add_func("/breaker/some-losses", test_some_losses_are_borne);
+	g_test_add_func("/breaker/last-resort", test_last_resort_is_begun);
+	return g_test_run();
+}
