knee: find it where an upstream is never less than full

Requests took 470 ms in place of 210 for ten seconds, and calls made by others were refused for their deadlines.

The calls are led to each upstream in turn now; each call is checked as before.

--- a/comfreydockd/decide/knee.c
+++ b/comfreydockd/decide/knee.c
@@ -43,9 +43,10 @@
 {
 	uint32_t kept = (uint32_t)(KNEE_SHARE * slots);
 
-	if (kept == 0 || knee->below.samples < KNEE_SAMPLES ||
-	    knee->beyond.samples < KNEE_SAMPLES ||
-	    knee->beyond.mean < KNEE_WORSE * knee->below.mean)
+	if (kept == 0 || knee->beyond.samples < KNEE_SAMPLES)
 		return slots;
-	return kept;
+	/* Never less than full: it has to be, to find out. */
+	if (knee->below.samples < KNEE_SAMPLES)
+		return kept;
+	return knee->beyond.mean < KNEE_WORSE * knee->below.mean ? slots : kept;
 }
--- a/include/comfreydockd/decide/knee.h
+++ b/include/comfreydockd/decide/knee.h
@@ -5,7 +5,9 @@
  * DESCRIPTION
  *	Compares how long requests take that began with few slots busy and that
  *	began with nearly all. Where the latter take so much longer that the
- *	upstream does more with some slots left free, these are left free.
+ *	upstream does more with some slots left free, these are left free. One
+ *	that is full all the time has them left free for a moment each half
+ *	minute, for the comparison.
  *
  * LOAD PATTERN
  *	Upstreams that slow down when they are nearly full, under load that
@@ -14,7 +16,9 @@
  * WITHOUT IT
  *	An upstream whose requests take 1.7 times as long beyond four fifths of
  *	its slots does 40 % less when it is full than at four fifths, just when
- *	it is needed most.
+ *	it is needed most. Without the comparison it stays so after a start under
+ *	load: tests/test_knee.c plays one that does 244 requests in 10 s in
+ *	place of 317.
  *
  * GROUNDS
  *	KNEE_SHARE is where upstreams that slow down were seen to do so. At that
--- a/tests/system/test_on_platform.c
+++ b/tests/system/test_on_platform.c
@@ -327,27 +327,41 @@
 	}
 }
 
+/* Slows all other hosts, so that the calls go there; HOSTS: none is slow. */
+static void prefer_host(unsigned int preferred)
+{
+	for (unsigned int i = 0; i < HOSTS; i++)
+		set_upstream(i, i == preferred || preferred == HOSTS ?
+					"{\"pace_percent\": 100}" :
+					"{\"pace_percent\": 1000}");
+	rig_sleep_ms(100);
+}
+
 /* 503 of a booking that was made, without a word that it was not: it must not
  * be passed on, nor lead to a second one. */
 static void test_empty_promises_are_not_passed_on(void)
 {
-	unsigned int broken = 0;
+	unsigned int calls = 0;
 
-	for (unsigned int i = 0; i < HOSTS; i++)
-		set_upstream(i, "{\"promise_next\": 1}");
-	/* Which upstream a call goes to is drawn: go on until each was met. */
-	for (unsigned int n = 0; n < 300 && broken < HOSTS; n++) {
-		char id[32];
-		struct rig_answer *answer;
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		bool broken = false;
 
-		g_snprintf(id, sizeof(id), "promise-%u", n);
-		answer = call_as(n % HOSTS, "POST", "/book/1", id);
-		g_assert_cmpint(answer->status, !=, 503);
-		broken += answer->status == 502;
-		g_assert_cmpuint(runs_of(id), ==, 1);
-		rig_answer_free(answer);
+		prefer_host(i);
+		set_upstream(i, "{\"promise_next\": 1}");
+		for (unsigned int n = 0; n < 20 && !broken; n++) {
+			char id[32];
+			struct rig_answer *answer;
+
+			g_snprintf(id, sizeof(id), "promise-%u", ++calls);
+			answer = call_as(n % HOSTS, "POST", "/book/1", id);
+			g_assert_cmpint(answer->status, !=, 503);
+			broken = answer->status == 502;
+			g_assert_cmpuint(runs_of(id), ==, 1);
+			rig_answer_free(answer);
+		}
+		g_assert_true(broken);
 	}
-	g_assert_cmpuint(broken, ==, HOSTS);
+	prefer_host(HOSTS);
 }
 
 /* A slow spell of one host: its share of the calls goes to the others. */
@@ -517,10 +531,7 @@
 	unsigned int unknown = 0;
 	unsigned int took_s;
 
-	/* The other hosts are slow: the calls go to this one. */
-	set_upstream(0, "{\"pace_percent\": 1000}");
-	set_upstream(2, "{\"pace_percent\": 1000}");
-	rig_sleep_ms(100);
+	prefer_host(1);
 	set_upstream(1, "{\"strange_next\": 100000}");
 	for (unsigned int n = 0; n < 60; n++) {
 		unknown += call(n % HOSTS, "POST", "/book/1") == 502;
@@ -532,8 +543,7 @@
 	took_s = (unsigned int)((g_get_monotonic_time() - began) / G_USEC_PER_SEC);
 	g_assert_cmpuint(unknown, <=, 5 + took_s);
 	set_upstream(1, "{\"strange_next\": 0}");
-	set_upstream(0, "{\"pace_percent\": 100}");
-	set_upstream(2, "{\"pace_percent\": 100}");
+	prefer_host(HOSTS);
 	/* Requests that may be repeated find out that it is well again. */
 	for (unsigned int n = 0; n < 100; n++)
 		g_assert_cmpint(call(n % HOSTS, "GET", "/list/1"), ==, 200);
--- a/tests/test_knee.c
+++ b/tests/test_knee.c
@@ -81,6 +81,64 @@
 	g_assert_cmpuint(knee_slots(&knee, 2), ==, 1);
 }
 
+/* Requests done in so many seconds by an upstream that starts under more work
+ * than it can do: as soon as one ends, the next begins. */
+static unsigned int done_under_overload(double factor, int64_t seconds)
+{
+	struct random_state random = {.state = 11};
+	int64_t ends_us[SLOTS] = {0};
+	uint32_t begun_at[SLOTS];
+	double times[SLOTS];
+	struct knee knee = {0};
+	unsigned int done = 0;
+	uint32_t running = 0;
+
+	for (int64_t now_us = S; now_us < (1 + seconds) * S; now_us += 1000) {
+		for (size_t i = 0; i < SLOTS; i++) {
+			if (!ends_us[i] || ends_us[i] > now_us)
+				continue;
+			ends_us[i] = 0;
+			running--;
+			done++;
+			knee_note(&knee, begun_at[i], SLOTS, times[i], now_us);
+		}
+		for (size_t i = 0; i < SLOTS; i++) {
+			if (ends_us[i] || running >= knee_slots(&knee, SLOTS))
+				continue;
+			begun_at[i] = ++running;
+			times[i] = 0.7 + 0.6 * random_unit(&random);
+			if (running > KNEE_SHARE * SLOTS)
+				times[i] *= factor;
+			ends_us[i] = now_us + (int64_t)(times[i] * 210000);
+		}
+	}
+	return done;
+}
+
+/*
+ * All hosts have lost their power and come back at once, to callers who have
+ * been waiting. Each upstream is full from its first moment and slower for it,
+ * so the rush lasts; as it is never less than full, nothing shows that it would
+ * do more with two slots left free. Of 33 requests a second that it can do it
+ * does 24, and callers are refused for ten seconds more.
+ */
+static void test_never_less_than_full(void)
+{
+	unsigned int done = done_under_overload(1.7, 10);
+
+	g_test_message("%u done in 10 s", done);
+	g_assert_cmpuint(done, >=, 310);
+}
+
+/* Finding out costs an upstream that does not slow hardly anything. */
+static void test_looking_costs_little(void)
+{
+	unsigned int done = done_under_overload(1.0, 120);
+
+	g_test_message("%u done in 120 s", done);
+	g_assert_cmpuint(done, >=, 120 * SLOTS / 0.21 * 0.98);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -88,6 +146,8 @@
 			test_full_upstream_that_slows_keeps_slots_free);
 	g_test_add_func("/knee/steady", test_steady_upstream_keeps_all);
 	g_test_add_func("/knee/fades", test_finding_fades);
+	g_test_add_func("/knee/never-less-than-full", test_never_less_than_full);
+	g_test_add_func("/knee/looking", test_looking_costs_little);
 	g_test_add_func("/knee/few-slots", test_few_slots);
 	return g_test_run();
 }
