--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -380,7 +380,7 @@
 
 const char *owner_instance(const struct owner *owner)
 {
-	return owner->lifetime.instance[0] ? owner->lifetime.instance : NULL;
+	return owner->history.instance[0] ? owner->history.instance : NULL;
 }
 
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -163,7 +163,7 @@
 void owner_note_other_instance(struct owner *owner)
 {
 	log_event(EV_OWNER_OTHER_INSTANCE,
-		  LOG_STR("expected", owner->lifetime.instance));
+		  LOG_STR("expected", owner->history.instance));
 	owner_lose_upstream(owner);
 }
 
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -21,75 +21,74 @@
 	return verdict_names[verdict];
 }
 
-static bool is_same_start(const struct report_lifetime *lifetime,
+static bool is_same_start(const struct report_history *history,
 			  const struct report *report)
 {
-	return lifetime->born_ms == report->born_ms &&
-	       strcmp(lifetime->instance, report->instance) == 0;
+	return history->born_ms == report->born_ms &&
+	       strcmp(history->instance, report->instance) == 0;
 }
 
-static void note_past(struct report_lifetime *lifetime)
+static void note_past(struct report_history *history)
 {
-	unsigned int slot = lifetime->past_count++ % REPORT_PAST_MAX;
+	unsigned int slot = history->past_count++ % REPORT_PAST_MAX;
 
-	g_strlcpy(lifetime->past[slot], lifetime->instance,
-		  sizeof(lifetime->past[slot]));
+	g_strlcpy(history->past[slot], history->instance,
+		  sizeof(history->past[slot]));
 }
 
-static bool is_past(const struct report_lifetime *lifetime, const char *instance)
+static bool is_past(const struct report_history *history, const char *instance)
 {
 	for (size_t i = 0; i < REPORT_PAST_MAX; i++) {
-		if (strcmp(lifetime->past[i], instance) == 0)
+		if (strcmp(history->past[i], instance) == 0)
 			return true;
 	}
 	return false;
 }
 
 /* Where no start is told, the id is all there is to go by. */
-static bool is_later_start(const struct report_lifetime *lifetime,
+static bool is_later_start(const struct report_history *history,
 			   const struct report *report)
 {
-	if (lifetime->born_ms || report->born_ms)
-		return report->born_ms > lifetime->born_ms;
-	return !is_past(lifetime, report->instance);
+	if (history->born_ms || report->born_ms)
+		return report->born_ms > history->born_ms;
+	return !is_past(history, report->instance);
 }
 
-static void lifetime_begin(struct report_lifetime *lifetime,
+static void lifetime_begin(struct report_history *history,
 			   const struct report *report)
 {
-	if (lifetime->instance[0])
-		note_past(lifetime);
-	g_strlcpy(lifetime->instance, report->instance,
-		  sizeof(lifetime->instance));
-	lifetime->born_ms = report->born_ms;
-	lifetime->sequence = report->sequence;
-	lifetime->left = false;
+	if (history->instance[0])
+		note_past(history);
+	g_strlcpy(history->instance, report->instance, sizeof(history->instance));
+	history->born_ms = report->born_ms;
+	history->sequence = report->sequence;
+	history->left = false;
 }
 
-enum report_verdict report_judge(struct report_lifetime *lifetime,
+enum report_verdict report_judge(struct report_history *history,
 				 const struct report *report)
 {
-	bool is_first = !lifetime->instance[0];
+	bool is_first = !history->instance[0];
 
-	if (!is_first && is_same_start(lifetime, report)) {
-		if (lifetime->left)
+	if (!is_first && is_same_start(history, report)) {
+		if (history->left)
 			return REPORT_GONE;
-		if (report->sequence <= lifetime->sequence)
+		if (report->sequence <= history->sequence)
 			return REPORT_LATE;
-		lifetime->sequence = report->sequence;
+		history->sequence = report->sequence;
 		return REPORT_NEWS;
 	}
-	if (!is_first && !is_later_start(lifetime, report))
+	if (!is_first && !is_later_start(history, report))
 		return REPORT_LATE;
-	lifetime_begin(lifetime, report);
+	lifetime_begin(history, report);
 	return REPORT_NEW_START;
 }
 
-bool report_note_leave(struct report_lifetime *lifetime, const char *instance)
+bool report_note_leave(struct report_history *history, const char *instance)
 {
-	if (strcmp(lifetime->instance, instance) != 0)
+	if (strcmp(history->instance, instance) != 0)
 		return false;
-	lifetime->left = true;
+	history->left = true;
 	return true;
 }
 
@@ -130,7 +129,7 @@
 static void confirm(struct owner *owner, const char *by)
 {
 	log_event(EV_OWNER_CONFIRMED,
-		  LOG_STR("instance", owner->lifetime.instance),
+		  LOG_STR("instance", owner->history.instance),
 		  LOG_STR("by", by), LOG_INT("reports", owner->check.reports));
 	owner->check.is_open = false;
 	announce(owner, &owner->check, true);
@@ -145,17 +144,17 @@
 				       NULL;
 
 	owner->check.pending = NULL;
-	if (!owner->check.is_open || owner->lifetime.left)
+	if (!owner->check.is_open || owner->history.left)
 		return;
 	if (answer->status / 100 == 2 && instance &&
-	    strcmp(instance, owner->lifetime.instance) == 0) {
+	    strcmp(instance, owner->history.instance) == 0) {
 		confirm(owner, "health");
 		return;
 	}
 	ev_timer_again(owner->daemon->loop, &owner->check_timer);
 	if (owner->check.asked++ == 0)
 		log_event(EV_OWNER_UNCONFIRMED,
-			  LOG_STR("instance", owner->lifetime.instance),
+			  LOG_STR("instance", owner->history.instance),
 			  LOG_STR("answers", instance ? instance : ""),
 			  LOG_INT("status", answer->status));
 }
@@ -204,7 +203,7 @@
 
 void report_check_again(struct owner *owner)
 {
-	if (owner->check.is_open && !owner->lifetime.left)
+	if (owner->check.is_open && !owner->history.left)
 		ask_health(owner);
 }
 
@@ -249,7 +248,7 @@
 	enum report_verdict verdict = REPORT_FOREIGN;
 
 	if (is_beside(owner, report))
-		verdict = report_judge(&owner->lifetime, report);
+		verdict = report_judge(&owner->history, report);
 	if (verdict != REPORT_NEWS)
 		log_event(EV_OWNER_REPORT, LOG_STR("instance", report->instance),
 			  LOG_STR("group", report->group),
@@ -275,7 +274,7 @@
  */
 bool owner_take_leave(struct owner *owner, const char *instance)
 {
-	bool counts = report_note_leave(&owner->lifetime, instance);
+	bool counts = report_note_leave(&owner->history, instance);
 
 	log_event(EV_OWNER_LEFT, LOG_STR("instance", instance),
 		  LOG_INT("counts", counts));
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -29,7 +29,7 @@
 	struct daemon *daemon;
 	enum owner_state state;
 	struct owner_announcement announced;
-	struct report_lifetime lifetime; /* of the upstream, if it reports */
+	struct report_history history; /* of the upstream, if it reports */
 	bool is_closed; /* by the operator or this daemon's stop */
 	bool is_stopping;
 	ev_timer check_timer;
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -46,7 +46,7 @@
 };
 
 /* The upstream's start that counts now; all zero before the first report. */
-struct report_lifetime {
+struct report_history {
 	char instance[REPORT_INSTANCE_MAX];
 	int64_t born_ms;
 	uint64_t sequence;
@@ -65,11 +65,11 @@
 };
 
 /* Notes the report as the last one where it is news. */
-enum report_verdict report_judge(struct report_lifetime *lifetime,
+enum report_verdict report_judge(struct report_history *history,
 				 const struct report *report);
 
 /* RETURN VALUE: false if it isn't the start that counts that leaves. */
-bool report_note_leave(struct report_lifetime *lifetime, const char *instance);
+bool report_note_leave(struct report_history *history, const char *instance);
 
 const char *report_verdict_name(enum report_verdict verdict);
 
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -4,7 +4,7 @@
 
 #include "comfreydockd/upstream/report.h"
 
-static enum report_verdict tell(struct report_lifetime *lifetime,
+static enum report_verdict tell(struct report_history *history,
 				const char *instance, int64_t born_ms,
 				uint64_t sequence)
 {
@@ -14,16 +14,16 @@
 		.sequence = sequence,
 	};
 
-	return report_judge(lifetime, &report);
+	return report_judge(history, &report);
 }
 
 static void test_reports_in_order_are_news(void)
 {
-	struct report_lifetime lifetime = {0};
+	struct report_history history = {0};
 
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 4), ==, REPORT_NEW_START);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 5), ==, REPORT_NEWS);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 9), ==, REPORT_NEWS);
+	g_assert_cmpint(tell(&history, "i-1", 0, 4), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&history, "i-1", 0, 5), ==, REPORT_NEWS);
+	g_assert_cmpint(tell(&history, "i-1", 0, 9), ==, REPORT_NEWS);
 }
 
 /*
@@ -32,25 +32,25 @@
  */
 static void test_late_report_changes_nothing(void)
 {
-	struct report_lifetime lifetime = {0};
+	struct report_history history = {0};
 
-	tell(&lifetime, "i-1", 0, 9);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 8), ==, REPORT_LATE);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 9), ==, REPORT_LATE);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 10), ==, REPORT_NEWS);
+	tell(&history, "i-1", 0, 9);
+	g_assert_cmpint(tell(&history, "i-1", 0, 8), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&history, "i-1", 0, 9), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&history, "i-1", 0, 10), ==, REPORT_NEWS);
 }
 
 /* Who has said good-bye stays away, however late its reports come. */
 static void test_one_that_left_is_gone(void)
 {
-	struct report_lifetime lifetime = {0};
-
-	tell(&lifetime, "i-1", 0, 9);
-	g_assert_false(report_note_leave(&lifetime, "i-2"));
-	g_assert_true(report_note_leave(&lifetime, "i-1"));
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 10), ==, REPORT_GONE);
-	g_assert_cmpint(tell(&lifetime, "i-2", 0, 1), ==, REPORT_NEW_START);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 11), ==, REPORT_LATE);
+	struct report_history history = {0};
+
+	tell(&history, "i-1", 0, 9);
+	g_assert_false(report_note_leave(&history, "i-2"));
+	g_assert_true(report_note_leave(&history, "i-1"));
+	g_assert_cmpint(tell(&history, "i-1", 0, 10), ==, REPORT_GONE);
+	g_assert_cmpint(tell(&history, "i-2", 0, 1), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&history, "i-1", 0, 11), ==, REPORT_LATE);
 }
 
 /*
@@ -59,25 +59,25 @@
  */
 static void test_earlier_starts_report_is_late(void)
 {
-	struct report_lifetime lifetime = {0};
+	struct report_history history = {0};
 
-	tell(&lifetime, "i-1", 0, 7);
-	g_assert_cmpint(tell(&lifetime, "i-2", 0, 1), ==, REPORT_NEW_START);
-	g_assert_cmpint(tell(&lifetime, "i-1", 0, 8), ==, REPORT_LATE);
-	g_assert_cmpint(tell(&lifetime, "i-2", 0, 2), ==, REPORT_NEWS);
+	tell(&history, "i-1", 0, 7);
+	g_assert_cmpint(tell(&history, "i-2", 0, 1), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&history, "i-1", 0, 8), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&history, "i-2", 0, 2), ==, REPORT_NEWS);
 }
 
 /* The same id starts anew: its numbers begin again, its time of start tells. */
 static void test_same_id_starts_again(void)
 {
-	struct report_lifetime lifetime = {0};
-
-	tell(&lifetime, "i-1", 1000, 50);
-	g_assert_cmpint(tell(&lifetime, "i-1", 2000, 1), ==, REPORT_NEW_START);
-	g_assert_cmpint(tell(&lifetime, "i-1", 1000, 51), ==, REPORT_LATE);
-	g_assert_cmpint(tell(&lifetime, "i-1", 2000, 2), ==, REPORT_NEWS);
-	report_note_leave(&lifetime, "i-1");
-	g_assert_cmpint(tell(&lifetime, "i-1", 3000, 1), ==, REPORT_NEW_START);
+	struct report_history history = {0};
+
+	tell(&history, "i-1", 1000, 50);
+	g_assert_cmpint(tell(&history, "i-1", 2000, 1), ==, REPORT_NEW_START);
+	g_assert_cmpint(tell(&history, "i-1", 1000, 51), ==, REPORT_LATE);
+	g_assert_cmpint(tell(&history, "i-1", 2000, 2), ==, REPORT_NEWS);
+	report_note_leave(&history, "i-1");
+	g_assert_cmpint(tell(&history, "i-1", 3000, 1), ==, REPORT_NEW_START);
 }
 
 /*
@@ -88,7 +88,7 @@
 static void test_any_order_never_goes_back(void)
 {
 	for (int round = 0; round < 2000; round++) {
-		struct report_lifetime lifetime = {0};
+		struct report_history history = {0};
 		int64_t born = 0;
 		uint64_t sequence = 0;
 
@@ -98,12 +98,12 @@
 			char id[16];
 
 			snprintf(id, sizeof(id), "i-%d", (int)start / 2);
-			tell(&lifetime, id, start, number);
-			g_assert_cmpint(lifetime.born_ms, >=, born);
-			if (lifetime.born_ms == born)
-				g_assert_cmpuint(lifetime.sequence, >=, sequence);
-			born = lifetime.born_ms;
-			sequence = lifetime.sequence;
+			tell(&history, id, start, number);
+			g_assert_cmpint(history.born_ms, >=, born);
+			if (history.born_ms == born)
+				g_assert_cmpuint(history.sequence, >=, sequence);
+			born = history.born_ms;
+			sequence = history.sequence;
 		}
 	}
 }
