--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -12,6 +12,7 @@
  * ("Connection: close") to go elsewhere. Closing the port at once would reset
  * the connections that wait to be accepted: calls cut off by a planned stop. */
 #define DEFAULT_REFUSE_AFTER_MS 2000
+#define STOP_STEP_MAX_S 3600.0
 #define STOP_STEP_MAX_MS 3600000
 /* Others delete the row later if the platform is out. */
 #define DEFAULT_LEAVE_MS 3000
@@ -278,8 +279,7 @@
 	double grace_ms;
 
 	schema_init_child(&stop, root, "stop", SCHEMA_OPTIONAL);
-	grace_ms = MS_PER_S * schema_double(&stop, "grace_s", 0,
-					    STOP_STEP_MAX_MS / MS_PER_S);
+	grace_ms = MS_PER_S * schema_double(&stop, "grace_s", 0, STOP_STEP_MAX_S);
 	if (grace_ms > 0) {
 		set_steps_of_grace(settings, grace_ms);
 		schema_finish(&stop);
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -52,6 +52,25 @@
 	return rule;
 }
 
+/* All that the route says of itself. */
+static void assert_is_list(const struct config_rule *rule)
+{
+	g_assert_cmpstr(rule->name, ==, "list");
+	g_assert_true(rule->idempotent);
+	g_assert_cmpuint(rule->deadline_ms, ==, 500);
+	g_assert_cmpuint(rule->target_ms, ==, 200);
+	g_assert_cmpuint(rule->max_attempts, ==, 2);
+	g_assert_cmpuint(rule->retry_budget_percent, ==, 20);
+	g_assert_cmpint(rule->class, ==, CONFIG_CLASS_BULK);
+	g_assert_cmpstr(config_rule_draw(rule, 0), ==, "desk");
+}
+
+static void assert_is_desk(const struct config_group *group)
+{
+	g_assert_cmpstr(group->health_path, ==, "/health");
+	g_assert_cmpuint(group->max_connections, ==, 220);
+}
+
 static void test_routes_become_rules(void)
 {
 	uint64_t version = 0;
@@ -63,24 +82,14 @@
 						       "/p/", TO("feed"))),
 		&version);
 	const struct config_rule *rule = match(snapshot, "/l/2f");
-	const struct config_group *group;
 
 	g_assert_cmpuint(version, ==, 7);
-	g_assert_cmpstr(rule->name, ==, "list");
-	g_assert_true(rule->idempotent);
-	g_assert_cmpuint(rule->deadline_ms, ==, 500);
-	g_assert_cmpuint(rule->target_ms, ==, 200);
-	g_assert_cmpuint(rule->max_attempts, ==, 2);
-	g_assert_cmpuint(rule->retry_budget_percent, ==, 20);
-	g_assert_cmpint(rule->class, ==, CONFIG_CLASS_BULK);
-	g_assert_cmpstr(config_rule_draw(rule, 0), ==, "desk");
+	assert_is_list(rule);
 	/* A large answer may be fetched again; a booking may not. */
 	g_assert_true(match(snapshot, "/p/1")->idempotent);
 	g_assert_false(match(snapshot, "/b/1")->idempotent);
 	g_assert_null(match(snapshot, "/x/1"));
-	group = config_snapshot_group(snapshot, "desk");
-	g_assert_cmpstr(group->health_path, ==, "/health");
-	g_assert_cmpuint(group->max_connections, ==, 220);
+	assert_is_desk(config_snapshot_group(snapshot, "desk"));
 	config_snapshot_unref(snapshot);
 }
 
