all: one piece of code where two stood

An IP number and a port became a URL in five places (address_to_url). A held attempt was taken off its list by two equal functions, a call that ended was counted in two places, and the stand-in upstream wrote its load twice. No behaviour changes.

--- a/comfreydockctl/ctl.c
+++ b/comfreydockctl/ctl.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "common/http_client.h"
 #include "common/jsonc.h"
 
@@ -224,12 +225,8 @@
 
 static char *admin_url_of(json_object *host)
 {
-	const char *address = jsonc_get_text(host, "address");
-	const char *form = strchr(address, ':') ?
-				   "http://[%s]:%" G_GUINT64_FORMAT :
-				   "http://%s:%" G_GUINT64_FORMAT;
-
-	return g_strdup_printf(form, address, jsonc_get_uint(host, "admin_port"));
+	return address_to_url(jsonc_get_text(host, "address"),
+			      (uint16_t)jsonc_get_uint(host, "admin_port"), "");
 }
 
 static bool is_reachable(json_object *host)
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -9,8 +9,6 @@
 #include "comfreydockd/decide/retry.h"
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/latency.h"
-#include "common/tally.h"
 
 /* Another daemon can most likely take the call; this one knows more after its
  * next trial, see HEALTH_MUTE_TRIAL_US. */
@@ -296,8 +294,7 @@
 	struct call *call = attempt->call;
 
 	counters.caller_run++;
-	latency_note_us(&latencies.call_run, clock_mono_us() - call->began_us);
-	tally_add(TALLY_CALLS, call->rule->name, "run");
+	outcome_count(call, &latencies.call_run, "run");
 	call->answered = true;
 	call_note(call, EV_ENTRY_ENDED, LOG_STR("outcome", "run"),
 		  LOG_INT("status", call->status),
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -2,7 +2,6 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/latency.h"
 #include "common/tally.h"
 
 #define STATUS_NOT_RUN 503
@@ -73,8 +72,8 @@
 	fields_finish(&fields);
 }
 
-static void note_duration(const struct call *call, struct latency *latency,
-			  const char *outcome)
+void outcome_count(const struct call *call, struct latency *latency,
+		   const char *outcome)
 {
 	latency_note_us(latency, clock_mono_us() - call->began_us);
 	tally_add(TALLY_CALLS, call->rule->name, outcome);
@@ -99,7 +98,7 @@
 
 	counters.caller_not_run++;
 	tally_add(TALLY_NOT_RUN, reason, NULL);
-	note_duration(call, &latencies.call_not_run, "not-run");
+	outcome_count(call, &latencies.call_not_run, "not-run");
 	note_failed(call, "not-run", reason);
 	fields_init(&fields);
 	outcome_add_fields(&fields, headers, "not-run", reason, call->trace);
@@ -114,7 +113,7 @@
 	struct fields fields;
 
 	counters.caller_unknown++;
-	note_duration(call, &latencies.call_unknown, "unknown");
+	outcome_count(call, &latencies.call_unknown, "unknown");
 	note_failed(call, "unknown", call->lost ? "lost" : "timeout");
 	fields_init(&fields);
 	outcome_add_fields(&fields, call->entry->daemon->headers, "unknown",
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -330,16 +330,16 @@
 void services_note_load(struct services *services, const char *host,
 			const struct pick_load *load)
 {
+	int64_t now = clock_mono_us();
 	struct service *service;
 
 	LIST_FOREACH (service, &services->active, active_link) {
 		struct service_upstream *upstream = service_find(service, host);
 
-		if (upstream)
-			health_note_heard(&upstream->health, clock_mono_us());
-		if (upstream)
-			pick_note_load(&service->picks, &upstream->candidate,
-				       load, clock_mono_us());
+		if (!upstream)
+			continue;
+		health_note_heard(&upstream->health, now);
+		pick_note_load(&service->picks, &upstream->candidate, load, now);
 	}
 }
 
--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -1,6 +1,6 @@
 #include "comfreydockd/decide/pace.h"
 
-#define MIN_OF(a, b) ((a) < (b) ? (a) : (b))
+#include <glib.h>
 
 bool pace_is_worse(uint32_t percent, uint32_t other_percent)
 {
@@ -23,7 +23,7 @@
 {
 	if (!pace->least_before)
 		return pace->least;
-	return MIN_OF(pace->least, pace->least_before);
+	return MIN(pace->least, pace->least_before);
 }
 
 bool pace_note(struct pace *pace, uint32_t percent, int64_t now_us)
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -42,14 +42,6 @@
 	ev_timer_start(loop, &owner->gate_timer);
 }
 
-static void gate_release(struct owner *owner, struct owner_attempt *attempt)
-{
-	if (!attempt->is_held)
-		return;
-	attempt->is_held = false;
-	TAILQ_REMOVE(&owner->held, attempt, held_link);
-}
-
 static void gate_hold(struct owner *owner, struct owner_attempt *attempt)
 {
 	if (attempt->is_held)
@@ -78,7 +70,7 @@
 static void gate_refuse(struct owner *owner, struct owner_attempt *attempt,
 			Cfd__Reason reason)
 {
-	gate_release(owner, attempt);
+	owner_forget_held(owner, attempt);
 	attempt_owner_step(&attempt->state, OWNER_REFUSE);
 	attempt_refuse(attempt, reason, owner_retry_after_ms(owner));
 }
@@ -100,7 +92,7 @@
 		break;
 	case PACE_START:
 		counters.gate_slow_starts += pace_is_slow(&owner->pace);
-		gate_release(owner, attempt);
+		owner_forget_held(owner, attempt);
 		owner_offer(owner, attempt);
 		break;
 	}
@@ -220,7 +212,7 @@
 	struct owner_attempt *attempt;
 
 	while ((attempt = TAILQ_FIRST(&owner->held))) {
-		gate_release(owner, attempt);
+		owner_forget_held(owner, attempt);
 		attempt_destroy(attempt);
 	}
 	ev_timer_stop(owner->daemon->loop, &owner->gate_timer);
--- a/comfreydockd/upstream/gauge.c
+++ b/comfreydockd/upstream/gauge.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "comfreydockd/settings.h"
+#include "common/address.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/http_client.h"
@@ -99,10 +100,7 @@
 	counters.gauge_asked++;
 	g_free(gauge->instance);
 	gauge->instance = g_strdup(target->instance);
-	url = g_strdup_printf(strchr(target->address, ':') ?
-				      "http://[%s]:%u%s" :
-				      "http://%s:%u%s",
-			      target->address, target->port, target->path);
+	url = address_to_url(target->address, target->port, target->path);
 	call.url = url;
 	gauge->pending = http_client_call(gauge->daemon->http, &call,
 					  handle_answer, gauge);
--- a/comfreydockd/upstream/probe.c
+++ b/comfreydockd/upstream/probe.c
@@ -89,10 +89,8 @@
 static void probe_ask(struct probe *probe)
 {
 	const struct owner_announcement *announced = probe->announced;
-	bool is_v6 = strchr(announced->address, ':') != NULL;
 	char *url =
-		g_strdup_printf(is_v6 ? "http://[%s]:%u%s" : "http://%s:%u%s",
-				announced->address, announced->port, probe->path);
+		address_to_url(announced->address, announced->port, probe->path);
 	struct http_call call = {
 		.method = "GET",
 		.url = url,
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -174,10 +174,8 @@
 		return false;
 	if (owner->check.pending)
 		return true;
-	url = g_strdup_printf(
-		strchr(owner->check.address, ':') ? "http://[%s]:%u%s" :
-						    "http://%s:%u%s",
-		owner->check.address, owner->check.port, group->health_path);
+	url = address_to_url(owner->check.address, owner->check.port,
+			     group->health_path);
 	call.url = url;
 	owner->check.pending = http_client_call(owner->daemon->http, &call,
 						handle_health, owner);
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/address.h"
+
 #define POOL_MAX_IDLE 64
 #define CONNECT_TIMEOUT_MS 1000L
 /* A kept connection is left alone before common servers close theirs. One that
@@ -45,13 +47,11 @@
 				 const char *address, uint16_t port)
 {
 	struct run_pool *pool = g_new0(struct run_pool, 1);
-	bool is_v6 = strchr(address, ':') != NULL;
 
 	pool->client = client;
 	pool->headers = headers;
 	pool->idle_s = MAX_IDLE_CONNECTION_S;
-	pool->url = g_strdup_printf(is_v6 ? "http://[%s]:%u/" : "http://%s:%u/",
-				    address, port);
+	pool->url = address_to_url(address, port, "/");
 	pool->idle = g_ptr_array_new();
 	return pool;
 }
--- a/common/address.c
+++ b/common/address.c
@@ -76,6 +76,14 @@
 	return ok;
 }
 
+char *address_to_url(const char *number, uint16_t port, const char *path)
+{
+	bool is_v6 = strchr(number, ':') != NULL;
+
+	return g_strdup_printf(is_v6 ? "http://[%s]:%u%s" : "http://%s:%u%s",
+			       number, port, path);
+}
+
 void address_to_text(const struct sockaddr *address, char out[INET6_ADDRSTRLEN])
 {
 	const void *number = &((const struct sockaddr_in *)address)->sin_addr;
--- a/common/log.c
+++ b/common/log.c
@@ -153,19 +153,14 @@
 /* Whole lines only: half of one would spoil the next. */
 static void drop_rest(void)
 {
+	/* The line that was begun is kept, to be ended later. */
 	char *end = strchr(state.buffer->str, '\n');
 
-	/* The line that was begun is kept, to be ended later. */
-	for (char *at = end ? end + 1 : NULL; at && *at; at = end + 1) {
+	if (!end)
+		return;
+	for (char *at = end + 1; (at = strchr(at, '\n')); at++)
 		counters.log_lines_dropped++;
-		end = strchr(at, '\n');
-		if (!end)
-			break;
-	}
-	if (end)
-		g_string_truncate(state.buffer,
-				  (gsize)(strchr(state.buffer->str, '\n') + 1 -
-					  state.buffer->str));
+	g_string_truncate(state.buffer, (gsize)(end + 1 - state.buffer->str));
 }
 
 void log_flush(void)
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -19,6 +19,7 @@
 #include "comfreydockd/peer/attempt.h"
 #include "comfreydockd/peer/peers.h"
 #include "common/id.h"
+#include "common/latency.h"
 #include "common/timeline.h"
 
 /* What an entry keeps of a request's body: so much can be sent again. */
@@ -158,6 +159,10 @@
 
 /* outcome.c: answers of our own; the call is freed by the caller of these */
 
+/* Counts a call that has ended, and how long its caller waited. */
+void outcome_count(const struct call *call, struct latency *latency,
+		   const char *outcome);
+
 void outcome_say_not_run(struct call *call);
 void outcome_say_unknown(struct call *call);
 
--- a/include/comfreydockd/platform/platform.h
+++ b/include/comfreydockd/platform/platform.h
@@ -80,13 +80,6 @@
 	const char *value; /* for PLATFORM_PUT */
 };
 
-struct platform_counts {
-	uint64_t reads;
-	uint64_t writes;
-	uint64_t unavailable;
-	uint64_t unknown;
-};
-
 /* url: "http://IP:PORT" */
 struct platform *platform_create(struct http_client *http, const char *url);
 
@@ -123,7 +116,4 @@
 /* The reason of the last call that failed, or "". */
 const char *platform_status_message(const struct platform *platform);
 
-void platform_get_counts(const struct platform *platform,
-			 struct platform_counts *counts);
-
 #endif
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -40,6 +40,10 @@
 /* All addresses of a host, as a listener binds them. */
 bool address_is_any(const char *text);
 
+/* RETURN VALUE: "http://IP:PORTpath", an IPv6 number in brackets; the caller
+ * frees it. */
+char *address_to_url(const char *number, uint16_t port, const char *path);
+
 /* "IP:PORT", an IPv6 number in brackets; the port is not 0. */
 bool address_has_port(const char *text);
 
--- a/standin/upstream/control.c
+++ b/standin/upstream/control.c
@@ -123,10 +123,9 @@
 	return MHD_HTTP_OK;
 }
 
-static void add_health_headers(const struct job *job,
-			       struct MHD_Response *response)
+void control_add_load(const struct upstream *upstream,
+		      struct MHD_Response *response)
 {
-	const struct upstream *upstream = job->upstream;
 	char text[64];
 
 	if (!upstream->options.instance)
@@ -158,7 +157,7 @@
 	response = MHD_create_response_from_buffer(strlen(text), (void *)text,
 						   MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(response, "Content-Type", "application/json");
-	add_health_headers(job, response);
+	control_add_load(job->upstream, response);
 	result = MHD_queue_response(job->connection, status_of(job, object),
 				    response);
 	MHD_destroy_response(response);
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -103,7 +103,6 @@
 {
 	struct upstream *upstream = job->upstream;
 	const char *id = job->id ? job->id : "";
-	char text[64];
 
 	if (upstream->faults.strange_next > 0) {
 		upstream->faults.strange_next--;
@@ -119,12 +118,7 @@
 	if (job->status == MHD_HTTP_SERVICE_UNAVAILABLE && !job->has_run)
 		MHD_add_response_header(response, "X-Comfreydock-Not-Executed",
 					"1");
-	g_snprintf(text, sizeof(text), "%d,%d,%d,%" G_GINT64_FORMAT,
-		   upstream->running, upstream->queued, upstream->options.slots,
-		   upstream->faults.pace_percent);
-	MHD_add_response_header(response, "X-Comfreydock-Server-Load", text);
-	MHD_add_response_header(response, "X-Comfreydock-Instance-Id",
-				upstream->options.instance);
+	control_add_load(upstream, response);
 }
 
 static enum MHD_Result answer(struct job *job)
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -170,6 +170,10 @@
 /* control.c */
 bool control_is_command(const struct job *job);
 enum MHD_Result control_answer(struct job *job);
+
+/* What an upstream with an instance tells of itself with each answer. */
+void control_add_load(const struct upstream *upstream,
+		      struct MHD_Response *response);
 void control_start_reports(struct upstream *upstream);
 
 /* reports.c: heartbeats, a good-bye, and the last heartbeat once more, as one
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "comfreydockd/platform/platform.h"
+#include "common/counters.h"
 #include "common/http_client.h"
 #include "common/log.h"
 #include "rig.h"
@@ -132,7 +133,7 @@
 static void test_lost_answer_is_unknown_and_not_resent(struct fixture *f,
 						       gconstpointer data)
 {
-	struct platform_counts counts;
+	struct counters before = counters;
 	char *stats;
 
 	(void)data;
@@ -142,9 +143,10 @@
 			PLATFORM_UNKNOWN);
 	g_assert_cmpint(get(f, "t/a"), ==, PLATFORM_OK);
 	g_assert_cmpuint(f->version, ==, 2);
-	platform_get_counts(f->platform, &counts);
-	g_assert_cmpuint(counts.writes, ==, 2);
-	g_assert_cmpuint(counts.unknown, ==, 1);
+	g_assert_cmpuint(counters.platform_writes - before.platform_writes, ==,
+			 2);
+	g_assert_cmpuint(counters.platform_unknown - before.platform_unknown,
+			 ==, 1);
 	stats = rig_http_ok("GET", f->standin->port, "/standin/stats", NULL);
 	g_assert_cmpint(rig_json_int(stats, "writes"), ==, 2);
 	g_free(stats);
