tests: a daemon without a configuration that never gets one

The test of too many callers expects no-configuration from a daemon that could reach the platform and a peer. It failed once in a whole run: 91 ms after its start that daemon had read the empty head (config.head-reached), and from then on the answer is 404 no-service. A pause of 700 ms before the call fails each time. The daemon now reaches no platform and no peer; with the same pause all ten cases pass.

--- a/tests/system/test_ports.c
+++ b/tests/system/test_ports.c
@@ -15,10 +15,25 @@
 static struct cluster cluster;
 static struct rig_process *guarded; /* its admin API needs the token */
 
-static const char *write_settings(const char *host, const char *admin_address,
-				  const char *token_file, const char *key_file)
+struct settings {
+	const char *host;
+	const char *admin_address;
+	const char *token_file; /* NULL: none */
+	const char *key_file;
+	bool alone; /* reaches no platform and no peer */
+};
+
+static const char *write_settings(const struct settings *settings)
 {
-	char *file = g_strdup_printf("%s.json", host);
+	char *file = g_strdup_printf("%s.json", settings->host);
+	char *token = settings->token_file ?
+			      g_strdup_printf(", \"token_file\": \"%s\"",
+					      settings->token_file) :
+			      g_strdup("");
+	char *join = settings->alone ?
+			     g_strdup("") :
+			     g_strdup_printf("\"127.0.0.1:%u\"",
+					     cluster.daemons[0]->peer_port);
 	const char *path = rig_write_file(
 		cluster.rig, file,
 		"{\"host\": \"%s\", \"domain\": \"x\", \"region\": \"r\",\n"
@@ -27,24 +42,30 @@
 		"\"admin\": {\"address\": \"%s\", \"port\": 0%s},\n"
 		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
 		"\"peer\": {\"address\": \"127.0.0.1\", \"port\": 0,\n"
-		" \"key_file\": \"%s\", \"join\": [\"127.0.0.1:%u\"]}}\n",
-		host, admin_address, token_file, cluster.platform->port,
-		key_file, cluster.daemons[0]->peer_port);
+		" \"key_file\": \"%s\", \"join\": [%s]}}\n",
+		settings->host, settings->admin_address, token,
+		settings->alone ? cluster_find_port() : cluster.platform->port,
+		settings->key_file, join);
 
+	g_free(join);
+	g_free(token);
 	g_free(file);
 	return path;
 }
 
+/* Alone, so that it is without a configuration for as long as it runs. */
 static void start_guarded(void)
 {
-	char *token =
-		g_strdup_printf(", \"token_file\": \"%s\"",
-				rig_write_file(cluster.rig, "token", TOKEN));
+	const struct settings settings = {
+		.host = "guarded",
+		.admin_address = "127.0.0.1",
+		.token_file = rig_write_file(cluster.rig, "token", TOKEN),
+		.key_file = cluster.key_file,
+		.alone = true,
+	};
 
 	guarded = rig_start_daemon(cluster.rig, "guarded",
-				   write_settings("guarded", "127.0.0.1", token,
-						  cluster.key_file));
-	g_free(token);
+				   write_settings(&settings));
 }
 
 /*
@@ -53,11 +74,14 @@
  */
 static void test_open_admin_does_not_start(void)
 {
-	const char *settings =
-		write_settings("open", "0.0.0.0", "", cluster.key_file);
+	const struct settings settings = {
+		.host = "open",
+		.admin_address = "0.0.0.0",
+		.key_file = cluster.key_file,
+	};
 
 	g_assert_cmpint(rig_run(cluster.rig, NULL, "comfreydockd/comfreydockd",
-				"--config", settings, NULL),
+				"--config", write_settings(&settings), NULL),
 			==, 3);
 }
 
@@ -291,11 +315,14 @@
 /* A daemon that was given another key can't get work by gossip either. */
 static void test_daemon_with_another_key(void)
 {
-	const char *key = rig_write_file(cluster.rig, "other.key",
-					 "another key for tests");
+	const struct settings settings = {
+		.host = "stranger",
+		.admin_address = "127.0.0.1",
+		.key_file = rig_write_file(cluster.rig, "other.key",
+					   "another key for tests"),
+	};
 	struct rig_process *stranger = rig_start_daemon(
-		cluster.rig, "stranger",
-		write_settings("stranger", "127.0.0.1", "", key));
+		cluster.rig, "stranger", write_settings(&settings));
 	char *hosts;
 
 	rig_sleep_ms(1500);
