operator: metrics of the configuration's age and of what is left to retry

New: config_version, config_age_us, config_told_age_us, config_behind, retry_budget_left and retry_budget_most; the metrics have a file of their own, and lines of Prometheus text one writer (common/metric).

--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -281,3 +281,8 @@
 {
 	return entry->count;
 }
+
+void entry_append_metrics(const struct entry *entry, GString *text)
+{
+	services_append_metrics(entry->services, text);
+}
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/metric.h"
 
 /* A service without calls for so long is left out of the tick. */
 #define ACTIVE_US (10 * US_PER_S)
@@ -384,3 +385,19 @@
 		service = next;
 	}
 }
+
+void services_append_metrics(const struct services *services, GString *text)
+{
+	const struct service *service;
+
+	metric_begin_gauge(text, "retry_budget_left",
+			   "retries that each service may make at once");
+	LIST_FOREACH (service, &services->active, active_link)
+		metric_append_line(text, "retry_budget_left", "group",
+				   service->group, service->retry.budget.tokens);
+	metric_begin_gauge(text, "retry_budget_most",
+			   "what it can save up of them");
+	LIST_FOREACH (service, &services->active, active_link)
+		metric_append_line(text, "retry_budget_most", "group",
+				   service->group, service->retry.budget.burst);
+}
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "comfreydockd/config/check.h"
+#include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
 
@@ -20,6 +21,8 @@
 	uint64_t head;
 	uint64_t known_head;
 	uint64_t listed_head;
+	int64_t adopted_us;
+	int64_t told_us;
 	GArray *listing; /* of struct config_version, names owned */
 	GHashTable *origins; /* name -> struct origin */
 	struct config_store_observer observers[OBSERVERS_MAX];
@@ -90,6 +93,16 @@
 	return store->known_head;
 }
 
+int64_t config_store_adopted_us(const struct config_store *store)
+{
+	return store->adopted_us;
+}
+
+int64_t config_store_told_us(const struct config_store *store)
+{
+	return store->told_us;
+}
+
 static bool holds(const struct config_store *store,
 		  const struct config_version *version)
 {
@@ -180,6 +193,7 @@
 void config_store_note_head(struct config_store *store, uint64_t head,
 			    const char *from_host)
 {
+	store->told_us = clock_mono_us();
 	if (head <= store->head && store->ready)
 		return;
 	store->known_head = MAX(store->known_head, head);
@@ -195,6 +209,7 @@
 			       const struct config_version *versions,
 			       size_t count)
 {
+	store->told_us = clock_mono_us();
 	if (head < store->listed_head)
 		return;
 	store->known_head = MAX(store->known_head, head);
@@ -216,6 +231,7 @@
 
 	store->current = config_snapshot_with(old, ns);
 	config_snapshot_unref(old);
+	store->adopted_us = clock_mono_us();
 	counters.config_adopted++;
 	log_event(EV_CONFIG_ADOPTED, LOG_STR("namespace", ns->name),
 		  LOG_INT("version", ns->version), LOG_STR("sha256", ns->sha256));
--- a/comfreydockd/main.c
+++ b/comfreydockd/main.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "comfreydockd/assembly.h"
+#include "comfreydockd/reload.h"
 #include "comfreydockd/settings.h"
 #include "common/clock.h"
 #include "common/http_client.h"
@@ -89,7 +90,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	raise_descriptor_limit();
-	log_init(settings->log_format, settings->host);
+	settings_start_log(settings);
 	assembly = assembly_create(settings, file);
 	if (!assembly)
 		return EXIT_START;
--- a/comfreydockd/operator/status.c
+++ b/comfreydockd/operator/status.c
@@ -1,96 +1,10 @@
-#include <sys/resource.h>
-
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/operator/gather.h"
 #include "comfreydockd/operator/handler.h"
 #include "comfreydockd/settings.h"
-#include "comfreydockd/upstream/owner.h"
-#include "common/clock.h"
-#include "common/counters.h"
 #include "common/jsonc.h"
-#include "common/latency.h"
-#include "common/tally.h"
 
 #define HOSTS_PAGE 250
-/* Of the kernel's figures for memory. */
-#define KILO 1024
-
-static void append_gauge(GString *text, const char *name, uint64_t value)
-{
-	g_string_append_printf(text,
-			       "# TYPE comfreydock_%s gauge\n"
-			       "comfreydock_%s %" G_GUINT64_FORMAT "\n",
-			       name, name, value);
-}
-
-static void append_members(GString *text, struct member_table *members)
-{
-	static const char *const names[] = {"alive", "suspect", "dead", "left"};
-	uint64_t counts[G_N_ELEMENTS(names)] = {0};
-	struct member *member;
-
-	g_string_append(text, "# TYPE comfreydock_members gauge\n");
-	if (!members)
-		return;
-	TAILQ_FOREACH (member, member_table_all(members), link)
-		counts[member->state]++;
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
-		g_string_append_printf(text,
-				       "comfreydock_members{state=\"%s\"} "
-				       "%" G_GUINT64_FORMAT "\n",
-				       names[i], counts[i]);
-}
-
-/* Under the names that collectors know from other programs. */
-static void append_process(GString *text)
-{
-	struct rusage usage;
-	int64_t cpu_us;
-
-	if (getrusage(RUSAGE_SELF, &usage) != 0)
-		return;
-	cpu_us = (usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * US_PER_S +
-		 usage.ru_utime.tv_usec + usage.ru_stime.tv_usec;
-	g_string_append_printf(text,
-			       "# TYPE process_cpu_seconds_total counter\n"
-			       "process_cpu_seconds_total %" G_GINT64_FORMAT
-			       ".%06" G_GINT64_FORMAT "\n",
-			       cpu_us / US_PER_S, cpu_us % US_PER_S);
-	append_gauge(text, "memory_peak_bytes", (uint64_t)usage.ru_maxrss * KILO);
-}
-
-static void append_upstream(GString *text, const struct owner *owner)
-{
-	struct owner_status status = {0};
-
-	if (owner)
-		owner_get_status(owner, &status);
-	append_gauge(text, "upstream_slots", status.slots);
-	append_gauge(text, "upstream_limit", status.limit);
-	append_gauge(text, "upstream_running", status.running);
-	append_gauge(text, "upstream_queued", status.queued);
-	append_gauge(text, "upstream_expected_wait_us", status.expected_wait_us);
-	append_gauge(text, "upstream_pace_percent", status.pace_percent);
-	append_gauge(text, "upstream_pace_age_us",
-		     (uint64_t)MAX(status.pace_age_us, 0));
-	append_gauge(text, "upstream_up", status.state == OWNER_UP);
-}
-
-void operator_get_metrics(struct operator_api *api, struct http_request *request)
-{
-	GString *text = g_string_new(NULL);
-
-	counters_append_text(text);
-	tally_append_text(text);
-	latencies_append_text(text);
-	append_upstream(text, api->daemon->owner);
-	append_members(text, api->daemon->members);
-	append_process(text);
-	append_gauge(text, "config_head", config_store_head(api->daemon->config));
-	http_request_reply_text(request, 200, "text/plain; version=0.0.4",
-				text->str);
-	g_string_free(text, TRUE);
-}
 
 void operator_get_status(struct operator_api *api, struct http_request *request)
 {
--- a/comfreydockd/reload.c
+++ b/comfreydockd/reload.c
@@ -49,9 +49,18 @@
 	settings->retry_budget = changed->retry_budget;
 	settings->probes_per_s = changed->probes_per_s;
 	settings->max_buffered_bytes = changed->max_buffered_bytes;
+	settings->log_format = changed->log_format;
+	settings->log_budget = changed->log_budget;
 	return has_same_place(settings, changed) ? RELOAD_DONE : RELOAD_PARTLY;
 }
 
+void settings_start_log(const struct settings *settings)
+{
+	log_init(settings->log_format, settings->host);
+	log_set_budget(settings->log_budget.lines_per_s,
+		       settings->log_budget.bytes_per_s);
+}
+
 static void reload_now(struct reload *reload, const char *why)
 {
 	static const char *const names[] = {"done", "refused", "partly"};
@@ -61,8 +70,10 @@
 
 	findings_init(&findings);
 	changed = settings_load(reload->file, &findings);
-	if (changed)
+	if (changed) {
 		result = settings_take_over(reload->settings, changed);
+		settings_start_log(reload->settings);
+	}
 	findings_print(&findings, stderr);
 	log_event(EV_SETTINGS_RELOADED, LOG_STR("why", why),
 		  LOG_STR("result", names[result]),
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -29,6 +29,11 @@
 #define DEFAULT_RETRY_RATIO 0.1
 #define RETRY_SLACK_MAX 1e6
 #define PROBES_MAX_PER_S 1000
+/* Below this not even the refusals of one second could be told apart. */
+#define LOG_LINES_MIN_PER_S 10
+#define LOG_LINES_MAX_PER_S 100000
+#define LOG_BYTES_MIN_PER_S (4 * 1024)
+#define LOG_BYTES_MAX_PER_S (64 * 1024 * 1024)
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
 #define DEFAULT_MAX_BUFFERED_BYTES (64 * 1024 * 1024)
@@ -272,6 +277,23 @@
 	schema_finish(&retry);
 }
 
+static void read_log(struct schema *root, struct settings *settings)
+{
+	struct settings_log_budget *budget = &settings->log_budget;
+	struct schema log;
+
+	settings->log_format = (enum log_format)schema_enum(
+		root, "log_format", log_formats, LOG_FORMAT_JSON);
+	schema_init_child(&log, root, "log_budget", SCHEMA_OPTIONAL);
+	budget->lines_per_s = (uint32_t)schema_uint(
+		&log, "lines_per_s", SCHEMA_OPTIONAL, LOG_LINES_PER_S,
+		LOG_LINES_MIN_PER_S, LOG_LINES_MAX_PER_S);
+	budget->bytes_per_s = (uint32_t)schema_uint(
+		&log, "bytes_per_s", SCHEMA_OPTIONAL, LOG_BYTES_PER_S,
+		LOG_BYTES_MIN_PER_S, LOG_BYTES_MAX_PER_S);
+	schema_finish(&log);
+}
+
 static void read_stop(struct schema *root, struct settings *settings)
 {
 	struct settings_stop *times = &settings->stop;
@@ -334,8 +356,7 @@
 	read_peer(&root, settings);
 	read_admin(&root, settings);
 	read_platform(&root, settings);
-	settings->log_format = (enum log_format)schema_enum(
-		&root, "log_format", log_formats, LOG_FORMAT_JSON);
+	read_log(&root, settings);
 	settings->drain_timeout_ms =
 		(uint32_t)schema_uint(&root, "drain_timeout_ms", SCHEMA_OPTIONAL,
 				      DEFAULT_DRAIN_TIMEOUT_MS, 0, UINT32_MAX);
--- a/common/tally.c
+++ b/common/tally.c
@@ -2,6 +2,8 @@
 
 #include <stdint.h>
 
+#include "common/metric.h"
+
 #define OTHER "other"
 
 struct tally_kind {
@@ -28,25 +30,14 @@
 /* Labels as they stand in the text -> uint64_t. */
 static GHashTable *series[TALLIES];
 
-static void append_label(GString *text, const char *name, const char *value)
-{
-	g_string_append_printf(text, "%s%s=\"", text->len ? "," : "", name);
-	for (; *value; value++) {
-		if (*value == '"' || *value == '\\')
-			g_string_append_c(text, '\\');
-		g_string_append_c(text, *value == '\n' ? ' ' : *value);
-	}
-	g_string_append_c(text, '"');
-}
-
 static char *labels_to_text(const struct tally_kind *kind, const char *first,
 			    const char *second)
 {
 	GString *text = g_string_new(NULL);
 
-	append_label(text, kind->labels[0], first);
+	metric_append_label(text, kind->labels[0], first);
 	if (kind->labels[1])
-		append_label(text, kind->labels[1], second);
+		metric_append_label(text, kind->labels[1], second);
 	return g_string_free(text, FALSE);
 }
 
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -80,4 +80,7 @@
 /* RETURN VALUE: the calls that have not ended. */
 size_t entry_count(const struct entry *entry);
 
+/* The budgets of the services that were called of late. */
+void entry_append_metrics(const struct entry *entry, GString *text);
+
 #endif
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -90,4 +90,7 @@
  * few are, and a walk over all would hold up every call that comes meanwhile. */
 void services_tick(struct services *services, int64_t now_us);
 
+/* What is left of the budgets of the services in use, as Prometheus text. */
+void services_append_metrics(const struct services *services, GString *text);
+
 #endif
--- a/include/comfreydockd/reload.h
+++ b/include/comfreydockd/reload.h
@@ -36,4 +36,7 @@
 enum reload_result settings_take_over(struct settings *settings,
 				      const struct settings *changed);
 
+/* Starts the log, or goes on with another format and budget. */
+void settings_start_log(const struct settings *settings);
+
 #endif
--- a/include/comfreydockd/settings.h
+++ b/include/comfreydockd/settings.h
@@ -36,6 +36,12 @@
 	double slack; /* so many more in each window */
 };
 
+/* What the log may take; see log.h. */
+struct settings_log_budget {
+	uint32_t lines_per_s;
+	uint32_t bytes_per_s;
+};
+
 struct settings {
 	char *host; /* unique id of this host */
 	char *domain; /* failure domain */
@@ -57,6 +63,7 @@
 	struct settings_address metrics; /* for everybody; NULL: admin only */
 	char **join; /* "IP:PORT" of peers, NULL-terminated, may be empty */
 	enum log_format log_format;
+	struct settings_log_budget log_budget;
 	struct settings_stop stop;
 	struct settings_retry_budget retry_budget;
 	uint32_t probes_per_s; /* of the upstream's load; 0: none */
--- a/tests/system/test_on_platform.c
+++ b/tests/system/test_on_platform.c
@@ -568,6 +568,13 @@
 	g_assert_cmpuint(metric(0, "comfreydock_store_calls{call=\"read\","
 				   "result=\"ok\"}"),
 			 >, 0);
+	g_assert_cmpuint(metric(0, "comfreydock_retry_budget_most{group="
+				   "\"" SERVICE "\"}"),
+			 >=, 1);
+	g_assert_cmpuint(metric(0, "comfreydock_config_version{namespace="
+				   "\"operator\"}"),
+			 >, 0);
+	g_assert_cmpuint(metric(0, "comfreydock_config_behind"), ==, 0);
 }
 
 int main(int argc, char **argv)
--- a/tests/test_knee.c
+++ b/tests/test_knee.c
@@ -87,8 +87,8 @@
 {
 	struct random_state random = {.state = 11};
 	int64_t ends_us[SLOTS] = {0};
-	uint32_t begun_at[SLOTS];
-	double times[SLOTS];
+	uint32_t begun_at[SLOTS] = {0};
+	double times[SLOTS] = {0};
 	struct knee knee = {0};
 	unsigned int done = 0;
 	uint32_t running = 0;
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -2,6 +2,9 @@
 #include <glib.h>
 #include <string.h>
 
+#include "comfreydockd/caller/entry.h"
+#include "comfreydockd/config/model.h"
+#include "comfreydockd/config/store.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/operator/operator.h"
 #include "comfreydockd/peer/peers.h"
@@ -118,6 +121,12 @@
 	return 1;
 }
 
+void entry_append_metrics(const struct entry *entry, GString *text)
+{
+	(void)entry;
+	(void)text;
+}
+
 const GPtrArray *member_table_group(struct member_table *table, const char *group)
 {
 	return strcmp(group, "archive-feed") == 0 ? table->group : NULL;
@@ -227,6 +236,45 @@
 	}
 }
 
+static char *read_sample(void)
+{
+	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
+				      "operators", "lookup.sample.json", NULL);
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
+static void offer_sample(struct fixture *f, uint64_t version)
+{
+	char *text = read_sample();
+	char sha256[65];
+
+	config_body_sha256(text, strlen(text), sha256);
+	g_assert_cmpint(config_store_offer(f->daemon.config, "spurningalina",
+					   version, sha256, text, strlen(text)),
+			==, CONFIG_OFFER_ADOPTED);
+	g_free(text);
+}
+
+/* Whoever looks at an alert sees which configuration a daemon holds and how old
+ * that is, and whether the retries of a service are used up. */
+static void test_metrics_tell_the_configuration(struct fixture *f,
+						gconstpointer unused)
+{
+	(void)unused;
+	config_store_note_head(f->daemon.config, 0, NULL);
+	call(f, "GET", "/metrics", NULL, 200, "comfreydock_config_behind 0\n");
+	call(f, "GET", "/metrics", NULL, 200,
+	     "\ncomfreydock_config_told_age_us ");
+	offer_sample(f, 3);
+	call(f, "GET", "/metrics", NULL, 200,
+	     "comfreydock_config_version{namespace=\"spurningalina\"} 3\n");
+	call(f, "GET", "/metrics", NULL, 200, "\ncomfreydock_config_age_us ");
+}
+
 static void test_paths(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
@@ -358,17 +406,6 @@
 	g_assert_cmpuint(f->conflicts, ==, 1);
 }
 
-static char *read_sample(void)
-{
-	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
-				      "operators", "lookup.sample.json", NULL);
-	char *text = NULL;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	g_free(path);
-	return text;
-}
-
 static void platform_get(void *platform, const char *key,
 			 config_get_handler handler, void *data)
 {
@@ -454,6 +491,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD("/operator/paths", NULL, test_paths);
+	ADD("/operator/configuration-age", NULL,
+	    test_metrics_tell_the_configuration);
 	ADD("/operator/hosts", NULL, test_hosts_come_in_pages);
 	ADD("/operator/token", "secret", test_token_is_needed);
 	ADD("/operator/announce", NULL, test_upstream_announces_itself);
--- a/tests/test_reload.c
+++ b/tests/test_reload.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "comfreydockd/reload.h"
+#include "common/counters.h"
 #include "common/log.h"
 
 #define SETTINGS                                                   \
@@ -16,6 +17,9 @@
 	"\"platform\": {\"url\": \"http://127.0.0.1:1\"},"         \
 	"\"drain_timeout_ms\": %s}"
 
+#define QUIET(drain_ms) drain_ms ", \"log_format\": \"none\""
+#define LOUD "1000, \"log_budget\": {\"lines_per_s\": 10}"
+
 struct fixture {
 	char *directory;
 	char *file;
@@ -39,7 +43,7 @@
 	(void)data;
 	f->directory = g_dir_make_tmp("reload-XXXXXX", NULL);
 	f->file = g_build_filename(f->directory, "settings.json", NULL);
-	write_settings(f, "r", "1000");
+	write_settings(f, "r", QUIET("1000"));
 	findings_init(&findings);
 	f->settings = settings_load(f->file, &findings);
 	g_assert_nonnull(f->settings);
@@ -68,7 +72,7 @@
 static void test_signal_takes_over(struct fixture *f, gconstpointer data)
 {
 	(void)data;
-	write_settings(f, "r", "2000");
+	write_settings(f, "r", QUIET("2000"));
 	hang_up();
 	g_assert_cmpuint(f->settings->drain_timeout_ms, ==, 2000);
 }
@@ -99,7 +103,7 @@
 	changed.drain_timeout_ms = 5;
 	g_assert_cmpint(settings_take_over(f->settings, &changed), ==,
 			RELOAD_DONE);
-	write_settings(f, "elsewhere", "3000");
+	write_settings(f, "elsewhere", QUIET("3000"));
 	hang_up();
 	g_assert_cmpuint(f->settings->drain_timeout_ms, ==, 3000);
 	g_assert_cmpstr(f->settings->region, ==, "r");
@@ -108,6 +112,31 @@
 			RELOAD_PARTLY);
 }
 
+/*
+ * A fault makes every daemon tell much, and the collector of the logs drowns. An
+ * operator lowers the budget of the daemons as they run; a restart would end
+ * the fault before it was understood.
+ */
+static void test_log_budget_is_taken_over(struct fixture *f, gconstpointer data)
+{
+	uint64_t before;
+
+	(void)data;
+	write_settings(f, "r", LOUD);
+	hang_up();
+	before = counters.log_lines;
+	for (unsigned int i = 0; i < 1000; i++)
+		log_event(EV_ENTRY_FAILED, LOG_TRACE("t"), LOG_INT("number", i));
+	/* A second may end meanwhile. */
+	g_assert_cmpuint(counters.log_lines - before, >, 0);
+	g_assert_cmpuint(counters.log_lines - before, <=, 30);
+	write_settings(f, "r", QUIET("1000"));
+	hang_up();
+	before = counters.log_lines;
+	log_event(EV_DAEMON_STARTED);
+	g_assert_cmpuint(counters.log_lines, ==, before);
+}
+
 #define ADD(name, function) \
 	g_test_add(name, struct fixture, NULL, set_up, function, tear_down)
 
@@ -117,6 +146,7 @@
 	log_init(LOG_FORMAT_NONE, "test");
 	ADD("/reload/signal", test_signal_takes_over);
 	ADD("/reload/faulty", test_faulty_file_changes_nothing);
+	ADD("/reload/log-budget", test_log_budget_is_taken_over);
 	ADD("/reload/place", test_place_waits_for_the_next_start);
 	return g_test_run();
 }
