bench: replay slow spells of the hosts

bench-decide plays hosts that run seven times slower for half a second, each on its own, with the gate of the owners, what they tell entries by themselves and the return to hosts that had no room. Measured: share within the target, starts on a slow host beside a quick free one, questions for the pace. The ideal knows each speed and begins on quick hosts only.

--- a/bench/decide/central.c
+++ b/bench/decide/central.c
@@ -24,10 +24,21 @@
 	return a->running < b->running;
 }
 
-/* RETURN VALUE: NULL if no slot is free. */
+static double least_factor(const struct replay *r)
+{
+	double least = r->owners[0].factor;
+
+	for (uint32_t i = 1; i < r->trace->upstreams; i++)
+		least = MIN(least, r->owners[i].factor);
+	return least;
+}
+
+/* RETURN VALUE: NULL if no slot is free; in slow spells, none of a host that is
+ * quick, since what begins on a slow one holds its slot for seven others. */
 static struct replay_owner *find_free(const struct replay *r)
 {
 	struct replay_owner *best = NULL;
+	double least = least_factor(r);
 
 	for (uint32_t i = 0; i < r->trace->upstreams; i++) {
 		struct replay_owner *owner = &r->owners[i];
@@ -35,6 +46,8 @@
 		if (owner->running >= r->trace->slots ||
 		    owner->fault != TRACE_FAULT_NONE)
 			continue;
+		if (r->trace->tells_pace && owner->factor > least)
+			continue;
 		if (!best || is_better(owner, best))
 			best = owner;
 	}
@@ -81,6 +94,7 @@
 {
 	owner->running++;
 	attempt->upstream = (uint32_t)(owner - r->owners);
+	replay_note_start(r, attempt->upstream);
 	attempt->started_us = r->events.now_us;
 	replay_after(
 		r,
@@ -106,6 +120,11 @@
 	}
 }
 
+void replay_central_turn(struct replay *r)
+{
+	start_waiting(r);
+}
+
 void replay_handle_central(void *replay, void *data)
 {
 	struct replay *r = replay;
--- a/bench/decide/entry.c
+++ b/bench/decide/entry.c
@@ -64,7 +64,8 @@
 {
 	struct pick_candidate *c = &entry->candidates[attempt->upstream];
 	int64_t now_us = r->events.now_us;
-	int64_t latency_us = now_us - attempt->sent_us;
+	int64_t latency_us =
+		pace_usual_us(attempt->pace_percent, now_us - attempt->sent_us);
 	bool busy = attempt->outcome == RETRY_OUTCOME_BUSY;
 
 	r->result->refusals += busy;
@@ -101,6 +102,16 @@
 				    now_us);
 }
 
+void replay_handle_report(void *replay, void *data)
+{
+	struct replay *r = replay;
+	const struct replay_report *report = data;
+	struct replay_entry *entry = &r->entries[report->entry];
+
+	pick_note_load(&entry->set, &entry->candidates[report->upstream],
+		       &report->load, r->events.now_us);
+}
+
 static void tell_end(struct replay *r, struct replay_attempt *attempt,
 		     bool timed_out)
 {
@@ -197,6 +208,11 @@
 			enum retry_outcome outcome, int64_t retry_after_us);
 static uint32_t call_most_attempts(const struct replay *r);
 
+static uint32_t call_work_attempts(const struct replay_call *call)
+{
+	return call->attempts - call->busy - call->unheard;
+}
+
 /* Another attempt beside one that gives nothing. */
 static void call_overtake(struct replay *r, struct replay_call *call)
 {
@@ -207,7 +223,7 @@
 		.untried = pick_count_untried(&entry->set, &call->tried),
 		.deadline_us = call->deadline_us,
 		.expected_us = (int64_t)entry->set.typical_service_us,
-		.attempts = call->attempts - call->busy,
+		.attempts = call_work_attempts(call),
 		.max_attempts = call_most_attempts(r),
 	};
 	struct pick_candidate *c;
@@ -309,7 +325,7 @@
 	if (delay_us >= 0)
 		replay_after(r, delay_us, handle_hedge, attempt);
 	if (call->trace->idempotent &&
-	    call->attempts - call->busy < call_most_attempts(r))
+	    call_work_attempts(call) < call_most_attempts(r))
 		call_arm_patience(r, attempt);
 }
 
@@ -331,6 +347,8 @@
 			now_us + replay_delay_us(r, attempt) +
 			deadline_for_hop_us(call->deadline_us, path_us, now_us);
 	pick_tried_add(&call->tried, candidate->id);
+	attempt->other_pace_percent =
+		pick_other_pace(&entry->set, candidate, &call->tried, now_us);
 	pick_note_sent(&entry->set, candidate);
 	attempt->epoch = health_note_sent(
 		&entry->health, &entry->upstreams[attempt->upstream], now_us);
@@ -364,13 +382,30 @@
 		call_finish_unanswered(r, call);
 		return;
 	}
-	may_queue =
-		!replay_has(r, REPLAY_BUSY) ||
-		pick_may_queue(&entry->set, c, &call->tried,
-			       call->busy >= RETRY_BUSY_MAX, r->events.now_us);
+	may_queue = !replay_has(r, REPLAY_BUSY) ||
+		    pick_may_queue(&entry->set, c, &call->tried,
+				   call->returns || call->busy >= RETRY_BUSY_MAX,
+				   r->events.now_us);
 	call_send(r, call, false, may_queue, c);
 }
 
+/* As in comfreydockd/caller/call.c: goes back, once, to those that only had no
+ * room at the time. */
+static bool call_return_to_busy(struct replay_call *call)
+{
+	struct pick_tried kept = {.count = 0};
+
+	if (call->returns || call->tried_busy.count == 0)
+		return false;
+	call->returns = true;
+	for (size_t i = 0; i < call->tried.count; i++) {
+		if (!pick_tried_has(&call->tried_busy, call->tried.ids[i]))
+			pick_tried_add(&kept, call->tried.ids[i]);
+	}
+	call->tried = kept;
+	return true;
+}
+
 static void call_decide(struct replay *r, struct replay_call *call,
 			enum retry_outcome outcome, int64_t retry_after_us)
 {
@@ -387,7 +422,11 @@
 	struct retry_answer answer;
 
 	call->busy += busy;
-	question.attempts = busy ? call->busy : call->attempts - call->busy;
+	call->unheard += !busy && !retry_counts(outcome);
+	if (!retry_counts(outcome) && question.untried == 0 &&
+	    call_return_to_busy(call))
+		question.untried = pick_count_untried(&entry->set, &call->tried);
+	question.attempts = busy ? call->busy : call_work_attempts(call);
 	question.max_attempts = busy ? RETRY_BUSY_MAX + 1 : call_most_attempts(r);
 	answer = retry_decide(&entry->retry, &question, &r->random,
 			      r->events.now_us);
@@ -426,6 +465,11 @@
 		return;
 	}
 	call->may_have_run |= attempt->outcome == RETRY_OUTCOME_UNKNOWN;
+	if (attempt->outcome == RETRY_OUTCOME_BUSY ||
+	    attempt->outcome == RETRY_OUTCOME_NOT_HERE)
+		pick_tried_add(
+			&call->tried_busy,
+			entry_of(r, call)->candidates[attempt->upstream].id);
 	if (call_is_active(call))
 		return;
 	call->refused_us = attempt->refused_us;
--- a/bench/decide/generate.c
+++ b/bench/decide/generate.c
@@ -25,6 +25,19 @@
 /* An entry tells a slow upstream by its answers; judged from here on. */
 #define SLOW_SETTLED_US ((int64_t)200 * 1000)
 
+/* Of work that is neither short nor long, around its mean. */
+#define USUAL_LEAST 0.7
+#define USUAL_SPREAD 0.6
+/* A spell's length, and how often one begins in place of a quick time. */
+#define SPELL_US ((int64_t)500 * 1000)
+#define SPELL_SHARE 0.28
+#define SPELL_FACTOR 7.0
+/* Of the mean work. */
+#define TARGET_TIMES 3.0
+#define DEADLINE_TIMES 8.0
+/* Two calls in nine are not idempotent, as in the users' deployments. */
+#define SPELL_POST_SHARE (2.0 / 9.0)
+
 struct generator {
 	const struct trace_plan *plan;
 	struct trace *trace;
@@ -35,7 +48,7 @@
 
 struct kind {
 	const char *name;
-	double mean_work_us;
+	double mean_work_us; /* 0: the shape's usual work */
 	double (*work_us)(struct generator *g);
 	double (*rate)(const struct generator *g, int64_t at_us);
 	uint32_t (*caller)(struct generator *g);
@@ -60,6 +73,13 @@
 	return SHORT_WORK_US;
 }
 
+static double work_usual(struct generator *g)
+{
+	double mean = (double)g->trace->usual_work_us;
+
+	return mean * (USUAL_LEAST + USUAL_SPREAD * random_unit(&g->random));
+}
+
 static double rate_steady(const struct generator *g, int64_t at_us)
 {
 	(void)g;
@@ -172,6 +192,36 @@
 	add_fault(g, TRACE_FAULT_SILENT);
 }
 
+/* Each host on its own; the first second is without spells, in which the usual
+ * speed is learned. */
+static void add_spells(struct generator *g, uint32_t upstream)
+{
+	int64_t at_us = CHANGE_US +
+			(int64_t)random_below(&g->random, (uint64_t)SPELL_US);
+
+	for (; at_us < g->length_us; at_us += SPELL_US) {
+		bool is_slow = random_unit(&g->random) < SPELL_SHARE;
+		struct trace_speed speed = {at_us, upstream,
+					    is_slow ? SPELL_FACTOR : 1.0};
+
+		g_array_append_val(g->trace->speeds, speed);
+	}
+}
+
+static void changes_spells(struct generator *g)
+{
+	struct trace *trace = g->trace;
+	double usual_us = (double)trace->usual_work_us;
+
+	trace->tells_pace = 1;
+	trace->target_us = (int64_t)(TARGET_TIMES * usual_us);
+	trace->deadline_us = (int64_t)(DEADLINE_TIMES * usual_us);
+	trace->judge_from_us = CHANGE_US + SPELL_US;
+	trace->judge_until_us = g->length_us - trace->deadline_us;
+	for (uint32_t i = 0; i < trace->upstreams; i++)
+		add_spells(g, i);
+}
+
 static const struct kind kinds[] = {
 	{"steady", MEAN_WORK_US, work_exponential, rate_steady, caller_any,
 	 entry_any, changes_none_judged},
@@ -193,12 +243,14 @@
 	 entry_any, changes_overload},
 	{"cold-start", MEAN_WORK_US, work_exponential, rate_steady, caller_any,
 	 entry_any, changes_cold},
+	{"slow-spells", 0, work_usual, rate_steady, caller_any, entry_any,
+	 changes_spells},
 };
 
 const char *trace_kinds(void)
 {
 	return "steady, burst, hot-caller, hot-key, slow-upstream, fail-fast, "
-	       "black-hole, long-jobs, overload, cold-start";
+	       "black-hole, long-jobs, overload, cold-start, slow-spells";
 }
 
 static const struct kind *find_kind(const char *name)
@@ -217,6 +269,13 @@
 	return at_us >= (double)g->length_us;
 }
 
+static bool is_idempotent(struct generator *g, uint32_t number)
+{
+	if (g->trace->target_us)
+		return random_unit(&g->random) >= SPELL_POST_SHARE;
+	return number % POST_TURN != 0;
+}
+
 static void add_calls(struct generator *g, const struct kind *kind)
 {
 	double at_us = 0;
@@ -230,7 +289,7 @@
 		call.caller = kind->caller(g);
 		call.entry = kind->entry(g, call.caller);
 		call.work_us = (int64_t)kind->work_us(g);
-		call.idempotent = i % POST_TURN != 0;
+		call.idempotent = is_idempotent(g, i);
 		g_array_append_val(g->trace->calls, call);
 	}
 }
@@ -247,7 +306,8 @@
 
 	if (!kind)
 		return TRACE_UNKNOWN_KIND;
-	g.mean_gap_us = kind->mean_work_us /
+	g.mean_gap_us = (kind->mean_work_us > 0 ? kind->mean_work_us :
+						  (double)trace->usual_work_us) /
 			(plan->load * trace->upstreams * trace->slots);
 	g.length_us = plan->calls > 0 ? (int64_t)(g.mean_gap_us * plan->calls) :
 					(int64_t)(plan->seconds * 1e6);
--- a/bench/decide/owner.c
+++ b/bench/decide/owner.c
@@ -27,6 +27,7 @@
 	owner->queue = g_new0(struct queue, 1);
 	owner->stale_us = INT64_MAX;
 	queue_init(owner->queue, &options);
+	replay_gate_init(r, owner);
 	limit_init(&owner->limit,
 		   replay_has(r, REPLAY_LIMIT) ? &limit_adaptive : &limit_fixed,
 		   r->trace->slots, 0);
@@ -59,22 +60,29 @@
 	return &r->owners[attempt->upstream];
 }
 
-static void owner_answer(struct replay *r, struct replay_attempt *attempt,
-			 enum retry_outcome outcome)
+struct pick_load replay_owner_load(const struct replay *r,
+				   const struct replay_owner *owner)
 {
-	const struct replay_owner *owner = owner_of(r, attempt);
 	struct queue_slots slots = owner_slots(r, owner);
-
-	attempt->over = true;
-	attempt->outcome = outcome;
-	attempt->load = (struct pick_load){
+	struct pick_load load = {
 		.running = slots.running,
 		.queued = queue_length(owner->queue),
 		.limit = slots.limit,
 		.expected_wait_us = (uint32_t)MIN(
 			queue_expected_wait_us(owner->queue, &slots), UINT32_MAX),
 		.service_us = (uint32_t)MIN(speed_us(&owner->speed), UINT32_MAX),
+		.pace_percent = owner->pace.percent,
 	};
+
+	return load;
+}
+
+static void owner_answer(struct replay *r, struct replay_attempt *attempt,
+			 enum retry_outcome outcome)
+{
+	attempt->over = true;
+	attempt->outcome = outcome;
+	attempt->load = replay_owner_load(r, owner_of(r, attempt));
 	replay_after(r, replay_delay_us(r, attempt), replay_handle_answer,
 		     attempt);
 }
@@ -89,6 +97,18 @@
 						     RETRY_OUTCOME_OVERLOAD);
 }
 
+void replay_owner_refuse(struct replay *r, struct replay_attempt *attempt,
+			 enum retry_outcome outcome)
+{
+	const struct replay_owner *owner = owner_of(r, attempt);
+	struct queue_slots slots = owner_slots(r, owner);
+
+	attempt->retry_after_us =
+		queue_retry_after_ms(owner->queue, &slots) * US_PER_MS;
+	attempt->refused_us = r->events.now_us;
+	owner_answer(r, attempt, outcome);
+}
+
 static double cold_factor(const struct replay_owner *owner, int64_t now_us)
 {
 	uint32_t permille = warm_weight_permille(&owner->warm, now_us);
@@ -102,10 +122,11 @@
 			    enum limit_outcome outcome)
 {
 	struct replay_owner *owner = owner_of(r, attempt);
-	int64_t took_us = r->events.now_us - attempt->started_us;
+	int64_t whole_us = r->events.now_us - attempt->started_us;
+	int64_t took_us = pace_usual_us(attempt->pace_percent, whole_us);
 
 	attempt->running = false;
-	limit_note_done(&owner->limit, took_us, outcome, owner->running,
+	limit_note_done(&owner->limit, whole_us, outcome, owner->running,
 			r->events.now_us);
 	if (outcome != LIMIT_OUTCOME_CANCELLED) {
 		queue_note_done(owner->queue, attempt->item.class, took_us);
@@ -132,6 +153,7 @@
 				at_caller_us <= call->deadline_us);
 	owner_note_over(r, attempt,
 			attempt->error ? LIMIT_OUTCOME_FAILED : LIMIT_OUTCOME_OK);
+	replay_gate_note(r, owner_of(r, attempt));
 	owner_answer(r, attempt, RETRY_OUTCOME_ANSWERED);
 	owner_turn(r, owner_of(r, attempt));
 }
@@ -143,8 +165,10 @@
 	int64_t work_us =
 		(int64_t)((double)attempt->call->trace->work_us * factor);
 
+	replay_note_start(r, attempt->upstream);
 	owner->running++;
 	attempt->running = true;
+	attempt->pace_percent = owner->pace.percent;
 	attempt->started_us = r->events.now_us;
 	attempt->error = owner->fault == TRACE_FAULT_FAST;
 	replay_after(r, attempt->error ? FAIL_FAST_US : work_us, handle_end,
@@ -211,14 +235,23 @@
 {
 	struct replay *r = replay;
 	struct replay_attempt *attempt = data;
+
+	if (owner_of(r, attempt)->fault == TRACE_FAULT_SILENT)
+		return;
+	attempt->arrived = true;
+	if (r->trace->tells_pace && replay_has(r, REPLAY_PACE))
+		replay_gate_offer(r, attempt);
+	else
+		replay_owner_offer(r, attempt);
+}
+
+void replay_owner_offer(struct replay *r, struct replay_attempt *attempt)
+{
 	struct replay_owner *owner = owner_of(r, attempt);
 	struct queue_slots slots = owner_slots(r, owner);
 	enum queue_verdict verdict;
 	uint32_t retry_after_ms;
 
-	if (owner->fault == TRACE_FAULT_SILENT)
-		return;
-	attempt->arrived = true;
 	verdict = queue_offer(owner->queue, &attempt->item, &slots,
 			      r->events.now_us, &retry_after_ms);
 	if (verdict == QUEUE_ACCEPTED)
@@ -237,7 +270,8 @@
 	if (attempt->over || !attempt->arrived)
 		return;
 	if (!attempt->running) {
-		queue_remove(owner->queue, &attempt->item);
+		if (!replay_gate_forget(r, attempt))
+			queue_remove(owner->queue, &attempt->item);
 		attempt->refused_us = r->events.now_us;
 		owner_answer(r, attempt, RETRY_OUTCOME_FINAL);
 	} else if (attempt->call->trace->idempotent) {
--- a/bench/decide/replay.c
+++ b/bench/decide/replay.c
@@ -18,7 +18,7 @@
 	{"fair", REPLAY_FAIR},	 {"retry", REPLAY_RETRY},
 	{"hedge", REPLAY_HEDGE}, {"deadline", REPLAY_DEADLINE},
 	{"warm", REPLAY_WARM},	 {"measure", REPLAY_MEASURE},
-	{"all", REPLAY_ALL},
+	{"pace", REPLAY_PACE},	 {"all", REPLAY_ALL},
 };
 
 unsigned int replay_module_find(const char *name)
@@ -65,6 +65,9 @@
 	attempt->item.class = CONFIG_CLASS_NORMAL;
 	attempt->item.deadline_us = call->deadline_us;
 	attempt->item.key_hash = fair_hash(key);
+	if (r->trace->target_us)
+		attempt->item.target_us =
+			call->trace->at_us + r->trace->target_us;
 	g_ptr_array_add(r->attempts, attempt);
 	return attempt;
 }
@@ -108,6 +111,8 @@
 	}
 	r->result->answered++;
 	r->result->late += !in_time;
+	r->result->on_target +=
+		r->trace->target_us && latency_us <= r->trace->target_us;
 	g_array_append_val(r->result->latencies_us, latency_us);
 	if (call->trace->caller != HOT_CALLER)
 		g_array_append_val(r->result->others_us, latency_us);
@@ -138,6 +143,29 @@
 	const struct trace_speed *speed = data;
 
 	r->owners[speed->upstream].factor = speed->factor;
+	if (!r->options->policy)
+		replay_central_turn(r);
+}
+
+/* Slow beside another that could have begun it at once. */
+static bool is_slow_beside_free(const struct replay *r, uint32_t upstream)
+{
+	for (uint32_t i = 0; i < r->trace->upstreams; i++) {
+		const struct replay_owner *other = &r->owners[i];
+
+		if (other->running < r->trace->slots &&
+		    other->factor < r->owners[upstream].factor)
+			return true;
+	}
+	return false;
+}
+
+void replay_note_start(struct replay *r, uint32_t upstream)
+{
+	if (!replay_is_judged(r, r->events.now_us))
+		return;
+	r->result->starts++;
+	r->result->slow_starts += is_slow_beside_free(r, upstream);
 }
 
 static void handle_fault(void *replay, void *data)
@@ -210,6 +238,7 @@
 	r->random.state = r->options->seed;
 	events_init(&r->events, r);
 	r->attempts = g_ptr_array_new_with_free_func(g_free);
+	r->reports = g_ptr_array_new_with_free_func(g_free);
 	r->owners = g_new0(struct replay_owner, trace->upstreams);
 	r->entries = g_new0(struct replay_entry, trace->entries);
 	r->calls = g_new0(struct replay_call, trace->calls->len);
@@ -229,6 +258,7 @@
 	for (uint32_t i = 0; i < r->trace->upstreams; i++)
 		replay_owner_finish(&r->owners[i]);
 	g_ptr_array_unref(r->attempts);
+	g_ptr_array_unref(r->reports);
 	g_free(r->central);
 	g_free(r->owners);
 	g_free(r->entries);
--- a/bench/decide/row.c
+++ b/bench/decide/row.c
@@ -36,6 +36,10 @@
 	row->goodput = ratio((double)result->goodput_us, slot_time_us);
 	row->unrecovered =
 		ratio((double)result->unrecovered, (double)result->recovered);
+	row->on_target = ratio((double)result->on_target, calls);
+	row->slow_starts =
+		ratio((double)result->slow_starts, (double)result->starts);
+	row->gauges = ratio((double)result->gauges, (double)result->all_calls);
 	row->slowest_refusal_ms =
 		(double)result->slowest_refusal_us / US_PER_MS_F;
 }
@@ -44,19 +48,20 @@
 {
 	fprintf(out,
 		"%-32s %7s %7s %7s %7s %7s %7s %7s %7s %7s %8s %7s %7s %7s %7s "
-		"%7s\n",
+		"%7s %7s %7s %7s\n",
 		"policy", "in_time", "refused", "failed", "p50", "p99", "p99.9",
 		"refusal", "wasted", "extra", "probes", "goodput", "unrecov",
-		"told", "o_time", "o_p99");
+		"told", "o_time", "o_p99", "target", "slow", "gauges");
 }
 
 void row_print(const struct row *row, const char *name, FILE *out)
 {
 	fprintf(out,
 		"%-32s %7.4f %7.4f %7.4f %7.1f %7.1f %7.1f %7.1f %7.4f %7.3f "
-		"%8.5f %7.4f %7.4f %7.2f %7.4f %7.1f\n",
+		"%8.5f %7.4f %7.4f %7.2f %7.4f %7.1f %7.4f %7.4f %7.3f\n",
 		name, row->in_time, row->refused, row->failed, row->p50_ms,
 		row->p99_ms, row->p999_ms, row->refusal_ms, row->wasted,
 		row->extra, row->probed, row->goodput, row->unrecovered,
-		row->slowest_refusal_ms, row->others_in_time, row->others_p99_ms);
+		row->slowest_refusal_ms, row->others_in_time, row->others_p99_ms,
+		row->on_target, row->slow_starts, row->gauges);
 }
--- a/bench/decide/trace.c
+++ b/bench/decide/trace.c
@@ -17,9 +17,10 @@
 	uint32_t slots;
 	uint32_t domains;
 	int64_t delay_us;
+	int64_t usual_work_us;
 } shapes[] = {
-	{"lookup-desk", 7, 12, 4, 500},
-	{"reservas", 7, 9, 3, 1500},
+	{"lookup-desk", 7, 12, 4, 500, 64000},
+	{"reservas", 7, 9, 3, 1500, 245000},
 };
 
 bool trace_set_shape(struct trace *trace, const char *name)
@@ -33,6 +34,7 @@
 		trace->slots = shape->slots;
 		trace->domains = shape->domains;
 		trace->delay_us = shape->delay_us;
+		trace->usual_work_us = shape->usual_work_us;
 		return true;
 	}
 	return false;
@@ -78,6 +80,8 @@
 	} times[] = {
 		{"delay_us", &trace->delay_us},
 		{"deadline_us", &trace->deadline_us},
+		{"target_us", &trace->target_us},
+		{"tells_pace", &trace->tells_pace},
 		{"judge_from_us", &trace->judge_from_us},
 		{"judge_until_us", &trace->judge_until_us},
 		{"recover_from_us", &trace->recover_from_us},
@@ -250,6 +254,8 @@
 	fprintf(out, "set domains %" PRIu32 "\n", trace->domains);
 	fprintf(out, "set delay_us %" PRId64 "\n", trace->delay_us);
 	fprintf(out, "set deadline_us %" PRId64 "\n", trace->deadline_us);
+	fprintf(out, "set target_us %" PRId64 "\n", trace->target_us);
+	fprintf(out, "set tells_pace %" PRId64 "\n", trace->tells_pace);
 	fprintf(out, "set judge_from_us %" PRId64 "\n", trace->judge_from_us);
 	fprintf(out, "set judge_until_us %" PRId64 "\n", trace->judge_until_us);
 	fprintf(out, "set recover_from_us %" PRId64 "\n", trace->recover_from_us);
--- a/include/bench/decide/replay.h
+++ b/include/bench/decide/replay.h
@@ -35,7 +35,8 @@
 	REPLAY_DEADLINE = 1 << 7,
 	REPLAY_WARM = 1 << 8,
 	REPLAY_MEASURE = 1 << 9,
-	REPLAY_ALL = (1 << 10) - 1,
+	REPLAY_PACE = 1 << 10, /* where the trace's upstreams tell theirs */
+	REPLAY_ALL = (1 << 11) - 1,
 };
 
 struct replay_options {
@@ -61,6 +62,10 @@
 	int64_t probed_us; /* slot time of probes */
 	uint64_t answered; /* in time or late */
 	uint64_t late; /* answered past the deadline */
+	uint64_t on_target; /* answered within the trace's target */
+	uint64_t starts;
+	uint64_t slow_starts; /* of them, beside a quick host with a free slot */
+	uint64_t gauges; /* questions to upstreams for their pace */
 	uint64_t not_run; /* the caller was told so */
 	uint64_t no_hint; /* of them, without the time to come back */
 	uint64_t errors; /* the upstream's own */
--- a/include/bench/decide/replay_internal.h
+++ b/include/bench/decide/replay_internal.h
@@ -9,6 +9,8 @@
 #ifndef BENCH_DECIDE_REPLAY_INTERNAL_H
 #define BENCH_DECIDE_REPLAY_INTERNAL_H
 
+#include <sys/queue.h>
+
 #include "bench/decide/events.h"
 #include "bench/decide/replay.h"
 #include "comfreydockd/decide/deadline.h"
@@ -16,6 +18,7 @@
 #include "comfreydockd/decide/hedge.h"
 #include "comfreydockd/decide/limit.h"
 #include "comfreydockd/decide/measure.h"
+#include "comfreydockd/decide/pace.h"
 #include "comfreydockd/decide/queue.h"
 #include "comfreydockd/decide/retry.h"
 #include "comfreydockd/decide/speed.h"
@@ -25,12 +28,14 @@
 
 struct replay_attempt {
 	struct queue_item item; /* first; see owner.c */
+	TAILQ_ENTRY(replay_attempt) held_link;
 	struct replay_call *call;
 	uint32_t upstream;
 	uint32_t epoch;
 	bool is_hedge;
 	bool is_overtaken; /* another was sent as it gave nothing */
 	bool running;
+	bool held; /* at the owner's gate */
 	bool arrived; /* at the owner */
 	bool over; /* at the owner */
 	bool dropped; /* by the entry */
@@ -40,6 +45,8 @@
 	int64_t refused_us;
 	enum retry_outcome outcome;
 	int64_t retry_after_us;
+	uint32_t other_pace_percent; /* the best of the others, as sent */
+	uint32_t pace_percent; /* at its start */
 	struct pick_load load; /* travels with the answer */
 };
 
@@ -47,6 +54,9 @@
 	const struct trace_call *trace;
 	int64_t deadline_us;
 	struct pick_tried tried;
+	struct pick_tried tried_busy; /* refused by a host that had no room now */
+	bool returns; /* to these */
+	uint32_t unheard; /* attempts that count for nothing; see retry.h */
 	struct replay_attempt *active[2]; /* the attempt and its hedge */
 	uint32_t attempts;
 	uint32_t busy;
@@ -69,6 +79,13 @@
 	struct measure measure;
 	struct speed speed;
 	int64_t stale_us; /* of the timer that is set */
+	/* The gate. */
+	struct pace pace;
+	TAILQ_HEAD(, replay_attempt) held;
+	bool is_asking;
+	int64_t ask_us; /* of the timer that is set; INT64_MAX: none */
+	double tokens;
+	int64_t refilled_us;
 };
 
 struct replay_entry {
@@ -82,6 +99,13 @@
 	int64_t ticked_us;
 };
 
+/* What an owner tells an entry by itself. */
+struct replay_report {
+	uint32_t entry;
+	uint32_t upstream;
+	struct pick_load load;
+};
+
 struct replay {
 	const struct trace *trace;
 	const struct replay_options *options;
@@ -92,6 +116,7 @@
 	struct replay_call *calls;
 	struct queue *central; /* where options->policy is NULL */
 	GPtrArray *attempts; /* all that were made */
+	GPtrArray *reports; /* of struct replay_report */
 	struct random_state random;
 };
 
@@ -107,6 +132,9 @@
 					  struct replay_call *call);
 bool replay_is_judged(const struct replay *r, int64_t at_us);
 
+/* Counts an attempt that begins at the upstream. */
+void replay_note_start(struct replay *r, uint32_t upstream);
+
 /* The caller's end; at most one for each call. */
 void replay_note_answer(struct replay *r, struct replay_call *call, bool error);
 void replay_note_not_run(struct replay *r, struct replay_call *call);
@@ -123,6 +151,9 @@
 /* An event: data is the struct replay_attempt, which has its outcome. */
 void replay_handle_answer(void *replay, void *data);
 
+/* An event: data is the struct replay_report. */
+void replay_handle_report(void *replay, void *data);
+
 /* An event: the struct replay_attempt is overdue; or it is not. */
 void replay_handle_overdue(void *replay, void *data);
 void replay_handle_waiting(void *replay, void *data);
@@ -146,8 +177,31 @@
 void replay_note_run(struct replay *r, const struct replay_attempt *attempt,
 		     bool of_use);
 
+/* What the owner tells of itself. */
+struct pick_load replay_owner_load(const struct replay *r,
+				   const struct replay_owner *owner);
+
+/* An attempt has passed the gate, or is refused there. */
+void replay_owner_offer(struct replay *r, struct replay_attempt *attempt);
+void replay_owner_refuse(struct replay *r, struct replay_attempt *attempt,
+			 enum retry_outcome outcome);
+
+/* gate.c */
+
+void replay_gate_init(struct replay *r, struct replay_owner *owner);
+void replay_gate_offer(struct replay *r, struct replay_attempt *attempt);
+
+/* The upstream tells its pace with an answer. */
+void replay_gate_note(struct replay *r, struct replay_owner *owner);
+
+/* RETURN VALUE: true if it was held; it isn't any more. */
+bool replay_gate_forget(struct replay *r, struct replay_attempt *attempt);
+
 /* central.c */
 
 void replay_handle_central(void *replay, void *data);
 
+/* A host has become quick: what waits may begin. */
+void replay_central_turn(struct replay *r);
+
 #endif
--- a/include/bench/decide/row.h
+++ b/include/bench/decide/row.h
@@ -15,6 +15,10 @@
  *			of the slot time used
  *	extra		attempts a call beyond the first
  *	probes		slot time of probes, of all slot time
+ *	target		share of calls answered within the trace's target
+ *	slow		share of starts on a host that was slow while a quicker
+ *			one had a free slot
+ *	gauges		questions to upstreams for their pace, a call
  */
 #ifndef BENCH_DECIDE_ROW_H
 #define BENCH_DECIDE_ROW_H
@@ -40,6 +44,9 @@
 	double slowest_refusal_ms;
 	double others_in_time;
 	double probes;
+	double on_target;
+	double slow_starts;
+	double gauges;
 };
 
 void row_fill(struct row *row, const struct replay_result *result);
--- a/include/bench/decide/trace.h
+++ b/include/bench/decide/trace.h
@@ -6,7 +6,9 @@
  *	A text file, one item a line, in order of time; # begins a comment.
  *
  *	set NAME VALUE	  upstreams, slots, entries, domains, delay_us (one way
- *			  between domains) and deadline_us (of each call);
+ *			  between domains), deadline_us and target_us (of each
+ *			  call; 0: no target), tells_pace (1: upstreams tell
+ *			  how fast their host is at the moment);
  *			  judge_from_us, judge_until_us: results are of calls
  *			  of this window; recover_from_us: from here on all
  *			  should be well again
@@ -77,6 +79,9 @@
 	uint32_t domains;
 	int64_t delay_us;
 	int64_t deadline_us;
+	int64_t target_us; /* 0: none */
+	int64_t tells_pace; /* not 0: upstreams tell how fast they are now */
+	int64_t usual_work_us; /* of the shape's requests, in slow spells */
 	int64_t judge_from_us;
 	int64_t judge_until_us;
 	int64_t recover_from_us;
