upstream: judge the pace again when a request's turn has come

What waited in the queue was begun in a slow spell that had begun meanwhile: the gate judged on arrival only. Each such start holds its slot for seven others.

--- a/bench/decide/gate.c
+++ b/bench/decide/gate.c
@@ -49,11 +49,16 @@
 	}
 }
 
+static bool has_gate(const struct replay *r)
+{
+	return r->trace->tells_pace && replay_has(r, REPLAY_PACE);
+}
+
 void replay_gate_note(struct replay *r, struct replay_owner *owner)
 {
 	uint32_t percent = (uint32_t)(owner->factor * PACE_USUAL_PERCENT);
 
-	if (!r->trace->tells_pace || !replay_has(r, REPLAY_PACE))
+	if (!has_gate(r))
 		return;
 	if (pace_note(&owner->pace, percent, r->events.now_us))
 		tell_entries(r, owner);
@@ -145,26 +150,44 @@
 	return pace_judge(&owner->pace, &item, r->events.now_us);
 }
 
-static void gate_pass(struct replay *r, struct replay_owner *owner,
-		      struct replay_attempt *attempt)
+static bool gate_decide(struct replay *r, struct replay_owner *owner,
+			struct replay_attempt *attempt)
 {
 	switch (gate_judge(r, owner, attempt)) {
 	case PACE_TURN_BACK:
 		replay_gate_forget(r, attempt);
 		replay_owner_refuse(r, attempt, RETRY_OUTCOME_NOT_HERE);
-		break;
+		return false;
 	case PACE_TOO_LATE:
 		replay_gate_forget(r, attempt);
 		replay_owner_refuse(r, attempt, RETRY_OUTCOME_OVERLOAD);
-		break;
+		return false;
 	case PACE_HOLD:
 		gate_hold(owner, attempt);
-		break;
+		return false;
 	case PACE_START:
-		replay_gate_forget(r, attempt);
-		replay_owner_offer(r, attempt);
 		break;
 	}
+	return true;
+}
+
+static void gate_pass(struct replay *r, struct replay_owner *owner,
+		      struct replay_attempt *attempt)
+{
+	if (!gate_decide(r, owner, attempt))
+		return;
+	replay_gate_forget(r, attempt);
+	replay_owner_offer(r, attempt);
+}
+
+bool replay_gate_may_start(struct replay *r, struct replay_attempt *attempt)
+{
+	struct replay_owner *owner = &r->owners[attempt->upstream];
+
+	if (!has_gate(r) || gate_decide(r, owner, attempt))
+		return true;
+	gate_arm(r, owner);
+	return false;
 }
 
 static void gate_review(struct replay *r, struct replay_owner *owner)
@@ -184,6 +207,10 @@
 {
 	struct replay_owner *owner = &r->owners[attempt->upstream];
 
+	if (!has_gate(r)) {
+		replay_owner_offer(r, attempt);
+		return;
+	}
 	if (!pace_is_fresh(&owner->pace, r->events.now_us) && gate_ask(r, owner)) {
 		gate_hold(owner, attempt);
 		return;
--- a/bench/decide/owner.c
+++ b/bench/decide/owner.c
@@ -216,7 +216,7 @@
 			return;
 		if (verdict != QUEUE_ACCEPTED)
 			owner_refuse_late(r, owner, item);
-		else
+		else if (replay_gate_may_start(r, (struct replay_attempt *)item))
 			owner_start(r, (struct replay_attempt *)item);
 	}
 }
@@ -239,10 +239,7 @@
 	if (owner_of(r, attempt)->fault == TRACE_FAULT_SILENT)
 		return;
 	attempt->arrived = true;
-	if (r->trace->tells_pace && replay_has(r, REPLAY_PACE))
-		replay_gate_offer(r, attempt);
-	else
-		replay_owner_offer(r, attempt);
+	replay_gate_offer(r, attempt);
 }
 
 void replay_owner_offer(struct replay *r, struct replay_attempt *attempt)
--- a/bench/decide/trace.c
+++ b/bench/decide/trace.c
@@ -82,6 +82,7 @@
 		{"deadline_us", &trace->deadline_us},
 		{"target_us", &trace->target_us},
 		{"tells_pace", &trace->tells_pace},
+		{"usual_work_us", &trace->usual_work_us},
 		{"judge_from_us", &trace->judge_from_us},
 		{"judge_until_us", &trace->judge_until_us},
 		{"recover_from_us", &trace->recover_from_us},
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -358,6 +358,7 @@
 		     LOG_INT("pace", attempt->pace_percent),
 		     LOG_INT("pace_age_us", owner_pace_age_us(attempt->owner)));
 	counters.owner_started++;
+	counters.gate_slow_starts += owner_is_slow(attempt->owner);
 	latency_note_us(&latencies.owner_waited, now - attempt->arrived_us);
 	attempt_fill_fields(attempt, &fields, attempt->item.deadline_us - now);
 	attempt->run = run_create(owner_pool(attempt->owner), &run,
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -47,6 +47,7 @@
 	if (attempt->is_held)
 		return;
 	attempt->is_held = true;
+	attempt_owner_step(&attempt->state, OWNER_HOLD);
 	TAILQ_INSERT_TAIL(&owner->held, attempt, held_link);
 }
 
@@ -75,27 +76,41 @@
 	attempt_refuse(attempt, reason, owner_retry_after_ms(owner));
 }
 
-static void gate_pass(struct owner *owner, struct owner_attempt *attempt)
+/* RETURN VALUE: true to go on with the attempt; else it is held here, or was
+ * refused and freed. */
+static bool gate_decide(struct owner *owner, struct owner_attempt *attempt)
 {
-	int64_t now = clock_mono_us();
-
-	switch (gate_judge(owner, attempt, now)) {
+	switch (gate_judge(owner, attempt, clock_mono_us())) {
 	case PACE_TURN_BACK:
 		counters.gate_turned_back++;
 		gate_refuse(owner, attempt, CFD__REASON__REASON_SLOW);
-		break;
+		return false;
 	case PACE_TOO_LATE:
 		gate_refuse(owner, attempt, CFD__REASON__REASON_DEADLINE);
-		break;
+		return false;
 	case PACE_HOLD:
 		gate_hold(owner, attempt);
-		break;
+		return false;
 	case PACE_START:
-		counters.gate_slow_starts += pace_is_slow(&owner->pace);
-		owner_forget_held(owner, attempt);
-		owner_offer(owner, attempt);
 		break;
 	}
+	return true;
+}
+
+static void gate_pass(struct owner *owner, struct owner_attempt *attempt)
+{
+	if (!gate_decide(owner, attempt))
+		return;
+	owner_forget_held(owner, attempt);
+	owner_offer(owner, attempt);
+}
+
+bool gate_may_start(struct owner *owner, struct owner_attempt *attempt)
+{
+	if (gate_decide(owner, attempt))
+		return true;
+	gate_arm(owner);
+	return false;
 }
 
 void gate_offer(struct owner *owner, struct owner_attempt *attempt)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -168,6 +168,8 @@
 			owner_refuse_item(owner, item, verdict);
 			continue;
 		}
+		if (!gate_may_start(owner, owner_attempt_of(item)))
+			continue;
 		owner->running++;
 		TAILQ_INSERT_TAIL(&owner->runs, owner_attempt_of(item),
 				  running_link);
@@ -373,6 +375,11 @@
 	return owner->running;
 }
 
+bool owner_is_slow(const struct owner *owner)
+{
+	return pace_is_slow(&owner->pace);
+}
+
 uint32_t owner_pace_percent(const struct owner *owner)
 {
 	return owner->pace.percent;
--- a/include/bench/decide/replay_internal.h
+++ b/include/bench/decide/replay_internal.h
@@ -191,6 +191,9 @@
 void replay_gate_init(struct replay *r, struct replay_owner *owner);
 void replay_gate_offer(struct replay *r, struct replay_attempt *attempt);
 
+/* Its turn has come; as gate_may_start() of comfreydockd. */
+bool replay_gate_may_start(struct replay *r, struct replay_attempt *attempt);
+
 /* The upstream tells its pace with an answer. */
 void replay_gate_note(struct replay *r, struct replay_owner *owner);
 
--- a/include/bench/decide/trace.h
+++ b/include/bench/decide/trace.h
@@ -8,7 +8,8 @@
  *	set NAME VALUE	  upstreams, slots, entries, domains, delay_us (one way
  *			  between domains), deadline_us and target_us (of each
  *			  call; 0: no target), tells_pace (1: upstreams tell
- *			  how fast their host is at the moment);
+ *			  how fast their host is at the moment), usual_work_us
+ *			  (mean work of what generate makes of slow-spells);
  *			  judge_from_us, judge_until_us: results are of calls
  *			  of this window; recover_from_us: from here on all
  *			  should be well again
--- a/include/comfreydockd/peer/attempt.h
+++ b/include/comfreydockd/peer/attempt.h
@@ -9,6 +9,7 @@
  *	entry  PICKED -> SENT -> NOT_RUN | ANSWERING -> DONE | UNKNOWN
  *	owner  RECEIVED -> QUEUED -> RUNNING -> DONE | FAILED
  *	                 \-> NOT_RUN (also from RECEIVED)
+ *	                 \-> RECEIVED, where its turn came at a bad time
  *
  *	What can go wrong is that a call runs twice, or is called "not run"
  *	and ran all the same. An operator would notice a customer charged
@@ -58,6 +59,7 @@
 
 enum attempt_owner_event {
 	OWNER_QUEUE,
+	OWNER_HOLD, /* its turn has come, but the host is slow just then */
 	OWNER_START,
 	OWNER_REFUSE, /* busy, draining, too late, cancelled or link lost */
 	OWNER_NEVER_BEGAN, /* no connection, or the upstream shed it */
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -94,6 +94,7 @@
 
 /* RETURN VALUE: the host's pace as last told; 0: never. */
 uint32_t owner_pace_percent(const struct owner *owner);
+bool owner_is_slow(const struct owner *owner);
 int64_t owner_pace_age_us(const struct owner *owner);
 uint32_t owner_running(const struct owner *owner);
 
--- a/include/comfreydockd/upstream/gate.h
+++ b/include/comfreydockd/upstream/gate.h
@@ -18,6 +18,16 @@
 /* An attempt arrives. It may be refused and freed. */
 void gate_offer(struct owner *owner, struct owner_attempt *attempt);
 
+/*
+ * The turn of an attempt has come that waited in the queue. A slow spell may
+ * have begun meanwhile, and each slot that comes free would take one more into
+ * it: callers notice answers that take seven times as long, and slots that are
+ * still taken long after the spell.
+ *
+ * RETURN VALUE: false: it is held here again, or was refused and freed.
+ */
+bool gate_may_start(struct owner *owner, struct owner_attempt *attempt);
+
 /* Another figure is known, or time has passed. */
 void gate_review(struct owner *owner);
 
--- a/tests/system/test_on_platform.c
+++ b/tests/system/test_on_platform.c
@@ -11,6 +11,7 @@
 
 #define HOSTS 3
 #define SERVICE "desk"
+#define SLOTS 8
 #define WAIT_MS 10000
 #define CALL_MS 5000
 #define IN_FORCE_MS 2000
@@ -69,8 +70,8 @@
 	host->upstream = rig_start_standin(
 		rig, "standin/upstream/standin-upstream", "--port", port,
 		"--instance", instance, "--service", SERVICE, "--report-to",
-		report_to, "--service-time-us", "10000", "--slots", "8",
-		"--runs", host->runs_file, NULL);
+		report_to, "--service-time-us", "10000", "--slots",
+		G_STRINGIFY(SLOTS), "--runs", host->runs_file, NULL);
 	g_free(port);
 	g_free(instance);
 	g_free(report_to);
@@ -86,6 +87,11 @@
 		"\"match\":{\"pathPrefix\":\"/%s/\"},"
 		"\"action\":{\"service\":\"" SERVICE
 		"\",\"timeoutMs\":2000,\"attempts\":3}},"
+		"{\"name\":\"patient\",\"routeType\":\"idempotent\","
+		"\"targetLatencyMs\":15000,\"priority\":2,"
+		"\"match\":{\"pathPrefix\":\"/patient/\"},"
+		"\"action\":{\"service\":\"" SERVICE
+		"\",\"timeoutMs\":20000,\"attempts\":3}},"
 		"{\"name\":\"post\",\"routeType\":\"non_idempotent\","
 		"\"targetLatencyMs\":500,\"priority\":1,"
 		"\"match\":{\"pathPrefix\":\"/book/\"},"
@@ -383,6 +389,53 @@
 	g_assert_cmpuint(runs_at(0) - before, >, 4);
 }
 
+static void set_draining(unsigned int i, bool drains)
+{
+	set_upstream(i,
+		     drains ? "{\"draining\": true}" : "{\"draining\": false}");
+}
+
+static gpointer call_patiently(gpointer data)
+{
+	return GINT_TO_POINTER(call(GPOINTER_TO_UINT(data), "GET", "/patient/1"));
+}
+
+/*
+ * All slots of a host are busy and more requests wait there when a slow spell of
+ * it begins. Each slot that comes free takes one of them, which then runs
+ * thousands of times as long and keeps its slot long after the spell: callers wait,
+ * and new ones are refused. Left waiting until the spell ends, all are
+ * answered soon after it.
+ */
+static void test_waiting_is_not_begun_slow(void)
+{
+	GThread *callers[2 * SLOTS];
+	uint64_t slow_starts = metric(0, "comfreydock_gate_slow_starts");
+	unsigned int runs = runs_at(0);
+
+	for (unsigned int i = 1; i < HOSTS; i++)
+		set_draining(i, true);
+	rig_sleep_ms(1000);
+	set_upstream(0, "{\"factor\": 40}");
+	for (size_t i = 0; i < G_N_ELEMENTS(callers); i++)
+		callers[i] = g_thread_new("caller", call_patiently,
+					  GUINT_TO_POINTER(0));
+	rig_sleep_ms(200);
+	set_upstream(0, "{\"factor\": 1, \"pace_percent\": 300000}");
+	rig_sleep_ms(500);
+	set_upstream(0, "{\"pace_percent\": 100}");
+	for (size_t i = 0; i < G_N_ELEMENTS(callers); i++)
+		g_assert_cmpint(GPOINTER_TO_INT(g_thread_join(callers[i])), ==,
+				200);
+	g_assert_cmpuint(runs_at(0) - runs, ==, 2 * SLOTS);
+	g_assert_cmpuint(metric(0, "comfreydock_gate_slow_starts"), ==,
+			 slow_starts);
+	for (unsigned int i = 1; i < HOSTS; i++) {
+		set_draining(i, false);
+		wait_upstream(i);
+	}
+}
+
 /* Heartbeats say that the upstream drains: nothing new begins there, and no
  * caller notices. */
 static void test_drain_by_heartbeat(void)
@@ -591,6 +644,8 @@
 	g_test_add_func("/on-platform/promises",
 			test_empty_promises_are_not_passed_on);
 	g_test_add_func("/on-platform/slow", test_slow_host_is_avoided);
+	g_test_add_func("/on-platform/waiting-in-a-spell",
+			test_waiting_is_not_begun_slow);
 	g_test_add_func("/on-platform/drain", test_drain_by_heartbeat);
 	g_test_add_func("/on-platform/good-bye",
 			test_late_report_after_a_good_bye);
--- a/tests/test_attempt_model.c
+++ b/tests/test_attempt_model.c
@@ -252,12 +252,16 @@
 		return owner_step(try, OWNER_FINISH);
 	case 9:
 		return owner_step(try, OWNER_BREAK);
+	case 10:
+		return owner_step(try, OWNER_HOLD);
+	case 11:
+		return try->owner_knows && owner_step(try, OWNER_QUEUE);
 	default:
 		return owner_step(try, OWNER_NEVER_BEGAN);
 	}
 }
 
-#define EVENTS 11
+#define EVENTS 13
 
 static void check(const struct state *state)
 {
