tests: one fleet for what runs as on the users' platform

test_on_platform kept its own way of starting daemons, upstreams and the store; fleet.c has it now, with relays before peers, store and upstreams and a wall clock that can be wrong. bench-decide can leave out that owners tell their pace, or that the gate judges again.

--- a/bench/decide/gate.c
+++ b/bench/decide/gate.c
@@ -60,7 +60,8 @@
 
 	if (!has_gate(r))
 		return;
-	if (pace_note(&owner->pace, percent, r->events.now_us))
+	if (pace_note(&owner->pace, percent, r->events.now_us) &&
+	    replay_has(r, REPLAY_TELL))
 		tell_entries(r, owner);
 }
 
@@ -184,7 +185,8 @@
 {
 	struct replay_owner *owner = &r->owners[attempt->upstream];
 
-	if (!has_gate(r) || gate_decide(r, owner, attempt))
+	if (!has_gate(r) || !replay_has(r, REPLAY_REJUDGE) ||
+	    gate_decide(r, owner, attempt))
 		return true;
 	gate_arm(r, owner);
 	return false;
--- a/bench/decide/replay.c
+++ b/bench/decide/replay.c
@@ -18,7 +18,8 @@
 	{"fair", REPLAY_FAIR},	 {"retry", REPLAY_RETRY},
 	{"hedge", REPLAY_HEDGE}, {"deadline", REPLAY_DEADLINE},
 	{"warm", REPLAY_WARM},	 {"measure", REPLAY_MEASURE},
-	{"pace", REPLAY_PACE},	 {"all", REPLAY_ALL},
+	{"pace", REPLAY_PACE},	 {"rejudge", REPLAY_REJUDGE},
+	{"tell", REPLAY_TELL},	 {"all", REPLAY_ALL},
 };
 
 unsigned int replay_module_find(const char *name)
--- a/bench/decide/table.c
+++ b/bench/decide/table.c
@@ -15,13 +15,14 @@
 #define MANY_ENTRIES 500
 #define US_PER_SECOND INT64_C(1000000)
 #define CHOSEN "least-score+all"
+#define SPELLS "slow-spells"
 
 struct pattern {
 	const char *title;
 	const char *kind;
 	double load;
 	double seconds;
-	double deadline_s;
+	double deadline_s; /* 0: as the trace has it */
 };
 
 static const struct pattern patterns[] = {
@@ -39,6 +40,10 @@
 	{"overload 3 for 10 s", "overload", 3, 14, 1},
 	{"cold start of one, 0.8", "cold-start", 0.8, 6, 1},
 	{"nearly idle, 0.0005", "steady", 0.0005, 60, 1},
+	{"slow spells, 0.23", SPELLS, 0.23, 30, 0},
+	{"slow spells, 0.46", SPELLS, 0.46, 30, 0},
+	{"slow spells, 0.58", SPELLS, 0.58, 30, 0},
+	{"slow spells, 0.7", SPELLS, 0.7, 30, 0},
 };
 
 static const char *const policies[] = {
@@ -60,6 +65,14 @@
 	CHOSEN "+no-hedge", CHOSEN "+no-deadline", CHOSEN "+no-warm",
 };
 
+/* In slow spells. */
+static const char *const without_pace[] = {
+	"random+all+no-pace",
+	CHOSEN "+no-pace",
+	CHOSEN "+no-tell",
+	CHOSEN "+no-rejudge",
+};
+
 static const char *const shapes[] = {"lookup-desk", "reservas"};
 static const uint32_t entries[] = {7, MANY_ENTRIES};
 
@@ -71,27 +84,34 @@
 	const struct pattern *pattern;
 };
 
+static bool has_spells(const struct table *table)
+{
+	return strcmp(table->pattern->kind, SPELLS) == 0;
+}
+
 static void page_head(struct table *table)
 {
 	g_string_append_printf(
 		table->page,
 		"\n### %s: %s, %u entries\n\n"
 		"| policy | in time | refused | failed | p50 | p99 | p99.9 | "
-		"others' p99 | goodput | wasted | extra | probes |\n"
-		"|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+		"others' p99 | goodput | wasted | extra | probes | on target "
+		"| slow starts |\n"
+		"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
 		table->shape, table->pattern->title, table->trace->entries);
 }
 
 static void page_row(struct table *table, const struct row *row,
 		     const char *policy)
 {
-	g_string_append_printf(table->page,
-			       "| %s | %.4f | %.4f | %.4f | %.1f | %.1f | %.1f "
-			       "| %.1f | %.3f | %.4f | %.3f | %.5f |\n",
-			       policy, row->in_time, row->refused, row->failed,
-			       row->p50_ms, row->p99_ms, row->p999_ms,
-			       row->others_p99_ms, row->goodput, row->wasted,
-			       row->extra, row->probed);
+	g_string_append_printf(
+		table->page,
+		"| %s | %.4f | %.4f | %.4f | %.1f | %.1f | %.1f "
+		"| %.1f | %.3f | %.4f | %.3f | %.5f | %.4f | %.4f |\n",
+		policy, row->in_time, row->refused, row->failed, row->p50_ms,
+		row->p99_ms, row->p999_ms, row->others_p99_ms, row->goodput,
+		row->wasted, row->extra, row->probed, row->on_target,
+		row->slow_starts);
 }
 
 static void table_replay(struct table *table, const char *policy)
@@ -122,6 +142,9 @@
 		table_replay(table, policies[i]);
 	for (size_t i = 0; many && i < G_N_ELEMENTS(without); i++)
 		table_replay(table, without[i]);
+	for (size_t i = 0; has_spells(table) && i < G_N_ELEMENTS(without_pace);
+	     i++)
+		table_replay(table, without_pace[i]);
 }
 
 static void table_pattern(struct table *table, uint32_t entry_count)
@@ -138,7 +161,9 @@
 	trace_init(&trace);
 	trace_set_shape(&trace, table->shape);
 	trace.entries = entry_count;
-	trace.deadline_us = (int64_t)(pattern->deadline_s * US_PER_SECOND);
+	if (pattern->deadline_s > 0)
+		trace.deadline_us =
+			(int64_t)(pattern->deadline_s * US_PER_SECOND);
 	trace_generate(&trace, &plan);
 	table->trace = &trace;
 	table_replay_all(table);
--- a/include/bench/decide/replay.h
+++ b/include/bench/decide/replay.h
@@ -35,8 +35,12 @@
 	REPLAY_DEADLINE = 1 << 7,
 	REPLAY_WARM = 1 << 8,
 	REPLAY_MEASURE = 1 << 9,
-	REPLAY_PACE = 1 << 10, /* where the trace's upstreams tell theirs */
-	REPLAY_ALL = (1 << 11) - 1,
+	/* Where the trace's upstreams tell their pace: the gate; that it judges
+	 * again when an attempt's turn has come; that owners tell entries. */
+	REPLAY_PACE = 1 << 10,
+	REPLAY_REJUDGE = 1 << 11,
+	REPLAY_TELL = 1 << 12,
+	REPLAY_ALL = (1 << 13) - 1,
 };
 
 struct replay_options {
--- a/standin/upstream/main.c
+++ b/standin/upstream/main.c
@@ -26,6 +26,8 @@
 
 static const GOptionEntry entries[] = {
 	{"port", 0, 0, G_OPTION_ARG_INT, &options.port, "port; 0: any", "N"},
+	{"told-port", 0, 0, G_OPTION_ARG_INT, &options.told_port,
+	 "port told in heartbeats; 0: its own", "N"},
 	{"slots", 0, 0, G_OPTION_ARG_INT, &options.slots, "slots", "N"},
 	{"backlog", 0, 0, G_OPTION_ARG_INT, &options.backlog,
 	 "requests that may wait", "N"},
--- a/standin/upstream/reports.c
+++ b/standin/upstream/reports.c
@@ -8,7 +8,9 @@
 static char *report_body(const struct upstream *upstream, uint64_t sequence,
 			 bool drains)
 {
-	char *address = g_strdup_printf("127.0.0.1:%u",
+	char *address = g_strdup_printf(
+		"127.0.0.1:%u", upstream->options.told_port ?
+					(unsigned int)upstream->options.told_port :
 					http_server_port(upstream->server));
 	struct json_object *object = json_object_new_object();
 	char *text;
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -47,6 +47,7 @@
 
 struct upstream_options {
 	int port;
+	int told_port; /* in heartbeats; 0: its own */
 	int slots;
 	int backlog; /* requests that may wait for a slot */
 	int64_t service_time_us; /* mean; bimodal: of the short ones */
--- /dev/null
+++ b/tests/system/fleet.c
@@ -0,0 +1,316 @@
+#include "fleet.h"
+
+#include <string.h>
+
+#include "cluster.h"
+
+#define CALL_MS 5000
+#define KEY "a key for tests only"
+
+static uint16_t store_port(const struct fleet *fleet, unsigned int i)
+{
+	const struct rig_process *relay =
+		fleet->hosts[i].relays[FLEET_LINK_STORE];
+
+	return relay ? relay->port : fleet->store->port;
+}
+
+static char *peer_settings(const struct fleet *fleet, unsigned int i)
+{
+	const struct fleet_host *host = &fleet->hosts[i];
+	const struct rig_process *relay = host->relays[FLEET_LINK_PEERS];
+	char *advertise = relay ? g_strdup_printf("\"advertise\": {\"port\": "
+						  "%u}, ",
+						  relay->port) :
+				  g_strdup("");
+	char *text = g_strdup_printf("\"peer\": {\"address\": \"127.0.0.1\", "
+				     "\"port\": %u, %s\"key\": \"" KEY "\"}",
+				     host->peer, advertise);
+
+	g_free(advertise);
+	return text;
+}
+
+static char *upstream_settings(const struct fleet_host *host)
+{
+	const struct rig_process *relay = host->relays[FLEET_LINK_UPSTREAM];
+
+	if (!relay)
+		return g_strdup("");
+	return g_strdup_printf("\"upstream\": {\"at\": \"127.0.0.1:%u\"},\n",
+			       relay->port);
+}
+
+static const char *write_settings(const struct fleet *fleet, unsigned int i)
+{
+	const struct fleet_host *host = &fleet->hosts[i];
+	char *file = g_strdup_printf("d%u.json", i);
+	char *peer = peer_settings(fleet, i);
+	char *upstream = upstream_settings(host);
+	const char *path = rig_write_file(
+		fleet->rig, file,
+		"{\"host\": \"d%u\", \"domain\": \"hall-%u\", "
+		"\"region\": \"reykjavik\", \"service\": \"beside-%u\",\n"
+		"\"caller\": {\"at\": \"127.0.0.1:%u\"},\n%s%s,\n"
+		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
+		"\"platform\": {\"url\": \"http://127.0.0.1:%u\", "
+		"\"follow_operator\": true,\n"
+		" \"ready\": {\"at\": \"127.0.0.1:%u\"}, "
+		"\"reports\": {\"at\": \"127.0.0.1:%u\"}},\n"
+		"\"retry_budget\": {\"ratio\": 0.2, \"slack\": 60}, "
+		"\"probes_per_s\": 60, \"stop\": {\"grace_s\": %d}}\n",
+		i, i % fleet->options.domains, i, host->caller, upstream, peer,
+		host->admin, store_port(fleet, i), host->ready, host->reports,
+		FLEET_GRACE_S);
+
+	g_free(upstream);
+	g_free(peer);
+	g_free(file);
+	return path;
+}
+
+/* The wall clock of the process alone is another; see wall_clock.c. */
+static void set_wall_clock(int seconds)
+{
+	char *path;
+	char *text;
+
+	if (seconds == 0) {
+		g_unsetenv("LD_PRELOAD");
+		return;
+	}
+	path = g_build_filename(g_getenv("COMFREYDOCK_BUILD"),
+				"tests/system/libwall-clock.so", NULL);
+	text = g_strdup_printf("%d", seconds);
+	g_setenv("LD_PRELOAD", path, TRUE);
+	g_setenv("WALL_CLOCK_S", text, TRUE);
+	g_free(text);
+	g_free(path);
+}
+
+void fleet_start_daemon(struct fleet *fleet, unsigned int i)
+{
+	struct fleet_host *host = &fleet->hosts[i];
+	char *name = g_strdup_printf("d%u", i);
+	const char *path = write_settings(fleet, i);
+
+	set_wall_clock(host->wall_clock_s);
+	host->daemon = rig_start_daemon(fleet->rig, name, path);
+	set_wall_clock(0);
+	g_free(name);
+}
+
+void fleet_start_upstream_again(struct fleet *fleet, unsigned int i)
+{
+	struct fleet_host *host = &fleet->hosts[i];
+	const struct rig_process *relay = host->relays[FLEET_LINK_UPSTREAM];
+	char *port = g_strdup_printf("%u", host->upstream_port);
+	char *told = g_strdup_printf("%u", relay ? relay->port : 0);
+	char *instance = g_strdup_printf("i-%u-%u", i, host->starts);
+	char *report_to = g_strdup_printf("127.0.0.1:%u", host->reports);
+
+	host->upstream = rig_start_standin(
+		fleet->rig, "standin/upstream/standin-upstream", "--port", port,
+		"--told-port", told, "--instance", instance, "--service",
+		FLEET_SERVICE, "--report-to", report_to, "--service-time-us",
+		fleet->options.service_time_us, "--slots", fleet->options.slots,
+		"--runs", host->runs_file, NULL);
+	g_free(report_to);
+	g_free(instance);
+	g_free(told);
+	g_free(port);
+}
+
+void fleet_start_upstream(struct fleet *fleet, unsigned int i)
+{
+	struct fleet_host *host = &fleet->hosts[i];
+
+	host->starts++;
+	if (!host->relays[FLEET_LINK_UPSTREAM])
+		host->upstream_port = cluster_find_port();
+	fleet_start_upstream_again(fleet, i);
+}
+
+static struct rig_process *start_relay(struct fleet *fleet, uint16_t target)
+{
+	char *to = g_strdup_printf("127.0.0.1:%u", target);
+	char *port = g_strdup_printf("%u", cluster_find_port());
+	struct rig_process *relay =
+		rig_start_standin(fleet->rig, "tests/system/relay", "--target",
+				  to, "--port", port, NULL);
+
+	g_free(port);
+	g_free(to);
+	return relay;
+}
+
+static void start_relays(struct fleet *fleet, struct fleet_host *host)
+{
+	host->relays[FLEET_LINK_PEERS] = start_relay(fleet, host->peer);
+	host->relays[FLEET_LINK_STORE] = start_relay(fleet, fleet->store->port);
+	host->relays[FLEET_LINK_UPSTREAM] =
+		start_relay(fleet, host->upstream_port);
+}
+
+static void prepare_host(struct fleet *fleet, struct fleet_host *host)
+{
+	host->caller = cluster_find_port();
+	host->peer = cluster_find_port();
+	host->admin = cluster_find_port();
+	host->ready = cluster_find_port();
+	host->reports = cluster_find_port();
+	host->upstream_port = cluster_find_port();
+	host->runs_file = rig_write_file(fleet->rig, "runs", "%s", "");
+	if (fleet->options.relayed)
+		start_relays(fleet, host);
+}
+
+void fleet_start(struct fleet *fleet, const struct fleet_options *options)
+{
+	fleet->options = *options;
+	fleet->rig = rig_create();
+	fleet->store = rig_start_standin(
+		fleet->rig, "standin/platform/standin-platform", NULL);
+	fleet->hosts = g_new0(struct fleet_host, options->count);
+	for (unsigned int i = 0; i < options->count; i++) {
+		prepare_host(fleet, &fleet->hosts[i]);
+		fleet_start_daemon(fleet, i);
+		fleet_start_upstream(fleet, i);
+	}
+}
+
+void fleet_stop(struct fleet *fleet)
+{
+	rig_destroy(fleet->rig);
+	g_free(fleet->hosts);
+}
+
+void fleet_put_config(const struct fleet *fleet, unsigned int version,
+		      const char *prefix)
+{
+	static const char rule[] =
+		"{\"name\":\"%s\",\"routeType\":\"%s\",\"targetLatencyMs\":%d,"
+		"\"priority\":%d,\"match\":{\"pathPrefix\":\"/%s/\"},"
+		"\"action\":{\"service\":\"" FLEET_SERVICE
+		"\",\"timeoutMs\":%d,\"attempts\":3}}";
+	GString *row = g_string_new(NULL);
+	char *value;
+	char *body;
+
+	g_string_printf(row,
+			"{\"version\":\"r%u\",\"listeners\":[{\"host\":"
+			"\"" FLEET_HOST "\",\"ruleSet\":[",
+			version);
+	g_string_append_printf(row, rule, "get", "idempotent", 500, 2, prefix,
+			       FLEET_DEADLINE_MS);
+	g_string_append_c(row, ',');
+	g_string_append_printf(row, rule, "patient", "idempotent", 15000, 2,
+			       "patient", FLEET_LONG_DEADLINE_MS);
+	g_string_append_c(row, ',');
+	g_string_append_printf(row, rule, "bytes", "idempotent", 500, 2,
+			       "bytes", FLEET_DEADLINE_MS);
+	g_string_append_c(row, ',');
+	g_string_append_printf(row, rule, "post", "non_idempotent", 500, 1,
+			       "book", FLEET_DEADLINE_MS);
+	g_string_append(row, "]}],\"clusters\":[{\"name\":\"" FLEET_SERVICE
+			     "\",\"healthPath\":\"/health\","
+			     "\"maxConnections\":200}]}");
+	value = g_base64_encode((const guchar *)row->str, row->len);
+	body = g_strdup_printf(
+		"{\"expect\":[],\"setKeys\":[{\"table\":\"op\",\"part\":\"\","
+		"\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
+		value);
+	g_free(rig_http_ok("POST", fleet->store->port, "/standin/operator", body));
+	g_free(body);
+	g_free(value);
+	g_string_free(row, TRUE);
+}
+
+void fleet_set_store(const struct fleet *fleet, const char *body)
+{
+	g_free(rig_http_ok("POST", fleet->store->port, "/standin/fault", body));
+}
+
+void fleet_set_upstream(const struct fleet *fleet, unsigned int i,
+			const char *body)
+{
+	g_free(rig_http_ok("POST", fleet->hosts[i].upstream->port,
+			   "/standin/set", body));
+}
+
+void fleet_set_relay(const struct fleet *fleet, unsigned int i,
+		     enum fleet_link link, const char *body)
+{
+	g_free(rig_http_ok("POST", fleet->hosts[i].relays[link]->control_port,
+			   "/set", body));
+}
+
+static char *read_runs(const struct fleet_host *host)
+{
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(host->runs_file, &text, NULL, NULL));
+	return text;
+}
+
+unsigned int fleet_runs_of(const struct fleet *fleet, const char *id)
+{
+	unsigned int runs = 0;
+
+	for (unsigned int i = 0; i < fleet->options.count; i++) {
+		char *text = read_runs(&fleet->hosts[i]);
+		char **lines = g_strsplit(text, "\n", -1);
+
+		for (char **line = lines; *line; line++)
+			runs += strcmp(*line, id) == 0;
+		g_strfreev(lines);
+		g_free(text);
+	}
+	return runs;
+}
+
+unsigned int fleet_runs_at(const struct fleet *fleet, unsigned int i)
+{
+	char *text = read_runs(&fleet->hosts[i]);
+	unsigned int runs = 0;
+
+	for (const char *at = text; (at = strchr(at, '\n')); at++)
+		runs++;
+	g_free(text);
+	return runs;
+}
+
+long fleet_readiness(const struct fleet *fleet, unsigned int i)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/comfreydock/ready",
+				    fleet->hosts[i].ready);
+	struct rig_answer *answer = rig_http("GET", url, NULL, NULL, CALL_MS);
+	long status = answer->arrived ? answer->status : 0;
+
+	rig_answer_free(answer);
+	g_free(url);
+	return status;
+}
+
+bool fleet_has_upstream(const struct fleet *fleet, unsigned int i)
+{
+	char *json =
+		rig_http_ok("GET", fleet->hosts[i].admin, "/v1/upstream", NULL);
+	bool has = strstr(json, "\"up\"") != NULL;
+
+	g_free(json);
+	return has;
+}
+
+uint64_t fleet_metric(const struct fleet *fleet, unsigned int i, const char *name)
+{
+	char *text = rig_http_ok("GET", fleet->hosts[i].admin, "/metrics", NULL);
+	char *key = g_strdup_printf("\n%s ", name);
+	const char *found = strstr(text, key);
+	uint64_t value =
+		found ? g_ascii_strtoull(found + strlen(key), NULL, 10) : 0;
+
+	g_free(key);
+	g_free(text);
+	return value;
+}
--- a/tests/system/test_on_platform.c
+++ b/tests/system/test_on_platform.c
@@ -2,7 +2,7 @@
 #include <signal.h>
 #include <string.h>
 
-#include "cluster.h"
+#include "fleet.h"
 
 /*
  * The daemons as the users' platform runs them: the operator's row in the
@@ -10,117 +10,28 @@
  */
 
 #define HOSTS 3
-#define SERVICE "desk"
 #define SLOTS 8
 #define WAIT_MS 10000
 #define CALL_MS 5000
 #define IN_FORCE_MS 2000
 
-struct host {
-	uint16_t caller;
-	uint16_t peer;
-	uint16_t admin;
-	uint16_t ready;
-	uint16_t reports;
-	struct rig_process *daemon;
-	struct rig_process *upstream;
-	const char *runs_file;
-	unsigned int starts; /* of the upstream */
+static const struct fleet_options options = {
+	.count = HOSTS,
+	.domains = HOSTS,
+	.slots = G_STRINGIFY(SLOTS),
+	.service_time_us = "10000",
 };
-
-static struct rig *rig;
-static struct rig_process *store;
-static struct host hosts[HOSTS];
+static struct fleet fleet;
 static unsigned int requests;
 
-static void start_daemon(unsigned int i)
-{
-	struct host *host = &hosts[i];
-	char *name = g_strdup_printf("d%u", i);
-	char *file = g_strdup_printf("d%u.json", i);
-	const char *path = rig_write_file(
-		rig, file,
-		"{\"host\": \"d%u\", \"domain\": \"hall-%u\", "
-		"\"region\": \"reykjavik\", \"service\": \"beside-%u\",\n"
-		"\"caller\": {\"at\": \"127.0.0.1:%u\"},\n"
-		"\"peer\": {\"address\": \"127.0.0.1\", \"port\": %u, "
-		"\"key\": \"a key for tests only\"},\n"
-		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
-		"\"platform\": {\"url\": \"http://127.0.0.1:%u\", "
-		"\"follow_operator\": true,\n"
-		" \"ready\": {\"at\": \"127.0.0.1:%u\"}, "
-		"\"reports\": {\"at\": \"127.0.0.1:%u\"}},\n"
-		"\"retry_budget\": {\"ratio\": 0.2, \"slack\": 60}, "
-		"\"probes_per_s\": 60, \"stop\": {\"grace_s\": 6}}\n",
-		i, i, i, host->caller, host->peer, host->admin, store->port,
-		host->ready, host->reports);
-
-	host->daemon = rig_start_daemon(rig, name, path);
-	g_free(name);
-	g_free(file);
-}
-
-static void start_upstream(unsigned int i)
-{
-	struct host *host = &hosts[i];
-	char *port = g_strdup_printf("%u", cluster_find_port());
-	char *instance = g_strdup_printf("i-%u-%u", i, ++host->starts);
-	char *report_to = g_strdup_printf("127.0.0.1:%u", host->reports);
-
-	host->upstream = rig_start_standin(
-		rig, "standin/upstream/standin-upstream", "--port", port,
-		"--instance", instance, "--service", SERVICE, "--report-to",
-		report_to, "--service-time-us", "10000", "--slots",
-		G_STRINGIFY(SLOTS), "--runs", host->runs_file, NULL);
-	g_free(port);
-	g_free(instance);
-	g_free(report_to);
-}
-
-static void write_manifest(unsigned int version, const char *prefix)
-{
-	char *row = g_strdup_printf(
-		"{\"version\":\"r%u\",\"listeners\":[{\"host\":\"a.example\","
-		"\"ruleSet\":["
-		"{\"name\":\"get\",\"routeType\":\"idempotent\","
-		"\"targetLatencyMs\":500,\"priority\":2,"
-		"\"match\":{\"pathPrefix\":\"/%s/\"},"
-		"\"action\":{\"service\":\"" SERVICE
-		"\",\"timeoutMs\":2000,\"attempts\":3}},"
-		"{\"name\":\"patient\",\"routeType\":\"idempotent\","
-		"\"targetLatencyMs\":15000,\"priority\":2,"
-		"\"match\":{\"pathPrefix\":\"/patient/\"},"
-		"\"action\":{\"service\":\"" SERVICE
-		"\",\"timeoutMs\":20000,\"attempts\":3}},"
-		"{\"name\":\"post\",\"routeType\":\"non_idempotent\","
-		"\"targetLatencyMs\":500,\"priority\":1,"
-		"\"match\":{\"pathPrefix\":\"/book/\"},"
-		"\"action\":{\"service\":\"" SERVICE
-		"\",\"timeoutMs\":2000,\"attempts\":3}}]}],"
-		"\"clusters\":[{\"name\":\"" SERVICE
-		"\",\"healthPath\":\"/health\",\"maxConnections\":200}]}",
-		version, prefix);
-	char *value = g_base64_encode((const guchar *)row, strlen(row));
-	char *body = g_strdup_printf(
-		"{\"expect\":[],\"setKeys\":[{\"table\":\"op\",\"part\":\"\","
-		"\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
-		value);
-
-	g_free(rig_http_ok("POST", store->port, "/standin/operator", body));
-	g_free(row);
-	g_free(value);
-	g_free(body);
-}
-
-static void set_store(const char *faults)
+static void set_upstream(unsigned int i, const char *body)
 {
-	g_free(rig_http_ok("POST", store->port, "/standin/fault", faults));
+	fleet_set_upstream(&fleet, i, body);
 }
 
-static void set_upstream(unsigned int i, const char *faults)
+static unsigned int runs_at(unsigned int i)
 {
-	g_free(rig_http_ok("POST", hosts[i].upstream->port, "/standin/set",
-			   faults));
+	return fleet_runs_at(&fleet, i);
 }
 
 static struct rig_answer *call_as(unsigned int i, const char *method,
@@ -135,8 +46,8 @@
 				 "X-Comfreydock-Caller-Service",
 				 "forged",
 				 NULL};
-	char *url =
-		g_strdup_printf("http://127.0.0.1:%u%s", hosts[i].caller, path);
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+				    fleet.hosts[i].caller, path);
 	struct rig_answer *answer = rig_http(
 		method, url, headers, *method == 'P' ? "{}" : NULL, CALL_MS);
 
@@ -158,53 +69,9 @@
 	return status;
 }
 
-/* How often the upstreams ran a request. */
-static unsigned int runs_of(const char *id)
-{
-	unsigned int runs = 0;
-
-	for (unsigned int i = 0; i < HOSTS; i++) {
-		char *text = NULL;
-		char **lines;
-
-		g_assert_true(g_file_get_contents(hosts[i].runs_file, &text,
-						  NULL, NULL));
-		lines = g_strsplit(text, "\n", -1);
-		for (char **line = lines; *line; line++)
-			runs += strcmp(*line, id) == 0;
-		g_strfreev(lines);
-		g_free(text);
-	}
-	return runs;
-}
-
-static unsigned int runs_at(unsigned int i)
-{
-	unsigned int runs = 0;
-	char *text = NULL;
-
-	g_assert_true(g_file_get_contents(hosts[i].runs_file, &text, NULL, NULL));
-	for (const char *at = text; (at = strchr(at, '\n')); at++)
-		runs++;
-	g_free(text);
-	return runs;
-}
-
-static long readiness(unsigned int i)
-{
-	char *url = g_strdup_printf("http://127.0.0.1:%u/comfreydock/ready",
-				    hosts[i].ready);
-	struct rig_answer *answer = rig_http("GET", url, NULL, NULL, CALL_MS);
-	long status = answer->arrived ? answer->status : 0;
-
-	rig_answer_free(answer);
-	g_free(url);
-	return status;
-}
-
 static bool is_ready(void *data)
 {
-	return readiness(GPOINTER_TO_UINT(data)) == 200;
+	return fleet_readiness(&fleet, GPOINTER_TO_UINT(data)) == 200;
 }
 
 struct served {
@@ -228,12 +95,7 @@
 
 static bool has_upstream(void *data)
 {
-	char *json = rig_http_ok("GET", hosts[GPOINTER_TO_UINT(data)].admin,
-				 "/v1/upstream", NULL);
-	bool has = strstr(json, "\"up\"") != NULL;
-
-	g_free(json);
-	return has;
+	return fleet_has_upstream(&fleet, GPOINTER_TO_UINT(data));
 }
 
 static void wait_upstream(unsigned int i)
@@ -249,15 +111,7 @@
 
 static uint64_t metric(unsigned int i, const char *name)
 {
-	char *text = rig_http_ok("GET", hosts[i].admin, "/metrics", NULL);
-	char *key = g_strdup_printf("\n%s ", name);
-	const char *found = strstr(text, key);
-	uint64_t value =
-		found ? g_ascii_strtoull(found + strlen(key), NULL, 10) : 0;
-
-	g_free(key);
-	g_free(text);
-	return value;
+	return fleet_metric(&fleet, i, name);
 }
 
 static bool knows_all(void *data)
@@ -270,9 +124,9 @@
  * that it does not exist. */
 static void test_ready_with_a_configuration_only(void)
 {
-	g_assert_cmpint(readiness(0), ==, 503);
+	g_assert_cmpint(fleet_readiness(&fleet, 0), ==, 503);
 	g_assert_cmpint(call(0, "GET", "/list/1"), ==, 503);
-	write_manifest(3, "list");
+	fleet_put_config(&fleet, 3, "list");
 	for (unsigned int i = 0; i < HOSTS; i++) {
 		g_assert_true(rig_wait_until(is_ready, GUINT_TO_POINTER(i),
 					     IN_FORCE_MS));
@@ -301,7 +155,7 @@
 	g_assert_cmpstr(
 		g_hash_table_lookup(answer->headers, "x-seen-caller-service"),
 		==, "beside-1");
-	g_assert_cmpuint(runs_of("booking-1"), ==, 1);
+	g_assert_cmpuint(fleet_runs_of(&fleet, "booking-1"), ==, 1);
 	rig_answer_free(answer);
 }
 
@@ -328,7 +182,7 @@
 				==, id);
 		else
 			g_assert_cmpint(answer->status, ==, 502);
-		g_assert_cmpuint(runs_of(id), ==, 1);
+		g_assert_cmpuint(fleet_runs_of(&fleet, id), ==, 1);
 		rig_answer_free(answer);
 	}
 }
@@ -362,7 +216,7 @@
 			answer = call_as(n % HOSTS, "POST", "/book/1", id);
 			g_assert_cmpint(answer->status, !=, 503);
 			broken = answer->status == 502;
-			g_assert_cmpuint(runs_of(id), ==, 1);
+			g_assert_cmpuint(fleet_runs_of(&fleet, id), ==, 1);
 			rig_answer_free(answer);
 		}
 		g_assert_true(broken);
@@ -447,7 +301,7 @@
 	before = runs_at(1);
 	call_some(1, 30);
 	g_assert_cmpuint(runs_at(1), ==, before);
-	g_assert_cmpint(readiness(1), ==, 200);
+	g_assert_cmpint(fleet_readiness(&fleet, 1), ==, 200);
 	set_upstream(1, "{\"draining\": false}");
 	wait_upstream(1);
 }
@@ -466,8 +320,8 @@
 	rig_sleep_ms(500);
 	before = runs_at(2);
 	call_some(2, 10);
-	rig_kill(hosts[2].daemon);
-	start_daemon(2);
+	rig_kill(fleet.hosts[2].daemon);
+	fleet_start_daemon(&fleet, 2);
 	g_assert_true(rig_wait_until(is_ready, GUINT_TO_POINTER(2), WAIT_MS));
 	set_upstream(2, "{\"old_report\": true}");
 	rig_sleep_ms(1000);
@@ -476,8 +330,8 @@
 		call_some(i, 10);
 	g_assert_cmpuint(runs_at(2), ==, before);
 	/* Another start at another address is taken. */
-	rig_kill(hosts[2].upstream);
-	start_upstream(2);
+	rig_kill(fleet.hosts[2].upstream);
+	fleet_start_upstream(&fleet, 2);
 	wait_upstream(2);
 	wait_served(2, "/list/1", WAIT_MS);
 }
@@ -488,22 +342,22 @@
  */
 static void test_other_instance_runs_nothing(void)
 {
-	char *port = g_strdup_printf("%u", hosts[0].upstream->port);
+	char *port = g_strdup_printf("%u", fleet.hosts[0].upstream->port);
 	struct rig_process *other;
 	char *counts;
 
-	rig_kill(hosts[0].upstream);
-	other = rig_start_standin(rig, "standin/upstream/standin-upstream",
+	rig_kill(fleet.hosts[0].upstream);
+	other = rig_start_standin(fleet.rig, "standin/upstream/standin-upstream",
 				  "--port", port, "--instance", "i-other",
-				  "--service", SERVICE, "--runs",
-				  hosts[0].runs_file, NULL);
+				  "--service", FLEET_SERVICE, "--runs",
+				  fleet.hosts[0].runs_file, NULL);
 	for (unsigned int n = 0; n < 20; n++)
 		g_assert_cmpint(call(0, "POST", "/book/1"), ==, 200);
 	counts = rig_http_ok("GET", other->port, "/standin/runs", NULL);
 	g_assert_cmpint(rig_json_int(counts, "started"), ==, 0);
 	g_free(counts);
 	rig_kill(other);
-	start_upstream(0);
+	fleet_start_upstream(&fleet, 0);
 	wait_upstream(0);
 	g_free(port);
 }
@@ -515,63 +369,47 @@
  */
 static void test_restart_without_the_store(void)
 {
-	set_store("{\"down\": true}");
-	rig_signal(hosts[1].daemon, SIGTERM);
-	g_assert_cmpint(readiness(1), ==, 503);
+	fleet_set_store(&fleet, "{\"down\": true}");
+	rig_signal(fleet.hosts[1].daemon, SIGTERM);
+	g_assert_cmpint(fleet_readiness(&fleet, 1), ==, 503);
 	g_assert_cmpint(call(1, "GET", "/list/1"), ==, 200);
-	g_assert_cmpint(rig_wait_end(hosts[1].daemon, WAIT_MS), ==, 0);
-	start_daemon(1);
+	g_assert_cmpint(rig_wait_end(fleet.hosts[1].daemon, WAIT_MS), ==, 0);
+	fleet_start_daemon(&fleet, 1);
 	g_assert_true(rig_wait_until(is_ready, GUINT_TO_POINTER(1), WAIT_MS));
 	wait_upstream(1);
 	wait_served(1, "/list/1", WAIT_MS);
 	g_assert_cmpint(call(1, "GET", "/none/1"), ==, 404);
-	set_store("{\"down\": false}");
+	fleet_set_store(&fleet, "{\"down\": false}");
 }
 
 /* A change is in force everywhere within seconds, also where the store has
  * dropped its history in between. */
 static void test_changes_are_in_force(void)
 {
-	write_manifest(5, "moved");
+	fleet_put_config(&fleet, 5, "moved");
 	for (unsigned int i = 0; i < HOSTS; i++) {
 		wait_served(i, "/moved/1", IN_FORCE_MS + 1000);
 		g_assert_cmpint(call(i, "GET", "/list/1"), ==, 404);
 	}
-	set_store("{\"status\": 503}");
-	write_manifest(9, "again");
-	g_free(rig_http_ok("POST", store->port, "/standin/compact", ""));
+	fleet_set_store(&fleet, "{\"status\": 503}");
+	fleet_put_config(&fleet, 9, "again");
+	g_free(rig_http_ok("POST", fleet.store->port, "/standin/compact", ""));
 	rig_sleep_ms(300);
-	set_store("{\"status\": 0}");
+	fleet_set_store(&fleet, "{\"status\": 0}");
 	for (unsigned int i = 0; i < HOSTS; i++)
 		wait_served(i, "/again/1", IN_FORCE_MS + 1000);
 	/* An older one, or one that can't be read, changes nothing. */
-	write_manifest(8, "older");
+	fleet_put_config(&fleet, 8, "older");
 	rig_sleep_ms(500);
 	for (unsigned int i = 0; i < HOSTS; i++) {
 		g_assert_cmpint(call(i, "GET", "/again/1"), ==, 200);
 		g_assert_cmpint(call(i, "GET", "/older/1"), ==, 404);
 	}
-	write_manifest(10, "list");
+	fleet_put_config(&fleet, 10, "list");
 	for (unsigned int i = 0; i < HOSTS; i++)
 		wait_served(i, "/list/1", IN_FORCE_MS + 1000);
 }
 
-static void start_all(void)
-{
-	rig = rig_create();
-	store = rig_start_standin(rig, "standin/platform/standin-platform", NULL);
-	for (unsigned int i = 0; i < HOSTS; i++) {
-		hosts[i].caller = cluster_find_port();
-		hosts[i].peer = cluster_find_port();
-		hosts[i].admin = cluster_find_port();
-		hosts[i].ready = cluster_find_port();
-		hosts[i].reports = cluster_find_port();
-		hosts[i].runs_file = rig_write_file(rig, "runs", "%s", "");
-		start_daemon(i);
-		start_upstream(i);
-	}
-}
-
 /*
  * An upstream answers each request with another's answer, while its health path
  * says that it is well. The caller of a booking is told that nobody knows what
@@ -622,7 +460,7 @@
 				   "result=\"ok\"}"),
 			 >, 0);
 	g_assert_cmpuint(metric(0, "comfreydock_retry_budget_most{group="
-				   "\"" SERVICE "\"}"),
+				   "\"" FLEET_SERVICE "\"}"),
 			 >=, 1);
 	g_assert_cmpuint(metric(0, "comfreydock_config_version{namespace="
 				   "\"operator\"}"),
@@ -635,7 +473,7 @@
 	int status;
 
 	g_test_init(&argc, &argv, NULL);
-	start_all();
+	fleet_start(&fleet, &options);
 	g_test_add_func("/on-platform/ready",
 			test_ready_with_a_configuration_only);
 	g_test_add_func("/on-platform/answers", test_answers_are_the_upstreams);
@@ -658,6 +496,6 @@
 	g_test_add_func("/on-platform/restart", test_restart_without_the_store);
 	g_test_add_func("/on-platform/changes", test_changes_are_in_force);
 	status = g_test_run();
-	rig_destroy(rig);
+	fleet_stop(&fleet);
 	return status;
 }
