http_server: close the port when it takes no new connections

The listening socket stayed open after a stop's refuse step: the kernel went on taking connections that nobody read. What the kernel has taken is accepted, then the port is closed; who comes later is refused at once. /http/quiesced failed before (a connection was taken).

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -17,7 +17,7 @@
 	ev_timer timer;
 	ev_prepare prepare;
 	uint16_t port;
-	MHD_socket quiesced_fd;
+	bool is_quiesced;
 	http_handler handler;
 	void *data;
 	size_t max_body_bytes;
@@ -124,7 +124,6 @@
 
 	server = g_new0(struct http_server, 1);
 	server->loop = loop;
-	server->quiesced_fd = MHD_INVALID_SOCKET;
 	server->daemon = start_daemon(options, callbacks, &server->port);
 	if (!server->daemon) {
 		g_free(server);
@@ -142,15 +141,39 @@
 	ev_timer_stop(server->loop, &server->timer);
 	ev_prepare_stop(server->loop, &server->prepare);
 	MHD_stop_daemon(server->daemon);
-	if (server->quiesced_fd != MHD_INVALID_SOCKET)
-		close(server->quiesced_fd);
 	g_free(server);
 }
 
+/* Connections that the kernel has taken already; to close their queue would
+ * reset them. */
+static void accept_rest(struct http_server *server, int listen_fd)
+{
+	struct sockaddr_storage address;
+	socklen_t size = sizeof(address);
+	int fd;
+
+	while ((fd = accept4(listen_fd, (struct sockaddr *)&address, &size,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		MHD_add_connection(server->daemon, fd,
+				   (struct sockaddr *)&address, size);
+		size = sizeof(address);
+	}
+}
+
 void http_server_quiesce(struct http_server *server)
 {
-	if (server->quiesced_fd == MHD_INVALID_SOCKET)
-		server->quiesced_fd = MHD_quiesce_daemon(server->daemon);
+	int listen_fd;
+
+	if (server->is_quiesced)
+		return;
+	server->is_quiesced = true;
+	listen_fd = MHD_quiesce_daemon(server->daemon);
+	if (listen_fd == MHD_INVALID_SOCKET)
+		return;
+	accept_rest(server, listen_fd);
+	/* Open, it would take connections that nobody reads. */
+	close(listen_fd);
+	http_server_wake(server);
 }
 
 uint16_t http_server_port(const struct http_server *server)
@@ -274,7 +297,6 @@
 	server->loop = loop;
 	server->handler = handler;
 	server->data = data;
-	server->quiesced_fd = MHD_INVALID_SOCKET;
 	server->max_body_bytes = options->max_body_bytes ?
 					 options->max_body_bytes :
 					 DEFAULT_MAX_BODY_BYTES;
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -61,7 +61,8 @@
  * or resumed before. */
 void http_server_destroy(struct http_server *server);
 
-/* Stops taking new connections; those that are open go on. */
+/* Closes the port; connections that are open, or that the kernel has taken
+ * already, go on. */
 void http_server_quiesce(struct http_server *server);
 
 uint16_t http_server_port(const struct http_server *server);
--- a/standin/load/call.c
+++ b/standin/load/call.c
@@ -13,6 +13,7 @@
 	struct http_transfer transfer;
 	struct curl_slist *headers;
 	char *id;
+	const char *path;
 	char *body; /* NULL: an idempotent call */
 	bool is_stream; /* its bytes repeat the id */
 	bool is_foreign; /* a byte did not */
@@ -112,9 +113,12 @@
 	if (outcome == OUTCOME_NOT_RUN)
 		histogram_record(&load->refused, (uint64_t)latency_us);
 	if (load->calls)
-		fprintf(load->calls, "%s %s %ld %s %" G_GINT64_FORMAT "%s\n",
+		fprintf(load->calls,
+			"%s %s %ld %s %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
+			" %s%s\n",
 			call->id, call->body ? "POST" : "GET", status,
-			outcome_name(outcome), latency_us, wrong ? " wrong" : "");
+			outcome_name(outcome), latency_us, call->due_us,
+			call->path, wrong ? " wrong" : "");
 }
 
 static void handle_done(struct http_transfer *transfer, CURLcode result)
@@ -145,7 +149,7 @@
 	const struct load_options *options = &call->load->options;
 
 	call->headers = curl_slist_append(NULL, "Expect:");
-	add_header(call, "X-Request-Id", call->id);
+	add_header(call, options->id_header, call->id);
 	if (options->host)
 		add_header(call, "Host", options->host);
 	for (char **line = options->headers; line && *line; line++)
@@ -170,6 +174,7 @@
 						   load->options.paths);
 	char *url = g_strconcat(target, path, NULL);
 
+	call->path = path;
 	call->is_stream = g_str_has_prefix(path, BYTES_PREFIX);
 	curl_easy_setopt(call->transfer.easy, CURLOPT_URL, url);
 	g_free(url);
--- a/standin/load/load.h
+++ b/standin/load/load.h
@@ -35,6 +35,7 @@
 	char **headers; /* "Name: value" */
 	char *host;
 	char *prefix; /* of the request ids */
+	char *id_header;
 	double rate; /* calls a second */
 	double seconds;
 	double share_nonidempotent;
--- a/standin/load/main.c
+++ b/standin/load/main.c
@@ -28,6 +28,8 @@
 	{"host", 0, 0, G_OPTION_ARG_STRING, &options.host, "Host header", "NAME"},
 	{"id-prefix", 0, 0, G_OPTION_ARG_STRING, &options.prefix,
 	 "start of the request ids", "TEXT"},
+	{"id-header", 0, 0, G_OPTION_ARG_STRING, &options.id_header,
+	 "header that holds the id; X-Request-Id otherwise", "NAME"},
 	{"rate", 0, 0, G_OPTION_ARG_DOUBLE, &options.rate, "calls a second", "R"},
 	{"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options.seconds,
 	 "how long calls start", "S"},
@@ -45,7 +47,9 @@
 	{"max-open", 0, 0, G_OPTION_ARG_INT, &options.max_open,
 	 "calls open at once at most", "N"},
 	{"calls", 0, 0, G_OPTION_ARG_FILENAME, &options.calls_path,
-	 "file for a line per call: id method status outcome latency_us", "FILE"},
+	 "file for a line per call: id method status outcome latency_us "
+	 "due_us path [wrong]",
+	 "FILE"},
 	{0},
 };
 
@@ -82,6 +86,8 @@
 	if (!options.prefix)
 		options.prefix =
 			g_strdup_printf("load%" G_GINT64_FORMAT, options.seed);
+	if (!options.id_header)
+		options.id_header = g_strdup("X-Request-Id");
 	read_bursts();
 }
 
@@ -95,6 +101,7 @@
 	g_strfreev(options.headers);
 	g_free(options.host);
 	g_free(options.prefix);
+	g_free(options.id_header);
 	g_free(options.calls_path);
 }
 
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,387 @@
+/*
+ * NAME
+ *	soak - faults of every kind over a running load
+ *
+ * SYNOPSIS
+ *	soak [--seconds N] [--seed N] [--hosts N] [--rate N] [--list] [--keep]
+ *
+ * DESCRIPTION
+ *	Starts daemons, upstreams and the store as the users' platform runs
+ *	them, with a relay on each link, and callers at each daemon, who use
+ *	their connections until these end. Faults come as the schedule says;
+ *	what callers were told is held against what the upstreams ran.
+ *
+ *	Prints each fault, each violation, and a line a promise. With --keep
+ *	the logs of all programs stay after a violation.
+ *
+ * RETURN VALUE
+ *	0 if nothing was violated.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "schedule.h"
+#include "watch.h"
+
+#define TICK_MS 20
+#define WAIT_MS 20000
+#define LAST_LOAD_S 3
+#define LOAD_END_MS 60000
+/* A draining upstream has its last new work by then. */
+#define LAST_WORK_US ((int64_t)2000 * 1000)
+
+struct load {
+	struct rig_process *process;
+	const char *calls_file;
+};
+
+/* A fault that is under way. */
+struct active {
+	const struct schedule_event *event;
+	int64_t end_us;
+	guint span;
+	bool watches_work; /* its upstream drains, and nothing disturbs that */
+	bool has_drained;
+	unsigned int runs;
+};
+
+struct soak {
+	struct fleet fleet;
+	struct spans spans;
+	struct verdict verdict;
+	struct watch watch;
+	GArray *events; /* of struct schedule_event */
+	GPtrArray *active; /* of struct active */
+	int64_t start_us;
+};
+
+static struct {
+	int seconds;
+	int seed;
+	int hosts;
+	int rate;
+	gboolean list;
+	gboolean keep;
+} settings = {.seconds = 25, .seed = 1, .hosts = 6, .rate = 12};
+
+static const GOptionEntry entries[] = {
+	{"seconds", 0, 0, G_OPTION_ARG_INT, &settings.seconds,
+	 "how long faults come", "N"},
+	{"seed", 0, 0, G_OPTION_ARG_INT, &settings.seed, "of the faults", "N"},
+	{"hosts", 0, 0, G_OPTION_ARG_INT, &settings.hosts,
+	 "daemons, each with an upstream", "N"},
+	{"rate", 0, 0, G_OPTION_ARG_INT, &settings.rate,
+	 "calls a second at each daemon", "N"},
+	{"list", 0, 0, G_OPTION_ARG_NONE, &settings.list,
+	 "print the schedule and end", NULL},
+	{"keep", 0, 0, G_OPTION_ARG_NONE, &settings.keep,
+	 "keep the logs after a violation", NULL},
+	{0},
+};
+
+static bool parse(int *argc, char ***argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	bool good;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	good = g_option_context_parse(context, argc, argv, &error);
+	g_option_context_free(context);
+	if (good && settings.seconds > 1 && settings.hosts > 1 &&
+	    settings.rate > 0)
+		return true;
+	fprintf(stderr, "soak: %s\n",
+		error ? error->message : "--seconds and --hosts must be above 1, --rate above 0");
+	g_clear_error(&error);
+	return false;
+}
+
+static void print_event(const struct schedule_event *event, const char *what)
+{
+	printf("%7.3f s %s%s", (double)event->at_ms / 1000.0, what,
+	       event->fault->name);
+	if (fault_part_is_of_host(event->fault->part))
+		printf(", d%u", event->host);
+	if (!event->fault->is_over && event->for_ms > 0)
+		printf(", %.3f s", (double)event->for_ms / 1000.0);
+	printf("\n");
+}
+
+static struct load start_load(struct soak *soak, unsigned int entry,
+			      int seconds, const char *name)
+{
+	struct load load;
+	char *target = g_strdup_printf("http://127.0.0.1:%u",
+				       soak->fleet.hosts[entry].caller);
+	char *prefix = g_strdup_printf("%s-%u", name, entry);
+	char *time = g_strdup_printf("%d", seconds);
+	char *rate = g_strdup_printf("%d", settings.rate);
+	char *seed = g_strdup_printf("%d", settings.seed * 1000 + (int)entry);
+
+	load.calls_file = rig_write_file(soak->fleet.rig, "calls", "%s", "");
+	load.process =
+		rig_start(soak->fleet.rig, "standin/load/standin-load",
+			  "--calls", load.calls_file, "--rate", rate,
+			  "--seconds", time, "--seed", seed, "--id-prefix",
+			  prefix, "--id-header", "X-Comfreydock-Request-Id",
+			  "--host", FLEET_HOST, "--share-nonidempotent", "0.4",
+			  "--path", "/list/1", "--path", "/bytes/60000",
+			  "--post-path", "/book/1", "--target", target, NULL);
+	g_free(seed);
+	g_free(rate);
+	g_free(time);
+	g_free(prefix);
+	g_free(target);
+	return load;
+}
+
+static struct load *start_loads(struct soak *soak, int seconds, const char *name)
+{
+	struct load *loads = g_new0(struct load, soak->fleet.options.count);
+
+	for (unsigned int i = 0; i < soak->fleet.options.count; i++)
+		loads[i] = start_load(soak, i, seconds, name);
+	return loads;
+}
+
+static void take_loads(struct soak *soak, struct load *loads, bool is_last)
+{
+	for (unsigned int i = 0; i < soak->fleet.options.count; i++)
+		rig_wait_end(loads[i].process, LOAD_END_MS);
+	for (unsigned int i = 0; i < soak->fleet.options.count; i++)
+		verdict_take_calls(&soak->verdict, &soak->fleet, &soak->spans,
+				   i, loads[i].calls_file, is_last);
+	g_free(loads);
+}
+
+static bool is_at_same_part(const struct schedule_event *a,
+			    const struct schedule_event *b)
+{
+	return a->fault->part == b->fault->part &&
+	       (a->host == b->host || !fault_part_is_of_host(a->fault->part));
+}
+
+/* A stop took longer than the schedule knew. */
+static bool is_taken(const struct soak *soak, const struct schedule_event *event)
+{
+	for (guint i = 0; i < soak->active->len; i++) {
+		const struct active *other = soak->active->pdata[i];
+
+		if (is_at_same_part(other->event, event))
+			return true;
+	}
+	return false;
+}
+
+static void begin_fault(struct soak *soak, const struct schedule_event *event)
+{
+	const struct fault *fault = event->fault;
+	struct active *active = g_new0(struct active, 1);
+
+	print_event(event, "");
+	fflush(stdout);
+	active->event = event;
+	active->span = spans_begin(&soak->spans, fault, event->host);
+	active->end_us = g_get_monotonic_time() + event->for_ms * 1000;
+	active->watches_work =
+		fault->part == PART_UPSTREAM && fault->harm == HARM_NONE;
+	if (fault->part == PART_DAEMON && fault->end)
+		soak->watch.is_disturbed[event->host] = true;
+	fault->begin(&soak->fleet, event->host);
+	g_ptr_array_add(soak->active, active);
+}
+
+/* Whether something kept the daemon from learning that its upstream drains, or
+ * from telling the others. */
+static bool host_was_disturbed(const struct soak *soak,
+			       const struct active *active)
+{
+	const struct span *span =
+		&g_array_index(soak->spans.all, struct span, active->span);
+	struct span_question question = {
+		.host = active->event->host,
+		.least = HARM_WORK,
+		.from_us = span->begin_us,
+		.to_us = g_get_monotonic_time(),
+		.after_us = (int64_t)SCHEDULE_REST_MS * 1000,
+	};
+
+	if (spans_touch(&soak->spans, &question))
+		return true;
+	question.planned_stop = true;
+	return spans_touch(&soak->spans, &question);
+}
+
+static void watch_work(struct soak *soak, struct active *active)
+{
+	const struct span *span =
+		&g_array_index(soak->spans.all, struct span, active->span);
+
+	if (!active->watches_work || active->has_drained ||
+	    g_get_monotonic_time() < span->begin_us + LAST_WORK_US)
+		return;
+	active->has_drained = true;
+	active->runs = fleet_runs_at(&soak->fleet, active->event->host);
+}
+
+static void judge_work(struct soak *soak, const struct active *active)
+{
+	unsigned int host = active->event->host;
+	unsigned int runs;
+
+	if (!active->has_drained || host_was_disturbed(soak, active))
+		return;
+	runs = fleet_runs_at(&soak->fleet, host);
+	verdict_note(&soak->verdict, POINT_LEAVES, runs == active->runs,
+		     "%u requests at d%u", runs - active->runs, host);
+}
+
+static void end_fault(struct soak *soak, struct active *active)
+{
+	const struct schedule_event *event = active->event;
+	const struct fault *fault = event->fault;
+
+	judge_work(soak, active);
+	if (fault->end)
+		fault->end(&soak->fleet, event->host);
+	spans_end(&soak->spans, active->span);
+	if (fault->part == PART_DAEMON)
+		soak->watch.is_disturbed[event->host] = false;
+}
+
+static bool is_over(struct soak *soak, const struct active *active)
+{
+	const struct fault *fault = active->event->fault;
+
+	if (fault->is_over && fault->is_over(&soak->fleet, active->event->host))
+		return true;
+	return g_get_monotonic_time() >= active->end_us;
+}
+
+static void end_faults(struct soak *soak)
+{
+	for (guint i = 0; i < soak->active->len;) {
+		struct active *active = soak->active->pdata[i];
+
+		watch_work(soak, active);
+		if (!is_over(soak, active)) {
+			i++;
+			continue;
+		}
+		end_fault(soak, active);
+		g_ptr_array_remove_index(soak->active, i);
+	}
+}
+
+static bool is_ready(void *data)
+{
+	struct soak *soak = data;
+
+	for (unsigned int i = 0; i < soak->fleet.options.count; i++) {
+		if (fleet_readiness(&soak->fleet, i) != 200 ||
+		    !fleet_has_upstream(&soak->fleet, i) ||
+		    fleet_metric(&soak->fleet, i,
+				 "comfreydock_members{state=\"alive\"}") !=
+			    soak->fleet.options.count)
+			return false;
+	}
+	return true;
+}
+
+static void wait_ready(struct soak *soak)
+{
+	verdict_note(&soak->verdict, POINT_RECOVERS,
+		     rig_wait_until(is_ready, soak, WAIT_MS),
+		     "not all are ready and know each other");
+}
+
+static void play(struct soak *soak)
+{
+	guint next = 0;
+
+	soak->start_us = g_get_monotonic_time();
+	while (next < soak->events->len || soak->active->len > 0) {
+		int64_t now_ms = (g_get_monotonic_time() - soak->start_us) / 1000;
+
+		for (; next < soak->events->len; next++) {
+			const struct schedule_event *event = &g_array_index(
+				soak->events, struct schedule_event, next);
+
+			if (event->at_ms > now_ms)
+				break;
+			if (!is_taken(soak, event))
+				begin_fault(soak, event);
+		}
+		end_faults(soak);
+		watch_look(&soak->watch);
+		rig_sleep_ms(TICK_MS);
+	}
+}
+
+static uint64_t run(struct soak *soak)
+{
+	struct fleet_options options = {
+		.count = (unsigned int)settings.hosts,
+		.domains = 3,
+		.slots = "8",
+		.service_time_us = "40000",
+		.relayed = true,
+	};
+	struct load *loads;
+
+	fleet_start(&soak->fleet, &options);
+	soak->fleet.config_version = 1;
+	fleet_put_config(&soak->fleet, 1, "list");
+	spans_init(&soak->spans);
+	watch_init(&soak->watch, &soak->fleet, &soak->verdict);
+	soak->active = g_ptr_array_new_with_free_func(g_free);
+	wait_ready(soak);
+	loads = start_loads(soak, settings.seconds, "load");
+	play(soak);
+	take_loads(soak, loads, false);
+	rig_sleep_ms(SCHEDULE_REST_MS);
+	wait_ready(soak);
+	take_loads(soak, start_loads(soak, LAST_LOAD_S, "last"), true);
+	watch_stop_all(&soak->watch);
+	return verdict_print(&soak->verdict);
+}
+
+static void finish(struct soak *soak, bool keep)
+{
+	if (keep)
+		printf("logs: %s\n", rig_keep_files(soak->fleet.rig));
+	watch_finish(&soak->watch);
+	spans_finish(&soak->spans);
+	g_ptr_array_unref(soak->active);
+	fleet_stop(&soak->fleet);
+}
+
+int main(int argc, char **argv)
+{
+	static struct soak soak;
+	uint64_t violated;
+
+	if (!parse(&argc, &argv))
+		return 2;
+	g_test_init(&argc, &argv, NULL);
+	soak.events =
+		schedule_create((guint32)settings.seed,
+				(unsigned int)settings.hosts, settings.seconds);
+	if (settings.list) {
+		for (guint i = 0; i < soak.events->len; i++)
+			print_event(&g_array_index(soak.events,
+						   struct schedule_event, i),
+				    "");
+		return 0;
+	}
+	violated = run(&soak);
+	printf("seed %d, %d hosts, %d s: %u faults, %" G_GUINT64_FORMAT
+	       " violations\n",
+	       settings.seed, settings.hosts, settings.seconds,
+	       soak.spans.all->len, violated);
+	finish(&soak, settings.keep && violated > 0);
+	g_array_unref(soak.events);
+	return violated > 0;
+}
--- /dev/null
+++ b/tests/soak/span.c
@@ -0,0 +1,61 @@
+#include "span.h"
+
+void spans_init(struct spans *spans)
+{
+	spans->all = g_array_new(FALSE, FALSE, sizeof(struct span));
+}
+
+void spans_finish(struct spans *spans)
+{
+	g_array_unref(spans->all);
+}
+
+guint spans_begin(struct spans *spans, const struct fault *fault,
+		  unsigned int host)
+{
+	struct span span = {
+		.fault = fault,
+		.host = host,
+		.begin_us = g_get_monotonic_time(),
+		.end_us = INT64_MAX,
+	};
+
+	g_array_append_val(spans->all, span);
+	return spans->all->len - 1;
+}
+
+void spans_end(struct spans *spans, guint number)
+{
+	g_array_index(spans->all, struct span, number).end_us =
+		g_get_monotonic_time();
+}
+
+static bool is_planned_stop(const struct span *span)
+{
+	return span->fault->part == PART_DAEMON &&
+	       span->fault->harm == HARM_NONE && span->fault->end;
+}
+
+static bool matches(const struct span *span, const struct span_question *question)
+{
+	if (question->host != SPAN_ANY_HOST && question->host != span->host)
+		return false;
+	if (question->planned_stop)
+		return is_planned_stop(span);
+	return span->fault->harm >= question->least;
+}
+
+bool spans_touch(const struct spans *spans, const struct span_question *question)
+{
+	for (guint i = 0; i < spans->all->len; i++) {
+		const struct span *span =
+			&g_array_index(spans->all, struct span, i);
+
+		if (!matches(span, question) || span->begin_us > question->to_us)
+			continue;
+		if (span->end_us == INT64_MAX ||
+		    span->end_us + question->after_us >= question->from_us)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/tests/soak/verdict.c
@@ -0,0 +1,267 @@
+#include "verdict.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "schedule.h"
+
+#define CALL_PARTS 7
+/* The daemons run under sanitizers, on a machine that others use. */
+#define MARGIN_US ((int64_t)1000 * 1000)
+/* A begun answer may stand still for so long past the deadline. */
+#define STANDSTILL_US ((int64_t)2000 * 1000)
+#define DEADLINE_US ((int64_t)FLEET_DEADLINE_MS * 1000)
+#define REST_US ((int64_t)SCHEDULE_REST_MS * 1000)
+/* A daemon that was started again has its configuration and peers by then. */
+#define START_US ((int64_t)3000 * 1000)
+
+static const char *const texts[POINTS] = {
+	[POINT_OWN] = "an answer is the caller's own, whole, and was run",
+	[POINT_NOT_RUN] = "told \"not run\": did not run",
+	[POINT_ONCE] = "not repeatable: at most once",
+	[POINT_ENDS] = "an end by the deadline",
+	[POINT_KEPT] = "no connection cut where its daemon went on",
+	[POINT_CALM] = "no harm done: served",
+	[POINT_LEAVES] = "draining: no new work after two seconds",
+	[POINT_CONFIG] = "a configuration in force everywhere stays",
+	[POINT_LIVES] = "programs end when told, and well",
+	[POINT_RECOVERS] = "after the last fault: served",
+};
+
+struct call {
+	unsigned int entry;
+	const char *id;
+	bool is_post;
+	int status;
+	const char *outcome;
+	int64_t begin_us;
+	int64_t end_us;
+	bool is_stream;
+	bool is_wrong;
+	unsigned int runs;
+};
+
+void verdict_note(struct verdict *verdict, enum point point, bool held,
+		  const char *format, ...)
+{
+	va_list arguments;
+
+	verdict->tried[point]++;
+	if (held)
+		return;
+	verdict->violated[point]++;
+	printf("VIOLATED %s: ", texts[point]);
+	va_start(arguments, format);
+	vprintf(format, arguments);
+	va_end(arguments);
+	printf("\n");
+	fflush(stdout);
+}
+
+static bool call_read(char **parts, struct call *call)
+{
+	if (g_strv_length(parts) < CALL_PARTS)
+		return false;
+	call->id = parts[0];
+	call->is_post = strcmp(parts[1], "POST") == 0;
+	call->status = atoi(parts[2]);
+	call->outcome = parts[3];
+	call->begin_us = strtoll(parts[5], NULL, 10);
+	call->end_us = call->begin_us + strtoll(parts[4], NULL, 10);
+	call->is_stream = g_str_has_prefix(parts[6], "/bytes/");
+	call->is_wrong = parts[CALL_PARTS] != NULL;
+	return true;
+}
+
+static bool call_was(const struct call *call, const char *outcome)
+{
+	return strcmp(call->outcome, outcome) == 0;
+}
+
+static bool call_is_cut(const struct call *call)
+{
+	return call_was(call, "broken") || call_was(call, "unconnected") ||
+	       call_was(call, "timed-out");
+}
+
+static bool was_harmed(const struct spans *spans, const struct call *call,
+		       unsigned int host, enum fault_harm least, int64_t after_us)
+{
+	struct span_question question = {
+		.host = host,
+		.least = least,
+		.from_us = call->begin_us,
+		.to_us = call->end_us,
+		.after_us = after_us,
+	};
+
+	return spans_touch(spans, &question);
+}
+
+static bool entry_was_stopped(const struct spans *spans, const struct call *call)
+{
+	struct span_question question = {
+		.host = call->entry,
+		.planned_stop = true,
+		.from_us = call->begin_us,
+		.to_us = call->end_us,
+		.after_us = START_US,
+	};
+
+	return spans_touch(spans, &question);
+}
+
+/* A caller whose daemon is gone or stands still gets nothing from it; one of a
+ * daemon that was just started again, late answers at first. */
+static bool may_be_cut(const struct spans *spans, const struct call *call)
+{
+	if (was_harmed(spans, call, call->entry, HARM_CALLERS, START_US))
+		return true;
+	/* An answer that can't be ended whole breaks its connection. */
+	if (call->is_stream && call_was(call, "broken") &&
+	    was_harmed(spans, call, SPAN_ANY_HOST, HARM_WORK, REST_US))
+		return true;
+	/* The port of a daemon that stops is closed before its end. */
+	return call_was(call, "unconnected") && entry_was_stopped(spans, call);
+}
+
+static bool may_be_late(const struct spans *spans, const struct call *call)
+{
+	return was_harmed(spans, call, call->entry, HARM_CALLERS, START_US);
+}
+
+static int64_t most_us(const struct call *call)
+{
+	return DEADLINE_US + MARGIN_US + (call->is_stream ? STANDSTILL_US : 0);
+}
+
+static bool is_served(const struct call *call)
+{
+	return call_was(call, "run") && call->status / 100 == 2;
+}
+
+#define CALL_FORMAT "%s at d%u: %d %s after %" G_GINT64_FORMAT " ms, %u runs%s"
+#define CALL_VALUES(call)                                                 \
+	(call)->id, (call)->entry, (call)->status, (call)->outcome,       \
+		((call)->end_us - (call)->begin_us) / 1000, (call)->runs, \
+		(call)->is_wrong ? ", wrong answer" : ""
+
+static void judge_always(struct verdict *verdict, const struct spans *spans,
+			 const struct call *call)
+{
+	if (call_was(call, "run") && call->status / 100 == 2)
+		verdict_note(verdict, POINT_OWN,
+			     !call->is_wrong && call->runs > 0, CALL_FORMAT,
+			     CALL_VALUES(call));
+	else if (call_was(call, "unsaid"))
+		verdict_note(verdict, POINT_OWN, false, CALL_FORMAT,
+			     CALL_VALUES(call));
+	if (call_was(call, "not-run"))
+		verdict_note(verdict, POINT_NOT_RUN, call->runs == 0,
+			     CALL_FORMAT, CALL_VALUES(call));
+	if (call->is_post)
+		verdict_note(verdict, POINT_ONCE, call->runs <= 1, CALL_FORMAT,
+			     CALL_VALUES(call));
+	if (!may_be_late(spans, call))
+		verdict_note(verdict, POINT_ENDS,
+			     call->end_us - call->begin_us <= most_us(call),
+			     CALL_FORMAT, CALL_VALUES(call));
+	if (!may_be_cut(spans, call))
+		verdict_note(verdict, POINT_KEPT, !call_is_cut(call),
+			     CALL_FORMAT, CALL_VALUES(call));
+}
+
+static void judge_calm(struct verdict *verdict, const struct spans *spans,
+		       const struct call *call)
+{
+	if (was_harmed(spans, call, SPAN_ANY_HOST, HARM_WORK, REST_US))
+		return;
+	if (entry_was_stopped(spans, call) &&
+	    (call_was(call, "not-run") || call_was(call, "unconnected"))) {
+		verdict->refused_in_calm++;
+		return;
+	}
+	verdict_note(verdict, POINT_CALM, is_served(call), CALL_FORMAT,
+		     CALL_VALUES(call));
+}
+
+static GHashTable *read_runs(const struct fleet *fleet)
+{
+	GHashTable *runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (unsigned int i = 0; i < fleet->options.count; i++) {
+		char *text = NULL;
+		char **ids;
+
+		g_assert_true(g_file_get_contents(fleet->hosts[i].runs_file,
+						  &text, NULL, NULL));
+		ids = g_strsplit(text, "\n", -1);
+		for (char **id = ids; *id; id++) {
+			guint count =
+				GPOINTER_TO_UINT(g_hash_table_lookup(runs, *id));
+
+			g_hash_table_replace(runs, g_strdup(*id),
+					     GUINT_TO_POINTER(count + 1));
+		}
+		g_strfreev(ids);
+		g_free(text);
+	}
+	return runs;
+}
+
+static void judge(struct verdict *verdict, const struct spans *spans,
+		  const struct call *call, bool is_last)
+{
+	verdict->outcomes_lost += call_was(call, "unknown");
+	judge_always(verdict, spans, call);
+	if (is_last)
+		verdict_note(verdict, POINT_RECOVERS, is_served(call),
+			     CALL_FORMAT, CALL_VALUES(call));
+	else
+		judge_calm(verdict, spans, call);
+}
+
+void verdict_take_calls(struct verdict *verdict, const struct fleet *fleet,
+			const struct spans *spans, unsigned int entry,
+			const char *calls_file, bool is_last)
+{
+	GHashTable *runs = read_runs(fleet);
+	char *text = NULL;
+	char **lines;
+
+	g_assert_true(g_file_get_contents(calls_file, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		char **parts = g_strsplit(*line, " ", -1);
+		struct call call = {.entry = entry};
+
+		if (call_read(parts, &call)) {
+			call.runs = GPOINTER_TO_UINT(
+				g_hash_table_lookup(runs, call.id));
+			judge(verdict, spans, &call, is_last);
+		}
+		g_strfreev(parts);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_hash_table_unref(runs);
+}
+
+uint64_t verdict_print(const struct verdict *verdict)
+{
+	uint64_t violated = 0;
+
+	for (size_t i = 0; i < POINTS; i++) {
+		printf("%-52s tried %6" G_GUINT64_FORMAT
+		       ", violated %" G_GUINT64_FORMAT "\n",
+		       texts[i], verdict->tried[i], verdict->violated[i]);
+		violated += verdict->violated[i];
+	}
+	printf("unknown outcomes %" G_GUINT64_FORMAT
+	       ", refused by a daemon that was stopping or new "
+	       "%" G_GUINT64_FORMAT "\n",
+	       verdict->outcomes_lost, verdict->refused_in_calm);
+	return violated;
+}
--- /dev/null
+++ b/tests/soak/watch.c
@@ -0,0 +1,123 @@
+#include "watch.h"
+
+#include <json-c/json.h>
+#include <signal.h>
+#include <sys/wait.h>
+
+#define LOOK_US ((int64_t)300 * 1000)
+#define ASK_MS 400
+#define NO_VERSION 0
+
+void watch_init(struct watch *watch, struct fleet *fleet, struct verdict *verdict)
+{
+	watch->fleet = fleet;
+	watch->verdict = verdict;
+	watch->floor = NO_VERSION;
+	watch->next_us = 0;
+	watch->is_disturbed = g_new0(bool, fleet->options.count);
+	watch->has_ended = g_new0(bool, fleet->options.count);
+}
+
+void watch_finish(struct watch *watch)
+{
+	g_free(watch->is_disturbed);
+	g_free(watch->has_ended);
+}
+
+static uint64_t version_in(const char *text)
+{
+	struct json_object *root = json_tokener_parse(text);
+	struct json_object *ready = json_object_object_get(root, "ready");
+	struct json_object *namespaces =
+		json_object_object_get(root, "namespaces");
+	struct json_object *first =
+		namespaces ? json_object_array_get_idx(namespaces, 0) : NULL;
+	uint64_t version = NO_VERSION;
+
+	if (json_object_get_boolean(ready) && first)
+		version = json_object_get_uint64(
+			json_object_object_get(first, "version"));
+	json_object_put(root);
+	return version;
+}
+
+/* RETURN VALUE: NO_VERSION where the daemon doesn't say. */
+static uint64_t read_version(const struct fleet_host *host)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/v1/config", host->admin);
+	struct rig_answer *answer = rig_http("GET", url, NULL, NULL, ASK_MS);
+	uint64_t version = NO_VERSION;
+
+	if (answer->arrived && answer->status == 200)
+		version = version_in(answer->body->str);
+	rig_answer_free(answer);
+	g_free(url);
+	return version;
+}
+
+static void look_at_versions(struct watch *watch)
+{
+	uint64_t least = UINT64_MAX;
+
+	for (unsigned int i = 0; i < watch->fleet->options.count; i++) {
+		uint64_t version = watch->is_disturbed[i] || watch->has_ended[i] ?
+					   NO_VERSION :
+					   read_version(&watch->fleet->hosts[i]);
+
+		least = MIN(least, version);
+		if (version != NO_VERSION)
+			verdict_note(watch->verdict, POINT_CONFIG,
+				     version >= watch->floor,
+				     "d%u has %" G_GUINT64_FORMAT
+				     ", all had %" G_GUINT64_FORMAT,
+				     i, version, watch->floor);
+	}
+	watch->floor = MAX(watch->floor, least);
+}
+
+static void look_at_daemons(struct watch *watch)
+{
+	for (unsigned int i = 0; i < watch->fleet->options.count; i++) {
+		struct rig_process *daemon = watch->fleet->hosts[i].daemon;
+
+		if (watch->is_disturbed[i] || watch->has_ended[i] ||
+		    !rig_has_ended(daemon))
+			continue;
+		watch->has_ended[i] = true;
+		verdict_note(watch->verdict, POINT_LIVES, false,
+			     "d%u ended by itself, status %d", i,
+			     daemon->exit_status);
+	}
+}
+
+void watch_look(struct watch *watch)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (now_us < watch->next_us)
+		return;
+	watch->next_us = now_us + LOOK_US;
+	look_at_daemons(watch);
+	look_at_versions(watch);
+}
+
+void watch_stop_all(struct watch *watch)
+{
+	struct fleet *fleet = watch->fleet;
+
+	for (unsigned int i = 0; i < fleet->options.count; i++) {
+		if (!watch->has_ended[i])
+			rig_signal(fleet->hosts[i].daemon, SIGTERM);
+	}
+	for (unsigned int i = 0; i < fleet->options.count; i++) {
+		struct rig_process *daemon = fleet->hosts[i].daemon;
+		int status;
+
+		if (watch->has_ended[i])
+			continue;
+		status = rig_wait_end(daemon, 2 * FLEET_GRACE_S * 1000);
+		verdict_note(watch->verdict, POINT_LIVES,
+			     WIFEXITED(status) && WEXITSTATUS(status) == 0,
+			     "d%u ended with status %d", i, status);
+	}
+}
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -57,6 +57,7 @@
 	struct rig_process *store;
 	struct fleet_host *hosts;
 	struct fleet_options options;
+	unsigned int config_version; /* kept by whoever changes it */
 };
 
 /* Starts all; the store has no configuration yet. */
--- a/tests/system/ledger.c
+++ b/tests/system/ledger.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define LOAD_END_MS 60000
-#define CALL_PARTS 5
+#define CALL_PARTS 7
 
 struct line {
 	const char *id;
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -17,6 +17,7 @@
 	char *directory;
 	GPtrArray *paths;
 	GPtrArray *processes;
+	bool keeps_files;
 };
 
 /* For the signal handler; a test has one rig at a time. */
@@ -39,8 +40,16 @@
 	close(fd);
 }
 
+const char *rig_keep_files(struct rig *rig)
+{
+	rig->keeps_files = true;
+	return rig->directory;
+}
+
 static void remove_files(const struct rig *rig)
 {
+	if (rig->keeps_files)
+		return;
 	for (guint i = 0; i < rig->paths->len; i++)
 		unlink(g_ptr_array_index(rig->paths, i));
 	rmdir(rig->directory);
--- a/tests/system/rig.h
+++ b/tests/system/rig.h
@@ -45,6 +45,9 @@
 struct rig *rig_create(void);
 void rig_destroy(struct rig *rig);
 
+/* From now on the files stay. RETURN VALUE: the directory. */
+const char *rig_keep_files(struct rig *rig);
+
 /* RETURN VALUE: the path of a new file in the temporary directory. */
 const char *rig_write_file(struct rig *rig, const char *name,
 			   const char *format, ...) G_GNUC_PRINTF(3, 4);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,11 @@
+#include <arpa/inet.h>
+#include <errno.h>
 #include <ev.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/http_client.h"
 #include "common/http_server.h"
@@ -91,9 +96,61 @@
 	g_free(f.body);
 }
 
+/* RETURN VALUE: a connection, or -1 with errno set. */
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/*
+ * A daemon that stops closes its port. A caller who connected a moment before
+ * waits in the kernel's queue, and gets its answer; one who comes after must be
+ * told by the kernel that nobody listens. Left in a queue that nobody reads, it
+ * would wait until the daemon's end and then see its connection break, without
+ * knowing whether its request ran.
+ */
+static void test_quiesced_port(void)
+{
+	static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct http_server_options options = {.address = "127.0.0.1"};
+	struct fixture f = {.loop = ev_loop_new(0)};
+	char answer[16] = "";
+	uint16_t port;
+	int fd;
+
+	f.server = http_server_create(f.loop, &options, handle_request, &f);
+	port = http_server_port(f.server);
+	fd = connect_to(port);
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(send(fd, request, strlen(request), 0), >, 0);
+	http_server_quiesce(f.server);
+	g_assert_cmpint(connect_to(port), ==, -1);
+	g_assert_cmpint(errno, ==, ECONNREFUSED);
+	for (int i = 0; i < 1000 && !*answer; i++) {
+		ev_run(f.loop, EVRUN_NOWAIT);
+		recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT);
+		g_usleep(1000);
+	}
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+	close(fd);
+	http_server_destroy(f.server);
+	ev_loop_destroy(f.loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http/quiesced", test_quiesced_port);
 	g_test_add_func("/http/now-and-later", test_replies_now_and_later);
 	return g_test_run();
 }
