--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -99,15 +99,11 @@
 }
 
 /* What upstreams on the users' platform tell with each answer. */
-static void add_platform_headers(struct job *job, struct MHD_Response *response)
+static void add_platform_headers(struct job *job, struct MHD_Response *response,
+				 const char *id)
 {
 	struct upstream *upstream = job->upstream;
-	const char *id = job->id ? job->id : "";
 
-	if (upstream->faults.strange_next > 0) {
-		upstream->faults.strange_next--;
-		id = "of-another-request";
-	}
 	MHD_add_response_header(response, "X-Comfreydock-Request-Id", id);
 	if (job->status == MHD_HTTP_OK)
 		MHD_add_response_header(response,
@@ -121,17 +117,30 @@
 	control_add_load(upstream, response);
 }
 
+/* RETURN VALUE: the id that the answer bears; NULL: none. */
+static const char *answered_id(struct job *job)
+{
+	struct upstream_faults *faults = &job->upstream->faults;
+
+	if (!job->upstream->options.instance || faults->strange_next <= 0)
+		return job->id;
+	faults->strange_next--;
+	return "of-another-request";
+}
+
 static enum MHD_Result answer(struct job *job)
 {
 	struct MHD_Response *response;
+	const char *id;
 	enum MHD_Result result;
 	char number[32];
 
 	if (job->drop)
 		return MHD_NO;
 	response = create_body(job);
-	if (job->id)
-		MHD_add_response_header(response, "X-Request-Id", job->id);
+	id = answered_id(job);
+	if (id)
+		MHD_add_response_header(response, "X-Request-Id", id);
 	g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, job->body_size);
 	MHD_add_response_header(response, "X-Body-Size", number);
 	MHD_add_response_header(response, "X-Body-Sha256",
@@ -142,7 +151,7 @@
 	if (job->status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		MHD_add_response_header(response, "X-Shed", "1");
 	if (job->upstream->options.instance)
-		add_platform_headers(job, response);
+		add_platform_headers(job, response, id ? id : "");
 	result = MHD_queue_response(job->connection, job->status, response);
 	MHD_destroy_response(response);
 	return result;
