--- a/include/comfreydockd/decide/breaker.h
+++ b/include/comfreydockd/decide/breaker.h
@@ -4,15 +4,12 @@
  *
  * DESCRIPTION
  *	One for each owner. After BREAKER_STREAK runs in a row that gave no
- *	answer (broken off, strange, none long after the deadline), or
- *	BREAKER_LOSSES of the last BREAKER_WINDOW, it is open: requests that
- *	another upstream may take are turned back as not run, also where the
- *	others are slow or busy. A request that no other has taken is begun all
- *	the same, and to find out one that may be repeated every
- *	BREAKER_TRIAL_US and any other every BREAKER_RISKY_TRIAL_US.
- *
- *	BREAKER_GOOD answers in a row close it. Where it opens again within
- *	BREAKER_AGAIN_US, twice as many are needed as the last time.
+ *	answer (broken off, strange, none long after the deadline) it is open:
+ *	requests that another upstream may take are turned back as not run, also
+ *	where the others are slow or busy. A request that no other has taken is
+ *	begun all the same, and to find out one that may be repeated every
+ *	BREAKER_TRIAL_US and any other every BREAKER_RISKY_TRIAL_US. BREAKER_GOOD
+ *	answers in a row close it.
  *
  *	An upstream's own 5xx is an answer. Whether these are the upstream's
  *	fault or that of a service behind all of its kind, only entries can
@@ -20,7 +17,7 @@
  *
  * LOAD PATTERN
  *	An upstream whose health path says that it is well and that resets each
- *	request, or answers none, or loses a good part of its answers.
+ *	request, or answers none.
  *
  * WITHOUT IT
  *	Each entry has to find out by itself, and again with each of its
@@ -31,12 +28,7 @@
  * GROUNDS
  *	BREAKER_STREAK: an upstream that loses one answer in twenty, as under a
  *	poor network, opens it once in three million runs; one that loses four
- *	in ten once in a hundred. BREAKER_LOSSES of BREAKER_WINDOW: one that
- *	loses half opens it after some twenty runs, one in twenty once in
- *	300,000. Without these and with two good answers in any case, half of
- *	600 requests lost over 20 s left 83 lost that may not be repeated, with
- *	them 5 (tests/test_breaker.c). BREAKER_AGAIN_US is the time of some
- *	twenty trials. BREAKER_TRIAL_US: ten requests a second that
+ *	in ten once in a hundred. BREAKER_TRIAL_US: ten requests a second that
  *	may be repeated are little beside what an upstream does, and it is back
  *	within some 200 ms. Where nothing may be repeated, one caller in a second
  *	takes the risk, or the upstream would never be found well again.
@@ -51,11 +43,7 @@
 #include <stdint.h>
 
 #define BREAKER_STREAK 5
-#define BREAKER_WINDOW 14
-#define BREAKER_LOSSES 7
 #define BREAKER_GOOD 2
-#define BREAKER_GOOD_MAX 16
-#define BREAKER_AGAIN_US ((int64_t)2000 * 1000)
 #define BREAKER_TRIAL_US ((int64_t)100 * 1000)
 #define BREAKER_RISKY_TRIAL_US ((int64_t)1000 * 1000)
 
@@ -63,15 +51,12 @@
 struct breaker {
 	bool is_open;
 	uint32_t streak; /* of failed runs */
-	uint32_t losses; /* a bit for each of the last runs, 1: it failed */
 	uint32_t good; /* answers in a row since it opened */
-	uint32_t good_needed; /* to close it */
-	int64_t closed_us;
 	int64_t tried_us; /* the last trial */
 };
 
 /* RETURN VALUE: true where the breaker has opened or closed by this. */
-bool breaker_note(struct breaker *breaker, bool is_answer, int64_t now_us);
+bool breaker_note(struct breaker *breaker, bool is_answer);
 
 /*
  * RETURN VALUE: true where the request is to be turned back. false counts as a
