--- a/tests/system/test_links.c
+++ b/tests/system/test_links.c
@@ -10,6 +10,9 @@
 #define WAIT_UP_MS 15000
 /* Longer than the deadline and than the suspicion of a lost host. */
 #define HOLD_MS 4500
+/* Longer than the deadline, and over before the host is taken for lost and its
+ * connections are closed. */
+#define SHORT_HOLD_MS 2300
 
 static const struct cluster_options options = {
 	.count = 3,
@@ -84,6 +87,25 @@
 	g_assert_cmpuint(ledger.served, >, ledger.calls * 9 / 10);
 }
 
+/*
+ * The same, and over so soon that the connections live on. The answers of calls
+ * that have ended come among those of new ones on the same connection; a caller
+ * who got one of them would read what was meant for another.
+ */
+static void test_answers_to_ended_calls(void)
+{
+	int64_t before = cluster_counter(&cluster, 0, "peer_unmatched") +
+			 cluster_counter(&cluster, 1, "peer_unmatched");
+	struct ledger ledger =
+		disturb("{\"hold_backward\": true}",
+			"{\"hold_backward\": false}", SHORT_HOLD_MS, "55");
+
+	g_assert_cmpuint(ledger.served, >, ledger.calls * 8 / 10);
+	g_assert_cmpint(cluster_counter(&cluster, 0, "peer_unmatched") +
+				cluster_counter(&cluster, 1, "peer_unmatched"),
+			>, before);
+}
+
 /* The other way: requests and cancels are held back, and flow together. */
 static void test_requests_that_come_late(void)
 {
@@ -103,6 +125,7 @@
 	g_test_add_func("/links/cut", test_cut_links);
 	g_test_add_func("/links/half-open", test_half_open_links);
 	g_test_add_func("/links/late-answers", test_answers_that_come_late);
+	g_test_add_func("/links/answers-to-ended", test_answers_to_ended_calls);
 	g_test_add_func("/links/late-requests", test_requests_that_come_late);
 	status = g_test_run();
 	cluster_stop(&cluster);
--- a/tests/system/test_planned.c
+++ b/tests/system/test_planned.c
@@ -10,6 +10,8 @@
 #define WAIT_UP_MS 15000
 /* "A few seconds": what the brief allows for the last new work. */
 #define LAST_WORK_MS 2000
+/* What an upstream takes to end that was told that it may. */
+#define STOP_MS 300
 
 static const struct cluster_options options = {
 	.count = 3,
@@ -74,8 +76,8 @@
 }
 
 /*
- * An upstream asks to stop, is told when it may, and ends at once. It is then
- * replaced by a new one.
+ * An upstream asks to stop and is told when it may. From then on nothing begins
+ * there: what did would be cut off by its end. It is then replaced by a new one.
  */
 static void test_stop_of_an_upstream(void)
 {
@@ -84,8 +86,13 @@
 		ledger_start_load(&cluster, ALL, "200", "7", "72");
 
 	for (int round = 0; round < 2; round++) {
+		unsigned int before;
+
 		rig_sleep_ms(800);
 		command("/v1/upstream/stop");
+		before = count_runs();
+		rig_sleep_ms(STOP_MS);
+		g_assert_cmpuint(count_runs(), ==, before);
 		rig_kill(cluster.upstreams[LEAVING]);
 		rig_sleep_ms(1000);
 		cluster_start_upstream(&cluster, LEAVING, &options);
