stop: tell the callers of calls that outlast it

A call that ran longer than a stop waits lost its connection with the end of the process, although stop.h promises an answer. A hundred milliseconds before the end each such caller is told that the outcome is not known. /second-tries/long-calls failed before (no answer arrived). The same program plays hedged requests with a body and an upstream that sheds, both with real processes for the first time.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -352,6 +352,21 @@
 		call_finish_unanswered(call);
 }
 
+void call_end_now(struct call *call)
+{
+	if (call->answering) {
+		counters.caller_aborted++;
+		call->sink->handle_abort(call->sink_data);
+		call_free(call);
+		return;
+	}
+	if (!LIST_EMPTY(&call->active)) {
+		call->may_have_run = true;
+		call->lost = true;
+	}
+	call_finish_unanswered(call);
+}
+
 void call_start(struct call *call)
 {
 	call->is_started = true;
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -277,6 +277,14 @@
 	}
 }
 
+void entry_end_all(struct entry *entry)
+{
+	struct call *call;
+
+	while ((call = LIST_FIRST(&entry->calls)))
+		call_end_now(call);
+}
+
 size_t entry_count(const struct entry *entry)
 {
 	return entry->count;
--- a/comfreydockd/stop.c
+++ b/comfreydockd/stop.c
@@ -15,6 +15,8 @@
 #define CHECK_S 0.05
 /* After the port is closed, what was accepted last still gets its answer. */
 #define LAST_CALLS_US (300 * US_PER_MS)
+/* What is told to callers at the very end needs so long to be written. */
+#define LAST_WORDS_US (100 * US_PER_MS)
 /* The good-bye's way through gossip. */
 #define LEAVE_US (500 * US_PER_MS)
 
@@ -38,6 +40,7 @@
 	int64_t left_us; /* since the good-bye; 0: not said yet */
 	bool row_is_left;
 	bool has_cancelled;
+	bool has_ended_all;
 };
 
 static bool is_quiet(const struct stop *stop)
@@ -104,6 +107,16 @@
 	entry_cancel_all(stop->daemon->entry);
 }
 
+/* What runs longer than the stop can wait: its callers learn that nobody knows
+ * what became of it. */
+static void end_rest(struct stop *stop)
+{
+	if (stop->has_ended_all)
+		return;
+	stop->has_ended_all = true;
+	entry_end_all(stop->daemon->entry);
+}
+
 /* Callers with a connection of before may still send on it after the good-bye,
  * so it ends only in a moment without work. */
 static bool may_end(const struct stop *stop, int64_t now, bool is_over)
@@ -134,6 +147,8 @@
 		stop->busy_us = now;
 	if (is_late)
 		cancel_rest(stop);
+	if (spent_us >= most_us + LEAVE_US - LAST_WORDS_US)
+		end_rest(stop);
 	if (!stop->left_us && (is_late || now - stop->busy_us >= LAST_CALLS_US))
 		leave(stop, now);
 	if (!may_end(stop, now, spent_us >= most_us + LEAVE_US))
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -19,6 +19,9 @@
 /* Makes no further attempt, and cancels those that wait: what runs goes on. */
 void call_give_up(struct call *call);
 
+/* Tells the caller what is known by now; a begun answer is broken off. */
+void call_end_now(struct call *call);
+
 void call_fill_hedge_question(const struct call *call,
 			      struct hedge_question *question);
 
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -77,6 +77,9 @@
 /* Ends the calls of which nothing runs, as not run. */
 void entry_cancel_all(struct entry *entry);
 
+/* Ends all others, too, as of unknown outcome; begun answers break. */
+void entry_end_all(struct entry *entry);
+
 /* RETURN VALUE: the calls that have not ended. */
 size_t entry_count(const struct entry *entry);
 
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define PORT_TRIES 100
+#define DRAIN_TIMEOUT_MS 10000
 #define KEY "a key for tests only"
 
 struct up_wait {
@@ -119,13 +120,15 @@
 	g_string_append_printf(
 		text,
 		"{\"host\": \"d%u\", \"domain\": \"%s\",\n"
-		"\"region\": \"reykjavik\", \"drain_timeout_ms\": 10000,\n"
+		"\"region\": \"reykjavik\", \"drain_timeout_ms\": %u,\n"
 		"\"caller\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
 		"\"admin\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
 		"\"platform\": {\"url\": \"http://127.0.0.1:%u\"},\n"
 		"\"log_format\": \"json\",\n",
-		i, domains[i % 2], ports->caller, ports->admin,
-		cluster->platform->port);
+		i, domains[i % 2],
+		options->drain_timeout_ms ? options->drain_timeout_ms :
+					    DRAIN_TIMEOUT_MS,
+		ports->caller, ports->admin, cluster->platform->port);
 	if (*config)
 		g_string_append_printf(text, "\"config_file\": \"%s\",\n",
 				       cluster->config_file);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -56,6 +56,7 @@
 	unsigned int upstreams; /* bit i: one beside daemon i; 0: all */
 	const char *backlog; /* of each upstream; NULL: "64" */
 	unsigned int relayed; /* bit i: a relay before daemon i */
+	unsigned int drain_timeout_ms; /* 0: 10 s */
 };
 
 /* RETURN VALUE: a port for TCP and UDP, kept for this test until it ends. */
--- /dev/null
+++ b/tests/system/test_second_tries.c
@@ -0,0 +1,195 @@
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "ledger.h"
+
+/*
+ * What is sent a second time although the first may still run, or because the
+ * upstream itself says that it ran nothing; and calls that outlast the time
+ * that a stop has for them.
+ */
+
+#define ALL 7u /* daemons 0, 1 and 2 */
+#define VICTIM 1
+#define WAIT_UP_MS 15000
+#define BODY_BYTES "50000" /* no more is kept for another attempt */
+#define LOAD_MS 20000
+/* Of a call that a stop gives up. */
+#define END_MS 15000
+
+static const struct cluster_options options = {
+	.count = 3,
+	.config =
+		"{\"namespace\": \"t\", \"services\": {\"s\": {\n"
+		" \"path_prefixes\": [\"/\"], \"group\": \"s\",\n"
+		" \"shed_statuses\": [503],\n"
+		" \"rules\": [\n"
+		"  {\"name\": \"hedged\", \"methods\": [\"POST\"],\n"
+		"   \"path_prefix\": \"/hedged\", \"idempotent\": true,\n"
+		"   \"deadline_ms\": 5000, \"hedge\": {\"budget_percent\": "
+		"50},\n"
+		"   \"retry\": {\"max_attempts\": 3, \"budget_percent\": "
+		"50}},\n"
+		"  {\"name\": \"long\", \"methods\": [\"GET\"],\n"
+		"   \"path_prefix\": \"/long\", \"deadline_ms\": 60000},\n"
+		"  {\"name\": \"any\", \"deadline_ms\": 2000,\n"
+		"   \"retry\": {\"max_attempts\": 3, \"budget_percent\": 50}}\n"
+		" ]}}}\n",
+	.slots = "8",
+	.service_time_us = "10000",
+	.backlog = "1",
+	.drain_timeout_ms = 1500,
+};
+static struct cluster cluster;
+
+static int64_t sum_of(const char *counter)
+{
+	int64_t sum = 0;
+
+	for (unsigned int i = 0; i < cluster.count; i++)
+		sum += cluster_counter(&cluster, i, counter);
+	return sum;
+}
+
+static int64_t member_of(struct rig_process *load, const char *name)
+{
+	char *text;
+	int64_t value;
+
+	rig_wait_end(load, LOAD_MS);
+	text = rig_read_output(load);
+	value = rig_json_int(text, name);
+	g_free(text);
+	return value;
+}
+
+static struct rig_process *start_load(uint16_t port, const char *path,
+				      const char *body_bytes, const char *rate)
+{
+	char *target = g_strdup_printf("http://127.0.0.1:%u", port);
+	struct rig_process *load = rig_start(
+		cluster.rig, "standin/load/standin-load", "--target", target,
+		"--post-path", path, "--share-nonidempotent", "1",
+		"--body-bytes", body_bytes, "--rate", rate, "--seconds", "4",
+		"--seed", "31", "--id-prefix", path + 1, NULL);
+
+	g_free(target);
+	return load;
+}
+
+static void slow_all(const char *faults)
+{
+	for (unsigned int i = 0; i < cluster.count; i++)
+		cluster_set_upstream(&cluster, i, faults);
+}
+
+/*
+ * Requests with a body that may be repeated are sent to a second upstream while
+ * the first, which is slow just then, still reads or runs them. Each upstream must get the
+ * whole body, and the caller one answer; half a body in two places would be
+ * seen as an answer of another length.
+ */
+static void test_hedged_bodies(void)
+{
+	int64_t hedges = sum_of("entry_hedges");
+	struct rig_process *load;
+
+	/* The rule's usual latency is learned first. */
+	load = start_load(cluster.daemons[0]->caller_port, "/hedged/1", "1000",
+			  "60");
+	g_assert_cmpint(member_of(load, "wrong"), ==, 0);
+	load = start_load(cluster.daemons[0]->caller_port, "/hedged/2",
+			  BODY_BYTES, "60");
+	for (int i = 0; i < 6; i++) {
+		slow_all("{\"factor\": 15}");
+		rig_sleep_ms(300);
+		slow_all("{\"factor\": 1}");
+		rig_sleep_ms(300);
+	}
+	g_assert_cmpint(member_of(load, "wrong"), ==, 0);
+	g_assert_cmpint(member_of(load, "served"), ==,
+			member_of(load, "started"));
+	g_assert_cmpint(sum_of("entry_hedges"), >, hedges);
+}
+
+/*
+ * An upstream has callers of its own, and its slots are full of their work: it
+ * answers what its daemon sends with a status that the operator named as "not
+ * run". Such a booking goes to another upstream; no caller notices, and none
+ * runs twice.
+ */
+static void test_shed_bookings(void)
+{
+	struct ledger ledger = {0};
+	struct rig_process *own;
+	struct ledger_load load;
+	int64_t shed;
+
+	shed = rig_metric(cluster.daemons[VICTIM]->admin_port,
+			  "comfreydock_refusals{reason=\"REASON_SHED\"}");
+	load = ledger_start_load(&cluster, ALL, "100", "4", "32");
+	own = start_load(cluster.upstreams[VICTIM]->port, "/own/1", "10", "1500");
+	ledger_add(&ledger, &cluster, &load);
+	ledger_assert_clean(&ledger);
+	g_assert_cmpuint(ledger.served, >=, ledger.calls * 95 / 100);
+	rig_wait_end(own, LOAD_MS);
+	g_assert_cmpint(
+		rig_metric(cluster.daemons[VICTIM]->admin_port,
+			   "comfreydock_refusals{reason=\"REASON_SHED\"}"),
+		>, MAX(shed, 0));
+}
+
+struct patient {
+	char *url;
+	struct rig_answer *answer;
+};
+
+static gpointer call_patiently(gpointer data)
+{
+	struct patient *patient = data;
+
+	patient->answer = rig_http("GET", patient->url, NULL, NULL, END_MS);
+	return NULL;
+}
+
+/*
+ * A daemon is told to end while a call runs that takes longer than a stop may.
+ * It ends all the same, and its caller learns that nobody knows what became of
+ * the call; a connection that just breaks would leave that to guessing.
+ */
+static void test_stop_gives_up_long_calls(void)
+{
+	struct patient patient = {
+		.url = g_strdup_printf("http://127.0.0.1:%u/long/1",
+				       cluster.daemons[VICTIM]->caller_port),
+	};
+	GThread *caller;
+
+	slow_all("{\"factor\": 3000}");
+	caller = g_thread_new("caller", call_patiently, &patient);
+	rig_sleep_ms(500);
+	rig_signal(cluster.daemons[VICTIM], SIGTERM);
+	g_thread_join(caller);
+	g_assert_true(patient.answer->arrived);
+	g_assert_cmpstr(cluster_outcome(patient.answer), ==, "unknown");
+	g_assert_cmpint(rig_wait_end(cluster.daemons[VICTIM], END_MS), ==, 0);
+	rig_answer_free(patient.answer);
+	g_free(patient.url);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	cluster_start(&cluster, &options);
+	cluster_wait_up(&cluster, cluster.count, WAIT_UP_MS);
+	g_test_add_func("/second-tries/hedged-bodies", test_hedged_bodies);
+	g_test_add_func("/second-tries/shed", test_shed_bookings);
+	g_test_add_func("/second-tries/long-calls",
+			test_stop_gives_up_long_calls);
+	status = g_test_run();
+	cluster_stop(&cluster);
+	return status;
+}
