--- a/include/common/log.h
+++ b/include/common/log.h
@@ -22,8 +22,11 @@
  *	written, at each daemon that it passes, and none of the others. What
  *	was left out is told each second, by event.
  *
- *	GROUNDS: 200 lines of some 200 bytes cost 0.3 % of a core, and an
- *	on-call engineer's tools take them from a thousand hosts.
+ *	GROUNDS: a line costs 1.5 to 2.0 us of processor time, one that is left
+ *	out 0.1 us (bench-log), so 200 lines a second are 0.04 % of a core. On
+ *	the day with the most calls of the larger installation a daemon used
+ *	0.96 and 0.78 % of a core with the log and 0.99 and 0.74 % without (two
+ *	seeds). An on-call engineer's tools take 200 lines from a thousand hosts.
  */
 #ifndef COMMON_LOG_H
 #define COMMON_LOG_H
