--- a/standin/platform/main.c
+++ b/standin/platform/main.c
@@ -14,6 +14,7 @@
 
 #include "common/http_server.h"
 #include "common/log.h"
+#include "objects.h"
 #include "platform/wire.h"
 #include "standin.h"
 #include "table.h"
@@ -95,12 +96,6 @@
 	return lost;
 }
 
-/* Percent-encoding undone; NULL where it is wrong. */
-static char *name_after(const char *path, const char *prefix)
-{
-	return g_uri_unescape_string(path + strlen(prefix), NULL);
-}
-
 static const char *argument(const struct http_request *request,
 			    const char *name, const char *missing)
 {
@@ -268,17 +263,12 @@
 
 static void put_object(struct platform *platform, struct http_request *request)
 {
-	const GString *body = http_request_body(request);
-	char *name = name_after(http_request_path(request), WIRE_BLOB_PUT);
+	bool good = objects_put(platform->objects, request);
 
 	platform->writes++;
-	if (!name) {
+	if (!good)
 		reply_status(request, 400);
-		return;
-	}
-	g_hash_table_replace(platform->objects, name,
-			     g_bytes_new(body->str, body->len));
-	if (answer_is_lost(platform))
+	else if (answer_is_lost(platform))
 		http_request_abort(request);
 	else
 		reply_status(request, 200);
@@ -286,20 +276,9 @@
 
 static void get_object(struct platform *platform, struct http_request *request)
 {
-	char *name = name_after(http_request_path(request), WIRE_BLOB_GET);
-	GBytes *bytes =
-		name ? g_hash_table_lookup(platform->objects, name) : NULL;
-	const char *data;
-	gsize size;
-
 	platform->reads++;
-	g_free(name);
-	if (!bytes) {
+	if (!objects_reply(platform->objects, request))
 		reply_status(request, 404);
-		return;
-	}
-	data = g_bytes_get_data(bytes, &size);
-	http_request_reply(request, 200, NULL, data ? data : "", size);
 }
 
 static void set_faults(struct platform *platform, struct http_request *request)
@@ -495,8 +474,7 @@
 	LIST_INIT(&platform.late_writes);
 	table_init(&platform.table);
 	platform.random = g_rand_new_with_seed(1);
-	platform.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						 (GDestroyNotify)g_bytes_unref);
+	platform.objects = objects_create();
 	platform_run(&platform, port);
 	g_hash_table_destroy(platform.objects);
 	g_rand_free(platform.random);
