--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -209,8 +209,7 @@
 	call_init_timers(call);
 	call_note(call, EV_ENTRY_TAKEN, LOG_STR("method", request->method),
 		  LOG_STR("service", config->name), LOG_STR("rule", rule->name),
-		  LOG_STR("group", call->group),
-		  LOG_INT("class", rule->class),
+		  LOG_STR("group", call->group), LOG_INT("class", rule->class),
 		  LOG_INT("head", config_store_head(entry->daemon->config)),
 		  LOG_INT("left_us", call->deadline_us - call->began_us));
 	return call;
