--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -71,8 +71,8 @@
  *	time 0.923 (7 entries) and 0.945 (500), with it 0.955 and 0.970;
  *	bench-decide -k burst -l 0.5.
  *	Assumptions: 100 ms and 3/4 for what is offered, at least 100 ms before
- *	a queue is standing, half of the remaining time then, one turn in 17 for a class that is passed over,
- *	one item in four against the estimate.
+ *	a queue is standing, half of the remaining time then, one turn in 17
+ *	for a class that is passed over, one item in four against the estimate.
  *
  * SOURCE
  *	Nichols, Jacobson, "Controlling Queue Delay", ACM Queue 2012 (RFC 8289),
