--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -36,8 +36,14 @@
  *	Calls wait at a full upstream while another has free slots; an upstream
  *	that runs ten times slower gets as many calls as the others.
  *
+ *	Hosts that run slow for a moment come after quick ones. Where none of
+ *	these has room either, a request goes where it stays least long: a short
+ *	queue at a quick host before a slow one that stands empty.
+ *
  * GROUNDS
- *	The tables of docs/design/decisions.md.
+ *	The tables of docs/design/decisions.md. Short queues before slow hosts:
+ *	tests/traces/slow-spells-busy, 0.90 of the calls on target, 0.83 by
+ *	fullness alone.
  *
  *	The constants that runs compared: PICK_AGE_LATENCIES,
  *	PICK_MEAN_ALPHA, PICK_ROOM_UNKNOWN, PICK_REFUSAL_SHARE,
