--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -96,8 +96,7 @@
 	for (size_t i = 0; i < answer->row_count; i++)
 		take_row(follow, &answer->rows[i]);
 	/* Nothing newer is news, too: what is held is as new as this answer. */
-	config_store_note_head(follow->options.store,
-			       config_store_head(follow->options.store), NULL);
+	config_store_note_told(follow->options.store);
 	follow->version = MAX(follow->version, answer->version);
 	follow->is_watching = true;
 	follow->backoff_us = 0;
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -190,10 +190,15 @@
 	}
 }
 
+void config_store_note_told(struct config_store *store)
+{
+	store->told_us = clock_mono_us();
+}
+
 void config_store_note_head(struct config_store *store, uint64_t head,
 			    const char *from_host)
 {
-	store->told_us = clock_mono_us();
+	config_store_note_told(store);
 	if (head <= store->head && store->ready)
 		return;
 	store->known_head = MAX(store->known_head, head);
@@ -209,7 +214,7 @@
 			       const struct config_version *versions,
 			       size_t count)
 {
-	store->told_us = clock_mono_us();
+	config_store_note_told(store);
 	if (head < store->listed_head)
 		return;
 	store->known_head = MAX(store->known_head, head);
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -79,10 +79,13 @@
 uint64_t config_store_known_head(const struct config_store *store);
 
 /* When a version was last put in force, and when the platform or a peer last
- * told a head or a listing; of the clock's monotonic time, 0: never. */
+ * told of the newest; of the clock's monotonic time, 0: never. */
 int64_t config_store_adopted_us(const struct config_store *store);
 int64_t config_store_told_us(const struct config_store *store);
 
+/* Somebody who should know told of nothing newer. */
+void config_store_note_told(struct config_store *store);
+
 /* from_host: NULL where the platform told it. */
 void config_store_note_head(struct config_store *store, uint64_t head,
 			    const char *from_host);
