tests: the platform's template and the page of settings

The rendered template must load without a finding, and each key of the sample and of the template must stand in docs/settings.md. With a key renamed in the template, or a row of the page gone, they fail.

--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "comfreydockd/settings.h"
+#include "common/jsonc.h"
 
 #define KEY "0123456789abcdef"
 
@@ -120,6 +121,131 @@
 		       "caller.port: must lie between 0 and 65535");
 }
 
+static char *read_source(const char *folder, const char *name)
+{
+	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), folder,
+				      name, NULL);
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
+/* The template of the users' platform with what that would fill in. */
+static GString *render_template(void)
+{
+	static const struct {
+		const char *placeholder;
+		const char *value;
+	} values[] = {
+		{"{{node|json}}", "\"esja-1\""},
+		{"{{zone|json}}", "\"hall-esja\""},
+		{"{{region|json}}", "\"reykjavik\""},
+		{"{{service|json}}", "\"desk\""},
+		{"{{app|json}}", "\"127.0.0.1:8240\""},
+		{"{{ip|json}}", "\"10.0.0.7\""},
+		{"{{listen.outbound|json}}", "\"127.0.0.1:7000\""},
+		{"{{listen.ready|json}}", "\"10.0.0.7:7001\""},
+		{"{{listen.control|json}}", "\"127.0.0.1:7002\""},
+		{"{{internalPortRange.0}}", "7100"},
+		{"{{internalPortRange.1}}", "7101"},
+		{"{{platformApi.address}}", "10.0.0.1:80"},
+		{"{{bounds.retryBudgetRatio}}", "0.2"},
+		{"{{bounds.budgetSlack}}", "58"},
+		{"{{bounds.probesPerS}}", "60"},
+		{"{{bounds.graceS}}", "6"},
+	};
+	char *text = read_source("deploy", "settings.json");
+	GString *rendered = g_string_new(text);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++)
+		g_assert_cmpuint(g_string_replace(rendered, values[i].placeholder,
+						  values[i].value, 0),
+				 >, 0);
+	g_free(text);
+	return rendered;
+}
+
+/* The template has a mistake, or a placeholder that nobody fills in: no daemon
+ * of a deployment starts. */
+static void test_template_is_valid(void)
+{
+	char *dir = g_dir_make_tmp("settings-XXXXXX", NULL);
+	char *file = g_build_filename(dir, "s.json", NULL);
+	GString *rendered = render_template();
+	struct findings findings;
+	struct settings *settings;
+	char *found;
+
+	g_assert_null(strstr(rendered->str, "{{"));
+	g_assert_true(g_file_set_contents(file, rendered->str, -1, NULL));
+	findings_init(&findings);
+	settings = settings_load(file, &findings);
+	found = findings_to_text(&findings);
+	g_assert_cmpstr(found, ==, "");
+	g_assert_true(settings->follows_platform);
+	g_assert_cmpuint(settings->ready.port, ==, 7001);
+	g_assert_cmpuint(settings->probes_per_s, ==, 60);
+	settings_destroy(settings);
+	findings_finish(&findings);
+	g_unlink(file);
+	g_rmdir(dir);
+	g_string_free(rendered, TRUE);
+	g_free(found);
+	g_free(file);
+	g_free(dir);
+}
+
+/* Any address may be given as one text, which the page says once for all. */
+static bool is_told_once(const char *key)
+{
+	return strcmp(key, "at") == 0;
+}
+
+static void assert_documented(const char *page, json_object *object,
+			      const char *prefix)
+{
+	json_object_object_foreach(object, key, value)
+	{
+		char *name = g_strconcat(prefix, key, NULL);
+		char *quoted = g_strdup_printf("`%s`", name);
+		char *below = g_strconcat(name, ".", NULL);
+
+		if (json_object_is_type(value, json_type_object))
+			assert_documented(page, value, below);
+		else if (!is_told_once(key) && !strstr(page, quoted))
+			g_error("docs/settings.md does not tell of %s", name);
+		g_free(below);
+		g_free(quoted);
+		g_free(name);
+	}
+}
+
+/* An operator looks a setting of the samples up and does not find it. */
+static void test_settings_are_documented(void)
+{
+	char *page = read_source("docs", "settings.md");
+	char *sample = read_source("comfreydockd", "comfreydockd.sample.json");
+	GString *rendered = render_template();
+	const char *texts[] = {sample, rendered->str};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct findings findings;
+		struct jsonc_doc *doc;
+
+		findings_init(&findings);
+		doc = jsonc_parse("sample", texts[i], &findings);
+		g_assert_nonnull(doc);
+		assert_documented(page, doc->root, "");
+		jsonc_doc_destroy(doc);
+		findings_finish(&findings);
+	}
+	g_string_free(rendered, TRUE);
+	g_free(sample);
+	g_free(page);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -127,5 +253,7 @@
 	g_test_add_func("/settings/open-admin", test_open_admin_needs_token);
 	g_test_add_func("/settings/advertise", test_advertised_address);
 	g_test_add_func("/settings/mistakes", test_mistakes_are_named);
+	g_test_add_func("/settings/template", test_template_is_valid);
+	g_test_add_func("/settings/documented", test_settings_are_documented);
 	return g_test_run();
 }
