entry: go back to the busy ones where no other is left

The return to busy upstreams was only made after other refusals. /returns/back-to-the-full-one failed before, five times of five.

--- a/bench/decide/entry.c
+++ b/bench/decide/entry.c
@@ -366,6 +366,17 @@
 		call_arm(r, call, attempt);
 }
 
+/* As in comfreydockd/caller/call.c: goes back, once, to those that only had no
+ * room at the time. */
+static bool call_return_to_busy(struct replay_call *call)
+{
+	if (call->returns || call->tried_busy.count == 0)
+		return false;
+	call->returns = true;
+	pick_tried_forget(&call->tried, &call->tried_busy);
+	return true;
+}
+
 static void handle_next(void *replay, void *data)
 {
 	struct replay *r = replay;
@@ -378,6 +389,8 @@
 		return;
 	entry_refresh(r, entry);
 	c = pick_choose(&entry->set, &call->tried, r->events.now_us);
+	if (!c && call_return_to_busy(call))
+		c = pick_choose(&entry->set, &call->tried, r->events.now_us);
 	if (!c) {
 		call_finish_unanswered(r, call);
 		return;
@@ -389,17 +402,6 @@
 	call_send(r, call, false, may_queue, c);
 }
 
-/* As in comfreydockd/caller/call.c: goes back, once, to those that only had no
- * room at the time. */
-static bool call_return_to_busy(struct replay_call *call)
-{
-	if (call->returns || call->tried_busy.count == 0)
-		return false;
-	call->returns = true;
-	pick_tried_forget(&call->tried, &call->tried_busy);
-	return true;
-}
-
 static void call_decide(struct replay *r, struct replay_call *call,
 			enum retry_outcome outcome, int64_t retry_after_us)
 {
@@ -417,7 +419,7 @@
 
 	call->busy += busy;
 	call->unheard += !busy && !retry_counts(outcome);
-	if (!retry_counts(outcome) && question.untried == 0 &&
+	if ((busy || !retry_counts(outcome)) && question.untried == 0 &&
 	    call_return_to_busy(call))
 		question.untried = pick_count_untried(&entry->set, &call->tried);
 	question.attempts = busy ? call->busy : call_work_attempts(call);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -69,6 +69,22 @@
 	return pick_count_untried(&call->service->picks, &call->tried);
 }
 
+/*
+ * Refused as busy by some, because another seemed to have room, and then that
+ * one turned out to be gone or to drain, or is left out by now: the call goes back, once, to wait at
+ * those that are only busy. Without this it would be told "not run" while
+ * upstreams that could serve it in milliseconds are up; callers would notice
+ * for as long as a crashed upstream looks idle.
+ */
+static bool call_return_to_busy(struct call *call)
+{
+	if (call->returns || call->tried_busy.count == 0)
+		return false;
+	call->returns = true;
+	pick_tried_forget(&call->tried, &call->tried_busy);
+	return true;
+}
+
 void call_send_attempt(struct call *call)
 {
 	int64_t now = clock_mono_us();
@@ -83,6 +99,8 @@
 		return;
 	}
 	upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream && call_return_to_busy(call))
+		upstream = service_choose(call->service, &call->tried, now);
 	if (!upstream) {
 		if (call->attempts == 0)
 			call->reason = CFD__REASON__REASON_NO_UPSTREAM;
@@ -142,22 +160,6 @@
 	};
 }
 
-/*
- * Refused as busy by some, because another seemed to have room, and then that
- * one turned out to be gone or to drain: the call goes back, once, to wait at
- * those that are only busy. Without this it would be told "not run" while
- * upstreams that could serve it in milliseconds are up; callers would notice
- * for as long as a crashed upstream looks idle.
- */
-static bool call_return_to_busy(struct call *call)
-{
-	if (call->returns || call->tried_busy.count == 0)
-		return false;
-	call->returns = true;
-	pick_tried_forget(&call->tried, &call->tried_busy);
-	return true;
-}
-
 /* What follows after an attempt, where no other is out. */
 static void call_decide(struct call *call, enum retry_outcome outcome,
 			enum attempt_entry_state state)
@@ -171,8 +173,8 @@
 	else if (!retry_counts(outcome))
 		call->unheard++;
 	call_fill_retry_question(call, outcome, &question);
-	if (!retry_counts(outcome) && question.untried == 0 &&
-	    call_return_to_busy(call))
+	if ((outcome == RETRY_OUTCOME_BUSY || !retry_counts(outcome)) &&
+	    question.untried == 0 && call_return_to_busy(call))
 		question.untried = call_untried(call);
 	answer = retry_decide(&call->service->retry, &question,
 			      &call->entry->random, now);
