comfreydockctl: read the time of failed calls only

failures turned the time of every line of a log into microseconds, with a time zone made and freed for each, and then passed over all lines that are not entry.failed. The time is now read after the name. What is printed does not change.

Checked: formatter, linter on the file, ctl and system-failures passed; the whole script was not run on this commit.

--- a/comfreydockctl/failures.c
+++ b/comfreydockctl/failures.c
@@ -47,12 +47,14 @@
 static void handle_line(json_object *line, void *data)
 {
 	struct summary *summary = data;
-	uint64_t time_us = logs_time_us(line);
 	struct failure *failure;
+	uint64_t time_us;
 	char *key;
 
-	if (strcmp(jsonc_get_text(line, "name"), FAILED) != 0 ||
-	    time_us < summary->since_us || time_us >= summary->until_us)
+	if (strcmp(jsonc_get_text(line, "name"), FAILED) != 0)
+		return;
+	time_us = logs_time_us(line);
+	if (time_us < summary->since_us || time_us >= summary->until_us)
 		return;
 	summary->count++;
 	key = g_strdup_printf("%-8s %-14s %-24s %s",
