decide/pick: of two service times the lower is the usual one

Cause: a retry is refused where the usual service time is more than the time left. The usual one was the median over the upstreams heard from, and of an even number the upper of the two in the middle. Of two upstreams the slower was never seen as slow, either.

--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -352,11 +352,13 @@
 }
 
 /* The median of the upstreams, not of the reports: one that answers nothing but
- * errors reports most often, and the same all the time. */
+ * errors reports most often, and the same all the time. Of an even number the
+ * lower of the two in the middle: where one of two upstreams answers late, a
+ * retry would be refused for lack of time with the other one free, and the late
+ * one would pass for the usual. */
 static void note_typical_service(struct pick_set *set)
 {
 	GArray *services = set->services;
-	guint middle;
 
 	g_array_set_size(services, 0);
 	for (guint i = 0; i < set->candidates->len; i++) {
@@ -365,11 +367,11 @@
 		if (c->load_known && c->load.service_us > 0)
 			g_array_append_val(services, c->load.service_us);
 	}
-	middle = services->len / 2;
 	if (services->len == 0)
 		return;
 	g_array_sort(services, compare_services);
-	set->typical_service_us = g_array_index(services, guint, middle);
+	set->typical_service_us =
+		g_array_index(services, guint, (services->len - 1) / 2);
 }
 
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
