--- a/include/bench/decide/replay_internal.h
+++ b/include/bench/decide/replay_internal.h
@@ -145,15 +145,27 @@
 void replay_entry_init(struct replay *r, uint32_t number);
 void replay_entry_finish(struct replay_entry *entry);
 
+struct replay_entry *replay_entry_of(struct replay *r,
+				     const struct replay_call *call);
+
+/* Tells pick and health how the attempt ended, and takes it from its call. */
+void replay_entry_note_end(struct replay *r, struct replay_attempt *attempt,
+			   bool timed_out);
+
+/* Takes over what health and the ramps say, as a daemon does between events. */
+void replay_entry_refresh(struct replay *r, struct replay_entry *entry);
+
+/* An event: data is the struct replay_report. */
+void replay_handle_report(void *replay, void *data);
+
+/* call.c */
+
 /* An event: data is the struct replay_call. */
 void replay_handle_call(void *replay, void *data);
 
 /* An event: data is the struct replay_attempt, which has its outcome. */
 void replay_handle_answer(void *replay, void *data);
 
-/* An event: data is the struct replay_report. */
-void replay_handle_report(void *replay, void *data);
-
 /* An event: the struct replay_attempt is overdue; or it is not. */
 void replay_handle_overdue(void *replay, void *data);
 void replay_handle_waiting(void *replay, void *data);
