--- a/tests/system/relay.c
+++ b/tests/system/relay.c
@@ -56,6 +56,19 @@
 	return false;
 }
 
+static void apply_lose_from(struct relay *relay, struct json_object *ports)
+{
+	if (!json_object_is_type(ports, json_type_array))
+		return;
+	g_array_set_size(relay->lose_from, 0);
+	for (size_t i = 0; i < json_object_array_length(ports); i++) {
+		uint16_t port = (uint16_t)json_object_get_int(
+			json_object_array_get_idx(ports, i));
+
+		g_array_append_val(relay->lose_from, port);
+	}
+}
+
 static void apply(struct relay *relay, struct json_object *command)
 {
 	standin_read_bool(command, "cut", &relay->cut);
@@ -63,6 +76,7 @@
 	standin_read_bool(command, "hold_backward", &relay->hold[BACKWARD]);
 	standin_read_int(command, "delay_ms", &relay->delay_ms);
 	standin_read_double(command, "lose_share", &relay->lose_share);
+	apply_lose_from(relay, json_object_object_get(command, "lose_from"));
 	tcp_apply(relay);
 }
 
@@ -153,11 +167,13 @@
 	standin_parse_options(&argc, &argv, entries, "A relay for tests.");
 	log_init(LOG_FORMAT_JSON, "relay");
 	relay.random = g_rand_new_with_seed(1);
+	relay.lose_from = g_array_new(FALSE, FALSE, sizeof(uint16_t));
 	if (parse_target(target, &relay.target))
 		result = relay_run(&relay, (uint16_t)port);
 	else
 		fprintf(stderr, "--target IP:PORT is needed\n");
 	g_rand_free(relay.random);
+	g_array_free(relay.lose_from, TRUE);
 	g_free(target);
 	return result;
 }
--- a/tests/system/relay.h
+++ b/tests/system/relay.h
@@ -7,7 +7,7 @@
  *	to its target. Commands come over HTTP to its control port:
  *
  *	POST /set {"cut": bool, "hold_forward": bool, "hold_backward": bool,
- *	           "delay_ms": N, "lose_share": 0..1}
+ *	           "delay_ms": N, "lose_share": 0..1, "lose_from": [PORT, ...]}
  *
  *	cut		connections are reset, new ones too; datagrams are lost
  *	hold_forward	towards the target nothing passes, not even a close;
@@ -15,6 +15,7 @@
  *	hold_backward	the same from the target
  *	delay_ms	all that passes, each way
  *	lose_share	of the datagrams, drawn with a fixed seed
+ *	lose_from	all datagrams of senders on these ports, each way
  *
  *	GET /stats gives the counts of connections, bytes and datagrams.
  */
@@ -49,6 +50,7 @@
 	gboolean hold[DIRECTIONS];
 	int64_t delay_ms;
 	double lose_share;
+	GArray *lose_from; /* of uint16_t */
 	GRand *random;
 	uint64_t connections;
 	uint64_t bytes[DIRECTIONS];
--- a/tests/system/relay_udp.c
+++ b/tests/system/relay_udp.c
@@ -49,14 +49,26 @@
 	g_free(datagram);
 }
 
+static bool is_lost(const struct udp_session *session, enum direction direction)
+{
+	const struct relay *relay = session->relay;
+	uint16_t port = ntohs(session->sender.sin_port);
+
+	for (guint i = 0; i < relay->lose_from->len; i++) {
+		if (g_array_index(relay->lose_from, uint16_t, i) == port)
+			return true;
+	}
+	return relay->cut || relay->hold[direction] ||
+	       g_rand_double(relay->random) < relay->lose_share;
+}
+
 static void take(struct udp_session *session, enum direction direction,
 		 const char *data, size_t size)
 {
 	struct relay *relay = session->relay;
 	struct datagram *datagram;
 
-	if (relay->cut || relay->hold[direction] ||
-	    g_rand_double(relay->random) < relay->lose_share)
+	if (is_lost(session, direction))
 		return;
 	if (relay->delay_ms == 0) {
 		pass_on(session, direction, data, size);
