tests: single calls of a rush all at once

Cause: the twenty calls went one after the other, those served wait for up to 0.95 s, so only four or so fell in the 2.5 s that the rush still lasted, and all of them were served now and then. Now all twenty are sent at once in the midst of the rush; what is asked of each is as before.

--- a/tests/system/test_load.c
+++ b/tests/system/test_load.c
@@ -29,6 +29,8 @@
 #define HANG_UP_MS "2000"
 #define SETTLE_MS 2000
 #define LOAD_MS 60000
+/* Calls of the caller in a rush that are looked at one by one. */
+#define SINGLES 20
 
 static struct cluster cluster;
 
@@ -102,6 +104,26 @@
 	return refused;
 }
 
+static gpointer call_in_thread(gpointer number)
+{
+	return GINT_TO_POINTER(call_is_refused(GPOINTER_TO_INT(number)));
+}
+
+/* All at once: one after the other, those that wait to be served would outlast
+ * the rush. RETURN VALUE: how many were refused. */
+static int call_in_rush(void)
+{
+	GThread *threads[SINGLES];
+	int refused = 0;
+
+	for (int i = 0; i < SINGLES; i++)
+		threads[i] = g_thread_new("single", call_in_thread,
+					  GINT_TO_POINTER(i));
+	for (int i = 0; i < SINGLES; i++)
+		refused += GPOINTER_TO_INT(g_thread_join(threads[i]));
+	return refused;
+}
+
 /*
  * Three times as many calls come as the upstreams can run, for some seconds.
  * Every caller gets an answer: some their own, the others that theirs was not
@@ -110,12 +132,11 @@
 static void test_overload_is_refused_and_ends(void)
 {
 	struct rig_process *load = start_load(RATE_OVERLOAD, "4", "rush");
-	int refused = 0;
+	int refused;
 	char *out;
 
 	rig_sleep_ms(1500);
-	for (int i = 0; i < 20; i++)
-		refused += call_is_refused(i);
+	refused = call_in_rush();
 	out = finish_load(load);
 	g_assert_cmpint(refused, >, 0);
 	g_assert_cmpint(rig_json_int(out, "run"), >, 0);
