--- a/include/comfreydockd/decide/fair.h
+++ b/include/comfreydockd/decide/fair.h
@@ -25,7 +25,7 @@
  *	flow of a hot one at an upstream, and a third of its requests were
  *	refused there at once (three upstreams, 14 to 26 of 68 requests).
  *
- *	FAIR_BUCKETS: lists of four at most where 1,024 callers wait at one
+ *	FAIR_BUCKETS: lists of four on average where 1,024 callers wait at one
  *	upstream, an assumption. A round's quantum follows
  *	the largest cost pushed and decays by 1/64 with each push: a quantum no
  *	less than the costs gives each item in constant time (the cited paper),
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -3,6 +3,8 @@
 
 #include "queue_owner.h"
 
+#define FULL 512 /* the bound of the queue that is filled */
+
 /*
  * For a quarter of an hour twice as many lookups come as can be answered. In
  * a plain queue each reaches its slot after its caller has given up, and
@@ -354,6 +356,54 @@
 	owner_destroy(owner);
 }
 
+static enum queue_verdict offer_of(struct queue *queue, struct call *call,
+				   const char *caller)
+{
+	struct queue_slots slots = {.limit = CALLS};
+	uint32_t retry_after_ms;
+
+	call->item.class = CONFIG_CLASS_NORMAL;
+	call->item.may_queue = true;
+	call->item.deadline_us = 3600 * US_PER_S;
+	call->item.key_hash = fair_hash(caller);
+	return queue_offer(queue, &call->item, &slots, 0, &retry_after_ms);
+}
+
+/*
+ * One caller fills the queue of an upstream to its bound. Others still get a few
+ * places each, or they would all be refused because of it. But whoever sends each
+ * request under a new name must not make the queue grow without end: the daemon
+ * would run out of memory, and all requests on its host fail.
+ */
+static void test_full_queue_has_an_end(void)
+{
+	const struct queue_options options = {
+		.policy = &queue_by_deadline, .fair = true, .max_items = FULL};
+	struct owner *owner = owner_create(&queue_by_deadline, true);
+	struct call *calls = owner->calls;
+	struct queue queue;
+	int in = 0;
+
+	queue_init(&queue, &options);
+	while (offer_of(&queue, &calls[in], "hot") == QUEUE_ACCEPTED)
+		in++;
+	g_assert_cmpint(in, ==, FULL);
+	for (int i = 0; i < 3; i++)
+		in += offer_of(&queue, &calls[in], "light") == QUEUE_ACCEPTED;
+	g_assert_cmpint(in, ==, FULL + FULL / 256);
+	for (int i = 0; i < 8 * FULL; i++) {
+		char *name = g_strdup_printf("name-%d", i);
+
+		in += offer_of(&queue, &calls[in], name) == QUEUE_ACCEPTED;
+		g_free(name);
+	}
+	g_assert_cmpint(in, ==, 4 * FULL);
+	while (queue_take_any(&queue))
+		;
+	queue_finish(&queue);
+	owner_destroy(owner);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -364,6 +414,7 @@
 	g_test_add_func("/queue/hot", test_hot_caller_bears_the_refusals);
 	g_test_add_func("/queue/slow-spell", test_slow_spell_is_forgotten);
 	g_test_add_func("/queue/quiet-hour", test_quiet_hour_after_a_slow_spell);
+	g_test_add_func("/queue/full", test_full_queue_has_an_end);
 	g_test_add_func("/queue/classes", test_no_class_starves);
 	g_test_add_func("/queue/order", test_earliest_deadline_comes_first);
 	g_test_add_func("/queue/busy", test_refuses_busy_at_once);
