--- a/bench/capacity/bench_lost.c
+++ b/bench/capacity/bench_lost.c
@@ -23,6 +23,7 @@
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/settings.h"
+#include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
 #include "common/socket.h"
@@ -52,14 +53,11 @@
 	return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
 }
 
-static void handle_whole(void *data, unsigned int status,
-			 const struct fields *fields, const char *text)
+static void handle_whole(void *data, struct call_reply *reply)
 {
 	struct bench *bench = data;
 
-	(void)status;
-	(void)fields;
-	(void)text;
+	(void)reply;
 	bench->ended++;
 }
 
@@ -150,6 +148,7 @@
 	struct call_request request = {.method = "POST",
 				       .target = target,
 				       .caller = "127.0.0.1",
+				       .arrived_us = clock_mono_us(),
 				       .fields = &fields};
 
 	fields_init(&fields);
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -1,6 +1,7 @@
 #include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/call_internal.h"
 
+#include "comfreydockd/decide/ahead.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/health.h"
 #include "comfreydockd/decide/pace.h"
@@ -129,6 +130,7 @@
 	out->body.len = call->body->len;
 	out->body_ends = call->body_ends;
 	out->depth = call->depth;
+	out->answer_window = call->is_behind ? AHEAD_WINDOW_BYTES : 0;
 }
 
 static size_t fill_shed_statuses(const struct config_service *config,
@@ -174,6 +176,7 @@
 	attempt->upstream = service_upstream_ref(upstream);
 	attempt->seq = ++entry->next_seq;
 	attempt->is_hedge = is_hedge;
+	attempt->has_small_window = call->is_behind;
 	attempt->sent_us = clock_mono_us();
 	attempt->state = ENTRY_PICKED;
 	attempt->peer = peers_connect(entry->daemon->peers, member);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "comfreydockd/caller/call_internal.h"
+#include "comfreydockd/decide/ahead.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/retry.h"
 #include "common/clock.h"
@@ -423,6 +424,20 @@
 		entry_attempt_send_body(attempt, NULL, 0, true);
 }
 
+void call_open_window(struct call *call)
+{
+	struct entry_attempt *attempt;
+
+	call->is_behind = false;
+	LIST_FOREACH (attempt, &call->active, link) {
+		if (!attempt->has_small_window)
+			continue;
+		attempt->has_small_window = false;
+		entry_attempt_send_window(attempt, ATTEMPT_ANSWER_WINDOW -
+							   AHEAD_WINDOW_BYTES);
+	}
+}
+
 void call_note_consumed(struct call *call, size_t size)
 {
 	call->consumed += size;
--- /dev/null
+++ b/comfreydockd/caller/connection_input.c
@@ -0,0 +1,292 @@
+#include "comfreydockd/caller/connection_internal.h"
+
+#include <string.h>
+
+#include "comfreydockd/caller/call.h"
+#include "comfreydockd/decide/ahead.h"
+#include "common/clock.h"
+#include "common/counters.h"
+
+#define STATUS_UNAVAILABLE 503
+#define COME_BACK_MS 1000
+/* Another daemon can take it at once. */
+#define ELSEWHERE_MS 10
+
+/* Requests in the list. */
+
+static struct caller_request *connection_add(struct connection *connection,
+					     const struct reader_head *head)
+{
+	struct caller_request *request = request_create(connection);
+
+	request->is_to_head = strcmp(head->method, "HEAD") == 0;
+	request->is_1_0 = head->is_1_0;
+	request->keeps_alive = head->keeps_alive;
+	request->body_done = head->ends;
+	TAILQ_INSERT_TAIL(&connection->requests, request, link);
+	connection->unanswered++;
+	return request;
+}
+
+void connection_end_ahead(struct caller_request *request)
+{
+	request->connection->listener->ahead -= request->is_ahead;
+	request->is_ahead = false;
+}
+
+void connection_remove(struct connection *connection,
+		       struct caller_request *request)
+{
+	if (connection->waiting == request)
+		connection->waiting = NULL;
+	if (connection->in_body == request)
+		connection->in_body = NULL;
+	connection_end_ahead(request);
+	TAILQ_REMOVE(&connection->requests, request, link);
+	connection->unanswered--;
+	request_destroy(request);
+}
+
+void connection_remove_all(struct connection *connection)
+{
+	struct caller_request *request;
+
+	while ((request = TAILQ_FIRST(&connection->requests)))
+		connection_remove(connection, request);
+}
+
+/* Beginning them. */
+
+/* The connection ends with this refusal. */
+static void request_refuse(struct caller_request *request, unsigned int status,
+			   const char *reason, uint32_t come_back_ms,
+			   const char *why)
+{
+	struct connection *connection = request->connection;
+	char *text = g_strdup_printf("not run: %s\n", why);
+
+	connection->reads_no_more = true;
+	request->keeps_alive = false;
+	outcome_refuse(connection_headers(connection), &request_sink, request,
+		       status, reason, come_back_ms, text);
+	g_free(text);
+}
+
+static void connection_fill_call(const struct connection *connection,
+				 const struct reader_head *head,
+				 struct call_request *call)
+{
+	*call = (struct call_request){
+		.method = head->method,
+		.target = head->head->target,
+		.host = head_host(head->head),
+		.caller = connection->address,
+		.fields = &head->head->fields,
+		.has_body = !head->ends,
+	};
+}
+
+/*
+ * Were connections beyond the limit left unread, their callers would learn
+ * nothing until their own time is over, and so would all behind them in the
+ * kernel's queue. They are read, to be told at once when to come back.
+ */
+static void request_refuse_surplus(struct caller_request *request)
+{
+	counters.caller_surplus_connections++;
+	request_refuse(request, STATUS_UNAVAILABLE, "connections", COME_BACK_MS,
+		       "too many connections are open");
+}
+
+static void request_begin(struct caller_request *request,
+			  const struct reader_head *head, int64_t arrived_us)
+{
+	struct connection *connection = request->connection;
+	struct listener *listener = connection->listener;
+	struct call_request call;
+
+	if (connection->is_surplus) {
+		request_refuse_surplus(request);
+		return;
+	}
+	if (listener->turns_away) {
+		request_refuse(request, STATUS_UNAVAILABLE, "stopping",
+			       ELSEWHERE_MS, "this daemon ends");
+		return;
+	}
+	connection_fill_call(connection, head, &call);
+	call.arrived_us = arrived_us;
+	call.in_front = connection->unanswered - 1;
+	request->is_ahead = call.in_front > 0;
+	listener->ahead += request->is_ahead;
+	counters.caller_ahead += request->is_ahead;
+	request->call = entry_begin(listener->daemon->entry, &call,
+				    &request_sink, request);
+	if (head->awaits_continue && !head->ends && request->call) {
+		response_write_continue(connection->out);
+		connection_wake(connection);
+	}
+}
+
+static bool connection_may_begin(const struct connection *connection,
+				 const struct reader_head *head)
+{
+	const struct listener *listener = connection->listener;
+	struct call_request call;
+	struct ahead_question question = {
+		.unanswered = connection->unanswered - 1,
+		.has_body = !head->ends,
+		.total = listener->ahead,
+	};
+
+	if (question.unanswered == 0)
+		return true;
+	connection_fill_call(connection, head, &call);
+	question.idempotent = entry_may_repeat(listener->daemon->entry, &call);
+	return ahead_may_begin(&question);
+}
+
+static void connection_take_head(struct connection *connection)
+{
+	struct caller_request *request;
+	struct reader_head head;
+
+	connection->has_request = true;
+	connection->head_since_us = 0;
+	reader_get_head(&connection->reader, &head);
+	request = connection_add(connection, &head);
+	connection->reads_no_more |= !head.keeps_alive;
+	if (!head.ends)
+		connection->in_body = request;
+	if (!connection_may_begin(connection, &head)) {
+		counters.caller_waited++;
+		connection->waiting = request;
+		connection->waiting_since_us = clock_mono_us();
+		return;
+	}
+	request_begin(request, &head, clock_mono_us());
+}
+
+/* Those in front have their answers. */
+static void connection_begin_waiting(struct connection *connection)
+{
+	struct caller_request *request = connection->waiting;
+	struct reader_head head;
+
+	reader_get_head(&connection->reader, &head);
+	connection->waiting = NULL;
+	request_begin(request, &head, connection->waiting_since_us);
+}
+
+static void connection_take_body(struct connection *connection)
+{
+	struct caller_request *request = connection->in_body;
+	struct reader_body body;
+
+	reader_get_body(&connection->reader, &body);
+	if (request->call && body.size)
+		call_add_body(request->call, body.bytes, body.size);
+	if (!body.ends)
+		return;
+	request->body_done = true;
+	connection->in_body = NULL;
+	if (request->call)
+		call_end_body(request->call);
+}
+
+/* What follows on the connection may be part of this request. */
+static void connection_take_fault(struct connection *connection)
+{
+	struct reader_head none = {.method = "", .ends = true};
+	const char *fault;
+	unsigned int status;
+
+	fault = reader_fault(&connection->reader, &status);
+	connection->reads_no_more = true;
+	connection->head_since_us = 0;
+	if (connection->in_body) {
+		/* Where its call has ended, its answer is on the way. */
+		if (connection->in_body->call)
+			connection_remove(connection, connection->in_body);
+		connection->in_body = NULL;
+	}
+	if (reader_is_http(&connection->reader))
+		counters.caller_bad_requests++;
+	else
+		counters.caller_empty_connections++;
+	connection->has_request = true;
+	request_refuse(connection_add(connection, &none), status, "bad-request",
+		       0, fault);
+}
+
+/* Whether a further request may be read. */
+static bool connection_takes_heads(const struct connection *connection)
+{
+	if (connection->reads_no_more || connection->unanswered >= AHEAD_CALLS_MAX)
+		return false;
+	/* The last answer will close the connection. */
+	return !connection->listener->closes || connection->unanswered == 0;
+}
+
+/* RETURN VALUE: how many bytes may be given to the reader now. */
+static size_t connection_input_room(const struct connection *connection)
+{
+	const struct caller_request *request = connection->in_body;
+
+	if (connection->waiting || connection->lingers)
+		return 0;
+	if (request)
+		return request->call ? call_room(request->call) : READ_BYTES;
+	return connection_takes_heads(connection) ? connection->in->len : 0;
+}
+
+static void connection_take_event(struct connection *connection,
+				  enum reader_event event)
+{
+	if (event == READER_HEAD)
+		connection_take_head(connection);
+	else if (event == READER_BODY)
+		connection_take_body(connection);
+	else
+		connection_take_fault(connection);
+}
+
+static void connection_await_head(struct connection *connection)
+{
+	if (connection->in_body || connection->in->len == 0)
+		return;
+	if (!connection->head_since_us)
+		connection->head_since_us = clock_mono_us();
+}
+
+void connection_parse(struct connection *connection)
+{
+	enum reader_event event;
+	size_t size;
+	size_t used;
+
+	if (connection->waiting && connection->unanswered == 1)
+		connection_begin_waiting(connection);
+	while ((size = MIN(connection_input_room(connection),
+			   connection->in->len)) > 0) {
+		event = reader_read(&connection->reader, connection->in->data,
+				    size, &used);
+		g_byte_array_remove_range(connection->in, 0, (guint)used);
+		if (event == READER_NEEDS_BYTES) {
+			connection_await_head(connection);
+			break;
+		}
+		connection_take_event(connection, event);
+	}
+}
+
+bool connection_wants_input(const struct connection *connection)
+{
+	if (connection->lingers)
+		return true;
+	if (connection->waiting || connection->in->len >= READ_BYTES * 2)
+		return false;
+	if (connection->in_body)
+		return connection_input_room(connection) > 0;
+	return connection_takes_heads(connection);
+}
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -113,15 +113,17 @@
 	return MIN(value, most);
 }
 
-static void call_set_deadline(struct call *call, const struct fields *fields)
+/* From its arrival: what waited behind others has used a part of its time. */
+static void call_set_deadline(struct call *call,
+			      const struct call_request *request)
 {
-	int64_t given_ms =
-		read_number(fields, call->entry->daemon->headers->deadline_ms,
-			    INT32_MAX, -1);
+	int64_t given_ms = read_number(request->fields,
+				       call->entry->daemon->headers->deadline_ms,
+				       INT32_MAX, -1);
 	uint32_t rule_ms = call->rule->deadline_ms ? call->rule->deadline_ms :
 						     DEFAULT_DEADLINE_MS;
 
-	call->began_us = clock_mono_us();
+	call->began_us = request->arrived_us;
 	call->deadline_us = deadline_at(given_ms < 0 ? -1 : given_ms * US_PER_MS,
 					rule_ms, call->began_us);
 }
@@ -181,14 +183,14 @@
 
 static struct call *call_create(struct entry *entry,
 				const struct call_request *request,
-				struct config_snapshot *snapshot,
 				const struct config_service *config,
 				const struct config_rule *rule, uint32_t depth)
 {
 	struct call *call = g_new0(struct call, 1);
 
 	call->entry = entry;
-	call->snapshot = config_snapshot_ref(snapshot);
+	call->snapshot =
+		config_snapshot_ref(config_store_current(entry->daemon->config));
 	call->config = config;
 	call->rule = rule;
 	call->depth = depth;
@@ -200,7 +202,8 @@
 	call->body_ends = !request->has_body;
 	call->max_attempts = deadline_attempts(rule->max_attempts, depth);
 	call_set_trace(call, request->fields);
-	call_set_deadline(call, request->fields);
+	call_set_deadline(call, request);
+	call->is_behind = request->in_front > 0;
 	call_set_fairness_key(call, request);
 	call_copy_fields(call, request->fields);
 	LIST_INIT(&call->active);
@@ -211,23 +214,45 @@
 		  LOG_STR("service", config->name), LOG_STR("rule", rule->name),
 		  LOG_STR("group", call->group), LOG_INT("class", rule->class),
 		  LOG_INT("head", config_store_head(entry->daemon->config)),
-		  LOG_INT("left_us", call->deadline_us - call->began_us));
+		  LOG_INT("left_us", call->deadline_us - call->began_us),
+		  LOG_INT("in_front", request->in_front));
 	return call;
 }
 
+static bool entry_match(const struct entry *entry,
+			const struct call_request *request,
+			const struct config_service **config,
+			const struct config_rule **rule)
+{
+	char host[256];
+	char *path = copy_path(request->target);
+	bool found;
+
+	copy_host(request->host, host, sizeof(host));
+	found = config_snapshot_match(config_store_current(entry->daemon->config),
+				      host, request->method, path, config, rule);
+	g_free(path);
+	return found;
+}
+
+bool entry_may_repeat(const struct entry *entry,
+		      const struct call_request *request)
+{
+	const struct config_service *config;
+	const struct config_rule *rule;
+
+	return config_store_is_ready(entry->daemon->config) &&
+	       entry_match(entry, request, &config, &rule) && rule->idempotent;
+}
+
 struct call *entry_begin(struct entry *entry, const struct call_request *request,
 			 const struct call_sink *sink, void *data)
 {
-	struct config_snapshot *snapshot =
-		config_store_current(entry->daemon->config);
 	const struct config_service *config = NULL;
 	const struct config_rule *rule = NULL;
 	uint32_t depth = (uint32_t)read_number(
 		request->fields, entry->daemon->headers->depth, INT32_MAX, 0);
 	struct call *call;
-	char host[256];
-	char *path;
-	bool found;
 
 	counters.caller_requests++;
 	if (!config_store_is_ready(entry->daemon->config)) {
@@ -236,12 +261,7 @@
 			       COME_BACK_MS, "not run: not ready\n");
 		return NULL;
 	}
-	copy_host(request->host, host, sizeof(host));
-	path = copy_path(request->target);
-	found = config_snapshot_match(snapshot, host, request->method, path,
-				      &config, &rule);
-	g_free(path);
-	if (!found) {
+	if (!entry_match(entry, request, &config, &rule)) {
 		counters.caller_no_route++;
 		outcome_refuse(entry->daemon->headers, sink, data,
 			       STATUS_NO_ROUTE, config ? "no-rule" : "no-service",
@@ -255,7 +275,7 @@
 			       "not run: calls are nested too deep\n");
 		return NULL;
 	}
-	call = call_create(entry, request, snapshot, config, rule, depth);
+	call = call_create(entry, request, config, rule, depth);
 	call->sink = sink;
 	call->sink_data = data;
 	if (request->has_body)
--- a/comfreydockd/caller/head.c
+++ b/comfreydockd/caller/head.c
@@ -5,7 +5,6 @@
 #include <strings.h>
 
 #define HTTP_SCHEME "http://"
-#define LINE_END "\r\n"
 
 static bool is_token(const char *text)
 {
@@ -83,9 +82,6 @@
 {
 	const char *text = value ? value : "";
 
-	head->field_count++;
-	head->field_bytes +=
-		strlen(name) + strlen(":") + strlen(text) + strlen(LINE_END);
 	head->has_bad_field |= !is_token(name) || !is_value(text);
 	if (strcasecmp(name, "Content-Length") == 0) {
 		head->lengths++;
@@ -103,11 +99,8 @@
 	fields_add(&head->fields, name, value);
 }
 
-const char *head_fault(const struct head *head, const char *method,
-		       const char *version)
+const char *head_fault(const struct head *head, const char *method, bool is_1_0)
 {
-	bool is_1_0 = strcmp(version, "HTTP/1.0") == 0;
-
 	if (!is_token(method) || strcmp(method, "CONNECT") == 0)
 		return "the method is not served";
 	if (!head->target || (head->authority && !is_authority(head->authority)))
@@ -121,13 +114,6 @@
 	return NULL;
 }
 
-bool head_has_rest(const struct head *head, size_t line_bytes, size_t size_bytes)
-{
-	size_t known = line_bytes + head->field_bytes + strlen(LINE_END);
-
-	return size_bytes > known + head->field_count;
-}
-
 const char *head_host(const struct head *head)
 {
 	return fields_find(&head->fields, "Host");
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -43,8 +43,8 @@
 }
 
 /* Whole seconds for every client, and the exact time for those that know. */
-static void add_come_back(struct fields *fields, const struct headers *headers,
-			  uint32_t come_back_ms)
+void outcome_add_come_back(struct fields *fields, const struct headers *headers,
+			   uint32_t come_back_ms)
 {
 	char text[24];
 
@@ -62,14 +62,15 @@
 		    void *data, unsigned int status, const char *reason,
 		    uint32_t come_back_ms, const char *text)
 {
-	struct fields fields;
+	struct call_reply reply = {
+		.status = status,
+		.come_back_ms = come_back_ms,
+		.text = text,
+	};
 
-	fields_init(&fields);
-	outcome_add_fields(&fields, headers, "not-run", reason, NULL);
-	if (come_back_ms)
-		add_come_back(&fields, headers, come_back_ms);
-	sink->handle_whole(data, status, &fields, text);
-	fields_finish(&fields);
+	outcome_add_fields(&reply.fields, headers, "not-run", reason, NULL);
+	sink->handle_whole(data, &reply);
+	fields_finish(&reply.fields);
 }
 
 void outcome_count(const struct call *call, struct latency *latency,
@@ -94,32 +95,35 @@
 {
 	const struct headers *headers = call->entry->daemon->headers;
 	const char *reason = outcome_reason_name(call->reason);
-	struct fields fields;
+	struct call_reply reply = {
+		.status = STATUS_NOT_RUN,
+		.come_back_ms = MAX(call->come_back_ms, 1),
+		.text = "not run\n",
+	};
 
 	counters.caller_not_run++;
 	tally_add(TALLY_NOT_RUN, reason, NULL);
 	outcome_count(call, &latencies.call_not_run, "not-run");
 	note_failed(call, "not-run", reason);
-	fields_init(&fields);
-	outcome_add_fields(&fields, headers, "not-run", reason, call->trace);
-	add_come_back(&fields, headers, MAX(call->come_back_ms, 1));
-	call->sink->handle_whole(call->sink_data, STATUS_NOT_RUN, &fields,
-				 "not run\n");
-	fields_finish(&fields);
+	outcome_add_fields(&reply.fields, headers, "not-run", reason,
+			   call->trace);
+	call->sink->handle_whole(call->sink_data, &reply);
+	fields_finish(&reply.fields);
 }
 
 void outcome_say_unknown(struct call *call)
 {
-	struct fields fields;
+	const char *reason = call->lost ? "lost" : "timeout";
+	struct call_reply reply = {
+		.status = call->lost ? STATUS_LOST : STATUS_TIMEOUT,
+		.text = "it is not known whether this ran\n",
+	};
 
 	counters.caller_unknown++;
 	outcome_count(call, &latencies.call_unknown, "unknown");
-	note_failed(call, "unknown", call->lost ? "lost" : "timeout");
-	fields_init(&fields);
-	outcome_add_fields(&fields, call->entry->daemon->headers, "unknown",
-			   call->lost ? "lost" : "timeout", call->trace);
-	call->sink->handle_whole(call->sink_data,
-				 call->lost ? STATUS_LOST : STATUS_TIMEOUT,
-				 &fields, "it is not known whether this ran\n");
-	fields_finish(&fields);
+	note_failed(call, "unknown", reason);
+	outcome_add_fields(&reply.fields, call->entry->daemon->headers,
+			   "unknown", reason, call->trace);
+	call->sink->handle_whole(call->sink_data, &reply);
+	fields_finish(&reply.fields);
 }
--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -1,210 +1,55 @@
 #include "comfreydockd/caller/request.h"
 
-#include <poll.h>
 #include <string.h>
 
-#include "common/http_server.h"
+#include "comfreydockd/caller/call.h"
+#include "comfreydockd/caller/connection.h"
+#include "common/clock.h"
+#include "common/counters.h"
 
-#define WATCH_S 0.25
-#define SERVER_BLOCK_BYTES (16 * 1024)
+/* An answer that is no longer is written only once it is whole. */
+#define WHOLE_BYTES (16 * 1024)
+#define STATUS_LOST 502
 
-static void request_stop_watch(struct caller_request *request)
-{
-	struct ev_loop *loop = request->listener->daemon->loop;
-
-	ev_io_stop(loop, &request->hang_up);
-	ev_timer_stop(loop, &request->watch);
-}
-
-void request_resume(struct caller_request *request)
-{
-	if (!request->suspended)
-		return;
-	request_stop_watch(request);
-	request->suspended = false;
-	MHD_resume_connection(request->connection);
-	http_server_wake(request->listener->server);
-}
-
-static void request_abandon(struct caller_request *request)
-{
-	struct call *call = request->call;
-
-	request->call = NULL;
-	request->aborted = true;
-	if (call)
-		call_abandon(call);
-	request_resume(request);
-}
-
-static int request_fd(const struct caller_request *request)
-{
-	return MHD_get_connection_info(request->connection,
-				       MHD_CONNECTION_INFO_CONNECTION_FD)
-		->connect_fd;
-}
-
-bool request_is_hung_up(const struct caller_request *request)
-{
-	struct pollfd poller = {
-		.fd = request_fd(request),
-		.events = POLLRDHUP,
-	};
-
-	return poll(&poller, 1, 0) > 0;
-}
-
-/* Readable means a hang-up or the next, pipelined request. The latter stays
- * unread, and a timer looks on. */
-static void handle_hang_up(struct ev_loop *loop, ev_io *io, int events)
-{
-	struct caller_request *request = io->data;
-
-	(void)events;
-	if (request_is_hung_up(request)) {
-		request_abandon(request);
-		return;
-	}
-	ev_io_stop(loop, io);
-	ev_timer_again(loop, &request->watch);
-}
-
-static void handle_watch(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	struct caller_request *request = timer->data;
-
-	(void)loop;
-	(void)events;
-	if (request_is_hung_up(request))
-		request_abandon(request);
-}
-
-void request_suspend(struct caller_request *request)
-{
-	struct ev_loop *loop = request->listener->daemon->loop;
-
-	request->suspended = true;
-	MHD_suspend_connection(request->connection);
-	ev_io_set(&request->hang_up, request_fd(request), EV_READ);
-	ev_io_start(loop, &request->hang_up);
-}
-
-struct caller_request *request_create(struct listener *listener,
-				      struct MHD_Connection *connection,
-				      const char *target)
+struct caller_request *request_create(struct connection *connection)
 {
 	struct caller_request *request = g_new0(struct caller_request, 1);
 
-	request->listener = listener;
 	request->connection = connection;
-	request->target = g_strdup(target);
-	request->answer = g_byte_array_new();
-	ev_io_init(&request->hang_up, handle_hang_up, -1, EV_READ);
-	ev_timer_init(&request->watch, handle_watch, 0.0, WATCH_S);
-	request->hang_up.data = request;
-	request->watch.data = request;
+	request->body = g_byte_array_new();
 	return request;
 }
 
 void request_destroy(struct caller_request *request)
 {
-	request_stop_watch(request);
-	if (request->response)
-		MHD_destroy_response(request->response);
-	fields_finish(&request->answer_fields);
-	g_byte_array_unref(request->answer);
-	g_free(request->target);
-	g_free(request);
-}
-
-/* The answer's way out. */
-
-static size_t request_answer_left(const struct caller_request *request)
-{
-	return request->answer->len - request->answer_start;
-}
-
-static void request_take_answer(struct caller_request *request, char *out,
-				size_t size)
-{
-	memcpy(out, request->answer->data + request->answer_start, size);
-	request->answer_start += size;
-	if (request_answer_left(request) == 0) {
-		g_byte_array_set_size(request->answer, 0);
-		request->answer_start = 0;
-	}
 	if (request->call)
-		call_note_consumed(request->call, size);
-}
-
-static ssize_t handle_pull(void *data, uint64_t position, char *out, size_t most)
-{
-	struct caller_request *request = data;
-	size_t size = MIN(most, request_answer_left(request));
-
-	(void)position;
-	if (request->aborted)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	if (size > 0) {
-		request_take_answer(request, out, size);
-		return (ssize_t)size;
-	}
-	if (request->answer_ends)
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	request_suspend(request);
-	return 0;
+		call_abandon(request->call);
+	fields_finish(&request->fields);
+	g_byte_array_unref(request->body);
+	g_free(request);
 }
 
-static void add_response_fields(struct MHD_Response *response,
-				const struct fields *fields)
-{
-	for (size_t i = 0; i < fields->count; i++)
-		MHD_add_response_header(response, fields->items[i]->name,
-					fields->items[i]->value);
-}
+/* What the call tells. */
 
 static void handle_head(void *data, unsigned int status, struct fields *fields,
 			int64_t length)
 {
 	struct caller_request *request = data;
 
-	request->status = status;
 	request->has_answer = true;
-	request->answer_fields = *fields;
-	request->answer_length = length;
+	request->status = status;
+	request->fields = *fields;
+	request->length = length;
 	fields_init(fields);
-	if (request->body_done)
-		request_resume(request);
-}
-
-/*
- * The response is made when libmicrohttpd takes it, and a short answer is whole
- * by then: head and body leave in one packet. From a callback they are written
- * one after the other, in two turns of the loop, and wake the caller twice.
- */
-static void request_create_response(struct caller_request *request)
-{
-	int64_t length = request->answer_length;
-	size_t left = request_answer_left(request);
-
-	if (request->answer_ends && length == (int64_t)left &&
-	    left <= SERVER_BLOCK_BYTES)
-		request->response = MHD_create_response_from_buffer(
-			left, request->answer->data, MHD_RESPMEM_MUST_COPY);
-	else
-		request->response = MHD_create_response_from_callback(
-			length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length,
-			SERVER_BLOCK_BYTES, handle_pull, request, NULL);
-	add_response_fields(request->response, &request->answer_fields);
+	connection_wake(request->connection);
 }
 
 static void handle_body(void *data, const void *bytes, size_t size)
 {
 	struct caller_request *request = data;
 
-	g_byte_array_append(request->answer, bytes, (guint)size);
-	if (request->queued)
-		request_resume(request);
+	g_byte_array_append(request->body, bytes, (guint)size);
+	connection_wake(request->connection);
 }
 
 static void handle_end(void *data)
@@ -213,36 +58,67 @@
 
 	request->call = NULL;
 	request->answer_ends = true;
-	request_resume(request);
+	connection_wake(request->connection);
 }
 
-static void handle_abort(void *data)
+static void request_set_reply(struct caller_request *request,
+			      struct call_reply *reply)
 {
-	struct caller_request *request = data;
+	size_t size = strlen(reply->text);
 
 	request->call = NULL;
-	request->aborted = true;
-	request_resume(request);
+	request->has_answer = true;
+	request->answer_ends = true;
+	request->status = reply->status;
+	request->come_back_ms = reply->come_back_ms;
+	request->answered_us = clock_mono_us();
+	fields_finish(&request->fields);
+	request->fields = reply->fields;
+	fields_init(&reply->fields);
+	fields_add(&request->fields, "Content-Type", "text/plain");
+	request->length = (int64_t)size;
+	g_byte_array_set_size(request->body, 0);
+	request->body_start = 0;
+	g_byte_array_append(request->body, (const guint8 *)reply->text,
+			    (guint)size);
+	connection_wake(request->connection);
 }
 
-static void handle_whole(void *data, unsigned int status,
-			 const struct fields *fields, const char *text)
+/*
+ * An upstream broke off its answer. Had some of it gone out, only a broken
+ * connection could tell the caller; and with it the answers of all requests
+ * behind would be lost, though their upstreams are sound. What is still here
+ * as a whole is replaced by a failure that says as little as is known.
+ */
+static void handle_abort(void *data)
 {
 	struct caller_request *request = data;
+	struct call_reply reply = {
+		.status = STATUS_LOST,
+		.text = "the answer broke off\n",
+	};
 
 	request->call = NULL;
-	request->status = status;
-	request->has_answer = true;
-	request->response = MHD_create_response_from_buffer(
-		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(request->response, "Content-Type", "text/plain");
-	add_response_fields(request->response, fields);
-	request_resume(request);
+	if (request->head_written) {
+		request->aborted = true;
+		connection_wake(request->connection);
+		return;
+	}
+	outcome_add_fields(&reply.fields, connection_headers(request->connection),
+			   "unknown", "lost", NULL);
+	request_set_reply(request, &reply);
+}
+
+static void handle_whole(void *data, struct call_reply *reply)
+{
+	request_set_reply(data, reply);
 }
 
 static void handle_room(void *data)
 {
-	request_resume(data);
+	struct caller_request *request = data;
+
+	connection_wake(request->connection);
 }
 
 const struct call_sink request_sink = {
@@ -254,15 +130,96 @@
 	.handle_room = handle_room,
 };
 
-enum MHD_Result request_queue(struct caller_request *request)
+/* The answer's way out. */
+
+static size_t request_left(const struct caller_request *request)
+{
+	return request->body->len - request->body_start;
+}
+
+bool request_is_ready(const struct caller_request *request)
+{
+	if (!request->has_answer)
+		return false;
+	return request->answer_ends || request_left(request) >= WHOLE_BYTES ||
+	       request->length < 0 || request->length > WHOLE_BYTES;
+}
+
+/* The time in the refusal counts from when it is sent. */
+static void request_add_come_back(struct caller_request *request)
+{
+	int64_t waited_ms = (clock_mono_us() - request->answered_us) / US_PER_MS;
+
+	if (request->come_back_ms == 0)
+		return;
+	outcome_add_come_back(
+		&request->fields, connection_headers(request->connection),
+		(uint32_t)MAX(request->come_back_ms - waited_ms, 1));
+}
+
+static void request_write_head(struct caller_request *request, GByteArray *out,
+			       bool closes)
 {
-	if (request->aborted)
-		return MHD_NO;
-	request->queued = true;
-	if (!request->response)
-		request_create_response(request);
-	if (request->listener->closes)
-		MHD_add_response_header(request->response, "Connection", "close");
-	return MHD_queue_response(request->connection, request->status,
-				  request->response);
+	struct response_head head = {
+		.status = request->status,
+		.fields = &request->fields,
+		.length = request->length,
+		.is_to_head = request->is_to_head,
+		.is_1_0 = request->is_1_0,
+		.closes = closes,
+	};
+
+	request_add_come_back(request);
+	request->framing = response_write_head(out, &head);
+	request->head_written = true;
+	request->closes = closes || request->framing == RESPONSE_UNTIL_CLOSE;
+}
+
+static void request_write_some(struct caller_request *request, GByteArray *out,
+			       size_t size)
+{
+	response_write_body(out, request->framing,
+			    request->body->data + request->body_start, size);
+	request->body_start += size;
+	request->written += (int64_t)size;
+	if (request_left(request) == 0) {
+		g_byte_array_set_size(request->body, 0);
+		request->body_start = 0;
+	}
+	if (request->call)
+		call_note_consumed(request->call, size);
+}
+
+/* Another length than was told: what follows would be read as part of it, or
+ * it as part of what follows. */
+static bool request_has_wrong_length(const struct caller_request *request)
+{
+	int64_t known = request->written + (int64_t)request_left(request);
+
+	if (request->framing != RESPONSE_LENGTH)
+		return false;
+	return known > request->length ||
+	       (request->answer_ends && known < request->length);
+}
+
+enum request_progress request_write(struct caller_request *request,
+				    GByteArray *out, size_t most, bool closes)
+{
+	size_t room;
+
+	if (!request->head_written) {
+		if (!request_is_ready(request))
+			return REQUEST_WAITS;
+		request_write_head(request, out, closes);
+	}
+	if (request->aborted || request_has_wrong_length(request))
+		return REQUEST_BROKEN;
+	room = most > out->len ? most - out->len : 0;
+	request_write_some(request, out, MIN(room, request_left(request)));
+	if (request_left(request) > 0)
+		return REQUEST_FULL;
+	if (!request->answer_ends)
+		return REQUEST_WAITS;
+	response_write_end(out, request->framing);
+	return REQUEST_ANSWERED;
 }
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -351,7 +351,8 @@
 	attempt->started_us = now;
 	attempt->busy = owner_running(attempt->owner);
 	attempt->pace_percent = owner_pace_percent(attempt->owner);
-	attempt->credit = ATTEMPT_ANSWER_WINDOW;
+	attempt->credit += request->answer_window ? request->answer_window :
+						    ATTEMPT_ANSWER_WINDOW;
 	attempt_note(attempt, EV_OWNER_STARTED,
 		     LOG_INT("waited_us", now - attempt->arrived_us),
 		     LOG_INT("running", owner_running(attempt->owner)),
@@ -362,7 +363,7 @@
 	latency_note_us(&latencies.owner_waited, now - attempt->arrived_us);
 	attempt_fill_fields(attempt, &fields, attempt->item.deadline_us - now);
 	attempt->run = run_create(owner_pool(attempt->owner), &run,
-				  ATTEMPT_ANSWER_WINDOW, &callbacks, attempt);
+				  (size_t)attempt->credit, &callbacks, attempt);
 	fields_finish(&fields);
 	if (attempt->body)
 		run_add_body(attempt->run, attempt->body->data,
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -45,6 +45,7 @@
 	bool is_hedge;
 	bool failed; /* its answer is the upstream's own error */
 	bool cancelled;
+	bool has_small_window; /* sent while its answer had to wait */
 	bool is_overtaken; /* by another, as it gave nothing for too long */
 };
 
@@ -69,6 +70,7 @@
 	char *fairness_key;
 	struct fields fields;
 	GByteArray *body; /* the first part, kept until an answer begins */
+	bool is_behind; /* its answer waits for others: a small window */
 	size_t body_room; /* credit of the owner beyond the first part */
 	bool body_ends;
 	bool body_streams; /* more came than is kept: no further attempt */
@@ -171,6 +173,10 @@
 		    void *data, unsigned int status, const char *reason,
 		    uint32_t come_back_ms, const char *text);
 
+/* When to come back, from the moment that the answer is sent. */
+void outcome_add_come_back(struct fields *fields, const struct headers *headers,
+			   uint32_t come_back_ms);
+
 /* The fields that tell a caller what became of its request. */
 void outcome_add_fields(struct fields *fields, const struct headers *headers,
 			const char *outcome, const char *reason,
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -28,6 +28,14 @@
 struct call;
 struct entry;
 
+/* An answer that no upstream gave. */
+struct call_reply {
+	unsigned int status;
+	struct fields fields;
+	uint32_t come_back_ms; /* counts from now; 0: not told */
+	const char *text;
+};
+
 struct call_sink {
 	/* The head of an answer; length is -1 where it is not known. */
 	/* May move the fields out and leave them empty. */
@@ -37,9 +45,8 @@
 	void (*handle_end)(void *data);
 	/* The answer can't be ended: the caller's connection must break. */
 	void (*handle_abort)(void *data);
-	/* An answer of our own, with its text. */
-	void (*handle_whole)(void *data, unsigned int status,
-			     const struct fields *fields, const char *text);
+	/* An answer of our own. May move the fields out. */
+	void (*handle_whole)(void *data, struct call_reply *reply);
 	/* More of the request's body may be given. */
 	void (*handle_room)(void *data);
 };
@@ -51,11 +58,17 @@
 	const char *caller; /* the caller's IP number */
 	const struct fields *fields;
 	bool has_body;
+	int64_t arrived_us; /* when its head was whole */
+	uint32_t in_front; /* unanswered ones that its answer waits for */
 };
 
 struct entry *entry_create(struct daemon *daemon);
 void entry_destroy(struct entry *entry);
 
+/* RETURN VALUE: whether the rule that it would get lets it run again. */
+bool entry_may_repeat(const struct entry *entry,
+		      const struct call_request *request);
+
 /*
  * Begins a call. The sink may be called before this returns only with
  * handle_whole(), in which case the return value is NULL.
@@ -68,6 +81,9 @@
 void call_add_body(struct call *call, const void *bytes, size_t size);
 void call_end_body(struct call *call);
 
+/* No other answer is in front any more: the owner may send on as usual. */
+void call_open_window(struct call *call);
+
 /* So many bytes of the answer went to the caller. */
 void call_note_consumed(struct call *call, size_t size);
 
--- a/include/comfreydockd/caller/head.h
+++ b/include/comfreydockd/caller/head.h
@@ -3,7 +3,7 @@
  *	head - whether the head of a request can be read in one way only
  *
  * DESCRIPTION
- *	libmicrohttpd takes much that RFC 9112 forbids: a space before the colon
+ *	An HTTP library may take what RFC 9112 forbids: a space before the colon
  *	of a field, a coding in HTTP/1.0, a target with spaces or control
  *	characters. The upstream may read the same bytes in another way. It then
  *	takes part of one caller's body for a second request, past the rules,
@@ -30,8 +30,6 @@
 	char *authority; /* of an absolute target, or NULL */
 	bool has_body;
 	bool has_bad_field;
-	size_t field_bytes; /* of all fields, without the space after a colon */
-	unsigned int field_count;
 	unsigned int lengths;
 	unsigned int codings;
 	unsigned int hosts;
@@ -45,21 +43,7 @@
 void head_add_field(struct head *head, const char *name, const char *value);
 
 /* RETURN VALUE: what is wrong, once all fields were added, or NULL. */
-const char *head_fault(const struct head *head, const char *method,
-		       const char *version);
-
-/*
- * Whether the head, as it came, holds more than its request line and fields.
- * libmicrohttpd ends a value at a NUL byte and drops what follows, and it hangs
- * a folded line on the field's name: "X: a", folded with "b", becomes a field
- * "Xb". Who looks at the request upstream sees fields that its caller never
- * sent. Both leave bytes over here. One space for each field is allowed for; a
- * caller that pads its values with more is refused as well.
- *
- * line_bytes: of the request line, size_bytes: of the whole head, both with the
- * ends of their lines.
- */
-bool head_has_rest(const struct head *head, size_t line_bytes, size_t size_bytes);
+const char *head_fault(const struct head *head, const char *method, bool is_1_0);
 
 /* RETURN VALUE: the host asked for, with its port if any, or NULL. */
 const char *head_host(const struct head *head);
--- a/include/comfreydockd/caller/listener.h
+++ b/include/comfreydockd/caller/listener.h
@@ -3,15 +3,15 @@
  *	listener - HTTP/1.1 from callers
  *
  * DESCRIPTION
- *	Takes requests by libmicrohttpd and hands each to the entry as a call.
+ *	Opens the callers' port and takes their connections; connection.h
+ *	serves each.
  *
  *	A request whose end can be read in two ways (a length beside chunked
  *	coding, two lengths, a coding other than chunked) is refused and its
  *	connection closed: what follows it might be a second, hidden request.
  *
- *	A caller that goes away while its call is out is noticed by a watch on
- *	its connection, and the call is abandoned. One that closes only its
- *	sending side counts as gone, too.
+ *	A caller that goes away while its calls are out is noticed, and they
+ *	are abandoned. One that closes only its sending side counts as gone, too.
  */
 #ifndef COMFREYDOCKD_CALLER_LISTENER_H
 #define COMFREYDOCKD_CALLER_LISTENER_H
@@ -34,6 +34,9 @@
 /* Answers each new request as not run, to be sent elsewhere. */
 void listener_turn_away(struct listener *listener);
 
+/* A connection is gone: there is room for another. */
+void listener_note_closed(struct listener *listener);
+
 /* Takes no new connections; those that are open go on. */
 void listener_quiesce(struct listener *listener);
 
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -1,73 +1,82 @@
 /*
  * NAME
- *	request - one request of one caller at libmicrohttpd
+ *	request - one request of one caller, and its answer
  *
  * DESCRIPTION
- *	Internal to caller/. listener.c reads the request and begins its call;
- *	request.c watches for a caller that goes away, and takes the answer from
- *	the call to libmicrohttpd.
+ *	Internal to caller/. Takes the answer from the call and keeps it until
+ *	its turn has come, then gives it to the connection as HTTP.
+ *
+ *	Nothing of a short answer is written before all of it is here: one that
+ *	breaks off before that is told as a failure of its own request, and
+ *	those behind it on the connection still get their answers.
  */
 #ifndef COMFREYDOCKD_CALLER_REQUEST_H
 #define COMFREYDOCKD_CALLER_REQUEST_H
 
-#include <ev.h>
 #include <glib.h>
-#include <microhttpd.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
 
 #include "comfreydockd/caller/entry.h"
+#include "comfreydockd/caller/response.h"
 
-struct http_server;
-
-struct listener {
-	struct daemon *daemon;
-	struct http_server *server;
-	size_t connections; /* open ones */
-	bool closes; /* see listener_announce_close() */
-	bool turns_away; /* see listener_turn_away() */
-};
+struct connection;
 
-/* One request of one caller, from its head to the last byte of its answer. */
 struct caller_request {
-	struct listener *listener;
-	struct MHD_Connection *connection;
-	char *target;
+	TAILQ_ENTRY(caller_request) link; /* of its connection, as they came */
+	struct connection *connection;
 	struct call *call; /* NULL: not begun, or over */
-	bool has_head; /* handle_access was called for the head */
+	bool is_to_head; /* its method is HEAD */
+	bool is_1_0;
+	bool keeps_alive; /* the caller wants the connection kept */
 	bool body_done;
-	size_t discarded;
+	bool is_ahead; /* begun before those in front were answered */
+	/* The answer, as far as it has come. */
 	bool has_answer; /* its head at least */
-	struct fields answer_fields;
-	int64_t answer_length; /* -1: not known beforehand */
-	struct MHD_Response *response;
-	unsigned int status;
-	bool queued; /* the response was given to libmicrohttpd */
-	bool suspended;
-	bool aborted;
 	bool answer_ends; /* all of it is in the buffer */
-	GByteArray *answer; /* not yet taken by libmicrohttpd */
-	size_t answer_start;
-	ev_io hang_up;
-	ev_timer watch; /* where unread bytes hide the hang-up */
+	bool aborted; /* it can't be ended */
+	unsigned int status;
+	struct fields fields;
+	int64_t length; /* -1: not known beforehand */
+	GByteArray *body; /* not yet written */
+	size_t body_start;
+	uint32_t come_back_ms; /* 0: not told */
+	int64_t answered_us; /* when an answer of our own was made */
+	/* What went to the connection. */
+	bool head_written;
+	bool closes; /* nothing follows on the connection */
+	enum response_framing framing;
+	int64_t written; /* of the body */
 };
 
-/* Takes the target as sent. */
-struct caller_request *request_create(struct listener *listener,
-				      struct MHD_Connection *connection,
-				      const char *target);
-void request_destroy(struct caller_request *request);
+TAILQ_HEAD(caller_request_list, caller_request);
 
-/* Holds the connection until request_resume(); a caller that goes away
- * meanwhile is noticed. */
-void request_suspend(struct caller_request *request);
-void request_resume(struct caller_request *request);
+struct caller_request *request_create(struct connection *connection);
 
-/* Gives the response to libmicrohttpd. */
-enum MHD_Result request_queue(struct caller_request *request);
+/* A call that is out is abandoned. */
+void request_destroy(struct caller_request *request);
 
-/* What the call tells its caller. */
+/* What the call tells its caller; data is the request. */
 extern const struct call_sink request_sink;
 
-/* Asks the kernel whether the caller has closed its side. */
-bool request_is_hung_up(const struct caller_request *request);
+enum request_progress {
+	REQUEST_WAITS, /* for more of its answer */
+	REQUEST_FULL, /* the buffer holds enough; more is here */
+	REQUEST_ANSWERED,
+	REQUEST_BROKEN, /* the connection must end here */
+};
+
+/*
+ * Writes what has come, where its turn has come.
+ *
+ * closes: the answer tells the caller that nothing follows on the connection.
+ */
+enum request_progress request_write(struct caller_request *request,
+				    GByteArray *out, size_t most, bool closes);
+
+/* RETURN VALUE: whether request_write() would write the head now. */
+bool request_is_ready(const struct caller_request *request);
 
 #endif
--- /dev/null
+++ b/include/comfreydockd/caller/response.h
@@ -0,0 +1,48 @@
+/*
+ * NAME
+ *	response - an answer as bytes of HTTP/1.1
+ *
+ * DESCRIPTION
+ *	Writes heads and bodies to a buffer. An answer whose length is not
+ *	known is chunked; to an HTTP/1.0 caller it ends with the connection.
+ *
+ * SOURCE
+ *	RFC 9112, sections 6 and 9.6
+ */
+#ifndef COMFREYDOCKD_CALLER_RESPONSE_H
+#define COMFREYDOCKD_CALLER_RESPONSE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "comfreydockd/peer/fields.h"
+
+/* How the end of a body is told. */
+enum response_framing {
+	RESPONSE_NO_BODY, /* of HEAD, 204 and 304 */
+	RESPONSE_LENGTH,
+	RESPONSE_CHUNKED,
+	RESPONSE_UNTIL_CLOSE,
+};
+
+struct response_head {
+	unsigned int status;
+	const struct fields *fields;
+	int64_t length; /* -1: not known beforehand */
+	bool is_to_head; /* the request's method is HEAD */
+	bool is_1_0; /* the request is HTTP/1.0 */
+	bool closes; /* the connection ends behind this answer */
+};
+
+/* RETURN VALUE: how the body must be written. */
+enum response_framing response_write_head(GByteArray *out,
+					  const struct response_head *head);
+void response_write_body(GByteArray *out, enum response_framing framing,
+			 const uint8_t *bytes, size_t size);
+void response_write_end(GByteArray *out, enum response_framing framing);
+
+void response_write_continue(GByteArray *out);
+
+#endif
--- a/include/comfreydockd/peer/attempt.h
+++ b/include/comfreydockd/peer/attempt.h
@@ -25,6 +25,10 @@
 
 #include <stdbool.h>
 
+/* Bytes of an answer that may be on their way to an entry, where the attempt
+ * names no other figure. */
+#define ATTEMPT_ANSWER_WINDOW (256 * 1024)
+
 enum attempt_entry_state {
 	ENTRY_PICKED,
 	ENTRY_SENT,
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -19,8 +19,6 @@
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/run.h"
 
-/* Bytes of an answer that may be on their way to an entry. */
-#define ATTEMPT_ANSWER_WINDOW (256 * 1024)
 /* Bytes of a request's body that an entry may send unasked. */
 #define ATTEMPT_BODY_WINDOW (64 * 1024)
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1106,7 +1106,7 @@
   (ProtobufCMessageInit) cfd__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[21] =
+static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[22] =
 {
   {
     "seq",
@@ -1360,8 +1360,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer_window",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, answer_window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__attempt__field_indices_by_name[] = {
+  21,   /* field[21] = answer_window */
   12,   /* field[12] = body */
   13,   /* field[13] = body_ends */
   16,   /* field[16] = budget_permille */
@@ -1387,7 +1400,7 @@
 static const ProtobufCIntRange cfd__attempt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor cfd__attempt__descriptor =
 {
@@ -1397,7 +1410,7 @@
   "Cfd__Attempt",
   "cfd",
   sizeof(Cfd__Attempt),
-  21,
+  22,
   cfd__attempt__field_descriptors,
   cfd__attempt__field_indices_by_name,
   1,  cfd__attempt__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -171,10 +171,14 @@
    * lost there, it would be sent to another
    */
   protobuf_c_boolean may_repeat;
+  /*
+   * bytes of the answer to send before more is asked for; 0: the usual
+   */
+  uint32_t answer_window;
 };
 #define CFD__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__attempt__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cfd__Body
--- /dev/null
+++ b/tests/system/test_ahead.c
@@ -0,0 +1,375 @@
+/* Callers that send further requests before the first is answered. d0 is the
+ * entry; the one upstream that takes work lies behind d1. */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cluster.h"
+#include "raw.h"
+
+#define WAIT_MS 10000
+#define CALLS 8
+
+static const char config[] =
+	"{\"namespace\": \"t\", \"services\": {\"s\": {\n"
+	"  \"path_prefixes\": [\"/s\", \"/bytes\"], \"group\": \"s\",\n"
+	"  \"rules\": [\n"
+	"   {\"name\": \"short\", \"methods\": [\"GET\"],\n"
+	"    \"path_prefix\": \"/s/short\", \"idempotent\": true,\n"
+	"    \"deadline_ms\": 300},\n"
+	"   {\"name\": \"get\", \"methods\": [\"GET\", \"HEAD\"],\n"
+	"    \"idempotent\": true, \"deadline_ms\": 10000},\n"
+	"   {\"name\": \"post\", \"deadline_ms\": 10000}]}}}\n";
+
+static struct cluster cluster;
+
+static int64_t upstream_count(const char *name)
+{
+	char *json = rig_http_ok("GET", cluster.upstreams[1]->port,
+				 "/standin/runs", NULL);
+	int64_t value = rig_json_int(json, name);
+
+	g_free(json);
+	return value;
+}
+
+struct mark {
+	const char *name;
+	int64_t value;
+};
+
+static bool upstream_reaches(void *data)
+{
+	const struct mark *mark = data;
+
+	return upstream_count(mark->name) >= mark->value;
+}
+
+static void wait_for(const char *name, int64_t value)
+{
+	struct mark mark = {name, value};
+
+	if (!rig_wait_until(upstream_reaches, &mark, WAIT_MS))
+		g_error("%s does not reach %" G_GINT64_FORMAT, name, value);
+}
+
+static void set_upstream(const char *command)
+{
+	cluster_set_upstream(&cluster, 1, command);
+}
+
+static void add_request(GString *text, const char *method, const char *path,
+			const char *id)
+{
+	g_string_append_printf(
+		text,
+		"%s %s HTTP/1.1\r\nHost: h\r\n"
+		"X-Request-Id: %s\r\n%s\r\n",
+		method, path, id,
+		strcmp(method, "POST") == 0 ? "Content-Length: 0\r\n" : "");
+}
+
+static void add_lookups(GString *text, const char *path, const char *prefix,
+			int from, int to)
+{
+	for (int i = from; i < to; i++) {
+		char *id = g_strdup_printf("%s%d", prefix, i);
+
+		add_request(text, "GET", path, id);
+		g_free(id);
+	}
+}
+
+static void send_and_free(int fd, GString *text)
+{
+	raw_send_text(fd, text->str);
+	g_string_free(text, TRUE);
+}
+
+/* The answers name their requests, in the order of the requests. */
+static void expect_order(const GString *answers, const char *prefix, int count)
+{
+	const char *at = answers->str;
+
+	for (int i = 0; i < count; i++) {
+		char *id = g_strdup_printf("\"%s%d\"", prefix, i);
+
+		at = strstr(at, id);
+		if (!at)
+			g_error("%s is missing or out of order", id);
+		g_free(id);
+	}
+}
+
+/*
+ * A desk sends eight lookups at once on its connection. Read one after the
+ * other, the last would wait for seven others, and its operator with it.
+ */
+static void test_all_begin_at_once(void)
+{
+	int64_t started = upstream_count("started");
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"freeze\": true}");
+	add_lookups(text, "/s/a", "at-once-", 0, CALLS);
+	send_and_free(fd, text);
+	wait_for("started", started + CALLS);
+	set_upstream("{\"freeze\": false}");
+	g_assert_true(raw_read_marks(fd, answers, "{\"id\":\"at-once-", CALLS,
+				     WAIT_MS));
+	expect_order(answers, "at-once-", CALLS);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+/* The first is the slowest: the others are ready before it, and wait for their
+ * turn. */
+static void test_first_is_slowest(void)
+{
+	int64_t started = upstream_count("started");
+	int64_t finished = upstream_count("finished");
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"factor\": 400}");
+	add_lookups(text, "/s/a", "slow-", 0, 1);
+	raw_send_text(fd, text->str);
+	wait_for("started", started + 1);
+	set_upstream("{\"factor\": 1}");
+	g_string_truncate(text, 0);
+	add_lookups(text, "/s/a", "slow-", 1, CALLS);
+	send_and_free(fd, text);
+	wait_for("finished", finished + CALLS - 1);
+	g_assert_true(
+		raw_read_marks(fd, answers, "{\"id\":\"slow-", CALLS, WAIT_MS));
+	expect_order(answers, "slow-", CALLS);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+/*
+ * The first runs into its own deadline of 300 ms. Its caller is told so then,
+ * and those behind it get their answers on the same connection.
+ */
+static void test_first_times_out(void)
+{
+	int64_t started = upstream_count("started");
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"factor\": 5000}");
+	add_request(text, "GET", "/s/short", "late-0");
+	raw_send_text(fd, text->str);
+	wait_for("started", started + 1);
+	set_upstream("{\"factor\": 1}");
+	g_string_truncate(text, 0);
+	add_lookups(text, "/s/a", "late-", 1, 4);
+	send_and_free(fd, text);
+	g_assert_true(raw_read_marks(fd, answers, "{\"id\":\"late-", 3, WAIT_MS));
+	g_assert_true(g_str_has_prefix(answers->str, "HTTP/1.1 504") ||
+		      g_str_has_prefix(answers->str, "HTTP/1.1 503"));
+	g_assert_cmpuint(raw_count(answers->str, "HTTP/1.1 200"), ==, 3);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+/* One in the middle goes nowhere; it is told so in its turn. */
+static void test_refusal_in_the_middle(void)
+{
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	const char *refusal;
+
+	add_lookups(text, "/s/a", "mid-", 0, 1);
+	add_request(text, "GET", "/nowhere", "mid-none");
+	add_lookups(text, "/s/a", "mid-", 1, 2);
+	send_and_free(fd, text);
+	g_assert_true(
+		raw_read_marks(fd, answers, "{\"id\":\"mid-1\"", 1, WAIT_MS));
+	refusal = strstr(answers->str, "HTTP/1.1 404");
+	g_assert_nonnull(refusal);
+	g_assert_true(strstr(answers->str, "\"mid-0\"") < refusal);
+	g_assert_true(refusal < strstr(answers->str, "\"mid-1\""));
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+static bool all_are_gone(void *data)
+{
+	int64_t *before = data;
+
+	return cluster_counter(&cluster, 0, "caller_gone") >= *before + CALLS;
+}
+
+/* The desk closes its connection while eight lookups run. Each of them would
+ * hold a slot for ten seconds. */
+static void test_caller_goes(void)
+{
+	int64_t gone = cluster_counter(&cluster, 0, "caller_gone");
+	int64_t started = upstream_count("started");
+	int64_t cancelled = upstream_count("cancelled_running");
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"factor\": 5000}");
+	add_lookups(text, "/s/a", "gone-", 0, CALLS);
+	send_and_free(fd, text);
+	wait_for("started", started + CALLS);
+	close(fd);
+	g_assert_true(rig_wait_until(all_are_gone, &gone, WAIT_MS));
+	wait_for("cancelled_running", cancelled + CALLS);
+	set_upstream("{\"factor\": 1}");
+}
+
+/*
+ * A booking stands behind a lookup, and the connection breaks before either is
+ * answered. The desk sends the booking again, as what stood behind was never
+ * read. Had it been begun ahead, the franchise would be billed twice.
+ */
+static void test_booking_runs_once(void)
+{
+	int64_t waited = cluster_counter(&cluster, 0, "caller_waited");
+	int64_t started = upstream_count("started");
+	struct rig_answer *answer;
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"factor\": 5000}");
+	add_request(text, "GET", "/s/a", "before-booking");
+	add_request(text, "POST", "/s/book", "booking");
+	send_and_free(fd, text);
+	wait_for("started", started + 1);
+	g_assert_cmpint(cluster_counter(&cluster, 0, "caller_waited"), ==,
+			waited + 1);
+	close(fd);
+	set_upstream("{\"factor\": 1}");
+	answer = cluster_call(&cluster, 0, "POST", "/s/book", "booking", NULL,
+			      WAIT_MS);
+	g_assert_cmpstr(cluster_outcome(answer), ==, "run");
+	g_assert_cmpint(cluster_runs(&cluster, "booking"), ==, 1);
+	rig_answer_free(answer);
+}
+
+/* A booking behind a lookup runs once that is answered, on the same
+ * connection. */
+static void test_booking_follows(void)
+{
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	add_lookups(text, "/s/a", "then-", 0, 1);
+	add_request(text, "POST", "/s/book", "then-1");
+	add_lookups(text, "/s/a", "then-", 2, 3);
+	send_and_free(fd, text);
+	g_assert_true(raw_read_marks(fd, answers, "{\"id\":\"then-", 3, WAIT_MS));
+	expect_order(answers, "then-", 3);
+	g_assert_cmpint(cluster_runs(&cluster, "then-1"), ==, 1);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+/*
+ * Large answers stand behind a slow one. Their upstreams are held back until
+ * their turn, and each then comes whole.
+ */
+static void test_large_answers_wait(void)
+{
+	int64_t started = upstream_count("started");
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"factor\": 400}");
+	add_lookups(text, "/s/a", "large-", 0, 1);
+	raw_send_text(fd, text->str);
+	wait_for("started", started + 1);
+	set_upstream("{\"factor\": 1}");
+	g_string_truncate(text, 0);
+	add_lookups(text, "/bytes/1000000", "x", 1, CALLS);
+	add_lookups(text, "/s/a", "large-", 1, 2);
+	send_and_free(fd, text);
+	g_assert_true(
+		raw_read_marks(fd, answers, "{\"id\":\"large-1\"", 1, WAIT_MS));
+	g_assert_cmpuint(raw_count(answers->str, "HTTP/1.1 200"), ==, CALLS + 1);
+	g_assert_cmpuint(raw_count(answers->str, "Content-Length: 1000000"), ==,
+			 CALLS - 1);
+	g_assert_cmpuint(answers->len, >, (CALLS - 1) * 1000000);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+static void test_bytes_one_at_a_time(void)
+{
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	add_lookups(text, "/s/a", "byte-", 0, 3);
+	for (size_t i = 0; i < text->len; i++)
+		raw_send(fd, text->str + i, 1);
+	g_string_free(text, TRUE);
+	g_assert_true(raw_read_marks(fd, answers, "{\"id\":\"byte-", 3, WAIT_MS));
+	expect_order(answers, "byte-", 3);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+/*
+ * The daemon is stopped while eight lookups are on their way. All of them were
+ * begun, so all are answered, and only the last answer closes the connection.
+ */
+static void test_stop_in_the_midst(void)
+{
+	int64_t started = upstream_count("started");
+	GString *answers = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+
+	set_upstream("{\"freeze\": true}");
+	add_lookups(text, "/s/a", "stop-", 0, CALLS);
+	send_and_free(fd, text);
+	wait_for("started", started + CALLS);
+	rig_signal(cluster.daemons[0], SIGHUP);
+	rig_signal(cluster.daemons[0], SIGTERM);
+	rig_sleep_ms(300);
+	set_upstream("{\"freeze\": false}");
+	g_assert_true(raw_read_to_close(fd, answers, WAIT_MS));
+	g_assert_cmpuint(raw_count(answers->str, "HTTP/1.1 200"), ==, CALLS);
+	expect_order(answers, "stop-", CALLS);
+	g_assert_cmpuint(raw_count(answers->str, "Connection: close"), ==, 1);
+	close(fd);
+	g_string_free(answers, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	struct cluster_options options = {
+		.count = 2, .config = config, .slots = "16"};
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	cluster_start(&cluster, &options);
+	g_free(rig_http_ok("POST", cluster.daemons[0]->admin_port,
+			   "/v1/upstream/drain", ""));
+	cluster_wait_up(&cluster, 1, WAIT_MS);
+	g_test_add_func("/ahead/at-once", test_all_begin_at_once);
+	g_test_add_func("/ahead/first-slowest", test_first_is_slowest);
+	g_test_add_func("/ahead/first-times-out", test_first_times_out);
+	g_test_add_func("/ahead/refusal", test_refusal_in_the_middle);
+	g_test_add_func("/ahead/caller-goes", test_caller_goes);
+	g_test_add_func("/ahead/booking-once", test_booking_runs_once);
+	g_test_add_func("/ahead/booking-follows", test_booking_follows);
+	g_test_add_func("/ahead/large", test_large_answers_wait);
+	g_test_add_func("/ahead/bytes", test_bytes_one_at_a_time);
+	g_test_add_func("/ahead/stop", test_stop_in_the_midst);
+	status = g_test_run();
+	cluster_stop(&cluster);
+	return status;
+}
--- /dev/null
+++ b/tests/test_request.c
@@ -0,0 +1,176 @@
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/caller/connection.h"
+#include "comfreydockd/caller/request.h"
+#include "common/clock.h"
+#include "paused_clock.h"
+
+#define OUT_MAX 65536
+
+static unsigned int wakes;
+
+/* The connection is the test's own. */
+void connection_wake(struct connection *connection)
+{
+	(void)connection;
+	wakes++;
+}
+
+const struct headers *connection_headers(const struct connection *connection)
+{
+	(void)connection;
+	return &headers_own;
+}
+
+struct fixture {
+	struct caller_request *request;
+	GByteArray *out;
+};
+
+static void set_up(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	f->request = request_create(NULL);
+	f->request->keeps_alive = true;
+	f->request->body_done = true;
+	f->out = g_byte_array_new();
+	wakes = 0;
+}
+
+static void tear_down(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	request_destroy(f->request);
+	g_byte_array_unref(f->out);
+}
+
+static void give_head(struct fixture *f, int64_t length)
+{
+	struct fields fields;
+
+	fields_init(&fields);
+	fields_add(&fields, "X-Id", "1");
+	request_sink.handle_head(f->request, 200, &fields, length);
+}
+
+static void give_body(struct fixture *f, const char *text)
+{
+	request_sink.handle_body(f->request, text, strlen(text));
+}
+
+static enum request_progress write_out(struct fixture *f)
+{
+	enum request_progress progress =
+		request_write(f->request, f->out, OUT_MAX, false);
+
+	g_byte_array_append(f->out, (const guint8 *)"", 1);
+	g_byte_array_set_size(f->out, f->out->len - 1);
+	return progress;
+}
+
+static bool has_text(const struct fixture *f, const char *text)
+{
+	return strstr((const char *)f->out->data, text) != NULL;
+}
+
+static void test_whole_in_one_piece(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	give_head(f, 5);
+	g_assert_cmpint(write_out(f), ==, REQUEST_WAITS);
+	g_assert_cmpuint(f->out->len, ==, 0);
+	give_body(f, "hello");
+	request_sink.handle_end(f->request);
+	g_assert_cmpint(write_out(f), ==, REQUEST_ANSWERED);
+	g_assert_true(
+		g_str_has_prefix((char *)f->out->data, "HTTP/1.1 200 OK\r\n"));
+	g_assert_true(has_text(f, "X-Id: 1\r\nContent-Length: 5\r\n\r\nhello"));
+	g_assert_cmpuint(wakes, ==, 3);
+}
+
+static void test_chunks(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	give_head(f, -1);
+	give_body(f, "hello");
+	g_assert_cmpint(write_out(f), ==, REQUEST_WAITS);
+	request_sink.handle_end(f->request);
+	g_assert_cmpint(write_out(f), ==, REQUEST_ANSWERED);
+	g_assert_true(has_text(f, "\r\n\r\n5\r\nhello\r\n0\r\n\r\n"));
+}
+
+/*
+ * An upstream breaks off a short answer after its head. Had the head gone out,
+ * the connection would have to break, and the callers' requests behind it on
+ * the connection would be lost with it. The caller gets a failure instead, and
+ * its other requests go on.
+ */
+static void test_breaks_off_before_its_turn(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	give_head(f, 5);
+	give_body(f, "hel");
+	request_sink.handle_abort(f->request);
+	g_assert_cmpint(write_out(f), ==, REQUEST_ANSWERED);
+	g_assert_true(g_str_has_prefix((char *)f->out->data, "HTTP/1.1 502 "));
+	g_assert_false(has_text(f, "hel\r\n"));
+	g_assert_false(has_text(f, "X-Id"));
+	g_assert_false(f->request->closes);
+}
+
+/* Of a long answer the head is out; ended in its middle, it must not look
+ * whole. */
+static void test_breaks_off_midway(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	give_head(f, 1000000);
+	give_body(f, "some");
+	g_assert_cmpint(write_out(f), ==, REQUEST_WAITS);
+	request_sink.handle_abort(f->request);
+	g_assert_cmpint(write_out(f), ==, REQUEST_BROKEN);
+}
+
+/* An upstream sends more, or less, than it told. What is over would be read as
+ * the next answer. */
+static void test_wrong_length(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	give_head(f, 3);
+	give_body(f, "hello");
+	request_sink.handle_end(f->request);
+	g_assert_cmpint(write_out(f), ==, REQUEST_BROKEN);
+}
+
+/*
+ * A refusal stands behind a lookup that takes 300 ms. Its caller reads it only
+ * then; told to come back after 400 ms from that moment, it would come 300 ms
+ * after there was room.
+ */
+static void test_come_back_counts_from_sending(struct fixture *f,
+					       gconstpointer data)
+{
+	struct call_reply reply = {
+		.status = 503, .come_back_ms = 400, .text = "not run\n"};
+
+	(void)data;
+	request_sink.handle_whole(f->request, &reply);
+	paused_clock_advance_us(300 * US_PER_MS);
+	g_assert_cmpint(write_out(f), ==, REQUEST_ANSWERED);
+	g_assert_true(has_text(f, FIELD_RETRY_AFTER_MS ": 100\r\n"));
+}
+
+#define ADD(name, function) \
+	g_test_add(name, struct fixture, NULL, set_up, function, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/request/whole", test_whole_in_one_piece);
+	ADD("/request/chunks", test_chunks);
+	ADD("/request/breaks-before-turn", test_breaks_off_before_its_turn);
+	ADD("/request/breaks-midway", test_breaks_off_midway);
+	ADD("/request/wrong-length", test_wrong_length);
+	ADD("/request/come-back", test_come_back_counts_from_sending);
+	return g_test_run();
+}
