config/spread: pass on a body larger than an answer's room

Failed questions left no line in the log; they do now (config.fetch-failed).

Ruled out: the time that a host is stopped while it takes a configuration over.

Change: the first body of an answer goes whatever its size, up to 960 KiB of the frame's 1 MiB. tests/test_config_spread /spread/large fails before and passes now.

--- a/comfreydockd/config/spread_answer.c
+++ b/comfreydockd/config/spread_answer.c
@@ -33,8 +33,15 @@
 	return false;
 }
 
+/*
+ * The first body of an answer goes whatever its size. Held to the room as well,
+ * a file of over 256 KiB, some 1,000 routes, would never travel: each peer would
+ * ask again and again, and all but those that read the platform themselves would
+ * stay with the rules of before. One notices config.fetch-failed on most hosts.
+ */
 static Cfd__ConfigLine *line_create(const struct config_version *version,
-				    struct config_namespace *ns, size_t *room)
+				    struct config_namespace *ns, size_t *room,
+				    bool is_first)
 {
 	Cfd__ConfigLine *line = g_new(Cfd__ConfigLine, 1);
 	size_t size = strlen(ns->body);
@@ -44,10 +51,10 @@
 	line->version = version->version;
 	line->sha256 = ns->sha256;
 	line->at = version->at;
-	if (size > *room)
+	if (size > *room && !is_first)
 		return line;
-	*room -= size;
-	line->has_body = true;
+	*room -= MIN(size, *room);
+	line->has_body = size <= CONFIG_SPREAD_BODY_MAX_BYTES;
 	line->body.data = (uint8_t *)ns->body;
 	line->body.len = size;
 	return line;
@@ -65,12 +72,13 @@
 	for (guint i = 0; i < all->len; i++) {
 		struct config_version *version =
 			&g_array_index(all, struct config_version, i);
+		bool is_first = answer->n_lines == 0;
 
 		if (is_wanted(query, version))
 			answer->lines[answer->n_lines++] = line_create(
 				version,
 				config_snapshot_find(snapshot, version->name),
-				&room);
+				&room, is_first);
 	}
 	g_array_unref(all);
 }
--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -92,11 +92,16 @@
 	ask(spread, member, step, &query);
 }
 
-static void note_failure(struct config_spread *spread)
+static void note_failure(struct config_spread *spread, const char *why)
 {
 	unsigned int doublings = MIN(spread->tries, BACKOFF_MOST);
 	int64_t most = (int64_t)BACKOFF_US << doublings;
 
+	log_event(EV_CONFIG_FETCH_FAILED, LOG_STR("why", why),
+		  LOG_STR("asked", spread->asked_host),
+		  LOG_INT("head", config_store_head(spread->store)),
+		  LOG_INT("known_head", config_store_known_head(spread->store)),
+		  LOG_INT("tries", spread->tries));
 	counters.config_fetch_failures++;
 	spread->step = CONFIG_FETCH_NONE;
 	spread->tries++;
@@ -133,7 +138,7 @@
 	if (result == CONFIG_OFFER_ADOPTED || result == CONFIG_OFFER_NOT_NEWER)
 		note_success(spread);
 	else
-		note_failure(spread);
+		note_failure(spread, "the store gave no body");
 	config_spread_publish(spread);
 	config_fetch_next(spread);
 }
@@ -198,7 +203,7 @@
 		read_object(spread,
 			    &g_array_index(missing, struct config_version, 0));
 	else
-		note_failure(spread);
+		note_failure(spread, "no live peer");
 }
 
 /* The witness with the highest head, or who named a higher one by gossip. */
@@ -237,7 +242,7 @@
 	if (member)
 		ask_simply(spread, member, CONFIG_FETCH_LISTING);
 	else
-		note_failure(spread);
+		note_failure(spread, "no live peer");
 }
 
 static void fetch_changes(struct config_spread *spread)
@@ -247,7 +252,7 @@
 	if (member)
 		ask_simply(spread, member, CONFIG_FETCH_LISTING);
 	else
-		note_failure(spread);
+		note_failure(spread, "no live peer");
 }
 
 void config_fetch_next(struct config_spread *spread)
@@ -274,7 +279,7 @@
 	    spread->step == CONFIG_FETCH_OBJECT ||
 	    spread->now_us < spread->give_up_us)
 		return;
-	note_failure(spread);
+	note_failure(spread, "no answer in time");
 }
 
 /* RETURN VALUE: how many versions were adopted. */
@@ -345,7 +350,7 @@
 	    (was_behind && !config_fetch_is_behind(spread)))
 		note_success(spread);
 	else
-		note_failure(spread);
+		note_failure(spread, "nothing newer in the answer");
 }
 
 void config_spread_take_answer(struct config_spread *spread, const char *host,
@@ -363,7 +368,7 @@
 	if (spread->step == CONFIG_FETCH_HEAD)
 		take_witness(spread, host, answer);
 	else if (answer->busy || !answer->ready)
-		note_failure(spread);
+		note_failure(spread, answer->busy ? "busy" : "not ready");
 	else
 		take_configuration(spread, answer);
 	config_spread_publish(spread);
--- a/include/comfreydockd/config/spread.h
+++ b/include/comfreydockd/config/spread.h
@@ -39,6 +39,8 @@
 #define CONFIG_SPREAD_WITNESSES 3
 /* Bodies in one answer; what is more is asked for again. */
 #define CONFIG_SPREAD_ANSWER_BYTES (256 * 1024)
+/* A frame may have 1 MiB; the rest is for the names in it. */
+#define CONFIG_SPREAD_BODY_MAX_BYTES (960 * 1024)
 #define CONFIG_SPREAD_ANSWERS_PER_S 20
 
 struct config_spread;
--- a/tests/spread_net.c
+++ b/tests/spread_net.c
@@ -350,10 +350,30 @@
 }
 
 void net_apply(struct net *net, unsigned int name)
+{
+	net_apply_sized(net, name, 0);
+}
+
+/* Filled up with blanks, which change nothing. */
+static char *body_of_size(unsigned int name, uint64_t version, size_t least)
+{
+	char *body = body_of(name, version);
+	size_t size = strlen(body);
+	char *larger;
+
+	if (size >= least)
+		return body;
+	larger = g_strnfill(least, ' ');
+	memcpy(larger, body, size);
+	g_free(body);
+	return larger;
+}
+
+void net_apply_sized(struct net *net, unsigned int name, size_t least)
 {
 	const struct config_version *version = listed(net, name);
 	uint64_t next = (version ? version->version : 0) + 1;
-	char *body = body_of(name, next);
+	char *body = body_of_size(name, next, least);
 	char sha256[65];
 
 	config_body_sha256(body, strlen(body), sha256);
--- a/tests/spread_net.h
+++ b/tests/spread_net.h
@@ -56,6 +56,9 @@
 /* Puts the next version of a namespace in the platform's rows. */
 void net_apply(struct net *net, unsigned int name);
 
+/* The same, with a body of so many bytes at least. */
+void net_apply_sized(struct net *net, unsigned int name, size_t least);
+
 /* The version that a daemon holds; 0: none. */
 uint64_t net_held(const struct net *net, unsigned int i, unsigned int name);
 
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -67,6 +67,26 @@
 	net_finish(&net);
 }
 
+/*
+ * An operator adds routes until the file no longer fits into the usual answer of
+ * a peer, and the platform fails once a few have read it. Without the body no
+ * peer gets on: callers of all other hosts go on meeting the routes of before,
+ * for as long as the file stays that large.
+ */
+static void test_large_body_travels(void)
+{
+	net_init(&net, 10);
+	net_run(&net, 2000);
+	net_apply_sized(&net, 0, CONFIG_SPREAD_ANSWER_BYTES * 2);
+	while (net.object_reads == 0)
+		net_run(&net, 10);
+	net.platform_down = true;
+	net_run(&net, 5000);
+	g_assert_true(net_agrees(&net));
+	g_assert_cmpuint(net.object_reads, <, 10);
+	net_finish(&net);
+}
+
 /*
  * A host is replaced during a long outage. One of its three peers was cut off
  * and is behind; were its word taken, callers would meet rules of last week.
@@ -228,6 +248,7 @@
 			test_change_reaches_all_through_few_readers);
 	g_test_add_func("/spread/replaced", test_readers_are_replaced);
 	g_test_add_func("/spread/peers", test_peers_pass_on_without_the_platform);
+	g_test_add_func("/spread/large", test_large_body_travels);
 	g_test_add_func("/spread/restart",
 			test_restart_takes_the_highest_of_the_peers);
 	g_test_add_func("/spread/not-ready",
