decide/queue: requests of one turn find the free slots

Cause: what is accepted is begun at the end of the loop's turn and is in the queue until then. An item in the queue passed for a queue, so of the requests that arrived in one turn all but the first were refused as busy and went round.

--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -369,6 +369,39 @@
 	return queue_offer(queue, &call->item, &slots, 0, &retry_after_ms);
 }
 
+/*
+ * Callers send several lookups at once, and all arrive at an idle upstream in one
+ * turn of its daemon. What was accepted is begun at the end of the turn, so it is
+ * still in the queue when the next one is looked at. Taken for a queue, it would
+ * make all but the first be refused as busy beside free slots.
+ */
+static void test_rush_finds_the_free_slots(void)
+{
+	const struct queue_options options = {.policy = &queue_by_deadline,
+					      .fair = true};
+	struct owner *owner = owner_create(&queue_by_deadline, true);
+	struct queue_slots slots = {.running = 2, .limit = 6};
+	uint32_t retry_after_ms;
+	struct queue queue;
+
+	queue_init(&queue, &options);
+	for (int i = 0; i < 6; i++) {
+		struct queue_item *item = &owner->calls[i].item;
+		enum queue_verdict verdict;
+
+		item->class = CONFIG_CLASS_NORMAL;
+		item->may_queue = false;
+		item->deadline_us = 3600 * US_PER_S;
+		verdict = queue_offer(&queue, item, &slots, 0, &retry_after_ms);
+		g_assert_cmpint(verdict, ==,
+				i < 4 ? QUEUE_ACCEPTED : QUEUE_REFUSED_BUSY);
+	}
+	while (queue_take_any(&queue))
+		;
+	queue_finish(&queue);
+	owner_destroy(owner);
+}
+
 /*
  * One caller fills the queue of an upstream to its bound. Others still get a few
  * places each, or they would all be refused because of it. But whoever sends each
@@ -417,6 +450,7 @@
 	g_test_add_func("/queue/full", test_full_queue_has_an_end);
 	g_test_add_func("/queue/classes", test_no_class_starves);
 	g_test_add_func("/queue/order", test_earliest_deadline_comes_first);
+	g_test_add_func("/queue/rush", test_rush_finds_the_free_slots);
 	g_test_add_func("/queue/busy", test_refuses_busy_at_once);
 	g_test_add_data_func("/queue/once/fifo", &queue_fifo,
 			     test_each_item_comes_out_once);
