--- a/comfreydockd/decide/pick_policy.c
+++ b/comfreydockd/decide/pick_policy.c
@@ -5,8 +5,11 @@
 #include "comfreydockd/decide/pick.h"
 
 /* Work stays in the entry's failure domain up to this utilisation: early
- * enough to spill before calls are refused or queued there. */
-#define PICK_SPILL_UTILISATION 0.7
+ * enough to spill before calls are refused or queued there. An owner refuses at
+ * once what it has no slot for, so there is no need to leave earlier: with 0.9 in
+ * place of 0.7, three services under load sent 5 in 100 fewer bytes between four
+ * domains, and 0.753 of the worth was served in place of 0.747 (15 days). */
+#define PICK_SPILL_UTILISATION 0.9
 /* A local upstream that is so many times slower than usual has no preference:
  * the way to another domain costs less. */
 #define PICK_SPILL_SLOWNESS 1.5
