decide/knee: compare times as they are, each class with itself

The knee should have left a fifth of the slots free.

Cause: each time was taken over the usual time of its class at that moment. That one follows the slowness itself: of 100 ms it became 180 while the upstream was full, and the samples beyond the knee passed for 1.05 to 1.3 times as long as those below it, which had been taken on a calm minute over 100 ms (1.1). Errors, which end at once, counted as well.

Change: times are kept as they are, at the host's usual pace, below and beyond for each class, and compared class by class; only answers count.

tests/test_knee: /knee/rush plays it, /knee/other-work that other kinds of requests don't pass for slowness; the others are as before, with times in microseconds.

--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -106,16 +106,6 @@
 	handle_idle(owner->idle_data);
 }
 
-static void owner_note_knee(struct owner *owner,
-			    const struct owner_attempt *attempt, int64_t usual_us)
-{
-	int64_t median_us =
-		queue_median_service_us(&owner->queue, attempt->item.class);
-
-	knee_note(&owner->knee, attempt->busy, owner->announced.slots,
-		  (double)usual_us / (double)MAX(median_us, 1), clock_mono_us());
-}
-
 void owner_note_over(struct owner *owner, struct owner_attempt *attempt,
 		     enum limit_outcome outcome)
 {
@@ -127,14 +117,16 @@
 	limit_note_done(&owner->limit, first_us - attempt->started_us, outcome,
 			owner->running, now);
 	if (outcome == LIMIT_OUTCOME_OK || outcome == LIMIT_OUTCOME_FAILED) {
-		owner_note_knee(owner, attempt, usual_us);
 		queue_note_done(&owner->queue, attempt->item.class, usual_us);
 		probe_note_traffic(owner->probe);
 	}
-	if (outcome == LIMIT_OUTCOME_OK)
+	if (outcome == LIMIT_OUTCOME_OK) {
 		speed_note_answer(&owner->speed, usual_us);
-	else if (outcome == LIMIT_OUTCOME_FAILED)
+		knee_note(&owner->knee, attempt->item.class, attempt->busy,
+			  owner->announced.slots, usual_us, now);
+	} else if (outcome == LIMIT_OUTCOME_FAILED) {
 		speed_note_error(&owner->speed);
+	}
 	if (first_us > attempt->item.deadline_us)
 		counters.owner_late++;
 	TAILQ_REMOVE(&owner->runs, attempt, running_link);
--- a/include/comfreydockd/decide/knee.h
+++ b/include/comfreydockd/decide/knee.h
@@ -4,11 +4,16 @@
  *
  * DESCRIPTION
  *	Compares how long requests take that began with few slots busy and that
- *	began with nearly all. Where the latter take so much longer that the
+ *	began with nearly all, each class with itself. Where the latter take so much longer that the
  *	upstream does more with some slots left free, these are left free. One
  *	that is full all the time has them left free for a moment each half
  *	minute, for the comparison.
  *
+ *	Times are compared as they are, not over the recent usual time of their
+ *	class: that one rises as the upstream fills up, and hides what is looked
+ *	for. Seen so, requests of 100 ms that took 170 ms in a full upstream
+ *	passed for 1.1 times as long, and all slots were filled.
+ *
  * LOAD PATTERN
  *	Upstreams that slow down when they are nearly full, under load that
  *	would fill them.
@@ -33,6 +38,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "comfreydockd/config/model.h"
+
+#define KNEE_CLASSES (CONFIG_CLASS_BULK + 1)
 #define KNEE_SHARE 0.8
 #define KNEE_WORSE 1.35
 #define KNEE_SAMPLES 20
@@ -40,21 +48,25 @@
 #define KNEE_HALF_US ((int64_t)30 * 1000 * 1000)
 
 struct knee_side {
-	double mean; /* of the time over the usual of its class */
+	double mean_us;
 	double samples; /* fades */
 };
 
-/* All zero at the start. */
-struct knee {
+struct knee_class {
 	struct knee_side below;
 	struct knee_side beyond;
+};
+
+/* All zero at the start. */
+struct knee {
+	struct knee_class classes[KNEE_CLASSES];
 	int64_t faded_us;
 };
 
-/* A request ended: busy slots at its start, itself included, and how long it
- * took over the usual time of its class. */
-void knee_note(struct knee *knee, uint32_t busy, uint32_t slots, double times,
-	       int64_t now_us);
+/* A request ended well: busy slots at its start, itself included, and how long
+ * it took at the host's usual pace. */
+void knee_note(struct knee *knee, enum config_class class, uint32_t busy,
+	       uint32_t slots, int64_t took_us, int64_t now_us);
 
 /* RETURN VALUE: of so many slots, those to be given. */
 uint32_t knee_slots(const struct knee *knee, uint32_t slots);
--- a/tests/test_knee.c
+++ b/tests/test_knee.c
@@ -5,6 +5,7 @@
 
 #define SLOTS 9
 #define S ((int64_t)1000 * 1000)
+#define USUAL_US 210000
 
 /* Requests of an upstream that slows by a factor beyond four fifths; their
  * times spread by a third. */
@@ -18,7 +19,8 @@
 		if (busy > KNEE_SHARE * SLOTS)
 			times *= factor;
 		*now_us += 10 * 1000;
-		knee_note(knee, busy, SLOTS, times, *now_us);
+		knee_note(knee, CONFIG_CLASS_NORMAL, busy, SLOTS,
+			  (int64_t)(times * USUAL_US), *now_us);
 	}
 }
 
@@ -55,6 +57,60 @@
 	}
 }
 
+/*
+ * A rush fills an upstream that was nearly idle, and fills it for seconds: its
+ * lookups take 1.7 times as long, and soon that is the usual time there. Compared
+ * with the usual time of the moment they would pass for hardly slower than before,
+ * all slots would stay in use, and callers would wait 170 ms in place of 100 for an
+ * upstream that does less.
+ */
+static void test_rush_does_not_hide_it(void)
+{
+	struct random_state random = {.state = 5};
+	struct knee knee = {0};
+	int64_t now_us = S;
+
+	for (int i = 0; i < 60; i++) {
+		now_us += 50 * 1000;
+		knee_note(&knee, CONFIG_CLASS_NORMAL, 2, SLOTS,
+			  (int64_t)((0.7 + 0.6 * random_unit(&random)) * 100000),
+			  now_us);
+	}
+	for (int i = 0; i < 60; i++) {
+		now_us += 15 * 1000;
+		knee_note(&knee, CONFIG_CLASS_NORMAL, SLOTS, SLOTS,
+			  (int64_t)((0.7 + 0.6 * random_unit(&random)) * 170000),
+			  now_us);
+	}
+	g_assert_cmpuint(knee_slots(&knee, SLOTS), ==, 7);
+}
+
+/*
+ * At night an upstream answers checks of 20 ms, in the rush of the day bundles of
+ * 200 ms. That these take ten times as long says nothing of how full it is; with
+ * slots left free for it, callers would be refused beside them.
+ */
+static void test_other_work_is_no_slowness(void)
+{
+	struct random_state random = {.state = 6};
+	struct knee knee = {0};
+	int64_t now_us = S;
+
+	for (int i = 0; i < 400; i++) {
+		bool is_full = i % 4 != 0;
+
+		now_us += 10 * 1000;
+		knee_note(&knee, CONFIG_CLASS_INTERACTIVE,
+			  is_full && i % 8 ? 2 : 9, SLOTS,
+			  (int64_t)((14 + 12 * random_unit(&random)) * 1000),
+			  now_us);
+		knee_note(&knee, CONFIG_CLASS_BULK, is_full ? 9 : 2, SLOTS,
+			  (int64_t)((140 + 120 * random_unit(&random)) * 1000),
+			  now_us);
+	}
+	g_assert_cmpuint(knee_slots(&knee, SLOTS), ==, SLOTS);
+}
+
 /* What was found holds while it is seen, and is tried again after a while: the
  * upstream may have been mended. */
 static void test_finding_fades(void)
@@ -66,7 +122,7 @@
 	play(&knee, &random, 1.7, 400, &now_us);
 	g_assert_cmpuint(knee_slots(&knee, SLOTS), ==, 7);
 	now_us += 10 * KNEE_HALF_US;
-	knee_note(&knee, 1, SLOTS, 1.0, now_us);
+	knee_note(&knee, CONFIG_CLASS_NORMAL, 1, SLOTS, USUAL_US, now_us);
 	g_assert_cmpuint(knee_slots(&knee, SLOTS), ==, SLOTS);
 }
 
@@ -100,7 +156,8 @@
 			ends_us[i] = 0;
 			running--;
 			done++;
-			knee_note(&knee, begun_at[i], SLOTS, times[i], now_us);
+			knee_note(&knee, CONFIG_CLASS_NORMAL, begun_at[i],
+				  SLOTS, (int64_t)(times[i] * USUAL_US), now_us);
 		}
 		for (size_t i = 0; i < SLOTS; i++) {
 			if (ends_us[i] || running >= knee_slots(&knee, SLOTS))
@@ -109,7 +166,7 @@
 			times[i] = 0.7 + 0.6 * random_unit(&random);
 			if (running > KNEE_SHARE * SLOTS)
 				times[i] *= factor;
-			ends_us[i] = now_us + (int64_t)(times[i] * 210000);
+			ends_us[i] = now_us + (int64_t)(times[i] * USUAL_US);
 		}
 	}
 	return done;
@@ -145,6 +202,8 @@
 	g_test_add_func("/knee/slows",
 			test_full_upstream_that_slows_keeps_slots_free);
 	g_test_add_func("/knee/steady", test_steady_upstream_keeps_all);
+	g_test_add_func("/knee/rush", test_rush_does_not_hide_it);
+	g_test_add_func("/knee/other-work", test_other_work_is_no_slowness);
 	g_test_add_func("/knee/fades", test_finding_fades);
 	g_test_add_func("/knee/never-less-than-full", test_never_less_than_full);
 	g_test_add_func("/knee/looking", test_looking_costs_little);
