decide/queue, caller: what holds up others waits only for its target

Change: an entry tells the owner whether other answers of the connection wait for this one's. Such a request waits only while it can still meet its target; one that can't is begun where a slot is free, else refused at once, with the time to come back.

tests/test_queue /queue/hopeless: at twice the load, told after 1,990 ms at most before, 197 now, and 10,270 of 20,000 answered.

Where a caller waits for this one answer alone, a late one is of more use to it than a refusal.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -130,6 +130,7 @@
 	out->body.len = call->body->len;
 	out->body_ends = call->body_ends;
 	out->depth = call->depth;
+	out->holds_others = call->holds_others;
 	out->answer_window = call->is_behind ? AHEAD_WINDOW_BYTES : 0;
 }
 
--- a/comfreydockd/caller/connection_input.c
+++ b/comfreydockd/caller/connection_input.c
@@ -24,7 +24,7 @@
 	request->keeps_alive = head->keeps_alive;
 	request->body_done = head->ends;
 	TAILQ_INSERT_TAIL(&connection->requests, request, link);
-	connection->unanswered++;
+	connection->sends_ahead |= connection->unanswered++ > 0;
 	return request;
 }
 
@@ -117,6 +117,7 @@
 	connection_fill_call(connection, head, &call);
 	call.arrived_us = arrived_us;
 	call.in_front = connection->unanswered - 1;
+	call.holds_others = connection->sends_ahead;
 	request->is_ahead = call.in_front > 0;
 	listener->ahead += request->is_ahead;
 	counters.caller_ahead += request->is_ahead;
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -204,6 +204,7 @@
 	call_set_trace(call, request->fields);
 	call_set_deadline(call, request);
 	call->is_behind = request->in_front > 0;
+	call->holds_others = request->holds_others;
 	call_set_fairness_key(call, request);
 	call_copy_fields(call, request->fields);
 	LIST_INIT(&call->active);
--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -72,7 +72,9 @@
 {
 	if (item->deadline_us == INT64_MAX)
 		return INT64_MAX;
-	return item->deadline_us - queue_median_service_us(queue, item->class);
+	return MIN(item->wait_until_us,
+		   item->deadline_us -
+			   queue_median_service_us(queue, item->class));
 }
 
 static int64_t queue_wait_by_deadline(const struct queue *queue,
@@ -340,6 +342,18 @@
 		queue->offered_us += queue->service[item->class].mean_us;
 }
 
+/* Past it a wait would only make others late; a start at once may still be of
+ * use. */
+static int64_t queue_wait_until_us(const struct queue *queue,
+				   const struct queue_item *item, int64_t now_us)
+{
+	int64_t service_us = queue_median_service_us(queue, item->class);
+
+	if (!item->holds_others || !item->target_us)
+		return INT64_MAX;
+	return MAX(item->target_us - service_us, now_us);
+}
+
 enum queue_verdict queue_offer(struct queue *queue, struct queue_item *item,
 			       const struct queue_slots *slots, int64_t now_us,
 			       uint32_t *retry_after_ms)
@@ -348,6 +362,7 @@
 
 	queue_note_offered(queue, item, slots, now_us);
 	item->is_queued = false;
+	item->wait_until_us = queue_wait_until_us(queue, item, now_us);
 	item->lane = queue_lane_for(queue, item, slots, now_us);
 	item->latest_start_us = queue->policy->latest_start_us(queue, item);
 	if (queue_doubts_estimate(queue, item, slots, now_us)) {
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -36,6 +36,7 @@
 	attempt->item.key_hash = fair_hash(request->fairness_key);
 	attempt->item.target_us = request->target_us ? attempt->target_us : 0;
 	attempt->item.may_queue = request->may_queue;
+	attempt->item.holds_others = request->holds_others;
 	LIST_INSERT_HEAD(&state->attempts, attempt, link);
 	if (owner->state == OWNER_UP && owner_has_group(owner, request->group)) {
 		gate_offer(owner, attempt);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -70,6 +70,7 @@
 	char *fairness_key;
 	struct fields fields;
 	GByteArray *body; /* the first part, kept until an answer begins */
+	bool holds_others; /* its caller's other answers wait for this one's */
 	bool is_behind; /* its answer waits for others: a small window */
 	size_t body_room; /* credit of the owner beyond the first part */
 	bool body_ends;
--- a/include/comfreydockd/caller/connection_internal.h
+++ b/include/comfreydockd/caller/connection_internal.h
@@ -35,6 +35,7 @@
 	int64_t waiting_since_us;
 	struct caller_request *in_body; /* the last of them: its body comes */
 	bool is_surplus;
+	bool sends_ahead; /* its caller does, or has done so */
 	bool has_request; /* a request line was read */
 	bool reads_no_more; /* no request follows those in the list */
 	bool has_more; /* of an answer, than fits into what is written */
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -59,6 +59,7 @@
 	const struct fields *fields;
 	bool has_body;
 	int64_t arrived_us; /* when its head was whole */
+	bool holds_others; /* its caller sends others before it is answered */
 	uint32_t in_front; /* unanswered ones that its answer waits for */
 };
 
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -15,6 +15,14 @@
  *	becomes so: a timer set by it gives such a request its final answer at
  *	once, not first when a slot comes free.
  *
+ *	An item that holds up others waits only while it can still meet its
+ *	target: one that can't is begun where a slot is free, and else refused
+ *	at once. Callers who send several requests at once get the answers in
+ *	the order of the requests. One of them that waited to its deadline got
+ *	what the others leave, under overload nothing, and was refused in the
+ *	end; all behind it were late with it. In a burst of 1.25 times what six
+ *	upstreams can do, 1,308 of 2,532 requests ended so after 0.8 s.
+ *
  *	An item with a target comes out before all that can't meet theirs any
  *	more, whatever their class: these get what the others leave. Without
  *	this, once arrivals exceed the slots for a moment, each answer is late
@@ -115,10 +123,12 @@
 	int64_t target_us; /* an answer by then is in time; 0: any is */
 	uint64_t key_hash; /* fair_hash() of the fairness key */
 	bool may_queue; /* false: refuse rather than wait */
+	bool holds_others; /* other answers of its caller wait for its own */
 
 	struct fair_item fair;
 	struct heap_node by_latest_start;
 	int64_t latest_start_us;
+	int64_t wait_until_us; /* see holds_others */
 	uint64_t sequence;
 	uint32_t lane;
 	bool is_queued;
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1106,7 +1106,7 @@
   (ProtobufCMessageInit) cfd__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[22] =
+static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[23] =
 {
   {
     "seq",
@@ -1372,6 +1372,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holds_others",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, holds_others),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__attempt__field_indices_by_name[] = {
   21,   /* field[21] = answer_window */
@@ -1382,6 +1394,7 @@
   11,   /* field[11] = fairness_key */
   3,   /* field[3] = group */
   6,   /* field[6] = headers */
+  22,   /* field[22] = holds_others */
   8,   /* field[8] = idempotent */
   19,   /* field[19] = last_resort */
   9,   /* field[9] = may_queue */
@@ -1400,7 +1413,7 @@
 static const ProtobufCIntRange cfd__attempt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor cfd__attempt__descriptor =
 {
@@ -1410,7 +1423,7 @@
   "Cfd__Attempt",
   "cfd",
   sizeof(Cfd__Attempt),
-  22,
+  23,
   cfd__attempt__field_descriptors,
   cfd__attempt__field_indices_by_name,
   1,  cfd__attempt__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -171,6 +171,10 @@
    * lost there, it would be sent to another
    */
   protobuf_c_boolean may_repeat;
+  /*
+   * answers of others wait for this one's, at the entry
+   */
+  protobuf_c_boolean holds_others;
   /*
    * bytes of the answer to send before more is asked for; 0: the usual
    */
@@ -178,7 +182,7 @@
 };
 #define CFD__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__attempt__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cfd__Body
--- a/tests/queue_owner.c
+++ b/tests/queue_owner.c
@@ -32,6 +32,7 @@
 
 	g_assert_false(call->answered);
 	call->answered = true;
+	call->refused_us = owner->now_us;
 	owner->refused[call->hot]++;
 	owner->slowest_refusal_us = MAX(owner->slowest_refusal_us, late_us);
 }
--- a/tests/queue_owner.h
+++ b/tests/queue_owner.h
@@ -22,6 +22,7 @@
 	int64_t ends_us; /* of the call that holds a slot; 0: none */
 	bool hot;
 	int64_t answered_us; /* by the upstream; 0: not */
+	int64_t refused_us;
 	bool answered; /* finally, one way or the other */
 };
 
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -70,6 +70,51 @@
 	g_assert_cmpint(with, >, CALLS / 2);
 }
 
+/* RETURN VALUE: the longest that a call waited to be refused, at twice what the
+ * slots can do, with a target of 200 ms and a deadline of 2 s. */
+static int64_t play_refusals(struct owner *owner)
+{
+	int64_t longest_us = 0;
+
+	owner_plan(owner, 2, 60 * MS, 2000 * MS);
+	for (int i = 0; i < CALLS; i++) {
+		struct call *call = &owner->calls[i];
+
+		call->item.target_us = call->arrives_us + 200 * MS;
+		call->item.holds_others = true;
+	}
+	for (int i = 0; i < CALLS; i++)
+		owner_receive(owner, &owner->calls[i]);
+	owner_run_until(owner, INT64_MAX - 1);
+	for (int i = 0; i < CALLS; i++) {
+		const struct call *call = &owner->calls[i];
+
+		if (!call->answered_us)
+			longest_us = MAX(longest_us,
+					 call->refused_us - call->arrives_us);
+	}
+	return longest_us;
+}
+
+/*
+ * Twice as many lookups come as can be answered, from callers who send several at
+ * once and would wait for two seconds, but have use for an answer within 200 ms
+ * only. Whoever can't have it is told so while the answer could still have been in
+ * time; it was held for nearly its two seconds, for nothing, and the answers of the
+ * caller's other lookups stood behind that one.
+ */
+static void test_hopeless_is_told_at_once(void)
+{
+	struct owner *owner = owner_create(&queue_by_deadline, true);
+	int64_t longest_us = play_refusals(owner);
+
+	g_test_message("told after %d ms at most, %d answered",
+		       (int)(longest_us / MS), owner_in_time(owner));
+	g_assert_cmpint(longest_us, <, 200 * MS);
+	g_assert_cmpint(owner_in_time(owner), >, CALLS * 45 / 100);
+	owner_destroy(owner);
+}
+
 /*
  * A thousand requests come in the same millisecond, each with a second. All
  * can be served in time, if none is refused because the queue looks long.
@@ -442,6 +487,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/queue/overload", test_overload_serves_what_it_can);
 	g_test_add_func("/queue/targets", test_targets_go_first);
+	g_test_add_func("/queue/hopeless", test_hopeless_is_told_at_once);
 	g_test_add_func("/queue/burst", test_burst_is_absorbed);
 	g_test_add_func("/queue/long-jobs", test_short_jobs_among_long_ones);
 	g_test_add_func("/queue/hot", test_hot_caller_bears_the_refusals);
