caller: give a connection's large buffers back

Seen in reading: a connection kept the room of the most that it ever read or wrote, 16 KiB after its first request and 128 KiB behind a large answer. 500 callers who once took a bundle would hold 64 MB while idle.

Change: bytes are read into the stack and only what is unfinished is kept; an empty buffer that was over 4 KiB is given back, as connections between daemons do.

--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -14,6 +14,8 @@
 
 /* What is written but not yet taken by the kernel. */
 #define OUT_BYTES (64 * 1024)
+/* An empty buffer that was larger is given back. */
+#define KEPT_BYTES (4 * 1024)
 /* The kernel shows a hang-up behind unread bytes only to those who ask. */
 #define WATCH_S 0.25
 /* A caller that neither sends, though it should, nor reads; more than any pause
@@ -53,6 +55,17 @@
 	return poll(&poller, 1, 0) > 0;
 }
 
+/* A buffer keeps the room of the most it ever held, 128 KiB behind a large answer:
+ * 500 callers who once took one would hold 64 MB while they are idle. */
+static void buffer_trim(GByteArray **buffer, guint *most)
+{
+	if ((*buffer)->len > 0 || *most <= KEPT_BYTES)
+		return;
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+	*most = 0;
+}
+
 /* Reading from the kernel. */
 
 static void connection_watch_input(struct connection *connection)
@@ -81,15 +94,12 @@
 /* RETURN VALUE: false if the connection is gone. */
 static bool connection_fill_input(struct connection *connection)
 {
-	GByteArray *in = connection->in;
-	guint before = in->len;
-	ssize_t count;
+	uint8_t bytes[READ_BYTES];
+	ssize_t count = recv(connection->fd, bytes, sizeof(bytes), 0);
 
-	g_byte_array_set_size(in, before + READ_BYTES);
-	count = recv(connection->fd, in->data + before, READ_BYTES, 0);
-	g_byte_array_set_size(in, before + (guint)MAX(count, 0));
 	if (count < 0)
 		return errno == EAGAIN || errno == EINTR;
+	g_byte_array_append(connection->in, bytes, (guint)count);
 	connection->active_us = clock_mono_us();
 	return count > 0;
 }
@@ -121,7 +131,9 @@
 		connection_lose(connection);
 		return;
 	}
+	connection->in_most = MAX(connection->in_most, connection->in->len);
 	connection_parse(connection);
+	buffer_trim(&connection->in, &connection->in_most);
 	connection_watch_input(connection);
 }
 
@@ -189,10 +201,12 @@
 
 	if (out->len == 0)
 		return true;
+	connection->out_most = MAX(connection->out_most, out->len);
 	count = send(connection->fd, out->data, out->len, MSG_NOSIGNAL);
 	if (count < 0)
 		return errno == EAGAIN || errno == EINTR;
 	g_byte_array_remove_range(out, 0, (guint)count);
+	buffer_trim(&connection->out, &connection->out_most);
 	connection->active_us = clock_mono_us();
 	return true;
 }
--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -137,7 +137,8 @@
 	return request->body->len - request->body_start;
 }
 
-bool request_is_ready(const struct caller_request *request)
+/* Whether the head may be written. */
+static bool request_is_ready(const struct caller_request *request)
 {
 	if (!request->has_answer)
 		return false;
--- a/include/comfreydockd/caller/connection_internal.h
+++ b/include/comfreydockd/caller/connection_internal.h
@@ -29,6 +29,8 @@
 	struct reader reader;
 	GByteArray *in; /* read and not used */
 	GByteArray *out; /* written and not taken */
+	guint in_most; /* since the buffer was allocated */
+	guint out_most;
 	struct caller_request_list requests;
 	uint32_t unanswered; /* length of the list */
 	struct caller_request *waiting; /* the last of them: not yet begun */
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -76,7 +76,4 @@
 enum request_progress request_write(struct caller_request *request,
 				    GByteArray *out, size_t most, bool closes);
 
-/* RETURN VALUE: whether request_write() would write the head now. */
-bool request_is_ready(const struct caller_request *request);
-
 #endif
