entry: a line for each request that no rule matches

So far only a counter told of them. The line names the configuration that the answer came from: the head held, the highest known of, and how long ago someone who should know told of the newest. With it one can tell a host that never got a version from one that holds it and matches wrongly.

--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -20,6 +20,8 @@
 #define COME_BACK_MS 1000
 /* For a rule without a deadline: a call can't stay for ever. */
 #define DEFAULT_DEADLINE_MS 30000
+/* Of a host and a path in a line of the log. */
+#define NOTED_NAME_MAX 64
 
 static void handle_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -87,15 +89,15 @@
 	return g_strndup(target, strcspn(target, "?#"));
 }
 
-static void call_set_trace(struct call *call, const struct fields *fields)
+static void copy_trace(const struct daemon *daemon, const struct fields *fields,
+		       char trace[TIMELINE_TRACE_MAX])
 {
-	const char *given =
-		fields_find(fields, call->entry->daemon->headers->trace);
+	const char *given = fields_find(fields, daemon->headers->trace);
 
 	if (trace_is_sound(given))
-		g_strlcpy(call->trace, given, sizeof(call->trace));
+		g_strlcpy(trace, given, TIMELINE_TRACE_MAX);
 	else
-		trace_create(call->entry->daemon->settings->host, call->trace);
+		trace_create(daemon->settings->host, trace);
 }
 
 static int64_t read_number(const struct fields *fields, const char *name,
@@ -201,7 +203,7 @@
 	call->body = g_byte_array_new();
 	call->body_ends = !request->has_body;
 	call->max_attempts = deadline_attempts(rule->max_attempts, depth);
-	call_set_trace(call, request->fields);
+	copy_trace(entry->daemon, request->fields, call->trace);
 	call_set_deadline(call, request);
 	call->is_behind = request->in_front > 0;
 	call->holds_others = request->holds_others;
@@ -246,6 +248,39 @@
 	       entry_match(entry, request, &config, &rule) && rule->idempotent;
 }
 
+static void note_unmatched(struct entry *entry,
+			   const struct call_request *request, const char *reason)
+{
+	const struct config_store *config = entry->daemon->config;
+	int64_t told_us = config_store_told_us(config);
+	char trace[TIMELINE_TRACE_MAX];
+	char service[NOTED_NAME_MAX];
+	char path[NOTED_NAME_MAX];
+
+	copy_trace(entry->daemon, request->fields, trace);
+	copy_host(request->host, service, sizeof(service));
+	g_strlcpy(path, request->target, sizeof(path));
+	path[strcspn(path, "?#")] = '\0';
+	timeline_note(
+		&entry->daemon->timeline, trace, EV_ENTRY_NO_RULE,
+		LOG_STR("service", service), LOG_STR("path", path),
+		LOG_STR("reason", reason), LOG_INT("status", STATUS_NO_ROUTE),
+		LOG_INT("head", config_store_head(config)),
+		LOG_INT("known_head", config_store_known_head(config)),
+		LOG_INT("told_age_us", told_us ? clock_mono_us() - told_us : -1));
+}
+
+static void entry_refuse_unmatched(struct entry *entry,
+				   const struct call_request *request,
+				   const char *reason,
+				   const struct call_sink *sink, void *data)
+{
+	counters.caller_no_route++;
+	note_unmatched(entry, request, reason);
+	outcome_refuse(entry->daemon->headers, sink, data, STATUS_NO_ROUTE,
+		       reason, 0, "not run: no service or rule matches\n");
+}
+
 struct call *entry_begin(struct entry *entry, const struct call_request *request,
 			 const struct call_sink *sink, void *data)
 {
@@ -263,10 +298,9 @@
 		return NULL;
 	}
 	if (!entry_match(entry, request, &config, &rule)) {
-		counters.caller_no_route++;
-		outcome_refuse(entry->daemon->headers, sink, data,
-			       STATUS_NO_ROUTE, config ? "no-rule" : "no-service",
-			       0, "not run: no service or rule matches\n");
+		entry_refuse_unmatched(entry, request,
+				       config ? "no-rule" : "no-service", sink,
+				       data);
 		return NULL;
 	}
 	if (deadline_is_too_deep(depth)) {
