tests: proper requests answered 404 behind a configuration that never arrives

- entry /entry/behind: a daemon that knows of a higher head answers 404 for what only the newer version may allow.
- config_spread /spread/larger-than-a-frame: a body of 3 MiB, beyond the 960 KiB that an answer carries at most, never passes from peer to peer.
- system-large_config: 8,000 routes more; a host that the store turns away answered 404 to 18 of 18 requests that the log kept, with head=3 and known_head=5, and did so for all of the 10 s in which a configuration is to be in force.

The line of each such request shows which configuration answered; told_age_us was 19 ms, though nobody had told anything for seconds: any word of a peer counted as the platform's.

--- a/tests/system/fleet.c
+++ b/tests/system/fleet.c
@@ -205,6 +205,12 @@
 
 void fleet_put_config(const struct fleet *fleet, unsigned int version,
 		      const char *prefix)
+{
+	fleet_put_large_config(fleet, version, prefix, 0);
+}
+
+void fleet_put_large_config(const struct fleet *fleet, unsigned int version,
+			    const char *prefix, unsigned int more)
 {
 	static const char rule[] =
 		"{\"name\":\"%s\",\"routeType\":\"%s\",\"targetLatencyMs\":%d,"
@@ -212,6 +218,7 @@
 		"\"action\":{\"service\":\"" FLEET_SERVICE
 		"\",\"timeoutMs\":%d,\"attempts\":%d}}";
 	GString *row = g_string_new(NULL);
+	char name[32];
 	char *value;
 	char *body;
 
@@ -222,6 +229,12 @@
 	g_string_append_printf(row, rule, "get", "idempotent", 500, 2, prefix,
 			       FLEET_DEADLINE_MS, 3);
 	g_string_append_c(row, ',');
+	for (unsigned int i = 0; i < more; i++) {
+		g_snprintf(name, sizeof(name), "more-%u", i);
+		g_string_append_printf(row, rule, name, "idempotent", 500, 2,
+				       name, FLEET_DEADLINE_MS, 3);
+		g_string_append_c(row, ',');
+	}
 	g_string_append_printf(row, rule, "patient", "idempotent", 15000, 2,
 			       "patient", FLEET_LONG_DEADLINE_MS, 3);
 	g_string_append_c(row, ',');
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -76,6 +76,10 @@
 void fleet_put_config(const struct fleet *fleet, unsigned int version,
 		      const char *prefix);
 
+/* The same with so many routes more, of some 200 bytes each. */
+void fleet_put_large_config(const struct fleet *fleet, unsigned int version,
+			    const char *prefix, unsigned int more);
+
 /* Commands to the stand-ins; the body as in their own pages. */
 void fleet_set_store(const struct fleet *fleet, const char *body);
 void fleet_set_upstream(const struct fleet *fleet, unsigned int i,
--- /dev/null
+++ b/tests/system/test_large_config.c
@@ -0,0 +1,102 @@
+#include <glib.h>
+
+#include "fleet.h"
+
+/*
+ * Operators give a host name thousands of routes more, and the platform's store
+ * turns one host away meanwhile. It hears from its peers that there is a newer
+ * configuration and has to get it from them. Where it could not, for the size of the
+ * file, callers there were answered 404 on every new route, which no client tries
+ * again, for as long as the file stayed that large; all other hosts served them.
+ */
+
+#define HOSTS 3
+#define APART (HOSTS - 1) /* the host that the store turns away */
+#define MORE_ROUTES 8000
+#define CALL_MS 5000
+#define WAIT_MS 10000
+#define IN_FORCE_MS 10000 /* what operators are promised */
+
+static const struct fleet_options options = {
+	.count = HOSTS,
+	.domains = HOSTS,
+	.slots = "8",
+	.service_time_us = "10000",
+	.relayed = true,
+};
+static struct fleet fleet;
+static unsigned int requests;
+
+/* RETURN VALUE: the status, 0 where no answer came. */
+static long call(const char *path)
+{
+	char *id = g_strdup_printf("request-%u", ++requests);
+	const char *headers[] = {"Host", FLEET_HOST, "X-Comfreydock-Request-Id",
+				 id, NULL};
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+				    fleet.hosts[APART].caller, path);
+	struct rig_answer *answer = rig_http("GET", url, headers, NULL, CALL_MS);
+	long status = answer->arrived ? answer->status : 0;
+
+	rig_answer_free(answer);
+	g_free(url);
+	g_free(id);
+	return status;
+}
+
+static bool is_served(void *path)
+{
+	return call(path) == 200;
+}
+
+static bool knows_all(void *unused)
+{
+	(void)unused;
+	return fleet_metric(&fleet, APART,
+			    "comfreydock_members{state=\"alive\"}") == HOSTS;
+}
+
+struct new_route {
+	bool is_known_of; /* that there is a newer configuration */
+	unsigned int denied; /* though it was */
+};
+
+static bool is_new_route_served(void *data)
+{
+	struct new_route *route = data;
+	long status;
+
+	if (fleet_metric(&fleet, APART, "comfreydock_config_behind") > 0)
+		route->is_known_of = true;
+	status = call("/fresh/1");
+	route->denied += route->is_known_of && status == 404;
+	return status == 200;
+}
+
+static void test_large_configuration_reaches_a_host_apart(void)
+{
+	struct new_route route = {false};
+
+	fleet_put_config(&fleet, 3, "list");
+	g_assert_true(rig_wait_until(is_served, (void *)"/list/1", WAIT_MS));
+	g_assert_true(rig_wait_until(knows_all, NULL, WAIT_MS));
+	fleet_set_relay(&fleet, APART, FLEET_LINK_STORE, "{\"cut\": true}");
+	fleet_put_large_config(&fleet, 5, "fresh", MORE_ROUTES);
+	g_assert_true(rig_wait_until(is_new_route_served, &route, IN_FORCE_MS));
+	g_assert_cmpuint(route.denied, ==, 0);
+	g_assert_cmpint(call("/more-7999/1"), ==, 200);
+	g_assert_cmpint(call("/list/1"), ==, 404);
+}
+
+int main(int argc, char **argv)
+{
+	int result;
+
+	g_test_init(&argc, &argv, NULL);
+	fleet_start(&fleet, &options);
+	g_test_add_func("/large-config/apart",
+			test_large_configuration_reaches_a_host_apart);
+	result = g_test_run();
+	fleet_stop(&fleet);
+	return result;
+}
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "comfreydockd/peer/link.h"
 #include "common/clock.h"
 #include "spread_net.h"
 
@@ -83,6 +84,16 @@
 	expect_peers_pass_on(CONFIG_SPREAD_ANSWER_BYTES * 2);
 }
 
+/*
+ * The file outgrows even a frame between daemons: 5,000 routes take 1.5 MB. It
+ * is the same to callers, and to the operator, whose next change of a single
+ * route reaches just the hosts that read the platform.
+ */
+static void test_body_larger_than_a_frame_travels(void)
+{
+	expect_peers_pass_on(LINK_MAX_FRAME_BYTES * 3);
+}
+
 /*
  * A host is replaced during a long outage. One of its three peers was cut off
  * and is behind; were its word taken, callers would meet rules of last week.
@@ -245,6 +256,8 @@
 	g_test_add_func("/spread/replaced", test_readers_are_replaced);
 	g_test_add_func("/spread/peers", test_peers_pass_on_without_the_platform);
 	g_test_add_func("/spread/large", test_large_body_travels);
+	g_test_add_func("/spread/larger-than-a-frame",
+			test_body_larger_than_a_frame_travels);
 	g_test_add_func("/spread/restart",
 			test_restart_takes_the_highest_of_the_peers);
 	g_test_add_func("/spread/not-ready",
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,144 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/caller/entry.h"
+#include "comfreydockd/config/store.h"
+#include "comfreydockd/headers.h"
+#include "comfreydockd/member/member.h"
+#include "comfreydockd/peer/peers.h"
+#include "comfreydockd/settings.h"
+#include "paused_clock.h"
+
+#define BODY_FORMAT                                                           \
+	"{\"namespace\":\"n\",\"services\":{\"s\":{\"hosts\":[\"%s\"],"       \
+	"\"group\":\"g\",\"rules\":[{\"name\":\"r\",\"path_prefix\":\"/r/\"," \
+	"\"deadline_ms\":100}]}}}"
+
+/* An entry with peers and a configuration, and no owner. */
+struct fixture {
+	struct settings settings;
+	struct daemon daemon;
+	unsigned int status; /* of the answer of our own */
+	uint32_t come_back_ms;
+};
+
+static void handle_whole(void *data, struct call_reply *reply)
+{
+	struct fixture *f = data;
+
+	f->status = reply->status;
+	f->come_back_ms = reply->come_back_ms;
+}
+
+static const struct call_sink sink = {.handle_whole = handle_whole};
+
+static void set_up(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	f->settings.host = (char *)"esja-02";
+	f->settings.peer.address = (char *)"127.0.0.1";
+	f->daemon.loop = EV_DEFAULT;
+	f->daemon.settings = &f->settings;
+	f->daemon.headers = &headers_own;
+	timeline_init(&f->daemon.timeline, 16);
+	f->daemon.members = member_table_create();
+	f->daemon.config = config_store_create();
+	f->daemon.peers = peers_create(&f->daemon);
+	f->daemon.entry = entry_create(&f->daemon);
+}
+
+static void tear_down(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	entry_destroy(f->daemon.entry);
+	peers_destroy(f->daemon.peers);
+	config_store_destroy(f->daemon.config);
+	member_table_destroy(f->daemon.members);
+	timeline_finish(&f->daemon.timeline);
+}
+
+/* What a peer that holds this version lists. */
+static void list(struct fixture *f, uint64_t version)
+{
+	struct config_version line = {
+		.name = "n", .version = version, .at = version};
+
+	config_store_note_listing(f->daemon.config, version, &line, 1);
+}
+
+static void adopt(struct fixture *f, uint64_t version, const char *host)
+{
+	char *body = g_strdup_printf(BODY_FORMAT, host);
+	char sha256[65];
+
+	config_body_sha256(body, strlen(body), sha256);
+	list(f, version);
+	g_assert_cmpint(config_store_offer(f->daemon.config, "n", version,
+					   sha256, body, strlen(body)),
+			==, CONFIG_OFFER_ADOPTED);
+	g_free(body);
+}
+
+/* RETURN VALUE: the status of the answer that the entry gave by itself. */
+static unsigned int ask(struct fixture *f, const char *host, const char *target)
+{
+	struct fields fields;
+	struct call_request request = {.method = "GET",
+				       .target = target,
+				       .host = host,
+				       .caller = "127.0.0.1",
+				       .fields = &fields};
+
+	fields_init(&fields);
+	f->status = 0;
+	f->come_back_ms = 0;
+	g_assert_null(entry_begin(f->daemon.entry, &request, &sink, f));
+	fields_finish(&fields);
+	return f->status;
+}
+
+static void test_what_no_rule_allows_is_denied(struct fixture *f,
+					       gconstpointer unused)
+{
+	(void)unused;
+	g_assert_cmpuint(ask(f, "old.example", "/r/1"), ==, 503);
+	adopt(f, 1, "old.example");
+	g_assert_cmpuint(ask(f, "other.example", "/r/1"), ==, 404);
+	g_assert_cmpuint(ask(f, "old.example", "/other"), ==, 404);
+	g_assert_cmpuint(f->come_back_ms, ==, 0);
+}
+
+/*
+ * An operator adds routes. This daemon hears from a peer that there is a newer
+ * configuration, and for some reason can't get it: the file is large, its link
+ * slow, its peers busy. A caller who uses a new route here was answered 404, which
+ * no client tries again, while other daemons served it. What may be allowed by the
+ * version that is on its way is not run, and the caller is told when to come back.
+ */
+static void
+test_nothing_is_denied_while_a_newer_version_is_known(struct fixture *f,
+						      gconstpointer unused)
+{
+	(void)unused;
+	adopt(f, 1, "old.example");
+	config_store_note_head(f->daemon.config, 2, "esja-01");
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 503);
+	g_assert_cmpuint(f->come_back_ms, >, 0);
+	g_assert_cmpuint(ask(f, "old.example", "/new/1"), ==, 503);
+	list(f, 2);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 503);
+	adopt(f, 2, "new.example");
+	g_assert_cmpuint(ask(f, "old.example", "/r/1"), ==, 404);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add("/entry/denied", struct fixture, NULL, set_up,
+		   test_what_no_rule_allows_is_denied, tear_down);
+	g_test_add("/entry/behind", struct fixture, NULL, set_up,
+		   test_nothing_is_denied_while_a_newer_version_is_known,
+		   tear_down);
+	return g_test_run();
+}
