entry: deny for good only by a configuration that may be the newest

Cause: what no rule matched was answered 404 from whatever configuration was held. That a higher one was known of, by gossip, did not count. The class: an answer that ends a request for good, from a belief that may be old.

Change: where a higher head is known of and not here, 503 with Retry-After 0.3 s; so too where nobody has told for 45 s that nothing newer is there. For that the age of the platform's last word is kept honestly: a peer passes it on with its age, and it gets older on its way, not younger (each hop adds 100 ms and what the packet waited in a stopped loop).

Tests: /entry/behind failed before (404) and passes; /entry/old-word, /store/word and /swim/word are new. Cost: 2 to 3 bytes a packet of gossip.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -99,11 +99,22 @@
 		peers_note_dead(daemon->peers, member->host);
 }
 
-static void handle_config_head(const char *host, uint64_t head, void *data)
+static void handle_config_head(const char *host, uint64_t head,
+			       int64_t told_age_us, void *data)
 {
 	struct daemon *daemon = data;
 
-	config_store_note_head(daemon->config, head, host);
+	if (head != config_store_head(daemon->config))
+		config_store_note_head(daemon->config, head, host);
+	if (told_age_us >= 0)
+		config_store_note_told(daemon->config, head, told_age_us);
+}
+
+static int64_t config_told_age_us(void *data)
+{
+	const struct daemon *daemon = data;
+
+	return config_store_told_age_us(daemon->config);
 }
 
 static void handle_config_changed(struct config_snapshot *snapshot, void *data)
@@ -172,6 +183,7 @@
 	if (!daemon->operator_api)
 		return report_bind_error("admin", &settings->admin);
 	assembly->gossip_handlers.handle_config_head = handle_config_head;
+	assembly->gossip_handlers.config_told_age_us = config_told_age_us;
 	assembly->gossip_handlers.data = daemon;
 	daemon->gossip = gossip_create(daemon, daemon->peer_port,
 				       &assembly->gossip_handlers);
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -18,6 +18,8 @@
 #define STATUS_TOO_DEEP 508
 #define STATUS_UNAVAILABLE 503
 #define COME_BACK_MS 1000
+/* By then a version that is on its way has come, as a rule. */
+#define FETCHED_MS 300
 /* For a rule without a deadline: a call can't stay for ever. */
 #define DEFAULT_DEADLINE_MS 30000
 /* Of a host and a path in a line of the log. */
@@ -249,10 +251,10 @@
 }
 
 static void note_unmatched(struct entry *entry,
-			   const struct call_request *request, const char *reason)
+			   const struct call_request *request,
+			   unsigned int status, const char *reason)
 {
 	const struct config_store *config = entry->daemon->config;
-	int64_t told_us = config_store_told_us(config);
 	char trace[TIMELINE_TRACE_MAX];
 	char service[NOTED_NAME_MAX];
 	char path[NOTED_NAME_MAX];
@@ -261,24 +263,51 @@
 	copy_host(request->host, service, sizeof(service));
 	g_strlcpy(path, request->target, sizeof(path));
 	path[strcspn(path, "?#")] = '\0';
-	timeline_note(
-		&entry->daemon->timeline, trace, EV_ENTRY_NO_RULE,
-		LOG_STR("service", service), LOG_STR("path", path),
-		LOG_STR("reason", reason), LOG_INT("status", STATUS_NO_ROUTE),
-		LOG_INT("head", config_store_head(config)),
-		LOG_INT("known_head", config_store_known_head(config)),
-		LOG_INT("told_age_us", told_us ? clock_mono_us() - told_us : -1));
+	timeline_note(&entry->daemon->timeline, trace, EV_ENTRY_NO_RULE,
+		      LOG_STR("service", service), LOG_STR("path", path),
+		      LOG_STR("reason", reason), LOG_INT("status", status),
+		      LOG_INT("head", config_store_head(config)),
+		      LOG_INT("known_head", config_store_known_head(config)),
+		      LOG_INT("told_age_us", config_store_told_age_us(config)));
 }
 
+/*
+ * A caller takes 404 for good and doesn't come back. Said by a daemon that is
+ * behind, it ends requests on every route that was just added, while others serve
+ * them; one notices it by entry.no-rule with known_head above head. So only a
+ * daemon that has reason to hold its configuration for the newest says it.
+ */
 static void entry_refuse_unmatched(struct entry *entry,
 				   const struct call_request *request,
 				   const char *reason,
 				   const struct call_sink *sink, void *data)
 {
+	unsigned int status = STATUS_NO_ROUTE;
+	const char *text = "not run: no service or rule matches\n";
+	uint32_t come_back_ms = 0;
+
 	counters.caller_no_route++;
-	note_unmatched(entry, request, reason);
-	outcome_refuse(entry->daemon->headers, sink, data, STATUS_NO_ROUTE,
-		       reason, 0, "not run: no service or rule matches\n");
+	switch (config_store_doubt(entry->daemon->config)) {
+	case CONFIG_DOUBT_BEHIND:
+		status = STATUS_UNAVAILABLE;
+		reason = "configuration-behind";
+		come_back_ms = FETCHED_MS;
+		break;
+	case CONFIG_DOUBT_UNTOLD:
+		status = STATUS_UNAVAILABLE;
+		reason = "configuration-untold";
+		come_back_ms = COME_BACK_MS;
+		break;
+	case CONFIG_DOUBT_NONE:
+		break;
+	}
+	if (status == STATUS_UNAVAILABLE) {
+		counters.caller_no_route_doubted++;
+		text = "not run: the configuration held here may be old\n";
+	}
+	note_unmatched(entry, request, status, reason);
+	outcome_refuse(entry->daemon->headers, sink, data, status, reason,
+		       come_back_ms, text);
 }
 
 struct call *entry_begin(struct entry *entry, const struct call_request *request,
--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -15,6 +15,8 @@
 	ev_timer timer;
 	bool is_watching; /* the version of the store is known */
 	uint64_t version; /* of the store, up to which all was seen */
+	uint64_t number; /* of the newest configuration seen */
+	bool is_unread; /* the row as it is now could not be taken */
 	int64_t backoff_us;
 };
 
@@ -62,6 +64,7 @@
 	if (strcmp(row->key, follow->options.key) != 0)
 		return;
 	counters.config_platform_bytes += row->size;
+	follow->is_unread = true;
 	if (!row->value) {
 		log_event(EV_CONFIG_ROW_UNREADABLE,
 			  LOG_STR("error", "deleted"));
@@ -72,6 +75,8 @@
 	} else {
 		log_event(EV_CONFIG_ROW_SEEN, LOG_INT("version", number),
 			  LOG_INT("row_version", row->version));
+		follow->is_unread = false;
+		follow->number = number;
 		offer(follow, number, body);
 	}
 	g_free(body);
@@ -95,7 +100,8 @@
 	for (size_t i = 0; i < answer->row_count; i++)
 		take_row(follow, &answer->rows[i]);
 	/* Nothing newer is news, too: what is held is as new as this answer. */
-	config_store_note_told(follow->options.store);
+	if (!follow->is_unread)
+		config_store_note_told(follow->options.store, follow->number, 0);
 	follow->version = MAX(follow->version, answer->version);
 	follow->is_watching = true;
 	follow->backoff_us = 0;
--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -87,6 +87,7 @@
 	config_head_init(&row);
 	if (config_head_parse(&row, value)) {
 		suffices = note_row(spread, &row);
+		config_store_note_told(spread->store, row.head, 0);
 	} else {
 		log_event(EV_CONFIG_HEAD_UNREADABLE);
 		spread->platform_failed = true;
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -22,7 +22,10 @@
 	uint64_t known_head;
 	uint64_t listed_head;
 	int64_t adopted_us;
-	int64_t told_us;
+	bool is_told; /* told_us is known */
+	int64_t told_us; /* boot time at which nothing above the head was there */
+	uint64_t coming_head; /* the same for a head that is not reached yet */
+	int64_t coming_told_us;
 	GArray *listing; /* of struct config_version, names owned */
 	GHashTable *origins; /* name -> struct origin */
 	struct config_store_observer observers[OBSERVERS_MAX];
@@ -98,9 +101,18 @@
 	return store->adopted_us;
 }
 
-int64_t config_store_told_us(const struct config_store *store)
+int64_t config_store_told_age_us(const struct config_store *store)
 {
-	return store->told_us;
+	return store->is_told ? MAX(clock_boot_us() - store->told_us, 0) : -1;
+}
+
+enum config_doubt config_store_doubt(const struct config_store *store)
+{
+	if (store->known_head > store->head || config_store_lacks(store))
+		return CONFIG_DOUBT_BEHIND;
+	if (config_store_told_age_us(store) > CONFIG_TOLD_MAX_US)
+		return CONFIG_DOUBT_UNTOLD;
+	return CONFIG_DOUBT_NONE;
 }
 
 static bool holds(const struct config_store *store,
@@ -178,6 +190,13 @@
 	return all;
 }
 
+static void note_told_at(struct config_store *store, int64_t as_of_us)
+{
+	store->told_us =
+		store->is_told ? MAX(store->told_us, as_of_us) : as_of_us;
+	store->is_told = true;
+}
+
 /* The head moves only once nothing of its listing is missing: a daemon that
  * claimed a head early would be believed by peers that then miss a version. */
 static void settle(struct config_store *store)
@@ -186,19 +205,32 @@
 	    (store->listed_head > store->head || !store->ready)) {
 		store->head = MAX(store->head, store->listed_head);
 		store->ready = true;
+		if (store->coming_head && store->coming_head <= store->head)
+			note_told_at(store, store->coming_told_us);
 		log_event(EV_CONFIG_HEAD_REACHED, LOG_INT("head", store->head));
 	}
 }
 
-void config_store_note_told(struct config_store *store)
+void config_store_note_told(struct config_store *store, uint64_t head,
+			    int64_t age_us)
 {
-	store->told_us = clock_mono_us();
+	int64_t as_of_us = clock_boot_us() - age_us;
+
+	if (head <= store->head) {
+		note_told_at(store, as_of_us);
+	} else if (head > store->coming_head) {
+		store->coming_head = head;
+		store->coming_told_us = as_of_us;
+	} else if (head == store->coming_head) {
+		store->coming_told_us = MAX(store->coming_told_us, as_of_us);
+	}
 }
 
 void config_store_note_head(struct config_store *store, uint64_t head,
 			    const char *from_host)
 {
-	config_store_note_told(store);
+	if (!from_host)
+		config_store_note_told(store, head, 0);
 	if (head <= store->head && store->ready)
 		return;
 	store->known_head = MAX(store->known_head, head);
@@ -214,7 +246,6 @@
 			       const struct config_version *versions,
 			       size_t count)
 {
-	config_store_note_told(store);
 	if (head < store->listed_head)
 		return;
 	store->known_head = MAX(store->known_head, head);
--- a/comfreydockd/member/gossip.c
+++ b/comfreydockd/member/gossip.c
@@ -152,15 +152,25 @@
 	swim_tick(gossip->swim, gossip->now_us);
 }
 
-static void gossip_handle_head(const char *host, uint64_t head, void *data)
+static void gossip_handle_head(const char *host, uint64_t head,
+			       int64_t told_age_us, void *data)
 {
 	struct gossip *gossip = data;
 
 	if (gossip->handlers && gossip->handlers->handle_config_head)
-		gossip->handlers->handle_config_head(host, head,
+		gossip->handlers->handle_config_head(host, head, told_age_us,
 						     gossip->handlers->data);
 }
 
+static int64_t gossip_told_age_us(void *data)
+{
+	const struct gossip *gossip = data;
+
+	if (!gossip->handlers || !gossip->handlers->config_told_age_us)
+		return -1;
+	return gossip->handlers->config_told_age_us(gossip->handlers->data);
+}
+
 static void gossip_handle_freeze(int64_t gap_us, void *data G_GNUC_UNUSED)
 {
 	log_event(EV_GOSSIP_FROZEN, LOG_INT("ms", gap_us / US_PER_MS));
@@ -250,6 +260,7 @@
 		  sizeof(self.address));
 	gossip->ops = (struct swim_ops){.send = gossip_send,
 					.handle_config_head = gossip_handle_head,
+					.config_told_age_us = gossip_told_age_us,
 					.handle_freeze = gossip_handle_freeze,
 					.handle_refuted = gossip_handle_refuted,
 					.data = gossip};
--- a/comfreydockd/member/swim.c
+++ b/comfreydockd/member/swim.c
@@ -330,10 +330,10 @@
 		return true; /* a seed that is this daemon's own address */
 	if (!take_records(swim, message, from))
 		return false;
-	if (message->config_head != swim->config_head &&
-	    swim->ops->handle_config_head)
-		swim->ops->handle_config_head(
-			message->from, message->config_head, swim->ops->data);
+	if (swim->ops->handle_config_head)
+		swim->ops->handle_config_head(message->from, message->config_head,
+					      swim_told_age_us(swim, message),
+					      swim->ops->data);
 	dispatch(swim, message, from, was_dead);
 	if (!member_table_find(swim->table, message->from))
 		meet_stranger(swim, from);
--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -126,6 +126,8 @@
 		    enum member_state state, uint32_t by);
 
 /* swim_message.c */
+/* RETURN VALUE: -1 where the sender does not know. */
+int64_t swim_told_age_us(const struct swim *swim, const Cfd__Gossip *message);
 void swim_packet_init(struct swim *swim, struct swim_packet *packet,
 		      Cfd__GossipKind kind, uint64_t seq);
 bool swim_packet_add(struct swim *swim, struct swim_packet *packet,
--- a/comfreydockd/member/swim_message.c
+++ b/comfreydockd/member/swim_message.c
@@ -12,6 +12,30 @@
 	return XXH32(host, strlen(host), 0);
 }
 
+static uint32_t told_ms(const struct swim *swim)
+{
+	int64_t age_us = swim->ops->config_told_age_us ?
+				 swim->ops->config_told_age_us(swim->ops->data) :
+				 -1;
+
+	if (age_us < 0)
+		return 0;
+	return (uint32_t)MIN(age_us / 1000 + 1, (int64_t)UINT32_MAX);
+}
+
+/*
+ * The packet may have waited here since the last tick, and was on its way before.
+ * Left out, a word would get younger with each hop, and daemons that lost the
+ * platform would tell each other for ever that they are up to date.
+ */
+int64_t swim_told_age_us(const struct swim *swim, const Cfd__Gossip *message)
+{
+	if (!message->config_told_ms)
+		return -1;
+	return (int64_t)message->config_told_ms * 1000 + SWIM_HOP_MAX_US +
+	       MAX(swim->now_us - swim->ticked_at_us, 0);
+}
+
 void swim_packet_init(struct swim *swim, struct swim_packet *packet,
 		      Cfd__GossipKind kind, uint64_t seq)
 {
@@ -20,6 +44,7 @@
 	packet->message.seq = seq;
 	packet->message.from = swim->self->host;
 	packet->message.config_head = swim->config_head;
+	packet->message.config_told_ms = told_ms(swim);
 	packet->message.records = packet->pointers;
 	packet->size = 0;
 }
--- a/comfreydockd/operator/metrics.c
+++ b/comfreydockd/operator/metrics.c
@@ -73,7 +73,7 @@
 {
 	int64_t now_us = clock_mono_us();
 	int64_t adopted_us = config_store_adopted_us(store);
-	int64_t told_us = config_store_told_us(store);
+	int64_t told_age_us = config_store_told_age_us(store);
 
 	append_versions(text, config_store_current(store));
 	metric_append_gauge(text, "config_head",
@@ -87,11 +87,11 @@
 		metric_append_gauge(text, "config_age_us",
 				    "since a version was put in force",
 				    (double)(now_us - adopted_us));
-	if (told_us)
+	if (told_age_us >= 0)
 		metric_append_gauge(
 			text, "config_told_age_us",
-			"since the platform or a peer told which is the newest",
-			(double)(now_us - told_us));
+			"since nothing newer was there, by the platform's word",
+			(double)told_age_us);
 }
 
 /* Under the names that collectors know from other programs. */
--- a/common/clock.c
+++ b/common/clock.c
@@ -15,6 +15,11 @@
 	return clock_read_us(CLOCK_MONOTONIC);
 }
 
+int64_t clock_boot_us(void)
+{
+	return clock_read_us(CLOCK_BOOTTIME);
+}
+
 int64_t clock_wall_us(void)
 {
 	return clock_read_us(CLOCK_REALTIME);
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -39,6 +39,20 @@
 	CONFIG_OFFER_BAD_CONTENT,
 };
 
+/*
+ * A daemon without a watch of its own hears from those that have one; theirs end
+ * after 30 s without news, and a lost one is noticed a little later. With nothing
+ * heard for this long, nobody near is in touch with the platform.
+ */
+#define CONFIG_TOLD_MAX_US ((int64_t)45 * 1000 * 1000)
+
+/* Why the configuration held here may not be the one in force. */
+enum config_doubt {
+	CONFIG_DOUBT_NONE,
+	CONFIG_DOUBT_BEHIND, /* a higher head is known of, and not reached */
+	CONFIG_DOUBT_UNTOLD, /* for CONFIG_TOLD_MAX_US nobody has told */
+};
+
 /* One line of a listing. */
 struct config_version {
 	const char *name; /* of the namespace */
@@ -78,15 +92,23 @@
 /* The highest head heard of. */
 uint64_t config_store_known_head(const struct config_store *store);
 
-/* When a version was last put in force, and when the platform or a peer last
- * told of the newest; of the clock's monotonic time, 0: never. */
+/* When a version was last put in force, of the monotonic clock; 0: never. */
 int64_t config_store_adopted_us(const struct config_store *store);
-int64_t config_store_told_us(const struct config_store *store);
 
-/* Somebody who should know told of nothing newer. */
-void config_store_note_told(struct config_store *store);
+/*
+ * How long ago nothing newer than the head held here was there, by the word of
+ * the platform, passed on by peers with its age. -1: nobody has told.
+ */
+int64_t config_store_told_age_us(const struct config_store *store);
+
+/* age_us ago nothing newer than this head was there. */
+void config_store_note_told(struct config_store *store, uint64_t head,
+			    int64_t age_us);
+
+/* RETURN VALUE: whether what no rule allows here may be allowed elsewhere. */
+enum config_doubt config_store_doubt(const struct config_store *store);
 
-/* from_host: NULL where the platform told it. */
+/* from_host: NULL where the platform has just told it. */
 void config_store_note_head(struct config_store *store, uint64_t head,
 			    const char *from_host);
 
--- a/include/comfreydockd/member/gossip.h
+++ b/include/comfreydockd/member/gossip.h
@@ -20,8 +20,10 @@
 struct gossip;
 
 struct gossip_handlers {
-	/* A peer names another head than this daemon's; may be NULL. */
-	void (*handle_config_head)(const char *host, uint64_t head, void *data);
+	/* As in struct swim_ops; both may be NULL. */
+	void (*handle_config_head)(const char *host, uint64_t head,
+				   int64_t told_age_us, void *data);
+	int64_t (*config_told_age_us)(void *data);
 	void *data;
 };
 
--- a/include/comfreydockd/member/swim.h
+++ b/include/comfreydockd/member/swim.h
@@ -57,6 +57,7 @@
 #define SWIM_TRY_LEFT_US ((int64_t)600 * 1000 * 1000)
 #define SWIM_FORGET_DEAD_US ((int64_t)24 * 3600 * 1000 * 1000)
 #define SWIM_FORGET_LEFT_US ((int64_t)3600 * 1000 * 1000)
+#define SWIM_HOP_MAX_US (100 * 1000) /* a packet's way, but for a few */
 /* No tick for so long: this process was stopped. */
 #define SWIM_FREEZE_US (1500 * 1000)
 
@@ -65,8 +66,12 @@
 struct swim_ops {
 	void (*send)(const char *address, uint16_t port, const uint8_t *body,
 		     size_t size, void *data);
-	/* A peer names another configuration head than this daemon's. */
-	void (*handle_config_head)(const char *host, uint64_t head, void *data);
+	/* A peer names its configuration head, and how long ago there was
+	 * nothing newer; -1: it doesn't know. */
+	void (*handle_config_head)(const char *host, uint64_t head,
+				   int64_t told_age_us, void *data);
+	/* RETURN VALUE: the same for this daemon's head. May be NULL. */
+	int64_t (*config_told_age_us)(void *data);
 	/* Nobody ticked for gap_us; may be NULL. */
 	void (*handle_freeze)(int64_t gap_us, void *data);
 	/* Somebody held this daemon for suspect or dead; may be NULL. */
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -9,7 +9,9 @@
  *
  *	Monotonic times are microseconds since an arbitrary start and never
  *	leave a process; wall times are microseconds since the epoch and are
- *	shown to people only: no decision depends on them.
+ *	shown to people only: no decision depends on them. Boot times are as
+ *	monotonic ones, but go on while the machine is suspended: for the age
+ *	of what others may have changed meanwhile.
  */
 #ifndef COMMON_CLOCK_H
 #define COMMON_CLOCK_H
@@ -20,6 +22,7 @@
 #define US_PER_S ((int64_t)1000000)
 
 int64_t clock_mono_us(void);
+int64_t clock_boot_us(void);
 int64_t clock_wall_us(void);
 
 #endif
--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -413,7 +413,7 @@
   (ProtobufCMessageInit) cfd__member_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__gossip__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cfd__gossip__field_descriptors[15] =
 {
   {
     "kind",
@@ -583,10 +583,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_told_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Gossip, config_told_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__gossip__field_indices_by_name[] = {
   8,   /* field[8] = bucket */
   3,   /* field[3] = config_head */
+  14,   /* field[14] = config_told_ms */
   10,   /* field[10] = digests */
   2,   /* field[2] = from */
   12,   /* field[12] = is_last */
@@ -603,7 +616,7 @@
 static const ProtobufCIntRange cfd__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor cfd__gossip__descriptor =
 {
@@ -613,7 +626,7 @@
   "Cfd__Gossip",
   "cfd",
   sizeof(Cfd__Gossip),
-  14,
+  15,
   cfd__gossip__field_descriptors,
   cfd__gossip__field_indices_by_name,
   1,  cfd__gossip__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -141,10 +141,14 @@
    * SYNC_REPLY: no more follow
    */
   protobuf_c_boolean is_last;
+  /*
+   * How long ago there was nothing newer than config_head, and 1 ms; 0: not known
+   */
+  uint32_t config_told_ms;
 };
 #define CFD__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__gossip__descriptor) \
-    , CFD__GOSSIP_KIND__GOSSIP_NONE, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
+    , CFD__GOSSIP_KIND__GOSSIP_NONE, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Cfd__Packet methods */
--- a/tests/swim_net.c
+++ b/tests/swim_net.c
@@ -51,16 +51,27 @@
 	g_queue_push_tail(&net.packets, packet);
 }
 
-static void net_head(const char *host G_GNUC_UNUSED, uint64_t head, void *data)
+static void net_head(const char *host G_GNUC_UNUSED, uint64_t head,
+		     int64_t told_age_us, void *data)
 {
 	struct host *self = data;
 
+	if (told_age_us >= 0)
+		self->told_us = MAX(self->told_us, net.now_us - told_age_us);
+
 	if (head > self->head_heard) {
 		self->head_heard = head;
 		swim_set_config_head(self->swim, head);
 	}
 }
 
+static int64_t net_told_age(void *data)
+{
+	const struct host *self = data;
+
+	return self->told_us ? net.now_us - self->told_us : -1;
+}
+
 void host_start(int i)
 {
 	struct host *host = &net.hosts[i];
@@ -75,7 +86,11 @@
 	g_strlcpy(self.host, host->name, sizeof(self.host));
 	g_strlcpy(self.address, host->address, sizeof(self.address));
 	host->ops = (struct swim_ops){
-		.send = net_send, .handle_config_head = net_head, .data = host};
+		.send = net_send,
+		.handle_config_head = net_head,
+		.config_told_age_us = net_told_age,
+		.data = host,
+	};
 	host->table = options.table = member_table_create();
 	options.seed = (uint64_t)g_test_rand_int();
 	host->swim = swim_create(&options, net.now_us);
--- a/tests/swim_net.h
+++ b/tests/swim_net.h
@@ -28,6 +28,7 @@
 	int side; /* packets between two sides are lost */
 	uint64_t sent_bytes;
 	uint64_t head_heard;
+	int64_t told_us; /* as of then it knows of nothing newer; 0: never */
 };
 
 struct net {
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "comfreydockd/config/store.h"
+#include "common/clock.h"
 
 struct fixture {
 	struct config_store *store;
@@ -181,6 +182,31 @@
 	g_assert_cmpuint(f->behind, ==, 1);
 }
 
+/* The word of a peer on a version that is still on its way is kept until that is
+ * here; that of one which holds an older version is as good. */
+static void test_word_of_peers_keeps_its_age(struct fixture *f,
+					     gconstpointer unused)
+{
+	struct config_version listing[] = {version_of("a", 4)};
+
+	(void)unused;
+	g_assert_cmpint(config_store_told_age_us(f->store), ==, -1);
+	config_store_note_listing(f->store, 0, NULL, 0);
+	config_store_note_told(f->store, 4, 3 * US_PER_S);
+	config_store_note_head(f->store, 4, "esja-01");
+	g_assert_cmpint(config_store_told_age_us(f->store), ==, -1);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_BEHIND);
+	config_store_note_listing(f->store, 4, listing, 1);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_BEHIND);
+	offer(f, "a", 4);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_NONE);
+	g_assert_cmpint(config_store_told_age_us(f->store), >=, 3 * US_PER_S);
+	config_store_note_told(f->store, 2, US_PER_S);
+	g_assert_cmpint(config_store_told_age_us(f->store), <, 3 * US_PER_S);
+	config_store_note_told(f->store, 4, 9 * US_PER_S);
+	g_assert_cmpint(config_store_told_age_us(f->store), <, 3 * US_PER_S);
+}
+
 static void test_empty_platform_is_ready_too(struct fixture *f,
 					     gconstpointer unused)
 {
@@ -222,6 +248,7 @@
 	ADD("/store/in-flight", test_requests_keep_their_snapshot);
 	ADD("/store/bad-offers", test_bad_offers_change_nothing);
 	ADD("/store/head", test_head_is_reached_with_the_last_body);
+	ADD("/store/word", test_word_of_peers_keeps_its_age);
 	ADD("/store/empty-platform", test_empty_platform_is_ready_too);
 	ADD("/store/file", test_file_holds_until_a_version);
 	return g_test_run();
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -113,8 +113,10 @@
  * An operator adds routes. This daemon hears from a peer that there is a newer
  * configuration, and for some reason can't get it: the file is large, its link
  * slow, its peers busy. A caller who uses a new route here was answered 404, which
- * no client tries again, while other daemons served it. What may be allowed by the
- * version that is on its way is not run, and the caller is told when to come back.
+ * no client tries again, while other daemons served it: the answer came from what
+ * was held, without a look at what was known of. The evidence was the line of each
+ * such request, with known_head above head. What the version on its way may allow
+ * is not run, and the caller is told when to come back.
  */
 static void
 test_nothing_is_denied_while_a_newer_version_is_known(struct fixture *f,
@@ -132,6 +134,32 @@
 	g_assert_cmpuint(ask(f, "old.example", "/r/1"), ==, 404);
 }
 
+/*
+ * A failure domain loses its way to the platform and to all others. Its daemons
+ * tell each other that they hold the same, so none is behind; elsewhere routes are
+ * added meanwhile. Callers here were told for good that there is no such route. What
+ * counts is how old the platform's word is, not how new that of a peer.
+ */
+static void test_nothing_is_denied_on_an_old_word(struct fixture *f,
+						  gconstpointer unused)
+{
+	struct config_store *config = f->daemon.config;
+
+	(void)unused;
+	adopt(f, 1, "old.example");
+	config_store_note_told(config, 1, 0);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 404);
+	paused_clock_advance_us(CONFIG_TOLD_MAX_US);
+	config_store_note_told(config, 1, CONFIG_TOLD_MAX_US);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 404);
+	paused_clock_advance_us(1);
+	config_store_note_told(config, 1, CONFIG_TOLD_MAX_US + 1);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 503);
+	g_assert_cmpuint(f->come_back_ms, >, 0);
+	config_store_note_told(config, 1, CONFIG_TOLD_MAX_US / 2);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 404);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -140,5 +168,7 @@
 	g_test_add("/entry/behind", struct fixture, NULL, set_up,
 		   test_nothing_is_denied_while_a_newer_version_is_known,
 		   tear_down);
+	g_test_add("/entry/old-word", struct fixture, NULL, set_up,
+		   test_nothing_is_denied_on_an_old_word, tear_down);
 	return g_test_run();
 }
--- a/tests/test_mutations.c
+++ b/tests/test_mutations.c
@@ -138,10 +138,12 @@
 	g_ptr_array_add(net->sent, bytes);
 }
 
-static void ignore_head(const char *host, uint64_t head, void *data)
+static void ignore_head(const char *host, uint64_t head, int64_t told_age_us,
+			void *data)
 {
 	(void)host;
 	(void)head;
+	(void)told_age_us;
 	(void)data;
 }
 
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -177,6 +177,27 @@
 	net_stop();
 }
 
+/*
+ * One of many hears from the platform that nothing is newer than what all hold. The
+ * others take its word, with the age that it has by then: made younger on its way, a
+ * side without the platform would tell itself for ever that it is up to date.
+ */
+static void test_word_spreads_and_ages(void)
+{
+	int64_t told_us;
+
+	net_start(HOSTS_MAX);
+	net_settle(10 * SECOND);
+	told_us = net.now_us;
+	net.hosts[7].told_us = told_us;
+	net_run(5 * SECOND);
+	for (int i = 0; i < HOSTS_MAX; i++) {
+		g_assert_cmpint(net.hosts[i].told_us, <=, told_us);
+		g_assert_cmpint(net.hosts[i].told_us, >=, told_us - SECOND);
+	}
+	net_stop();
+}
+
 static void test_leaver_is_not_held_dead(void)
 {
 	net_start(12);
@@ -348,6 +369,7 @@
 	g_test_add_func("/swim/frozen", test_frozen_wakes_gently);
 	g_test_add_func("/swim/halves", test_halves_merge);
 	g_test_add_func("/swim/drain", test_drain_and_head_spread);
+	g_test_add_func("/swim/word", test_word_spreads_and_ages);
 	g_test_add_func("/swim/leave", test_leaver_is_not_held_dead);
 	g_test_add_func("/swim/restart", test_restarted_leaver_is_found);
 	g_test_add_func("/swim/lower", test_lower_incarnation_overtakes);
