config/follow: who stays behind reads the platform's row by itself

A daemon without a watch had one way to a new version: its peers. Where that failed, whatever the cause (this time a body's size), it followed the old one for as long as the cause lasted, with the platform's store at hand.

Change: after 1.5 s behind, and a time drawn from 10 ms for each member (100 reads a second in all, 22,000 daemons take 220 s), it reads the row once, unless parts of the version still come from peers. Line config.read-alone.

/follow/alone fails without the change; /follow/helped holds that nobody asks the store where peers help.

--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -18,6 +18,8 @@
 	uint64_t number; /* of the newest configuration seen */
 	bool is_unread; /* the row as it is now could not be taken */
 	int64_t backoff_us;
+	bool is_asking;
+	int64_t read_at_us; /* if still behind by then; 0: not behind */
 };
 
 static void follow_later(struct config_follow *follow, int64_t us)
@@ -86,6 +88,7 @@
 {
 	struct config_follow *follow = data;
 
+	follow->is_asking = false;
 	if (answer->status == PLATFORM_HISTORY_GONE) {
 		/* The row itself is still there. */
 		follow->is_watching = false;
@@ -133,30 +136,108 @@
 	return true;
 }
 
+static void read_row(struct config_follow *follow)
+{
+	follow->is_asking = true;
+	counters.config_head_reads++;
+	platform_get(follow->options.platform, follow->options.key,
+		     handle_answer, follow);
+}
+
+static void watch_row(struct config_follow *follow)
+{
+	follow->is_asking = true;
+	counters.config_head_reads++;
+	platform_watch(follow->options.platform, follow->options.table,
+		       follow->version, CONFIG_FOLLOW_WAIT_MS, handle_answer,
+		       follow);
+}
+
+static bool is_behind(const struct config_follow *follow)
+{
+	return config_store_doubt(follow->options.store) == CONFIG_DOUBT_BEHIND;
+}
+
+static int64_t draw_read_time(struct config_follow *follow)
+{
+	uint64_t span = member_table_size(follow->options.members) *
+				CONFIG_FOLLOW_APART_US +
+			1;
+
+	return clock_mono_us() + CONFIG_FOLLOW_BEHIND_US +
+	       (int64_t)random_below(&follow->random, span);
+}
+
+/*
+ * A version reaches most daemons through peers alone. Where that way fails, for
+ * its size or for a fault that nobody thought of, they would follow the rules of
+ * before for as long as it lasts, with the store at hand; one notices
+ * config.fetch-failed with the same known_head again and again.
+ */
+static void handle_behind(uint64_t head, const char *from_host, void *data)
+{
+	struct config_follow *follow = data;
+
+	(void)head;
+	(void)from_host;
+	if (follow->read_at_us || follow->is_asking)
+		return;
+	follow->read_at_us = draw_read_time(follow);
+	follow_later(follow, CONFIG_FOLLOW_LOOK_US);
+}
+
+static bool is_due(const struct config_follow *follow)
+{
+	int64_t now_us = clock_mono_us();
+	int64_t moved_us = config_store_moved_us(follow->options.store);
+
+	return now_us >= follow->read_at_us &&
+	       now_us - moved_us >= CONFIG_FOLLOW_STILL_US;
+}
+
+static void read_alone(struct config_follow *follow)
+{
+	log_event(EV_CONFIG_READ_ALONE,
+		  LOG_INT("head", config_store_head(follow->options.store)),
+		  LOG_INT("known_head",
+			  config_store_known_head(follow->options.store)));
+	follow->read_at_us = 0;
+	read_row(follow);
+}
+
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct config_follow *follow = timer->data;
-	const struct config_follow_options *options = &follow->options;
 
 	(void)loop;
 	(void)events;
-	counters.config_head_reads++;
+	if (!is_behind(follow))
+		follow->read_at_us = 0;
+	else if (!follow->read_at_us)
+		follow->read_at_us = draw_read_time(follow);
 	if (!follow->is_watching)
-		platform_get(options->platform, options->key, handle_answer,
-			     follow);
+		read_row(follow);
+	else if (follow->read_at_us && is_due(follow))
+		read_alone(follow);
 	else if (is_drawn(follow))
-		platform_watch(options->platform, options->table, follow->version,
-			       CONFIG_FOLLOW_WAIT_MS, handle_answer, follow);
+		watch_row(follow);
 	else
-		follow_later(follow, CONFIG_FOLLOW_RETRY_MAX_US);
+		follow_later(follow, follow->read_at_us ?
+					     CONFIG_FOLLOW_LOOK_US :
+					     CONFIG_FOLLOW_RETRY_MAX_US);
 }
 
 struct config_follow *
 config_follow_create(const struct config_follow_options *options)
 {
 	struct config_follow *follow = g_new0(struct config_follow, 1);
+	struct config_store_observer observer = {
+		.handle_behind = handle_behind,
+		.data = follow,
+	};
 
 	follow->options = *options;
+	config_store_observe(options->store, &observer);
 	follow->random.state = options->seed;
 	ev_init(&follow->timer, handle_timer);
 	follow->timer.data = follow;
--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -326,6 +326,7 @@
 	if ((held && held->version >= line->version) ||
 	    !config_pieces_add(pieces, line))
 		return false;
+	config_store_note_part(spread->store);
 	if (!config_pieces_are_whole(pieces))
 		return true;
 	has_come = offer_line(spread, line, pieces->bytes->data,
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -22,6 +22,7 @@
 	uint64_t known_head;
 	uint64_t listed_head;
 	int64_t adopted_us;
+	int64_t moved_us;
 	bool is_told; /* told_us is known */
 	int64_t told_us; /* boot time at which nothing above the head was there */
 	uint64_t coming_head; /* the same for a head that is not reached yet */
@@ -101,6 +102,16 @@
 	return store->adopted_us;
 }
 
+int64_t config_store_moved_us(const struct config_store *store)
+{
+	return store->moved_us;
+}
+
+void config_store_note_part(struct config_store *store)
+{
+	store->moved_us = clock_mono_us();
+}
+
 int64_t config_store_told_age_us(const struct config_store *store)
 {
 	return store->is_told ? MAX(clock_boot_us() - store->told_us, 0) : -1;
@@ -268,6 +279,7 @@
 	store->current = config_snapshot_with(old, ns);
 	config_snapshot_unref(old);
 	store->adopted_us = clock_mono_us();
+	store->moved_us = store->adopted_us;
 	counters.config_adopted++;
 	log_event(EV_CONFIG_ADOPTED, LOG_STR("namespace", ns->name),
 		  LOG_INT("version", ns->version), LOG_STR("sha256", ns->sha256));
--- a/include/comfreydockd/config/follow.h
+++ b/include/comfreydockd/config/follow.h
@@ -14,6 +14,11 @@
  *	bound 22,000 daemons would make 11,700 reads a second of 46,000 changes
  *	a day, where the store gives 2,000.
  *
+ *	One that stays behind, whatever keeps its peers from helping, reads the
+ *	row once by itself, after CONFIG_FOLLOW_BEHIND_US and a time drawn from
+ *	CONFIG_FOLLOW_APART_US for each member, so that all of them together
+ *	make 100 such reads a second at most.
+ *
  *	A store that is away is asked again after CONFIG_FOLLOW_RETRY_MIN_US,
  *	then ever more rarely up to CONFIG_FOLLOW_RETRY_MAX_US.
  */
@@ -32,6 +37,12 @@
 #define CONFIG_FOLLOW_WAIT_MS 30000
 #define CONFIG_FOLLOW_RETRY_MIN_US (100 * 1000)
 #define CONFIG_FOLLOW_RETRY_MAX_US (1000 * 1000)
+/* Most get a version from their peers in that time. */
+#define CONFIG_FOLLOW_BEHIND_US (1500 * 1000)
+#define CONFIG_FOLLOW_APART_US (10 * 1000)
+/* While parts still come from peers, reading it as well would halve the link. */
+#define CONFIG_FOLLOW_STILL_US (500 * 1000)
+#define CONFIG_FOLLOW_LOOK_US (100 * 1000) /* while behind */
 /* Changes that come closer together are taken as one. */
 #define CONFIG_FOLLOW_PAUSE_US (200 * 1000)
 
@@ -63,7 +74,8 @@
 struct config_follow *
 config_follow_create(const struct config_follow_options *options);
 
-/* The platform must be destroyed before, so that it calls nobody back. */
+/* Observes the store, which must not be used after this. The platform must be
+ * destroyed before, so that it calls nobody back. */
 void config_follow_destroy(struct config_follow *follow);
 
 #endif
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -95,6 +95,10 @@
 /* When a version was last put in force, of the monotonic clock; 0: never. */
 int64_t config_store_adopted_us(const struct config_store *store);
 
+/* When a version, or a part of one, last came in, of the monotonic clock. */
+int64_t config_store_moved_us(const struct config_store *store);
+void config_store_note_part(struct config_store *store);
+
 /*
  * How long ago nothing newer than the head held here was there, by the word of
  * the platform, passed on by peers with its age. -1: nobody has told.
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -247,6 +247,62 @@
 	finish();
 }
 
+/* Two hundred of a domain, so that this daemon does not watch, hold version 2. */
+static void begin_among_many(void)
+{
+	begin();
+	for (unsigned int i = 0; i < 200; i++)
+		add_member(i);
+	answer(PLATFORM_OK, 12, (char *)"2");
+	run_ms(1200);
+	g_assert_null(store.handler);
+}
+
+/*
+ * A version is out, and the peers who hold it don't get it across: it is too large
+ * for them, or they are busy, or something new is wrong. Callers here meet the old
+ * routes although the store is at hand. The daemon reads it by itself, not at once,
+ * as its peers mostly manage, and not together with all the others.
+ */
+static void test_who_stays_behind_reads_alone(void)
+{
+	begin_among_many();
+	config_store_note_head(config, 9, "host-1");
+	run_ms(CONFIG_FOLLOW_BEHIND_US / US_PER_MS - 10);
+	g_assert_null(store.handler);
+	run_ms(200 * CONFIG_FOLLOW_APART_US / US_PER_MS + 20);
+	g_assert_nonnull(store.handler);
+	g_assert_false(store.is_watch);
+	answer(PLATFORM_UNAVAILABLE, 0, NULL);
+	run_ms(1000);
+	g_assert_null(store.handler);
+	run_ms(4000);
+	answer(PLATFORM_OK, 30, (char *)"9");
+	g_assert_cmpuint(held(), ==, 9);
+	run_ms(5000);
+	g_assert_null(store.handler);
+	finish();
+}
+
+/* The usual case: a peer gives it in time, and the store is not asked. */
+static void test_who_is_helped_asks_nobody(void)
+{
+	struct config_version version = {.name = NAMESPACE, .version = 9, .at = 9};
+	char *body = g_strdup_printf(FILE_FORMAT, "9");
+
+	begin_among_many();
+	config_store_note_head(config, 9, "host-1");
+	run_ms(1000);
+	config_store_note_listing(config, 9, &version, 1);
+	config_store_take(config, &version, body);
+	g_free(body);
+	g_assert_cmpuint(held(), ==, 9);
+	run_ms(10000);
+	g_assert_null(store.handler);
+	g_assert_cmpuint(store.gets, ==, 1);
+	finish();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -258,5 +314,7 @@
 	g_test_add_func("/follow/unreadable",
 			test_unreadable_row_changes_nothing);
 	g_test_add_func("/follow/few", test_few_of_many_watch);
+	g_test_add_func("/follow/alone", test_who_stays_behind_reads_alone);
+	g_test_add_func("/follow/helped", test_who_is_helped_asks_nobody);
 	return g_test_run();
 }
