member/swim: a word goes with the head that it is about, and ages while it waits

Callers would see: 404 in place of 503 on a side that has been without the platform for long, after one of its hosts regains it or after a stop.

- A packet bore the head published last, up to 100 ms old, beside the age of the word on the head held by now: "nothing newer than 3 was there just now", said by a host that had just read 5.
Now there is no age where the two differ.
- What a packet waited in a stopped process counted for nothing: libev runs the tick before it reads the socket, so the time since the last tick was 0.
A late tick is remembered for the packets read after it.

/swim/word was too weak: it passed without the hop's time as well, since all hosts of the net ticked in the same instant.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -110,10 +110,14 @@
 		config_store_note_told(daemon->config, head, told_age_us);
 }
 
-static int64_t config_told_age_us(void *data)
+/* A packet made before this daemon has published what it just adopted names the
+ * head of before, of which the word on the new one says nothing. */
+static int64_t config_told_age_us(uint64_t head, void *data)
 {
 	const struct daemon *daemon = data;
 
+	if (head != config_store_head(daemon->config))
+		return -1;
 	return config_store_told_age_us(daemon->config);
 }
 
--- a/comfreydockd/member/gossip.c
+++ b/comfreydockd/member/gossip.c
@@ -162,13 +162,13 @@
 						     gossip->handlers->data);
 }
 
-static int64_t gossip_told_age_us(void *data)
+static int64_t gossip_told_age_us(uint64_t head, void *data)
 {
 	const struct gossip *gossip = data;
 
 	if (!gossip->handlers || !gossip->handlers->config_told_age_us)
 		return -1;
-	return gossip->handlers->config_told_age_us(gossip->handlers->data);
+	return gossip->handlers->config_told_age_us(head, gossip->handlers->data);
 }
 
 static void gossip_handle_freeze(int64_t gap_us, void *data G_GNUC_UNUSED)
--- a/comfreydockd/member/swim.c
+++ b/comfreydockd/member/swim.c
@@ -387,6 +387,7 @@
 
 	swim->now_us = MAX(swim->now_us, now_us);
 	swim->ticked_at_us = now_us;
+	swim->late_tick_us = gap_us > 2 * SWIM_TICK_US ? gap_us : 0;
 	swim->budget_bytes =
 		budget_refill(swim->budget_bytes, SWIM_BYTES_PER_S, gap_us);
 	swim->page_budget_bytes = budget_refill(swim->page_budget_bytes,
--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -77,6 +77,7 @@
 	uint64_t random;
 	uint64_t seq;
 	uint64_t config_head;
+	int64_t late_tick_us; /* what passed before the last tick, if over two */
 	unsigned int head_transmits;
 	int64_t now_us;
 	int64_t ticked_at_us;
--- a/comfreydockd/member/swim_message.c
+++ b/comfreydockd/member/swim_message.c
@@ -15,7 +15,8 @@
 static uint32_t told_ms(const struct swim *swim)
 {
 	int64_t age_us = swim->ops->config_told_age_us ?
-				 swim->ops->config_told_age_us(swim->ops->data) :
+				 swim->ops->config_told_age_us(
+					 swim->config_head, swim->ops->data) :
 				 -1;
 
 	if (age_us < 0)
@@ -23,17 +24,28 @@
 	return (uint32_t)MIN(age_us / 1000 + 1, (int64_t)UINT32_MAX);
 }
 
+/* For how long a packet that is read now may have waited. After a stop the tick comes
+ * before the packets that waited all the while, so what it found counts for them. */
+static int64_t waited_us(const struct swim *swim)
+{
+	int64_t since_tick_us = MAX(swim->now_us - swim->ticked_at_us, 0);
+
+	if (since_tick_us > SWIM_TICK_US)
+		return since_tick_us;
+	return since_tick_us + swim->late_tick_us;
+}
+
 /*
- * The packet may have waited here since the last tick, and was on its way before.
- * Left out, a word would get younger with each hop, and daemons that lost the
- * platform would tell each other for ever that they are up to date.
+ * Left out, what a packet waited and its way, a word would get younger with each hop,
+ * and daemons that lost the platform would tell each other for ever that they are up
+ * to date.
  */
 int64_t swim_told_age_us(const struct swim *swim, const Cfd__Gossip *message)
 {
 	if (!message->config_told_ms)
 		return -1;
 	return (int64_t)message->config_told_ms * 1000 + SWIM_HOP_MAX_US +
-	       MAX(swim->now_us - swim->ticked_at_us, 0);
+	       waited_us(swim);
 }
 
 void swim_packet_init(struct swim *swim, struct swim_packet *packet,
--- a/include/comfreydockd/member/gossip.h
+++ b/include/comfreydockd/member/gossip.h
@@ -23,7 +23,7 @@
 	/* As in struct swim_ops; both may be NULL. */
 	void (*handle_config_head)(const char *host, uint64_t head,
 				   int64_t told_age_us, void *data);
-	int64_t (*config_told_age_us)(void *data);
+	int64_t (*config_told_age_us)(uint64_t head, void *data);
 	void *data;
 };
 
--- a/include/comfreydockd/member/swim.h
+++ b/include/comfreydockd/member/swim.h
@@ -70,8 +70,9 @@
 	 * nothing newer; -1: it doesn't know. */
 	void (*handle_config_head)(const char *host, uint64_t head,
 				   int64_t told_age_us, void *data);
-	/* RETURN VALUE: the same for this daemon's head. May be NULL. */
-	int64_t (*config_told_age_us)(void *data);
+	/* RETURN VALUE: the same for a head of this daemon; -1 too where
+	 * that isn't the one held any more. May be NULL. */
+	int64_t (*config_told_age_us)(uint64_t head, void *data);
 	/* Nobody ticked for gap_us; may be NULL. */
 	void (*handle_freeze)(int64_t gap_us, void *data);
 	/* Somebody held this daemon for suspect or dead; may be NULL. */
--- a/tests/swim_net.h
+++ b/tests/swim_net.h
@@ -4,7 +4,8 @@
  *
  * DESCRIPTION
  *	Each packet may be lost, delayed and overtaken. Time moves only as the
- *	test runs the network.
+ *	test runs the network. Hosts tick out of step, and before they read, as
+ *	libev has it: after a stop, too.
  */
 #ifndef TESTS_SWIM_NET_H
 #define TESTS_SWIM_NET_H
@@ -25,6 +26,7 @@
 	struct swim_ops ops;
 	uint64_t incarnation;
 	bool is_frozen;
+	bool has_thawed; /* in this step: its timers are due */
 	int side; /* packets between two sides are lost */
 	uint64_t sent_bytes;
 	uint64_t head_heard;
