config/store: drop a head that the platform doesn't know, doubt without any word

- A head that somebody named and nobody brings (its row was put back before others had it, or a peer was wrong) left a daemon in doubt until its next start: all that does not exist was told to come back each 0.3 s.
The platform's own answer to a question asked after that was heard drops it; whoever does hold it names it again. /store/false-head.
- A daemon that was never told anything (peers of an earlier release, the platform out of reach since its start) was not in doubt at all.
Where there is a platform, its time counts from its start. /entry/no-word.
- 45 s left 5 s beyond a watch, its slack and the way of the word; watches all end about the same time. 60 s, two of them.
- /store/listing holds what a mutation showed to be held by nothing.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -243,6 +243,8 @@
 	struct daemon *daemon = &assembly->daemon;
 	const struct config_platform_ops *ops = NULL;
 
+	if (daemon->platform)
+		config_store_expect_word(daemon->config);
 	if (daemon->platform && !daemon->settings->follows_platform) {
 		ops = &config_platform_ops;
 		assembly->config_platform =
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -27,6 +27,9 @@
 	int64_t told_us; /* boot time at which nothing above the head was there */
 	uint64_t coming_head; /* the same for a head that is not reached yet */
 	int64_t coming_told_us;
+	bool expects_word;
+	int64_t expects_since_us; /* boot time */
+	int64_t heard_us; /* boot time at which somebody last named known_head */
 	GArray *listing; /* of struct config_version, names owned */
 	GHashTable *origins; /* name -> struct origin */
 	struct config_store_observer observers[OBSERVERS_MAX];
@@ -117,11 +120,25 @@
 	return store->is_told ? MAX(clock_boot_us() - store->told_us, 0) : -1;
 }
 
+void config_store_expect_word(struct config_store *store)
+{
+	store->expects_word = true;
+	store->expects_since_us = clock_boot_us();
+}
+
+/* RETURN VALUE: for how long there has been no word; -1: none is to be had. */
+static int64_t without_word_us(const struct config_store *store)
+{
+	if (!store->is_told && store->expects_word)
+		return clock_boot_us() - store->expects_since_us;
+	return config_store_told_age_us(store);
+}
+
 enum config_doubt config_store_doubt(const struct config_store *store)
 {
 	if (store->known_head > store->head || config_store_lacks(store))
 		return CONFIG_DOUBT_BEHIND;
-	if (config_store_told_age_us(store) > CONFIG_TOLD_MAX_US)
+	if (without_word_us(store) > CONFIG_TOLD_MAX_US)
 		return CONFIG_DOUBT_UNTOLD;
 	return CONFIG_DOUBT_NONE;
 }
@@ -237,6 +254,37 @@
 	}
 }
 
+static void note_known(struct config_store *store, uint64_t head)
+{
+	if (head < store->known_head)
+		return;
+	store->known_head = head;
+	store->heard_us = clock_boot_us();
+}
+
+static void drop_heads_above(struct config_store *store, uint64_t head)
+{
+	log_event(EV_CONFIG_HEAD_DROPPED,
+		  LOG_INT("known_head", store->known_head),
+		  LOG_INT("newest", head), LOG_INT("head", store->head));
+	store->known_head = head;
+	store->coming_head = MIN(store->coming_head, head);
+	if (store->listed_head > head) {
+		store->listed_head = store->head;
+		g_array_set_size(store->listing, 0);
+	}
+}
+
+void config_store_note_newest(struct config_store *store, uint64_t head,
+			      int64_t asked_us)
+{
+	uint64_t highest = MAX(head, store->head);
+
+	config_store_note_told(store, head, clock_boot_us() - asked_us);
+	if (store->known_head > highest && store->heard_us < asked_us)
+		drop_heads_above(store, highest);
+}
+
 void config_store_note_head(struct config_store *store, uint64_t head,
 			    const char *from_host)
 {
@@ -244,7 +292,7 @@
 		config_store_note_told(store, head, 0);
 	if (head <= store->head && store->ready)
 		return;
-	store->known_head = MAX(store->known_head, head);
+	note_known(store, head);
 	for (size_t i = 0; i < store->observer_count; i++) {
 		struct config_store_observer *observer = &store->observers[i];
 
@@ -259,7 +307,7 @@
 {
 	if (head < store->listed_head)
 		return;
-	store->known_head = MAX(store->known_head, head);
+	note_known(store, head);
 	store->listed_head = head;
 	g_array_set_size(store->listing, 0);
 	for (size_t i = 0; i < count; i++) {
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -41,10 +41,10 @@
 
 /*
  * A daemon without a watch of its own hears from those that have one; theirs end
- * after 30 s without news, and a lost one is noticed a little later. With nothing
- * heard for this long, nobody near is in touch with the platform.
+ * after 30 s without news, all about the same time, and a lost one is noticed 2 s
+ * later. With nothing heard for this long, nobody near is in touch with the platform.
  */
-#define CONFIG_TOLD_MAX_US ((int64_t)45 * 1000 * 1000)
+#define CONFIG_TOLD_MAX_US ((int64_t)60 * 1000 * 1000)
 
 /* Why the configuration held here may not be the one in force. */
 enum config_doubt {
@@ -105,6 +105,19 @@
  */
 int64_t config_store_told_age_us(const struct config_store *store);
 
+/* There is a platform whose word is to be had: without one from now on for
+ * CONFIG_TOLD_MAX_US, the configuration is in doubt as with an old one. */
+void config_store_expect_word(struct config_store *store);
+
+/*
+ * The platform's own answer to a question of that boot time: this head is the
+ * newest. What was heard of before and is higher is no longer believed: its row was
+ * put back before anybody else had it, or a peer was wrong, and nobody would ever
+ * bring it. Whoever holds it will name it again.
+ */
+void config_store_note_newest(struct config_store *store, uint64_t head,
+			      int64_t asked_us);
+
 /* age_us ago nothing newer than this head was there. */
 void config_store_note_told(struct config_store *store, uint64_t head,
 			    int64_t age_us);
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -207,6 +207,46 @@
 	g_assert_cmpint(config_store_told_age_us(f->store), <, 3 * US_PER_S);
 }
 
+/*
+ * A peer names a head that was never in force as far as the platform knows: its rows
+ * were put back, or the peer was wrong. All that does not exist would be told to come
+ * back, for ever. The platform's word counts if it was asked for after that.
+ */
+static void test_false_head_is_dropped(struct fixture *f, gconstpointer unused)
+{
+	struct config_version held[] = {version_of("a", 7)};
+	struct config_version listing[] = {version_of("a", 9)};
+	int64_t before_us = clock_boot_us() - 1;
+
+	(void)unused;
+	config_store_note_listing(f->store, 7, held, 1);
+	offer(f, "a", 7);
+	config_store_note_head(f->store, 9, "esja-01");
+	config_store_note_listing(f->store, 9, listing, 1);
+	config_store_note_newest(f->store, 7, before_us);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_BEHIND);
+	config_store_note_newest(f->store, 7, clock_boot_us() + 1);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_NONE);
+	config_store_note_head(f->store, 9, "esja-01");
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_BEHIND);
+}
+
+/* A listing was noted, and its head is known of no other way. */
+static void test_listing_alone_is_reason_for_doubt(struct fixture *f,
+						   gconstpointer unused)
+{
+	struct config_version listing[] = {version_of("a", 4)};
+
+	(void)unused;
+	config_store_note_listing(f->store, 4, listing, 1);
+	offer(f, "a", 4);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_NONE);
+	listing[0] = version_of("a", 5);
+	config_store_note_listing(f->store, 4, listing, 1);
+	g_assert_cmpuint(config_store_known_head(f->store), ==, 4);
+	g_assert_cmpint(config_store_doubt(f->store), ==, CONFIG_DOUBT_BEHIND);
+}
+
 static void test_empty_platform_is_ready_too(struct fixture *f,
 					     gconstpointer unused)
 {
@@ -249,6 +289,8 @@
 	ADD("/store/bad-offers", test_bad_offers_change_nothing);
 	ADD("/store/head", test_head_is_reached_with_the_last_body);
 	ADD("/store/word", test_word_of_peers_keeps_its_age);
+	ADD("/store/false-head", test_false_head_is_dropped);
+	ADD("/store/listing", test_listing_alone_is_reason_for_doubt);
 	ADD("/store/empty-platform", test_empty_platform_is_ready_too);
 	ADD("/store/file", test_file_holds_until_a_version);
 	return g_test_run();
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -160,6 +160,21 @@
 	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 404);
 }
 
+/* Its configuration came from peers that pass on no word, and the platform is out of
+ * reach since the start: for long nobody has told, here as above. */
+static void test_nothing_is_denied_without_any_word(struct fixture *f,
+						    gconstpointer unused)
+{
+	(void)unused;
+	adopt(f, 1, "old.example");
+	paused_clock_advance_us(CONFIG_TOLD_MAX_US * 2);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 404);
+	config_store_expect_word(f->daemon.config);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 404);
+	paused_clock_advance_us(CONFIG_TOLD_MAX_US + 1);
+	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 503);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -170,5 +185,7 @@
 		   tear_down);
 	g_test_add("/entry/old-word", struct fixture, NULL, set_up,
 		   test_nothing_is_denied_on_an_old_word, tear_down);
+	g_test_add("/entry/no-word", struct fixture, NULL, set_up,
+		   test_nothing_is_denied_without_any_word, tear_down);
 	return g_test_run();
 }
