config/follow: read alone beside a lost watch, and though parts still come

- Parts that come were waited for without an end.
Where versions follow each other faster than one crosses the link none is ever whole, and callers met the old routes with the store at hand.
Now for 5 s. /follow/nowhere.
- A daemon that watches waited for the end of its watch, up to 32 s, although a watch may be lost without a word.
The reading has a timer and an answer of its own, beside the watch. /follow/lost-watch: no reading in 10 s before.
- /follow/helped holds that parts are waited for; it passed without.

--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -18,8 +18,13 @@
 	uint64_t number; /* of the newest configuration seen */
 	bool is_unread; /* the row as it is now could not be taken */
 	int64_t backoff_us;
-	bool is_asking;
-	int64_t read_at_us; /* if still behind by then; 0: not behind */
+	int64_t asked_us; /* boot time of the last reading of the row */
+
+	/* while behind */
+	ev_timer look;
+	int64_t behind_since_us;
+	int64_t read_at_us; /* if still behind by then */
+	bool is_reading;
 };
 
 static void follow_later(struct config_follow *follow, int64_t us)
@@ -84,31 +89,72 @@
 	g_free(body);
 }
 
-static void handle_answer(const struct platform_answer *answer, void *data)
+static bool take_rows(struct config_follow *follow,
+		      const struct platform_answer *answer)
+{
+	if (answer->status != PLATFORM_OK && answer->status != PLATFORM_NOT_FOUND)
+		return false;
+	for (size_t i = 0; i < answer->row_count; i++)
+		take_row(follow, &answer->rows[i]);
+	follow->version = MAX(follow->version, answer->version);
+	return true;
+}
+
+static void watch_on(struct config_follow *follow,
+		     const struct platform_answer *answer)
+{
+	follow->is_watching = true;
+	follow->backoff_us = 0;
+	follow_later(follow, answer->row_count ? CONFIG_FOLLOW_PAUSE_US : 0);
+}
+
+static void handle_watched(const struct platform_answer *answer, void *data)
 {
 	struct config_follow *follow = data;
 
-	follow->is_asking = false;
 	if (answer->status == PLATFORM_HISTORY_GONE) {
 		/* The row itself is still there. */
 		follow->is_watching = false;
 		follow_later(follow, 0);
-		return;
+	} else if (!take_rows(follow, answer)) {
+		follow_after_failure(follow);
+	} else {
+		/* Nothing newer is news, too. */
+		if (!follow->is_unread)
+			config_store_note_told(follow->options.store,
+					       follow->number, 0);
+		watch_on(follow, answer);
 	}
-	if (answer->status != PLATFORM_OK &&
-	    answer->status != PLATFORM_NOT_FOUND) {
+}
+
+static void note_read(struct config_follow *follow)
+{
+	if (!follow->is_unread)
+		config_store_note_newest(follow->options.store, follow->number,
+					 follow->asked_us);
+}
+
+static void handle_read(const struct platform_answer *answer, void *data)
+{
+	struct config_follow *follow = data;
+
+	if (!take_rows(follow, answer)) {
 		follow_after_failure(follow);
 		return;
 	}
-	for (size_t i = 0; i < answer->row_count; i++)
-		take_row(follow, &answer->rows[i]);
-	/* Nothing newer is news, too: what is held is as new as this answer. */
-	if (!follow->is_unread)
-		config_store_note_told(follow->options.store, follow->number, 0);
-	follow->version = MAX(follow->version, answer->version);
-	follow->is_watching = true;
-	follow->backoff_us = 0;
-	follow_later(follow, answer->row_count ? CONFIG_FOLLOW_PAUSE_US : 0);
+	note_read(follow);
+	watch_on(follow, answer);
+}
+
+static void handle_read_alone(const struct platform_answer *answer, void *data)
+{
+	struct config_follow *follow = data;
+
+	follow->is_reading = false;
+	if (take_rows(follow, answer))
+		note_read(follow);
+	else
+		counters.config_fetch_failures++;
 }
 
 static bool is_rival(const struct config_follow *follow,
@@ -136,95 +182,101 @@
 	return true;
 }
 
-static void read_row(struct config_follow *follow)
+static void read_row(struct config_follow *follow, platform_handler handler)
 {
-	follow->is_asking = true;
+	follow->asked_us = clock_boot_us();
 	counters.config_head_reads++;
-	platform_get(follow->options.platform, follow->options.key,
-		     handle_answer, follow);
+	platform_get(follow->options.platform, follow->options.key, handler,
+		     follow);
 }
 
-static void watch_row(struct config_follow *follow)
+static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	follow->is_asking = true;
-	counters.config_head_reads++;
-	platform_watch(follow->options.platform, follow->options.table,
-		       follow->version, CONFIG_FOLLOW_WAIT_MS, handle_answer,
-		       follow);
-}
+	struct config_follow *follow = timer->data;
+	const struct config_follow_options *options = &follow->options;
 
-static bool is_behind(const struct config_follow *follow)
-{
-	return config_store_doubt(follow->options.store) == CONFIG_DOUBT_BEHIND;
+	(void)loop;
+	(void)events;
+	if (!follow->is_watching) {
+		read_row(follow, handle_read);
+	} else if (is_drawn(follow)) {
+		counters.config_head_reads++;
+		platform_watch(options->platform, options->table, follow->version,
+			       CONFIG_FOLLOW_WAIT_MS, handle_watched, follow);
+	} else {
+		follow_later(follow, CONFIG_FOLLOW_RETRY_MAX_US);
+	}
 }
 
-static int64_t draw_read_time(struct config_follow *follow)
+/* Staying behind. */
+
+/* Twice the span after a first reading in vain, or all of a large installation
+ * would come round faster than they are apart. */
+static void draw_read_time(struct config_follow *follow, bool is_first)
 {
 	uint64_t span = member_table_size(follow->options.members) *
 				CONFIG_FOLLOW_APART_US +
 			1;
 
-	return clock_mono_us() + CONFIG_FOLLOW_BEHIND_US +
-	       (int64_t)random_below(&follow->random, span);
-}
-
-/*
- * A version reaches most daemons through peers alone. Where that way fails, for
- * its size or for a fault that nobody thought of, they would follow the rules of
- * before for as long as it lasts, with the store at hand; one notices
- * config.fetch-failed with the same known_head again and again.
- */
-static void handle_behind(uint64_t head, const char *from_host, void *data)
-{
-	struct config_follow *follow = data;
-
-	(void)head;
-	(void)from_host;
-	if (follow->read_at_us || follow->is_asking)
-		return;
-	follow->read_at_us = draw_read_time(follow);
-	follow_later(follow, CONFIG_FOLLOW_LOOK_US);
+	follow->read_at_us = clock_mono_us() + CONFIG_FOLLOW_BEHIND_US +
+			     (is_first ? 0 : (int64_t)span) +
+			     (int64_t)random_below(&follow->random, span);
 }
 
+/* Parts that still come are worth waiting for, but not for ever: where versions
+ * follow each other faster than one crosses the link, none is ever whole. */
 static bool is_due(const struct config_follow *follow)
 {
 	int64_t now_us = clock_mono_us();
 	int64_t moved_us = config_store_moved_us(follow->options.store);
 
 	return now_us >= follow->read_at_us &&
-	       now_us - moved_us >= CONFIG_FOLLOW_STILL_US;
+	       (now_us - moved_us >= CONFIG_FOLLOW_STILL_US ||
+		now_us - follow->behind_since_us >= CONFIG_FOLLOW_PARTS_MAX_US);
 }
 
 static void read_alone(struct config_follow *follow)
 {
-	log_event(EV_CONFIG_READ_ALONE,
-		  LOG_INT("head", config_store_head(follow->options.store)),
-		  LOG_INT("known_head",
-			  config_store_known_head(follow->options.store)));
-	follow->read_at_us = 0;
-	read_row(follow);
+	const struct config_store *store = follow->options.store;
+
+	log_event(
+		EV_CONFIG_READ_ALONE, LOG_INT("head", config_store_head(store)),
+		LOG_INT("known_head", config_store_known_head(store)),
+		LOG_INT("behind_us", clock_mono_us() - follow->behind_since_us));
+	follow->is_reading = true;
+	draw_read_time(follow, false);
+	read_row(follow, handle_read_alone);
 }
 
-static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
+static void handle_look(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct config_follow *follow = timer->data;
 
-	(void)loop;
 	(void)events;
-	if (!is_behind(follow))
-		follow->read_at_us = 0;
-	else if (!follow->read_at_us)
-		follow->read_at_us = draw_read_time(follow);
-	if (!follow->is_watching)
-		read_row(follow);
-	else if (follow->read_at_us && is_due(follow))
+	if (config_store_doubt(follow->options.store) != CONFIG_DOUBT_BEHIND)
+		ev_timer_stop(loop, timer);
+	else if (follow->is_watching && !follow->is_reading && is_due(follow))
 		read_alone(follow);
-	else if (is_drawn(follow))
-		watch_row(follow);
-	else
-		follow_later(follow, follow->read_at_us ?
-					     CONFIG_FOLLOW_LOOK_US :
-					     CONFIG_FOLLOW_RETRY_MAX_US);
+}
+
+/*
+ * A version reaches most daemons through peers alone, the others through a watch
+ * that may be lost without a word. Where that way fails, for the version's size or
+ * for a fault that nobody thought of, they would follow the rules of before for as
+ * long as it lasts, with the store at hand; one notices config.fetch-failed with the
+ * same known_head again and again.
+ */
+static void handle_behind(uint64_t head, const char *from_host, void *data)
+{
+	struct config_follow *follow = data;
+
+	(void)head;
+	(void)from_host;
+	if (ev_is_active(&follow->look))
+		return;
+	follow->behind_since_us = clock_mono_us();
+	draw_read_time(follow, true);
+	ev_timer_again(follow->options.loop, &follow->look);
 }
 
 struct config_follow *
@@ -241,6 +293,9 @@
 	follow->random.state = options->seed;
 	ev_init(&follow->timer, handle_timer);
 	follow->timer.data = follow;
+	ev_timer_init(&follow->look, handle_look, 0.0,
+		      (double)CONFIG_FOLLOW_LOOK_US / US_PER_S);
+	follow->look.data = follow;
 	follow_later(follow, 0);
 	return follow;
 }
@@ -250,5 +305,6 @@
 	if (!follow)
 		return;
 	ev_timer_stop(follow->options.loop, &follow->timer);
+	ev_timer_stop(follow->options.loop, &follow->look);
 	g_free(follow);
 }
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -14,11 +14,15 @@
 	"{\"namespace\":\"n\",\"services\":{\"s\":{\"hosts\":[\"h%s\"]," \
 	"\"group\":\"g\",\"rules\":[{\"name\":\"r\",\"deadline_ms\":100}]}}}"
 
-/* The store, as its client shows it: one call at a time is open. */
-struct platform {
-	platform_handler handler;
+struct open_call {
+	platform_handler handler; /* NULL: none is open */
 	void *data;
-	bool is_watch;
+};
+
+/* The store, as its client shows it: a reading and a watch may be open. */
+struct platform {
+	struct open_call get;
+	struct open_call watch;
 	uint64_t after;
 	unsigned int gets;
 	unsigned int watches;
@@ -29,14 +33,18 @@
 static struct member_table *members;
 static struct config_follow *follow;
 
+static void open_call(struct open_call *call, platform_handler handler, void *data)
+{
+	g_assert_null(call->handler);
+	call->handler = handler;
+	call->data = data;
+}
+
 void platform_get(struct platform *platform, const char *key,
 		  platform_handler handler, void *data)
 {
 	g_assert_cmpstr(key, ==, KEY);
-	g_assert_null(platform->handler);
-	platform->handler = handler;
-	platform->data = data;
-	platform->is_watch = false;
+	open_call(&platform->get, handler, data);
 	platform->gets++;
 }
 
@@ -45,14 +53,17 @@
 {
 	g_assert_cmpstr(table, ==, TABLE);
 	g_assert_cmpuint(wait_ms, ==, CONFIG_FOLLOW_WAIT_MS);
-	g_assert_null(platform->handler);
-	platform->handler = handler;
-	platform->data = data;
-	platform->is_watch = true;
+	open_call(&platform->watch, handler, data);
 	platform->after = after;
 	platform->watches++;
 }
 
+static bool is_asked(void)
+{
+	return store.get.handler || store.watch.handler;
+}
+
+/* Answers the reading, where one is open, else the watch. */
 static void answer(enum platform_status status, uint64_t version, char *value)
 {
 	struct platform_row row = {
@@ -67,11 +78,12 @@
 		.row_count = value != NULL,
 		.version = version,
 	};
-	platform_handler handler = store.handler;
+	struct open_call *call = store.get.handler ? &store.get : &store.watch;
+	platform_handler handler = call->handler;
 
 	g_assert_nonnull(handler);
-	store.handler = NULL;
-	handler(&told, store.data);
+	call->handler = NULL;
+	handler(&told, call->data);
 }
 
 static void run_ms(int64_t ms)
@@ -143,7 +155,7 @@
 	g_assert_cmpuint(held(), ==, 2);
 	g_assert_cmpuint(config_store_head(config), ==, 2);
 	run_ms(300);
-	g_assert_true(store.is_watch);
+	g_assert_nonnull(store.watch.handler);
 	g_assert_cmpuint(store.after, ==, 12);
 	answer(PLATFORM_OK, 15, (char *)"7");
 	g_assert_cmpuint(held(), ==, 7);
@@ -178,7 +190,7 @@
 	run_ms(300);
 	answer(PLATFORM_HISTORY_GONE, 0, NULL);
 	run_ms(10);
-	g_assert_false(store.is_watch);
+	g_assert_nonnull(store.get.handler);
 	answer(PLATFORM_OK, 40, (char *)"9");
 	g_assert_cmpuint(held(), ==, 9);
 	finish();
@@ -197,7 +209,7 @@
 	answer(PLATFORM_UNAVAILABLE, 0, NULL);
 	for (int i = 0; i < 6000; i++) {
 		run_ms(5);
-		if (store.handler)
+		if (is_asked())
 			answer(PLATFORM_UNAVAILABLE, 0, NULL);
 	}
 	asked = store.gets;
@@ -218,7 +230,7 @@
 	answer(PLATFORM_OK, 13, (char *)"x");
 	g_assert_cmpuint(held(), ==, 2);
 	run_ms(300);
-	g_assert_true(store.is_watch);
+	g_assert_nonnull(store.watch.handler);
 	g_assert_cmpuint(store.after, ==, 13);
 	finish();
 }
@@ -255,7 +267,7 @@
 		add_member(i);
 	answer(PLATFORM_OK, 12, (char *)"2");
 	run_ms(1200);
-	g_assert_null(store.handler);
+	g_assert_false(is_asked());
 }
 
 /*
@@ -269,18 +281,18 @@
 	begin_among_many();
 	config_store_note_head(config, 9, "host-1");
 	run_ms(CONFIG_FOLLOW_BEHIND_US / US_PER_MS - 10);
-	g_assert_null(store.handler);
+	g_assert_false(is_asked());
 	run_ms(200 * CONFIG_FOLLOW_APART_US / US_PER_MS + 20);
-	g_assert_nonnull(store.handler);
-	g_assert_false(store.is_watch);
+	g_assert_true(is_asked());
+	g_assert_nonnull(store.get.handler);
 	answer(PLATFORM_UNAVAILABLE, 0, NULL);
 	run_ms(1000);
-	g_assert_null(store.handler);
+	g_assert_false(is_asked());
 	run_ms(4000);
 	answer(PLATFORM_OK, 30, (char *)"9");
 	g_assert_cmpuint(held(), ==, 9);
 	run_ms(5000);
-	g_assert_null(store.handler);
+	g_assert_false(is_asked());
 	finish();
 }
 
@@ -292,17 +304,88 @@
 
 	begin_among_many();
 	config_store_note_head(config, 9, "host-1");
-	run_ms(1000);
+	/* Its parts take longer than most versions do. */
+	for (int i = 0; i < 40; i++) {
+		run_ms(100);
+		config_store_note_part(config);
+	}
 	config_store_note_listing(config, 9, &version, 1);
 	config_store_take(config, &version, body);
 	g_free(body);
 	g_assert_cmpuint(held(), ==, 9);
 	run_ms(10000);
-	g_assert_null(store.handler);
+	g_assert_false(is_asked());
 	g_assert_cmpuint(store.gets, ==, 1);
 	finish();
 }
 
+/*
+ * Versions follow each other faster than one of that size crosses the link: pieces
+ * keep coming, and none is ever whole. Waiting for them has to end.
+ */
+static void test_pieces_that_lead_nowhere(void)
+{
+	uint64_t head = 9;
+
+	begin_among_many();
+	for (int i = 0; i < 600 && !is_asked(); i++) {
+		if (i % 10 == 0)
+			config_store_note_head(config, head++, "host-1");
+		config_store_note_part(config);
+		run_ms(100);
+		g_assert_true(i > 45 || !is_asked());
+	}
+	g_assert_true(is_asked());
+	finish();
+}
+
+/*
+ * One that watches: its watch was lost without a word and ends after half a minute.
+ * Peers name a higher head and can't give it.
+ */
+static void test_watcher_whose_watch_is_lost(void)
+{
+	begin();
+	answer(PLATFORM_OK, 12, (char *)"2");
+	run_ms(300);
+	g_assert_nonnull(store.watch.handler);
+	config_store_note_head(config, 9, "host-1");
+	run_ms(CONFIG_FOLLOW_BEHIND_US / US_PER_MS + 200);
+	g_assert_nonnull(store.get.handler);
+	answer(PLATFORM_OK, 30, (char *)"9");
+	g_assert_cmpuint(held(), ==, 9);
+	run_ms(3000);
+	g_assert_null(store.get.handler);
+	g_assert_nonnull(store.watch.handler);
+	finish();
+}
+
+/* Nobody gets the version, and all read by themselves. The store serves 100 reads a
+ * second beside what it is there for, also in the minutes after the first. */
+static void test_rate_of_reads(void)
+{
+	enum {
+		HOSTS = 2000,
+		SECONDS = 600
+	};
+	unsigned int gets;
+
+	begin();
+	for (unsigned int i = 1; i < HOSTS; i++)
+		add_member(i);
+	answer(PLATFORM_OK, 12, (char *)"2");
+	run_ms(1200);
+	config_store_note_head(config, 9, "host-1");
+	gets = store.gets;
+	for (int i = 0; i < SECONDS * 10; i++) {
+		run_ms(100);
+		if (is_asked())
+			answer(PLATFORM_UNAVAILABLE, 0, NULL);
+	}
+	g_assert_cmpuint((store.gets - gets) * HOSTS / SECONDS, <=, 100);
+	finish();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -316,5 +399,8 @@
 	g_test_add_func("/follow/few", test_few_of_many_watch);
 	g_test_add_func("/follow/alone", test_who_stays_behind_reads_alone);
 	g_test_add_func("/follow/helped", test_who_is_helped_asks_nobody);
+	g_test_add_func("/follow/nowhere", test_pieces_that_lead_nowhere);
+	g_test_add_func("/follow/lost-watch", test_watcher_whose_watch_is_lost);
+	g_test_add_func("/follow/rate", test_rate_of_reads);
 	return g_test_run();
 }
