config/spread: pieces that lead nowhere give way, and parts of what came are dropped

What has come stays until three pieces of others in a row are refused. - Parts stayed in memory after the version came in another way (/spread/parts). - The fake network drops nothing that a link would not carry: it asserts the frame's bound now, and /spread/property plays bodies of several pieces.

--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -170,6 +170,7 @@
 	spread->now_us = now_us;
 	read_if_due(spread);
 	config_fetch_check_time(spread);
+	config_fetch_drop_held(spread);
 	config_fetch_next(spread);
 	config_spread_publish(spread);
 }
--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -307,6 +307,23 @@
 	note_failure(spread, "no answer in time");
 }
 
+static bool is_held(const struct config_spread *spread, const char *name,
+		    uint64_t version)
+{
+	const struct config_namespace *held =
+		config_snapshot_find(config_store_current(spread->store), name);
+
+	return held && held->version >= version;
+}
+
+void config_fetch_drop_held(struct config_spread *spread)
+{
+	struct config_pieces *pieces = &spread->pieces;
+
+	if (pieces->bytes->len && is_held(spread, pieces->name, pieces->version))
+		config_pieces_clear(pieces);
+}
+
 static bool offer_line(struct config_spread *spread, const Cfd__ConfigLine *line,
 		       const uint8_t *body, size_t size)
 {
@@ -319,11 +336,9 @@
 static bool take_piece(struct config_spread *spread, const Cfd__ConfigLine *line)
 {
 	struct config_pieces *pieces = &spread->pieces;
-	const struct config_namespace *held = config_snapshot_find(
-		config_store_current(spread->store), line->namespace_);
 	bool has_come;
 
-	if ((held && held->version >= line->version) ||
+	if (is_held(spread, line->namespace_, line->version) ||
 	    !config_pieces_add(pieces, line))
 		return false;
 	config_store_note_part(spread->store);
--- a/comfreydockd/config/spread_pieces.c
+++ b/comfreydockd/config/spread_pieces.c
@@ -36,11 +36,19 @@
 	       pieces->version == line->version && pieces->size == line->size;
 }
 
-static bool is_older(const struct config_pieces *pieces,
-		     const Cfd__ConfigLine *line)
+/*
+ * What has come is worth more than a first piece of something else: two peers that
+ * hold different bodies would undo each other's pieces. But where nobody goes on with
+ * it, as the one that began is gone, it must not be in the way for ever.
+ */
+static bool may_replace(const struct config_pieces *pieces,
+			const Cfd__ConfigLine *line)
 {
-	return pieces->name && strcmp(pieces->name, line->namespace_) == 0 &&
-	       line->version < pieces->version;
+	if (pieces->bytes->len == 0 ||
+	    pieces->refused >= CONFIG_PIECES_REFUSED_MAX)
+		return true;
+	return strcmp(pieces->name, line->namespace_) == 0 &&
+	       line->version > pieces->version;
 }
 
 static void pieces_begin(struct config_pieces *pieces, const Cfd__ConfigLine *line)
@@ -54,9 +62,13 @@
 
 bool config_pieces_add(struct config_pieces *pieces, const Cfd__ConfigLine *line)
 {
-	if (!piece_is_sound(line) || is_older(pieces, line))
+	if (!piece_is_sound(line))
 		return false;
 	if (!is_same_body(pieces, line)) {
+		if (!may_replace(pieces, line)) {
+			pieces->refused++;
+			return false;
+		}
 		if (line->offset > 0)
 			return false;
 		pieces_begin(pieces, line);
@@ -65,6 +77,7 @@
 		return false;
 	g_byte_array_append(pieces->bytes, line->body.data,
 			    (guint)line->body.len);
+	pieces->refused = 0;
 	return true;
 }
 
--- a/include/comfreydockd/config/spread_internal.h
+++ b/include/comfreydockd/config/spread_internal.h
@@ -21,6 +21,9 @@
 	CONFIG_FETCH_OBJECT, /* one body, from the platform */
 };
 
+/* Pieces of other bodies in a row, until one of them begins in its place. */
+#define CONFIG_PIECES_REFUSED_MAX 3
+
 /* What has come of one body; bytes is empty where there is none. */
 struct config_pieces {
 	char *name; /* of the namespace */
@@ -28,6 +31,7 @@
 	char sha256[65];
 	uint64_t size; /* of the whole */
 	GByteArray *bytes;
+	unsigned int refused; /* of other bodies, in a row */
 };
 
 struct config_spread {
@@ -89,6 +93,9 @@
 /* Nothing came within the time. */
 void config_fetch_check_time(struct config_spread *spread);
 
+/* Lets go of parts of what came in another way. */
+void config_fetch_drop_held(struct config_spread *spread);
+
 bool config_fetch_is_behind(const struct config_spread *spread);
 
 /* spread_pieces.c */
@@ -97,9 +104,8 @@
 void config_pieces_finish(struct config_pieces *pieces);
 void config_pieces_clear(struct config_pieces *pieces);
 
-/* RETURN VALUE: whether the piece brought something new. One of a newer version
- * begins anew; one of an older is dropped, or two peers that hold different
- * versions would undo each other's pieces. */
+/* RETURN VALUE: whether the piece brought something new. One of a newer version of the
+ * namespace begins anew; of others see CONFIG_PIECES_REFUSED_MAX. */
 bool config_pieces_add(struct config_pieces *pieces, const Cfd__ConfigLine *line);
 bool config_pieces_are_whole(const struct config_pieces *pieces);
 
--- a/tests/spread_net.c
+++ b/tests/spread_net.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "comfreydockd/peer/link.h"
 #include "common/clock.h"
 
 #define TICK_US CONFIG_SPREAD_TICK_US
@@ -94,6 +95,8 @@
 	struct event back = {.node = event->from, .from = node};
 
 	cfd__config_body__pack(answer, bytes);
+	/* What a link does not carry. */
+	g_assert_cmpuint(size, <, LINK_MAX_FRAME_BYTES);
 	back.answer = cfd__config_body__unpack(NULL, size, bytes);
 	for (size_t i = 0; node->corrupts && i < back.answer->n_lines; i++) {
 		if (back.answer->lines[i]->body.len)
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "comfreydockd/config/spread_internal.h"
 #include "comfreydockd/peer/link.h"
 #include "common/clock.h"
 #include "spread_net.h"
@@ -94,6 +95,35 @@
 	expect_peers_pass_on(LINK_MAX_FRAME_BYTES * 3);
 }
 
+static unsigned int pieces_at(unsigned int i)
+{
+	return net.nodes[i].spread->pieces.bytes->len;
+}
+
+/* Parts of a version that then came in another way are let go: a daemon has 64 MB. */
+static void test_parts_of_what_came_are_dropped(void)
+{
+	const struct config_version *version;
+	char *key;
+
+	net_init(&net, 10);
+	net_run(&net, 2000);
+	net_apply_sized(&net, 0, LINK_MAX_FRAME_BYTES);
+	for (int i = 0; i < 5000 && pieces_at(9) == 0; i++)
+		net_run(&net, 1);
+	g_assert_cmpuint(pieces_at(9), >, 0);
+	net.nodes[9].cut = true;
+	version = &g_array_index(net.head.versions, struct config_version, 0);
+	key = config_object_key(version->sha256);
+	config_store_take(net.nodes[9].store, version,
+			  g_hash_table_lookup(net.objects, key));
+	g_free(key);
+	g_assert_cmpuint(net_held(&net, 9, 0), ==, 1);
+	net_run(&net, 200);
+	g_assert_cmpuint(pieces_at(9), ==, 0);
+	net_finish(&net);
+}
+
 /*
  * A host is replaced during a long outage. One of its three peers was cut off
  * and is behind; were its word taken, callers would meet rules of last week.
@@ -196,6 +226,14 @@
 	net_finish(&net);
 }
 
+/* Mostly of one answer, now and then of several pieces. */
+static size_t some_size(void)
+{
+	if (g_test_rand_int_range(0, 4) > 0)
+		return 0;
+	return (size_t)g_test_rand_int_range(0, 6 * CONFIG_SPREAD_PIECE_BYTES);
+}
+
 static void disturb(void)
 {
 	unsigned int i = (unsigned int)g_test_rand_int_range(0, (int)net.count);
@@ -218,7 +256,8 @@
 		break;
 	default:
 		if (!net.platform_down)
-			net_apply(&net, g_test_rand_int_range(0, NET_NAMES));
+			net_apply_sized(&net, g_test_rand_int_range(0, NET_NAMES),
+					some_size());
 		break;
 	}
 }
@@ -258,6 +297,7 @@
 	g_test_add_func("/spread/large", test_large_body_travels);
 	g_test_add_func("/spread/larger-than-a-frame",
 			test_body_larger_than_a_frame_travels);
+	g_test_add_func("/spread/parts", test_parts_of_what_came_are_dropped);
 	g_test_add_func("/spread/restart",
 			test_restart_takes_the_highest_of_the_peers);
 	g_test_add_func("/spread/not-ready",
