platform: give a row up when nothing comes, not after two seconds

A row had 2 s in all; at 10 Mbit/s one of over some 2.3 MB never came (worked out), neither to a host that starts nor to one that reads it alone.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -284,6 +284,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 call->connect_timeout_ms ? call->connect_timeout_ms :
 						    DEFAULT_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+	curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, call->quiet_s);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
 	set_headers(pending, call->headers);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -71,6 +71,7 @@
 	size_t size;
 	long timeout_ms; /* 0: 5000 */
 	long connect_timeout_ms; /* 0: 1000 */
+	long quiet_s; /* given up after so long with nothing coming; 0: not so */
 };
 
 struct http_pending;
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -2,11 +2,14 @@
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "comfreydockd/platform/platform.h"
 #include "common/counters.h"
 #include "common/http_client.h"
 #include "common/log.h"
+#include "common/socket.h"
 #include "rig.h"
 
 struct fixture {
@@ -265,6 +268,116 @@
 	g_assert_cmpuint(f->answers, ==, 0);
 }
 
+/* A store that answers with one row, in so many parts. */
+struct trickle {
+	struct ev_loop *loop;
+	ev_io accepting;
+	ev_timer tick;
+	int fd;
+	GString *answer;
+	size_t sent;
+	size_t part;
+	size_t stops_at; /* says nothing more from there on */
+};
+
+static void trickle_some(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct trickle *trickle = timer->data;
+	size_t left =
+		MIN(trickle->answer->len, trickle->stops_at) - trickle->sent;
+	ssize_t size = send(trickle->fd, trickle->answer->str + trickle->sent,
+			    MIN(left, trickle->part), MSG_NOSIGNAL);
+
+	(void)events;
+	trickle->sent += (size_t)MAX(size, 0);
+	if (size <= 0)
+		ev_timer_stop(loop, timer);
+}
+
+static void trickle_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct trickle *trickle = watcher->data;
+
+	(void)events;
+	trickle->fd = accept(watcher->fd, NULL, NULL);
+	ev_timer_again(loop, &trickle->tick);
+}
+
+static void trickle_start(struct trickle *trickle, struct fixture *f,
+			  size_t value_bytes, unsigned int parts)
+{
+	GString *body =
+		g_string_new("{\"rows\":[{\"table\":\"t\",\"part\":\"\","
+			     "\"key\":\"a\",\"ver\":3,\"value\":\"");
+	uint16_t port = 0;
+	int fd = socket_listen_both("127.0.0.1", 0, &port);
+	char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+
+	memset(trickle, 0, sizeof(*trickle));
+	for (size_t i = 0; i < value_bytes; i++)
+		g_string_append_c(body, 'A');
+	g_string_append(body, "\"}],\"hasMore\":false,\"ver\":3,\"nowMs\":1}");
+	trickle->answer = g_string_new(NULL);
+	g_string_printf(trickle->answer,
+			"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+			"Content-Length: %zu\r\n\r\n%s",
+			body->len, body->str);
+	trickle->part = trickle->answer->len / parts + 1;
+	trickle->stops_at = SIZE_MAX;
+	ev_io_init(&trickle->accepting, trickle_accept, fd, EV_READ);
+	ev_timer_init(&trickle->tick, trickle_some, 0.0, 0.1);
+	trickle->accepting.data = trickle->tick.data = trickle;
+	trickle->loop = f->loop;
+	ev_io_start(f->loop, &trickle->accepting);
+	platform_destroy(f->platform);
+	f->platform = platform_create(f->http, url);
+	g_free(url);
+	g_string_free(body, TRUE);
+}
+
+static void trickle_stop(struct trickle *trickle)
+{
+	ev_timer_stop(trickle->loop, &trickle->tick);
+	ev_io_stop(trickle->loop, &trickle->accepting);
+	close(trickle->accepting.fd);
+	close(trickle->fd);
+	g_string_free(trickle->answer, TRUE);
+}
+
+/*
+ * A row of some MB needs seconds on the link of a small host. Given up after two, it
+ * would never come: a host that starts would have no configuration, and one that is
+ * behind could not read it.
+ */
+static void test_large_row_takes_its_time(struct fixture *f, gconstpointer data)
+{
+	struct trickle trickle;
+
+	(void)data;
+	trickle_start(&trickle, f, 40000, 30);
+	platform_get(f->platform, "t/a", handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	g_assert_cmpuint(f->rows, ==, 1);
+	trickle_stop(&trickle);
+}
+
+/* The store falls silent in the middle of a row. Whoever waits for it is told in time
+ * to ask again. */
+static void test_row_that_stops_is_given_up(struct fixture *f, gconstpointer data)
+{
+	struct trickle trickle;
+	gint64 began_us = g_get_monotonic_time();
+
+	(void)data;
+	trickle_start(&trickle, f, 40000, 30);
+	trickle.stops_at = 10000;
+	platform_get(f->platform, "t/a", handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_UNAVAILABLE);
+	g_assert_cmpint(g_get_monotonic_time() - began_us, <,
+			10 * G_USEC_PER_SEC);
+	trickle_stop(&trickle);
+}
+
 #define ADD(name, function)                                                \
 	g_test_add("/platform-client/" name, struct fixture, NULL, set_up, \
 		   function, tear_down)
@@ -277,6 +390,8 @@
 	ADD("lost-answer", test_lost_answer_is_unknown_and_not_resent);
 	ADD("outage", test_outage);
 	ADD("slow", test_slow_platform);
+	ADD("large-row", test_large_row_takes_its_time);
+	ADD("row-that-stops", test_row_that_stops_is_given_up);
 	ADD("watch", test_watch_tells_changes);
 	ADD("history", test_dropped_history_is_told);
 	ADD("refused", test_refused_writes_are_not_done);
