operator: say that a name is taken only by what may be the newest configuration

Now 503 with the heads held and known, where they differ or nobody has told for a minute. /operator/clash failed before (422).

--- a/comfreydockd/operator/config.c
+++ b/comfreydockd/operator/config.c
@@ -125,6 +125,55 @@
 	}
 }
 
+static bool clashes(const struct config_snapshot *snapshot,
+		    const struct config_namespace *ns, const char *file)
+{
+	struct findings findings;
+	bool has_errors;
+
+	findings_init(&findings);
+	config_check_against(snapshot, ns, file, &findings);
+	has_errors = findings_has_errors(&findings);
+	findings_finish(&findings);
+	return has_errors;
+}
+
+/*
+ * "That host belongs to another namespace already" ends an operator's work, and the
+ * other namespace may have given it up in a version that is not here yet; one would
+ * look for the owner of what nobody owns. So it is said only by what may be the newest.
+ *
+ * RETURN VALUE: true where the request was answered so.
+ */
+static bool refuse_in_doubt(struct operator_api *api, struct http_request *request)
+{
+	const struct config_store *store = api->daemon->config;
+	struct config_namespace *ns = NULL;
+	struct findings findings;
+	bool is_refused;
+	char *text;
+
+	if (config_store_doubt(store) == CONFIG_DOUBT_NONE)
+		return false;
+	findings_init(&findings);
+	ns = config_namespace_load(file_argument(request),
+				   http_request_body(request)->str, &findings);
+	is_refused = ns && clashes(config_store_current(store), ns,
+				   file_argument(request));
+	if (is_refused) {
+		text = g_strdup_printf(
+			"it clashes with another namespace as held here, "
+			"which may be old (head %" G_GUINT64_FORMAT
+			", known %" G_GUINT64_FORMAT "): try again",
+			config_store_head(store), config_store_known_head(store));
+		operator_reply_error(request, 503, text);
+		g_free(text);
+	}
+	config_namespace_unref(ns);
+	findings_finish(&findings);
+	return is_refused;
+}
+
 void operator_check_config(struct operator_api *api, struct http_request *request)
 {
 	const char *file = file_argument(request);
@@ -133,6 +182,10 @@
 	struct findings findings;
 	bool passes;
 
+	if (refuse_in_doubt(api, request)) {
+		json_object_put(root);
+		return;
+	}
 	findings_init(&findings);
 	ns = config_namespace_load(file, http_request_body(request)->str,
 				   &findings);
@@ -216,6 +269,8 @@
 		operator_reply_error(request, 503, "the platform is not set up");
 		return;
 	}
+	if (refuse_in_doubt(api, request))
+		return;
 	apply.base = number;
 	config_apply_start(api->platform_ops, api->platform, &apply,
 			   handle_applied, waiting_create(api, request, NULL));
--- a/include/comfreydockd/config/spread.h
+++ b/include/comfreydockd/config/spread.h
@@ -49,8 +49,9 @@
 /* Whole, for daemons that take no pieces: a frame may have 1 MiB, and the rest is
  * for the names in it. */
 #define CONFIG_SPREAD_WHOLE_MAX_BYTES (960 * 1024)
-/* In pieces; some 60,000 routes. A quarter of a daemon's memory. */
-#define CONFIG_SPREAD_BODY_MAX_BYTES (16 * 1024 * 1024)
+/* In pieces; some 20,000 routes. Read and put in force a larger one would need more
+ * than the memory of a daemon. */
+#define CONFIG_SPREAD_BODY_MAX_BYTES (4 * 1024 * 1024)
 #define CONFIG_SPREAD_ANSWERS_PER_S 20
 
 struct config_spread;
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -275,6 +275,30 @@
 	call(f, "GET", "/metrics", NULL, 200, "\ncomfreydock_config_age_us ");
 }
 
+/*
+ * A host name was given up by one namespace and is applied with another, at a daemon
+ * that has not got the first change yet. It told the operator that the name belongs
+ * to the other namespace, which is so no more.
+ */
+static void test_clash_with_what_may_be_old(struct fixture *f,
+					    gconstpointer unused)
+{
+	const char *path = "/v1/config/check";
+	char *sample = read_sample();
+	GString *other = g_string_new(sample);
+
+	(void)unused;
+	offer_sample(f, 3);
+	g_string_replace(other, "\"spurningalina\"", "\"other\"", 0);
+	call(f, "POST", path, other->str, 422, "belongs to service");
+	config_store_note_head(f->daemon.config, 9, "esja-02");
+	call(f, "POST", path, other->str, 503, "may be old (head 0, known 9)");
+	call(f, "POST", path, "{", 422, "\"result\":\"refused\"");
+	call(f, "POST", path, sample, 200, "\"result\":\"passes\"");
+	g_string_free(other, TRUE);
+	g_free(sample);
+}
+
 static void test_paths(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
@@ -493,6 +517,7 @@
 	ADD("/operator/paths", NULL, test_paths);
 	ADD("/operator/configuration-age", NULL,
 	    test_metrics_tell_the_configuration);
+	ADD("/operator/clash", NULL, test_clash_with_what_may_be_old);
 	ADD("/operator/hosts", NULL, test_hosts_come_in_pages);
 	ADD("/operator/token", "secret", test_token_is_needed);
 	ADD("/operator/announce", NULL, test_upstream_announces_itself);
