config/spread: don't wait for the answer of a peer that is gone

It had asked a host for a piece that ended half a second later, as all knew, and waited for the answer to its end, 1.5 s.

Now a peer that left or died fails the question at once; one that is only suspected may still answer. /spread/peer-ends fails before.

--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -298,13 +298,22 @@
 	g_array_unref(missing);
 }
 
+/* Who is only suspected may be slow to answer, as this one is to hear. */
+static bool is_gone(const struct member *member)
+{
+	return !member || member->state == MEMBER_DEAD ||
+	       member->state == MEMBER_LEFT;
+}
+
 void config_fetch_check_time(struct config_spread *spread)
 {
 	if (spread->step == CONFIG_FETCH_NONE ||
-	    spread->step == CONFIG_FETCH_OBJECT ||
-	    spread->now_us < spread->give_up_us)
+	    spread->step == CONFIG_FETCH_OBJECT)
 		return;
-	note_failure(spread, "no answer in time");
+	if (is_gone(member_table_find(spread->members, spread->asked_host)))
+		note_failure(spread, "the peer is gone");
+	else if (spread->now_us >= spread->give_up_us)
+		note_failure(spread, "no answer in time");
 }
 
 static bool is_held(const struct config_spread *spread, const char *name,
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "comfreydockd/config/spread_internal.h"
@@ -100,6 +101,31 @@
 	return net.nodes[i].spread->pieces.bytes->len;
 }
 
+/*
+ * Hosts are being replaced while a large version travels. The one that was asked for
+ * the next piece ends, as all know; waiting for its answer all the same, this host
+ * would get the version a second and a half later.
+ */
+static void test_peer_that_ends_is_not_waited_for(void)
+{
+	unsigned int before;
+	unsigned int asked;
+
+	net_init(&net, 10);
+	net_run(&net, 2000);
+	net_apply_sized(&net, 0, LINK_MAX_FRAME_BYTES);
+	for (int i = 0; i < 5000 && pieces_at(9) == 0; i++)
+		net_run(&net, 1);
+	before = pieces_at(9);
+	g_assert_cmpuint(before, >, 0);
+	g_assert_cmpint(net.nodes[9].spread->step, ==, CONFIG_FETCH_BODIES);
+	asked = (unsigned int)atoi(net.nodes[9].spread->asked_host + 1);
+	net_stop(&net, asked);
+	net_run(&net, 1000);
+	g_assert_true(net_held(&net, 9, 0) == 1 || pieces_at(9) > before);
+	net_finish(&net);
+}
+
 /* Parts of a version that then came in another way are let go: a daemon has 64 MB. */
 static void test_parts_of_what_came_are_dropped(void)
 {
@@ -297,6 +323,8 @@
 	g_test_add_func("/spread/large", test_large_body_travels);
 	g_test_add_func("/spread/larger-than-a-frame",
 			test_body_larger_than_a_frame_travels);
+	g_test_add_func("/spread/peer-ends",
+			test_peer_that_ends_is_not_waited_for);
 	g_test_add_func("/spread/parts", test_parts_of_what_came_are_dropped);
 	g_test_add_func("/spread/restart",
 			test_restart_takes_the_highest_of_the_peers);
