caller: one file for what owners answer, one for what pick and health are told

attempts.c sends to owners, frames.c takes their answers, feedback.c tells pick and health. The start of a timer and the question to retry, which call.c and beside.c share, go to call_state.c, so that beside.c calls call.c no more, and attempts.c calls neither. How long a begun answer may be silent is a decision without network: it goes from silence.c to decide/deadline, with a test of its own, and call.c keeps the timer. The three places that broke off an answer are one.

Left: entry.c has call_fill_hedge_question() and call_work_attempts(), which beside.c, call_state.c and attempts.c call; moved to call_state.c, the circle would be gone.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -25,15 +25,6 @@
 		   "%s%s:%s", used ? "," : "", attempt->upstream->host, end);
 }
 
-void call_start_timer(struct call *call, ev_timer *timer, int64_t us)
-{
-	struct ev_loop *loop = call->entry->daemon->loop;
-
-	ev_timer_stop(loop, timer);
-	ev_timer_set(timer, (double)MAX(us, 0) / US_PER_S, 0.0);
-	ev_timer_start(loop, timer);
-}
-
 void call_free(struct call *call)
 {
 	struct ev_loop *loop = call->entry->daemon->loop;
@@ -56,6 +47,14 @@
 	g_free(call);
 }
 
+/* Ended here an answer would look whole: the connection must break. */
+static void call_abort(struct call *call)
+{
+	counters.caller_aborted++;
+	call->sink->handle_abort(call->sink_data);
+	call_free(call);
+}
+
 static void call_finish_unanswered(struct call *call)
 {
 	if (call->may_have_run)
@@ -65,11 +64,6 @@
 	call_free(call);
 }
 
-static size_t call_untried(const struct call *call)
-{
-	return pick_count_untried(&call->service->picks, &call->tried);
-}
-
 /*
  * Refused as busy by some, because another seemed to have room, and then that
  * one turned out to be gone or to drain, or is left out by now: the call goes back, once, to wait at
@@ -142,25 +136,6 @@
 	}
 }
 
-void call_fill_retry_question(const struct call *call, enum retry_outcome outcome,
-			      struct retry_question *question)
-{
-	bool busy = outcome == RETRY_OUTCOME_BUSY;
-
-	*question = (struct retry_question){
-		.outcome = outcome,
-		.idempotent = call->rule->idempotent,
-		.answer_begun = call->answering != NULL,
-		.attempts = busy ? call->busy : call_work_attempts(call),
-		.max_attempts = busy ? RETRY_BUSY_MAX + 1 : call->max_attempts,
-		.untried = call_untried(call),
-		.depth = call->depth,
-		.deadline_us = call->deadline_us,
-		.expected_us = (int64_t)call->service->picks.typical_service_us,
-		.retry_after_us = (int64_t)call->come_back_ms * US_PER_MS,
-	};
-}
-
 /* What follows after an attempt, where no other is out. */
 static void call_decide(struct call *call, enum retry_outcome outcome,
 			enum attempt_entry_state state)
@@ -232,10 +207,7 @@
 	call_remember(call, attempt, lost ? "lost" : "timeout");
 	entry_attempt_destroy(attempt);
 	if (answering) {
-		/* Ended here it would look whole: the connection must break. */
-		counters.caller_aborted++;
-		call->sink->handle_abort(call->sink_data);
-		call_free(call);
+		call_abort(call);
 		return;
 	}
 	call->may_have_run = true;
@@ -246,6 +218,29 @@
 	call_decide(call, RETRY_OUTCOME_UNKNOWN, state);
 }
 
+/* See deadline_silence_left_us(). The call may be gone after this, but not when
+ * its answer has just begun. */
+static void call_watch_answer(struct call *call)
+{
+	int64_t now = clock_mono_us();
+	int64_t left_us;
+
+	/* Silence while bytes wait for the caller is its own; the owner ends
+	 * that one. */
+	if (call->unread > 0)
+		call->heard_us = now;
+	left_us =
+		deadline_silence_left_us(call->deadline_us, call->heard_us, now);
+	if (left_us > 0) {
+		call_start_timer(call, &call->deadline, left_us);
+		return;
+	}
+	call_note(call, EV_ENTRY_FAILED, LOG_STR("outcome", "aborted"),
+		  LOG_STR("reason", "the answer stopped"),
+		  LOG_STR("attempts", call->history));
+	call_abort(call);
+}
+
 void call_note_head(struct entry_attempt *attempt, const Cfd__Answer *answer)
 {
 	struct call *call = attempt->call;
@@ -358,9 +353,7 @@
 void call_end_now(struct call *call)
 {
 	if (call->answering) {
-		counters.caller_aborted++;
-		call->sink->handle_abort(call->sink_data);
-		call_free(call);
+		call_abort(call);
 		return;
 	}
 	if (!LIST_EMPTY(&call->active)) {
--- /dev/null
+++ b/comfreydockd/caller/call_state.c
@@ -0,0 +1,36 @@
+#include "comfreydockd/caller/call_internal.h"
+
+#include "common/clock.h"
+
+void call_start_timer(struct call *call, ev_timer *timer, int64_t us)
+{
+	struct ev_loop *loop = call->entry->daemon->loop;
+
+	ev_timer_stop(loop, timer);
+	ev_timer_set(timer, (double)MAX(us, 0) / US_PER_S, 0.0);
+	ev_timer_start(loop, timer);
+}
+
+size_t call_untried(const struct call *call)
+{
+	return pick_count_untried(&call->service->picks, &call->tried);
+}
+
+void call_fill_retry_question(const struct call *call, enum retry_outcome outcome,
+			      struct retry_question *question)
+{
+	bool busy = outcome == RETRY_OUTCOME_BUSY;
+
+	*question = (struct retry_question){
+		.outcome = outcome,
+		.idempotent = call->rule->idempotent,
+		.answer_begun = call->answering != NULL,
+		.attempts = busy ? call->busy : call_work_attempts(call),
+		.max_attempts = busy ? RETRY_BUSY_MAX + 1 : call->max_attempts,
+		.untried = call_untried(call),
+		.depth = call->depth,
+		.deadline_us = call->deadline_us,
+		.expected_us = (int64_t)call->service->picks.typical_service_us,
+		.retry_after_us = (int64_t)call->come_back_ms * US_PER_MS,
+	};
+}
--- /dev/null
+++ b/comfreydockd/caller/frames.c
@@ -0,0 +1,194 @@
+#include "comfreydockd/caller/call.h"
+
+#include "comfreydockd/caller/feedback.h"
+#include "comfreydockd/decide/deadline.h"
+#include "common/clock.h"
+#include "common/counters.h"
+
+/* RETURN VALUE: NULL, counted, for an attempt that is over: a late or doubled
+ * answer reaches nobody. */
+static struct entry_attempt *entry_find(struct entry *entry, struct peer *peer,
+					uint64_t seq)
+{
+	struct entry_attempt *attempt =
+		g_hash_table_lookup(entry->attempts, &seq);
+
+	if (attempt && attempt->peer == peer)
+		return attempt;
+	counters.peer_unmatched++;
+	return NULL;
+}
+
+/*
+ * An upstream that has crashed refuses each connection at once, so its slots
+ * look free and it draws the calls. Told to health as a mere refusal, it would
+ * stay in use for as long as its daemon lives.
+ */
+static enum attempt_end refusal_end(Cfd__Reason reason)
+{
+	if (reason == CFD__REASON__REASON_BUSY)
+		return ATTEMPT_REFUSED_BUSY;
+	if (reason == CFD__REASON__REASON_CONNECT)
+		return ATTEMPT_UNREACHED;
+	return ATTEMPT_REFUSED;
+}
+
+static void take_not_run(struct entry *entry, struct peer *peer,
+			 const Cfd__NotRun *not_run)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, not_run->seq);
+	bool busy = not_run->reason == CFD__REASON__REASON_BUSY;
+	enum attempt_end end = refusal_end(not_run->reason);
+
+	timeline_observe(&entry->daemon->timeline, not_run->time);
+	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_NOT_RUN))
+		return;
+	feedback_note_end(attempt, end, not_run->load);
+	/* A refusal does no work: its time is the way there and back. */
+	if (busy)
+		deadline_path_note(&attempt->upstream->path,
+				   clock_mono_us() - attempt->sent_us);
+	call_note_not_run(attempt, not_run->reason, false,
+			  not_run->retry_after_ms);
+}
+
+static void take_answer(struct entry *entry, struct peer *peer,
+			const Cfd__Answer *answer)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, answer->seq);
+
+	timeline_observe(&entry->daemon->timeline, answer->time);
+	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_ANSWER))
+		return;
+	attempt->head_us = clock_mono_us();
+	attempt->failed = answer->status >= 500;
+	attempt->pace_percent = answer->pace_percent;
+	feedback_note_load(attempt, answer->load, attempt->head_us);
+	call_note_head(attempt, answer);
+}
+
+static void take_answer_body(struct entry *entry, struct peer *peer,
+			     const Cfd__AnswerBody *body)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, body->seq);
+	struct call *call;
+
+	if (!attempt || attempt->state != ENTRY_ANSWERING)
+		return;
+	call = attempt->call;
+	call->heard_us = clock_mono_us();
+	call->unread += body->data.len;
+	if (body->data.len)
+		call->sink->handle_body(call->sink_data, body->data.data,
+					body->data.len);
+	if (body->ends) {
+		attempt_entry_step(&attempt->state, ENTRY_GET_END);
+		feedback_note_end(attempt,
+				  attempt->failed ? ATTEMPT_FAILED :
+						    ATTEMPT_ANSWERED,
+				  body->load);
+		call_note_end(attempt);
+	} else if (body->aborted) {
+		attempt_entry_step(&attempt->state, ENTRY_GET_FAILED);
+		feedback_note_end(attempt, ATTEMPT_LOST, body->load);
+		call_note_unknown(attempt, true);
+	}
+}
+
+static void take_failed(struct entry *entry, struct peer *peer,
+			const Cfd__Failed *failed)
+{
+	struct entry_attempt *attempt = entry_find(entry, peer, failed->seq);
+
+	timeline_observe(&entry->daemon->timeline, failed->time);
+	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_FAILED))
+		return;
+	feedback_note_end(attempt,
+			  attempt->cancelled ? ATTEMPT_TIMED_OUT : ATTEMPT_LOST,
+			  failed->load);
+	call_note_unknown(attempt, !attempt->cancelled);
+}
+
+static void take_load_report(struct entry *entry, struct peer *peer,
+			     const Cfd__LoadReport *report)
+{
+	struct entry_attempt *attempt;
+	struct pick_load load;
+
+	if (report->seq == 0 && report->load) {
+		services_note_load(entry->services, peer_host(peer),
+				   feedback_read_load(report->load, &load));
+		return;
+	}
+	attempt = entry_find(entry, peer, report->seq);
+	if (!attempt)
+		return;
+	feedback_note_load(attempt, report->load, clock_mono_us());
+	call_note_verdict(attempt, report->overdue);
+}
+
+static void handle_frame(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	struct entry *entry = data;
+	struct entry_attempt *attempt;
+
+	switch (frame->kind_case) {
+	case CFD__FRAME__KIND_NOT_RUN:
+		take_not_run(entry, peer, frame->not_run);
+		break;
+	case CFD__FRAME__KIND_ANSWER:
+		take_answer(entry, peer, frame->answer);
+		break;
+	case CFD__FRAME__KIND_ANSWER_BODY:
+		take_answer_body(entry, peer, frame->answer_body);
+		break;
+	case CFD__FRAME__KIND_FAILED:
+		take_failed(entry, peer, frame->failed);
+		break;
+	case CFD__FRAME__KIND_LOAD_REPORT:
+		take_load_report(entry, peer, frame->load_report);
+		break;
+	case CFD__FRAME__KIND_WINDOW:
+		attempt = entry_find(entry, peer, frame->window->seq);
+		if (attempt)
+			call_note_room(attempt, frame->window->bytes);
+		break;
+	default:
+		counters.peer_bad_frames++;
+		break;
+	}
+}
+
+static void attempt_lose(struct entry_attempt *attempt)
+{
+	bool left = peer_has_handed_over(attempt->peer, attempt->position);
+
+	attempt_entry_step(&attempt->state,
+			   left ? ENTRY_LINK_LOST : ENTRY_LINK_LOST_UNSENT);
+	feedback_note_end(attempt, ATTEMPT_LOST, NULL);
+	if (attempt->state == ENTRY_NOT_RUN)
+		call_note_not_run(attempt, CFD__REASON__REASON_CONNECT, true, 0);
+	else
+		call_note_unknown(attempt, true);
+}
+
+/* Whatever one loss leads to may end other attempts of the same connection,
+ * so the first of those left is taken each time. */
+static void handle_lost(struct peer *peer, const char *error, void *data)
+{
+	struct entry *entry = data;
+	struct entry_attempt_list *list = entry_attempts_of(entry, peer);
+	struct entry_attempt *attempt;
+
+	(void)error;
+	while ((attempt = LIST_FIRST(list)))
+		attempt_lose(attempt);
+	g_hash_table_remove(entry->by_peer, peer);
+}
+
+void entry_fill_role(struct entry *entry, struct peers_role *role)
+{
+	role->handle_frame = handle_frame;
+	role->handle_lost = handle_lost;
+	role->data = entry;
+}
--- a/comfreydockd/decide/deadline.c
+++ b/comfreydockd/decide/deadline.c
@@ -115,6 +115,12 @@
 	return MAX(2 * deadline_path_us(path), DEADLINE_VERDICT_MIN_US);
 }
 
+int64_t deadline_silence_left_us(int64_t deadline_us, int64_t heard_us,
+				 int64_t now_us)
+{
+	return MAX(deadline_us, heard_us + DEADLINE_SILENCE_US) - now_us;
+}
+
 bool deadline_is_overdue(int64_t started_us, int64_t deadline_us, int64_t now_us)
 {
 	return now_us - started_us >= deadline_remaining_us(deadline_us, now_us);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -3,8 +3,12 @@
  *	call - one caller's request, and its attempts
  *
  * DESCRIPTION
- *	Internal to caller/. call.c decides what follows what, attempts.c
- *	speaks the frames, and outcome.c words the answers of our own.
+ *	Internal to caller/. call.c decides what follows what and beside.c what
+ *	goes beside an attempt that is out. attempts.c sends to owners, frames.c
+ *	takes what they answer, and outcome.c words the answers of our own.
+ *
+ *	They call downwards: frames.c calls call.c, call.c calls beside.c, and
+ *	each of them attempts.c; call_state.c is what they share.
  */
 #ifndef COMFREYDOCKD_CALLER_CALL_H
 #define COMFREYDOCKD_CALLER_CALL_H
@@ -138,7 +142,11 @@
 			     size_t size, bool ends);
 void entry_attempt_send_window(struct entry_attempt *attempt, uint32_t bytes);
 
-/* The handlers for the connections to owners. */
+/* The attempts on a connection, until it is lost. */
+struct entry_attempt_list *entry_attempts_of(struct entry *entry,
+					     struct peer *peer);
+
+/* frames.c: the handlers for the connections to owners */
 void entry_fill_role(struct entry *entry, struct peers_role *role);
 
 /* call.c: what has become of an attempt, after its state has changed */
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -1,6 +1,6 @@
 /*
  * NAME
- *	call_internal - steps of a call that entry.c and call.c share
+ *	call_internal - steps of a call that the files in caller/ share
  */
 #ifndef COMFREYDOCKD_CALLER_CALL_INTERNAL_H
 #define COMFREYDOCKD_CALLER_CALL_INTERNAL_H
@@ -28,7 +28,12 @@
 /* RETURN VALUE: the attempts so far that count against the rule's. */
 uint32_t call_work_attempts(const struct call *call);
 
+/* call_state.c */
+
 void call_start_timer(struct call *call, ev_timer *timer, int64_t us);
+
+/* RETURN VALUE: the upstreams left to try. */
+size_t call_untried(const struct call *call);
 void call_fill_retry_question(const struct call *call, enum retry_outcome outcome,
 			      struct retry_question *question);
 
@@ -39,8 +44,4 @@
 void call_arm_patience(struct call *call);
 void call_stop_patience(struct call *call);
 
-/* silence.c: sees to it that a begun answer goes on. The call may be gone
- * after this, but not when its answer has just begun. */
-void call_watch_answer(struct call *call);
-
 #endif
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -49,6 +49,10 @@
 /* A verdict may wait for the end of a turn of the owner's loop. */
 #define DEADLINE_VERDICT_MIN_US ((int64_t)10000)
 
+/* A begun answer may take longer than the deadline, but not stand still for
+ * longer than this beyond it. A lost segment is repeated well within. */
+#define DEADLINE_SILENCE_US ((int64_t)2 * 1000 * 1000)
+
 /* Round trips to one peer; all zero at the start. */
 struct deadline_path {
 	int64_t mean_us;
@@ -110,6 +114,19 @@
 int64_t deadline_patience_us(int64_t deadline_us, int64_t now_us);
 int64_t deadline_verdict_us(const struct deadline_path *path);
 
+/*
+ * How long a begun answer may still be silent. The deadline covers its head
+ * only: a long answer takes as long as it takes, but must go on. An upstream that
+ * stops in the middle of it resets nothing, so without this its caller would
+ * wait for ever, with its connection and a slot held at both ends; one would
+ * notice slots that never come back.
+ *
+ * RETURN VALUE
+ *	0 or less: it is to be broken off.
+ */
+int64_t deadline_silence_left_us(int64_t deadline_us, int64_t heard_us,
+				 int64_t now_us);
+
 /* True where work has run for at least as long as time remains. */
 bool deadline_is_overdue(int64_t started_us, int64_t deadline_us, int64_t now_us);
 
--- a/tests/test_deadline.c
+++ b/tests/test_deadline.c
@@ -130,6 +130,28 @@
 	g_assert_false(deadline_is_overdue(0, INT64_MAX, 500));
 }
 
+/*
+ * An upstream stops in the middle of a long answer and resets nothing. Its caller
+ * would wait for ever; one whose answer goes on for longer than its deadline gets
+ * the whole of it.
+ */
+static void test_begun_answer_must_go_on(void)
+{
+	int64_t deadline_us = 1000;
+	int64_t heard_us = deadline_us + 5 * DEADLINE_SILENCE_US;
+	int64_t due_us = heard_us + DEADLINE_SILENCE_US;
+
+	g_assert_cmpint(deadline_silence_left_us(deadline_us, heard_us, heard_us),
+			==, DEADLINE_SILENCE_US);
+	g_assert_cmpint(
+		deadline_silence_left_us(deadline_us, heard_us, due_us - 1), >,
+		0);
+	g_assert_cmpint(deadline_silence_left_us(deadline_us, heard_us, due_us),
+			<=, 0);
+	g_assert_cmpint(deadline_silence_left_us(2 * due_us, heard_us, due_us),
+			==, due_us);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -140,5 +162,6 @@
 	g_test_add_func("/deadline/late", test_late_work_is_not_started);
 	g_test_add_func("/deadline/path", test_path_follows_round_trips);
 	g_test_add_func("/deadline/overdue", test_started_late_is_not_overdue);
+	g_test_add_func("/deadline/silence", test_begun_answer_must_go_on);
 	return g_test_run();
 }
