tests/system: the entry and the owner of test_ahead and test_gone in one piece

Both set up two daemons of which one is the entry only, read the same counters and wait for them. Bounds and checks are as they were; each test keeps its own wait.

--- a/tests/system/test_ahead.c
+++ b/tests/system/test_ahead.c
@@ -1,11 +1,10 @@
-/* Callers that send further requests before the first is answered. d0 is the
- * entry; the one upstream that takes work lies behind d1. */
+/* Callers that send further requests before the first is answered. */
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
 
-#include "cluster.h"
+#include "pair.h"
 #include "raw.h"
 
 #define WAIT_MS 10000
@@ -22,53 +21,7 @@
 	"    \"idempotent\": true, \"deadline_ms\": 10000},\n"
 	"   {\"name\": \"post\", \"deadline_ms\": 10000}]}}}\n";
 
-static struct cluster cluster;
-
-static int64_t upstream_count(const char *name)
-{
-	char *json = rig_http_ok("GET", cluster.upstreams[1]->port,
-				 "/standin/runs", NULL);
-	int64_t value = rig_json_int(json, name);
-
-	g_free(json);
-	return value;
-}
-
-struct mark {
-	const char *name;
-	int64_t value;
-};
-
-static bool upstream_reaches(void *data)
-{
-	const struct mark *mark = data;
-
-	return upstream_count(mark->name) >= mark->value;
-}
-
-static void wait_for(const char *name, int64_t value)
-{
-	struct mark mark = {name, value};
-
-	if (!rig_wait_until(upstream_reaches, &mark, WAIT_MS))
-		g_error("%s does not reach %" G_GINT64_FORMAT, name, value);
-}
-
-static void set_upstream(const char *command)
-{
-	cluster_set_upstream(&cluster, 1, command);
-}
-
-static void add_request(GString *text, const char *method, const char *path,
-			const char *id)
-{
-	g_string_append_printf(
-		text,
-		"%s %s HTTP/1.1\r\nHost: h\r\n"
-		"X-Request-Id: %s\r\n%s\r\n",
-		method, path, id,
-		strcmp(method, "POST") == 0 ? "Content-Length: 0\r\n" : "");
-}
+static struct pair pair = {.wait_ms = WAIT_MS};
 
 static void add_lookups(GString *text, const char *path, const char *prefix,
 			int from, int to)
@@ -76,7 +29,7 @@
 	for (int i = from; i < to; i++) {
 		char *id = g_strdup_printf("%s%d", prefix, i);
 
-		add_request(text, "GET", path, id);
+		pair_add_request(text, "GET", path, id);
 		g_free(id);
 	}
 }
@@ -106,15 +59,15 @@
  * follows is quick. RETURN VALUE: the connection. */
 static int begin_with_slow(const char *factor, const char *path, const char *id)
 {
-	int64_t started = upstream_count("started");
+	int64_t started = pair_upstream_count(&pair, "started");
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
-	set_upstream(factor);
-	add_request(text, "GET", path, id);
+	pair_set_upstream(&pair, factor);
+	pair_add_request(text, "GET", path, id);
 	send_and_free(fd, text);
-	wait_for("started", started + 1);
-	set_upstream("{\"factor\": 1}");
+	pair_wait_for(&pair, pair_upstream_count, "started", started + 1);
+	pair_set_upstream(&pair, "{\"factor\": 1}");
 	return fd;
 }
 
@@ -124,16 +77,16 @@
  */
 static void test_all_begin_at_once(void)
 {
-	int64_t started = upstream_count("started");
+	int64_t started = pair_upstream_count(&pair, "started");
 	GString *answers = g_string_new(NULL);
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
-	set_upstream("{\"freeze\": true}");
+	pair_set_upstream(&pair, "{\"freeze\": true}");
 	add_lookups(text, "/s/a", "at-once-", 0, CALLS);
 	send_and_free(fd, text);
-	wait_for("started", started + CALLS);
-	set_upstream("{\"freeze\": false}");
+	pair_wait_for(&pair, pair_upstream_count, "started", started + CALLS);
+	pair_set_upstream(&pair, "{\"freeze\": false}");
 	g_assert_true(raw_read_marks(fd, answers, "{\"id\":\"at-once-", CALLS,
 				     WAIT_MS));
 	expect_order(answers, "at-once-", CALLS);
@@ -145,14 +98,15 @@
  * turn. */
 static void test_first_is_slowest(void)
 {
-	int64_t finished = upstream_count("finished");
+	int64_t finished = pair_upstream_count(&pair, "finished");
 	GString *answers = g_string_new(NULL);
 	GString *text = g_string_new(NULL);
 	int fd = begin_with_slow("{\"factor\": 400}", "/s/a", "slow-0");
 
 	add_lookups(text, "/s/a", "slow-", 1, CALLS);
 	send_and_free(fd, text);
-	wait_for("finished", finished + CALLS - 1);
+	pair_wait_for(&pair, pair_upstream_count, "finished",
+		      finished + CALLS - 1);
 	g_assert_true(
 		raw_read_marks(fd, answers, "{\"id\":\"slow-", CALLS, WAIT_MS));
 	expect_order(answers, "slow-", CALLS);
@@ -185,11 +139,11 @@
 {
 	GString *answers = g_string_new(NULL);
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 	const char *refusal;
 
 	add_lookups(text, "/s/a", "mid-", 0, 1);
-	add_request(text, "GET", "/nowhere", "mid-none");
+	pair_add_request(text, "GET", "/nowhere", "mid-none");
 	add_lookups(text, "/s/a", "mid-", 1, 2);
 	send_and_free(fd, text);
 	g_assert_true(
@@ -202,31 +156,25 @@
 	g_string_free(answers, TRUE);
 }
 
-static bool all_are_gone(void *data)
-{
-	int64_t *before = data;
-
-	return cluster_counter(&cluster, 0, "caller_gone") >= *before + CALLS;
-}
-
 /* The desk closes its connection while eight lookups run. Each of them would
  * hold a slot for ten seconds. */
 static void test_caller_goes(void)
 {
-	int64_t gone = cluster_counter(&cluster, 0, "caller_gone");
-	int64_t started = upstream_count("started");
-	int64_t cancelled = upstream_count("cancelled_running");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t started = pair_upstream_count(&pair, "started");
+	int64_t cancelled = pair_upstream_count(&pair, "cancelled_running");
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
-	set_upstream("{\"factor\": 5000}");
+	pair_set_upstream(&pair, "{\"factor\": 5000}");
 	add_lookups(text, "/s/a", "gone-", 0, CALLS);
 	send_and_free(fd, text);
-	wait_for("started", started + CALLS);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + CALLS);
 	close(fd);
-	g_assert_true(rig_wait_until(all_are_gone, &gone, WAIT_MS));
-	wait_for("cancelled_running", cancelled + CALLS);
-	set_upstream("{\"factor\": 1}");
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + CALLS);
+	pair_wait_for(&pair, pair_upstream_count, "cancelled_running",
+		      cancelled + CALLS);
+	pair_set_upstream(&pair, "{\"factor\": 1}");
 }
 
 /*
@@ -236,25 +184,24 @@
  */
 static void test_booking_runs_once(void)
 {
-	int64_t waited = cluster_counter(&cluster, 0, "caller_waited");
-	int64_t started = upstream_count("started");
+	int64_t waited = pair_entry_count(&pair, "caller_waited");
+	int64_t started = pair_upstream_count(&pair, "started");
 	struct rig_answer *answer;
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
-	set_upstream("{\"factor\": 5000}");
-	add_request(text, "GET", "/s/a", "before-booking");
-	add_request(text, "POST", "/s/book", "booking");
+	pair_set_upstream(&pair, "{\"factor\": 5000}");
+	pair_add_request(text, "GET", "/s/a", "before-booking");
+	pair_add_request(text, "POST", "/s/book", "booking");
 	send_and_free(fd, text);
-	wait_for("started", started + 1);
-	g_assert_cmpint(cluster_counter(&cluster, 0, "caller_waited"), ==,
-			waited + 1);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + 1);
+	g_assert_cmpint(pair_entry_count(&pair, "caller_waited"), ==, waited + 1);
 	close(fd);
-	set_upstream("{\"factor\": 1}");
-	answer = cluster_call(&cluster, 0, "POST", "/s/book", "booking", NULL,
-			      WAIT_MS);
+	pair_set_upstream(&pair, "{\"factor\": 1}");
+	answer = cluster_call(&pair.cluster, 0, "POST", "/s/book", "booking",
+			      NULL, WAIT_MS);
 	g_assert_cmpstr(cluster_outcome(answer), ==, "run");
-	g_assert_cmpint(cluster_runs(&cluster, "booking"), ==, 1);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "booking"), ==, 1);
 	rig_answer_free(answer);
 }
 
@@ -264,15 +211,15 @@
 {
 	GString *answers = g_string_new(NULL);
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
 	add_lookups(text, "/s/a", "then-", 0, 1);
-	add_request(text, "POST", "/s/book", "then-1");
+	pair_add_request(text, "POST", "/s/book", "then-1");
 	add_lookups(text, "/s/a", "then-", 2, 3);
 	send_and_free(fd, text);
 	g_assert_true(raw_read_marks(fd, answers, "{\"id\":\"then-", 3, WAIT_MS));
 	expect_order(answers, "then-", 3);
-	g_assert_cmpint(cluster_runs(&cluster, "then-1"), ==, 1);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "then-1"), ==, 1);
 	close(fd);
 	g_string_free(answers, TRUE);
 }
@@ -304,7 +251,7 @@
 {
 	GString *answers = g_string_new(NULL);
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
 	add_lookups(text, "/s/a", "byte-", 0, 3);
 	for (size_t i = 0; i < text->len; i++)
@@ -322,19 +269,19 @@
  */
 static void test_stop_in_the_midst(void)
 {
-	int64_t started = upstream_count("started");
+	int64_t started = pair_upstream_count(&pair, "started");
 	GString *answers = g_string_new(NULL);
 	GString *text = g_string_new(NULL);
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
-	set_upstream("{\"freeze\": true}");
+	pair_set_upstream(&pair, "{\"freeze\": true}");
 	add_lookups(text, "/s/a", "stop-", 0, CALLS);
 	send_and_free(fd, text);
-	wait_for("started", started + CALLS);
-	rig_signal(cluster.daemons[0], SIGHUP);
-	rig_signal(cluster.daemons[0], SIGTERM);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + CALLS);
+	rig_signal(pair.cluster.daemons[0], SIGHUP);
+	rig_signal(pair.cluster.daemons[0], SIGTERM);
 	rig_sleep_ms(300);
-	set_upstream("{\"freeze\": false}");
+	pair_set_upstream(&pair, "{\"freeze\": false}");
 	g_assert_true(raw_read_to_close(fd, answers, WAIT_MS));
 	g_assert_cmpuint(raw_count(answers->str, "HTTP/1.1 200"), ==, CALLS);
 	expect_order(answers, "stop-", CALLS);
@@ -345,15 +292,10 @@
 
 int main(int argc, char **argv)
 {
-	struct cluster_options options = {
-		.count = 2, .config = config, .slots = "16"};
 	int status;
 
 	g_test_init(&argc, &argv, NULL);
-	cluster_start(&cluster, &options);
-	g_free(rig_http_ok("POST", cluster.daemons[0]->admin_port,
-			   "/v1/upstream/drain", ""));
-	cluster_wait_up(&cluster, 1, WAIT_MS);
+	pair_start(&pair, config, "16");
 	g_test_add_func("/ahead/at-once", test_all_begin_at_once);
 	g_test_add_func("/ahead/first-slowest", test_first_is_slowest);
 	g_test_add_func("/ahead/first-times-out", test_first_times_out);
@@ -365,6 +307,6 @@
 	g_test_add_func("/ahead/bytes", test_bytes_one_at_a_time);
 	g_test_add_func("/ahead/stop", test_stop_in_the_midst);
 	status = g_test_run();
-	cluster_stop(&cluster);
+	cluster_stop(&pair.cluster);
 	return status;
 }
--- a/tests/system/test_gone.c
+++ b/tests/system/test_gone.c
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "cluster.h"
+#include "pair.h"
 #include "raw.h"
 
 #define WAIT_MS 5000
@@ -16,86 +16,22 @@
 	"    \"idempotent\": true, \"deadline_ms\": 10000},\n"
 	"   {\"name\": \"post\", \"deadline_ms\": 10000}]}}}\n";
 
-static struct cluster cluster;
-
-struct mark {
-	const char *name;
-	int64_t value;
-};
-
-/* d0 is the entry; the one upstream that takes work lies behind d1. */
-static int64_t entry_count(const char *name)
-{
-	return cluster_counter(&cluster, 0, name);
-}
-
-static int64_t owner_count(const char *name)
-{
-	return cluster_counter(&cluster, 1, name);
-}
-
-static int64_t upstream_count(const char *name)
-{
-	char *json = rig_http_ok("GET", cluster.upstreams[1]->port,
-				 "/standin/runs", NULL);
-	int64_t value = rig_json_int(json, name);
-
-	g_free(json);
-	return value;
-}
-
-static void set_factor(const char *command)
-{
-	g_free(rig_http_ok("POST", cluster.upstreams[1]->port, "/standin/set",
-			   command));
-}
+static struct pair pair = {.wait_ms = WAIT_MS};
 
 static int send_request(const char *method, const char *path, const char *id)
 {
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
-	char *request = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: h\r\n"
-		"X-Request-Id: %s\r\n%s\r\n",
-		method, path, id,
-		strcmp(method, "POST") == 0 ? "Content-Length: 0\r\n" : "");
+	int fd = pair_connect(&pair);
+	GString *request = g_string_new(NULL);
 
-	raw_send_text(fd, request);
-	g_free(request);
+	pair_add_request(request, method, path, id);
+	raw_send_text(fd, request->str);
+	g_string_free(request, TRUE);
 	return fd;
 }
 
-static bool entry_reaches(void *data)
-{
-	const struct mark *mark = data;
-
-	return entry_count(mark->name) >= mark->value;
-}
-
-static bool owner_reaches(void *data)
-{
-	const struct mark *mark = data;
-
-	return owner_count(mark->name) >= mark->value;
-}
-
-static bool upstream_reaches(void *data)
-{
-	const struct mark *mark = data;
-
-	return upstream_count(mark->name) >= mark->value;
-}
-
-static void wait_for(bool (*reaches)(void *data), const char *name, int64_t value)
-{
-	struct mark mark = {name, value};
-
-	if (!rig_wait_until(reaches, &mark, WAIT_MS))
-		g_error("%s does not reach %" G_GINT64_FORMAT, name, value);
-}
-
 static bool owner_is_idle(void *data)
 {
-	char *status = rig_http_ok("GET", cluster.daemons[1]->admin_port,
+	char *status = rig_http_ok("GET", pair.cluster.daemons[1]->admin_port,
 				   "/v1/status", NULL);
 	bool idle = rig_json_int(status, "running") == 0 &&
 		    rig_json_int(status, "queued") == 0;
@@ -110,8 +46,8 @@
 	struct rig_answer *answer;
 
 	g_assert_true(rig_wait_until(owner_is_idle, NULL, WAIT_MS));
-	set_factor("{\"factor\": 1}");
-	answer = cluster_call(&cluster, 0, "GET", "/after", "after", NULL,
+	pair_set_upstream(&pair, "{\"factor\": 1}");
+	answer = cluster_call(&pair.cluster, 0, "GET", "/after", "after", NULL,
 			      WAIT_MS);
 	g_assert_cmpstr(cluster_outcome(answer), ==, "run");
 	rig_answer_free(answer);
@@ -124,19 +60,20 @@
  */
 static void test_gone_while_running(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int64_t cancels = owner_count("owner_cancels");
-	int64_t cancelled = upstream_count("cancelled_running");
-	int64_t started = upstream_count("started");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t cancels = pair_owner_count(&pair, "owner_cancels");
+	int64_t cancelled = pair_upstream_count(&pair, "cancelled_running");
+	int64_t started = pair_upstream_count(&pair, "started");
 	int fd;
 
-	set_factor("{\"factor\": 5000}");
+	pair_set_upstream(&pair, "{\"factor\": 5000}");
 	fd = send_request("GET", "/slow", "gone-running");
-	wait_for(upstream_reaches, "started", started + 1);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + 1);
 	close(fd);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
-	wait_for(owner_reaches, "owner_cancels", cancels + 1);
-	wait_for(upstream_reaches, "cancelled_running", cancelled + 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_owner_count, "owner_cancels", cancels + 1);
+	pair_wait_for(&pair, pair_upstream_count, "cancelled_running",
+		      cancelled + 1);
 	expect_slot_is_free();
 }
 
@@ -146,60 +83,61 @@
  */
 static void test_gone_while_queued(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int64_t started = upstream_count("started");
-	int64_t attempts = owner_count("owner_attempts");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t started = pair_upstream_count(&pair, "started");
+	int64_t attempts = pair_owner_count(&pair, "owner_attempts");
 	GString *answer = g_string_new(NULL);
 	int first;
 	int second;
 
-	set_factor("{\"factor\": 400}");
+	pair_set_upstream(&pair, "{\"factor\": 400}");
 	first = send_request("POST", "/book", "stays");
-	wait_for(upstream_reaches, "started", started + 1);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + 1);
 	second = send_request("POST", "/book", "gone-queued");
-	wait_for(owner_reaches, "owner_attempts", attempts + 2);
+	pair_wait_for(&pair, pair_owner_count, "owner_attempts", attempts + 2);
 	close(second);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
 	g_assert_true(raw_read_marks(first, answer, "\"stays\"", 1, WAIT_MS));
 	close(first);
 	expect_slot_is_free();
-	g_assert_cmpint(cluster_runs(&cluster, "gone-queued"), ==, 0);
-	g_assert_cmpint(cluster_runs(&cluster, "stays"), ==, 1);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "gone-queued"), ==, 0);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "stays"), ==, 1);
 	g_string_free(answer, TRUE);
 }
 
 /* A booking that runs is not broken off half-way, though nobody waits. */
 static void test_gone_while_booking(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int64_t started = upstream_count("started");
-	int64_t finished = upstream_count("finished");
-	int64_t cancelled = upstream_count("cancelled_running");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t started = pair_upstream_count(&pair, "started");
+	int64_t finished = pair_upstream_count(&pair, "finished");
+	int64_t cancelled = pair_upstream_count(&pair, "cancelled_running");
 	int fd;
 
-	set_factor("{\"factor\": 200}");
+	pair_set_upstream(&pair, "{\"factor\": 200}");
 	fd = send_request("POST", "/book", "booked");
-	wait_for(upstream_reaches, "started", started + 1);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + 1);
 	close(fd);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
-	wait_for(upstream_reaches, "finished", finished + 1);
-	g_assert_cmpint(upstream_count("cancelled_running"), ==, cancelled);
-	g_assert_cmpint(cluster_runs(&cluster, "booked"), ==, 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_upstream_count, "finished", finished + 1);
+	g_assert_cmpint(pair_upstream_count(&pair, "cancelled_running"), ==,
+			cancelled);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "booked"), ==, 1);
 	expect_slot_is_free();
 }
 
 /* A caller stops in the middle of a long answer. */
 static void test_gone_while_answered(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int64_t cancels = owner_count("owner_cancels");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t cancels = pair_owner_count(&pair, "owner_cancels");
 	GString *answer = g_string_new(NULL);
 	int fd = send_request("GET", "/bytes/200000000", "gone-answered");
 
 	g_assert_true(raw_read_marks(fd, answer, "gone-answered", 1000, WAIT_MS));
 	close(fd);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
-	wait_for(owner_reaches, "owner_cancels", cancels + 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_owner_count, "owner_cancels", cancels + 1);
 	expect_slot_is_free();
 	g_string_free(answer, TRUE);
 }
@@ -207,17 +145,17 @@
 /* A caller that breaks off inside its own body has asked for nothing yet. */
 static void test_gone_while_sending(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int fd = pair_connect(&pair);
 
 	raw_send_text(fd, "POST /book HTTP/1.1\r\nHost: h\r\n"
 			  "X-Request-Id: gone-sending\r\n"
 			  "Content-Length: 1000\r\n\r\nhalf of it");
 	rig_sleep_ms(50);
 	close(fd);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
 	expect_slot_is_free();
-	g_assert_cmpint(cluster_runs(&cluster, "gone-sending"), ==, 0);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "gone-sending"), ==, 0);
 }
 
 /*
@@ -227,21 +165,21 @@
  */
 static void test_gone_while_sending_long(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int64_t started = owner_count("owner_started");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t started = pair_owner_count(&pair, "owner_started");
 	char *part = g_strnfill(500 * 1000, 'x');
-	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	int fd = pair_connect(&pair);
 
 	raw_send_text(fd, "POST /book HTTP/1.1\r\nHost: h\r\n"
 			  "X-Request-Id: half-a-body\r\n"
 			  "Content-Length: 1000000\r\n\r\n");
 	raw_send_text(fd, part);
-	wait_for(owner_reaches, "owner_started", started + 1);
+	pair_wait_for(&pair, pair_owner_count, "owner_started", started + 1);
 	rig_sleep_ms(100);
 	close(fd);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
 	expect_slot_is_free();
-	g_assert_cmpint(cluster_runs(&cluster, "half-a-body"), ==, 0);
+	g_assert_cmpint(cluster_runs(&pair.cluster, "half-a-body"), ==, 0);
 	g_free(part);
 }
 
@@ -252,18 +190,18 @@
  */
 static void test_half_closed(void)
 {
-	int64_t gone = entry_count("caller_gone");
-	int64_t started = upstream_count("started");
+	int64_t gone = pair_entry_count(&pair, "caller_gone");
+	int64_t started = pair_upstream_count(&pair, "started");
 	GString *answer = g_string_new(NULL);
 	int fd;
 
-	set_factor("{\"factor\": 5000}");
+	pair_set_upstream(&pair, "{\"factor\": 5000}");
 	fd = send_request("GET", "/slow", "half-closed");
-	wait_for(upstream_reaches, "started", started + 1);
+	pair_wait_for(&pair, pair_upstream_count, "started", started + 1);
 	shutdown(fd, SHUT_WR);
 	g_assert_true(raw_read_to_close(fd, answer, WAIT_MS));
 	g_assert_cmpuint(answer->len, ==, 0);
-	wait_for(entry_reaches, "caller_gone", gone + 1);
+	pair_wait_for(&pair, pair_entry_count, "caller_gone", gone + 1);
 	close(fd);
 	expect_slot_is_free();
 	g_string_free(answer, TRUE);
@@ -271,15 +209,10 @@
 
 int main(int argc, char **argv)
 {
-	struct cluster_options options = {
-		.count = 2, .config = config, .slots = "1"};
 	int status;
 
 	g_test_init(&argc, &argv, NULL);
-	cluster_start(&cluster, &options);
-	g_free(rig_http_ok("POST", cluster.daemons[0]->admin_port,
-			   "/v1/upstream/drain", ""));
-	cluster_wait_up(&cluster, 1, WAIT_MS);
+	pair_start(&pair, config, "1");
 	g_test_add_func("/gone/running", test_gone_while_running);
 	g_test_add_func("/gone/queued", test_gone_while_queued);
 	g_test_add_func("/gone/booking", test_gone_while_booking);
@@ -288,6 +221,6 @@
 	g_test_add_func("/gone/sending-long", test_gone_while_sending_long);
 	g_test_add_func("/gone/half-closed", test_half_closed);
 	status = g_test_run();
-	cluster_stop(&cluster);
+	cluster_stop(&pair.cluster);
 	return status;
 }
