common/timer: one way to start a timer anew; pick, socket, attempts: the same once

- timer_restart_us() for the six places of calls, connections, owner and probe that stopped, set and started a timer by microseconds. config/follow and member/rows have the same and are left for now.
- decide/pick_policy: one swap for the three that move candidates to the front and the one that draws.
The order that comes out is the same: tests/traces.
- common/socket: listen and connect open their socket in one place.
- caller/attempts: both cancels send one frame.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -130,30 +130,29 @@
 			  attempt->sent_us - upstream->candidate.load_at_us));
 }
 
-void entry_attempt_cancel_waiting(struct entry_attempt *attempt)
+static void send_cancel(struct entry_attempt *attempt, bool if_waiting)
 {
 	Cfd__Cancel cancel = CFD__CANCEL__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
 
 	cancel.seq = attempt->seq;
-	cancel.if_waiting = true;
+	cancel.if_waiting = if_waiting;
 	frame.kind_case = CFD__FRAME__KIND_CANCEL;
 	frame.cancel = &cancel;
 	peer_send(attempt->peer, &frame);
 }
 
-void entry_attempt_cancel(struct entry_attempt *attempt)
+void entry_attempt_cancel_waiting(struct entry_attempt *attempt)
 {
-	Cfd__Cancel cancel = CFD__CANCEL__INIT;
-	Cfd__Frame frame = CFD__FRAME__INIT;
+	send_cancel(attempt, true);
+}
 
+void entry_attempt_cancel(struct entry_attempt *attempt)
+{
 	if (attempt->cancelled)
 		return;
 	attempt->cancelled = true;
-	cancel.seq = attempt->seq;
-	frame.kind_case = CFD__FRAME__KIND_CANCEL;
-	frame.cancel = &cancel;
-	peer_send(attempt->peer, &frame);
+	send_cancel(attempt, false);
 }
 
 void entry_attempt_ask(struct entry_attempt *attempt)
--- a/comfreydockd/caller/call_state.c
+++ b/comfreydockd/caller/call_state.c
@@ -1,14 +1,11 @@
 #include "comfreydockd/caller/call_internal.h"
 
 #include "common/clock.h"
+#include "common/timer.h"
 
 void call_start_timer(struct call *call, ev_timer *timer, int64_t us)
 {
-	struct ev_loop *loop = call->entry->daemon->loop;
-
-	ev_timer_stop(loop, timer);
-	ev_timer_set(timer, (double)MAX(us, 0) / US_PER_S, 0.0);
-	ev_timer_start(loop, timer);
+	timer_restart_us(call->entry->daemon->loop, timer, us);
 }
 
 size_t call_untried(const struct call *call)
--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -11,6 +11,7 @@
 #include "comfreydockd/settings.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/timer.h"
 
 /* What is written but not yet taken by the kernel. */
 #define OUT_BYTES (64 * 1024)
@@ -214,12 +215,9 @@
 /* The last byte was given to the kernel. */
 static void connection_end_output(struct connection *connection)
 {
-	struct ev_loop *loop = connection_loop(connection);
-
 	shutdown(connection->fd, SHUT_WR);
-	ev_timer_stop(loop, &connection->idle);
-	ev_timer_set(&connection->idle, (double)LINGER_US / US_PER_S, 0.0);
-	ev_timer_start(loop, &connection->idle);
+	timer_restart_us(connection_loop(connection), &connection->idle,
+			 LINGER_US);
 }
 
 /* The caller of an answer that ends with the connection takes an end for the
@@ -308,8 +306,7 @@
 		connection_destroy(connection);
 		return;
 	}
-	ev_timer_set(timer, (double)left_us / US_PER_S, 0.0);
-	ev_timer_start(loop, timer);
+	timer_restart_us(loop, timer, left_us);
 }
 
 struct connection *connection_create(struct listener *listener, int fd,
--- a/comfreydockd/decide/pick_policy.c
+++ b/comfreydockd/decide/pick_policy.c
@@ -57,6 +57,14 @@
 	return best;
 }
 
+static void swap_candidates(struct pick_candidate **candidates, size_t a, size_t b)
+{
+	struct pick_candidate *candidate = candidates[a];
+
+	candidates[a] = candidates[b];
+	candidates[b] = candidate;
+}
+
 /* Moves so many random ones to the front and takes the cheapest. */
 static struct pick_candidate *choose_of(struct pick_set *set,
 					struct pick_candidate **candidates,
@@ -64,13 +72,9 @@
 					int64_t now_us, cost_function cost)
 {
 	choices = MIN(choices, count);
-	for (size_t i = 0; i < choices; i++) {
-		size_t j = i + random_below(&set->random, count - i);
-		struct pick_candidate *swap = candidates[i];
-
-		candidates[i] = candidates[j];
-		candidates[j] = swap;
-	}
+	for (size_t i = 0; i < choices; i++)
+		swap_candidates(candidates, i,
+				i + random_below(&set->random, count - i));
 	return choose_cheapest(set, candidates, choices, now_us, cost);
 }
 
@@ -83,14 +87,13 @@
 	size_t local = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		struct pick_candidate *c = candidates[i];
+		const struct pick_candidate *c = candidates[i];
 
 		if (!c->local || !c->load_known ||
 		    pick_utilisation(set, c, now_us) > PICK_SPILL_UTILISATION ||
 		    pick_relative_latency(set, c, now_us) > PICK_SPILL_SLOWNESS)
 			continue;
-		candidates[i] = candidates[local];
-		candidates[local++] = c;
+		swap_candidates(candidates, i, local++);
 	}
 	return local > 0 ? local : count;
 }
@@ -162,14 +165,9 @@
 	uint32_t best = best_pace(candidates, count, now_us);
 	size_t quick = 0;
 
-	for (size_t i = 0; i < count; i++) {
-		struct pick_candidate *c = candidates[i];
-
-		if (pace_is_worse(pick_pace(c, now_us), best))
-			continue;
-		candidates[i] = candidates[quick];
-		candidates[quick++] = c;
-	}
+	for (size_t i = 0; i < count; i++)
+		if (!pace_is_worse(pick_pace(candidates[i], now_us), best))
+			swap_candidates(candidates, i, quick++);
 	return quick;
 }
 
@@ -180,14 +178,10 @@
 {
 	size_t free = 0;
 
-	for (size_t i = 0; i < count; i++) {
-		struct pick_candidate *c = candidates[i];
-
-		if (pick_utilisation(set, c, now_us) > PICK_FULL_UTILISATION)
-			continue;
-		candidates[i] = candidates[free];
-		candidates[free++] = c;
-	}
+	for (size_t i = 0; i < count; i++)
+		if (pick_utilisation(set, candidates[i], now_us) <=
+		    PICK_FULL_UTILISATION)
+			swap_candidates(candidates, i, free++);
 	return free;
 }
 
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -15,6 +15,11 @@
 #include "common/http_client.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/timer.h"
+
+/* A timer that fires a little before an item is stale would find none and be set
+ * again at once; an assumption. */
+#define STALE_SLACK_US 500
 
 static Cfd__Reason reason_of(enum queue_verdict verdict)
 {
@@ -187,8 +192,8 @@
 	if (at == INT64_MAX)
 		return;
 	wait_us = MAX(at - clock_mono_us(), 0);
-	ev_timer_set(&owner->stale, (double)wait_us / US_PER_S + 0.0005, 0.0);
-	ev_timer_start(owner->daemon->loop, &owner->stale);
+	timer_restart_us(owner->daemon->loop, &owner->stale,
+			 wait_us + STALE_SLACK_US);
 }
 
 static void owner_turn(struct owner *owner)
@@ -219,10 +224,7 @@
 	owner_notice_freeze(owner, now);
 	if (now < owner->thawed_us) {
 		peers_drain_input(owner->daemon->peers);
-		ev_timer_stop(loop, &owner->wake);
-		ev_timer_set(&owner->wake,
-			     (double)(owner->thawed_us - now) / US_PER_S, 0.0);
-		ev_timer_start(loop, &owner->wake);
+		timer_restart_us(loop, &owner->wake, owner->thawed_us - now);
 		return;
 	}
 	owner->turn_is_due = false;
--- a/comfreydockd/upstream/probe.c
+++ b/comfreydockd/upstream/probe.c
@@ -15,6 +15,7 @@
 #include "common/counters.h"
 #include "common/http_client.h"
 #include "common/log.h"
+#include "common/timer.h"
 
 #define TIMEOUT_MS 1000
 /* How soon a restarted upstream is found; a refused connect on loopback costs
@@ -45,9 +46,7 @@
 	ev_timer_stop(loop, &probe->timer);
 	if (!probe->announced || !probe->path || probe->pending || at == INT64_MAX)
 		return;
-	ev_timer_set(&probe->timer, (double)MAX(at - now, US_PER_MS) / US_PER_S,
-		     0.0);
-	ev_timer_start(loop, &probe->timer);
+	timer_restart_us(loop, &probe->timer, MAX(at - now, US_PER_MS));
 }
 
 static void probe_note_reachable(struct probe *probe, bool reachable)
--- a/common/socket.c
+++ b/common/socket.c
@@ -41,8 +41,14 @@
 	return -1;
 }
 
-static int open_stream(const union socket_address *address)
+/* RETURN VALUE: a socket for the address, which is filled in, or -1. */
+static int open_stream(const char *text, uint16_t port,
+		       union socket_address *address, socklen_t *size)
 {
+	*size = address_fill(address, text, port);
+	errno = EINVAL;
+	if (!*size)
+		return -1;
 	return socket(address->any.sa_family,
 		      SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
@@ -51,19 +57,15 @@
 {
 	char number[ADDRESS_TEXT_SIZE];
 	union socket_address address;
-	socklen_t size = address_fill(&address, text, port);
+	socklen_t size;
 	/* Two sockets with SO_REUSEADDR can be given the same free port; the
 	 * one that listens second then fails. So a socket for any port gets
 	 * the option only after bind(2): its connections then don't keep a
 	 * restarted process from the port. */
 	int reuse = port != 0;
 	int one = 1;
-	int fd;
+	int fd = open_stream(text, port, &address, &size);
 
-	errno = EINVAL;
-	if (!size)
-		return -1;
-	fd = open_stream(&address);
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
@@ -104,13 +106,9 @@
 int socket_connect(const char *text, uint16_t port)
 {
 	union socket_address address;
-	socklen_t size = address_fill(&address, text, port);
-	int fd;
+	socklen_t size;
+	int fd = open_stream(text, port, &address, &size);
 
-	errno = EINVAL;
-	if (!size)
-		return -1;
-	fd = open_stream(&address);
 	if (fd < 0)
 		return -1;
 	socket_set_options(fd);
