--- a/comfreydockd/decide/pick_policy.c
+++ b/comfreydockd/decide/pick_policy.c
@@ -6,9 +6,8 @@
 
 /* Work stays in the entry's failure domain up to this utilisation: early
  * enough to spill before calls are refused or queued there. An owner refuses at
- * once what it has no slot for, so there is no need to leave earlier: with 0.9 in
- * place of 0.7, three services under load sent 5 in 100 fewer bytes between four
- * domains, and 0.753 of the worth was served in place of 0.747 (15 days). */
+ * once what it has no slot for, so there is no need to leave earlier, which only
+ * sends more bytes between domains; see docs/design/teranga.md. */
 #define PICK_SPILL_UTILISATION 0.9
 /* A local upstream that is so many times slower than usual has no preference:
  * the way to another domain costs less. */
@@ -22,9 +21,8 @@
 
 /* Power of two choices. */
 #define PICK_CHOICES 2
-/* Where all that is quick has a queue. Of 2, 3 and 4, three had the most on target
- * with few entries (0.924 of lookup-desk's calls at 0.7, with two 0.918) and as many
- * as two with hundreds. */
+/* Where all that is quick has a queue: of two, three and four the best with few
+ * entries, and no worse with hundreds; see docs/design/decisions.md. */
 #define PICK_QUEUES 3
 
 typedef double (*cost_function)(const struct pick_set *set,
--- a/include/comfreydockd/decide/ahead.h
+++ b/include/comfreydockd/decide/ahead.h
@@ -17,8 +17,9 @@
  *	of them some tenth of a second of work.
  *
  * WITHOUT IT
- *	Served one after the other, lookups of 90 ms took 193 ms for one half
- *	of their callers, and 15 in 100 missed their 300 ms on a calm day.
+ *	Served one after the other, each takes the sum of all in front: half of
+ *	the callers wait for twice their work, also on a calm day, and some miss
+ *	their targets beside free slots.
  *
  * GROUNDS
  *	AHEAD_CALLS_MAX: browsers and client libraries send up to six or eight
--- a/include/comfreydockd/decide/breaker.h
+++ b/include/comfreydockd/decide/breaker.h
@@ -21,9 +21,8 @@
  *
  * WITHOUT IT
  *	Each entry has to find out by itself, and again with each of its
- *	trials: with ten entries 62 bookings were lost at one such upstream in
- *	six seconds, all of unknown outcome, and their callers had to look up
- *	each.
+ *	trials. Bookings are lost there by the dozen, all of unknown outcome,
+ *	and their callers have to look up each.
  *
  * GROUNDS
  *	BREAKER_STREAK: an upstream that loses one answer in twenty, as under a
--- a/include/comfreydockd/decide/estimate.h
+++ b/include/comfreydockd/decide/estimate.h
@@ -8,10 +8,9 @@
  *	all.
  *
  * GROUNDS
- *	A gain of 1/16 in place of 1/64 for the mean refused over 1 % of a
- *	burst that could be served in 2 of 150 runs of tests/test_queue.c. Steps
- *	of 1/32 for the median and the 10 ms before the first sample are
- *	assumptions.
+ *	With a larger gain of the mean, a few long jobs in a row make the queue
+ *	refuse a part of a burst that could be served. The steps of the median
+ *	and the time before the first sample are assumptions.
  *
  * UNITS
  *	Microseconds.
--- a/include/comfreydockd/decide/fair.h
+++ b/include/comfreydockd/decide/fair.h
@@ -21,18 +21,17 @@
  *	in the queue, and their requests are refused or late because of it.
  *
  * GROUNDS
- *	No two keys share a flow. Where they did, one of 256 callers shared the
- *	flow of a hot one at an upstream, and a third of its requests were
- *	refused there at once (three upstreams, 14 to 26 of 68 requests).
+ *	No two keys share a flow: a caller in the flow of a hot one would be
+ *	refused with it.
  *
  *	FAIR_BUCKETS: lists of four on average where 1,024 callers wait at one
- *	upstream, an assumption. A round's quantum follows
- *	the largest cost pushed and decays by 1/64 with each push: a quantum no
- *	less than the costs gives each item in constant time (the cited paper),
- *	and without the decay one long estimate would make rounds coarse for as
- *	long as the queue stands. Two callers that both wait are never further
- *	apart than one quantum and two of the largest costs, as the paper has
- *	it; tests/test_fair.c holds the code to it.
+ *	upstream, an assumption. A round's quantum follows the largest cost
+ *	pushed and decays by 1/64 with each push: a quantum no less than the
+ *	costs gives each item in constant time (the cited paper), and without
+ *	the decay one long estimate would make rounds coarse for as long as the
+ *	queue stands. Two callers that both wait are never further apart than
+ *	one quantum and two of the largest costs, as the paper has it;
+ *	tests/test_fair.c holds the code to it.
  *
  * SOURCE
  *	Shreedhar, Varghese, "Efficient Fair Queuing Using Deficit Round
--- a/include/comfreydockd/decide/health.h
+++ b/include/comfreydockd/decide/health.h
@@ -34,16 +34,10 @@
  *	share of a policy that looks for free slots, and fails all of that.
  *
  * GROUNDS
- *	bench-decide -k fail-fast -l 0.6 -c 200000, 7 upstreams of which one
- *	fails for three fifths of the time, seed 1; share of calls that failed:
- *
- *			   entries  random  least outstanding  least score
- *	without			 7  0.0882	       0.2327	    0.0031
- *	with			 7		       0.0003	    0.0003
- *	without		       500  0.0889	       0.0908	    0.0292
- *	with		       500		       0.0220	    0.0104
- *
- *	The named constants are assumptions.
+ *	Where few entries call, hardly a call fails any more at an upstream that
+ *	fails fast; with hundreds some do, as each finds out by itself. The
+ *	figures are in docs/design/decisions.md. The named constants are
+ *	assumptions.
  *
  * UNITS
  *	Monotonic microseconds.
--- a/include/comfreydockd/decide/knee.h
+++ b/include/comfreydockd/decide/knee.h
@@ -4,15 +4,14 @@
  *
  * DESCRIPTION
  *	Compares how long requests take that began with few slots busy and that
- *	began with nearly all, each class with itself. Where the latter take so much longer that the
- *	upstream does more with some slots left free, these are left free. One
- *	that is full all the time has them left free for a moment each half
- *	minute, for the comparison.
+ *	began with nearly all, each class with itself. Where the latter take so
+ *	much longer that the upstream does more with some slots left free, these
+ *	are left free. One that is full all the time has them left free for a
+ *	moment each half minute, for the comparison.
  *
  *	Times are compared as they are, not over the recent usual time of their
  *	class: that one rises as the upstream fills up, and hides what is looked
- *	for. Seen so, requests of 100 ms that took 170 ms in a full upstream
- *	passed for 1.1 times as long, and all slots were filled.
+ *	for.
  *
  * LOAD PATTERN
  *	Upstreams that slow down when they are nearly full, under load that
@@ -22,8 +21,7 @@
  *	An upstream whose requests take 1.7 times as long beyond four fifths of
  *	its slots does 40 % less when it is full than at four fifths, just when
  *	it is needed most. Without the comparison it stays so after a start under
- *	load: tests/test_knee.c plays one that does 244 requests in 10 s in
- *	place of 317.
+ *	load, which tests/test_knee.c plays.
  *
  * GROUNDS
  *	KNEE_SHARE is where upstreams that slow down were seen to do so. At that
--- a/include/comfreydockd/decide/limit.h
+++ b/include/comfreydockd/decide/limit.h
@@ -39,18 +39,13 @@
  *	fast failure says nothing about speed.
  *	Why 4/5 of the way: where the p10 just follows the limit, either limit
  *	gives the same number of answers, so to miss it costs nothing, while a
- *	false "followed" costs slots. A first version (a quarter fewer, half of
- *	the way, 32 samples) was misled by chance in 9 of 20 runs with other
- *	seeds. This one, in 4 runs of tests/test_limit.c with 12 slots: mean
- *	limit with 1 s among 5 ms jobs 12.00, with all jobs 200 times as long
- *	11.24 to 11.30, ten times as long 11.81 to 11.82; on an upstream that
- *	thrashes beyond four at once 1,924 to 1,961 answers in 20 s against
- *	1,069 to 1,078 with all slots.
+ *	false "followed" costs slots. A smaller step or fewer samples are misled
+ *	by chance.
  *	Why a moving mean and four windows: the p10 of one window of
  *	exponential times strays by a third. Against the least single one, a
- *	healthy upstream looked slow all the time, and trials with half the
- *	slots brought the p99 at 0.8 of the load to 293 ms (7 entries) and
- *	533 ms (500) in place of 47 ms; see docs/design/decisions.md.
+ *	healthy upstream looks slow all the time, and trials with half the slots
+ *	make its callers wait for many times the work.
+ *	The figures are in docs/design/decisions.md.
  *	A failed trial holds half the slots back for at most 1/17 of the time.
  *	Assumptions: p10, twice the floor, four windows, a gain of 1/8, 64
  *	requests and 100 ms a window, a floor over 30 to 60 s, holds of 2 to
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -44,10 +44,9 @@
  *	same few others: each looks at two or three random ones only.
  *
  * GROUNDS
- *	The tables of docs/design/decisions.md. Short queues before slow hosts:
- *	tests/traces/slow-spells-busy, 0.90 of the calls on target, 0.83 by
- *	fullness alone. A few choices: tests/traces/slow-spells-many, 500
- *	entries, 0.971 on target; 0.941 with the best of all.
+ *	The tables of docs/design/decisions.md. Short queues before slow hosts
+ *	are played by tests/traces/slow-spells-busy, a few choices by
+ *	tests/traces/slow-spells-many.
  *
  *	The constants that runs compared: PICK_AGE_LATENCIES,
  *	PICK_MEAN_ALPHA, PICK_ROOM_UNKNOWN, PICK_REFUSAL_SHARE,
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -63,7 +63,7 @@
  *	Standing only after 32 mean service times: sooner, it refuses calls that
  *	could be served where long jobs stand among short ones. The offered load
  *	is looked at, or the quiet arrivals behind a rush would be refused too.
- *	The figures are in docs/design/decisions.md, "The queue by itself".
+ *	The figures are in docs/design/decisions.md, "Modules by themselves".
  *	Assumptions: 100 ms and 3/4 for what is offered, at least 100 ms before
  *	a queue is standing, half of the remaining time then, one turn in 17
  *	for a class that is passed over, one item in four against the estimate.
--- a/include/comfreydockd/decide/speed.h
+++ b/include/comfreydockd/decide/speed.h
@@ -21,10 +21,8 @@
  *	fail.
  *
  * GROUNDS
- *	bench-decide, 500 entries, 0.6 of the load: p99 with one upstream ten
- *	times slower 72.1 ms without, 52.0 with it. One that fails fast: share
- *	of calls that failed 0.0205 without, 0.0095 and 0.0196 (seeds 1 and 2)
- *	where errors are left out, 0.0082 and 0.0085 where they count.
+ *	Errors count in it, or each entry would still find out by itself that
+ *	one fails fast. The figures are in docs/design/decisions.md.
  *	Steps of 1/8 and the slowness of an error are assumptions.
  *
  * UNITS
--- a/include/comfreydockd/decide/subset.h
+++ b/include/comfreydockd/decide/subset.h
@@ -23,18 +23,9 @@
  *	sets it is that each upstream is chosen by some entry at all, so a
  *	large service has larger subsets: one part in SUBSET_PART.
  *
- *	bench-subset 50 300 1500, 3 failure domains; each call goes to the
- *	least loaded of the entry's subset:
- *
- *	entries	     upstreams	   chosen by, max and min  load (mean 1)
- *	     50	     300, 37 each  2.27, 0.16		    1.02, 0.99
- *	     50	     600, 75 each  2.24, 0.00		    1.02, 0.00
- *	    300	     300, 37 each  1.54, 0.65		    1.00, 0.99
- *	    300	     600, 75 each  1.55, 0.56		    1.01, 0.99
- *	   1500	     600, 75 each  1.25, 0.80		    1.00, 1.00
- *
- *	With 24 of 600 for each of 50 entries the load was up to 1.20, and some
- *	upstreams were in nobody's subset.
+ *	The loads that bench-subset gives are in docs/CAPACITY.md. With
+ *	SUBSET_SIZE alone some upstreams of a large service that few entries
+ *	call are in nobody's subset.
  *
  * SOURCE
  *	Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
