--- /dev/null
+++ b/comfreydockd/config/check_rules.c
@@ -0,0 +1,273 @@
+#include "comfreydockd/config/check_rules.h"
+
+#include <string.h>
+
+#include "comfreydockd/config/known_rules.h"
+
+#define DEADLINE_MAX_MS 3600000
+#define ATTEMPTS_MAX 10
+#define WEIGHT_MAX 1000000
+
+static const char *const classes[] = {"interactive", "normal", "bulk", NULL};
+static const char *const methods[] = {"GET",	"HEAD",	   "POST",  "PUT",
+				      "DELETE", "OPTIONS", "PATCH", NULL};
+
+void config_check_path(struct schema *schema, const char *key, const char *path)
+{
+	if (path && *path != '/')
+		schema_error(schema, key, "must begin with \"/\"");
+}
+
+static void read_methods(struct schema *schema, struct config_rule *rule)
+{
+	rule->methods = schema_strings(schema, "methods", SCHEMA_OPTIONAL);
+	for (char **method = rule->methods; method && *method; method++) {
+		if (!g_strv_contains(methods, *method))
+			schema_error(schema, "methods",
+				     "\"%s\" is no method known here", *method);
+	}
+}
+
+static void read_retry(struct schema *schema, struct config_rule *rule)
+{
+	struct schema retry;
+	bool present =
+		schema_init_child(&retry, schema, "retry", SCHEMA_OPTIONAL);
+
+	rule->max_attempts = (uint32_t)schema_uint(
+		&retry, "max_attempts", SCHEMA_REQUIRED, 1, 1, ATTEMPTS_MAX);
+	rule->retry_budget_percent = (uint32_t)schema_uint(
+		&retry, "budget_percent", SCHEMA_REQUIRED, 0, 0, 100);
+	schema_finish(&retry);
+	if (present && rule->max_attempts > 1 && !rule->retry_budget_percent)
+		schema_error(schema, "retry",
+			     "with a budget of 0 no retry is ever made");
+}
+
+static void read_hedge(struct schema *schema, struct config_rule *rule)
+{
+	struct schema hedge;
+
+	rule->hedge = schema_init_child(&hedge, schema, "hedge", SCHEMA_OPTIONAL);
+	rule->hedge_budget_percent = (uint32_t)schema_uint(
+		&hedge, "budget_percent", SCHEMA_REQUIRED, 0, 1, 50);
+	schema_finish(&hedge);
+	/* A hedge is a second run of the same request. */
+	if (rule->hedge && !rule->idempotent)
+		schema_error(schema, "hedge",
+			     "only an idempotent rule may be hedged");
+}
+
+static void read_destination(struct schema *item, struct config_rule *rule)
+{
+	char *group = schema_name(item, "group", SCHEMA_REQUIRED,
+				  CONFIG_NAME_MAX_BYTES);
+	uint64_t weight =
+		schema_uint(item, "weight", SCHEMA_OPTIONAL, 1, 0, WEIGHT_MAX);
+
+	if (group)
+		config_rule_add_destination(rule, group, (uint32_t)weight);
+	g_free(group);
+}
+
+static void read_destinations(struct schema *schema, const char *group,
+			      struct config_rule *rule)
+{
+	json_object *array = schema_array(schema, "to", SCHEMA_OPTIONAL);
+	size_t length = array ? json_object_array_length(array) : 0;
+
+	for (size_t i = 0; i < length; i++) {
+		struct schema item;
+
+		schema_init_item(&item, schema, "to", i);
+		read_destination(&item, rule);
+		schema_finish(&item);
+	}
+	if (!array && group)
+		config_rule_add_destination(rule, group, 1);
+	else if (!array)
+		schema_error(schema, "to",
+			     "is needed where the service has no group");
+	else if (config_rule_weights(rule) == 0)
+		schema_error(schema, "to", "needs a weight above 0");
+}
+
+static struct config_rule *read_rule(struct schema *schema, const char *group)
+{
+	struct config_rule *rule = config_rule_create();
+
+	rule->name = schema_name(schema, "name", SCHEMA_REQUIRED,
+				 CONFIG_NAME_MAX_BYTES);
+	read_methods(schema, rule);
+	rule->path_prefix = schema_string(schema, "path_prefix", SCHEMA_OPTIONAL);
+	config_check_path(schema, "path_prefix", rule->path_prefix);
+	if (!rule->path_prefix)
+		rule->path_prefix = g_strdup("/");
+	rule->idempotent = schema_bool(schema, "idempotent", false);
+	rule->deadline_ms = (uint32_t)schema_uint(
+		schema, "deadline_ms", SCHEMA_REQUIRED, 0, 1, DEADLINE_MAX_MS);
+	rule->target_ms = (uint32_t)schema_uint(
+		schema, "target_ms", SCHEMA_OPTIONAL, 0, 1, DEADLINE_MAX_MS);
+	read_destinations(schema, group, rule);
+	rule->class = (enum config_class)schema_enum(schema, "class", classes,
+						     CONFIG_CLASS_NORMAL);
+	read_retry(schema, rule);
+	read_hedge(schema, rule);
+	rule->fairness_header =
+		schema_string(schema, "fairness_header", SCHEMA_OPTIONAL);
+	return rule;
+}
+
+static bool rule_covers(const struct config_rule *first,
+			const struct config_rule *later)
+{
+	if (!g_str_has_prefix(later->path_prefix, first->path_prefix))
+		return false;
+	if (!first->methods)
+		return true;
+	for (char **method = later->methods; method && *method; method++) {
+		if (!g_strv_contains((const char *const *)first->methods, *method))
+			return false;
+	}
+	return later->methods;
+}
+
+/* The rules of a service that were read, to find those before a rule that
+ * cover it: one by one, 3,000 rules would take millions of comparisons. */
+struct reach {
+	GHashTable *names;
+	GHashTable *by_prefix; /* path prefix -> GPtrArray of rules */
+	uint64_t lengths; /* of the prefixes, modulo 64, a bit each */
+};
+
+static void reach_init(struct reach *reach)
+{
+	reach->lengths = 0;
+	reach->names = g_hash_table_new(g_str_hash, g_str_equal);
+	reach->by_prefix =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				      (GDestroyNotify)g_ptr_array_unref);
+}
+
+static void reach_finish(struct reach *reach)
+{
+	g_hash_table_unref(reach->names);
+	g_hash_table_unref(reach->by_prefix);
+}
+
+static uint64_t length_bit(size_t length)
+{
+	return UINT64_C(1) << (length % 64);
+}
+
+static void reach_add(struct reach *reach, const struct config_rule *rule)
+{
+	GPtrArray *rules =
+		g_hash_table_lookup(reach->by_prefix, rule->path_prefix);
+
+	if (!rules) {
+		rules = g_ptr_array_new();
+		g_hash_table_insert(reach->by_prefix, rule->path_prefix, rules);
+		reach->lengths |= length_bit(strlen(rule->path_prefix));
+	}
+	g_ptr_array_add(rules, (gpointer)rule);
+	if (rule->name)
+		g_hash_table_add(reach->names, rule->name);
+}
+
+static void check_covers(struct schema *schema, const GPtrArray *rules,
+			 const struct config_rule *rule)
+{
+	for (guint i = 0; rules && i < rules->len; i++) {
+		const struct config_rule *first = rules->pdata[i];
+
+		if (rule_covers(first, rule))
+			schema_error(schema, NULL,
+				     "never applies: rule \"%s\" before it "
+				     "covers all it matches",
+				     first->name ? first->name : "");
+	}
+}
+
+/* The first match wins, so a rule behind a wider one would never apply. */
+static void check_reach(struct schema *schema, const struct reach *reach,
+			const struct config_rule *rule)
+{
+	char *prefix = g_strdup(rule->path_prefix);
+
+	if (rule->name && g_hash_table_contains(reach->names, rule->name))
+		schema_error(schema, "name", "another rule has this name");
+	for (size_t length = strlen(prefix); length > 0; length--) {
+		prefix[length] = '\0';
+		if (!(reach->lengths & length_bit(length)))
+			continue;
+		check_covers(schema,
+			     g_hash_table_lookup(reach->by_prefix, prefix), rule);
+	}
+	g_free(prefix);
+}
+
+/* RETURN VALUE: the rule, or NULL where its text is no JSON. */
+static struct config_rule *read_cut_rule(const struct schema *item,
+					 const char *group,
+					 const struct json_span *span)
+{
+	char *text = g_strndup(span->at, span->size);
+	struct findings *findings = item->findings;
+	unsigned int errors = findings->errors;
+	struct jsonc_doc *doc =
+		jsonc_parse_accepted(item->doc->file, text, findings);
+	struct config_rule *rule = NULL;
+	struct schema schema;
+
+	if (doc) {
+		schema_init(&schema, doc, findings);
+		rule = read_rule(&schema, group);
+		schema_finish(&schema);
+		/* Without "to" it depends on the service as well. */
+		if (findings->errors == errors &&
+		    json_object_object_get_ex(doc->root, "to", NULL))
+			config_known_rules_add(rule, span);
+	}
+	jsonc_doc_destroy(doc);
+	g_free(text);
+	return rule;
+}
+
+static struct config_rule *take_rule(struct schema *item, json_object *value,
+				     const char *group)
+{
+	const struct json_span *span = jsonc_cut_item(item->doc, value);
+	struct config_rule *rule;
+
+	if (!span)
+		return read_rule(item, group);
+	rule = config_known_rules_find(span);
+	return rule ? rule : read_cut_rule(item, group, span);
+}
+
+void config_read_rules(struct schema *schema, struct config_service *service)
+{
+	json_object *array = schema_array(schema, "rules", SCHEMA_REQUIRED);
+	size_t length = array ? json_object_array_length(array) : 0;
+	struct reach reach;
+
+	if (array && !length)
+		schema_error(schema, "rules", "may not be empty");
+	reach_init(&reach);
+	for (size_t i = 0; i < length; i++) {
+		struct config_rule *rule;
+		struct schema item;
+
+		schema_init_item(&item, schema, "rules", i);
+		rule = take_rule(&item, json_object_array_get_idx(array, i),
+				 service->group);
+		if (rule) {
+			check_reach(&item, &reach, rule);
+			g_ptr_array_add(service->rules, rule);
+			reach_add(&reach, rule);
+		}
+		schema_finish(&item);
+	}
+	reach_finish(&reach);
+}
--- a/comfreydockd/config/model.c
+++ b/comfreydockd/config/model.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "comfreydockd/config/known_rules.h"
 #include "comfreydockd/config/routes.h"
 
 void config_body_sha256(const char *body, size_t size, char hex[65])
@@ -24,6 +25,7 @@
 {
 	struct config_rule *rule = g_new0(struct config_rule, 1);
 
+	rule->references = 1;
 	rule->destinations =
 		g_array_new(FALSE, FALSE, sizeof(struct config_destination));
 	g_array_set_clear_func(rule->destinations, destination_clear);
@@ -66,13 +68,23 @@
 	return destination ? destination->group : NULL;
 }
 
-void config_rule_destroy(struct config_rule *rule)
+struct config_rule *config_rule_ref(struct config_rule *rule)
 {
+	rule->references++;
+	return rule;
+}
+
+void config_rule_unref(struct config_rule *rule)
+{
+	if (--rule->references)
+		return;
+	config_known_rules_forget(rule);
 	g_array_unref(rule->destinations);
 	g_free(rule->name);
 	g_strfreev(rule->methods);
 	g_free(rule->path_prefix);
 	g_free(rule->fairness_header);
+	g_free(rule->text);
 	g_free(rule);
 }
 
--- a/common/schema.c
+++ b/common/schema.c
@@ -188,7 +188,8 @@
 		      const char *key, size_t index)
 {
 	json_object *array = json_object_object_get(parent->object, key);
-	json_object *object = json_object_array_get_idx(array, index);
+	json_object *item = json_object_array_get_idx(array, index);
+	json_object *object = item;
 
 	if (!json_object_is_type(object, json_type_object))
 		object = NULL;
@@ -196,7 +197,7 @@
 	child->parent = parent;
 	child->key = key;
 	child->index = (int)index;
-	if (!object)
+	if (!object && !jsonc_cut_item(parent->doc, item))
 		schema_error(child, NULL, "an object is expected");
 	return object;
 }
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -21,8 +21,11 @@
 	CONFIG_CLASS_BULK,
 };
 
-/* What holds for one kind of request. */
+/* What holds for one kind of request. Namespaces that say the same of it share
+ * one, see config_known_rules. */
 struct config_rule {
+	unsigned int references;
+	char *text; /* that it was read from; NULL: not shared */
 	char *name;
 	char **methods; /* NULL: any */
 	char *path_prefix; /* "/" : any */
@@ -96,11 +99,12 @@
 struct config_namespace *config_namespace_ref(struct config_namespace *ns);
 void config_namespace_unref(struct config_namespace *ns);
 
-/* RETURN VALUE: an empty rule with an empty list of destinations. */
+/* RETURN VALUE: an empty rule with one reference and no destinations. */
 struct config_rule *config_rule_create(void);
+struct config_rule *config_rule_ref(struct config_rule *rule);
+void config_rule_unref(struct config_rule *rule);
 void config_rule_add_destination(struct config_rule *rule, const char *group,
 				 uint32_t weight);
-void config_rule_destroy(struct config_rule *rule);
 
 /* RETURN VALUE: the destination's group for a number drawn below the sum of
  * the weights. */
--- a/include/common/jsonc.h
+++ b/include/common/jsonc.h
@@ -20,11 +20,13 @@
 #include <stdint.h>
 
 #include "common/findings.h"
+#include "common/json_cut.h"
 
 struct jsonc_doc {
 	char *file;
 	json_object *root;
 	GHashTable *lines; /* path to line; NULL: not kept */
+	GArray *cut; /* of struct json_span, not read; NULL: all is read */
 };
 
 /* RETURN VALUE: NULL where the text has errors, all of them in findings. */
@@ -35,6 +37,15 @@
  * in JSON but refused by jsonc_parse() is not looked for. */
 struct jsonc_doc *jsonc_parse_accepted(const char *file, const char *text,
 				       struct findings *findings);
+
+/* The same without the objects of the lists that shape names, see json_cut; the
+ * text must outlive the document. Text that can't be cut is read as a whole. */
+struct jsonc_doc *jsonc_parse_cut(const char *file, const char *text,
+				  const char *shape, struct findings *findings);
+
+/* RETURN VALUE: the text of a list's object that was not read, or NULL. */
+const struct json_span *jsonc_cut_item(const struct jsonc_doc *doc,
+				       json_object *item);
 void jsonc_doc_destroy(struct jsonc_doc *doc);
 
 /* RETURN VALUE: the line of the path, or of the nearest part above it. */
--- a/include/common/schema.h
+++ b/include/common/schema.h
@@ -42,6 +42,8 @@
  * RETURN VALUE: whether the object is there. */
 bool schema_init_child(struct schema *child, struct schema *parent,
 		       const char *key, enum schema_need need);
+
+/* The same for an array's object; one that was cut out reads as empty. */
 bool schema_init_item(struct schema *child, struct schema *parent,
 		      const char *key, size_t index);
 void schema_finish(struct schema *schema);
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -238,7 +238,7 @@
 	g_assert_cmpstr(config_rule_draw(rule, 89), ==, "a");
 	g_assert_cmpstr(config_rule_draw(rule, 90), ==, "c");
 	g_assert_cmpstr(config_rule_draw(rule, 99), ==, "c");
-	config_rule_destroy(rule);
+	config_rule_unref(rule);
 }
 
 int main(int argc, char **argv)
--- /dev/null
+++ b/tests/test_json_cut.c
@@ -0,0 +1,109 @@
+#include <glib.h>
+#include <string.h>
+
+#include "common/json_cut.h"
+
+static char *cut(const char *text, const char *shape)
+{
+	GArray *spans = g_array_new(FALSE, FALSE, sizeof(struct json_span));
+	GString *found = g_string_new(NULL);
+
+	if (!json_cut(text, strlen(text), shape, spans))
+		g_string_append(found, "whole");
+	for (guint i = 0; i < spans->len && found->str[0] != 'w'; i++) {
+		const struct json_span *span =
+			&g_array_index(spans, struct json_span, i);
+
+		g_string_append_printf(found, "%.*s;", (int)span->size, span->at);
+	}
+	g_array_unref(spans);
+	return g_string_free(found, FALSE);
+}
+
+static void assert_cut(const char *text, const char *shape, const char *expected)
+{
+	char *found = cut(text, shape);
+
+	g_assert_cmpstr(found, ==, expected);
+	g_free(found);
+}
+
+static void test_objects_of_lists_are_found(void)
+{
+	assert_cut("{\"a\": [{\"b\": [{}]}, 3, {}], \"c\": {\"d\": [{}]}}",
+		   "{[", "{\"b\": [{}]};{};");
+	assert_cut("{\"a\":{\"b\":{\"c\":[{\"d\":1},{\"e\":2}]}}} \n", "{{{[",
+		   "{\"d\":1};{\"e\":2};");
+	assert_cut("{}", "{[", "");
+}
+
+/*
+ * A path prefix or a name may hold brackets and quotes. Taken for brackets of
+ * the text, they would shift where a rule ends, and it would get another's text.
+ */
+static void test_brackets_in_strings_are_text(void)
+{
+	assert_cut("{\"a\":[{\"b\":\"}]\\\"{\"},{\"]\":\"\\\\\"}]}", "{[",
+		   "{\"b\":\"}]\\\"{\"};{\"]\":\"\\\\\"};");
+}
+
+/* A parser that takes more than JSON sees other objects than the cut does. */
+static void test_what_may_mean_more_is_left_whole(void)
+{
+	static const char *const texts[] = {
+		"",
+		"[{}]",
+		" {}",
+		"{\"a\":[{}]",
+		"{\"a\":[{}}]",
+		"{\"a\":[{]}",
+		"{\"a\":[{}]} {}",
+		"{\"a\":[{\"b\":\"}]}",
+		"{\"a\":[{\"b\":\"\\",
+		"{\"a\":[{} /* }, { */]}",
+		"{\"a\":[{} // }\n]}",
+		"{'a':[{}]}",
+		"{\"a\":[{},-1]}",
+		"{\"a\":[{}],\"b\":1e-1}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		assert_cut(texts[i], "{[", "whole");
+}
+
+static void test_deep_text_is_left_whole(void)
+{
+	GString *text = g_string_new("{\"a\":");
+
+	for (int i = 0; i < 40; i++)
+		g_string_append_c(text, '[');
+	for (int i = 0; i < 40; i++)
+		g_string_append_c(text, ']');
+	g_string_append_c(text, '}');
+	assert_cut(text->str, "{[", "whole");
+	g_string_free(text, TRUE);
+}
+
+static void test_rest_names_the_objects(void)
+{
+	const char *text = "{\"a\": [{\"b\": 1}, {}], \"c\": 2}";
+	GArray *spans = g_array_new(FALSE, FALSE, sizeof(struct json_span));
+	GString *rest;
+
+	g_assert_true(json_cut(text, strlen(text), "{[", spans));
+	rest = json_cut_rest(text, strlen(text), spans);
+	g_assert_cmpstr(rest->str, ==, "{\"a\": [-1, -2], \"c\": 2}");
+	g_string_free(rest, TRUE);
+	g_array_unref(spans);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/json_cut/lists", test_objects_of_lists_are_found);
+	g_test_add_func("/json_cut/strings", test_brackets_in_strings_are_text);
+	g_test_add_func("/json_cut/whole", test_what_may_mean_more_is_left_whole);
+	g_test_add_func("/json_cut/deep", test_deep_text_is_left_whole);
+	g_test_add_func("/json_cut/rest", test_rest_names_the_objects);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_known_rules.c
@@ -0,0 +1,146 @@
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/config/check.h"
+
+#define RULE(name, prefix, rest)                           \
+	"{\"name\":\"" name "\",\"path_prefix\":\"" prefix \
+	"\",\"deadline_ms\":500" rest "}"
+#define TO ",\"to\":[{\"group\":\"desk\"}]"
+#define BODY(service, rules)                            \
+	"{\"namespace\":\"team\",\"services\":{\"s\":{" \
+	"\"hosts\":[\"a.example\"]" service ",\"rules\":[" rules "]}}}"
+#define TWO RULE("b", "/b", TO) "," RULE("a", "/a", TO)
+
+static const struct config_rule *rule_of(const struct config_namespace *ns,
+					 guint index)
+{
+	const struct config_service *service = ns->services->pdata[0];
+
+	return service->rules->pdata[index];
+}
+
+static struct config_namespace *load(const char *body)
+{
+	return config_namespace_load_accepted(body, "");
+}
+
+static void assert_refused(const char *body)
+{
+	g_assert_null(load(body));
+}
+
+/*
+ * A team changes one of many rules. A daemon that reads all of them again stops
+ * for milliseconds, and every request in it waits as long.
+ */
+static void test_rules_that_stay_are_taken_over(void)
+{
+	struct config_namespace *first = load(BODY("", TWO));
+	struct config_namespace *next =
+		load(BODY("", RULE("c", "/c", TO) "," TWO));
+
+	g_assert_true(rule_of(first, 0) == rule_of(next, 1));
+	g_assert_true(rule_of(first, 1) == rule_of(next, 2));
+	config_namespace_unref(first);
+	g_assert_cmpstr(rule_of(next, 0)->name, ==, "c");
+	g_assert_cmpstr(rule_of(next, 1)->name, ==, "b");
+	g_assert_cmpstr(rule_of(next, 2)->path_prefix, ==, "/a");
+	config_namespace_unref(next);
+}
+
+/* One letter of a rule changes: the one before must not answer for it. */
+static void test_a_changed_rule_is_read(void)
+{
+	struct config_namespace *first = load(BODY("", TWO));
+	struct config_namespace *next =
+		load(BODY("", RULE("b", "/b", TO) "," RULE("a", "/x", TO)));
+
+	g_assert_true(rule_of(first, 0) == rule_of(next, 0));
+	g_assert_cmpstr(rule_of(first, 1)->path_prefix, ==, "/a");
+	g_assert_cmpstr(rule_of(next, 1)->path_prefix, ==, "/x");
+	config_namespace_unref(first);
+	config_namespace_unref(next);
+}
+
+/*
+ * A rule that leaves its destination to the service means another group in
+ * another service; taken over, a team's requests would go to the wrong upstreams.
+ */
+static void test_a_rule_without_destinations_follows_its_service(void)
+{
+	struct config_namespace *first =
+		load(BODY(",\"group\":\"old\"", RULE("a", "/a", "")));
+	struct config_namespace *next =
+		load(BODY(",\"group\":\"new\"", RULE("a", "/a", "")));
+
+	g_assert_cmpstr(config_rule_draw(rule_of(first, 0), 0), ==, "old");
+	g_assert_cmpstr(config_rule_draw(rule_of(next, 0), 0), ==, "new");
+	config_namespace_unref(first);
+	config_namespace_unref(next);
+}
+
+/* Two rules that are each right may not stand beside or behind one another;
+ * that they are known must not let them pass. */
+static void test_known_rules_are_checked_together(void)
+{
+	struct config_namespace *first = load(BODY("", TWO));
+	struct config_namespace *wide = load(BODY("", RULE("w", "/", TO)));
+
+	assert_refused(BODY("", TWO "," RULE("a", "/a", TO)));
+	assert_refused(BODY("", RULE("w", "/", TO) "," TWO));
+	assert_refused(BODY("", RULE("b", "/z", TO) "," TWO));
+	config_namespace_unref(first);
+	config_namespace_unref(wide);
+}
+
+/* What a body says in place of a rule must not pass for one that was read. */
+static void test_no_text_passes_for_a_known_rule(void)
+{
+	struct config_namespace *first = load(BODY("", TWO));
+
+	assert_refused(BODY("", "-1"));
+	assert_refused("{\"namespace\":\"team\",\"services\":{"
+		       "\"s\":{\"hosts\":[\"a.example\"],\"rules\":[" TWO "]},"
+		       "\"t\":{\"hosts\":[\"b.example\"],\"rules\":[-1]}}}");
+	assert_refused(BODY("", TWO ",-1"));
+	assert_refused(BODY("", TWO ",0"));
+	assert_refused(BODY("", TWO ",null"));
+	assert_refused(BODY(",\"shed_statuses\":[-1]", TWO));
+	assert_refused(BODY(",\"shed_statuses\":[" TWO "]", TWO));
+	assert_refused(BODY(",\"methods\":[" TWO "]", TWO));
+	assert_refused(BODY(",\"rules\":[" TWO "]", "1"));
+	assert_refused(BODY("", TWO ",[" TWO "]"));
+	assert_refused(BODY("", TWO ",{\"name\":}"));
+	assert_refused(BODY("", TWO "," RULE("c", "/c", TO ",\"x\":1")));
+	assert_refused(BODY("", TWO "," RULE("c", "/c", TO ",\"x\":1")));
+	config_namespace_unref(first);
+}
+
+/* A body that can't be cut, here for its comment, means the same. */
+static void test_whole_text_means_the_same(void)
+{
+	struct config_namespace *first = load(BODY("", TWO));
+	struct config_namespace *next = load(BODY("", TWO "/* }, */"));
+
+	g_assert_cmpstr(rule_of(next, 0)->name, ==, "b");
+	g_assert_cmpstr(rule_of(next, 1)->name, ==, "a");
+	config_namespace_unref(first);
+	config_namespace_unref(next);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/known_rules/taken-over",
+			test_rules_that_stay_are_taken_over);
+	g_test_add_func("/known_rules/changed", test_a_changed_rule_is_read);
+	g_test_add_func("/known_rules/no-destination",
+			test_a_rule_without_destinations_follows_its_service);
+	g_test_add_func("/known_rules/together",
+			test_known_rules_are_checked_together);
+	g_test_add_func("/known_rules/forged",
+			test_no_text_passes_for_a_known_rule);
+	g_test_add_func("/known_rules/whole", test_whole_text_means_the_same);
+	return g_test_run();
+}
