jsonc: don't read past a text that ends with a slash

The scan behind the parser took a last lone slash for a comment and stepped over the end of the text: json-c ends some comments elsewhere than the scan does. An operator's file of `{}/*}/**//` made the daemon that checks it read beyond its buffer.

jsonc/syntax failed before: AddressSanitizer: global-buffer-overflow in skip_comment.

--- a/common/jsonc.c
+++ b/common/jsonc.c
@@ -35,6 +35,12 @@
 	scanner->at++;
 }
 
+/* A text may also end with one slash. */
+static bool is_comment(const char *at)
+{
+	return at[0] == '/' && (at[1] == '/' || at[1] == '*');
+}
+
 static void skip_comment(struct scanner *scanner)
 {
 	bool block = scanner->at[1] == '*';
@@ -56,7 +62,7 @@
 	while (*scanner->at) {
 		if (strchr(" \t\r\n", *scanner->at))
 			scan_newline(scanner);
-		else if (*scanner->at == '/')
+		else if (is_comment(scanner->at))
 			skip_comment(scanner);
 		else
 			return;
--- a/tests/test_jsonc.c
+++ b/tests/test_jsonc.c
@@ -49,6 +49,8 @@
 			"f:1: error: strings stand in double quotes\n");
 	assert_findings("{} {}",
 			"f:1: error: text after the end of the object\n");
+	assert_findings("{}/*}/**//",
+			"f:1: error: text after the end of the object\n");
 	assert_findings("[]", "f:1: error: an object is expected\n");
 	assert_findings("{\n\"a\": }", "f:2: error: unexpected character\n");
 	assert_findings("{\"a\": 1", "f:1: error: unexpected end of data\n");
