common/freeze: say where the time went while the loop stood still

owner.frozen and gossip.frozen told only for how long. Starved, stopped, paging and an own long turn look alike in such a line.

The line now has, of the loop's thread since the last tick: cpu_ms, waited_ms (/proc/self/schedstat, -1 where it can't be read; told once by 1004), major_faults, voluntary and involuntary context switches. RUSAGE_THREAD goes with schedstat, which is about the first thread alone.

--- a/comfreydockd/member/gossip.c
+++ b/comfreydockd/member/gossip.c
@@ -12,6 +12,7 @@
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/freeze.h"
 #include "common/id.h"
 #include "common/log.h"
 #include "gossip_packet.h"
@@ -39,6 +40,7 @@
 	int64_t now_us;
 	ev_io readable;
 	ev_timer tick;
+	struct freeze_mark ticked;
 	struct log_bound dropped;
 	struct log_bound changed;
 };
@@ -150,6 +152,7 @@
 
 	gossip->now_us = clock_mono_us();
 	swim_tick(gossip->swim, gossip->now_us);
+	freeze_mark(&gossip->ticked);
 }
 
 static void gossip_handle_head(const char *host, uint64_t head,
@@ -171,9 +174,11 @@
 	return gossip->handlers->config_told_age_us(gossip->handlers->data);
 }
 
-static void gossip_handle_freeze(int64_t gap_us, void *data G_GNUC_UNUSED)
+static void gossip_handle_freeze(int64_t gap_us, void *data)
 {
-	log_event(EV_GOSSIP_FROZEN, LOG_INT("ms", gap_us / US_PER_MS));
+	const struct gossip *gossip = data;
+
+	freeze_log(EV_GOSSIP_FROZEN, gap_us, &gossip->ticked);
 }
 
 static void gossip_handle_refuted(enum member_state state, uint64_t incarnation,
@@ -283,6 +288,7 @@
 	gossip->fd = fd;
 	gossip->port = bound_port(fd);
 	gossip->now_us = clock_mono_us();
+	freeze_mark(&gossip->ticked);
 	gossip_create_swim(gossip);
 	observer.data = gossip;
 	member_table_observe(daemon->members, &observer);
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -2,7 +2,7 @@
 #include "comfreydockd/upstream/owner_internal.h"
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/log.h"
+#include "common/freeze.h"
 
 #define SWEEP_S 0.1
 /* An upstream that gives no head this long after the deadline is broken off:
@@ -17,15 +17,20 @@
  * own send buffers and flows only now. */
 #define THAW_US (50 * US_PER_MS)
 
+static void owner_mark_sweep(struct owner *owner, int64_t now)
+{
+	owner->swept_us = now;
+	freeze_mark(&owner->swept);
+}
+
 /* The sweep is due each SWEEP_S: the time since the last one tells. */
 void owner_notice_freeze(struct owner *owner, int64_t now)
 {
 	if (now - owner->swept_us <= FREEZE_US)
 		return;
 	counters.owner_freezes++;
-	log_event(EV_OWNER_FROZEN,
-		  LOG_INT("ms", (now - owner->swept_us) / US_PER_MS));
-	owner->swept_us = now;
+	freeze_log(EV_OWNER_FROZEN, now - owner->swept_us, &owner->swept);
+	owner_mark_sweep(owner, now);
 	owner->thawed_us = now + THAW_US;
 }
 
@@ -55,7 +60,7 @@
 	(void)loop;
 	(void)events;
 	owner_notice_freeze(owner, now);
-	owner->swept_us = now;
+	owner_mark_sweep(owner, now);
 	owner_sweep_runs(owner, now);
 	/* A warming upstream gains slots by time alone. */
 	if (queue_length(&owner->queue))
@@ -64,7 +69,7 @@
 
 void owner_init_sweep(struct owner *owner)
 {
-	owner->swept_us = clock_mono_us();
+	owner_mark_sweep(owner, clock_mono_us());
 	ev_timer_init(&owner->sweep, handle_sweep, SWEEP_S, SWEEP_S);
 	owner->sweep.data = owner;
 }
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -21,6 +21,7 @@
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/probe.h"
 #include "comfreydockd/upstream/report.h"
+#include "common/freeze.h"
 
 /* Told where nothing better is known, as on a drain. */
 #define OWNER_RETRY_AFTER_MS 1000
@@ -57,6 +58,7 @@
 	ev_timer stale;
 	ev_timer sweep;
 	int64_t swept_us;
+	struct freeze_mark swept;
 	int64_t thawed_us; /* nothing starts before, see handle_turn_end() */
 	void (*handle_idle)(void *data);
 	void *idle_data;
