tests/rig: a failure shows which daemons stood still

The rig prints the last 4000 bytes of each log. The line of a daemon that stood still lies seconds before them: twice in docs/incidents/late-in-tests-once.md the lines that were kept had none, and why calls came late could not be told.

--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -41,6 +41,53 @@
 	close(fd);
 }
 
+/* RETURN VALUE: the bytes of the whole lines in the text. */
+static size_t print_frozen_in(char *text, size_t size)
+{
+	char *line = text;
+	char *stop;
+
+	while ((stop = memchr(line, '\n', size - (size_t)(line - text)))) {
+		*stop = '\0';
+		if (strstr(line, ".frozen\"")) {
+			*stop = '\n';
+			if (write(STDERR_FILENO, line,
+				  (size_t)(stop + 1 - line)) < 0)
+				return size;
+		}
+		line = stop + 1;
+	}
+	return (size_t)(line - text);
+}
+
+/*
+ * A daemon that stood still in a test that stops none makes calls late, and the
+ * line that says so is written long before the assertion fails: it is not in the
+ * end of its log, and the failure would look like the daemon's own.
+ */
+static void print_frozen_lines(const char *path)
+{
+	static char text[4 * LOG_TAIL_BYTES];
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+	size_t held = 0;
+	ssize_t got;
+
+	if (fd < 0)
+		return;
+	while ((got = read(fd, text + held, sizeof(text) - held)) > 0) {
+		size_t used;
+
+		held += (size_t)got;
+		used = print_frozen_in(text, held);
+		/* A line that is longer than all others may be is cut. */
+		if (!used && held == sizeof(text))
+			used = held;
+		held -= used;
+		memmove(text, text + used, held);
+	}
+	close(fd);
+}
+
 const char *rig_keep_files(struct rig *rig)
 {
 	rig->keeps_files = true;
@@ -73,6 +120,7 @@
 
 		if (process->pid > 0)
 			kill(process->pid, SIGKILL);
+		print_frozen_lines(process->out_path);
 		print_log_end(process->out_path);
 		print_log_end(process->err_path);
 	}
--- a/tests/system/rig.h
+++ b/tests/system/rig.h
@@ -6,7 +6,8 @@
  *	Each program gets ports from the kernel and tells them in its first
  *	lines, which the rig reads from files in a temporary directory. Every
  *	process dies with the test, however that ends. Where an assertion
- *	fails, the ends of all logs are printed before the directory goes.
+ *	fails, the ends of all logs are printed before the directory goes, and the
+ *	lines of daemons that stood still.
  *
  *	A wait is bounded and fails the test when its time is over.
  */
