--- a/comfreydockd/caller/call_state.c
+++ b/comfreydockd/caller/call_state.c
@@ -13,6 +13,26 @@
 	return pick_count_untried(&call->service->picks, &call->tried);
 }
 
+uint32_t call_work_attempts(const struct call *call)
+{
+	return call->attempts - call->busy - call->unheard;
+}
+
+void call_fill_hedge_question(const struct call *call,
+			      struct hedge_question *question)
+{
+	*question = (struct hedge_question){
+		.enabled = call->rule->hedge,
+		.idempotent = call->rule->idempotent,
+		.answer_begun = call->answering != NULL,
+		.hedges = call->hedges,
+		.untried =
+			pick_count_untried(&call->service->picks, &call->tried),
+		.depth = call->depth,
+		.deadline_us = call->deadline_us,
+	};
+}
+
 void call_fill_retry_question(const struct call *call, enum retry_outcome outcome,
 			      struct retry_question *question)
 {
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -165,26 +165,6 @@
 	return config_rule_draw(rule, random_below(&entry->random, weights));
 }
 
-void call_fill_hedge_question(const struct call *call,
-			      struct hedge_question *question)
-{
-	*question = (struct hedge_question){
-		.enabled = call->rule->hedge,
-		.idempotent = call->rule->idempotent,
-		.answer_begun = call->answering != NULL,
-		.hedges = call->hedges,
-		.untried =
-			pick_count_untried(&call->service->picks, &call->tried),
-		.depth = call->depth,
-		.deadline_us = call->deadline_us,
-	};
-}
-
-uint32_t call_work_attempts(const struct call *call)
-{
-	return call->attempts - call->busy - call->unheard;
-}
-
 static struct call *call_create(struct entry *entry,
 				const struct call_request *request,
 				const struct config_service *config,
