json_cut: keep a text's digits away from the numbers put into it

A number below 0 stands in place of an object that was cut out. A digit right behind the object, as in `[{}5]`, made -1 into -15: a text that is no JSON was read with the rule or route of another number, or one beyond the last. The fuzzer found it: heap-buffer-overflow in read_cut_rule, heap-use-after-free in json_span_hash.

--- a/common/json_cut.c
+++ b/common/json_cut.c
@@ -130,7 +130,8 @@
 		const struct json_span *span =
 			&g_array_index(spans, struct json_span, i);
 		char index[24];
-		int written = g_snprintf(index, sizeof(index), "-%u", i + 1);
+		/* With blanks: else digits of the text might lengthen it. */
+		int written = g_snprintf(index, sizeof(index), " -%u ", i + 1);
 
 		g_string_append_len(rest, at, span->at - at);
 		g_string_append_len(rest, index, written);
--- a/common/jsonc.c
+++ b/common/jsonc.c
@@ -261,9 +261,9 @@
 		return NULL;
 	/* No other number below 0 is left where a text was cut. */
 	number = json_object_get_int64(item);
-	return number < 0 ?
-		       &g_array_index(doc->cut, struct json_span, -(number + 1)) :
-		       NULL;
+	if (number >= 0 || -(number + 1) >= (int64_t)doc->cut->len)
+		return NULL;
+	return &g_array_index(doc->cut, struct json_span, -(number + 1));
 }
 
 struct jsonc_doc *jsonc_parse(const char *file, const char *text,
--- a/include/common/json_cut.h
+++ b/include/common/json_cut.h
@@ -34,7 +34,7 @@
  */
 bool json_cut(const char *text, size_t size, const char *shape, GArray *spans);
 
-/* RETURN VALUE: the text with -1, -2 and so on in place of the spans. */
+/* RETURN VALUE: the text with " -1 ", " -2 " and so on in place of the spans. */
 GString *json_cut_rest(const char *text, size_t size, const GArray *spans);
 
 /* For hash tables: by the text. */
--- a/tests/test_json_cut.c
+++ b/tests/test_json_cut.c
@@ -92,7 +92,7 @@
 
 	g_assert_true(json_cut(text, strlen(text), "{[", spans));
 	rest = json_cut_rest(text, strlen(text), spans);
-	g_assert_cmpstr(rest->str, ==, "{\"a\": [-1, -2], \"c\": 2}");
+	g_assert_cmpstr(rest->str, ==, "{\"a\": [ -1 ,  -2 ], \"c\": 2}");
 	g_string_free(rest, TRUE);
 	g_array_unref(spans);
 }
--- a/tests/test_known_rules.c
+++ b/tests/test_known_rules.c
@@ -100,6 +100,10 @@
 	struct config_namespace *first = load(BODY("", TWO));
 
 	assert_refused(BODY("", "-1"));
+	assert_refused(BODY("", TWO "2"));
+	assert_refused(BODY("", "2" TWO));
+	assert_refused(BODY("", RULE("c", "/c", TO) "2," TWO));
+	assert_refused(BODY("", RULE("b", "/b", TO) RULE("a", "/a", TO)));
 	assert_refused("{\"namespace\":\"team\",\"services\":{"
 		       "\"s\":{\"hosts\":[\"a.example\"],\"rules\":[" TWO "]},"
 		       "\"t\":{\"hosts\":[\"b.example\"],\"rules\":[-1]}}}");
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -223,6 +223,7 @@
 		MANIFEST("\"r7\"", LIST "/* } */," LONG),
 		MANIFEST("\"r8\"", "{},[],0,null," LONG),
 		MANIFEST("\"r9\"", "-1," LIST),
+		MANIFEST("\"r9\"", LIST "2," LONG),
 		MANIFEST("\"r10\"", LONG),
 	};
 	struct platform_manifest_reader *reader =
