--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -19,13 +19,14 @@
 	uint64_t number; /* of the newest configuration seen */
 	bool is_unread; /* the row as it is now could not be taken */
 	int64_t backoff_us;
-	int64_t asked_us; /* boot time of the last reading of the row */
+	int64_t asked_us; /* boot time of the reading before the watch */
 
 	/* while behind */
 	ev_timer look;
 	int64_t behind_since_us;
 	int64_t read_at_us; /* if still behind by then */
 	bool is_reading;
+	int64_t asked_alone_us;
 };
 
 static void follow_later(struct config_follow *follow, int64_t us)
@@ -196,7 +197,7 @@
 	struct config_follow *follow = data;
 
 	follow->is_reading = false;
-	if (!take_answer(follow, answer, follow->asked_us, true))
+	if (!take_answer(follow, answer, follow->asked_alone_us, true))
 		counters.config_fetch_failures++;
 }
 
@@ -227,7 +228,6 @@
 
 static void read_row(struct config_follow *follow, platform_handler handler)
 {
-	follow->asked_us = clock_boot_us();
 	counters.config_head_reads++;
 	platform_get(follow->options.platform, follow->options.key, handler,
 		     follow);
@@ -241,6 +241,7 @@
 	(void)loop;
 	(void)events;
 	if (!follow->is_watching) {
+		follow->asked_us = clock_boot_us();
 		read_row(follow, handle_read);
 	} else if (is_drawn(follow)) {
 		counters.config_head_reads++;
@@ -288,6 +289,7 @@
 		LOG_INT("known_head", config_store_known_head(store)),
 		LOG_INT("behind_us", clock_mono_us() - follow->behind_since_us));
 	follow->is_reading = true;
+	follow->asked_alone_us = clock_boot_us();
 	draw_read_time(follow, false);
 	read_row(follow, handle_read_alone);
 }
