--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -9,6 +9,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 #include "common/slice.h"
+#include "common/timer.h"
 
 struct config_follow {
 	struct config_follow_options options;
@@ -31,9 +32,7 @@
 
 static void follow_later(struct config_follow *follow, int64_t us)
 {
-	ev_timer_stop(follow->options.loop, &follow->timer);
-	ev_timer_set(&follow->timer, (double)us / US_PER_S, 0.0);
-	ev_timer_start(follow->options.loop, &follow->timer);
+	timer_restart_us(follow->options.loop, &follow->timer, us);
 }
 
 /* Half of the time is drawn, so that daemons which lost the store together
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -177,26 +177,34 @@
 	net_stop();
 }
 
-/*
- * One of many hears from the platform that nothing is newer than what all hold. The
- * others take its word, with the age that it has by then: made younger on its way, a
- * side without the platform would tell itself for ever that it is up to date.
- */
+/* One host knows, and has told for 5 s. RETURN VALUE: as of when. */
+static int64_t begin_with_word(void)
+{
+	int64_t told_us;
+
+	net_start(HOSTS_MAX);
+	net_settle(10 * SECOND);
+	told_us = net.now_us;
+	net.hosts[7].told_us = told_us;
+	net_run(5 * SECOND);
+	return told_us;
+}
+
 static void expect_word_not_younger(int64_t told_us)
 {
 	for (int i = 0; i < HOSTS_MAX; i++)
 		g_assert_cmpint(net.hosts[i].told_us, <=, told_us);
 }
 
+/*
+ * One of many hears from the platform that nothing is newer than what all hold. The
+ * others take its word, with the age that it has by then: made younger on its way, a
+ * side without the platform would tell itself for ever that it is up to date.
+ */
 static void test_word_spreads_and_ages(void)
 {
-	int64_t told_us;
+	int64_t told_us = begin_with_word();
 
-	net_start(HOSTS_MAX);
-	net_settle(10 * SECOND);
-	told_us = net.now_us;
-	net.hosts[7].told_us = told_us;
-	net_run(5 * SECOND);
 	expect_word_not_younger(told_us);
 	for (int i = 0; i < HOSTS_MAX; i++)
 		g_assert_cmpint(net.hosts[i].told_us, >=, told_us - 2 * SECOND);
@@ -209,13 +217,8 @@
  * reads first said "5 s ago" 20 s ago, and it is not to pass that on as fresh. */
 static void test_word_waits_for_a_stopped_host(void)
 {
-	int64_t told_us;
+	int64_t told_us = begin_with_word();
 
-	net_start(HOSTS_MAX);
-	net_settle(10 * SECOND);
-	told_us = net.now_us;
-	net.hosts[7].told_us = told_us;
-	net_run(5 * SECOND);
 	net.hosts[3].is_frozen = true;
 	net_run(20 * SECOND);
 	net.hosts[3].is_frozen = false;
