--- a/comfreydockd/config/spread_answer.c
+++ b/comfreydockd/config/spread_answer.c
@@ -81,27 +81,32 @@
 	return line;
 }
 
-static void fill_lines(const struct config_spread *spread,
+/* RETURN VALUE: whether a piece of a body is in it. */
+static bool fill_lines(const struct config_spread *spread,
 		       const Cfd__ConfigQuery *query, Cfd__ConfigBody *answer)
 {
 	const struct config_snapshot *snapshot =
 		config_store_current(spread->store);
 	GArray *all = config_store_export(spread->store);
 	size_t room = CONFIG_SPREAD_ANSWER_BYTES;
+	bool has_piece = false;
 
 	answer->lines = g_new0(Cfd__ConfigLine *, all->len);
 	for (guint i = 0; i < all->len; i++) {
 		struct config_version *version =
 			&g_array_index(all, struct config_version, i);
-		bool is_first = answer->n_lines == 0;
+		Cfd__ConfigLine *line;
 
-		if (is_wanted(query, version))
-			answer->lines[answer->n_lines++] = line_create(
-				query, version,
-				config_snapshot_find(snapshot, version->name),
-				&room, is_first);
+		if (!is_wanted(query, version))
+			continue;
+		line = line_create(query, version,
+				   config_snapshot_find(snapshot, version->name),
+				   &room, answer->n_lines == 0);
+		answer->lines[answer->n_lines++] = line;
+		has_piece |= line->size > 0;
 	}
 	g_array_unref(all);
+	return has_piece;
 }
 
 Cfd__ConfigBody *config_spread_answer(struct config_spread *spread,
@@ -122,8 +127,7 @@
 	if (query->head_only)
 		return answer;
 	answer->is_listing = !query->n_wanted;
-	fill_lines(spread, query, answer);
-	if (answer->n_lines && answer->lines[0]->size)
+	if (fill_lines(spread, query, answer))
 		give_back_token(spread);
 	return answer;
 }
