config: one question whether a version is held

config/spread_fetch asked it beside config/store, which had it twice; offer_line() passed a body that was always the line's, and a check of an operator's file made its answer before it knew that there was one to give.

--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -318,29 +318,20 @@
 		note_failure(spread, "no answer in time");
 }
 
-static bool is_held(const struct config_spread *spread, const char *name,
-		    uint64_t version)
-{
-	const struct config_namespace *held =
-		config_snapshot_find(config_store_current(spread->store), name);
-
-	return held && held->version >= version;
-}
-
 void config_fetch_drop_held(struct config_spread *spread)
 {
 	struct config_pieces *pieces = &spread->pieces;
 
-	if (pieces->bytes->len && is_held(spread, pieces->name, pieces->version))
+	if (pieces->bytes->len &&
+	    config_store_holds(spread->store, pieces->name, pieces->version))
 		config_pieces_clear(pieces);
 }
 
-static bool offer_line(struct config_spread *spread, const Cfd__ConfigLine *line,
-		       const uint8_t *body, size_t size)
+static bool offer_line(struct config_spread *spread, const Cfd__ConfigLine *line)
 {
 	return config_store_offer(spread->store, line->namespace_, line->version,
-				  line->sha256, (const char *)body,
-				  size) == CONFIG_OFFER_ADOPTED;
+				  line->sha256, (const char *)line->body.data,
+				  line->body.len) == CONFIG_OFFER_ADOPTED;
 }
 
 /* A body that came in pieces, on its way into force. */
@@ -388,7 +379,7 @@
 {
 	struct config_pieces *pieces = &spread->pieces;
 
-	if (is_held(spread, line->namespace_, line->version) ||
+	if (config_store_holds(spread->store, line->namespace_, line->version) ||
 	    !config_pieces_add(pieces, line))
 		return false;
 	config_store_note_part(spread->store);
@@ -411,8 +402,7 @@
 		if (line->size)
 			has_news |= take_piece(spread, line);
 		else
-			has_news |= offer_line(spread, line, line->body.data,
-					       line->body.len);
+			has_news |= offer_line(spread, line);
 	}
 	return has_news;
 }
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -159,13 +159,19 @@
 	return CONFIG_DOUBT_NONE;
 }
 
+bool config_store_holds(const struct config_store *store, const char *name,
+			uint64_t version)
+{
+	const struct config_namespace *ns =
+		config_snapshot_find(store->current, name);
+
+	return ns && ns->version >= version;
+}
+
 static bool holds(const struct config_store *store,
 		  const struct config_version *version)
 {
-	struct config_namespace *ns =
-		config_snapshot_find(store->current, version->name);
-
-	return ns && ns->version >= version->version;
+	return config_store_holds(store, version->name, version->version);
 }
 
 GArray *config_store_missing(const struct config_store *store)
@@ -391,10 +397,7 @@
 static bool is_newer(const struct config_store *store, const char *name,
 		     uint64_t version)
 {
-	const struct config_namespace *ns =
-		config_snapshot_find(store->current, name);
-
-	return version > 0 && (!ns || ns->version < version);
+	return version > 0 && !config_store_holds(store, name, version);
 }
 
 /* sha256: known to be that of the body. */
--- a/comfreydockd/operator/config.c
+++ b/comfreydockd/operator/config.c
@@ -177,15 +177,13 @@
 void operator_check_config(struct operator_api *api, struct http_request *request)
 {
 	const char *file = file_argument(request);
-	json_object *root = json_object_new_object();
 	struct config_namespace *ns;
 	struct findings findings;
+	json_object *root;
 	bool passes;
 
-	if (refuse_in_doubt(api, request)) {
-		json_object_put(root);
+	if (refuse_in_doubt(api, request))
 		return;
-	}
 	findings_init(&findings);
 	ns = config_namespace_load(file, http_request_body(request)->str,
 				   &findings);
@@ -195,6 +193,7 @@
 		check_groups(api, ns, file, &findings);
 	}
 	passes = !findings_has_errors(&findings);
+	root = json_object_new_object();
 	jsonc_add_text(root, "result", passes ? "passes" : "refused");
 	json_object_object_add(root, "findings", jsonc_from_findings(&findings));
 	operator_reply(request, passes ? 200 : 422, root);
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -86,6 +86,10 @@
  */
 bool config_store_is_ready(const struct config_store *store);
 
+/* RETURN VALUE: whether this version of a namespace, or a higher one, is in force. */
+bool config_store_holds(const struct config_store *store, const char *name,
+			uint64_t version);
+
 /* The head up to which everything is held here. */
 uint64_t config_store_head(const struct config_store *store);
 
