pick: take an unknown host for as quick as the best known one

Cause: a host that had told nothing of late counted as running at the usual pace.

Change: once three hosts have told, the best of them is what is expected of the others.

--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "comfreydockd/decide/pace.h"
-
 /* Refusals: so many for each request on average, and so many in a burst. */
 #define PICK_REFUSAL_SHARE 0.5
 #define PICK_REFUSAL_BURST 10.0
@@ -37,6 +36,8 @@
 /* An owner tells when a slow spell ends. Should that word be lost, its host is
  * tried again after twice the time that spells commonly last. */
 #define PICK_SLOW_MEMORY_US (1000 * 1000)
+/* Of fewer hosts all may be in a slow spell by chance. */
+#define PICK_PACE_HOSTS 3
 
 void pick_set_init(struct pick_set *set, const struct pick_policy *policy,
 		   uint64_t seed)
@@ -47,6 +48,7 @@
 	set->eligible = g_ptr_array_new();
 	set->services = g_array_new(FALSE, FALSE, sizeof(guint));
 	set->random.state = seed;
+	set->usual_pace = PACE_USUAL_PERCENT;
 	budget_init(&set->refusals, PICK_REFUSAL_SHARE, PICK_REFUSAL_BURST);
 }
 
@@ -210,12 +212,18 @@
 	       room * capacity_of(candidate);
 }
 
-uint32_t pick_pace(const struct pick_candidate *candidate, int64_t now_us)
+static bool is_pace_known(const struct pick_candidate *candidate, int64_t now_us)
+{
+	return candidate->load.pace_percent &&
+	       now_us - candidate->load_at_us <= PICK_SLOW_MEMORY_US;
+}
+
+uint32_t pick_pace(const struct pick_set *set,
+		   const struct pick_candidate *candidate, int64_t now_us)
 {
-	if (!candidate->load.pace_percent ||
-	    now_us - candidate->load_at_us > PICK_SLOW_MEMORY_US)
-		return PACE_USUAL_PERCENT;
-	return candidate->load.pace_percent;
+	if (is_pace_known(candidate, now_us))
+		return candidate->load.pace_percent;
+	return set->usual_pace;
 }
 
 uint32_t pick_other_pace(const struct pick_set *set,
@@ -226,7 +234,7 @@
 
 	for (guint i = 0; i < set->candidates->len; i++) {
 		const struct pick_candidate *other = set->candidates->pdata[i];
-		uint32_t pace = pick_pace(other, now_us);
+		uint32_t pace = pick_pace(set, other, now_us);
 
 		if (other == candidate || !is_eligible(other, tried))
 			continue;
@@ -241,7 +249,7 @@
 		    const struct pick_tried *tried, bool last_attempt,
 		    int64_t now_us)
 {
-	uint32_t pace = pick_pace(candidate, now_us);
+	uint32_t pace = pick_pace(set, candidate, now_us);
 
 	if (last_attempt || !budget_has(&set->refusals, 1.0))
 		return true;
@@ -249,7 +257,7 @@
 		const struct pick_candidate *other = set->candidates->pdata[i];
 
 		if (other != candidate && is_eligible(other, tried) &&
-		    !pace_is_worse(pick_pace(other, now_us), pace) &&
+		    !pace_is_worse(pick_pace(set, other, now_us), pace) &&
 		    has_room(set, other, now_us))
 			return false;
 	}
@@ -375,6 +383,27 @@
 	set->typical_service_us = g_array_index(services, guint, middle);
 }
 
+/*
+ * An unknown host is taken for as quick as the best that is known. Were it taken
+ * for as quick as a host ever is, all entries would rush to it while the others,
+ * just started, are slow, and these would turn requests back for its sake.
+ */
+static void note_usual_pace(struct pick_set *set, int64_t now_us)
+{
+	uint32_t best = UINT32_MAX;
+	unsigned int known = 0;
+
+	for (guint i = 0; i < set->candidates->len; i++) {
+		const struct pick_candidate *c = set->candidates->pdata[i];
+
+		if (!is_pace_known(c, now_us))
+			continue;
+		known++;
+		best = MIN(best, c->load.pace_percent);
+	}
+	set->usual_pace = known >= PICK_PACE_HOSTS ? best : PACE_USUAL_PERCENT;
+}
+
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
 		    const struct pick_load *load, int64_t now_us)
 {
@@ -392,6 +421,7 @@
 		PICK_OWN_MEAN_ALPHA * (utilisation - candidate->mean_utilisation);
 	note_mean(set, utilisation);
 	note_typical_service(set);
+	note_usual_pace(set, now_us);
 }
 
 /* Notes a latency of the candidate alone. */
--- a/comfreydockd/decide/pick_policy.c
+++ b/comfreydockd/decide/pick_policy.c
@@ -145,26 +145,28 @@
 			 pick_score);
 }
 
-static uint32_t best_pace(struct pick_candidate **candidates, size_t count,
+static uint32_t best_pace(const struct pick_set *set,
+			  struct pick_candidate **candidates, size_t count,
 			  int64_t now_us)
 {
-	uint32_t best = pick_pace(candidates[0], now_us);
+	uint32_t best = pick_pace(set, candidates[0], now_us);
 
 	for (size_t i = 1; i < count; i++)
-		best = MIN(best, pick_pace(candidates[i], now_us));
+		best = MIN(best, pick_pace(set, candidates[i], now_us));
 	return best;
 }
 
 /* Moves those that don't run slow to the front. RETURN VALUE: how many these
  * are. */
-static size_t prefer_quick(struct pick_candidate **candidates, size_t count,
+static size_t prefer_quick(const struct pick_set *set,
+			   struct pick_candidate **candidates, size_t count,
 			   int64_t now_us)
 {
-	uint32_t best = best_pace(candidates, count, now_us);
+	uint32_t best = best_pace(set, candidates, count, now_us);
 	size_t quick = 0;
 
 	for (size_t i = 0; i < count; i++)
-		if (!pace_is_worse(pick_pace(candidates[i], now_us), best))
+		if (!pace_is_worse(pick_pace(set, candidates[i], now_us), best))
 			swap_candidates(candidates, i, quick++);
 	return quick;
 }
@@ -183,9 +185,10 @@
 	return free;
 }
 
-static double pace_times(const struct pick_candidate *candidate, int64_t now_us)
+static double pace_times(const struct pick_set *set,
+			 const struct pick_candidate *candidate, int64_t now_us)
 {
-	return (double)pick_pace(candidate, now_us) / PACE_USUAL_PERCENT;
+	return (double)pick_pace(set, candidate, now_us) / PACE_USUAL_PERCENT;
 }
 
 /* How long a request is there, in usual times: what is full has a queue, what is
@@ -197,7 +200,7 @@
 
 	return (MAX(utilisation, 1.0) + PICK_EMPTIER * utilisation) *
 	       pick_relative_latency(set, candidate, now_us) *
-	       pace_times(candidate, now_us);
+	       pace_times(set, candidate, now_us);
 }
 
 static double cost_own_by_pace(const struct pick_set *set,
@@ -205,7 +208,7 @@
 			       int64_t now_us)
 {
 	return pick_own_score(set, candidate, now_us) *
-	       pace_times(candidate, now_us);
+	       pace_times(set, candidate, now_us);
 }
 
 /*
@@ -245,7 +248,7 @@
 choose_least_score(struct pick_set *set, struct pick_candidate **candidates,
 		   size_t count, int64_t now_us)
 {
-	size_t quick = prefer_quick(candidates, count, now_us);
+	size_t quick = prefer_quick(set, candidates, count, now_us);
 	size_t free = prefer_free(set, candidates, quick, now_us);
 	struct pick_candidate *best =
 		free > 0 ? choose_free(set, candidates, free, quick < count,
--- a/include/comfreydockd/decide/pick.h
+++ b/include/comfreydockd/decide/pick.h
@@ -147,6 +147,7 @@
 	double mean_utilisation; /* of the others' work, over all reports */
 	uint32_t reports;
 	double typical_service_us; /* median of the upstreams' last reports */
+	uint32_t usual_pace; /* expected of a host that has not told */
 	double typical_latency_us; /* running median over all upstreams */
 	uint32_t typical_samples;
 };
@@ -218,9 +219,10 @@
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
 		    const struct pick_load *load, int64_t now_us);
 
-/* RETURN VALUE: the host's pace as last told; PACE_USUAL_PERCENT where nothing
- * of late is known. */
-uint32_t pick_pace(const struct pick_candidate *candidate, int64_t now_us);
+/* RETURN VALUE: the host's pace as last told; where nothing of late is known the
+ * best one known, or PACE_USUAL_PERCENT. */
+uint32_t pick_pace(const struct pick_set *set,
+		   const struct pick_candidate *candidate, int64_t now_us);
 
 /* RETURN VALUE: the best pace among those that are usable and not tried, this
  * one left out; 0: there is no other. */
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -369,6 +369,26 @@
 	tear_down(&f);
 }
 
+/* Guards against a rush to the last unknown host while all others, just started,
+ * are known to be slow. */
+static void test_unknown_host_is_as_slow_as_the_others(void)
+{
+	struct pick_tried tried = {0};
+	struct fixture f;
+	int counts[8] = {0};
+
+	set_up(&f, &pick_least_score, 8);
+	for (size_t i = 0; i < 6; i++)
+		report(&f, i, 3, 0, 200);
+	report(&f, 6, 3, 0, 1400);
+	g_assert_cmpuint(pick_other_pace(&f.set, &f.candidates[0], &tried, 0),
+			 ==, 200);
+	send_calls(&f, 40, 0, counts);
+	g_assert_cmpint(counts[7], <=, 10);
+	g_assert_cmpint(counts[6], ==, 0);
+	tear_down(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -386,5 +406,7 @@
 	g_test_add_func("/pick/told-slow", test_owner_tells_that_it_is_slow);
 	g_test_add_func("/pick/short-queue-before-slow",
 			test_short_queue_before_slow_host);
+	g_test_add_func("/pick/unknown-as-slow-as-others",
+			test_unknown_host_is_as_slow_as_the_others);
 	return g_test_run();
 }
