swim: repeat full passes while the table still grows

Cause: a daemon takes one full pass over the table of the first peer that answers, then goes on at one page a second. After all hosts have come back at the same time that peer knows as little as the daemon itself, and news alone fills the budget for minutes.

Change: full passes are repeated, with random peers, until three in a row have brought less than a sixteenth of the table. The bound on pages a second holds as before.

--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -60,7 +60,9 @@
 
 struct swim_sync {
 	bool is_whole; /* a full pass, as fast as pages may come */
-	bool was_whole; /* one has ended */
+	bool was_whole; /* some in a row brought little */
+	unsigned int idle_passes; /* these */
+	guint size_before; /* others known as the last full pass began */
 	struct swim_endpoint peer;
 	unsigned int next_bucket;
 	int64_t asked_at_us;
--- a/comfreydockd/member/swim_sync.c
+++ b/comfreydockd/member/swim_sync.c
@@ -6,6 +6,11 @@
 #define WHOLE_RETRY_US (300 * 1000)
 #define WHOLE_GIVE_UP_US (3 * 1000 * 1000)
 #define SYNC_US (1000 * 1000) /* between requests where all is well */
+#define WHOLE_NEXT_US (100 * 1000) /* between full passes of a growing table */
+/* So many in a row that brought less than this share of the table have found that
+ * there is no more; a single peer may know as little as this daemon. */
+#define WHOLE_IDLE_PASSES 3
+#define WHOLE_GROWTH 16
 #define SWEEP_STEP 64 /* members looked at in a tick */
 /* How many daemons at a time ping one lost host, whatever their number: all
  * of 22,000 would drown it as it restarts. */
@@ -70,6 +75,7 @@
 	sync->next_bucket = 0;
 	sync->heard_at_us = swim->now_us;
 	sync->whole_at_us = swim->now_us;
+	sync->size_before = swim->order->len;
 	sync_ask(swim, WHOLE_PACKETS);
 }
 
@@ -186,6 +192,28 @@
 	pages_send(&pages, bucket, true);
 }
 
+/*
+ * A peer that has just started itself knows few hosts. Were its table taken for
+ * the whole, all hosts that come back at the same time would know only some of
+ * the upstreams for seconds, and rush to these.
+ */
+static void sync_end_whole(struct swim *swim)
+{
+	struct swim_sync *sync = &swim->sync;
+	guint size = swim->order->len;
+
+	sync->is_whole = false;
+	sync->next_bucket = 0;
+	if (size > sync->size_before + size / WHOLE_GROWTH)
+		sync->idle_passes = 0;
+	else
+		sync->idle_passes++;
+	sync->was_whole = sync->idle_passes >= WHOLE_IDLE_PASSES;
+	if (!sync->was_whole)
+		swim->next_sync_us = swim->now_us + WHOLE_NEXT_US / 2 +
+				     swim_random_below(swim, WHOLE_NEXT_US);
+}
+
 /* A slow pass goes on where the page ended, or the same few records at the
  * start of a wide span would come for ever. */
 static void sync_handle_page(struct swim_sync *sync, const Cfd__Gossip *message)
@@ -207,13 +235,10 @@
 		sync->next_bucket = message->next_bucket;
 	if (message->is_last)
 		sync->is_waiting = false;
-	if (sync->next_bucket >= MEMBER_BUCKETS) {
-		sync->is_whole = false;
-		sync->was_whole = true;
-		sync->next_bucket = 0;
-	} else if (message->is_last && swim->page_budget_bytes > 0) {
+	if (sync->next_bucket >= MEMBER_BUCKETS)
+		sync_end_whole(swim);
+	else if (message->is_last && swim->page_budget_bytes > 0)
 		sync_ask(swim, WHOLE_PACKETS);
-	}
 }
 
 void swim_sync_handle_reply(struct swim *swim, const Cfd__Gossip *message,
--- a/tests/swim_net.c
+++ b/tests/swim_net.c
@@ -101,6 +101,18 @@
 			  PORT, net.now_us);
 }
 
+void host_join_some(int i, int count)
+{
+	int first = g_test_rand_int_range(0, net.count);
+	char address[24];
+
+	for (int j = 0; j < count; j++) {
+		snprintf(address, sizeof(address), "10.0.0.%d",
+			 (first + j) % net.count + 1);
+		swim_join(net.hosts[i].swim, address, PORT, net.now_us);
+	}
+}
+
 void host_kill(int i)
 {
 	swim_destroy(net.hosts[i].swim);
--- a/tests/swim_net.h
+++ b/tests/swim_net.h
@@ -12,7 +12,8 @@
 
 #include "comfreydockd/member/swim.h"
 
-#define HOSTS_MAX 40
+#define HOSTS_MAX 40 /* in most tests */
+#define NET_ROOM 240
 #define STEP_US 10000
 #define SECOND 1000000LL
 #define PORT 7000
@@ -34,7 +35,7 @@
 };
 
 struct net {
-	struct host hosts[HOSTS_MAX];
+	struct host hosts[NET_ROOM];
 	int count;
 	int64_t now_us;
 	int loss_percent;
@@ -63,6 +64,9 @@
 
 /* Starts anew, with a higher incarnation. */
 void host_start(int i);
+/* Joins so many hosts that stand next to each other from a random one on, as in a
+ * page of rows. */
+void host_join_some(int i, int count);
 void host_kill(int i);
 
 /* Copies one of the bodies that were sent last. RETURN VALUE: its size. */
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -334,6 +334,61 @@
 	}
 }
 
+#define RETURN_WITHIN_US (300LL * 1000)
+#define RETURN_JOINS 16
+
+static void start_returning(int i)
+{
+	char *groups[] = {"lookup-desk", NULL};
+
+	host_start(i);
+	host_join_some(i, RETURN_JOINS);
+	swim_announce(net.hosts[i].swim, MEMBER_SERVICE_UP, groups, 11, 0,
+		      net.now_us);
+}
+
+static int count_known_up(int i)
+{
+	struct member *member;
+	int known = 0;
+
+	TAILQ_FOREACH (member, member_table_all(net.hosts[i].table), link)
+		known += member->state == MEMBER_ALIVE &&
+			 member->service_state == MEMBER_SERVICE_UP;
+	return known;
+}
+
+/* Guards against daemons that know too few upstreams for seconds, where all hosts
+ * come back at the same time and nobody has a table to pass on. */
+static void test_all_return_at_once(void)
+{
+	int64_t began_us;
+	int fewest = NET_ROOM;
+	int sum = 0;
+
+	net_start(0);
+	net.count = NET_ROOM;
+	net.has_no_seeds = true;
+	began_us = net.now_us;
+	for (int i = 0; i < net.count; i++) {
+		start_returning(i);
+		while (net.now_us - began_us < i * RETURN_WITHIN_US / net.count)
+			net_step();
+	}
+	net_run(2 * SECOND);
+	for (int i = 0; i < net.count; i++) {
+		int known = count_known_up(i);
+
+		fewest = MIN(fewest, known);
+		sum += known;
+	}
+	g_test_message("after 2 s: %d of %d known on average, %d at least",
+		       sum / net.count, net.count, fewest);
+	g_assert_cmpint(sum, >=, net.count * net.count * 9 / 10);
+	g_assert_cmpint(fewest, >=, net.count / 2);
+	net_stop();
+}
+
 static void fill_table(struct host *host, int count)
 {
 	char *groups[] = {"lookup-desk", NULL};
@@ -404,6 +459,7 @@
 	g_test_add_func("/swim/restart", test_restarted_leaver_is_found);
 	g_test_add_func("/swim/lower", test_lower_incarnation_overtakes);
 	g_test_add_func("/swim/random", test_random_faults_settle);
+	g_test_add_func("/swim/all-return", test_all_return_at_once);
 	g_test_add_func("/swim/bounded", test_join_and_storm_are_bounded);
 	return g_test_run();
 }
