caller: a refusal for lack of any upstream says when one may be known

Cause: a call that came to a daemon which knew no upstream of its service was refused with Retry-After 0.001.

Change: come back in 200 ms, at most in a quarter of the time left. With the repeated full passes of member/swim a daemon knows most of the others by then.

Test: entry/no-upstream failed before with 1 ms.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -14,6 +14,10 @@
 /* Another daemon can most likely take the call; this one knows more after its
  * next trial, see HEALTH_MUTE_TRIAL_US. */
 #define UNREACHABLE_COME_BACK_MS 100
+/* After its start a daemon knows most upstreams within so long. One that comes
+ * back sooner is refused again, and has few retries. */
+#define NO_UPSTREAM_COME_BACK_MS 200
+#define NO_UPSTREAM_LEFT_SHARE 4
 
 /* What became of its attempts, for the one line that tells of a failure. */
 static void call_remember(struct call *call,
@@ -81,6 +85,17 @@
 	return true;
 }
 
+/* Nobody is known who could take the call. */
+static void call_refuse_no_upstream(struct call *call, int64_t now)
+{
+	int64_t left_ms = MAX(call->deadline_us - now, 0) / US_PER_MS;
+
+	call->reason = CFD__REASON__REASON_NO_UPSTREAM;
+	call->come_back_ms = (uint32_t)MIN(NO_UPSTREAM_COME_BACK_MS,
+					   left_ms / NO_UPSTREAM_LEFT_SHARE);
+	call_finish_unanswered(call);
+}
+
 void call_send_attempt(struct call *call)
 {
 	int64_t now = clock_mono_us();
@@ -97,9 +112,11 @@
 	upstream = service_choose(call->service, &call->tried, now);
 	if (!upstream && call_return_to_busy(call))
 		upstream = service_choose(call->service, &call->tried, now);
+	if (!upstream && call->attempts == 0) {
+		call_refuse_no_upstream(call, now);
+		return;
+	}
 	if (!upstream) {
-		if (call->attempts == 0)
-			call->reason = CFD__REASON__REASON_NO_UPSTREAM;
 		call_finish_unanswered(call);
 		return;
 	}
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -8,12 +8,14 @@
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/peer/peers.h"
 #include "comfreydockd/settings.h"
+#include "common/clock.h"
 #include "paused_clock.h"
 
+#define DEADLINE_MS 100
 #define BODY_FORMAT                                                           \
 	"{\"namespace\":\"n\",\"services\":{\"s\":{\"hosts\":[\"%s\"],"       \
 	"\"group\":\"g\",\"rules\":[{\"name\":\"r\",\"path_prefix\":\"/r/\"," \
-	"\"deadline_ms\":100}]}}}"
+	"\"deadline_ms\":" G_STRINGIFY(DEADLINE_MS) "}]}}}"
 
 /* An entry with peers and a configuration, and no owner. */
 struct fixture {
@@ -88,6 +90,7 @@
 				       .target = target,
 				       .host = host,
 				       .caller = "127.0.0.1",
+				       .arrived_us = clock_mono_us(),
 				       .fields = &fields};
 
 	fields_init(&fields);
@@ -175,6 +178,18 @@
 	g_assert_cmpuint(ask(f, "new.example", "/r/1"), ==, 503);
 }
 
+/* Guards against a caller that uses up its retries within a few milliseconds of a
+ * daemon's start, before any upstream could become known there. */
+static void test_no_upstream_is_no_matter_of_a_moment(struct fixture *f,
+						      gconstpointer unused)
+{
+	(void)unused;
+	adopt(f, 1, "old.example");
+	g_assert_cmpuint(ask(f, "old.example", "/r/1"), ==, 503);
+	g_assert_cmpuint(f->come_back_ms, >=, DEADLINE_MS / 5);
+	g_assert_cmpuint(f->come_back_ms, <=, DEADLINE_MS / 3);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -187,5 +202,7 @@
 		   test_nothing_is_denied_on_an_old_word, tear_down);
 	g_test_add("/entry/no-word", struct fixture, NULL, set_up,
 		   test_nothing_is_denied_without_any_word, tear_down);
+	g_test_add("/entry/no-upstream", struct fixture, NULL, set_up,
+		   test_no_upstream_is_no_matter_of_a_moment, tear_down);
 	return g_test_run();
 }
