pace: a first figure may be of a slow spell

Cause: a host is held for slow beside what it had a moment ago.

Change: while a host has been watched for less than a window, what can't be answered at its pace within the deadline is held for the end of a spell. Work that is not known is taken for a sixth of the time left.

Test: pace/first-figure failed before (begun in place of held). pick: one walk over the candidates in place of two for each report.

--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -56,6 +56,19 @@
 	return took_us * PACE_USUAL_PERCENT / percent;
 }
 
+/* Watched for less than a window: all that was seen may be one spell. */
+static bool is_new(const struct pace *pace)
+{
+	return pace->least_before == 0;
+}
+
+static int64_t expected_work_us(const struct pace_item *item, int64_t now_us)
+{
+	if (item->work_us > 0)
+		return item->work_us;
+	return MAX(item->deadline_us - now_us, 0) / PACE_DEADLINE_WORKS;
+}
+
 /*
  * Held while an end of the spell would still bring the answer in time, or slots
  * are scarce; then begun if it can be answered at all at this pace; else held to the last
@@ -66,8 +79,9 @@
 					const struct pace_item *item,
 					int64_t now_us)
 {
-	int64_t usual_us = item->work_us * pace_usual(pace) / PACE_USUAL_PERCENT;
-	int64_t slow_us = item->work_us * pace->percent / PACE_USUAL_PERCENT;
+	int64_t work_us = expected_work_us(item, now_us);
+	int64_t usual_us = work_us * pace_usual(pace) / PACE_USUAL_PERCENT;
+	int64_t slow_us = work_us * pace->percent / PACE_USUAL_PERCENT;
 
 	if (now_us + slow_us <= item->target_us)
 		return PACE_START;
@@ -83,13 +97,29 @@
 	return PACE_TOO_LATE;
 }
 
+/* A host that nothing is known of gets what it can answer at this pace; the rest
+ * waits for what may be the end of a spell. */
+static enum pace_verdict judge_at_first(const struct pace *pace,
+					const struct pace_item *item,
+					int64_t now_us)
+{
+	int64_t work_us = expected_work_us(item, now_us);
+	int64_t slow_us = work_us * pace->percent / PACE_USUAL_PERCENT;
+
+	if (now_us + slow_us <= item->deadline_us)
+		return PACE_START;
+	return now_us + work_us < item->deadline_us ? PACE_HOLD : PACE_TOO_LATE;
+}
+
 enum pace_verdict pace_judge(const struct pace *pace,
 			     const struct pace_item *item, int64_t now_us)
 {
 	if (item->may_turn_back && item->other_percent &&
 	    pace_is_worse(pace->percent, item->other_percent))
 		return PACE_TURN_BACK;
-	if (!pace_is_slow(pace))
-		return PACE_START;
-	return judge_in_spell(pace, item, now_us);
+	if (pace_is_slow(pace))
+		return judge_in_spell(pace, item, now_us);
+	if (is_new(pace))
+		return judge_at_first(pace, item, now_us);
+	return PACE_START;
 }
--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -369,13 +369,6 @@
 	GArray *services = set->services;
 	guint middle;
 
-	g_array_set_size(services, 0);
-	for (guint i = 0; i < set->candidates->len; i++) {
-		const struct pick_candidate *c = set->candidates->pdata[i];
-
-		if (c->load_known && c->load.service_us > 0)
-			g_array_append_val(services, c->load.service_us);
-	}
 	if (services->len == 0)
 		return;
 	g_array_sort(services, compare_services);
@@ -388,20 +381,24 @@
  * for as quick as a host ever is, all entries would rush to it while the others,
  * just started, are slow, and these would turn requests back for its sake.
  */
-static void note_usual_pace(struct pick_set *set, int64_t now_us)
+static void note_last_reports(struct pick_set *set, int64_t now_us)
 {
 	uint32_t best = UINT32_MAX;
 	unsigned int known = 0;
 
+	g_array_set_size(set->services, 0);
 	for (guint i = 0; i < set->candidates->len; i++) {
 		const struct pick_candidate *c = set->candidates->pdata[i];
 
+		if (c->load_known && c->load.service_us > 0)
+			g_array_append_val(set->services, c->load.service_us);
 		if (!is_pace_known(c, now_us))
 			continue;
 		known++;
 		best = MIN(best, c->load.pace_percent);
 	}
 	set->usual_pace = known >= PICK_PACE_HOSTS ? best : PACE_USUAL_PERCENT;
+	note_typical_service(set);
 }
 
 void pick_note_load(struct pick_set *set, struct pick_candidate *candidate,
@@ -420,8 +417,7 @@
 	candidate->mean_utilisation +=
 		PICK_OWN_MEAN_ALPHA * (utilisation - candidate->mean_utilisation);
 	note_mean(set, utilisation);
-	note_typical_service(set);
-	note_usual_pace(set, now_us);
+	note_last_reports(set, now_us);
 }
 
 /* Notes a latency of the candidate alone. */
--- a/comfreydockd/decide/queue_foresee.c
+++ b/comfreydockd/decide/queue_foresee.c
@@ -131,3 +131,10 @@
 {
 	return queue->service[class].median_us;
 }
+
+int64_t queue_known_service_us(const struct queue *queue, enum config_class class)
+{
+	const struct estimate *service = &queue->service[class];
+
+	return service->known ? service->median_us : 0;
+}
--- a/include/comfreydockd/decide/pace.h
+++ b/include/comfreydockd/decide/pace.h
@@ -45,6 +45,8 @@
 #define PACE_USUAL_PERCENT 100
 #define PACE_SLOW_TIMES 1.5
 #define PACE_HOLD_SPARE 1.5
+/* A deadline commonly leaves room for so many times the work. */
+#define PACE_DEADLINE_WORKS 6
 #define PACE_WINDOW_US ((int64_t)1500 * 1000)
 #define PACE_FRESH_US ((int64_t)25 * 1000)
 
@@ -63,7 +65,7 @@
 	bool may_turn_back; /* another host might take it */
 	uint32_t other_percent; /* the best of these, as last told; 0: none */
 	bool is_busy; /* half of the slots or more are taken */
-	int64_t work_us; /* foreseen, at the usual pace */
+	int64_t work_us; /* foreseen, at the usual pace; 0: not known */
 	int64_t target_us; /* an answer by then is in time */
 	int64_t deadline_us;
 };
--- a/include/comfreydockd/decide/queue.h
+++ b/include/comfreydockd/decide/queue.h
@@ -230,6 +230,9 @@
 bool queue_is_standing(const struct queue *queue, int64_t now_us);
 int64_t queue_median_service_us(const struct queue *queue,
 				enum config_class class);
+/* RETURN VALUE: the same, or 0 where none of the class has ended yet. */
+int64_t queue_known_service_us(const struct queue *queue,
+			       enum config_class class);
 uint32_t queue_length(const struct queue *queue);
 
 #endif
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -112,6 +112,27 @@
 	g_assert_false(pace_is_slow(&pace));
 }
 
+/* Guards against work begun for nothing at a host that has just been started and
+ * whose first figures fall into a slow spell. */
+static void test_first_figure_may_be_of_a_spell(void)
+{
+	struct pace pace = {0};
+	struct pace_item item = item_of(0, 1200, 2000);
+
+	pace_note(&pace, 1400, 0);
+	g_assert_cmpint(pace_judge(&pace, &item, 1 * MS), ==, PACE_HOLD);
+	item.work_us = 340 * MS;
+	g_assert_cmpint(pace_judge(&pace, &item, 1 * MS), ==, PACE_HOLD);
+	g_assert_cmpint(pace_judge(&pace, &item, 1700 * MS), ==, PACE_TOO_LATE);
+	/* Short enough even so. */
+	item.work_us = 40 * MS;
+	g_assert_cmpint(pace_judge(&pace, &item, 1 * MS), ==, PACE_START);
+	/* The spell is over: twice as long for some seconds is usual. */
+	item.work_us = 0;
+	pace_note(&pace, 200, 500 * MS);
+	g_assert_cmpint(pace_judge(&pace, &item, 500 * MS), ==, PACE_START);
+}
+
 static void test_entries_hear_of_turns_only(void)
 {
 	struct pace pace = {0};
@@ -199,6 +220,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pace/first-figure",
+			test_first_figure_may_be_of_a_spell);
 	g_test_add_func("/pace/turns-back", test_slow_host_turns_back);
 	g_test_add_func("/pace/last-host", test_last_host_holds_then_begins);
 	g_test_add_func("/pace/short-work", test_short_work_begins_in_a_spell);
