retry: a share of the last ten seconds' calls, in place of a bucket of one token

Cause: of the budget of repeats that all daemons share, one of 295 had a bucket of max(630 / 3 / 295, 1) = 1 token, filled by 0.067 a call. Where a sixth of the hosts lost their power, most calls of the next seconds that had been sent there were not sent again and waited for their deadline, while the daemons together used a third of what the window allows. Nothing in the logs said so.

Change: decide/window_budget counts calls and repeats in slots of half a second and allows, at any moment of a window, its share of the calls of that window. What any window can hold is no more than before.

Test: retry/shared-burst failed before (1 repeat of 10, 4 wanted).

Tried besides and reverted: hosts that membership suspects come after the others (as if four times slower).

--- a/bench/capacity/bench_depth.c
+++ b/bench/capacity/bench_depth.c
@@ -65,7 +65,7 @@
 		bench->lowest++;
 		return;
 	}
-	retry_note_request(&bench->retry[depth]);
+	retry_note_request(&bench->retry[depth], 0);
 	do {
 		call(bench, depth + 1);
 		attempts++;
--- a/bench/decide/call.c
+++ b/bench/decide/call.c
@@ -393,7 +393,7 @@
 					      call->deadline_us),
 			   handle_cancel_time, call);
 	pick_note_request(&entry->set);
-	retry_note_request(&entry->retry);
+	retry_note_request(&entry->retry, r->events.now_us);
 	hedge_note_request(&entry->hedge);
 	handle_next(r, call);
 }
--- a/comfreydockd/caller/beside.c
+++ b/comfreydockd/caller/beside.c
@@ -74,6 +74,7 @@
 	struct entry_attempt *slow = LIST_FIRST(&call->active);
 	struct retry_question question;
 	struct service_upstream *upstream;
+	enum retry_verdict verdict;
 	int64_t now = clock_mono_us();
 
 	call->is_impatient = false;
@@ -81,10 +82,18 @@
 	    !call->body_ends)
 		return;
 	call_fill_retry_question(call, RETRY_OUTCOME_UNKNOWN, &question);
-	if (question.untried == 0 || retry_decide(&call->service->retry, &question,
-						  &call->entry->random, now)
-						     .verdict != RETRY_GO)
+	verdict = retry_decide(&call->service->retry, &question,
+			       &call->entry->random, now)
+			  .verdict;
+	if (verdict != RETRY_GO) {
+		call_note(call, EV_ENTRY_NOT_OVERTAKEN,
+			  LOG_STR("host", slow->upstream->host),
+			  LOG_STR("verdict", retry_verdict_name(verdict)),
+			  LOG_INT("budget_left",
+				  (int64_t)retry_left(&call->service->retry, now)),
+			  LOG_INT("out_us", now - slow->sent_us));
 		return;
+	}
 	upstream = service_choose(call->service, &call->tried, now);
 	if (!upstream)
 		return;
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -385,7 +385,7 @@
 {
 	call->is_started = true;
 	hedge_note_request(&call->service->hedge);
-	retry_note_request(&call->service->retry);
+	retry_note_request(&call->service->retry, clock_mono_us());
 	pick_note_request(&call->service->picks);
 	call_send_attempt(call);
 }
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -388,16 +388,19 @@
 
 void services_append_metrics(const struct services *services, GString *text)
 {
-	const struct service *service;
+	int64_t now = clock_mono_us();
+	struct service *service;
 
 	metric_begin_gauge(text, "retry_budget_left",
 			   "retries that each service may make at once");
 	LIST_FOREACH (service, &services->active, active_link)
 		metric_append_line(text, "retry_budget_left", "group",
-				   service->group, service->retry.budget.tokens);
+				   service->group,
+				   retry_left(&service->retry, now));
 	metric_begin_gauge(text, "retry_budget_most",
 			   "what it can save up of them");
 	LIST_FOREACH (service, &services->active, active_link)
 		metric_append_line(text, "retry_budget_most", "group",
-				   service->group, service->retry.budget.burst);
+				   service->group,
+				   retry_most(&service->retry, now));
 }
--- a/comfreydockd/decide/retry.c
+++ b/comfreydockd/decide/retry.c
@@ -1,6 +1,7 @@
 #include "comfreydockd/decide/retry.h"
 
 #include <glib.h>
+#include <string.h>
 
 static const char *const verdict_names[] = {
 	[RETRY_GO] = "go",
@@ -20,6 +21,7 @@
 
 void retry_init(struct retry *retry, uint32_t budget_percent)
 {
+	memset(retry, 0, sizeof(*retry));
 	budget_init(&retry->budget, budget_percent / 100.0,
 		    budget_percent ? RETRY_BURST : 0);
 }
@@ -28,16 +30,38 @@
 		      double slack, size_t daemons)
 {
 	double part = slack / RETRY_SHARED_PARTS / (double)MAX(daemons, 1);
+	double share = budget_percent / 100.0 / RETRY_SHARED_PARTS;
 
-	retry->budget.share = budget_percent / 100.0 / RETRY_SHARED_PARTS;
+	retry->is_shared = true;
 	/* Below one no repeat would ever be made. */
-	retry->budget.burst = MAX(part, 1.0);
-	retry->budget.tokens = MIN(retry->budget.tokens, retry->budget.burst);
+	window_budget_set(&retry->window, share, MAX(part, 1.0));
 }
 
-void retry_note_request(struct retry *retry)
+void retry_note_request(struct retry *retry, int64_t now_us)
 {
 	budget_note_call(&retry->budget);
+	window_budget_note_call(&retry->window, now_us);
+}
+
+static bool take_budget(struct retry *retry, double cost, int64_t now_us)
+{
+	if (retry->is_shared)
+		return window_budget_take(&retry->window, cost, now_us);
+	return budget_take(&retry->budget, cost);
+}
+
+double retry_left(struct retry *retry, int64_t now_us)
+{
+	if (retry->is_shared)
+		return window_budget_left(&retry->window, now_us);
+	return retry->budget.tokens;
+}
+
+double retry_most(struct retry *retry, int64_t now_us)
+{
+	if (retry->is_shared)
+		return window_budget_most(&retry->window, now_us);
+	return retry->budget.burst;
 }
 
 /* Whether another attempt could run the request a second time, or answer it a
@@ -123,7 +147,7 @@
 	if (answer.verdict == RETRY_GO)
 		answer.verdict = check_room(question, answer.delay_us, now_us);
 	if (answer.verdict == RETRY_GO && !free_of_charge &&
-	    !budget_take(&retry->budget, 1.0 + question->depth))
+	    !take_budget(retry, 1.0 + question->depth, now_us))
 		answer.verdict = RETRY_NO_BUDGET;
 	if (answer.verdict != RETRY_GO) {
 		answer.delay_us = 0;
--- /dev/null
+++ b/comfreydockd/decide/window_budget.c
@@ -0,0 +1,74 @@
+#include "comfreydockd/decide/window_budget.h"
+
+#include <string.h>
+
+#define RING (WINDOW_BUDGET_SLOTS + 1)
+
+static struct window_budget_slot *slot_of(struct window_budget *budget,
+					  int64_t number)
+{
+	return &budget->slots[number % RING];
+}
+
+/* Empties the slots that have begun since the last look. */
+static void advance(struct window_budget *budget, int64_t now_us)
+{
+	int64_t number = now_us / WINDOW_BUDGET_SLOT_US;
+
+	if (number >= budget->newest + RING) {
+		memset(budget->slots, 0, sizeof(budget->slots));
+		budget->newest = number;
+	}
+	while (budget->newest < number) {
+		struct window_budget_slot *next =
+			slot_of(budget, ++budget->newest);
+
+		memset(next, 0, sizeof(*next));
+	}
+}
+
+static double taken(const struct window_budget *budget)
+{
+	double sum = 0;
+
+	for (int i = 0; i < RING; i++)
+		sum += budget->slots[i].taken;
+	return sum;
+}
+
+void window_budget_set(struct window_budget *budget, double share, double slack)
+{
+	budget->share = share;
+	budget->slack = slack;
+}
+
+void window_budget_note_call(struct window_budget *budget, int64_t now_us)
+{
+	advance(budget, now_us);
+	slot_of(budget, budget->newest)->calls += 1.0;
+}
+
+double window_budget_most(struct window_budget *budget, int64_t now_us)
+{
+	const struct window_budget_slot *oldest;
+	double calls = 0;
+
+	advance(budget, now_us);
+	oldest = slot_of(budget, budget->newest + 1);
+	for (int i = 0; i < RING; i++)
+		calls += budget->slots[i].calls;
+	return budget->slack + budget->share * (calls - oldest->calls);
+}
+
+double window_budget_left(struct window_budget *budget, int64_t now_us)
+{
+	return window_budget_most(budget, now_us) - taken(budget);
+}
+
+bool window_budget_take(struct window_budget *budget, double cost, int64_t now_us)
+{
+	if (window_budget_left(budget, now_us) < cost)
+		return false;
+	slot_of(budget, budget->newest)->taken += cost;
+	return true;
+}
--- a/include/comfreydockd/decide/retry.h
+++ b/include/comfreydockd/decide/retry.h
@@ -54,6 +54,7 @@
 
 #include "comfreydockd/decide/budget.h"
 #include "comfreydockd/decide/random.h"
+#include "comfreydockd/decide/window_budget.h"
 
 #define RETRY_BASE_US ((int64_t)10 * 1000)
 #define RETRY_CAP_US ((int64_t)1000 * 1000)
@@ -125,6 +126,8 @@
 
 struct retry {
 	struct budget budget;
+	bool is_shared; /* with other daemons: window holds in its place */
+	struct window_budget window;
 };
 
 /* True if an attempt with this end counts against max_attempts. */
@@ -134,14 +137,17 @@
 
 /*
  * This daemon's part of a budget that all daemons share: so many percent of
- * the requests, and slack repeats more in each window. Tokens that were there
- * stay, up to the new bound.
+ * the requests, and slack repeats more in each window.
  */
 void retry_set_shared(struct retry *retry, uint32_t budget_percent,
 		      double slack, size_t daemons);
 
 /* Counts one request, whatever its number of attempts. */
-void retry_note_request(struct retry *retry);
+void retry_note_request(struct retry *retry, int64_t now_us);
+
+/* RETURN VALUE: the repeats that may be made at once, and how many these can be. */
+double retry_left(struct retry *retry, int64_t now_us);
+double retry_most(struct retry *retry, int64_t now_us);
 
 /* Takes the tokens where the verdict is RETRY_GO and the retry costs any. */
 struct retry_answer retry_decide(struct retry *retry,
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -119,8 +119,8 @@
 	retry_init(&top, 10);
 	retry_init(&deep, 10);
 	for (int i = 0; i < 10000; i++) {
-		retry_note_request(&top);
-		retry_note_request(&deep);
+		retry_note_request(&top, 0);
+		retry_note_request(&deep, 0);
 		q.depth = 0;
 		retries_top += verdict_of(&top, &q) == RETRY_GO;
 		q.depth = 13;
@@ -185,7 +185,7 @@
 		struct retry_answer a;
 		double before;
 
-		retry_note_request(&retry);
+		retry_note_request(&retry, i);
 		before = retry.budget.tokens;
 		a = retry_decide(&retry, &q, &generator, i);
 		check_answer(&q, &a, i);
@@ -228,7 +228,7 @@
 				.deadline_us = 1000 * 1000,
 			};
 
-			retry_note_request(retry);
+			retry_note_request(retry, 0);
 			repeats +=
 				retry_decide(retry, &question, &random, 0).verdict ==
 				RETRY_GO;
@@ -239,6 +239,31 @@
 	}
 }
 
+/* Guards against callers who wait for their deadline where some hosts go at once,
+ * while the budget that all daemons share is hardly used. */
+static void test_shared_budget_serves_a_burst(void)
+{
+	struct random_state random = {.state = 1};
+	struct retry retry = {0};
+	int64_t now = 100 * SECOND;
+	int repeats = 0;
+
+	retry_set_shared(&retry, 20, 630, 295);
+	for (int i = 0; i < 60; i++) {
+		now += SECOND / 6;
+		retry_note_request(&retry, now);
+	}
+	for (int i = 0; i < 10; i++) {
+		struct retry_question question = good;
+
+		question.deadline_us = now + 10 * SECOND;
+		repeats += retry_decide(&retry, &question, &random, now).verdict ==
+			   RETRY_GO;
+	}
+	g_assert_cmpint(repeats, >=, 4);
+	g_assert_cmpint(repeats, <=, 5);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -249,5 +274,6 @@
 	g_test_add_func("/retry/any", test_rules_hold_for_any_question);
 	g_test_add_func("/retry/spread", test_callers_come_back_spread);
 	g_test_add_func("/retry/shared", test_shared_budget_holds_for_all);
+	g_test_add_func("/retry/shared-burst", test_shared_budget_serves_a_burst);
 	return g_test_run();
 }
