deadline: attempts inside a call halve from the first level on again

The repeats of inner calls, two tokens each, take the budget from their parents.

Whom to give the repeats to where they don't suffice for all is the question that is left.

--- a/comfreydockd/decide/deadline.c
+++ b/comfreydockd/decide/deadline.c
@@ -135,11 +135,7 @@
 {
 	uint32_t retries = max_attempts > 0 ? max_attempts - 1 : 0;
 
-	/* The first level rounds up: a rule that allows one repeat allows it
-	 * there too, where a lost call costs all work of its parent. */
-	if (depth > 0)
-		retries = (retries + 1) >> MIN(depth, DEADLINE_SHIFT_MAX);
-	return 1 + retries;
+	return 1 + (retries >> MIN(depth, DEADLINE_SHIFT_MAX));
 }
 
 uint32_t deadline_retry_budget_permille(uint32_t budget_percent, uint32_t depth)
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -133,8 +133,7 @@
 /* True where a call so deep is refused, a loop of calls being likely. */
 bool deadline_is_too_deep(uint32_t depth);
 
-/* RETURN VALUE: attempts allowed at this depth, at least 1; the repeats halve with
- * each level. */
+/* RETURN VALUE: attempts allowed at this depth, at least 1. */
 uint32_t deadline_attempts(uint32_t max_attempts, uint32_t depth);
 
 /* RETURN VALUE: the budget at this depth, in permille of recent calls. */
