--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -398,7 +398,7 @@
 				   service->group,
 				   retry_left(&service->retry, now));
 	metric_begin_gauge(text, "retry_budget_most",
-			   "what it can save up of them");
+			   "how many of them it may make in all");
 	LIST_FOREACH (service, &services->active, active_link)
 		metric_append_line(text, "retry_budget_most", "group",
 				   service->group,
--- /dev/null
+++ b/tests/sample.c
@@ -0,0 +1,14 @@
+#include "sample.h"
+
+#include <glib.h>
+
+char *sample_read(void)
+{
+	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
+				      "operators", "lookup.sample.json", NULL);
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
--- a/tests/soak/verdict.c
+++ b/tests/soak/verdict.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "call_log.h"
 #include "runs.h"
 #include "schedule.h"
 
-#define CALL_PARTS 7
 /* The daemons run under sanitizers, on a machine that others use. */
 #define MARGIN_US ((int64_t)1000 * 1000)
 /* A begun answer may stand still for so long past the deadline. */
@@ -60,21 +60,6 @@
 	fflush(stdout);
 }
 
-static bool call_read(char **parts, struct call *call)
-{
-	if (g_strv_length(parts) < CALL_PARTS)
-		return false;
-	call->id = parts[0];
-	call->is_post = strcmp(parts[1], "POST") == 0;
-	call->status = atoi(parts[2]);
-	call->outcome = parts[3];
-	call->begin_us = strtoll(parts[5], NULL, 10);
-	call->end_us = call->begin_us + strtoll(parts[4], NULL, 10);
-	call->is_stream = g_str_has_prefix(parts[6], "/bytes/");
-	call->is_wrong = parts[CALL_PARTS] != NULL;
-	return true;
-}
-
 static bool call_was(const struct call *call, const char *outcome)
 {
 	return strcmp(call->outcome, outcome) == 0;
@@ -208,29 +193,47 @@
 		judge_calm(verdict, spans, call);
 }
 
+struct judged {
+	struct verdict *verdict;
+	const struct spans *spans;
+	GHashTable *runs;
+	unsigned int entry;
+	bool is_last;
+};
+
+static void handle_line(const struct call_line *line, void *data)
+{
+	const struct judged *judged = data;
+	struct call call = {
+		.entry = judged->entry,
+		.id = line->id,
+		.is_post = strcmp(line->method, "POST") == 0,
+		.status = line->status,
+		.outcome = line->outcome,
+		.begin_us = line->begin_us,
+		.end_us = line->begin_us + line->took_us,
+		.is_stream = g_str_has_prefix(line->path, "/bytes/"),
+		.is_wrong = line->is_wrong,
+		.runs = runs_of(judged->runs, line->id),
+	};
+
+	judge(judged->verdict, judged->spans, &call, judged->is_last);
+}
+
 void verdict_take_calls(struct verdict *verdict, const struct fleet *fleet,
 			const struct spans *spans, unsigned int entry,
 			const char *calls_file, bool is_last)
 {
-	GHashTable *runs = read_runs(fleet);
-	char *text = NULL;
-	char **lines;
-
-	g_assert_true(g_file_get_contents(calls_file, &text, NULL, NULL));
-	lines = g_strsplit(text, "\n", -1);
-	for (char **line = lines; *line; line++) {
-		char **parts = g_strsplit(*line, " ", -1);
-		struct call call = {.entry = entry};
-
-		if (call_read(parts, &call)) {
-			call.runs = runs_of(runs, call.id);
-			judge(verdict, spans, &call, is_last);
-		}
-		g_strfreev(parts);
-	}
-	g_strfreev(lines);
-	g_free(text);
-	g_hash_table_unref(runs);
+	struct judged judged = {
+		.verdict = verdict,
+		.spans = spans,
+		.runs = read_runs(fleet),
+		.entry = entry,
+		.is_last = is_last,
+	};
+
+	call_log_read(calls_file, handle_line, &judged);
+	g_hash_table_unref(judged.runs);
 }
 
 uint64_t verdict_print(const struct verdict *verdict)
--- a/tests/system/ledger.c
+++ b/tests/system/ledger.c
@@ -1,21 +1,11 @@
 #include "ledger.h"
 
-#include <stdlib.h>
 #include <string.h>
 
+#include "call_log.h"
 #include "runs.h"
 
 #define LOAD_END_MS 60000
-#define CALL_PARTS 7
-
-struct line {
-	const char *id;
-	bool idempotent;
-	int status;
-	const char *outcome;
-	int64_t latency_us;
-	bool wrong;
-};
 
 struct ledger_load ledger_start_load(struct cluster *cluster,
 				     unsigned int daemons, const char *rate,
@@ -55,25 +45,17 @@
 	return runs;
 }
 
-static bool parse_line(char **parts, struct line *line)
+static bool is_idempotent(const struct call_line *line)
 {
-	if (g_strv_length(parts) < CALL_PARTS)
-		return false;
-	line->id = parts[0];
-	line->idempotent = strcmp(parts[1], "GET") == 0;
-	line->status = atoi(parts[2]);
-	line->outcome = parts[3];
-	line->latency_us = strtoll(parts[4], NULL, 10);
-	line->wrong = parts[CALL_PARTS] != NULL;
-	return true;
+	return strcmp(line->method, "GET") == 0;
 }
 
-static void count_told(struct ledger *ledger, const struct line *line)
+static void count_told(struct ledger *ledger, const struct call_line *line)
 {
 	bool run = strcmp(line->outcome, "run") == 0;
 
 	ledger->calls++;
-	ledger->posts += !line->idempotent;
+	ledger->posts += !is_idempotent(line);
 	ledger->run += run;
 	ledger->served += run && line->status / 100 == 2;
 	ledger->not_run += strcmp(line->outcome, "not-run") == 0;
@@ -83,12 +65,12 @@
 	ledger->unsaid += strcmp(line->outcome, "unsaid") == 0;
 }
 
-static void judge(struct ledger *ledger, const struct line *line, guint runs)
+static void judge(struct ledger *ledger, const struct call_line *line, guint runs)
 {
-	bool late = strcmp(line->outcome, "timed-out") == 0 ||
-		    line->latency_us >
-			    (LEDGER_DEADLINE_MS + LEDGER_MARGIN_MS) * 1000;
-	bool doubled = !line->idempotent && runs > 1;
+	bool late =
+		strcmp(line->outcome, "timed-out") == 0 ||
+		line->took_us > (LEDGER_DEADLINE_MS + LEDGER_MARGIN_MS) * 1000;
+	bool doubled = !is_idempotent(line) && runs > 1;
 	bool false_not_run = strcmp(line->outcome, "not-run") == 0 && runs > 0;
 	bool false_run = strcmp(line->outcome, "run") == 0 &&
 			 line->status / 100 == 2 && runs == 0;
@@ -96,40 +78,38 @@
 	ledger->doubles += doubled;
 	ledger->false_not_run += false_not_run;
 	ledger->false_run += false_run;
-	ledger->wrong += line->wrong;
+	ledger->wrong += line->is_wrong;
 	ledger->late += late;
-	if (doubled || false_not_run || false_run || line->wrong || late)
+	if (doubled || false_not_run || false_run || line->is_wrong || late)
 		g_test_message("%s %s %d %s after %" G_GINT64_FORMAT
 			       " us, ran %u times%s",
-			       line->id, line->idempotent ? "GET" : "POST",
-			       line->status, line->outcome, line->latency_us,
-			       runs, line->wrong ? ", wrong answer" : "");
+			       line->id, is_idempotent(line) ? "GET" : "POST",
+			       line->status, line->outcome, line->took_us, runs,
+			       line->is_wrong ? ", wrong answer" : "");
+}
+
+struct judged {
+	struct ledger *ledger;
+	GHashTable *runs;
+};
+
+static void handle_line(const struct call_line *line, void *data)
+{
+	struct judged *judged = data;
+
+	count_told(judged->ledger, line);
+	judge(judged->ledger, line, runs_of(judged->runs, line->id));
 }
 
 void ledger_add_within(struct ledger *ledger, struct cluster *cluster,
 		       struct ledger_load *load, int seconds)
 {
-	GHashTable *runs;
-	char *text = NULL;
-	char **lines;
+	struct judged judged = {.ledger = ledger};
 
 	rig_wait_end(load->process, seconds * 1000 + LOAD_END_MS);
-	runs = read_runs(cluster);
-	g_assert_true(g_file_get_contents(load->calls_file, &text, NULL, NULL));
-	lines = g_strsplit(text, "\n", -1);
-	for (char **at = lines; *at; at++) {
-		char **parts = g_strsplit(*at, " ", -1);
-		struct line line;
-
-		if (parse_line(parts, &line)) {
-			count_told(ledger, &line);
-			judge(ledger, &line, runs_of(runs, line.id));
-		}
-		g_strfreev(parts);
-	}
-	g_strfreev(lines);
-	g_free(text);
-	g_hash_table_unref(runs);
+	judged.runs = read_runs(cluster);
+	call_log_read(load->calls_file, handle_line, &judged);
+	g_hash_table_unref(judged.runs);
 }
 
 void ledger_add(struct ledger *ledger, struct cluster *cluster,
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -3,24 +3,14 @@
 
 #include "comfreydockd/config/check.h"
 #include "comfreydockd/config/routes.h"
-
-static char *read_sample(void)
-{
-	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
-				      "operators", "lookup.sample.json", NULL);
-	char *text = NULL;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	g_free(path);
-	return text;
-}
+#include "sample.h"
 
 static struct config_snapshot *load_sample(void)
 {
 	struct config_snapshot *empty = config_snapshot_create();
 	struct config_snapshot *snapshot;
 	struct config_namespace *ns;
-	char *text = read_sample();
+	char *text = sample_read();
 	struct findings findings;
 	char *found;
 
@@ -146,7 +136,7 @@
 
 static void assert_refused(const char *from, const char *to, const char *expected)
 {
-	char *sample = read_sample();
+	char *sample = sample_read();
 	GString *text = g_string_new(sample);
 	struct findings findings;
 	char *found;
@@ -203,7 +193,7 @@
 static void test_other_teams_hosts_are_refused(void)
 {
 	struct config_snapshot *snapshot = load_sample();
-	char *sample = read_sample();
+	char *sample = sample_read();
 	GString *text = g_string_new(sample);
 	struct config_namespace *ns;
 	struct findings findings;
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -12,6 +12,7 @@
 #include "comfreydockd/upstream/owner.h"
 #include "common/http_client.h"
 #include "common/jsonc.h"
+#include "sample.h"
 
 /* An owner whose running count the test sets. */
 struct owner {
@@ -236,20 +237,9 @@
 	}
 }
 
-static char *read_sample(void)
-{
-	char *path = g_build_filename(g_getenv("COMFREYDOCK_SOURCE"), "docs",
-				      "operators", "lookup.sample.json", NULL);
-	char *text = NULL;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	g_free(path);
-	return text;
-}
-
 static void offer_sample(struct fixture *f, uint64_t version)
 {
-	char *text = read_sample();
+	char *text = sample_read();
 	char sha256[65];
 
 	config_body_sha256(text, strlen(text), sha256);
@@ -284,7 +274,7 @@
 					    gconstpointer unused)
 {
 	const char *path = "/v1/config/check";
-	char *sample = read_sample();
+	char *sample = sample_read();
 	GString *other = g_string_new(sample);
 
 	(void)unused;
@@ -477,7 +467,7 @@
 		.put_object = platform_put,
 		.wait = platform_wait,
 	};
-	char *sample = read_sample();
+	char *sample = sample_read();
 	const char *path = "/v1/config/apply?base=0&who=anna";
 
 	(void)unused;
