--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -66,7 +66,8 @@
 {
 	if (item->work_us > 0)
 		return item->work_us;
-	return MAX(item->deadline_us - now_us, 0) / PACE_DEADLINE_WORKS;
+	return CLAMP(item->deadline_us - now_us, 0, PACE_DEADLINE_MAX_US) /
+	       PACE_DEADLINE_WORKS;
 }
 
 /*
--- a/comfreydockd/decide/window_budget.c
+++ b/comfreydockd/decide/window_budget.c
@@ -1,5 +1,6 @@
 #include "comfreydockd/decide/window_budget.h"
 
+#include <math.h>
 #include <string.h>
 
 #define RING (WINDOW_BUDGET_SLOTS + 1)
@@ -15,6 +16,9 @@
 {
 	int64_t number = now_us / WINDOW_BUDGET_SLOT_US;
 
+	if (!budget->has_begun)
+		budget->first = number;
+	budget->has_begun = true;
 	if (number >= budget->newest + RING) {
 		memset(budget->slots, 0, sizeof(budget->slots));
 		budget->newest = number;
@@ -48,6 +52,16 @@
 	slot_of(budget, budget->newest)->calls += 1.0;
 }
 
+/* A daemon that has just started knows few of the others, and would take their
+ * parts of the slack for its own. */
+static double slack_of(const struct window_budget *budget)
+{
+	bool is_new = budget->newest - budget->first < WINDOW_BUDGET_SLOTS;
+
+	return is_new ? fmin(budget->slack, WINDOW_BUDGET_FIRST_SLACK) :
+			budget->slack;
+}
+
 double window_budget_most(struct window_budget *budget, int64_t now_us)
 {
 	const struct window_budget_slot *oldest;
@@ -57,7 +71,7 @@
 	oldest = slot_of(budget, budget->newest + 1);
 	for (int i = 0; i < RING; i++)
 		calls += budget->slots[i].calls;
-	return budget->slack + budget->share * (calls - oldest->calls);
+	return slack_of(budget) + budget->share * (calls - oldest->calls);
 }
 
 double window_budget_left(struct window_budget *budget, int64_t now_us)
--- a/include/comfreydockd/decide/pace.h
+++ b/include/comfreydockd/decide/pace.h
@@ -47,6 +47,8 @@
 #define PACE_HOLD_SPARE 1.5
 /* A deadline commonly leaves room for so many times the work. */
 #define PACE_DEADLINE_WORKS 6
+/* One that is further away says nothing of the work. */
+#define PACE_DEADLINE_MAX_US ((int64_t)60 * 1000 * 1000)
 #define PACE_WINDOW_US ((int64_t)1500 * 1000)
 #define PACE_FRESH_US ((int64_t)25 * 1000)
 
--- a/include/comfreydockd/decide/window_budget.h
+++ b/include/comfreydockd/decide/window_budget.h
@@ -32,6 +32,7 @@
 
 #define WINDOW_BUDGET_US ((int64_t)10 * 1000 * 1000)
 #define WINDOW_BUDGET_SLOTS 20
+#define WINDOW_BUDGET_FIRST_SLACK 1.0 /* at most, in the first window */
 #define WINDOW_BUDGET_SLOT_US (WINDOW_BUDGET_US / WINDOW_BUDGET_SLOTS)
 
 struct window_budget_slot {
@@ -43,7 +44,9 @@
 struct window_budget {
 	double share; /* of the calls */
 	double slack; /* beyond it in each window */
-	int64_t newest; /* number of the slot that is filled now */
+	bool has_begun;
+	int64_t first; /* number of the first slot */
+	int64_t newest; /* of the one that is filled now */
 	/* One more than a window has: the oldest is only partly in it. */
 	struct window_budget_slot slots[WINDOW_BUDGET_SLOTS + 1];
 };
--- a/tests/test_window_budget.c
+++ b/tests/test_window_budget.c
@@ -7,14 +7,18 @@
 #define SHARE 0.2
 #define SLACK 3.0
 
-static void test_nothing_is_allowed_at_first(void)
+/* Guards against a daemon that has just started, knows none of the others yet and
+ * takes the slack of all for its own. */
+static void test_slack_is_small_in_the_first_window(void)
 {
 	struct window_budget budget = {0};
 
 	g_assert_false(window_budget_take(&budget, 1, 5 * SECOND));
 	window_budget_set(&budget, SHARE, SLACK);
-	g_assert_true(window_budget_take(&budget, SLACK, 5 * SECOND));
-	g_assert_false(window_budget_take(&budget, 1, 5 * SECOND));
+	g_assert_true(window_budget_take(&budget, 1, 5 * SECOND));
+	g_assert_false(window_budget_take(&budget, 1, 14 * SECOND));
+	g_assert_true(window_budget_take(&budget, SLACK, 16 * SECOND));
+	g_assert_false(window_budget_take(&budget, 1, 16 * SECOND));
 }
 
 static void test_what_was_seen_can_be_taken_at_once(void)
@@ -93,7 +97,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/window-budget/first", test_nothing_is_allowed_at_first);
+	g_test_add_func("/window-budget/first",
+			test_slack_is_small_in_the_first_window);
 	g_test_add_func("/window-budget/at-once",
 			test_what_was_seen_can_be_taken_at_once);
 	g_test_add_func("/window-budget/old", test_an_old_window_is_lost);
