tests/freeze: allow what the kernel's account and the clock differ by

Traced: a program that only computes for 20 ms and compares RUSAGE_THREAD with CLOCK_MONOTONIC has more processor time than time in 45 to 57 of 200 turns, by 5 to 12 us in four runs and by 693 us in the fifth. So the check asked for what the kernel doesn't promise; the daemon's line gives whole milliseconds.

The bound is one of these: of a turn of 300 ms what is told still can't pass for more than was spent.

--- a/tests/test_freeze.c
+++ b/tests/test_freeze.c
@@ -9,6 +9,8 @@
 #include "common/freeze.h"
 
 #define PAUSE_US (300 * US_PER_MS)
+/* The kernel's account of a thread's time and the clock differ by less. */
+#define ACCOUNT_US US_PER_MS
 
 static void compute_us(int64_t us)
 {
@@ -33,7 +35,7 @@
 	freeze_since(&mark, &used);
 	/* What it neither ran nor waited for is small, also on a busy host. */
 	g_assert_cmpint(used.cpu_us, >, 0);
-	g_assert_cmpint(used.cpu_us, <=, clock_mono_us() - began);
+	g_assert_cmpint(used.cpu_us, <=, clock_mono_us() - began + ACCOUNT_US);
 	if (used.waited_us >= 0)
 		g_assert_cmpint(used.cpu_us + used.waited_us, >=, PAUSE_US / 2);
 }
