--- a/comfreydockd/member/swim.c
+++ b/comfreydockd/member/swim.c
@@ -284,7 +284,7 @@
 static void meet(struct swim *swim, const struct swim_endpoint *from,
 		 bool was_dead)
 {
-	bool is_due = !swim->sync.was_whole ||
+	bool is_due = !swim_sync_is_complete(swim) ||
 		      (was_dead &&
 		       swim->now_us - swim->sync.whole_at_us > WHOLE_AGAIN_US);
 
--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -60,8 +60,7 @@
 
 struct swim_sync {
 	bool is_whole; /* a full pass, as fast as pages may come */
-	bool was_whole; /* some in a row brought little */
-	unsigned int idle_passes; /* these */
+	unsigned int idle_passes; /* full ones in a row that brought little */
 	guint size_before; /* others known as the last full pass began */
 	struct swim_endpoint peer;
 	unsigned int next_bucket;
@@ -174,6 +173,8 @@
 
 /* swim_sync.c */
 void swim_sync_tick(struct swim *swim);
+/* Whether the last full passes found that the table has what there is. */
+bool swim_sync_is_complete(const struct swim *swim);
 void swim_sync_start_whole(struct swim *swim, const struct swim_endpoint *peer);
 void swim_sync_handle_request(struct swim *swim, const Cfd__Gossip *message,
 			      const struct swim_endpoint *from);
--- a/comfreydockd/member/swim_sync.c
+++ b/comfreydockd/member/swim_sync.c
@@ -64,6 +64,11 @@
 	return bucket;
 }
 
+bool swim_sync_is_complete(const struct swim *swim)
+{
+	return swim->sync.idle_passes >= WHOLE_IDLE_PASSES;
+}
+
 void swim_sync_start_whole(struct swim *swim, const struct swim_endpoint *peer)
 {
 	struct swim_sync *sync = &swim->sync;
@@ -111,7 +116,7 @@
 		return;
 	g_strlcpy(sync->peer.address, peer->address, sizeof(sync->peer.address));
 	sync->peer.port = peer->peer_port;
-	if (!sync->was_whole) {
+	if (!swim_sync_is_complete(swim)) {
 		swim_sync_start_whole(swim, &sync->peer);
 		return;
 	}
@@ -208,8 +213,7 @@
 		sync->idle_passes = 0;
 	else
 		sync->idle_passes++;
-	sync->was_whole = sync->idle_passes >= WHOLE_IDLE_PASSES;
-	if (!sync->was_whole)
+	if (!swim_sync_is_complete(swim))
 		swim->next_sync_us = swim->now_us + WHOLE_NEXT_US / 2 +
 				     swim_random_below(swim, WHOLE_NEXT_US);
 }
