pace, pick: one function for work at a pace; say what the median is taken of

The same product stood three times in two judgements. note_typical_service() reads what the walk of its caller gathered, which nothing said. No change of behaviour.

--- a/comfreydockd/decide/pace.c
+++ b/comfreydockd/decide/pace.c
@@ -62,6 +62,12 @@
 	return pace->least_before == 0;
 }
 
+/* How long work takes at that pace. */
+static int64_t at_percent_us(int64_t work_us, uint32_t percent)
+{
+	return work_us * percent / PACE_USUAL_PERCENT;
+}
+
 static int64_t expected_work_us(const struct pace_item *item, int64_t now_us)
 {
 	if (item->work_us > 0)
@@ -72,17 +78,17 @@
 
 /*
  * Held while an end of the spell would still bring the answer in time, or slots
- * are scarce; then begun if it can be answered at all at this pace; else held to the last
- * moment that an end of the spell leaves for it, and then refused: begun, it
- * would take a slot for an answer that nobody gets.
+ * are scarce; then begun if it can be answered at all at this pace; else held to
+ * the last moment that an end of the spell leaves for it, and then refused:
+ * begun, it would take a slot for an answer that nobody gets.
  */
 static enum pace_verdict judge_in_spell(const struct pace *pace,
 					const struct pace_item *item,
 					int64_t now_us)
 {
 	int64_t work_us = expected_work_us(item, now_us);
-	int64_t usual_us = work_us * pace_usual(pace) / PACE_USUAL_PERCENT;
-	int64_t slow_us = work_us * pace->percent / PACE_USUAL_PERCENT;
+	int64_t usual_us = at_percent_us(work_us, pace_usual(pace));
+	int64_t slow_us = at_percent_us(work_us, pace->percent);
 
 	if (now_us + slow_us <= item->target_us)
 		return PACE_START;
@@ -105,7 +111,7 @@
 					int64_t now_us)
 {
 	int64_t work_us = expected_work_us(item, now_us);
-	int64_t slow_us = work_us * pace->percent / PACE_USUAL_PERCENT;
+	int64_t slow_us = at_percent_us(work_us, pace->percent);
 
 	if (now_us + slow_us <= item->deadline_us)
 		return PACE_START;
--- a/comfreydockd/decide/pick.c
+++ b/comfreydockd/decide/pick.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "comfreydockd/decide/pace.h"
+
 /* Refusals: so many for each request on average, and so many in a burst. */
 #define PICK_REFUSAL_SHARE 0.5
 #define PICK_REFUSAL_BURST 10.0
@@ -359,11 +360,11 @@
 	return (x > y) - (x < y);
 }
 
-/* The median of the upstreams, not of the reports: one that answers nothing but
- * errors reports most often, and the same all the time. Of an even number the
- * lower of the two in the middle: where one of two upstreams answers late, a
- * retry would be refused for lack of time with the other one free, and the late
- * one would pass for the usual. */
+/* Of what set->services holds. The median of the upstreams, not of the reports:
+ * one that answers nothing but errors reports most often, and the same all the
+ * time. Of an even number the lower of the two in the middle: where one of two
+ * upstreams answers late, a retry would be refused for lack of time with the
+ * other one free, and the late one would pass for the usual. */
 static void note_typical_service(struct pick_set *set)
 {
 	GArray *services = set->services;
@@ -377,6 +378,8 @@
 }
 
 /*
+ * What the last reports of all say together.
+ *
  * An unknown host is taken for as quick as the best that is known. Were it taken
  * for as quick as a host ever is, all entries would rush to it while the others,
  * just started, are slow, and these would turn requests back for its sake.
