--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -104,10 +104,7 @@
 	out.other_pace_percent =
 		pick_other_pace(&upstream->service->picks, &upstream->candidate,
 				&call->tried, attempt->sent_us);
-	out.last_resort =
-		!is_hedge &&
-		(call->returns ||
-		 pick_count_untried(&call->service->picks, &call->tried) == 0);
+	out.last_resort = !is_hedge && (call->returns || call_untried(call) == 0);
 	out.shed_statuses = shed;
 	out.n_shed_statuses =
 		fill_shed_statuses(call->config, shed, G_N_ELEMENTS(shed));
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -86,14 +86,13 @@
 }
 
 /* Nobody is known who could take the call. */
-static void call_refuse_no_upstream(struct call *call, int64_t now)
+static void call_note_no_upstream(struct call *call, int64_t now)
 {
 	int64_t left_ms = MAX(call->deadline_us - now, 0) / US_PER_MS;
 
 	call->reason = CFD__REASON__REASON_NO_UPSTREAM;
 	call->come_back_ms = (uint32_t)MIN(NO_UPSTREAM_COME_BACK_MS,
 					   left_ms / NO_UPSTREAM_LEFT_SHARE);
-	call_finish_unanswered(call);
 }
 
 void call_send_attempt(struct call *call)
@@ -112,11 +111,9 @@
 	upstream = service_choose(call->service, &call->tried, now);
 	if (!upstream && call_return_to_busy(call))
 		upstream = service_choose(call->service, &call->tried, now);
-	if (!upstream && call->attempts == 0) {
-		call_refuse_no_upstream(call, now);
-		return;
-	}
 	if (!upstream) {
+		if (call->attempts == 0)
+			call_note_no_upstream(call, now);
 		call_finish_unanswered(call);
 		return;
 	}
--- a/comfreydockd/caller/call_state.c
+++ b/comfreydockd/caller/call_state.c
@@ -26,8 +26,7 @@
 		.idempotent = call->rule->idempotent,
 		.answer_begun = call->answering != NULL,
 		.hedges = call->hedges,
-		.untried =
-			pick_count_untried(&call->service->picks, &call->tried),
+		.untried = call_untried(call),
 		.depth = call->depth,
 		.deadline_us = call->deadline_us,
 	};
