decide/cold_start: limit what a cold upstream gets in a second

The operator's row says how many requests a second a cold upstream bears; nothing read it.

It learns that the upstream is cold from heartbeats and from the health path, which it asks every 250 ms while requests come. Entries are told as many slots as the limit keeps busy. What doesn't fit goes elsewhere or waits for the next free place; what can't be in time is refused at once, not run, with the time to come back.

--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -6,6 +6,8 @@
 #include "common/schema.h"
 
 #define HOST_MAX_BYTES 253
+#define COLD_PER_S_MAX 1e6
+#define COLD_MAX_MS 3600000
 
 static void read_shed_statuses(struct schema *schema,
 			       struct config_service *service)
@@ -163,6 +165,10 @@
 	config_check_path(schema, "health_path", upstreams->health_path);
 	upstreams->max_connections = (uint32_t)schema_uint(
 		schema, "max_connections", SCHEMA_OPTIONAL, 0, 0, UINT32_MAX);
+	upstreams->cold_per_s =
+		schema_double(schema, "cold_per_s", 0, COLD_PER_S_MAX);
+	upstreams->cold_ms = (uint32_t)schema_uint(
+		schema, "cold_ms", SCHEMA_OPTIONAL, 0, 0, COLD_MAX_MS);
 	return upstreams;
 }
 
--- a/comfreydockd/config/model.c
+++ b/comfreydockd/config/model.c
@@ -256,6 +256,8 @@
 
 		group->health_path = upstreams->health_path;
 		group->max_connections = upstreams->max_connections;
+		group->cold_per_s = upstreams->cold_per_s;
+		group->cold_ms = upstreams->cold_ms;
 	}
 }
 
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -34,6 +34,8 @@
 #define PERCENT 100
 #define DEFAULT_RETRY_RATIO 0.1
 #define RETRY_SLACK_MAX 1e6
+#define COLD_OVERAGE_MAX 100.0
+#define COLD_SLACK_MAX 1e4 /* requests */
 #define PROBES_MAX_PER_S 1000
 /* With fewer lines, not even the refusals of one second could be told apart. */
 #define LOG_LINES_MIN_PER_S 10
@@ -288,6 +290,18 @@
 	schema_finish(&retry);
 }
 
+static void read_cold_start(struct schema *root, struct settings *settings)
+{
+	struct settings_cold_start *cold_start = &settings->cold_start;
+	struct schema schema;
+
+	schema_init_child(&schema, root, "cold_start", SCHEMA_OPTIONAL);
+	cold_start->overage =
+		schema_double(&schema, "overage", 1.0, COLD_OVERAGE_MAX);
+	cold_start->slack = schema_double(&schema, "slack", 0, COLD_SLACK_MAX);
+	schema_finish(&schema);
+}
+
 static void read_log(struct schema *root, struct settings *settings)
 {
 	struct settings_log_budget *budget = &settings->log_budget;
@@ -376,6 +390,7 @@
 		DEFAULT_QUARANTINE_TRIAL_MS, 0, QUARANTINE_TRIAL_MAX_MS);
 	read_stop(&root, settings);
 	read_retry_budget(&root, settings);
+	read_cold_start(&root, settings);
 	settings->probes_per_s = (uint32_t)schema_uint(
 		&root, "probes_per_s", SCHEMA_OPTIONAL, 0, 0, PROBES_MAX_PER_S);
 	settings->config_file = resolve_path(
--- a/comfreydockd/upstream/answer.c
+++ b/comfreydockd/upstream/answer.c
@@ -97,3 +97,17 @@
 
 	return text && answer_parse_load(text, load);
 }
+
+bool answer_parse_cold_ms(const char *text, uint32_t *cold_ms)
+{
+	char *end;
+	uint64_t figure;
+
+	if (!text)
+		return false;
+	figure = g_ascii_strtoull(text, &end, 10);
+	if (end == text || *end != '\0' || figure > UINT32_MAX)
+		return false;
+	*cold_ms = (uint32_t)figure;
+	return true;
+}
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -136,6 +136,7 @@
 
 	attempt->head_us = clock_mono_us();
 	attempt->status = status;
+	owner_note_arrived(attempt->owner, attempt);
 	latency_record_us(&latencies.owner_upstream,
 			  attempt->head_us - attempt->started_us);
 	owner_note_load_header(attempt->owner, fields);
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -123,10 +123,14 @@
 		gate_refuse(owner, attempt, CFD__REASON__REASON_FAILING);
 		return;
 	}
-	if (!pace_is_fresh(&owner->pace, clock_mono_us()) && gate_ask(owner)) {
+	if ((!pace_is_fresh(&owner->pace, clock_mono_us()) ||
+	     !cold_start_is_known(&owner->cold)) &&
+	    gate_ask(owner)) {
 		gate_hold(owner, attempt);
 		return;
 	}
+	if (owner_cold_is_outdated(owner))
+		gate_ask(owner);
 	gate_pass(owner, attempt);
 	gate_arm(owner);
 }
@@ -189,11 +193,15 @@
 	gate_notify_entries(owner);
 }
 
-static void handle_gauge(const struct answer_load *load, void *data)
+static void handle_gauge(const struct gauge_reading *reading, void *data)
 {
 	struct owner *owner = data;
 
-	gate_note_load(owner, load);
+	if (reading->has_cold_ms)
+		owner_note_cold_health(owner, reading->cold_ms);
+	else if (reading->has_load)
+		owner_note_not_cold(owner);
+	gate_note_load(owner, reading->has_load ? &reading->load : NULL);
 	gate_review(owner);
 }
 
--- a/comfreydockd/upstream/gauge.c
+++ b/comfreydockd/upstream/gauge.c
@@ -68,22 +68,29 @@
 	       strcmp(gauge->instance, instance) == 0;
 }
 
+static void read_figures(const struct headers *names,
+			 const struct http_answer *answer,
+			 struct gauge_reading *reading)
+{
+	const char *load = http_answer_header(answer, names->load);
+
+	reading->has_load = load && answer_parse_load(load, &reading->load);
+	if (names->cold_ms)
+		reading->has_cold_ms = answer_parse_cold_ms(
+			http_answer_header(answer, names->cold_ms),
+			&reading->cold_ms);
+}
+
 static void handle_answer(const struct http_answer *answer, void *data)
 {
 	struct gauge *gauge = data;
-	const char *name = gauge->daemon->headers->load;
-	const char *text = NULL;
-	struct answer_load load;
+	struct gauge_reading reading = {.has_load = false};
 
 	gauge->pending = NULL;
 	if (answer->result == CURLE_OK && is_expected_instance(gauge, answer))
-		text = http_answer_header(answer, name);
-	if (text && answer_parse_load(text, &load)) {
-		gauge->handler(&load, gauge->data);
-		return;
-	}
-	counters.gauge_failed++;
-	gauge->handler(NULL, gauge->data);
+		read_figures(gauge->daemon->headers, answer, &reading);
+	counters.gauge_failed += !reading.has_load;
+	gauge->handler(&reading, gauge->data);
 }
 
 bool gauge_ask(struct gauge *gauge, const struct gauge_target *target)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -69,6 +69,11 @@
 	load->queued = queue_length(&owner->queue);
 	load->pace_percent = owner->pace.percent;
 	load->limit = owner->state == OWNER_UP ? slots.limit : 0;
+	/* Entries must not take the idle slots of a cold upstream for room. */
+	if (owner->state == OWNER_UP)
+		load->limit = cold_start_slots(&owner->cold, slots.limit,
+					       speed_us(&owner->speed),
+					       clock_mono_us());
 	/* With an open breaker the owner reports itself as full, so that
 	 * entries try others first. If nothing runs, it reports one free slot,
 	 * so that an entry sends the request with which the breaker tests
@@ -76,7 +81,8 @@
 	if (owner->breaker.is_open)
 		load->limit = MIN(load->limit, MAX(slots.running, 1));
 	load->expected_wait_us =
-		(uint32_t)MIN(queue_expected_wait_us(&owner->queue, &slots),
+		(uint32_t)MIN(MAX(queue_expected_wait_us(&owner->queue, &slots),
+				  owner_cold_wait_us(owner)),
 			      (int64_t)UINT32_MAX);
 	/* The median service time at the usual pace, with errors counted as
 	 * slow answers; pace_percent says how much longer requests take now. */
@@ -98,7 +104,8 @@
 {
 	struct queue_slots slots = owner_slots(owner);
 
-	return queue_retry_after_ms(&owner->queue, &slots);
+	return MAX(queue_retry_after_ms(&owner->queue, &slots),
+		   (uint32_t)(owner_cold_wait_us(owner) / US_PER_MS));
 }
 
 /* Attempts start at the end of the iteration, see handle_loop_prepare(). */
@@ -144,6 +151,7 @@
 	crash_note_run_result(owner, attempt, outcome == LIMIT_OUTCOME_OK);
 	if (head_or_end_us > attempt->item.deadline_us)
 		counters.owner_late++;
+	owner_note_arrived(owner, attempt);
 	TAILQ_REMOVE(&owner->runs, attempt, running_link);
 	owner->running--;
 	owner_schedule_dispatch(owner);
@@ -166,7 +174,8 @@
 	for (;;) {
 		struct queue_slots slots = owner_slots(owner);
 
-		if (slots.running >= slots.limit)
+		if (slots.running >= slots.limit ||
+		    !queue_length(&owner->queue) || !owner_may_start_cold(owner))
 			return;
 		item = queue_pop(&owner->queue, clock_mono_us(), &verdict);
 		if (!item)
@@ -179,6 +188,8 @@
 		    !owner_quarantine_admit_start(owner, owner_attempt_of(item)))
 			continue;
 		owner->running++;
+		cold_start_begin(&owner->cold);
+		owner_attempt_of(item)->is_on_way = true;
 		TAILQ_INSERT_TAIL(&owner->runs, owner_attempt_of(item),
 				  running_link);
 		attempt_start(owner_attempt_of(item));
@@ -270,14 +281,32 @@
 	return false;
 }
 
+/* RETURN VALUE: whether the limit of a cold upstream allows the attempt to
+ * start while that makes sense. */
+static enum queue_verdict judge_cold(const struct owner *owner,
+				     const struct queue_item *item)
+{
+	int64_t wait_us = owner_cold_wait_us(owner);
+	int64_t end_us = clock_mono_us() + wait_us +
+			 queue_median_service_us(&owner->queue, item->class);
+
+	if (wait_us == 0)
+		return QUEUE_ACCEPTED;
+	if (!item->may_queue)
+		return QUEUE_REFUSED_BUSY;
+	return end_us > item->deadline_us ? QUEUE_REFUSED_DEADLINE :
+					    QUEUE_ACCEPTED;
+}
+
 void owner_enqueue(struct owner *owner, struct owner_attempt *attempt)
 {
 	struct queue_slots slots = owner_slots(owner);
-	uint32_t retry_after_ms = OWNER_RETRY_AFTER_MS;
-	enum queue_verdict verdict;
+	uint32_t retry_after_ms = owner_retry_after_ms(owner);
+	enum queue_verdict verdict = judge_cold(owner, &attempt->item);
 
-	verdict = queue_offer(&owner->queue, &attempt->item, &slots,
-			      clock_mono_us(), &retry_after_ms);
+	if (verdict == QUEUE_ACCEPTED)
+		verdict = queue_offer(&owner->queue, &attempt->item, &slots,
+				      clock_mono_us(), &retry_after_ms);
 	if (verdict != QUEUE_ACCEPTED) {
 		attempt_owner_step(&attempt->state, OWNER_REFUSE);
 		attempt_refuse(attempt, reason_of(verdict), retry_after_ms);
@@ -311,6 +340,7 @@
 	ev_set_priority(&owner->loop_prepare, EV_MAXPRI);
 	ev_timer_init(&owner->stale_timer, handle_dispatch_due, 0.0, 0.0);
 	owner_init_sweep(owner);
+	owner_init_cold(owner);
 	gate_init(owner);
 	crash_init(owner);
 	report_check_init(owner);
@@ -337,6 +367,7 @@
 	ev_timer_stop(owner->daemon->loop, &owner->sweep_timer);
 	crash_finish(owner);
 	gate_finish(owner);
+	owner_finish_cold(owner);
 	while ((item = queue_take_any(&owner->queue)))
 		attempt_destroy(owner_attempt_of(item));
 	queue_finish(&owner->queue);
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -105,6 +105,7 @@
 		owner_use_pool(owner, &copy);
 	owner_announcement_finish(&owner->announced);
 	owner->announced = copy;
+	owner_configure_cold(owner);
 	if (moved)
 		memset(&owner->knee, 0, sizeof(owner->knee));
 	if (moved)
@@ -179,6 +180,7 @@
 void owner_note_config(struct owner *owner)
 {
 	probe_configure(owner->probe);
+	owner_configure_cold(owner);
 	report_check_retry(owner);
 }
 
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -141,7 +141,22 @@
 		  LOG_STR("instance", owner->history.instance), LOG_STR("by", by),
 		  LOG_INT("reports", owner->start_check.reports));
 	owner->start_check.is_unconfirmed = false;
+	/* This daemon has seen another start before, so only its own requests
+	 * can have reached this one. */
+	if (owner->history.past_count > 0)
+		cold_start_forget(&owner->cold);
 	announce_to_owner(owner, &owner->start_check, true);
+	owner_note_cold_heartbeat(owner, owner->start_check.warm_ms);
+}
+
+static void note_cold(struct owner *owner, const struct http_answer *answer)
+{
+	const char *name = owner->daemon->headers->cold_ms;
+	uint32_t cold_ms;
+
+	if (name &&
+	    answer_parse_cold_ms(http_answer_header(answer, name), &cold_ms))
+		owner_note_cold_health(owner, cold_ms);
 }
 
 static void handle_health(const struct http_answer *answer, void *data)
@@ -158,6 +173,7 @@
 	if (answer->status / 100 == 2 && instance &&
 	    strcmp(instance, owner->history.instance) == 0) {
 		confirm_start(owner, "health");
+		note_cold(owner, answer);
 		return;
 	}
 	ev_timer_again(owner->daemon->loop, &owner->start_check_timer);
@@ -243,6 +259,7 @@
 	check_fill(check, report);
 	if (!check->is_unconfirmed) {
 		announce_to_owner(owner, check, false);
+		owner_note_cold_heartbeat(owner, report->warm_ms);
 		return;
 	}
 	check->reports++;
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -65,6 +65,7 @@
 	owner_notice_freeze(owner, now);
 	owner_mark_sweep(owner, now);
 	owner_sweep_runs(owner, now);
+	owner_configure_cold(owner);
 	/* The slots of a warming upstream grow with time, without an event. */
 	if (queue_length(&owner->queue))
 		owner_schedule_dispatch(owner);
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -67,6 +67,8 @@
 	uint32_t measure_budget_permille; /* the smallest of the services */
 	const char *health_path; /* of the group, else of a service */
 	uint32_t max_connections; /* 0: none is set */
+	double cold_per_s; /* requests to a cold upstream; 0: not limited */
+	uint32_t cold_ms; /* how long a cold upstream stays so; 0: unknown */
 	bool has_measure;
 };
 
@@ -75,6 +77,9 @@
 	char *group;
 	char *health_path; /* NULL: never probed */
 	uint32_t max_connections; /* limit per upstream; 0: none is set */
+	/* Requests per second that a cold upstream tolerates; 0: any. */
+	double cold_per_s;
+	uint32_t cold_ms; /* how long it stays cold; 0: unknown */
 };
 
 struct config_namespace {
--- a/include/comfreydockd/headers.h
+++ b/include/comfreydockd/headers.h
@@ -31,6 +31,7 @@
 	const char *instance; /* id of the answering instance */
 	const char *not_run; /* if present, the request did not run */
 	const char *load; /* "running,waiting,slots,percent of usual time" */
+	const char *cold_ms; /* how long it stays cold, in health answers */
 	/*
 	 * Proves that an answer belongs to this request. If this name is set, a
 	 * success without the field, or any answer without the request's trace,
--- a/include/comfreydockd/settings.h
+++ b/include/comfreydockd/settings.h
@@ -37,6 +37,13 @@
 	double slack; /* retries per window in addition to the percentage */
 };
 
+/* By how much the operator's rate for cold upstreams may be exceeded; see
+ * decide/cold_start.h. */
+struct settings_cold_start {
+	double overage; /* factor of the rate */
+	double slack; /* requests in addition to it */
+};
+
 /* Limits of the log's volume; see log.h. */
 struct settings_log_budget {
 	uint32_t lines_per_s;
@@ -67,6 +74,7 @@
 	struct settings_log_budget log_budget;
 	struct settings_stop stop;
 	struct settings_retry_budget retry_budget;
+	struct settings_cold_start cold_start;
 	uint32_t probes_per_s; /* of the upstream's load; 0: none */
 	/* Time until a held request is tried again; 0: no request is held. */
 	uint32_t quarantine_trial_ms;
--- a/include/comfreydockd/upstream/answer.h
+++ b/include/comfreydockd/upstream/answer.h
@@ -47,4 +47,8 @@
 		      const struct fields *fields, struct answer_load *load);
 bool answer_parse_load(const char *text, struct answer_load *load);
 
+/* Parses how long the upstream stays cold.
+ * RETURN VALUE: false if text is NULL or malformed. */
+bool answer_parse_cold_ms(const char *text, uint32_t *cold_ms);
+
 #endif
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -29,6 +29,7 @@
 	TAILQ_ENTRY(owner_attempt) running_link;
 	TAILQ_ENTRY(owner_attempt) held_link;
 	bool is_held; /* waits at the gate for the host's pace, see gate.h */
+	bool is_on_way; /* may reach the upstream yet, see decide/cold_start.h */
 	bool is_trial; /* of a quarantined request, see decide/quarantine.h */
 	struct owner *owner;
 	struct peer *peer; /* NULL: the entry cancelled or its link is lost */
@@ -92,6 +93,10 @@
 void owner_note_finished(struct owner *owner, struct owner_attempt *attempt,
 			 enum limit_outcome outcome);
 
+/* The request of a running attempt has reached the upstream by now, if it was
+ * written at all. */
+void owner_note_arrived(struct owner *owner, struct owner_attempt *attempt);
+
 /* Reads the upstream's load from its header, which any answer may carry. */
 void owner_note_load_header(struct owner *owner, const struct fields *fields);
 
--- a/include/comfreydockd/upstream/gauge.h
+++ b/include/comfreydockd/upstream/gauge.h
@@ -1,6 +1,7 @@
 /*
  * NAME
- *	gauge - queries the upstream for its load and its host's pace
+ *	gauge - queries the upstream for its load, its host's pace, and how long
+ *	it stays cold
  *
  * DESCRIPTION
  *	Answers to requests carry both figures, usually often enough. If no
@@ -30,8 +31,16 @@
 	const char *instance; /* whose answer counts; NULL: anyone's */
 };
 
-/* load is NULL if no valid answer came. */
-typedef void (*gauge_handler)(const struct answer_load *load, void *data);
+/* What a valid answer reported. */
+struct gauge_reading {
+	bool has_load;
+	struct answer_load load;
+	bool has_cold_ms;
+	uint32_t cold_ms; /* how long the upstream stays cold */
+};
+
+/* No figure is set if no valid answer came. */
+typedef void (*gauge_handler)(const struct gauge_reading *reading, void *data);
 
 struct gauge *gauge_create(struct daemon *daemon, gauge_handler handler,
 			   void *data);
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 
 #include "comfreydockd/decide/breaker.h"
+#include "comfreydockd/decide/cold_start.h"
 #include "comfreydockd/decide/knee.h"
 #include "comfreydockd/decide/limit.h"
 #include "comfreydockd/decide/pace.h"
@@ -49,6 +50,9 @@
 	GPtrArray *old_pools; /* of former addresses; runs may still use them */
 	struct limit limit;
 	struct warm warm;
+	struct cold_start cold;
+	bool was_limiting; /* as last logged */
+	ev_timer cold_timer; /* dispatches when a cold upstream takes more */
 	struct queue queue;
 	struct speed speed; /* service time, without the effect of pace */
 	struct probe *probe;
@@ -101,6 +105,29 @@
 /* The upstream's port refuses connections, or accepts them again. */
 void owner_note_reachable(bool reachable, void *data);
 
+/* cold.c: the rate of starts while the upstream is cold, see
+ * decide/cold_start.h */
+void owner_init_cold(struct owner *owner);
+void owner_finish_cold(struct owner *owner);
+
+/* Reads the limit again, from the configuration and the settings. */
+void owner_configure_cold(struct owner *owner);
+void owner_note_cold_heartbeat(struct owner *owner, uint32_t cold_ms);
+void owner_note_cold_health(struct owner *owner, uint32_t cold_ms);
+
+/* The upstream answered without saying that it is cold. */
+void owner_note_not_cold(struct owner *owner);
+
+/* RETURN VALUE: true if the upstream must be asked whether it is cold. */
+bool owner_cold_is_outdated(const struct owner *owner);
+
+/* RETURN VALUE: how long the limit delays an attempt that is enqueued now. */
+int64_t owner_cold_wait_us(const struct owner *owner);
+
+/* RETURN VALUE: false if the limit is reached. A timer then dispatches as soon
+ * as another attempt may start. */
+bool owner_may_start_cold(struct owner *owner);
+
 /* sweep.c: the sweep, a timer that aborts runs that hang and detects freezes of
  * this daemon's loop */
 void owner_init_sweep(struct owner *owner);
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -116,6 +116,21 @@
 	}
 }
 
+/* A figure that can't be read says nothing: taken for 0, it would end the limit of
+ * a cold upstream. */
+static void test_cold_time_is_parsed(void)
+{
+	static const char *const bad[] = {"", "x", "12x", "1.5", "99999999999"};
+	uint32_t cold_ms = 7;
+
+	g_assert_true(answer_parse_cold_ms("2984", &cold_ms));
+	g_assert_cmpuint(cold_ms, ==, 2984);
+	g_assert_false(answer_parse_cold_ms(NULL, &cold_ms));
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_false(answer_parse_cold_ms(bad[i], &cold_ms));
+	g_assert_cmpuint(cold_ms, ==, 2984);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -123,6 +138,7 @@
 			test_answers_to_this_request_pass);
 	g_test_add_func("/answer/other-request",
 			test_answers_to_other_requests_are_rejected);
+	g_test_add_func("/answer/cold", test_cold_time_is_parsed);
 	g_test_add_func("/answer/not-run", test_upstream_says_not_run);
 	g_test_add_func("/answer/unconfirmed-not-run",
 			test_not_run_statuses_without_the_header_are_unclear);
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -74,6 +74,28 @@
 	g_assert_cmpuint(group->max_connections, ==, 220);
 }
 
+/* Guards against a limit for cold upstreams that is lost on the way from the
+ * platform's row: they would crash after each restart. */
+static void test_cold_limit_is_read(void)
+{
+	uint64_t version = 0;
+	struct config_snapshot *snapshot = load(
+		"{\"version\":\"r3\",\"listeners\":[{\"host\":\"a.example\","
+		"\"ruleSet\":[{\"name\":\"list\",\"routeType\":\"idempotent\","
+		"\"match\":{\"pathPrefix\":\"/list/\"},\"action\":{"
+		"\"service\":\"desk\",\"timeoutMs\":500,\"attempts\":2}}]}],"
+		"\"clusters\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+		"\"maxConnections\":220,\"coldStartS\":3.0,"
+		"\"coldPerS\":10.5}]}",
+		&version);
+	const struct config_group *group =
+		config_snapshot_group(snapshot, "desk");
+
+	g_assert_cmpfloat(group->cold_per_s, ==, 10.5);
+	g_assert_cmpuint(group->cold_ms, ==, 3000);
+	config_snapshot_unref(snapshot);
+}
+
 static void test_routes_become_rules(void)
 {
 	uint64_t version = 0;
@@ -270,6 +292,7 @@
 	g_test_add_func("/manifest/corruption",
 			test_random_corruption_is_survived);
 	g_test_add_func("/manifest/cached", test_body_follows_from_the_row_alone);
+	g_test_add_func("/manifest/cold", test_cold_limit_is_read);
 	g_test_add_func("/manifest/budget", test_changed_retry_budget_is_written);
 	return g_test_run();
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -134,8 +134,26 @@
 	return text;
 }
 
+#define COLD_SECTION "{{#bounds.coldOverage}}"
+#define COLD_SECTION_END "{{/bounds.coldOverage}}"
+
+/* Removes the section for installations that limit cold upstreams, or only its
+ * marks. */
+static void render_section(GString *text, bool is_kept)
+{
+	char *begin = strstr(text->str, COLD_SECTION);
+	char *end = strstr(text->str, COLD_SECTION_END);
+
+	g_assert_nonnull(begin);
+	g_assert_nonnull(end);
+	if (!is_kept)
+		g_string_erase(text, begin - text->str, end - begin);
+	g_string_replace(text, COLD_SECTION, "", 0);
+	g_string_replace(text, COLD_SECTION_END, "", 0);
+}
+
 /* Fills in the settings template for the users' platform as the platform does. */
-static GString *render_template(void)
+static GString *render_template(bool limits_cold)
 {
 	static const struct {
 		const char *placeholder;
@@ -156,6 +174,8 @@
 		{"{{bounds.retryBudgetRatio}}", "0.2"},
 		{"{{bounds.budgetSlack}}", "58"},
 		{"{{bounds.probesPerS}}", "60"},
+		{"{{bounds.coldOverage}}", "1.5"},
+		{"{{bounds.coldSlack}}", "8"},
 		{"{{bounds.graceS}}", "6"},
 	};
 	char *text = read_source("deploy", "settings.json");
@@ -165,17 +185,16 @@
 		g_assert_cmpuint(g_string_replace(rendered, values[i].placeholder,
 						  values[i].value, 0),
 				 >, 0);
+	render_section(rendered, limits_cold);
 	g_free(text);
 	return rendered;
 }
 
-/* Guards against an error in the template, or a placeholder that isn't filled
- * in: no daemon of a deployment would start. */
-static void test_template_is_valid(void)
+static void check_template(bool limits_cold)
 {
 	char *dir = g_dir_make_tmp("settings-XXXXXX", NULL);
 	char *file = g_build_filename(dir, "s.json", NULL);
-	GString *rendered = render_template();
+	GString *rendered = render_template(limits_cold);
 	struct findings findings;
 	struct settings *settings;
 	char *found;
@@ -189,6 +208,9 @@
 	g_assert_true(settings->follows_platform);
 	g_assert_cmpuint(settings->ready.port, ==, 7001);
 	g_assert_cmpuint(settings->probes_per_s, ==, 60);
+	g_assert_cmpfloat(settings->cold_start.overage, ==,
+			  limits_cold ? 1.5 : 1.0);
+	g_assert_cmpfloat(settings->cold_start.slack, ==, limits_cold ? 8 : 0);
 	settings_destroy(settings);
 	findings_finish(&findings);
 	g_unlink(file);
@@ -199,6 +221,14 @@
 	g_free(dir);
 }
 
+/* Guards against an error in the template, or a placeholder that isn't filled
+ * in: no daemon of a deployment would start. */
+static void test_template_is_valid(void)
+{
+	check_template(false);
+	check_template(true);
+}
+
 /* Every address accepts the key "at", so the page documents it once for all. */
 static bool is_documented_once(const char *key)
 {
@@ -229,7 +259,7 @@
 {
 	char *page = read_source("docs", "settings.md");
 	char *sample = read_source("comfreydockd", "comfreydockd.sample.json");
-	GString *rendered = render_template();
+	GString *rendered = render_template(true);
 	const char *texts[] = {sample, rendered->str};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
