--- a/comfreydockctl/status.c
+++ b/comfreydockctl/status.c
@@ -16,6 +16,12 @@
 	printf("config    head %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT "\n",
 	       jsonc_get_uint(config, "head"),
 	       jsonc_get_uint(config, "known_head"));
+	printf("evacuated %" G_GUINT64_FORMAT " failure domains%s\n",
+	       jsonc_get_uint(root, "evacuated_domains"),
+	       json_object_get_boolean(
+		       json_object_object_get(root, "is_evacuated")) ?
+		       ", this one too" :
+		       "");
 	printf("upstream  %s, %" G_GUINT64_FORMAT " running, %" G_GUINT64_FORMAT
 	       " queued, limit %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
 	       " slots\n",
--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -14,11 +14,13 @@
 #include "comfreydockd/config/spread_peers.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/daemon.h"
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/gossip.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/member/rows.h"
 #include "comfreydockd/operator/operator.h"
 #include "comfreydockd/peer/peers.h"
+#include "comfreydockd/platform/evacuation_rows.h"
 #include "comfreydockd/platform/platform.h"
 #include "comfreydockd/platform/rows_store.h"
 #include "comfreydockd/platform_integration.h"
@@ -34,6 +36,7 @@
 #include "common/log.h"
 #include "common/slice.h"
 #include "platform/headers.h"
+#include "platform/manifest.h"
 
 #define TIMELINE_ENTRIES 8192
 struct assembly {
@@ -47,6 +50,7 @@
 	struct stop *stop;
 	struct platform_integration *platform_integration;
 	struct reload *reload;
+	struct evacuation evacuation;
 	struct gossip_handlers gossip_handlers;
 	struct config_platform *config_platform; /* NULL: no platform */
 	struct spread_peers *spread;
@@ -181,6 +185,23 @@
 		rows_note_quarantine(assembly->rows, record, change);
 }
 
+/* Applies a change of the evacuated domains, from the platform or from a peer. */
+static void handle_evacuation(const struct evacuation *evacuation, void *data)
+{
+	const struct daemon *daemon = data;
+	bool is_own = evacuation_has(evacuation,
+				     evacuation_key(daemon->settings->domain));
+
+	log_event(EV_EVACUATION_CHANGED, LOG_INT("domains", evacuation->count),
+		  LOG_INT("as_of", evacuation->as_of), LOG_INT("own", is_own));
+	counters.evacuation_changes++;
+	member_table_set_evacuation(daemon->members, evacuation);
+	if (daemon->owner)
+		owner_set_evacuated(daemon->owner, is_own);
+	if (daemon->gossip)
+		gossip_note_evacuation(daemon->gossip);
+}
+
 static bool create_components(struct assembly *assembly)
 {
 	struct daemon *daemon = &assembly->daemon;
@@ -189,6 +210,10 @@
 	daemon->slice_queue = slice_queue_create(daemon->loop);
 	daemon->http = http_client_create(daemon->loop);
 	daemon->members = member_table_create();
+	assembly->evacuation.handle_changed = handle_evacuation;
+	assembly->evacuation.data = daemon;
+	daemon->evacuation = &assembly->evacuation;
+	member_table_set_evacuation(daemon->members, daemon->evacuation);
 	daemon->quarantine =
 		quarantine_create(settings->quarantine_trial_ms * US_PER_MS,
 				  handle_quarantine, assembly);
@@ -264,6 +289,23 @@
 	platform_set_restore_handler(daemon->platform, handle_restored, assembly);
 }
 
+static void create_evacuation_rows(struct daemon *daemon)
+{
+	bool follows = daemon->settings->follows_platform;
+	struct evacuation_rows_options options = {
+		.loop = daemon->loop,
+		.platform = daemon->platform,
+		.evacuation = daemon->evacuation,
+		.members = daemon->members,
+		.prefix = follows ? PLATFORM_EVACUATION_PREFIX :
+				    EVACUATION_ROWS_PREFIX,
+		.is_polled = !follows,
+		.seed = id_random_u64(),
+	};
+
+	daemon->evacuation_rows = evacuation_rows_create(&options);
+}
+
 static void connect_config_sources(struct assembly *assembly)
 {
 	struct daemon *daemon = &assembly->daemon;
@@ -335,6 +377,7 @@
 		return NULL;
 	}
 	create_rows(assembly);
+	create_evacuation_rows(daemon);
 	connect_components(assembly);
 	connect_config_sources(assembly);
 	if (!start_platform_integration(assembly)) {
@@ -373,6 +416,7 @@
 	reload_destroy(assembly->reload);
 	stop_destroy(assembly->stop);
 	rows_store_destroy(assembly->rows_store);
+	evacuation_rows_destroy(daemon->evacuation_rows);
 	spread_peers_destroy(assembly->spread);
 	config_platform_destroy(assembly->config_platform);
 	member_table_destroy(daemon->members);
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -101,7 +101,9 @@
 {
 	int64_t left_ms = MAX(call->deadline_us - now, 0) / US_PER_MS;
 
-	call->reason = CFD__REASON__REASON_NO_UPSTREAM;
+	call->reason = call->service->has_evacuated ?
+			       CFD__REASON__REASON_EVACUATED :
+			       CFD__REASON__REASON_NO_UPSTREAM;
 	call->come_back_ms = (uint32_t)MIN(NO_UPSTREAM_COME_BACK_MS,
 					   left_ms / NO_UPSTREAM_LEFT_DIVISOR);
 }
@@ -155,6 +157,7 @@
 	case CFD__REASON__REASON_CONNECT:
 	case CFD__REASON__REASON_SLOW:
 	case CFD__REASON__REASON_FAILING:
+	case CFD__REASON__REASON_EVACUATED:
 		return RETRY_OUTCOME_NOT_HERE;
 	case CFD__REASON__REASON_OVERLOAD:
 	case CFD__REASON__REASON_SHED:
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -23,6 +23,7 @@
 	[CFD__REASON__REASON_FAILING] = "failing",
 	[CFD__REASON__REASON_UNREACHABLE] = "unreachable",
 	[CFD__REASON__REASON_QUARANTINED] = "quarantined",
+	[CFD__REASON__REASON_EVACUATED] = "evacuated",
 };
 
 const char *outcome_reason_name(Cfd__Reason reason)
--- a/comfreydockd/caller/services.c
+++ b/comfreydockd/caller/services.c
@@ -145,6 +145,7 @@
 				  struct subset_upstream *subset)
 {
 	const struct settings *settings = service->services->daemon->settings;
+	bool is_partial = members->len > subset_size(members->len);
 	size_t count = 0;
 
 	for (guint i = 0; i < members->len; i++) {
@@ -152,6 +153,10 @@
 
 		if (member->state == MEMBER_DEAD || member->state == MEMBER_LEFT)
 			continue;
+		/* They would take places of a subset, but where it holds all,
+		 * their load and health is kept for their return. */
+		if (member->is_evacuated && is_partial)
+			continue;
 		subset[count].host = member->host;
 		subset[count].local =
 			strcmp(member->domain, settings->domain) == 0;
@@ -162,6 +167,17 @@
 	subset[count].host = NULL;
 }
 
+static bool has_evacuated(const GPtrArray *members)
+{
+	for (guint i = 0; i < members->len; i++) {
+		const struct member *member = g_ptr_array_index(members, i);
+
+		if (member->is_evacuated)
+			return true;
+	}
+	return false;
+}
+
 static bool subset_has(const struct subset_upstream *subset, const char *host)
 {
 	for (; subset->host; subset++) {
@@ -183,6 +199,7 @@
 	struct service_upstream *next;
 
 	service->stale = false;
+	service->has_evacuated = group && has_evacuated(group);
 	service->group_version =
 		member_table_group_version(members, service->group);
 	if (group)
--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -5,12 +5,17 @@
 
 #include "comfreydockd/decide/random.h"
 #include "comfreydockd/decide/rendezvous.h"
+#include "comfreydockd/member/evacuation.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
 #include "common/slice.h"
 #include "common/timer.h"
 
+/* The configuration and one evacuation more than are taken, which shows that the
+ * list is too long. */
+#define FOLLOW_ROWS_MAX (EVACUATION_DOMAINS_MAX + 2)
+
 /*
  * Every daemon reads the row once after the start. The elected daemons of a
  * failure domain then watch it; the others wait for the peers. A daemon that
@@ -159,6 +164,64 @@
 			free_row_adoption, adoption);
 }
 
+/* RETURN VALUE: the failure domain in the key of an evacuation, or NULL. */
+static const char *evacuated_domain(const struct config_follow *follow,
+				    const struct platform_row *row)
+{
+	const char *prefix = follow->options.evacuation_prefix;
+
+	if (!prefix || !g_str_has_prefix(row->key, prefix))
+		return NULL;
+	return row->key + strlen(prefix);
+}
+
+/* A read returns all rows, so a domain without one is not evacuated. */
+static void take_all_evacuations(const struct config_follow *follow,
+				 const struct platform_answer *answer)
+{
+	uint64_t keys[FOLLOW_ROWS_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < answer->row_count && i < FOLLOW_ROWS_MAX; i++) {
+		const char *domain = evacuated_domain(follow, &answer->rows[i]);
+
+		if (domain)
+			keys[count++] = evacuation_key(domain);
+	}
+	if (count > EVACUATION_DOMAINS_MAX)
+		log_event(EV_EVACUATION_LIST_TOO_LONG, LOG_INT("rows", count),
+			  LOG_INT("limit", EVACUATION_DOMAINS_MAX));
+	evacuation_replace(follow->options.evacuation, answer->version, keys,
+			   count, clock_mono_us());
+}
+
+/* A watch returns the rows that have changed, in the order of the changes. */
+static void take_changed_evacuations(const struct config_follow *follow,
+				     const struct platform_answer *answer)
+{
+	for (size_t i = 0; i < answer->row_count; i++) {
+		const struct platform_row *row = &answer->rows[i];
+		const char *domain = evacuated_domain(follow, row);
+
+		if (domain)
+			evacuation_set(follow->options.evacuation, row->version,
+				       evacuation_key(domain), row->value,
+				       clock_mono_us());
+	}
+	evacuation_note_complete(follow->options.evacuation, answer->version);
+}
+
+static void take_evacuations(const struct config_follow *follow,
+			     const struct platform_answer *answer, bool was_read)
+{
+	if (!follow->options.evacuation_prefix)
+		return;
+	if (was_read)
+		take_all_evacuations(follow, answer);
+	else
+		take_changed_evacuations(follow, answer);
+}
+
 /* RETURN VALUE: false if the platform's store did not answer. */
 static bool handle_answer(struct config_follow *follow,
 			  const struct platform_answer *answer,
@@ -167,6 +230,7 @@
 	if (answer->status != PLATFORM_OK && answer->status != PLATFORM_NOT_FOUND)
 		return false;
 	follow->store_version = MAX(follow->store_version, answer->version);
+	take_evacuations(follow, answer, was_read);
 	for (size_t i = 0; i < answer->row_count; i++) {
 		if (strcmp(answer->rows[i].key, follow->options.key) == 0)
 			begin_row_adoption(follow, &answer->rows[i], as_of_us,
@@ -257,8 +321,8 @@
 static void read_row(struct config_follow *follow, platform_handler handler)
 {
 	counters.config_head_reads++;
-	platform_get(follow->options.platform, follow->options.key, handler,
-		     follow);
+	platform_get_from(follow->options.platform, follow->options.key,
+			  FOLLOW_ROWS_MAX, handler, follow);
 }
 
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
--- a/comfreydockd/member/gossip.c
+++ b/comfreydockd/member/gossip.c
@@ -272,6 +272,7 @@
 	struct swim_options options = {.table = daemon->members,
 				       .self = &self,
 				       .quarantine = daemon->quarantine,
+				       .evacuation = daemon->evacuation,
 				       .seed = id_random_u64(),
 				       .ops = &gossip->ops};
 
@@ -381,6 +382,11 @@
 	swim_set_config_head(gossip->swim, head);
 }
 
+void gossip_note_evacuation(struct gossip *gossip)
+{
+	swim_note_evacuation(gossip->swim);
+}
+
 const struct member *gossip_self(const struct gossip *gossip)
 {
 	return swim_self(gossip->swim);
--- a/comfreydockd/member/member_table.c
+++ b/comfreydockd/member/member_table.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/member.h"
 
 struct group {
@@ -14,6 +15,7 @@
 	GHashTable *by_group; /* interned group to struct group */
 	uint64_t version; /* highest version given to any group */
 	GPtrArray *empty;
+	const struct evacuation *evacuation; /* NULL: none */
 	GArray *observers;
 	struct member_bucket buckets[MEMBER_BUCKETS];
 	uint64_t digests[MEMBER_BUCKETS];
@@ -274,6 +276,30 @@
 	return member;
 }
 
+/* RETURN VALUE: true if is_evacuated has changed. */
+static bool member_update_evacuated(const struct member_table *table,
+				    struct member *member)
+{
+	bool was_evacuated = member->is_evacuated;
+
+	member->is_evacuated = table->evacuation &&
+			       evacuation_has(table->evacuation,
+					      evacuation_key(member->domain));
+	return member->is_evacuated != was_evacuated;
+}
+
+void member_table_set_evacuation(struct member_table *table,
+				 const struct evacuation *evacuation)
+{
+	struct member *member;
+
+	table->evacuation = evacuation;
+	TAILQ_FOREACH (member, &table->all, link) {
+		if (member_update_evacuated(table, member))
+			member_table_bump_group_versions(table, member);
+	}
+}
+
 bool member_table_update(struct member_table *table,
 			 const struct member *record, int64_t now_us)
 {
@@ -286,6 +312,7 @@
 	member_table_toggle_digest(table, member);
 	member_apply_record(member, record, now_us);
 	member_table_toggle_digest(table, member);
+	member_update_evacuated(table, member);
 	member_table_set_groups(table, member, record->groups);
 	member_table_bump_group_versions(table, member);
 	for (guint i = 0; i < table->observers->len; i++) {
--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -6,6 +6,7 @@
 #define COMFREYDOCKD_MEMBER_SWIM_INTERNAL_H
 
 #include "comfreydockd/decide/quarantine.h"
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/swim.h"
 #include "proto/gossip.pb-c.h"
 
@@ -80,6 +81,7 @@
 	struct member *self;
 	const struct swim_ops *ops;
 	struct quarantine *quarantine; /* or NULL */
+	struct evacuation *evacuation; /* or NULL */
 	uint64_t random;
 	uint64_t seq;
 	uint64_t config_head;
@@ -135,6 +137,7 @@
 	struct quarantine_record quarantined[SWIM_QUARANTINED_MAX];
 	Cfd__QuarantineRecord quarantine_records[SWIM_QUARANTINED_MAX];
 	Cfd__QuarantineRecord *quarantine_pointers[SWIM_QUARANTINED_MAX];
+	uint64_t evacuated[EVACUATION_DOMAINS_MAX];
 	size_t size;
 };
 
--- a/comfreydockd/operator/metrics.c
+++ b/comfreydockd/operator/metrics.c
@@ -1,6 +1,7 @@
 #include <sys/resource.h>
 
 #include "comfreydockd/caller/entry.h"
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/operator/handler.h"
 #include "comfreydockd/upstream/owner.h"
@@ -51,10 +52,20 @@
 	metric_append_gauge(text, "upstream_pace_age_us",
 			    "since it told this, 0 where it never did",
 			    (double)MAX(status.pace_age_us, 0));
+	metric_append_gauge(text, "upstream_evacuated",
+			    "1: its failure domain is evacuated",
+			    status.is_evacuated);
 	metric_append_gauge(text, "upstream_up", "1: it takes requests",
 			    status.state == OWNER_UP);
 }
 
+static void append_evacuation(GString *text, const struct evacuation *evacuation)
+{
+	metric_append_gauge(text, "evacuated_domains",
+			    "failure domains that get no requests",
+			    (double)evacuation->count);
+}
+
 static void append_versions(GString *text, const struct config_snapshot *snapshot)
 {
 	const GPtrArray *namespaces = snapshot->namespaces;
@@ -123,6 +134,7 @@
 	tally_append_text(text);
 	latencies_append_text(text);
 	append_upstream(text, daemon->owner);
+	append_evacuation(text, daemon->evacuation);
 	append_members(text, daemon->members);
 	append_config(text, daemon->config);
 	if (daemon->entry)
--- a/comfreydockd/operator/status.c
+++ b/comfreydockd/operator/status.c
@@ -1,3 +1,4 @@
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/operator/gather.h"
 #include "comfreydockd/operator/handler.h"
@@ -28,6 +29,10 @@
 	jsonc_add_uint(config, "known_head",
 		       config_store_known_head(daemon->config));
 	json_object_object_add(root, "config", config);
+	jsonc_add_uint(root, "evacuated_domains", daemon->evacuation->count);
+	jsonc_add_bool(root, "is_evacuated",
+		       evacuation_has(daemon->evacuation,
+				      evacuation_key(settings->domain)));
 	json_object_object_add(root, "upstream", operator_upstream_to_json(api));
 	operator_reply(request, 200, root);
 }
@@ -50,6 +55,7 @@
 	jsonc_add_text(root, "service", service_states[member->service_state]);
 	jsonc_add_uint(root, "slots", member->slots);
 	jsonc_add_uint(root, "warm_ms", member->warm_ms);
+	jsonc_add_bool(root, "is_evacuated", member->is_evacuated);
 	for (char **group = member->groups; group && *group; group++)
 		json_object_array_add(groups, json_object_new_string(*group));
 	json_object_object_add(root, "groups", groups);
--- a/comfreydockd/platform_integration.c
+++ b/comfreydockd/platform_integration.c
@@ -68,6 +68,8 @@
 		.domain = settings->domain,
 		.table = PLATFORM_MANIFEST_TABLE,
 		.key = PLATFORM_MANIFEST_KEY,
+		.evacuation_prefix = PLATFORM_EVACUATION_PREFIX,
+		.evacuation = integration->daemon->evacuation,
 		.namespace = PLATFORM_MANIFEST_NAMESPACE,
 		.ops = &integration->follow_ops,
 		.slice_queue = integration->daemon->slice_queue,
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -6,6 +6,22 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
+static bool owner_takes_attempts(const struct owner *owner, const char *group)
+{
+	return owner->state == OWNER_UP && !owner->is_evacuated &&
+	       owner_has_group(owner, group);
+}
+
+/* RETURN VALUE: why the owner takes no attempts of a group. */
+static Cfd__Reason refusal_reason(const struct owner *owner)
+{
+	if (owner->is_evacuated)
+		return CFD__REASON__REASON_EVACUATED;
+	if (owner->state == OWNER_DRAINING)
+		return CFD__REASON__REASON_DRAINING;
+	return CFD__REASON__REASON_NO_UPSTREAM;
+}
+
 static void owner_handle_attempt(struct owner *owner, struct peer *peer,
 				 Cfd__Frame *frame)
 {
@@ -38,12 +54,9 @@
 	attempt->item.may_queue = request->may_queue;
 	attempt->item.holds_others = request->holds_others;
 	LIST_INSERT_HEAD(&state->attempts, attempt, link);
-	if (owner->state != OWNER_UP || !owner_has_group(owner, request->group)) {
+	if (!owner_takes_attempts(owner, request->group)) {
 		attempt_owner_step(&attempt->state, OWNER_REFUSE);
-		attempt_refuse(attempt,
-			       owner->state == OWNER_DRAINING ?
-				       CFD__REASON__REASON_DRAINING :
-				       CFD__REASON__REASON_NO_UPSTREAM,
+		attempt_refuse(attempt, refusal_reason(owner),
 			       OWNER_RETRY_AFTER_MS);
 		return;
 	}
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -455,6 +455,7 @@
 	struct queue_slots slots = owner_slots(owner);
 
 	status->state = owner->state;
+	status->is_evacuated = owner->is_evacuated;
 	status->slots = owner->announced.slots;
 	status->limit = slots.limit;
 	status->running = owner->running;
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -161,6 +161,20 @@
 	owner_publish(owner);
 }
 
+void owner_set_evacuated(struct owner *owner, bool is_evacuated)
+{
+	if (owner->is_evacuated == is_evacuated)
+		return;
+	owner->is_evacuated = is_evacuated;
+	log_event(EV_OWNER_EVACUATED, LOG_INT("evacuated", is_evacuated),
+		  LOG_INT("running", owner->running),
+		  LOG_INT("queued", queue_length(&owner->queue)));
+	if (is_evacuated)
+		owner_refuse_all(owner, CFD__REASON__REASON_EVACUATED);
+	/* Without requests the upstream may have become cold. */
+	cold_start_invalidate(&owner->cold);
+}
+
 void owner_note_other_instance(struct owner *owner)
 {
 	log_event(EV_OWNER_OTHER_INSTANCE,
--- a/include/comfreydockctl/ctl.h
+++ b/include/comfreydockctl/ctl.h
@@ -49,10 +49,13 @@
 extern const struct ctl_command ctl_apply;
 extern const struct ctl_command ctl_check;
 extern const struct ctl_command ctl_drain;
+extern const struct ctl_command ctl_evacuate;
+extern const struct ctl_command ctl_evacuations;
 extern const struct ctl_command ctl_failures;
 extern const struct ctl_command ctl_hosts;
 extern const struct ctl_command ctl_metrics;
 extern const struct ctl_command ctl_quarantine;
+extern const struct ctl_command ctl_restore;
 extern const struct ctl_command ctl_resume;
 extern const struct ctl_command ctl_show;
 extern const struct ctl_command ctl_status;
--- a/include/comfreydockd/caller/services.h
+++ b/include/comfreydockd/caller/services.h
@@ -54,6 +54,7 @@
 	struct retry retry;
 	struct hedge hedge;
 	uint64_t group_version; /* of the group's members, at the last refresh */
+	bool has_evacuated; /* some upstreams are in evacuated domains */
 	bool stale; /* to be refreshed whatever the version is */
 };
 
--- a/include/comfreydockd/config/follow.h
+++ b/include/comfreydockd/config/follow.h
@@ -4,7 +4,10 @@
  *
  * DESCRIPTION
  *	If the platform's own operator writes the configuration, one row holds
- *	all of it. The daemon reads the row once and then watches it: the
+ *	all of it. Further rows of the same table, whose keys begin with
+ *	evacuation_prefix, name the failure domains that are evacuated. They are
+ *	read and watched together with the configuration, without further calls;
+ *	see member/evacuation.h. The daemon reads the row once and then watches it: the
  *	platform's store answers as soon as it changes. A lower version never
  *	replaces a higher one; see config_store.
  *
@@ -59,6 +62,7 @@
 #define CONFIG_FOLLOW_COALESCE_US (200 * 1000)
 
 struct config_follow;
+struct evacuation;
 struct slice_queue;
 
 struct config_follow_ops {
@@ -79,6 +83,10 @@
 	const char *domain;
 	const char *table;
 	const char *key; /* "TABLE/REST" */
+	/* Sorts after key. The rest of such a key is a failure domain. NULL:
+	 * none. */
+	const char *evacuation_prefix;
+	struct evacuation *evacuation;
 	const char *namespace; /* of the file that ops->read returns */
 	const struct config_follow_ops *ops;
 	struct slice_queue *slice_queue; /* to parse rows in; NULL: at once */
--- a/include/comfreydockd/daemon.h
+++ b/include/comfreydockd/daemon.h
@@ -16,6 +16,8 @@
 
 struct config_store;
 struct entry;
+struct evacuation;
+struct evacuation_rows;
 struct gossip;
 struct headers;
 struct http_client;
@@ -39,6 +41,8 @@
 	struct platform *platform;
 	struct member_table *members;
 	struct quarantine *quarantine;
+	struct evacuation *evacuation;
+	struct evacuation_rows *evacuation_rows;
 	struct gossip *gossip;
 	struct config_store *config;
 	struct peers *peers;
--- /dev/null
+++ b/include/comfreydockd/member/evacuation.h
@@ -0,0 +1,71 @@
+/*
+ * NAME
+ *	evacuation - failure domains whose upstreams must get no requests
+ *
+ * DESCRIPTION
+ *	An operator evacuates a failure domain, for example before work on its
+ *	power supply, and restores it later. Each daemon holds the list of all
+ *	evacuated domains as of a version of the platform's store. Daemons that
+ *	read the store replace the list or change it row by row. Gossip carries
+ *	the whole list in every packet, and of two lists the later one wins. So
+ *	a daemon that missed a change, was partitioned or has just been started
+ *	gets it from any peer.
+ *
+ *	Entries don't choose upstreams of an evacuated domain. An owner there
+ *	refuses what it has not begun, and lets what runs finish. The daemons of
+ *	the domain go on as entries.
+ *
+ *	A domain is identified by evacuation_key(), a hash of its name, which
+ *	keeps the list small in each packet.
+ */
+#ifndef COMFREYDOCKD_MEMBER_EVACUATION_H
+#define COMFREYDOCKD_MEMBER_EVACUATION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define EVACUATION_DOMAINS_MAX 16
+
+struct evacuation_entry {
+	uint64_t key;
+	int64_t since_us; /* when this daemon learned of it */
+};
+
+struct evacuation {
+	uint64_t as_of; /* version of the platform's store; 0: nothing is known */
+	size_t count;
+	struct evacuation_entry entries[EVACUATION_DOMAINS_MAX]; /* by key */
+	/* Called after the list has changed; may be NULL. */
+	void (*handle_changed)(const struct evacuation *evacuation, void *data);
+	void *data;
+};
+
+uint64_t evacuation_key(const char *domain);
+
+bool evacuation_has(const struct evacuation *evacuation, uint64_t key);
+
+/*
+ * Takes over the complete list as of a version, unless the own one is at least
+ * as new. Domains beyond EVACUATION_DOMAINS_MAX are ignored.
+ *
+ * RETURN VALUE
+ *	true if the list has changed.
+ */
+bool evacuation_replace(struct evacuation *evacuation, uint64_t as_of,
+			const uint64_t *keys, size_t count, int64_t now_us);
+
+/*
+ * Adds or removes one domain as of a version. All changes up to that version
+ * must have been applied before.
+ *
+ * RETURN VALUE
+ *	true if the list has changed.
+ */
+bool evacuation_set(struct evacuation *evacuation, uint64_t as_of, uint64_t key,
+		    bool is_evacuated, int64_t now_us);
+
+/* All changes up to this version have been applied. */
+void evacuation_note_complete(struct evacuation *evacuation, uint64_t as_of);
+
+#endif
--- a/include/comfreydockd/member/gossip.h
+++ b/include/comfreydockd/member/gossip.h
@@ -57,6 +57,9 @@
 void gossip_leave(struct gossip *gossip);
 void gossip_set_config_head(struct gossip *gossip, uint64_t head);
 
+/* Spreads the list of evacuated domains, which has changed. */
+void gossip_note_evacuation(struct gossip *gossip);
+
 /* This host's record, as last announced. */
 const struct member *gossip_self(const struct gossip *gossip);
 bool gossip_has_peers(const struct gossip *gossip);
--- a/include/comfreydockd/member/member.h
+++ b/include/comfreydockd/member/member.h
@@ -51,6 +51,7 @@
 	uint32_t slots;
 	uint32_t warm_ms; /* warm-up time that the upstream declared */
 	int64_t up_since_us; /* local time when service_state became UP */
+	bool is_evacuated; /* its failure domain is; see evacuation.h */
 	void *entry_data; /* per-upstream state of the entry */
 	void *swim_data; /* protocol state of swim */
 	LIST_ENTRY(member) bucket_link;
@@ -68,7 +69,8 @@
 static inline bool member_is_usable(const struct member *member)
 {
 	return (member->state == MEMBER_ALIVE || member->state == MEMBER_SUSPECT) &&
-	       member->service_state == MEMBER_SERVICE_UP;
+	       member->service_state == MEMBER_SERVICE_UP &&
+	       !member->is_evacuated;
 }
 
 struct member_table;
@@ -129,6 +131,13 @@
 			 const struct member *record, int64_t now_us);
 void member_table_remove(struct member_table *table, const char *host);
 
+struct evacuation;
+
+/* Sets is_evacuated of all members. The evacuation also applies to members that
+ * are added later, and must outlive the table. */
+void member_table_set_evacuation(struct member_table *table,
+				 const struct evacuation *evacuation);
+
 struct member_bucket *member_table_bucket(struct member_table *table,
 					  unsigned int bucket);
 
--- a/include/comfreydockd/member/swim.h
+++ b/include/comfreydockd/member/swim.h
@@ -76,6 +76,7 @@
 /* A longer gap between ticks means that this process was suspended. */
 #define SWIM_FREEZE_US (1500 * 1000)
 
+struct evacuation;
 struct quarantine;
 struct swim;
 
@@ -108,6 +109,8 @@
 	/* Its records are gossiped too. May be NULL; must outlive the swim
 	 * object. */
 	struct quarantine *quarantine;
+	/* Carried by all packets. May be NULL; must outlive the swim object. */
+	struct evacuation *evacuation;
 };
 
 /* Adds the self record to the table. */
@@ -146,6 +149,9 @@
 void swim_leave(struct swim *swim, int64_t now_us);
 
 void swim_set_config_head(struct swim *swim, uint64_t head);
+
+/* The list of evacuated domains has changed and must spread. */
+void swim_note_evacuation(struct swim *swim);
 const struct member *swim_self(const struct swim *swim);
 
 /* RETURN VALUE: true if another member is alive or suspect. */
--- a/include/comfreydockd/operator/handler.h
+++ b/include/comfreydockd/operator/handler.h
@@ -35,6 +35,10 @@
 			   struct http_request *request);
 void operator_check_config(struct operator_api *api,
 			   struct http_request *request);
+void operator_get_evacuations(struct operator_api *api,
+			      struct http_request *request);
+void operator_evacuate(struct operator_api *api, struct http_request *request);
+void operator_restore(struct operator_api *api, struct http_request *request);
 void operator_get_hosts(struct operator_api *api, struct http_request *request);
 void operator_get_quarantine(struct operator_api *api,
 			     struct http_request *request);
--- a/include/comfreydockd/platform/platform.h
+++ b/include/comfreydockd/platform/platform.h
@@ -105,6 +105,11 @@
 void platform_get(struct platform *platform, const char *key,
 		  platform_handler handler, void *data);
 
+/* Reads the row of a key together with those that follow it in its table, limit
+ * at most. A missing row is no error. */
+void platform_get_from(struct platform *platform, const char *key,
+		       unsigned int limit, platform_handler handler, void *data);
+
 /* Lists rows of a table in the order of their keys, beginning after
  * after_key, or with the first row if it is NULL. limit 0: the platform chooses
  * the page size. */
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -35,6 +35,7 @@
 
 struct owner_status {
 	enum owner_state state;
+	bool is_evacuated;
 	uint32_t slots;
 	uint32_t limit;
 	uint32_t running;
@@ -63,6 +64,10 @@
 void owner_drain_upstream(struct owner *owner);
 void owner_resume(struct owner *owner);
 
+/* The failure domain of this host was evacuated or restored. While it is
+ * evacuated, the owner refuses all attempts that it has not begun. */
+void owner_set_evacuated(struct owner *owner, bool is_evacuated);
+
 /* The configuration has changed, and with it perhaps the measuring budget. */
 void owner_note_config(struct owner *owner);
 
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -35,6 +35,7 @@
 	struct report_history history; /* empty if the upstream never reports */
 	bool is_closed; /* drained by the operator or by this daemon's stop */
 	bool is_stopping;
+	bool is_evacuated; /* with the failure domain of this host */
 	ev_timer start_check_timer; /* retries the health request */
 	struct report_check start_check; /* for a start not confirmed yet */
 	struct gauge *gauge;
--- a/include/platform/manifest.h
+++ b/include/platform/manifest.h
@@ -25,6 +25,8 @@
 #define PLATFORM_MANIFEST_TABLE "op"
 #define PLATFORM_MANIFEST_KEY PLATFORM_MANIFEST_TABLE "/config"
 #define PLATFORM_MANIFEST_NAMESPACE "operator"
+/* The operator evacuates a failure domain by a row with this key and its name. */
+#define PLATFORM_EVACUATION_PREFIX PLATFORM_MANIFEST_TABLE "/evacuate/"
 
 struct platform_manifest_reader;
 
--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -574,7 +574,7 @@
   (ProtobufCMessageInit) cfd__quarantine_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__gossip__field_descriptors[16] =
+static const ProtobufCFieldDescriptor cfd__gossip__field_descriptors[18] =
 {
   {
     "kind",
@@ -768,12 +768,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated_as_of",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Gossip, evacuated_as_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cfd__Gossip, n_evacuated),
+    offsetof(Cfd__Gossip, evacuated),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__gossip__field_indices_by_name[] = {
   8,   /* field[8] = bucket */
   3,   /* field[3] = config_head */
   14,   /* field[14] = config_told_ms */
   10,   /* field[10] = digests */
+  17,   /* field[17] = evacuated */
+  16,   /* field[16] = evacuated_as_of */
   2,   /* field[2] = from */
   12,   /* field[12] = is_last */
   0,   /* field[0] = kind */
@@ -790,7 +816,7 @@
 static const ProtobufCIntRange cfd__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor cfd__gossip__descriptor =
 {
@@ -800,7 +826,7 @@
   "Cfd__Gossip",
   "cfd",
   sizeof(Cfd__Gossip),
-  16,
+  18,
   cfd__gossip__field_descriptors,
   cfd__gossip__field_indices_by_name,
   1,  cfd__gossip__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -178,10 +178,17 @@
   uint32_t config_told_ms;
   size_t n_quarantine;
   Cfd__QuarantineRecord **quarantine;
+  /*
+   * Evacuated failure domains, as of a version of the platform's store; see
+   * member/evacuation.h. 0: not known
+   */
+  uint64_t evacuated_as_of;
+  size_t n_evacuated;
+  uint64_t *evacuated;
 };
 #define CFD__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__gossip__descriptor) \
-    , CFD__GOSSIP_KIND__GOSSIP_NONE, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , CFD__GOSSIP_KIND__GOSSIP_NONE, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /* Cfd__Packet methods */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2768,7 +2768,7 @@
   (ProtobufCMessageInit) cfd__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cfd__reason__enum_values_by_number[14] =
+static const ProtobufCEnumValue cfd__reason__enum_values_by_number[15] =
 {
   { "REASON_UNSPECIFIED", "CFD__REASON__REASON_UNSPECIFIED", 0 },
   { "REASON_BUSY", "CFD__REASON__REASON_BUSY", 1 },
@@ -2784,17 +2784,19 @@
   { "REASON_UNREACHABLE", "CFD__REASON__REASON_UNREACHABLE", 13 },
   { "REASON_FAILING", "CFD__REASON__REASON_FAILING", 14 },
   { "REASON_QUARANTINED", "CFD__REASON__REASON_QUARANTINED", 15 },
+  { "REASON_EVACUATED", "CFD__REASON__REASON_EVACUATED", 16 },
 };
 static const ProtobufCIntRange cfd__reason__value_ranges[] = {
-{0, 0},{12, 10},{0, 14}
+{0, 0},{12, 10},{0, 15}
 };
-static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[14] =
+static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[15] =
 {
   { "REASON_BUSY", 1 },
   { "REASON_CANCELLED", 4 },
   { "REASON_CONNECT", 8 },
   { "REASON_DEADLINE", 2 },
   { "REASON_DRAINING", 3 },
+  { "REASON_EVACUATED", 14 },
   { "REASON_FAILING", 12 },
   { "REASON_NO_UPSTREAM", 6 },
   { "REASON_OVERLOAD", 9 },
@@ -2812,9 +2814,9 @@
   "Reason",
   "Cfd__Reason",
   "cfd",
-  14,
+  15,
   cfd__reason__enum_values_by_number,
-  14,
+  15,
   cfd__reason__enum_values_by_name,
   2,
   cfd__reason__value_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -61,6 +61,10 @@
    * the request has crashed upstreams
    */
   CFD__REASON__REASON_QUARANTINED = 15,
+  /*
+   * the operator evacuated the failure domain
+   */
+  CFD__REASON__REASON_EVACUATED = 16,
   /*
    * set by an entry: no owner of the group answers
    */
--- a/standin/upstream/control.c
+++ b/standin/upstream/control.c
@@ -47,6 +47,7 @@
 	add_count(object, "probes", counts->probes);
 	add_count(object, "misdirected", counts->misdirected);
 	add_count(object, "acknowledged", counts->acknowledged);
+	add_count(object, "most_cold_per_s", counts->most_cold_per_s);
 	return object;
 }
 
@@ -124,6 +125,13 @@
 	return MHD_HTTP_OK;
 }
 
+int64_t control_cold_ms(const struct upstream *upstream)
+{
+	int64_t age_us = clock_mono_us() - upstream->started_us;
+
+	return MAX(upstream->options.warm_ms - age_us / US_PER_MS, 0);
+}
+
 void control_add_load_headers(const struct upstream *upstream,
 			      struct MHD_Response *response)
 {
@@ -137,6 +145,11 @@
 	MHD_add_response_header(response, "X-Comfreydock-Server-Load", text);
 	MHD_add_response_header(response, "X-Comfreydock-Instance-Id",
 				upstream->options.instance);
+	if (control_cold_ms(upstream) == 0)
+		return;
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+		   control_cold_ms(upstream));
+	MHD_add_response_header(response, "X-Comfreydock-Cold-Ms", text);
 }
 
 enum MHD_Result control_answer(struct job *job)
--- a/standin/upstream/heartbeat.c
+++ b/standin/upstream/heartbeat.c
@@ -24,7 +24,8 @@
 	json_object_object_add(
 		object, "state",
 		json_object_new_string(drains ? "draining" : "ready"));
-	json_object_object_add(object, "coldRemainingMs", json_object_new_int(0));
+	json_object_object_add(object, "coldRemainingMs",
+			       json_object_new_int64(control_cold_ms(upstream)));
 	json_object_object_add(object, "sequence",
 			       json_object_new_uint64(sequence));
 	json_object_object_add(object, "born",
--- a/standin/upstream/job.c
+++ b/standin/upstream/job.c
@@ -270,10 +270,30 @@
 	return false;
 }
 
+static void count_cold_arrival(struct upstream *upstream)
+{
+	GArray *arrivals = upstream->cold_arrivals_us;
+	int64_t now = clock_mono_us();
+	uint64_t count = 0;
+
+	if (control_cold_ms(upstream) == 0)
+		return;
+	g_array_append_val(arrivals, now);
+	for (guint i = arrivals->len; i > 0; i--) {
+		if (g_array_index(arrivals, int64_t, i - 1) <= now - US_PER_S)
+			break;
+		count++;
+	}
+	upstream->counts.most_cold_per_s =
+		MAX(upstream->counts.most_cold_per_s, count);
+}
+
 void job_submit(struct job *job)
 {
 	struct upstream *upstream = job->upstream;
 
+	if (!is_misdirected(job))
+		count_cold_arrival(upstream);
 	if (job_refuse(job)) {
 		job->state = JOB_ANSWERING;
 		return;
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -113,6 +113,7 @@
 	uint64_t late; /* deadline passed while waiting */
 	uint64_t probes; /* GET /health and GET /load */
 	uint64_t misdirected; /* requests to another instance */
+	uint64_t most_cold_per_s; /* most arrivals in a second while cold */
 	uint64_t acknowledged; /* heartbeats and deregistrations */
 };
 
@@ -161,6 +162,7 @@
 	int running;
 	int open_jobs;
 	int64_t started_us;
+	GArray *cold_arrivals_us; /* of int64_t */
 	int64_t born_ms; /* wall-clock start time, sent in heartbeats */
 	bool stopping;
 	GRand *random;
@@ -192,6 +194,8 @@
 
 /* Adds the load and instance headers that an upstream with an instance id sends
  * with each response. */
+/* RETURN VALUE: how long the upstream stays cold. */
+int64_t control_cold_ms(const struct upstream *upstream);
 void control_add_load_headers(const struct upstream *upstream,
 			      struct MHD_Response *response);
 void control_start_reports(struct upstream *upstream);
--- a/tests/swim_net.c
+++ b/tests/swim_net.c
@@ -72,6 +72,15 @@
 	return self->told_us ? net.now_us - self->told_us : -1;
 }
 
+/* As in a daemon, a change from any source spreads. */
+static void net_handle_evacuation(const struct evacuation *evacuation, void *data)
+{
+	struct host *host = data;
+
+	(void)evacuation;
+	swim_note_evacuation(host->swim);
+}
+
 void host_start(int i)
 {
 	struct host *host = &net.hosts[i];
@@ -94,6 +103,11 @@
 	host->table = options.table = member_table_create();
 	host->quarantine = options.quarantine =
 		quarantine_create(QUARANTINE_TRIAL_US, NULL, NULL);
+	host->evacuation = (struct evacuation){
+		.handle_changed = net_handle_evacuation,
+		.data = host,
+	};
+	options.evacuation = &host->evacuation;
 	options.seed = (uint64_t)g_test_rand_int();
 	host->swim = swim_create(&options, net.now_us);
 	for (int j = 0; j < 2 && !net.has_no_seeds; j++)
--- a/tests/swim_net.h
+++ b/tests/swim_net.h
@@ -11,6 +11,7 @@
 #define TESTS_SWIM_NET_H
 
 #include "comfreydockd/decide/quarantine.h"
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/swim.h"
 
 #define CLUSTER_SIZE 40 /* hosts in most of the larger tests */
@@ -25,6 +26,7 @@
 	char address[24];
 	struct swim *swim; /* NULL: not running */
 	struct quarantine *quarantine;
+	struct evacuation evacuation;
 	struct member_table *table;
 	struct swim_ops ops;
 	uint64_t incarnation;
--- a/tests/system/fleet.c
+++ b/tests/system/fleet.c
@@ -127,13 +127,15 @@
 	char *told = g_strdup_printf("%u", relay ? relay->port : 0);
 	char *instance = g_strdup_printf("i-%u-%u", i, host->starts);
 	char *report_to = g_strdup_printf("127.0.0.1:%u", host->reports);
+	char *cold_ms = g_strdup_printf("%u", fleet->options.cold_ms);
 
 	host->upstream = rig_start_standin(
 		fleet->rig, "standin/upstream/standin-upstream", "--port", port,
 		"--told-port", told, "--instance", instance, "--service",
 		FLEET_SERVICE, "--report-to", report_to, "--service-time-us",
 		fleet->options.service_time_us, "--slots", fleet->options.slots,
-		"--runs", host->runs_file, NULL);
+		"--warm-ms", cold_ms, "--runs", host->runs_file, NULL);
+	g_free(cold_ms);
 	g_free(report_to);
 	g_free(instance);
 	g_free(told);
@@ -249,7 +251,13 @@
 			       "book", FLEET_DEADLINE_MS, 3);
 	g_string_append(row, "]}],\"clusters\":[{\"name\":\"" FLEET_SERVICE
 			     "\",\"healthPath\":\"/health\","
-			     "\"maxConnections\":200}]}");
+			     "\"maxConnections\":200");
+	if (fleet->options.cold_per_s)
+		g_string_append_printf(row,
+				       ",\"coldStartS\":%.3f,\"coldPerS\":%u",
+				       fleet->options.cold_ms / 1000.0,
+				       fleet->options.cold_per_s);
+	g_string_append(row, "}]}");
 	value = g_base64_encode((const guchar *)row->str, row->len);
 	body = g_strdup_printf(
 		"{\"expect\":[],\"setKeys\":[{\"table\":\"op\",\"part\":\"\","
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -52,6 +52,10 @@
 	const char *slots;
 	const char *service_time_us;
 	bool relayed;
+	/* If set, upstreams are cold for cold_ms after their start, and the
+	 * configuration allows them cold_per_s requests a second meanwhile. */
+	unsigned int cold_ms;
+	unsigned int cold_per_s;
 };
 
 struct fleet {
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 #include "comfreydockd/config/follow.h"
+#include "comfreydockd/member/evacuation.h"
 #include "common/clock.h"
 #include "common/log.h"
 #include "paused_clock.h"
 
 #define TABLE "op"
 #define KEY "op/config"
+#define PREFIX "op/evacuate/"
 #define NAMESPACE "n"
 #define FILE_FORMAT                                                      \
 	"{\"namespace\":\"n\",\"services\":{\"s\":{\"hosts\":[\"h%s\"]," \
@@ -32,6 +34,7 @@
 static struct config_store *config;
 static struct member_table *members;
 static struct config_follow *follow;
+static struct evacuation evacuation;
 
 static void open_call(struct open_call *call, platform_handler handler, void *data)
 {
@@ -40,10 +43,11 @@
 	call->data = data;
 }
 
-void platform_get(struct platform *platform, const char *key,
-		  platform_handler handler, void *data)
+void platform_get_from(struct platform *platform, const char *key,
+		       unsigned int limit, platform_handler handler, void *data)
 {
 	g_assert_cmpstr(key, ==, KEY);
+	g_assert_cmpuint(limit, >, EVACUATION_DOMAINS_MAX);
 	open_call(&platform->get, handler, data);
 	platform->gets++;
 }
@@ -86,6 +90,30 @@
 	handler(&told, call->data);
 }
 
+/* Answers the open call with rows of evacuated domains; a row without a value was
+ * deleted. */
+static void answer_domains(uint64_t version, const struct platform_row *rows,
+			   size_t count)
+{
+	struct platform_answer told = {
+		.status = PLATFORM_OK,
+		.rows = rows,
+		.row_count = count,
+		.version = version,
+	};
+	struct open_call *call = store.get.handler ? &store.get : &store.watch;
+	platform_handler handler = call->handler;
+
+	g_assert_nonnull(handler);
+	call->handler = NULL;
+	handler(&told, call->data);
+}
+
+static bool is_evacuated(const char *domain)
+{
+	return evacuation_has(&evacuation, evacuation_key(domain));
+}
+
 static void run_ms(int64_t ms)
 {
 	for (int64_t i = 0; i < ms; i += 5) {
@@ -128,11 +156,14 @@
 		.table = TABLE,
 		.key = KEY,
 		.namespace = NAMESPACE,
+		.evacuation_prefix = PREFIX,
+		.evacuation = &evacuation,
 		.ops = &ops,
 		.seed = 3,
 	};
 
 	memset(&store, 0, sizeof(store));
+	memset(&evacuation, 0, sizeof(evacuation));
 	options.store = config = config_store_create();
 	options.members = members = member_table_create();
 	follow = config_follow_create(&options);
@@ -396,6 +427,55 @@
 	finish();
 }
 
+/* The rows of evacuated domains come with the reads and watches of the
+ * configuration, without a call of their own. */
+static void test_evacuations_are_followed(void)
+{
+	const struct platform_row read[] = {
+		{.key = (char *)KEY, .version = 10, .value = (char *)"2", .size = 1},
+		{.key = (char *)PREFIX "esja", .version = 12, .value = (char *)"{}"},
+		{.key = (char *)"op/other", .version = 3, .value = (char *)"{}"},
+	};
+	const struct platform_row changed[] = {
+		{.key = (char *)PREFIX "katla",
+		 .version = 14,
+		 .value = (char *)"{}"},
+		{.key = (char *)PREFIX "esja", .version = 15},
+	};
+
+	begin();
+	answer_domains(12, read, G_N_ELEMENTS(read));
+	g_assert_cmpuint(held(), ==, 2);
+	g_assert_true(is_evacuated("esja"));
+	g_assert_cmpuint(evacuation.count, ==, 1);
+	run_ms(300);
+	answer_domains(16, changed, G_N_ELEMENTS(changed));
+	g_assert_false(is_evacuated("esja"));
+	g_assert_true(is_evacuated("katla"));
+	g_assert_cmpuint(evacuation.as_of, ==, 16);
+	g_assert_cmpuint(store.gets, ==, 1);
+	finish();
+}
+
+/* Guards against a domain that stays out of use, as it was restored while the
+ * store dropped its history: the rows that are read are all there are. */
+static void test_lost_history_restores_domain(void)
+{
+	const struct platform_row rows[] = {
+		{.key = (char *)PREFIX "esja", .version = 12, .value = (char *)"{}"},
+	};
+
+	begin();
+	answer_domains(12, rows, G_N_ELEMENTS(rows));
+	g_assert_true(is_evacuated("esja"));
+	run_ms(300);
+	answer(PLATFORM_HISTORY_GONE, 0, NULL);
+	run_ms(10);
+	answer(PLATFORM_OK, 40, (char *)"9");
+	g_assert_false(is_evacuated("esja"));
+	finish();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -414,5 +494,8 @@
 	g_test_add_func("/follow/lost-watch",
 			test_lost_watch_is_bypassed_by_read);
 	g_test_add_func("/follow/rate", test_rate_of_reads);
+	g_test_add_func("/follow/evacuations", test_evacuations_are_followed);
+	g_test_add_func("/follow/evacuation-history",
+			test_lost_history_restores_domain);
 	return g_test_run();
 }
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -6,9 +6,11 @@
 #include "comfreydockd/config/model.h"
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/quarantine.h"
+#include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/operator/operator.h"
 #include "comfreydockd/peer/peers.h"
+#include "comfreydockd/platform/evacuation_rows.h"
 #include "comfreydockd/settings.h"
 #include "comfreydockd/upstream/owner.h"
 #include "common/clock.h"
@@ -66,6 +68,36 @@
 }
 
 /* A fake member table with one group. */
+/* A fake store of the evacuated domains, with one row at most. */
+struct evacuation_rows {
+	struct evacuation *evacuation;
+	char domain[MEMBER_DOMAIN_MAX]; /* "": no row */
+	char by[MEMBER_DOMAIN_MAX];
+	bool is_away;
+	enum platform_status changes_to;
+};
+
+void evacuation_rows_list(struct evacuation_rows *rows,
+			  evacuation_list_handler handler, void *data)
+{
+	struct evacuation_row row = {rows->domain, rows->by, 1790000000000};
+
+	handler(!rows->is_away, &row, rows->domain[0] && !rows->is_away, data);
+}
+
+void evacuation_rows_change(struct evacuation_rows *rows, const char *domain,
+			    const char *by, evacuation_change_handler handler,
+			    void *data)
+{
+	if (rows->changes_to == PLATFORM_OK) {
+		g_strlcpy(rows->domain, by ? domain : "", sizeof(rows->domain));
+		g_strlcpy(rows->by, by ? by : "", sizeof(rows->by));
+		evacuation_set(rows->evacuation, rows->evacuation->as_of + 1,
+			       evacuation_key(domain), by, 0);
+	}
+	handler(rows->changes_to, data);
+}
+
 struct member_table {
 	struct member_list all;
 	GPtrArray *group;
@@ -138,6 +170,8 @@
 struct fixture {
 	struct settings settings;
 	struct daemon daemon;
+	struct evacuation evacuation;
+	struct evacuation_rows evacuation_rows;
 	struct owner owner;
 	struct member_table members;
 	struct member member;
@@ -155,6 +189,11 @@
 static void setup(struct fixture *f, gconstpointer token)
 {
 	f->settings.host = "esja-01";
+	f->settings.domain = "hall-esja";
+	f->member.domain = "hall-katla";
+	f->daemon.evacuation = &f->evacuation;
+	f->daemon.evacuation_rows = &f->evacuation_rows;
+	f->evacuation_rows.evacuation = &f->evacuation;
 	f->settings.admin.address = "127.0.0.1";
 	f->settings.admin_token = (char *)token;
 	f->token = token;
@@ -329,6 +368,47 @@
 	call(f, "POST", "/v1/quarantine/clear", "", 400, "16 hexadecimal digits");
 }
 
+static void test_domain_is_evacuated(struct fixture *f, gconstpointer data)
+{
+	const char *evacuate =
+		"/v1/evacuations/evacuate?domain=hall-katla&by=anna";
+	const char *restore = "/v1/evacuations/restore?domain=hall-katla";
+
+	(void)data;
+	call(f, "GET", "/v1/evacuations", NULL, 200, "\"domains\":[]");
+	call(f, "POST", evacuate, "", 200, "\"state\":\"evacuated\"");
+	call(f, "GET", "/v1/evacuations", NULL, 200,
+	     "\"domain\":\"hall-katla\",\"by\":\"anna\"");
+	call(f, "GET", "/v1/evacuations", NULL, 200, "\"in_force\":true");
+	call(f, "GET", "/v1/status", NULL, 200, "\"evacuated_domains\":1");
+	f->evacuation_rows.is_away = true;
+	call(f, "GET", "/v1/evacuations", NULL, 200,
+	     "\"platform_answered\":false");
+	call(f, "GET", "/v1/evacuations", NULL, 200, "\"domain\":\"hall-katla\"");
+	f->evacuation_rows.is_away = false;
+	call(f, "POST", restore, "", 200, "\"state\":\"restored\"");
+	call(f, "GET", "/v1/evacuations", NULL, 200, "\"domains\":[]");
+}
+
+/* Guards against an order that the operator believes in force and that is not. */
+static void test_refused_evacuations_say_why(struct fixture *f, gconstpointer data)
+{
+	const char *evacuate = "/v1/evacuations/evacuate?domain=hall-katla";
+
+	(void)data;
+	call(f, "POST", "/v1/evacuations/evacuate", "", 400,
+	     "a failure domain is required");
+	call(f, "POST", "/v1/evacuations/evacuate?domain=hall-kalta", "", 404,
+	     "no known host is in this failure domain");
+	f->evacuation_rows.changes_to = PLATFORM_REJECTED;
+	call(f, "POST", evacuate, "", 409, "the platform's operator");
+	f->evacuation_rows.changes_to = PLATFORM_UNAVAILABLE;
+	call(f, "POST", evacuate, "", 503, "nothing was changed");
+	f->evacuation_rows.changes_to = PLATFORM_UNKNOWN;
+	call(f, "POST", evacuate, "", 503, "repeat the command");
+	g_assert_cmpuint(f->evacuation.count, ==, 0);
+}
+
 /*
  * Guards against hosts that are missing from the pages of a listing. The
  * listing has pages because one answer with 22,000 hosts would need more memory
@@ -447,8 +527,8 @@
 	g_assert_cmpuint(f->conflicts, ==, 1);
 }
 
-static void platform_get(void *platform, const char *key,
-			 config_get_handler handler, void *data)
+static void fake_get(void *platform, const char *key,
+		     config_get_handler handler, void *data)
 {
 	struct fixture *f = platform;
 	bool is_head = strcmp(key, CONFIG_HEAD_KEY) == 0;
@@ -456,9 +536,8 @@
 	handler(CONFIG_PLATFORM_OK, 1, is_head ? NULL : f->row, 0, data);
 }
 
-static void platform_transact(void *platform, const struct config_write *writes,
-			      size_t count, config_done_handler handler,
-			      void *data)
+static void fake_transact(void *platform, const struct config_write *writes,
+			  size_t count, config_done_handler handler, void *data)
 {
 	struct fixture *f = platform;
 
@@ -489,8 +568,8 @@
 static void test_check_and_apply(struct fixture *f, gconstpointer unused)
 {
 	static const struct config_platform_ops ops = {
-		.get = platform_get,
-		.transact = platform_transact,
+		.get = fake_get,
+		.transact = fake_transact,
 		.put_object = platform_put,
 		.wait = platform_wait,
 	};
@@ -539,6 +618,8 @@
 	    test_conflict_with_stale_configuration);
 	ADD("/operator/hosts", NULL, test_hosts_come_in_pages);
 	ADD("/operator/quarantine", NULL, test_quarantine_is_cleared);
+	ADD("/operator/evacuate", NULL, test_domain_is_evacuated);
+	ADD("/operator/evacuate-refused", NULL, test_refused_evacuations_say_why);
 	ADD("/operator/token", "secret", test_token_is_needed);
 	ADD("/operator/announce", NULL, test_upstream_announces_itself);
 	ADD("/operator/stop", NULL, test_stop_waits_for_the_last_request);
