decide/cold_start: leave the slack to what the owner doesn't control

The rate with its overage alone is used (16 here), and a cold upstream is asked at most every 150 ms.

The setting cold_start.slack goes, as nothing uses it.

--- a/comfreydockd/decide/cold_start.c
+++ b/comfreydockd/decide/cold_start.c
@@ -48,7 +48,7 @@
 			  const struct cold_start_options *options,
 			  int64_t now_us)
 {
-	double most = floor(options->per_s * options->overage + options->slack);
+	double most = floor(options->per_s * options->overage);
 	uint32_t limit = 0;
 
 	if (options->per_s > 0)
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -12,6 +12,18 @@
  * often. */
 #define ASK_INTERVAL_HELD_S 0.02
 #define ASK_INTERVAL_SLOW_S 0.04
+/* A cold upstream gets fewer queries, which take its time like requests. */
+#define ASK_INTERVAL_COLD_US (150 * US_PER_MS)
+
+/* RETURN VALUE: true if the upstream is cold and was asked a moment ago. */
+static bool gate_spares_upstream(const struct owner *owner)
+{
+	int64_t now = clock_mono_us();
+
+	return cold_start_is_limiting(&owner->cold, now) &&
+	       now - owner->asked_us < ASK_INTERVAL_COLD_US &&
+	       !gauge_is_pending(owner->gauge);
+}
 
 static bool gate_ask(struct owner *owner)
 {
@@ -22,14 +34,17 @@
 		.instance = owner_instance(owner),
 	};
 
-	if (!owner->pool)
+	if (!owner->pool || gate_spares_upstream(owner))
 		return false;
 	group = config_snapshot_group(config_store_current(owner->daemon->config),
 				      owner->announced.groups[0]);
 	if (!group)
 		return false;
 	target.path = group->health_path;
-	return gauge_ask(owner->gauge, &target);
+	if (!gauge_ask(owner->gauge, &target))
+		return false;
+	owner->asked_us = clock_mono_us();
+	return true;
 }
 
 static void gate_arm(struct owner *owner)
--- a/comfreydockd/upstream/gauge.c
+++ b/comfreydockd/upstream/gauge.c
@@ -93,6 +93,11 @@
 	gauge->handler(&reading, gauge->data);
 }
 
+bool gauge_is_pending(const struct gauge *gauge)
+{
+	return gauge->pending;
+}
+
 bool gauge_ask(struct gauge *gauge, const struct gauge_target *target)
 {
 	struct http_call call = {
--- a/include/comfreydockd/decide/cold_start.h
+++ b/include/comfreydockd/decide/cold_start.h
@@ -37,7 +37,9 @@
  *	A sliding window makes the limit hold in each second, also for requests
  *	that arrive in bursts, and lets a burst use the whole limit at once. The
  *	window is slightly longer than a second, for the way from the owner to
- *	the upstream.
+ *	the upstream. Health requests don't count; what the upstream tolerates
+ *	beyond the limit is left for them and for requests that arrive closer
+ *	together than they were started.
  *
  * UNITS
  *	Times are monotonic microseconds.
@@ -60,7 +62,6 @@
 struct cold_start_options {
 	double per_s; /* requests that a cold upstream tolerates; 0: any */
 	double overage; /* factor by which that may be exceeded */
-	double slack; /* requests in addition to that */
 	uint32_t duration_ms; /* how long it stays cold; 0: unknown */
 };
 
--- a/include/comfreydockd/upstream/gauge.h
+++ b/include/comfreydockd/upstream/gauge.h
@@ -46,6 +46,8 @@
 			   void *data);
 void gauge_destroy(struct gauge *gauge);
 
+bool gauge_is_pending(const struct gauge *gauge);
+
 /* RETURN VALUE: true if a query is pending, sent now or earlier. */
 bool gauge_ask(struct gauge *gauge, const struct gauge_target *target);
 
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -39,6 +39,7 @@
 	ev_timer start_check_timer; /* retries the health request */
 	struct report_check start_check; /* for a start not confirmed yet */
 	struct gauge *gauge;
+	int64_t asked_us; /* time of the gauge's last query */
 	struct pace pace; /* how slow the upstream reports its host to be */
 	struct knee knee;
 	struct breaker breaker; /* opens if the upstream answers no request */
--- a/tests/test_cold_start.c
+++ b/tests/test_cold_start.c
@@ -4,12 +4,10 @@
 #include "comfreydockd/decide/random.h"
 #include "common/clock.h"
 
-/* What the operator states: 11 requests a second, by factor 1.5 and 8 more at
- * most. */
+/* What the operator states: 11 requests a second, by factor 1.5 at most. */
 #define PER_S 11.0
 #define OVERAGE 1.5
-#define SLACK 8.0
-#define LIMIT 24
+#define LIMIT 16
 #define COLD_MS 3000
 #define STARTS_MAX 4096
 
@@ -48,7 +46,6 @@
 	struct cold_start_options options = {
 		.per_s = per_s,
 		.overage = OVERAGE,
-		.slack = SLACK,
 		.duration_ms = COLD_MS,
 	};
 
@@ -237,7 +234,7 @@
 
 	cold_start_note_heartbeat(&cold, COLD_MS, 0);
 	g_assert_cmpuint(cold_start_slots(&cold, 9, 10 * US_PER_MS, 0), ==, 1);
-	g_assert_cmpuint(cold_start_slots(&cold, 9, 100 * US_PER_MS, 0), ==, 2);
+	g_assert_cmpuint(cold_start_slots(&cold, 9, 200 * US_PER_MS, 0), ==, 3);
 	g_assert_cmpuint(cold_start_slots(&cold, 9, US_PER_S, 0), ==, 9);
 	g_assert_cmpuint(cold_start_slots(&cold, 9, 0, COLD_MS * US_PER_MS), ==,
 			 9);
