upstream/report: a start whose first report arrives here has got no requests yet

Processor time charged, a daemon takes long to start on a tenth of a core, so that its upstream became cold before the daemon counted.

If the first report of a start (sequence 1) reaches this daemon, no earlier daemon can have known the start.

--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -141,9 +141,9 @@
 		  LOG_STR("instance", owner->history.instance), LOG_STR("by", by),
 		  LOG_INT("reports", owner->start_check.reports));
 	owner->start_check.is_unconfirmed = false;
-	/* This daemon has seen another start before, so only its own requests
-	 * can have reached this one. */
-	if (owner->history.past_count > 0)
+	/* No earlier daemon can have sent requests to this start: this one has
+	 * seen the start before it, or its very first report. */
+	if (owner->history.past_count > 0 || owner->start_check.saw_first_report)
 		cold_start_forget(&owner->cold);
 	announce_to_owner(owner, &owner->start_check, true);
 	owner_note_cold_heartbeat(owner, owner->start_check.warm_ms);
@@ -252,6 +252,8 @@
 		crash_confirm(owner, "new-start");
 		report_check_reset(check);
 		check->is_unconfirmed = true;
+		check->saw_first_report =
+			report->sequence <= REPORT_FIRST_SEQUENCE;
 		/* The announced start has been replaced. The owner sends no
 		 * requests until the new start is confirmed and announced. */
 		owner_set_no_upstream(owner);
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -83,6 +83,7 @@
  * serves; or, as a health answer may mislead, by further reports, which an
  * instance that has left doesn't send.
  */
+#define REPORT_FIRST_SEQUENCE 1 /* of each start */
 #define REPORT_CONFIRM_COUNT 3 /* this many reports confirm their start */
 #define REPORT_CHECK_TIMEOUT_MS 200 /* a health answer on the same host */
 #define REPORT_CHECK_RETRY_S 0.25 /* shorter than an upstream's start */
@@ -92,6 +93,7 @@
 /* The confirmation of the current start, and the upstream as last reported. */
 struct report_check {
 	bool is_unconfirmed; /* the current start is not confirmed yet */
+	bool saw_first_report; /* of the current start */
 	unsigned int reports; /* received from this start */
 	unsigned int failed_checks; /* unsuccessful health requests */
 	struct http_pending_call *pending;
