--- a/comfreydockd/member/swim.c
+++ b/comfreydockd/member/swim.c
@@ -365,15 +365,12 @@
 
 	if (strcmp(message->from, swim->self->host) == 0)
 		return true; /* one of the seeds is this daemon itself */
-	if (message->n_evacuated > EVACUATION_DOMAINS_MAX ||
+	if (!swim_evacuation_is_valid(message) ||
 	    !swim_quarantine_is_valid(swim, message) ||
 	    !apply_records(swim, message, from))
 		return false;
 	swim_quarantine_merge(swim, message);
-	if (swim->evacuation)
-		evacuation_replace(swim->evacuation, message->evacuated_as_of,
-				   message->evacuated, message->n_evacuated,
-				   swim->now_us);
+	swim_evacuation_merge(swim, message);
 	if (swim->ops->handle_config_head)
 		swim->ops->handle_config_head(message->from, message->config_head,
 					      swim_told_age_us(swim, message),
@@ -510,8 +507,3 @@
 	swim->config_head = head;
 	swim->head_transmits = swim_rumour_limit(swim);
 }
-
-void swim_note_evacuation(struct swim *swim)
-{
-	swim->head_transmits = swim_rumour_limit(swim);
-}
--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -166,6 +166,11 @@
 			struct member *member);
 bool swim_endpoint_is_valid(const char *address, uint32_t port);
 
+/* swim_evacuation.c: every packet carries the list of evacuated domains */
+void swim_evacuation_fill(const struct swim *swim, struct swim_packet *packet);
+bool swim_evacuation_is_valid(const Cfd__Gossip *message);
+void swim_evacuation_merge(struct swim *swim, const Cfd__Gossip *message);
+
 /* swim_quarantine.c */
 void swim_quarantine_fill(struct swim *swim, struct swim_packet *packet);
 /* RETURN VALUE: false if a field of a record is out of bounds. */
--- a/comfreydockd/member/swim_message.c
+++ b/comfreydockd/member/swim_message.c
@@ -42,16 +42,6 @@
 	       queue_delay_us(swim);
 }
 
-static void add_evacuation(const struct evacuation *evacuation,
-			   struct swim_packet *packet)
-{
-	for (size_t i = 0; i < evacuation->count; i++)
-		packet->evacuated[i] = evacuation->entries[i].key;
-	packet->message.evacuated_as_of = evacuation->as_of;
-	packet->message.evacuated = packet->evacuated;
-	packet->message.n_evacuated = evacuation->count;
-}
-
 void swim_packet_init(struct swim *swim, struct swim_packet *packet,
 		      Cfd__GossipKind kind, uint64_t seq)
 {
@@ -62,8 +52,7 @@
 	packet->message.config_head = swim->config_head;
 	packet->message.config_told_ms = told_ms(swim);
 	packet->message.records = packet->pointers;
-	if (swim->evacuation)
-		add_evacuation(swim->evacuation, packet);
+	swim_evacuation_fill(swim, packet);
 	packet->size = 0;
 }
 
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -67,19 +67,15 @@
 	return store.get.handler || store.watch.handler;
 }
 
-/* Answers the open read, if there is one, else the watch. */
-static void answer(enum platform_status status, uint64_t version, char *value)
+/* Answers the open read, if there is one, else the watch. A row without a value
+ * was deleted. */
+static void answer_rows(enum platform_status status, uint64_t version,
+			const struct platform_row *rows, size_t count)
 {
-	struct platform_row row = {
-		.key = (char *)KEY,
-		.version = version,
-		.value = value,
-		.size = value ? strlen(value) : 0,
-	};
 	struct platform_answer told = {
 		.status = status,
-		.rows = &row,
-		.row_count = value != NULL,
+		.rows = rows,
+		.row_count = count,
 		.version = version,
 	};
 	struct open_call *call = store.get.handler ? &store.get : &store.watch;
@@ -90,23 +86,17 @@
 	handler(&told, call->data);
 }
 
-/* Answers the open call with rows of evacuated domains; a row without a value was
- * deleted. */
-static void answer_domains(uint64_t version, const struct platform_row *rows,
-			   size_t count)
+/* Answers with the row of the configuration, or without rows. */
+static void answer(enum platform_status status, uint64_t version, char *value)
 {
-	struct platform_answer told = {
-		.status = PLATFORM_OK,
-		.rows = rows,
-		.row_count = count,
+	struct platform_row row = {
+		.key = (char *)KEY,
 		.version = version,
+		.value = value,
+		.size = value ? strlen(value) : 0,
 	};
-	struct open_call *call = store.get.handler ? &store.get : &store.watch;
-	platform_handler handler = call->handler;
 
-	g_assert_nonnull(handler);
-	call->handler = NULL;
-	handler(&told, call->data);
+	answer_rows(status, version, &row, value != NULL);
 }
 
 static bool is_evacuated(const char *domain)
@@ -444,12 +434,12 @@
 	};
 
 	begin();
-	answer_domains(12, read, G_N_ELEMENTS(read));
+	answer_rows(PLATFORM_OK, 12, read, G_N_ELEMENTS(read));
 	g_assert_cmpuint(held(), ==, 2);
 	g_assert_true(is_evacuated("esja"));
 	g_assert_cmpuint(evacuation.count, ==, 1);
 	run_ms(300);
-	answer_domains(16, changed, G_N_ELEMENTS(changed));
+	answer_rows(PLATFORM_OK, 16, changed, G_N_ELEMENTS(changed));
 	g_assert_false(is_evacuated("esja"));
 	g_assert_true(is_evacuated("katla"));
 	g_assert_cmpuint(evacuation.as_of, ==, 16);
@@ -466,7 +456,7 @@
 	};
 
 	begin();
-	answer_domains(12, rows, G_N_ELEMENTS(rows));
+	answer_rows(PLATFORM_OK, 12, rows, G_N_ELEMENTS(rows));
 	g_assert_true(is_evacuated("esja"));
 	run_ms(300);
 	answer(PLATFORM_HISTORY_GONE, 0, NULL);
