member/swim: daemons that started together don't stay in islands

All four daemons had been killed and started at once; d0 and d3 had found each other, and d1 and d2, and for 10 s the pairs did not meet.

A daemon that has one peer pings its seeds every 30 to 90 s. The first ping to a host that isn't up yet is lost. With few hosts there is no other way between the pairs until then: rows are read every 10 minutes once there are peers.

Class: what is tried only until something is found. The same elsewhere: rows are read page by page until there are peers; with the seeds of the first page tried again this suffices, so it stays.

Seeds are pinged each second for 15 s after the start. One packet a second.

Besides: upstream_expected_wait_us counts the limit of a cold upstream; cold_start_is_known() is called cold_start_is_reported().

--- a/comfreydockd/decide/cold_start.c
+++ b/comfreydockd/decide/cold_start.c
@@ -112,7 +112,7 @@
 	return cold->limit > 0 && (!cold->is_reported || now_us < cold->until_us);
 }
 
-bool cold_start_is_known(const struct cold_start *cold)
+bool cold_start_is_reported(const struct cold_start *cold)
 {
 	return !cold->limit || cold->is_reported;
 }
--- a/comfreydockd/member/swim.c
+++ b/comfreydockd/member/swim.c
@@ -135,6 +135,7 @@
 	swim->evacuation = options->evacuation;
 	swim->random = options->seed;
 	swim->now_us = now_us;
+	swim->started_us = now_us;
 	swim->ticked_at_us = now_us;
 	swim->probe_order = g_ptr_array_new();
 	TAILQ_INIT(&swim->urgent);
--- a/comfreydockd/member/swim_internal.h
+++ b/comfreydockd/member/swim_internal.h
@@ -118,6 +118,7 @@
 	int64_t next_sync_us;
 	int64_t next_reprobe_us;
 	int64_t next_seed_us;
+	int64_t started_us;
 	int64_t next_unknown_ping_us;
 	/* Valid while received records are applied. A record from a sync page
 	 * must not be spread as a rumour again. */
--- a/comfreydockd/member/swim_sync.c
+++ b/comfreydockd/member/swim_sync.c
@@ -23,6 +23,10 @@
 #define REPROBERS 8
 #define SEED_INTERVAL_ALONE_US (1000 * 1000)
 #define SEED_INTERVAL_US (60 * 1000 * 1000)
+/* For this time after the start, seeds are pinged as if there were no peers. When
+ * all hosts start at once, the first pings reach only some of them, and those
+ * that found each other would stay apart from the others. */
+#define SEED_START_US (15 * 1000 * 1000)
 
 /* Members that one digest of a request covers, on average. One page of a reply
  * holds the members of a few digests. */
@@ -290,19 +294,19 @@
 
 static void seeds_tick(struct swim *swim)
 {
-	bool has_no_peers = !swim_has_peers(swim);
+	bool is_urgent = !swim_has_peers(swim) ||
+			 swim->now_us - swim->started_us < SEED_START_US;
 
-	if (has_no_peers &&
+	if (is_urgent &&
 	    swim->next_seed_us > swim->now_us + SEED_INTERVAL_ALONE_US)
 		swim->next_seed_us = swim->now_us;
 	if (swim->seed_count == 0 || swim->now_us < swim->next_seed_us)
 		return;
 	swim->next_seed_us =
 		swim->now_us +
-		(has_no_peers ?
-			 SEED_INTERVAL_ALONE_US :
-			 SEED_INTERVAL_US / 2 +
-				 swim_random_below(swim, SEED_INTERVAL_US));
+		(is_urgent ? SEED_INTERVAL_ALONE_US :
+			     SEED_INTERVAL_US / 2 +
+				     swim_random_below(swim, SEED_INTERVAL_US));
 	swim_ping_endpoint(
 		swim, &swim->seeds[swim_random_below(swim, swim->seed_count)]);
 }
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -139,7 +139,7 @@
 		return;
 	}
 	if ((!pace_is_fresh(&owner->pace, clock_mono_us()) ||
-	     !cold_start_is_known(&owner->cold)) &&
+	     !cold_start_is_reported(&owner->cold)) &&
 	    gate_ask(owner)) {
 		gate_hold(owner, attempt);
 		return;
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -61,6 +61,17 @@
 	return slots;
 }
 
+/* RETURN VALUE: the wait of an attempt that arrives now, for a slot or for the
+ * limit of a cold upstream. */
+static uint32_t expected_wait_us(const struct owner *owner,
+				 const struct queue_slots *slots)
+{
+	int64_t wait_us = MAX(queue_expected_wait_us(&owner->queue, slots),
+			      owner_cold_wait_us(owner));
+
+	return (uint32_t)MIN(wait_us, (int64_t)UINT32_MAX);
+}
+
 void owner_fill_load(const struct owner *owner, Cfd__Load *load)
 {
 	struct queue_slots slots = owner_slots(owner);
@@ -80,10 +91,7 @@
 	 * whether the upstream answers again. */
 	if (owner->breaker.is_open)
 		load->limit = MIN(load->limit, MAX(slots.running, 1));
-	load->expected_wait_us =
-		(uint32_t)MIN(MAX(queue_expected_wait_us(&owner->queue, &slots),
-				  owner_cold_wait_us(owner)),
-			      (int64_t)UINT32_MAX);
+	load->expected_wait_us = expected_wait_us(owner, &slots);
 	/* The median service time at the usual pace, with errors counted as
 	 * slow answers; pace_percent says how much longer requests take now. */
 	load->service_us =
@@ -462,6 +470,5 @@
 	status->queued = queue_length(&owner->queue);
 	status->pace_percent = owner_pace_percent(owner);
 	status->pace_age_us = owner_pace_age_us(owner);
-	status->expected_wait_us = (uint32_t)MIN(
-		queue_expected_wait_us(&owner->queue, &slots), UINT32_MAX);
+	status->expected_wait_us = expected_wait_us(owner, &slots);
 }
--- a/include/comfreydockd/decide/cold_start.h
+++ b/include/comfreydockd/decide/cold_start.h
@@ -102,8 +102,9 @@
 /* RETURN VALUE: true if the limit applies now. */
 bool cold_start_is_limiting(const struct cold_start *cold, int64_t now_us);
 
-/* RETURN VALUE: false if a limit is set and there was no report yet. */
-bool cold_start_is_known(const struct cold_start *cold);
+/* RETURN VALUE: false if a limit is set and the upstream has not reported yet
+ * whether it is cold. */
+bool cold_start_is_reported(const struct cold_start *cold);
 
 /* RETURN VALUE: the time since the last report; INT64_MAX: there was none. */
 int64_t cold_start_report_age_us(const struct cold_start *cold, int64_t now_us);
--- a/include/comfreydockd/member/swim.h
+++ b/include/comfreydockd/member/swim.h
@@ -128,8 +128,8 @@
 		  const uint8_t *body, size_t size, int64_t now_us);
 
 /* Pings the daemon at the address to join its cluster, and keeps the address
- * as a seed. Seeds are pinged often while this daemon has no peers, and
- * rarely afterwards. */
+ * as a seed. Seeds are pinged often after the start and while this daemon has
+ * no peers, and rarely afterwards. */
 void swim_join(struct swim *swim, const char *address, uint16_t port,
 	       int64_t now_us);
 
--- a/tests/system/test_evacuation.c
+++ b/tests/system/test_evacuation.c
@@ -236,6 +236,25 @@
 	}
 }
 
+static bool has_upstream(void *data)
+{
+	return fleet_has_upstream(&fleet, GPOINTER_TO_UINT(data));
+}
+
+/* Guards against a host that serves nobody in the first second after its power
+ * came back, as its daemon counts requests that another one may have sent. */
+static void test_returned_host_takes_requests_at_once(void)
+{
+	rig_kill(fleet.hosts[1].daemon);
+	rig_kill(fleet.hosts[1].upstream);
+	fleet_start_daemon(&fleet, 1);
+	fleet_start_upstream(&fleet, 1);
+	g_assert_true(rig_wait_until(has_upstream, GUINT_TO_POINTER(1), WAIT_MS));
+	g_assert_cmpuint(fleet_metric(&fleet, 1,
+				      "comfreydock_upstream_expected_wait_us"),
+			 ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	int status;
@@ -249,6 +268,8 @@
 			test_evacuation_survives_restarts);
 	g_test_add_func("/evacuation/all", test_all_domains_are_refused_at_once);
 	g_test_add_func("/evacuation/cold", test_restored_domain_is_cold);
+	g_test_add_func("/evacuation/returned-host",
+			test_returned_host_takes_requests_at_once);
 	status = g_test_run();
 	fleet_stop(&fleet);
 	return status;
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -450,9 +450,30 @@
 	net_stop();
 }
 
+/* Guards against islands: all hosts start at once, and each finds one other before
+ * the rest is up. Entries then use half of the upstreams. */
+static void test_pairs_that_started_together_merge(void)
+{
+	net_start(0);
+	net.has_no_seeds = true;
+	net.count = 4;
+	for (int i = 0; i < net.count; i++)
+		host_start(i);
+	swim_join(net.hosts[0].swim, net.hosts[3].address, PORT, net.now_us);
+	swim_join(net.hosts[1].swim, net.hosts[2].address, PORT, net.now_us);
+	net_run(2 * SECOND);
+	net.loss_percent = 100;
+	swim_join(net.hosts[1].swim, net.hosts[3].address, PORT, net.now_us);
+	net_run(SECOND / 10);
+	net.loss_percent = 0;
+	net_settle(10 * SECOND);
+	net_stop();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/swim/pairs", test_pairs_that_started_together_merge);
 	g_test_add_func("/swim/kill", test_killed_host_is_detected);
 	g_test_add_func("/swim/domain", test_lost_domain_is_detected);
 	g_test_add_func("/swim/corrupted", test_corrupted_messages_are_handled);
