--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -143,6 +143,7 @@
 	attempt->verdict = attempt_classify(attempt, status, fields);
 	if (attempt->verdict != ANSWER_GOOD)
 		return false;
+	owner_note_answer(attempt->owner, attempt, fields);
 	if (!attempt->peer)
 		return true;
 	owner_fill_load(attempt->owner, &load);
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -376,6 +376,7 @@
 	crash_finish(owner);
 	gate_finish(owner);
 	owner_finish_cold(owner);
+	unread_fields_finish(&owner->unread);
 	while ((item = queue_take_any(&owner->queue)))
 		attempt_destroy(owner_attempt_of(item));
 	queue_finish(&owner->queue);
@@ -417,6 +418,13 @@
 	gate_review(owner);
 }
 
+void owner_note_answer(struct owner *owner, const struct owner_attempt *attempt,
+		       const struct fields *fields)
+{
+	unread_fields_note(&owner->unread, owner->daemon->headers, fields,
+			   attempt->request->trace);
+}
+
 void owner_remove_from_gate(struct owner *owner, struct owner_attempt *attempt)
 {
 	if (!attempt->is_held)
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -100,6 +100,10 @@
 /* Reads the upstream's load from its header, which any answer may carry. */
 void owner_note_load_header(struct owner *owner, const struct fields *fields);
 
+/* Reads what else the upstream states in the head of a valid answer. */
+void owner_note_answer(struct owner *owner, const struct owner_attempt *attempt,
+		       const struct fields *fields);
+
 /* An instance other than the announced one answers at the address. */
 void owner_note_other_instance(struct owner *owner);
 
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -23,6 +23,7 @@
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/probe.h"
 #include "comfreydockd/upstream/report.h"
+#include "comfreydockd/upstream/unread_fields.h"
 #include "common/freeze.h"
 
 /* The retry-after that is sent if no estimate is known, as on a drain. */
@@ -59,6 +60,7 @@
 	struct speed speed; /* service time, without the effect of pace */
 	struct probe *probe;
 	struct crash_watch crash;
+	struct unread_fields unread;
 	uint32_t running;
 	TAILQ_HEAD(, owner_attempt) runs;
 	ev_prepare loop_prepare; /* dispatches, once all input was read */
