--- a/standin/upstream/control.c
+++ b/standin/upstream/control.c
@@ -48,6 +48,7 @@
 	add_count(object, "misdirected", counts->misdirected);
 	add_count(object, "acknowledged", counts->acknowledged);
 	add_count(object, "most_cold_per_s", counts->most_cold_per_s);
+	add_count(object, "most_limited", counts->most_limited);
 	return object;
 }
 
@@ -74,6 +75,7 @@
 	standin_read_int(command, "strange_next", &faults->strange_next);
 	standin_read_bool(command, "mended", &faults->mended);
 	standin_read_int(command, "promise_next", &faults->promise_next);
+	standin_read_double(command, "limit_per_s", &faults->limit_per_s);
 	standin_read_bool(command, "leave", &leaves);
 	standin_read_bool(command, "old_report", &old_report);
 	json_object_put(command);
@@ -81,6 +83,10 @@
 		heartbeat_deregister(upstream);
 	if (old_report)
 		heartbeat_resend_last(upstream);
+	if (faults->limit_per_s == 0) {
+		upstream->limit_named_us = 0;
+		g_array_set_size(upstream->limited_arrivals_us, 0);
+	}
 	if (cold)
 		upstream->started_us = clock_mono_us();
 	if (!faults->freeze)
--- a/standin/upstream/job.c
+++ b/standin/upstream/job.c
@@ -270,30 +270,52 @@
 	return false;
 }
 
-static void count_cold_arrival(struct upstream *upstream)
+/* Adds an arrival. RETURN VALUE: the arrivals in the window that ends now. */
+static uint64_t count_arrival(GArray *arrivals_us, int64_t window_us)
 {
-	GArray *arrivals = upstream->cold_arrivals_us;
 	int64_t now = clock_mono_us();
 	uint64_t count = 0;
 
-	if (control_cold_ms(upstream) == 0)
-		return;
-	g_array_append_val(arrivals, now);
-	for (guint i = arrivals->len; i > 0; i--) {
-		if (g_array_index(arrivals, int64_t, i - 1) <= now - US_PER_S)
+	g_array_append_val(arrivals_us, now);
+	for (guint i = arrivals_us->len; i > 0; i--) {
+		if (g_array_index(arrivals_us, int64_t, i - 1) <= now - window_us)
 			break;
 		count++;
 	}
+	return count;
+}
+
+static void count_cold_arrival(struct upstream *upstream)
+{
+	uint64_t count;
+
+	if (control_cold_ms(upstream) == 0)
+		return;
+	count = count_arrival(upstream->cold_arrivals_us, US_PER_S);
 	upstream->counts.most_cold_per_s =
 		MAX(upstream->counts.most_cold_per_s, count);
 }
 
+static void count_limited_arrival(struct upstream *upstream)
+{
+	int64_t since_us = upstream->limit_named_us + LIMIT_GRACE_MS * US_PER_MS;
+	uint64_t count;
+
+	if (!upstream->limit_named_us || clock_mono_us() < since_us)
+		return;
+	count = count_arrival(upstream->limited_arrivals_us,
+			      LIMIT_WINDOW_MS * US_PER_MS);
+	upstream->counts.most_limited = MAX(upstream->counts.most_limited, count);
+}
+
 void job_submit(struct job *job)
 {
 	struct upstream *upstream = job->upstream;
 
-	if (!is_misdirected(job))
+	if (!is_misdirected(job)) {
 		count_cold_arrival(upstream);
+		count_limited_arrival(upstream);
+	}
 	if (job_refuse(job)) {
 		job->state = JOB_ANSWERING;
 		return;
--- a/standin/upstream/main.c
+++ b/standin/upstream/main.c
@@ -112,6 +112,7 @@
 	http_server_destroy(upstream->server);
 	g_hash_table_destroy(upstream->runs);
 	g_array_unref(upstream->cold_arrivals_us);
+	g_array_unref(upstream->limited_arrivals_us);
 	g_rand_free(upstream->random);
 	ev_loop_destroy(upstream->loop);
 	if (upstream->runs_fd >= 0)
@@ -142,6 +143,7 @@
 	upstream.runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	upstream.cold_arrivals_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	upstream.limited_arrivals_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	upstream.runs_fd = open_runs(options.runs_path);
 	upstream.started_us = clock_mono_us();
 	upstream.born_ms = clock_wall_us() / US_PER_MS;
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/http_server.h"
 #include "upstream.h"
 
@@ -98,6 +99,19 @@
 	return response;
 }
 
+/* Names the limit, as an upstream does that needs fewer requests. */
+static void add_limit_header(struct upstream *upstream,
+			     struct MHD_Response *response)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+
+	if (!upstream->limit_named_us)
+		upstream->limit_named_us = clock_mono_us();
+	MHD_add_response_header(response, "X-Comfreydock-Server-Limit",
+				g_ascii_formatd(number, sizeof(number), "%.1f",
+						upstream->faults.limit_per_s));
+}
+
 /* Adds the headers that upstreams on the users' platform send with each
  * response. */
 static void add_platform_headers(struct job *job, struct MHD_Response *response,
@@ -115,6 +129,8 @@
 	if (job->status == MHD_HTTP_SERVICE_UNAVAILABLE && !job->has_run)
 		MHD_add_response_header(response, "X-Comfreydock-Not-Executed",
 					"1");
+	if (upstream->faults.limit_per_s > 0)
+		add_limit_header(upstream, response);
 	control_add_load_headers(upstream, response);
 }
 
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -43,6 +43,10 @@
 
 #include "precise_timer.h"
 
+/* Time that callers of the upstream have to follow a limit. */
+#define LIMIT_GRACE_MS 500
+#define LIMIT_WINDOW_MS 4000
+
 struct http_client;
 struct http_server;
 
@@ -93,6 +97,9 @@
 	/* The next responses that are 503 after a run, without a header that
 	 * says whether the request ran. */
 	int64_t promise_next;
+	/* Requests a second that responses name as the limit; 0: none is
+	 * named. */
+	double limit_per_s;
 };
 
 struct upstream_report {
@@ -114,6 +121,9 @@
 	uint64_t probes; /* GET /health and GET /load */
 	uint64_t misdirected; /* requests to another instance */
 	uint64_t most_cold_per_s; /* most arrivals in a second while cold */
+	/* Most arrivals in the window of the limit, from LIMIT_GRACE_MS after a
+	 * response first named the limit. */
+	uint64_t most_limited;
 	uint64_t acknowledged; /* heartbeats and deregistrations */
 };
 
@@ -163,6 +173,8 @@
 	int open_jobs;
 	int64_t started_us;
 	GArray *cold_arrivals_us; /* of int64_t */
+	GArray *limited_arrivals_us; /* of int64_t */
+	int64_t limit_named_us; /* when a response first named it; 0: not yet */
 	int64_t born_ms; /* wall-clock start time, sent in heartbeats */
 	bool stopping;
 	GRand *random;
@@ -192,10 +204,11 @@
 bool control_is_command(const struct job *job);
 enum MHD_Result control_answer(struct job *job);
 
-/* Adds the load and instance headers that an upstream with an instance id sends
- * with each response. */
 /* RETURN VALUE: how long the upstream stays cold. */
 int64_t control_cold_ms(const struct upstream *upstream);
+
+/* Adds the load and instance headers that an upstream with an instance id sends
+ * with each response. */
 void control_add_load_headers(const struct upstream *upstream,
 			      struct MHD_Response *response);
 void control_start_reports(struct upstream *upstream);
