decide/rate_window: the sliding window of cold_start, as a module

The limit of a cold upstream counts requests in a sliding window. What an upstream names itself is a limit of the same kind; both shall use one window. Behaviour of cold_start stays, but for a limit that grows: what the smaller ring has dropped counts as of the oldest request it has, where it counted as of now before.

--- a/comfreydockd/upstream/cold.c
+++ b/comfreydockd/upstream/cold.c
@@ -45,8 +45,7 @@
 					     .per_s = group->cold_per_s,
 					     .overage = settings->overage,
 					     .duration_ms = group->cold_ms,
-				     },
-				     clock_mono_us());
+				     });
 }
 
 /* Logs that the limit begins or ends to apply. */
@@ -59,7 +58,7 @@
 	owner->was_limiting = is_limiting;
 	log_event(EV_OWNER_COLD, LOG_INT("limits", is_limiting),
 		  LOG_INT("cold_ms", cold_ms), LOG_STR("source", source),
-		  LOG_INT("limit", owner->cold.limit),
+		  LOG_INT("limit", owner->cold.window.limit),
 		  LOG_INT("running", owner->running),
 		  LOG_INT("queued", queue_length(&owner->queue)));
 }
@@ -95,7 +94,7 @@
 
 bool owner_cold_is_outdated(const struct owner *owner)
 {
-	return owner->cold.limit > 0 &&
+	return owner->cold.window.limit > 0 &&
 	       cold_start_report_age_us(&owner->cold, clock_mono_us()) >
 		       COLD_ASK_INTERVAL_US;
 }
--- a/include/comfreydockd/decide/cold_start.h
+++ b/include/comfreydockd/decide/cold_start.h
@@ -34,10 +34,8 @@
  *	next cold upstream.
  *
  * GROUNDS
- *	A sliding window makes the limit hold in each second, also for requests
- *	that arrive in bursts, and lets a burst use the whole limit at once. The
- *	window is slightly longer than a second, for the way from the owner to
- *	the upstream. Health requests don't count; what the upstream tolerates
+ *	See rate_window.h for the sliding window. It is slightly longer than a
+ *	second, for the way from the owner to the upstream. Health requests don't count; what the upstream tolerates
  *	beyond the limit is left for them and for requests that arrive closer
  *	together than they were started.
  *
@@ -50,13 +48,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "comfreydockd/decide/rate_window.h"
+
 #define COLD_START_WINDOW_US ((int64_t)1030 * 1000)
 /* A daemon that replaces another one on its host starts at least so long after
  * the other's end. An upstream and a daemon that are started together may start
  * in either order. */
 #define COLD_START_SUCCESSION_US ((int64_t)10 * 1000)
-/* A higher limit has no effect; no upstream starts this many in a second. */
-#define COLD_START_LIMIT_MAX 4096
 
 /* What the operator states about the upstreams of a group. */
 struct cold_start_options {
@@ -66,12 +64,7 @@
 };
 
 struct cold_start {
-	uint32_t limit; /* requests in a window while cold; 0: not limited */
-	uint32_t on_way; /* started, and perhaps not arrived yet */
-	/* The last limit requests, as a ring: times at which they had arrived. */
-	int64_t *arrived_us;
-	uint32_t oldest; /* index in arrived_us */
-	int64_t since_us; /* all requests after this time are in arrived_us */
+	struct rate_window window; /* its limit applies while cold */
 	int64_t duration_us;
 	int64_t until_us; /* the upstream is cold until then */
 	bool is_reported; /* there was a report */
@@ -81,8 +74,7 @@
 void cold_start_init(struct cold_start *cold, int64_t now_us);
 void cold_start_finish(struct cold_start *cold);
 void cold_start_configure(struct cold_start *cold,
-			  const struct cold_start_options *options,
-			  int64_t now_us);
+			  const struct cold_start_options *options);
 
 /* The upstream was replaced by one that this daemon has sent nothing yet. */
 void cold_start_forget(struct cold_start *cold);
--- a/tests/test_cold_start.c
+++ b/tests/test_cold_start.c
@@ -41,7 +41,7 @@
 	return most;
 }
 
-static void configure(struct cold_start *cold, double per_s, int64_t now_us)
+static void configure(struct cold_start *cold, double per_s)
 {
 	struct cold_start_options options = {
 		.per_s = per_s,
@@ -49,7 +49,7 @@
 		.duration_ms = COLD_MS,
 	};
 
-	cold_start_configure(cold, &options, now_us);
+	cold_start_configure(cold, &options);
 }
 
 static void send(struct cold_start *cold, int64_t now_us)
@@ -71,7 +71,7 @@
 	struct cold_start cold;
 
 	cold_start_init(&cold, now_us);
-	configure(&cold, PER_S, now_us);
+	configure(&cold, PER_S);
 	return cold;
 }
 
@@ -219,10 +219,10 @@
 	cold_start_note_heartbeat(&cold, COLD_MS, 0);
 	g_assert_false(cold_start_is_limiting(&cold, 0));
 	send(&cold, 0);
-	configure(&cold, PER_S, US_PER_MS);
+	configure(&cold, PER_S);
 	g_assert_cmpint(cold_start_wait_us(&cold, 0, US_PER_MS), ==,
 			COLD_START_WINDOW_US - US_PER_MS);
-	configure(&cold, 0, US_PER_MS);
+	configure(&cold, 0);
 	g_assert_cmpint(cold_start_wait_us(&cold, 0, US_PER_MS), ==, 0);
 	cold_start_finish(&cold);
 }
