decide/advertised_limit: hold the limit that an upstream states (LIMIT)

Callers saw an upstream in need get up to ten times the requests that it had named in its answers. Cause: no part of the daemon read the field; the answers were fast and the slots free, so entries even preferred it. Class: what an upstream states in its answers and nothing interprets, as the state of a cold upstream before it.

The owner, the only way to its upstream, now starts no more than the stated rate in a sliding window of a whole number of requests, one second's at least. Requests from before the limit was stated count as well, and a restarted daemon counts a full window for its predecessor, so neither doubles the rate. Entries are told as many slots as the rate keeps busy, and at once when it changes; an attempt that another upstream may take is turned back, one that can't start before its deadline is refused at once, with the time after which room is expected. The limit ends with a successful answer that doesn't state it, or with a new start of the upstream.

--- a/comfreydockd/operator/metrics.c
+++ b/comfreydockd/operator/metrics.c
@@ -52,6 +52,12 @@
 	metric_append_gauge(text, "upstream_pace_age_us",
 			    "since it told this, 0 where it never did",
 			    (double)MAX(status.pace_age_us, 0));
+	metric_append_gauge(text, "upstream_states_limit",
+			    "1: it states a limit of its own",
+			    status.states_limit);
+	metric_append_gauge(text, "upstream_stated_per_s",
+			    "requests a second by that limit, 0 without one",
+			    status.states_limit ? status.limit_per_s : 0);
 	metric_append_gauge(text, "upstream_evacuated",
 			    "1: its failure domain is evacuated",
 			    status.is_evacuated);
--- a/comfreydockd/upstream/answer.c
+++ b/comfreydockd/upstream/answer.c
@@ -1,6 +1,7 @@
 #include "comfreydockd/upstream/answer.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #define STATUS_MISDIRECTED 421
@@ -111,3 +112,17 @@
 	*cold_ms = (uint32_t)figure;
 	return true;
 }
+
+bool answer_parse_limit(const char *text, double *per_s)
+{
+	char *end;
+	double rate;
+
+	if (!g_ascii_isdigit(*text) && *text != '.')
+		return false;
+	rate = g_ascii_strtod(text, &end);
+	if (end == text || *end != '\0' || !isfinite(rate))
+		return false;
+	*per_s = rate;
+	return true;
+}
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -141,9 +141,10 @@
 			  attempt->head_us - attempt->started_us);
 	owner_note_load_header(attempt->owner, fields);
 	attempt->verdict = attempt_classify(attempt, status, fields);
+	if (attempt->verdict == ANSWER_GOOD || attempt->verdict == ANSWER_NOT_RUN)
+		owner_note_answer(attempt->owner, attempt, fields);
 	if (attempt->verdict != ANSWER_GOOD)
 		return false;
-	owner_note_answer(attempt->owner, attempt, fields);
 	if (!attempt->peer)
 		return true;
 	owner_fill_load(attempt->owner, &load);
--- a/comfreydockd/upstream/cold.c
+++ b/comfreydockd/upstream/cold.c
@@ -3,32 +3,11 @@
 #include "comfreydockd/upstream/owner_internal.h"
 #include "common/clock.h"
 #include "common/log.h"
-#include "common/timer.h"
 
 /* An upstream may become cold between two heartbeats. While requests arrive, it
  * is asked this often; what it can get meanwhile is within the limit. */
 #define COLD_ASK_INTERVAL_US (250 * US_PER_MS)
 
-static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	(void)loop;
-	(void)events;
-	owner_schedule_dispatch(timer->data);
-}
-
-void owner_init_cold(struct owner *owner)
-{
-	cold_start_init(&owner->cold, clock_mono_us());
-	ev_init(&owner->cold_timer, handle_timer);
-	owner->cold_timer.data = owner;
-}
-
-void owner_finish_cold(struct owner *owner)
-{
-	ev_timer_stop(owner->daemon->loop, &owner->cold_timer);
-	cold_start_finish(&owner->cold);
-}
-
 void owner_configure_cold(struct owner *owner)
 {
 	const struct settings_cold_start *settings =
@@ -69,17 +48,6 @@
 	owner_note_cold_heartbeat(owner, 0);
 }
 
-void owner_note_arrived(struct owner *owner, struct owner_attempt *attempt)
-{
-	if (!attempt->is_on_way)
-		return;
-	attempt->is_on_way = false;
-	if (run_has_begun(attempt->run))
-		cold_start_note_arrived(&owner->cold, clock_mono_us());
-	else
-		cold_start_note_unsent(&owner->cold);
-}
-
 void owner_note_cold_heartbeat(struct owner *owner, uint32_t cold_ms)
 {
 	cold_start_note_heartbeat(&owner->cold, cold_ms, clock_mono_us());
@@ -98,20 +66,3 @@
 	       cold_start_report_age_us(&owner->cold, clock_mono_us()) >
 		       COLD_ASK_INTERVAL_US;
 }
-
-int64_t owner_cold_wait_us(const struct owner *owner)
-{
-	return cold_start_wait_us(&owner->cold, queue_length(&owner->queue),
-				  clock_mono_us());
-}
-
-bool owner_may_start_cold(struct owner *owner)
-{
-	int64_t wait_us = cold_start_wait_us(&owner->cold, 0, clock_mono_us());
-
-	ev_timer_stop(owner->daemon->loop, &owner->cold_timer);
-	if (wait_us == 0)
-		return true;
-	timer_restart_us(owner->daemon->loop, &owner->cold_timer, wait_us);
-	return false;
-}
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -12,16 +12,18 @@
  * often. */
 #define ASK_INTERVAL_HELD_S 0.02
 #define ASK_INTERVAL_SLOW_S 0.04
-/* A cold upstream gets fewer queries, which take its time like requests. */
-#define ASK_INTERVAL_COLD_US (150 * US_PER_MS)
+/* An upstream that tolerates few requests gets fewer queries, which take its
+ * time as well. */
+#define ASK_INTERVAL_LIMITED_US (150 * US_PER_MS)
 
-/* RETURN VALUE: true if the upstream is cold and was asked a moment ago. */
+/* RETURN VALUE: true if the upstream tolerates few requests and was asked a
+ * moment ago. */
 static bool gate_spares_upstream(const struct owner *owner)
 {
 	int64_t now = clock_mono_us();
 
-	return cold_start_is_limiting(&owner->cold, now) &&
-	       now - owner->asked_us < ASK_INTERVAL_COLD_US &&
+	return owner_limits_starts(owner) &&
+	       now - owner->asked_us < ASK_INTERVAL_LIMITED_US &&
 	       !gauge_is_pending(owner->gauge);
 }
 
@@ -163,10 +165,7 @@
 	gate_arm(owner);
 }
 
-/* Sends the load to all entries that are connected to this owner, as a slow
- * spell began or ended, or the breaker opened or closed. Otherwise each entry
- * would find out one request at a time. */
-static void gate_notify_entries(struct owner *owner)
+void gate_notify_entries(struct owner *owner)
 {
 	Cfd__Load load = CFD__LOAD__INIT;
 	Cfd__LoadReport report = CFD__LOAD_REPORT__INIT;
@@ -216,6 +215,8 @@
 		owner_note_cold_health(owner, reading->cold_ms);
 	else if (reading->has_load)
 		owner_note_not_cold(owner);
+	if (reading->limit)
+		owner_note_limit(owner, reading->limit, "health");
 	gate_note_load(owner, reading->has_load ? &reading->load : NULL);
 	gate_review(owner);
 }
--- a/comfreydockd/upstream/gauge.c
+++ b/comfreydockd/upstream/gauge.c
@@ -79,6 +79,8 @@
 		reading->has_cold_ms = answer_parse_cold_ms(
 			http_answer_header(answer, names->cold_ms),
 			&reading->cold_ms);
+	if (names->limit)
+		reading->limit = http_answer_header(answer, names->limit);
 }
 
 static void handle_answer(const struct http_answer *answer, void *data)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -62,12 +62,12 @@
 }
 
 /* RETURN VALUE: the wait of an attempt that arrives now, for a slot or for the
- * limit of a cold upstream. */
+ * rate of starts. */
 static uint32_t expected_wait_us(const struct owner *owner,
 				 const struct queue_slots *slots)
 {
 	int64_t wait_us = MAX(queue_expected_wait_us(&owner->queue, slots),
-			      owner_cold_wait_us(owner));
+			      owner_start_wait_us(owner));
 
 	return (uint32_t)MIN(wait_us, (int64_t)UINT32_MAX);
 }
@@ -80,11 +80,9 @@
 	load->queued = queue_length(&owner->queue);
 	load->pace_percent = owner->pace.percent;
 	load->limit = owner->state == OWNER_UP ? slots.limit : 0;
-	/* Entries must not take the idle slots of a cold upstream for room. */
+	/* Entries must not take slots that the rate keeps idle for room. */
 	if (owner->state == OWNER_UP)
-		load->limit = cold_start_slots(&owner->cold, slots.limit,
-					       speed_us(&owner->speed),
-					       clock_mono_us());
+		load->limit = owner_rate_slots(owner, slots.limit);
 	/* With an open breaker the owner reports itself as full, so that
 	 * entries try others first. If nothing runs, it reports one free slot,
 	 * so that an entry sends the request with which the breaker tests
@@ -113,7 +111,7 @@
 	struct queue_slots slots = owner_slots(owner);
 
 	return MAX(queue_retry_after_ms(&owner->queue, &slots),
-		   (uint32_t)(owner_cold_wait_us(owner) / US_PER_MS));
+		   (uint32_t)(owner_start_wait_us(owner) / US_PER_MS));
 }
 
 /* Attempts start at the end of the iteration, see handle_loop_prepare(). */
@@ -182,8 +180,8 @@
 	for (;;) {
 		struct queue_slots slots = owner_slots(owner);
 
-		if (slots.running >= slots.limit ||
-		    !queue_length(&owner->queue) || !owner_may_start_cold(owner))
+		if (slots.running >= slots.limit || !queue_length(&owner->queue) ||
+		    !owner_rate_allows_start(owner))
 			return;
 		item = queue_pop(&owner->queue, clock_mono_us(), &verdict);
 		if (!item)
@@ -196,8 +194,7 @@
 		    !owner_quarantine_admit_start(owner, owner_attempt_of(item)))
 			continue;
 		owner->running++;
-		cold_start_begin(&owner->cold);
-		owner_attempt_of(item)->is_on_way = true;
+		owner_note_start(owner, owner_attempt_of(item));
 		TAILQ_INSERT_TAIL(&owner->runs, owner_attempt_of(item),
 				  running_link);
 		attempt_start(owner_attempt_of(item));
@@ -289,12 +286,12 @@
 	return false;
 }
 
-/* RETURN VALUE: whether the limit of a cold upstream allows the attempt to
- * start while that makes sense. */
-static enum queue_verdict judge_cold(const struct owner *owner,
+/* RETURN VALUE: whether the rate of starts allows the attempt to start while that
+ * makes sense. */
+static enum queue_verdict judge_rate(const struct owner *owner,
 				     const struct queue_item *item)
 {
-	int64_t wait_us = owner_cold_wait_us(owner);
+	int64_t wait_us = owner_start_wait_us(owner);
 	int64_t end_us = clock_mono_us() + wait_us +
 			 queue_median_service_us(&owner->queue, item->class);
 
@@ -310,7 +307,7 @@
 {
 	struct queue_slots slots = owner_slots(owner);
 	uint32_t retry_after_ms = owner_retry_after_ms(owner);
-	enum queue_verdict verdict = judge_cold(owner, &attempt->item);
+	enum queue_verdict verdict = judge_rate(owner, &attempt->item);
 
 	if (verdict == QUEUE_ACCEPTED)
 		verdict = queue_offer(&owner->queue, &attempt->item, &slots,
@@ -348,7 +345,7 @@
 	ev_set_priority(&owner->loop_prepare, EV_MAXPRI);
 	ev_timer_init(&owner->stale_timer, handle_dispatch_due, 0.0, 0.0);
 	owner_init_sweep(owner);
-	owner_init_cold(owner);
+	owner_init_start_rate(owner);
 	gate_init(owner);
 	crash_init(owner);
 	report_check_init(owner);
@@ -375,7 +372,7 @@
 	ev_timer_stop(owner->daemon->loop, &owner->sweep_timer);
 	crash_finish(owner);
 	gate_finish(owner);
-	owner_finish_cold(owner);
+	owner_finish_start_rate(owner);
 	unread_fields_finish(&owner->unread);
 	while ((item = queue_take_any(&owner->queue)))
 		attempt_destroy(owner_attempt_of(item));
@@ -418,13 +415,6 @@
 	gate_review(owner);
 }
 
-void owner_note_answer(struct owner *owner, const struct owner_attempt *attempt,
-		       const struct fields *fields)
-{
-	unread_fields_note(&owner->unread, owner->daemon->headers, fields,
-			   attempt->request->trace);
-}
-
 void owner_remove_from_gate(struct owner *owner, struct owner_attempt *attempt)
 {
 	if (!attempt->is_held)
@@ -479,4 +469,6 @@
 	status->pace_percent = owner_pace_percent(owner);
 	status->pace_age_us = owner_pace_age_us(owner);
 	status->expected_wait_us = expected_wait_us(owner, &slots);
+	status->states_limit = advertised_limit_applies(&owner->advertised);
+	status->limit_per_s = owner->advertised.per_s;
 }
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -7,6 +7,10 @@
 #include "common/clock.h"
 #include "common/log.h"
 
+/* An answer with a status from here on may come from a part of the upstream that
+ * doesn't know the limit. */
+#define STATUS_ERRORS 400
+
 void owner_publish(struct owner *owner)
 {
 	if (owner->handle_state)
@@ -175,6 +179,23 @@
 	cold_start_invalidate(&owner->cold);
 }
 
+void owner_note_answer(struct owner *owner, const struct owner_attempt *attempt,
+		       const struct fields *fields)
+{
+	const struct headers *headers = owner->daemon->headers;
+	const char *limit =
+		headers->limit ? fields_find(fields, headers->limit) : NULL;
+
+	unread_fields_note(&owner->unread, headers, fields,
+			   attempt->request->trace);
+	if (run_pool_of(attempt->run) != owner->pool)
+		return;
+	if (limit)
+		owner_note_limit(owner, limit, "answer");
+	else if (attempt->status < STATUS_ERRORS)
+		owner_note_no_limit(owner);
+}
+
 void owner_note_other_instance(struct owner *owner)
 {
 	log_event(EV_OWNER_OTHER_INSTANCE,
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -137,26 +137,37 @@
  * owner, which sends it requests from then on. */
 static void confirm_start(struct owner *owner, const char *by)
 {
+	/* No earlier daemon can have sent requests to this start: this one has
+	 * seen the start before it, or its very first report. */
+	bool is_fresh = owner->history.past_count > 0 ||
+			owner->start_check.saw_first_report;
+
 	log_event(EV_OWNER_CONFIRMED,
 		  LOG_STR("instance", owner->history.instance), LOG_STR("by", by),
 		  LOG_INT("reports", owner->start_check.reports));
 	owner->start_check.is_unconfirmed = false;
-	/* No earlier daemon can have sent requests to this start: this one has
-	 * seen the start before it, or its very first report. */
-	if (owner->history.past_count > 0 || owner->start_check.saw_first_report)
+	if (is_fresh)
 		cold_start_forget(&owner->cold);
+	owner_reset_limit(owner, !is_fresh);
 	announce_to_owner(owner, &owner->start_check, true);
 	owner_note_cold_heartbeat(owner, owner->start_check.warm_ms);
 }
 
-static void note_cold(struct owner *owner, const struct http_answer *answer)
+static void note_health_answer(struct owner *owner,
+			       const struct http_answer *answer)
 {
-	const char *name = owner->daemon->headers->cold_ms;
+	const struct headers *names = owner->daemon->headers;
+	const char *limit = NULL;
 	uint32_t cold_ms;
 
-	if (name &&
-	    answer_parse_cold_ms(http_answer_header(answer, name), &cold_ms))
+	if (names->limit)
+		limit = http_answer_header(answer, names->limit);
+	if (names->cold_ms &&
+	    answer_parse_cold_ms(http_answer_header(answer, names->cold_ms),
+				 &cold_ms))
 		owner_note_cold_health(owner, cold_ms);
+	if (limit)
+		owner_note_limit(owner, limit, "health");
 }
 
 static void handle_health(const struct http_answer *answer, void *data)
@@ -173,7 +184,7 @@
 	if (answer->status / 100 == 2 && instance &&
 	    strcmp(instance, owner->history.instance) == 0) {
 		confirm_start(owner, "health");
-		note_cold(owner, answer);
+		note_health_answer(owner, answer);
 		return;
 	}
 	ev_timer_again(owner->daemon->loop, &owner->start_check_timer);
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -353,6 +353,11 @@
 		run_unpause(run);
 }
 
+const struct run_pool *run_pool_of(const struct run *run)
+{
+	return run->pool;
+}
+
 bool run_has_begun(const struct run *run)
 {
 	return run->transfer.sent;
--- a/include/comfreydockd/upstream/answer.h
+++ b/include/comfreydockd/upstream/answer.h
@@ -51,4 +51,8 @@
  * RETURN VALUE: false if text is NULL or malformed. */
 bool answer_parse_cold_ms(const char *text, uint32_t *cold_ms);
 
+/* Parses a limit, a decimal number of requests a second.
+ * RETURN VALUE: false if text is malformed or negative. */
+bool answer_parse_limit(const char *text, double *per_s);
+
 #endif
--- a/include/comfreydockd/upstream/gate.h
+++ b/include/comfreydockd/upstream/gate.h
@@ -44,6 +44,11 @@
  * 5xx included; otherwise the upstream gave none or an invalid one. */
 void gate_note_breaker_result(struct owner *owner, bool is_answer);
 
+/* Sends the load to all entries that are connected to this owner, as a slow
+ * spell began or ended, the breaker opened or closed, or the upstream stated
+ * another limit. Otherwise each entry would find out one request at a time. */
+void gate_notify_entries(struct owner *owner);
+
 /* Refuses all held attempts. */
 void gate_refuse_all(struct owner *owner, Cfd__Reason reason);
 
--- a/include/comfreydockd/upstream/gauge.h
+++ b/include/comfreydockd/upstream/gauge.h
@@ -37,6 +37,7 @@
 	struct answer_load load;
 	bool has_cold_ms;
 	uint32_t cold_ms; /* how long the upstream stays cold */
+	const char *limit; /* its limit, as text; NULL: it stated none */
 };
 
 /* No figure is set if no valid answer came. */
--- a/include/comfreydockd/upstream/owner.h
+++ b/include/comfreydockd/upstream/owner.h
@@ -43,6 +43,8 @@
 	uint32_t expected_wait_us;
 	uint32_t pace_percent; /* current service time, in % of the usual */
 	int64_t pace_age_us; /* -1: the pace is not known yet */
+	bool states_limit; /* the upstream states a limit of its own */
+	double limit_per_s; /* if it does */
 };
 
 struct owner *owner_create(struct daemon *daemon);
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <stddef.h>
 
+#include "comfreydockd/decide/advertised_limit.h"
 #include "comfreydockd/decide/breaker.h"
 #include "comfreydockd/decide/cold_start.h"
 #include "comfreydockd/decide/knee.h"
@@ -55,7 +56,9 @@
 	struct warm warm;
 	struct cold_start cold;
 	bool was_limiting; /* as last logged */
-	ev_timer cold_timer; /* dispatches when a cold upstream takes more */
+	struct advertised_limit advertised;
+	bool limit_is_unreadable; /* as last logged */
+	ev_timer start_rate_timer; /* dispatches when another may start */
 	struct queue queue;
 	struct speed speed; /* service time, without the effect of pace */
 	struct probe *probe;
@@ -109,10 +112,7 @@
 /* The upstream's port refuses connections, or accepts them again. */
 void owner_note_reachable(bool reachable, void *data);
 
-/* cold.c: the rate of starts while the upstream is cold, see
- * decide/cold_start.h */
-void owner_init_cold(struct owner *owner);
-void owner_finish_cold(struct owner *owner);
+/* cold.c: whether the upstream is cold, see decide/cold_start.h */
 
 /* Reads the limit again, from the configuration and the settings. */
 void owner_configure_cold(struct owner *owner);
@@ -125,12 +125,32 @@
 /* RETURN VALUE: true if the upstream must be asked whether it is cold. */
 bool owner_cold_is_outdated(const struct owner *owner);
 
-/* RETURN VALUE: how long the limit delays an attempt that is enqueued now. */
-int64_t owner_cold_wait_us(const struct owner *owner);
+/* start_rate.c: the rate of starts, as a cold upstream or one with a limit of
+ * its own tolerates it; see decide/cold_start.h and decide/advertised_limit.h */
+void owner_init_start_rate(struct owner *owner);
+void owner_finish_start_rate(struct owner *owner);
 
-/* RETURN VALUE: false if the limit is reached. A timer then dispatches as soon
- * as another attempt may start. */
-bool owner_may_start_cold(struct owner *owner);
+/* The upstream stated a limit, or none. source names what stated it, for the
+ * log. */
+void owner_note_limit(struct owner *owner, const char *text, const char *source);
+void owner_note_no_limit(struct owner *owner);
+
+/* The upstream was replaced. unknown: another daemon may have sent requests to
+ * the new one. */
+void owner_reset_limit(struct owner *owner, bool unknown);
+
+void owner_note_start(struct owner *owner, struct owner_attempt *attempt);
+
+/* RETURN VALUE: how long the rate delays an attempt that is enqueued now. */
+int64_t owner_start_wait_us(const struct owner *owner);
+bool owner_limits_starts(const struct owner *owner);
+
+/* RETURN VALUE: how many of the slots the rate keeps busy, at least one. */
+uint32_t owner_rate_slots(const struct owner *owner, uint32_t slots);
+
+/* RETURN VALUE: false if the rate is used up. A timer then dispatches as soon as
+ * another attempt may start. */
+bool owner_rate_allows_start(struct owner *owner);
 
 /* sweep.c: the sweep, a timer that aborts runs that hang and detects freezes of
  * this daemon's loop */
--- a/include/comfreydockd/upstream/run.h
+++ b/include/comfreydockd/upstream/run.h
@@ -71,4 +71,7 @@
 void run_add_credit(struct run *run, uint32_t bytes);
 bool run_has_begun(const struct run *run);
 
+/* RETURN VALUE: the pool of the upstream that it runs on. */
+const struct run_pool *run_pool_of(const struct run *run);
+
 #endif
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -131,6 +131,31 @@
 	g_assert_cmpuint(cold_ms, ==, 2984);
 }
 
+static void assert_limit(const char *text, double expected)
+{
+	double per_s = -1;
+
+	g_assert_true(answer_parse_limit(text, &per_s));
+	g_assert_cmpfloat(per_s, ==, expected);
+}
+
+/* Guards against a limit that is misread, so that the upstream gets nothing or
+ * everything. */
+static void test_limit_is_a_decimal_number(void)
+{
+	static const char *const malformed[] = {"",	"x",   "-1",  "2,5",
+						"2.5x", "inf", "nan", "1e999",
+						" 1",	"+1"};
+	double per_s;
+
+	assert_limit("2.5", 2.5);
+	assert_limit("0", 0);
+	assert_limit(".5", 0.5);
+	assert_limit("1200", 1200);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
+		g_assert_false(answer_parse_limit(malformed[i], &per_s));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -145,5 +170,6 @@
 	g_test_add_func("/answer/no-signature-header",
 			test_without_signature_header_all_answers_pass);
 	g_test_add_func("/answer/load", test_load_is_parsed_or_rejected);
+	g_test_add_func("/answer/limit", test_limit_is_a_decimal_number);
 	return g_test_run();
 }
