platform/headers: the field of a limit has no prefix (LIMIT)

Cause: a name taken from a pattern, not from its source. system-advertised could not show it, as stand-in and daemon share the mistake.

--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -107,7 +107,7 @@
 
 	if (!upstream->limit_named_us)
 		upstream->limit_named_us = clock_mono_us();
-	MHD_add_response_header(response, "X-Comfreydock-Server-Limit",
+	MHD_add_response_header(response, "Server-Limit",
 				g_ascii_formatd(number, sizeof(number), "%.1f",
 						upstream->faults.limit_per_s));
 }
