upstream/report: an answer that says so drains the upstream for good (DRAIN)

Found while looking for the cause of LIMIT elsewhere: an upstream that leaves says so in all its answers, and nothing read that either. Callers whose request reaches it late are cut off when it goes. The owner now takes such an answer, of a request or of the health path, as it takes a deregistration: what isn't running is refused as not run, and heartbeats of the same start, which may go on, bring nothing back. An answer of a former start counts for nothing, so the pool of connections knows which start it is of. A daemon that is restarted beside it asks the health path before it believes the start, and reads the field there.

--- a/comfreydockd/upstream/answer.c
+++ b/comfreydockd/upstream/answer.c
@@ -126,3 +126,8 @@
 	*per_s = rate;
 	return true;
 }
+
+bool answer_says_leaving(const char *text)
+{
+	return text && strcmp(text, "1") == 0;
+}
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -217,6 +217,8 @@
 		owner_note_not_cold(owner);
 	if (reading->limit)
 		owner_note_limit(owner, reading->limit, "health");
+	if (reading->is_leaving)
+		owner_note_leaving(owner, owner_instance(owner), "health");
 	gate_note_load(owner, reading->has_load ? &reading->load : NULL);
 	gate_review(owner);
 }
--- a/comfreydockd/upstream/gauge.c
+++ b/comfreydockd/upstream/gauge.c
@@ -81,6 +81,9 @@
 			&reading->cold_ms);
 	if (names->limit)
 		reading->limit = http_answer_header(answer, names->limit);
+	if (names->leaving)
+		reading->is_leaving = answer_says_leaving(
+			http_answer_header(answer, names->leaving));
 }
 
 static void handle_answer(const struct http_answer *answer, void *data)
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -67,6 +67,8 @@
 	owner->pool =
 		run_pool_create(owner->daemon->http, owner->daemon->headers,
 				announcement->address, announcement->port);
+	g_strlcpy(owner->pool_instance, owner->history.instance,
+		  sizeof(owner->pool_instance));
 }
 
 static bool is_known(const struct owner *owner,
@@ -179,21 +181,28 @@
 	cold_start_invalidate(&owner->cold);
 }
 
+static const char *find_field(const struct fields *fields, const char *name)
+{
+	return name ? fields_find(fields, name) : NULL;
+}
+
 void owner_note_answer(struct owner *owner, const struct owner_attempt *attempt,
 		       const struct fields *fields)
 {
 	const struct headers *headers = owner->daemon->headers;
-	const char *limit =
-		headers->limit ? fields_find(fields, headers->limit) : NULL;
+	const char *limit = find_field(fields, headers->limit);
 
 	unread_fields_note(&owner->unread, headers, fields,
 			   attempt->request->trace);
+	/* A former upstream's answer says nothing about this one. */
 	if (run_pool_of(attempt->run) != owner->pool)
 		return;
 	if (limit)
 		owner_note_limit(owner, limit, "answer");
 	else if (attempt->status < STATUS_ERRORS)
 		owner_note_no_limit(owner);
+	if (answer_says_leaving(find_field(fields, headers->leaving)))
+		owner_note_leaving(owner, owner->pool_instance, "answer");
 }
 
 void owner_note_other_instance(struct owner *owner)
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -170,6 +170,14 @@
 		owner_note_limit(owner, limit, "health");
 }
 
+static bool says_leaving(const struct owner *owner,
+			 const struct http_answer *answer)
+{
+	const char *name = owner->daemon->headers->leaving;
+
+	return name && answer_says_leaving(http_answer_header(answer, name));
+}
+
 static void handle_health(const struct http_answer *answer, void *data)
 {
 	struct owner *owner = data;
@@ -181,11 +189,16 @@
 	owner->start_check.pending = NULL;
 	if (!owner->start_check.is_unconfirmed || owner->history.has_left)
 		return;
-	if (answer->status / 100 == 2 && instance &&
-	    strcmp(instance, owner->history.instance) == 0) {
-		confirm_start(owner, "health");
-		note_health_answer(owner, answer);
-		return;
+	if (instance && strcmp(instance, owner->history.instance) == 0) {
+		if (says_leaving(owner, answer)) {
+			owner_note_leaving(owner, instance, "health");
+			return;
+		}
+		if (answer->status / 100 == 2) {
+			confirm_start(owner, "health");
+			note_health_answer(owner, answer);
+			return;
+		}
 	}
 	ev_timer_again(owner->daemon->loop, &owner->start_check_timer);
 	if (owner->start_check.failed_checks++ == 0)
@@ -309,19 +322,32 @@
 	return verdict;
 }
 
-/*
- * An instance that deregisters without draining first still serves for a
- * while: its running requests go on, and it gets no new ones.
- */
-bool owner_handle_leave(struct owner *owner, const char *instance)
+/* RETURN VALUE: false if the instance isn't the current one. */
+static bool leave(struct owner *owner, const char *instance, const char *by)
 {
 	bool is_current = report_note_leave(&owner->history, instance);
 
 	log_event(EV_OWNER_LEFT, LOG_STR("instance", instance),
-		  LOG_INT("counts", is_current));
+		  LOG_STR("by", by), LOG_INT("counts", is_current));
 	if (is_current) {
 		owner->start_check.is_unconfirmed = false;
 		owner_drain_upstream(owner);
 	}
 	return is_current;
 }
+
+/*
+ * An instance that deregisters without draining first still serves for a
+ * while: its running requests go on, and it gets no new ones.
+ */
+bool owner_handle_leave(struct owner *owner, const char *instance)
+{
+	return leave(owner, instance, "deregistration");
+}
+
+void owner_note_leaving(struct owner *owner, const char *instance, const char *by)
+{
+	/* Each of its answers says so again. */
+	if (!owner->history.has_left)
+		leave(owner, instance ? instance : "", by);
+}
--- a/comfreydockd/upstream/unread_fields.c
+++ b/comfreydockd/upstream/unread_fields.c
@@ -15,9 +15,9 @@
 static bool is_read(const struct headers *headers, const char *name)
 {
 	const char *const read[] = {
-		headers->trace,	    headers->instance, headers->not_run,
-		headers->load,	    headers->cold_ms,  headers->limit,
-		headers->signature,
+		headers->trace,	  headers->instance,  headers->not_run,
+		headers->load,	  headers->cold_ms,   headers->limit,
+		headers->leaving, headers->signature,
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(read); i++) {
--- a/include/comfreydockd/headers.h
+++ b/include/comfreydockd/headers.h
@@ -33,6 +33,7 @@
 	const char *load; /* "running,waiting,slots,percent of usual time" */
 	const char *cold_ms; /* how long it stays cold, in health answers */
 	const char *limit; /* requests a second that it takes from all callers */
+	const char *leaving; /* "1": it takes no new requests any more */
 	/*
 	 * Proves that an answer belongs to this request. If this name is set, a
 	 * success without the field, or any answer without the request's trace,
--- a/include/comfreydockd/upstream/answer.h
+++ b/include/comfreydockd/upstream/answer.h
@@ -51,6 +51,10 @@
  * RETURN VALUE: false if text is NULL or malformed. */
 bool answer_parse_cold_ms(const char *text, uint32_t *cold_ms);
 
+/* RETURN VALUE: true if the value of the field says that the upstream leaves; NULL:
+ * there is none. */
+bool answer_says_leaving(const char *text);
+
 /* Parses a limit, a decimal number of requests a second.
  * RETURN VALUE: false if text is malformed or negative. */
 bool answer_parse_limit(const char *text, double *per_s);
--- a/include/comfreydockd/upstream/gauge.h
+++ b/include/comfreydockd/upstream/gauge.h
@@ -38,6 +38,7 @@
 	bool has_cold_ms;
 	uint32_t cold_ms; /* how long the upstream stays cold */
 	const char *limit; /* its limit, as text; NULL: it stated none */
+	bool is_leaving;
 };
 
 /* No figure is set if no valid answer came. */
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -51,6 +51,7 @@
 	struct answer_load load; /* as the upstream last reported it */
 	int64_t load_at_us; /* 0: never */
 	struct run_pool *pool;
+	char pool_instance[REPORT_INSTANCE_MAX]; /* the start that it is of */
 	GPtrArray *old_pools; /* of former addresses; runs may still use them */
 	struct limit limit;
 	struct warm warm;
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -119,4 +119,9 @@
 					const struct report *report);
 bool owner_handle_leave(struct owner *owner, const char *instance);
 
+/* An answer of this instance says that it leaves; NULL: it has no id. by names
+ * the kind of answer, for the log. Reports can't take this back. */
+void owner_note_leaving(struct owner *owner, const char *instance,
+			const char *by);
+
 #endif
--- a/standin/upstream/control.c
+++ b/standin/upstream/control.c
@@ -49,6 +49,7 @@
 	add_count(object, "acknowledged", counts->acknowledged);
 	add_count(object, "most_cold_per_s", counts->most_cold_per_s);
 	add_count(object, "most_limited", counts->most_limited);
+	add_count(object, "after_leaving", counts->after_leaving);
 	return object;
 }
 
@@ -76,6 +77,7 @@
 	standin_read_bool(command, "mended", &faults->mended);
 	standin_read_int(command, "promise_next", &faults->promise_next);
 	standin_read_double(command, "limit_per_s", &faults->limit_per_s);
+	standin_read_bool(command, "leaving", &faults->leaving);
 	standin_read_bool(command, "leave", &leaves);
 	standin_read_bool(command, "old_report", &old_report);
 	json_object_put(command);
--- a/standin/upstream/job.c
+++ b/standin/upstream/job.c
@@ -308,6 +308,15 @@
 	upstream->counts.most_limited = MAX(upstream->counts.most_limited, count);
 }
 
+static void count_arrival_after_leaving(struct upstream *upstream)
+{
+	int64_t since_us =
+		upstream->leaving_named_us + LEAVING_GRACE_MS * US_PER_MS;
+
+	if (upstream->leaving_named_us && clock_mono_us() >= since_us)
+		upstream->counts.after_leaving++;
+}
+
 void job_submit(struct job *job)
 {
 	struct upstream *upstream = job->upstream;
@@ -315,6 +324,7 @@
 	if (!is_misdirected(job)) {
 		count_cold_arrival(upstream);
 		count_limited_arrival(upstream);
+		count_arrival_after_leaving(upstream);
 	}
 	if (job_refuse(job)) {
 		job->state = JOB_ANSWERING;
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -112,6 +112,14 @@
 						upstream->faults.limit_per_s));
 }
 
+static void add_leaving_header(struct upstream *upstream,
+			       struct MHD_Response *response)
+{
+	if (!upstream->leaving_named_us)
+		upstream->leaving_named_us = clock_mono_us();
+	MHD_add_response_header(response, "Server-Leaving", "1");
+}
+
 /* Adds the headers that upstreams on the users' platform send with each
  * response. */
 static void add_platform_headers(struct job *job, struct MHD_Response *response,
@@ -131,6 +139,8 @@
 					"1");
 	if (upstream->faults.limit_per_s > 0)
 		add_limit_header(upstream, response);
+	if (upstream->faults.leaving)
+		add_leaving_header(upstream, response);
 	control_add_load_headers(upstream, response);
 }
 
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -46,6 +46,8 @@
 /* Time that callers of the upstream have to follow a limit. */
 #define LIMIT_GRACE_MS 500
 #define LIMIT_WINDOW_MS 4000
+/* For requests that were on their way as the answer was sent. */
+#define LEAVING_GRACE_MS 500
 
 struct http_client;
 struct http_server;
@@ -100,6 +102,8 @@
 	/* Requests a second that responses name as the limit; 0: none is
 	 * named. */
 	double limit_per_s;
+	/* Responses say that it leaves, which heartbeats and /health don't. */
+	gboolean leaving;
 };
 
 struct upstream_report {
@@ -124,6 +128,9 @@
 	/* Most arrivals in the window of the limit, from LIMIT_GRACE_MS after a
 	 * response first named the limit. */
 	uint64_t most_limited;
+	/* Arrivals from LEAVING_GRACE_MS after a response first said that it
+	 * leaves. */
+	uint64_t after_leaving;
 	uint64_t acknowledged; /* heartbeats and deregistrations */
 };
 
@@ -174,6 +181,7 @@
 	int64_t started_us;
 	GArray *cold_arrivals_us; /* of int64_t */
 	GArray *limited_arrivals_us; /* of int64_t */
+	int64_t leaving_named_us; /* when a response first said so; 0: not yet */
 	int64_t limit_named_us; /* when a response first named it; 0: not yet */
 	int64_t born_ms; /* wall-clock start time, sent in heartbeats */
 	bool stopping;
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -156,6 +156,15 @@
 		g_assert_false(answer_parse_limit(malformed[i], &per_s));
 }
 
+/* Guards against an upstream that is drained by a field that says the opposite. */
+static void test_leaving_is_said_by_one(void)
+{
+	g_assert_true(answer_says_leaving("1"));
+	g_assert_false(answer_says_leaving("0"));
+	g_assert_false(answer_says_leaving(""));
+	g_assert_false(answer_says_leaving(NULL));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -171,5 +180,6 @@
 			test_without_signature_header_all_answers_pass);
 	g_test_add_func("/answer/load", test_load_is_parsed_or_rejected);
 	g_test_add_func("/answer/limit", test_limit_is_a_decimal_number);
+	g_test_add_func("/answer/leaving", test_leaving_is_said_by_one);
 	return g_test_run();
 }
