--- a/comfreydockd/upstream/start_rate.c
+++ b/comfreydockd/upstream/start_rate.c
@@ -4,6 +4,10 @@
 #include "common/log.h"
 #include "common/timer.h"
 
+/* An upstream may state another limit in each answer. The entries are told this
+ * often at most; answers and refusals bring them the rest. */
+#define LIMIT_NOTIFY_INTERVAL_US US_PER_S
+
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	(void)loop;
@@ -17,6 +21,7 @@
 
 	cold_start_init(&owner->cold, now);
 	advertised_limit_init(&owner->advertised, now);
+	owner->limit_notified_us = now - LIMIT_NOTIFY_INTERVAL_US;
 	ev_init(&owner->start_rate_timer, handle_timer);
 	owner->start_rate_timer.data = owner;
 }
@@ -45,9 +50,14 @@
 /* Attempts that wait may start sooner or later now. */
 static void handle_changed_limit(struct owner *owner, const char *source)
 {
+	int64_t now = clock_mono_us();
+
 	log_limit(owner, source);
-	gate_notify_entries(owner);
 	owner_schedule_dispatch(owner);
+	if (now - owner->limit_notified_us < LIMIT_NOTIFY_INTERVAL_US)
+		return;
+	owner->limit_notified_us = now;
+	gate_notify_entries(owner);
 }
 
 void owner_note_limit(struct owner *owner, const char *text, const char *source)
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -59,6 +59,7 @@
 	bool was_limiting; /* as last logged */
 	struct advertised_limit advertised;
 	bool limit_is_unreadable; /* as last logged */
+	int64_t limit_notified_us; /* when entries were last told of a change */
 	ev_timer start_rate_timer; /* dispatches when another may start */
 	struct queue queue;
 	struct speed speed; /* service time, without the effect of pace */
