--- a/standin/upstream/job.c
+++ b/standin/upstream/job.c
@@ -285,7 +285,7 @@
 	return count;
 }
 
-static void count_cold_arrival(struct upstream *upstream)
+void job_count_cold_arrival(struct upstream *upstream)
 {
 	uint64_t count;
 
@@ -322,7 +322,7 @@
 	struct upstream *upstream = job->upstream;
 
 	if (!is_misdirected(job)) {
-		count_cold_arrival(upstream);
+		job_count_cold_arrival(upstream);
 		count_limited_arrival(upstream);
 		count_arrival_after_leaving(upstream);
 	}
--- a/tests/system/test_advertised.c
+++ b/tests/system/test_advertised.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "fleet.h"
+#include "callers.h"
 
 /* What upstreams ask for in the headers of their answers. */
 
@@ -9,9 +9,8 @@
 #define LIMITED 0
 /* More than the slots of two hosts, so that each upstream gets some. */
 #define CALLERS 18
-#define REFUSED_PAUSE_MS 20
 #define WAIT_MS 10000
-#define CALL_MS 3000
+#define PATH "/list/1"
 #define LOAD_MS 6000
 #define LIMIT_PER_S 5
 #define RESTARTS 3
@@ -29,75 +28,6 @@
 };
 static struct fleet fleet;
 
-struct load_caller {
-	GThread *thread;
-	unsigned int number;
-	unsigned int served;
-	unsigned int failed;
-};
-
-static struct load_caller callers[CALLERS];
-static gint load_ends; /* atomic */
-
-static struct rig_answer *call(unsigned int host, const char *id)
-{
-	const char *headers[] = {"Host", FLEET_VIRTUAL_HOST,
-				 "X-Comfreydock-Request-Id", id, NULL};
-	char *url = g_strdup_printf("http://127.0.0.1:%u/list/1",
-				    fleet.hosts[host].caller);
-	struct rig_answer *answer = rig_http("GET", url, headers, NULL, CALL_MS);
-
-	g_free(url);
-	return answer;
-}
-
-static gpointer call_until_end(gpointer data)
-{
-	struct load_caller *caller = data;
-	unsigned int calls = 0;
-
-	while (!g_atomic_int_get(&load_ends)) {
-		char *id = g_strdup_printf("load-%" G_GINT64_FORMAT "-%u-%u",
-					   g_get_monotonic_time(),
-					   caller->number, calls++);
-		struct rig_answer *answer = call(caller->number % HOSTS, id);
-
-		if (answer->arrived && answer->status == 200) {
-			caller->served++;
-		} else {
-			caller->failed++;
-			rig_sleep_ms(REFUSED_PAUSE_MS);
-		}
-		rig_answer_free(answer);
-		g_free(id);
-	}
-	return NULL;
-}
-
-static void load_start(void)
-{
-	g_atomic_int_set(&load_ends, 0);
-	for (unsigned int i = 0; i < CALLERS; i++) {
-		callers[i] = (struct load_caller){.number = i};
-		callers[i].thread =
-			g_thread_new("caller", call_until_end, &callers[i]);
-	}
-}
-
-/* RETURN VALUE: how many calls were not served. */
-static unsigned int load_stop(void)
-{
-	unsigned int failed = 0;
-
-	g_atomic_int_set(&load_ends, 1);
-	for (unsigned int i = 0; i < CALLERS; i++) {
-		g_thread_join(callers[i].thread);
-		g_assert_cmpuint(callers[i].served, >, 0);
-		failed += callers[i].failed;
-	}
-	return failed;
-}
-
 static int64_t upstream_count(unsigned int host, const char *name)
 {
 	char *json = rig_http_ok("GET", fleet.hosts[host].upstream->port,
@@ -118,7 +48,7 @@
 
 static bool is_served(void *data)
 {
-	return fleet_get(&fleet, GPOINTER_TO_UINT(data), "/list/1") == 200;
+	return fleet_get(&fleet, GPOINTER_TO_UINT(data), PATH) == 200;
 }
 
 static bool has_upstream(void *data)
@@ -153,10 +83,14 @@
  * slots hold. */
 static void test_limit_is_kept(void)
 {
-	load_start();
+	struct callers *callers = callers_start(&fleet, CALLERS, PATH);
+	struct callers_count count;
+
 	set_limit(LIMITED, LIMIT_PER_S);
 	rig_sleep_ms(LOAD_MS);
-	g_assert_cmpuint(load_stop(), ==, 0);
+	count = callers_stop(callers);
+	g_assert_cmpuint(count.failed, ==, 0);
+	g_assert_cmpuint(count.least_served, >, 0);
 	g_assert_cmpint(upstream_count(LIMITED, "most_limited"), <=, LIMIT_MOST);
 	g_assert_cmpint(upstream_count(LIMITED, "most_limited"), >, 0);
 	set_limit(LIMITED, 0);
@@ -166,7 +100,8 @@
  * fills its slots once more. */
 static void test_limit_is_kept_by_a_restarted_daemon(void)
 {
-	load_start();
+	struct callers *callers = callers_start(&fleet, CALLERS, PATH);
+
 	set_limit(LIMITED, LIMIT_PER_S);
 	for (unsigned int i = 0; i < RESTARTS; i++) {
 		rig_sleep_ms(LOAD_MS / RESTARTS);
@@ -174,7 +109,7 @@
 		fleet_start_daemon(&fleet, LIMITED);
 	}
 	rig_sleep_ms(LOAD_MS / RESTARTS);
-	load_stop(); /* calls through the killed daemon fail */
+	callers_stop(callers); /* calls through the killed daemon fail */
 	g_assert_cmpint(upstream_count(LIMITED, "most_limited"), <=, LIMIT_MOST);
 	set_limit(LIMITED, 0);
 	g_assert_true(
@@ -191,40 +126,35 @@
  * or less than they would take. */
 static void test_limits_of_all_are_kept_and_used(void)
 {
-	unsigned int served = 0;
+	struct callers_count count;
 
 	for (unsigned int i = 0; i < HOSTS; i++)
 		set_limit(i, LIMIT_PER_S);
 	for (unsigned int i = 0; i < HOSTS; i++) {
 		while (!has_limit(GUINT_TO_POINTER(i)))
-			fleet_get(&fleet, i, "/list/1");
+			fleet_get(&fleet, i, PATH);
 	}
-	load_start();
-	rig_sleep_ms(LOAD_MS);
-	load_stop();
+	count = callers_run(&fleet, CALLERS, PATH, LOAD_MS);
 	for (unsigned int i = 0; i < HOSTS; i++)
 		g_assert_cmpint(upstream_count(i, "most_limited"), <=,
 				LIMIT_MOST);
-	for (unsigned int i = 0; i < CALLERS; i++)
-		served += callers[i].served;
-	g_assert_cmpuint(served, >=, HOSTS * LIMIT_PER_S * (LOAD_MS / 1000 - 1));
+	g_assert_cmpuint(count.least_served, >, 0);
+	g_assert_cmpuint(count.served, >=,
+			 HOSTS * LIMIT_PER_S * (LOAD_MS / 1000 - 1));
 }
 
 /* Guards against a limit that outlasts the answers that stated it. */
 static void test_limit_ends_with_the_answers(void)
 {
-	unsigned int served = 0;
+	struct callers_count count;
 
 	for (unsigned int i = 0; i < HOSTS; i++)
 		set_limit(i, 0);
-	load_start();
-	rig_sleep_ms(SHORT_LOAD_MS);
-	load_stop();
+	count = callers_run(&fleet, CALLERS, PATH, SHORT_LOAD_MS);
 	for (unsigned int i = 0; i < HOSTS; i++)
 		g_assert_false(has_limit(GUINT_TO_POINTER(i)));
-	for (unsigned int i = 0; i < CALLERS; i++)
-		served += callers[i].served;
-	g_assert_cmpuint(served, >,
+	g_assert_cmpuint(count.least_served, >, 0);
+	g_assert_cmpuint(count.served, >,
 			 2 * HOSTS * LIMIT_PER_S * SHORT_LOAD_MS / 1000);
 }
 
@@ -233,11 +163,11 @@
 static void test_leaving_upstream_gets_nothing(void)
 {
 	unsigned int runs = fleet_count_runs_on_host(&fleet, LEAVING);
+	struct callers *callers = callers_start(&fleet, CALLERS, PATH);
 
-	load_start();
 	fleet_set_upstream(&fleet, LEAVING, "{\"leaving\": true}");
 	rig_sleep_ms(SHORT_LOAD_MS);
-	g_assert_cmpuint(load_stop(), ==, 0);
+	g_assert_cmpuint(callers_stop(callers).failed, ==, 0);
 	g_assert_cmpuint(fleet_count_runs_on_host(&fleet, LEAVING), >, runs);
 	g_assert_cmpint(upstream_count(LEAVING, "after_leaving"), ==, 0);
 	g_assert_false(fleet_has_upstream(&fleet, LEAVING));
@@ -252,9 +182,7 @@
 	fleet_start_upstream(&fleet, LEAVING);
 	g_assert_true(rig_wait_until(has_upstream, GUINT_TO_POINTER(LEAVING),
 				     WAIT_MS));
-	load_start();
-	rig_sleep_ms(SHORT_LOAD_MS);
-	load_stop();
+	callers_run(&fleet, CALLERS, PATH, SHORT_LOAD_MS);
 	g_assert_cmpuint(fleet_count_runs_on_host(&fleet, LEAVING), >, runs);
 }
 
