--- a/comfreydockd/decide/cold_start.c
+++ b/comfreydockd/decide/cold_start.c
@@ -93,12 +93,6 @@
 	rate_window_note_arrived(&cold->window, now_us);
 }
 
-int64_t cold_start_query_interval_us(const struct cold_start *cold)
-{
-	return COLD_START_WINDOW_US * COLD_START_QUERY_SHARE /
-	       MAX(cold->window.limit, 1);
-}
-
 int64_t cold_start_wait_us(const struct cold_start *cold, uint32_t ahead,
 			   int64_t now_us)
 {
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -12,12 +12,19 @@
  * often. */
 #define ASK_INTERVAL_HELD_S 0.02
 #define ASK_INTERVAL_SLOW_S 0.04
-/* RETURN VALUE: true if the upstream tolerates no query now. */
+/* An upstream that tolerates few requests gets fewer queries, which take its
+ * time as well. */
+#define ASK_INTERVAL_LIMITED_US (150 * US_PER_MS)
+
+/* RETURN VALUE: true if the upstream tolerates few requests and was asked a
+ * moment ago. */
 static bool gate_spares_upstream(const struct owner *owner)
 {
-	return clock_mono_us() - owner->asked_us <
-		       owner_query_interval_us(owner) ||
-	       !owner_rate_allows_query(owner);
+	int64_t now = clock_mono_us();
+
+	return owner_limits_starts(owner) &&
+	       now - owner->asked_us < ASK_INTERVAL_LIMITED_US &&
+	       !gauge_is_pending(owner->gauge);
 }
 
 static bool gate_ask(struct owner *owner)
@@ -29,11 +36,7 @@
 		.instance = owner_instance(owner),
 	};
 
-	if (!owner->pool)
-		return false;
-	if (gauge_is_pending(owner->gauge))
-		return true;
-	if (gate_spares_upstream(owner))
+	if (!owner->pool || gate_spares_upstream(owner))
 		return false;
 	group = config_snapshot_group(config_store_current(owner->daemon->config),
 				      owner->announced.groups[0]);
@@ -43,7 +46,6 @@
 	if (!gauge_ask(owner->gauge, &target))
 		return false;
 	owner->asked_us = clock_mono_us();
-	owner_note_query(owner);
 	return true;
 }
 
@@ -209,7 +211,6 @@
 {
 	struct owner *owner = data;
 
-	owner_note_query_ended(owner);
 	if (reading->has_cold_ms)
 		owner_note_cold_health(owner, reading->cold_ms);
 	else if (reading->has_load)
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -321,29 +321,8 @@
 	owner_schedule_dispatch(owner);
 }
 
-static bool probe_may_send(void *data)
-{
-	return owner_rate_allows_query(data);
-}
-
-static void handle_probe_sent(void *data)
-{
-	owner_note_query(data);
-}
-
-static void handle_probe_ended(void *data)
-{
-	owner_note_query_ended(data);
-}
-
 struct owner *owner_create(struct daemon *daemon)
 {
-	static const struct probe_callbacks probe_callbacks = {
-		.handle_reachable = owner_note_reachable,
-		.may_send = probe_may_send,
-		.handle_sent = handle_probe_sent,
-		.handle_ended = handle_probe_ended,
-	};
 	struct owner *owner = g_new0(struct owner, 1);
 	struct queue_options options = {
 		.policy = &queue_by_deadline,
@@ -358,7 +337,7 @@
 	TAILQ_INIT(&owner->runs);
 	queue_init(&owner->queue, &options);
 	limit_init(&owner->limit, owner_limit_policy(owner), 1, clock_mono_us());
-	owner->probe = probe_create(daemon, &probe_callbacks, owner);
+	owner->probe = probe_create(daemon, owner_note_reachable, owner);
 	ev_timer_init(&owner->dispatch_timer, handle_dispatch_due, 0.0, 0.0);
 	ev_prepare_init(&owner->loop_prepare, handle_loop_prepare);
 	/* Runs before the links flush, so that refusals leave in the same
--- a/comfreydockd/upstream/probe.c
+++ b/comfreydockd/upstream/probe.c
@@ -21,12 +21,10 @@
 /* Interval of connection attempts, within which a restarted upstream is found.
  * A refused connect on loopback costs about ten microseconds. */
 #define CONNECT_RETRY_S 0.25
-/* Pause of a probe that the upstream doesn't tolerate now. */
-#define RATE_RETRY_US (250 * US_PER_MS)
 
 struct probe {
 	struct daemon *daemon;
-	struct probe_callbacks callbacks;
+	void (*handle_reachable)(bool reachable, void *data);
 	void *data;
 	struct measure measure;
 	const struct owner_announcement *announced; /* the owner's; NULL: none */
@@ -67,7 +65,7 @@
 		log_event(EV_PROBE_UNREACHABLE,
 			  LOG_INT("refusals", probe->refusals));
 	}
-	probe->callbacks.handle_reachable(reachable, probe->data);
+	probe->handle_reachable(reachable, probe->data);
 }
 
 static void handle_answer(const struct http_answer *answer, void *data)
@@ -76,7 +74,6 @@
 	int64_t now = clock_mono_us();
 
 	probe->pending = NULL;
-	probe->callbacks.handle_ended(probe->data);
 	measure_end(&probe->measure, now - probe->asked_us, now);
 	if (answer->result != CURLE_OK || answer->status >= 500) {
 		counters.probe_failed++;
@@ -104,18 +101,15 @@
 	probe->pending = http_client_call(probe->daemon->http, &call,
 					  handle_answer, probe);
 	g_free(url);
-	probe->callbacks.handle_sent(probe->data);
 }
 
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct probe *probe = timer->data;
 
+	(void)loop;
 	(void)events;
-	if (!probe->callbacks.may_send(probe->data))
-		timer_restart_us(loop, timer, RATE_RETRY_US);
-	else if (measure_try_begin(&probe->measure, clock_mono_us()) ==
-		 MEASURE_BEGIN)
+	if (measure_try_begin(&probe->measure, clock_mono_us()) == MEASURE_BEGIN)
 		probe_send(probe);
 	else
 		probe_schedule(probe);
@@ -163,12 +157,13 @@
 }
 
 struct probe *probe_create(struct daemon *daemon,
-			   const struct probe_callbacks *callbacks, void *data)
+			   void (*handle_reachable)(bool reachable, void *data),
+			   void *data)
 {
 	struct probe *probe = g_new0(struct probe, 1);
 
 	probe->daemon = daemon;
-	probe->callbacks = *callbacks;
+	probe->handle_reachable = handle_reachable;
 	probe->data = data;
 	measure_init(&probe->measure, 1, 0, clock_mono_us());
 	ev_init(&probe->timer, handle_timer);
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -133,15 +133,6 @@
 	owner_announce(owner, &announcement);
 }
 
-/* Counts what the confirmation sent to the new start. */
-static void note_checks(struct owner *owner)
-{
-	for (unsigned int i = 0; i < owner->start_check.checks; i++) {
-		owner_note_query(owner);
-		owner_note_query_ended(owner);
-	}
-}
-
 /* Ends the confirmation of the current start and announces the upstream to the
  * owner, which sends it requests from then on. */
 static void confirm_start(struct owner *owner, const char *by)
@@ -159,7 +150,6 @@
 		cold_start_forget(&owner->cold);
 	owner_reset_limit(owner, !is_fresh);
 	announce_to_owner(owner, &owner->start_check, true);
-	note_checks(owner);
 	owner_note_cold_heartbeat(owner, owner->start_check.warm_ms);
 }
 
@@ -238,7 +228,6 @@
 	url = address_to_url(owner->start_check.address,
 			     owner->start_check.port, group->health_path);
 	call.url = url;
-	owner->start_check.checks++;
 	owner->start_check.pending = http_client_call(owner->daemon->http, &call,
 						      handle_health, owner);
 	g_free(url);
--- a/comfreydockd/upstream/start_rate.c
+++ b/comfreydockd/upstream/start_rate.c
@@ -7,9 +7,6 @@
 /* An upstream may state another limit in each answer. The entries are told this
  * often at most; answers and refusals bring them the rest. */
 #define LIMIT_NOTIFY_INTERVAL_US US_PER_S
-/* An upstream that states a limit is asked for its load less often: it is in
- * need. */
-#define QUERY_INTERVAL_LIMITED_US (150 * US_PER_MS)
 
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -114,32 +111,6 @@
 		cold_start_note_unsent(&owner->cold);
 }
 
-bool owner_rate_allows_query(const struct owner *owner)
-{
-	return cold_start_wait_us(&owner->cold, 0, clock_mono_us()) == 0;
-}
-
-void owner_note_query(struct owner *owner)
-{
-	cold_start_begin(&owner->cold);
-}
-
-void owner_note_query_ended(struct owner *owner)
-{
-	cold_start_note_arrived(&owner->cold, clock_mono_us());
-}
-
-int64_t owner_query_interval_us(const struct owner *owner)
-{
-	int64_t interval_us = 0;
-
-	if (cold_start_is_limiting(&owner->cold, clock_mono_us()))
-		interval_us = cold_start_query_interval_us(&owner->cold);
-	if (advertised_limit_applies(&owner->advertised))
-		interval_us = MAX(interval_us, QUERY_INTERVAL_LIMITED_US);
-	return interval_us;
-}
-
 static int64_t wait_us(const struct owner *owner, uint32_t ahead)
 {
 	int64_t now = clock_mono_us();
@@ -153,6 +124,12 @@
 	return wait_us(owner, queue_length(&owner->queue));
 }
 
+bool owner_limits_starts(const struct owner *owner)
+{
+	return cold_start_is_limiting(&owner->cold, clock_mono_us()) ||
+	       advertised_limit_applies(&owner->advertised);
+}
+
 uint32_t owner_rate_slots(const struct owner *owner, uint32_t slots)
 {
 	int64_t service_us = speed_us(&owner->speed);
--- a/include/comfreydockd/decide/cold_start.h
+++ b/include/comfreydockd/decide/cold_start.h
@@ -35,8 +35,9 @@
  *
  * GROUNDS
  *	See rate_window.h for the sliding window. It is slightly longer than a
- *	second, for the way from the owner to the upstream. Health requests
- *	count as others do: the upstream needs as much for them.
+ *	second, for the way from the owner to the upstream. Health requests don't count; what the upstream tolerates
+ *	beyond the limit is left for them and for requests that arrive closer
+ *	together than they were started.
  *
  * UNITS
  *	Times are monotonic microseconds.
@@ -55,10 +56,6 @@
  * in either order. */
 #define COLD_START_SUCCESSION_US ((int64_t)10 * 1000)
 
-/* A health request displaces another one. It tells the pace of the host, for which
- * a few a second are enough, as answers to requests tell it, too. */
-#define COLD_START_QUERY_SHARE 8
-
 /* What the operator states about the upstreams of a group. */
 struct cold_start_options {
 	double per_s; /* requests that a cold upstream tolerates; 0: any */
@@ -110,10 +107,6 @@
 void cold_start_note_arrived(struct cold_start *cold, int64_t now_us);
 void cold_start_note_unsent(struct cold_start *cold);
 
-/* RETURN VALUE: the time between two health requests that leaves the upstream to
- * requests but for one in COLD_START_QUERY_SHARE. */
-int64_t cold_start_query_interval_us(const struct cold_start *cold);
-
 /* RETURN VALUE: how long a request has to wait if ahead others start first; 0:
  * it may start now. */
 int64_t cold_start_wait_us(const struct cold_start *cold, uint32_t ahead,
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -143,18 +143,9 @@
 
 void owner_note_start(struct owner *owner, struct owner_attempt *attempt);
 
-/* Health requests, which a cold upstream takes for requests as any others. Each
- * is counted from when it is sent until it has ended.
- * RETURN VALUE: false if the upstream tolerates none now. */
-bool owner_rate_allows_query(const struct owner *owner);
-void owner_note_query(struct owner *owner);
-void owner_note_query_ended(struct owner *owner);
-
-/* RETURN VALUE: the least time between two queries of the load. */
-int64_t owner_query_interval_us(const struct owner *owner);
-
 /* RETURN VALUE: how long the rate delays an attempt that is enqueued now. */
 int64_t owner_start_wait_us(const struct owner *owner);
+bool owner_limits_starts(const struct owner *owner);
 
 /* RETURN VALUE: how many of the slots the rate keeps busy, at least one. */
 uint32_t owner_rate_slots(const struct owner *owner, uint32_t slots);
--- a/include/comfreydockd/upstream/probe.h
+++ b/include/comfreydockd/upstream/probe.h
@@ -30,21 +30,11 @@
 
 struct probe;
 
-struct probe_callbacks {
-	/* The port refuses connections, or accepts them again. */
-	void (*handle_reachable)(bool reachable, void *data);
-
-	/* RETURN VALUE: false if the upstream tolerates no health request now.
-	 * The probe waits for its next turn. */
-	bool (*may_send)(void *data);
-
-	/* A health request was sent; it was answered, or is given up. */
-	void (*handle_sent)(void *data);
-	void (*handle_ended)(void *data);
-};
-
+/* handle_reachable is called when the port refuses connections, and when it
+ * accepts them again. */
 struct probe *probe_create(struct daemon *daemon,
-			   const struct probe_callbacks *callbacks, void *data);
+			   void (*handle_reachable)(bool reachable, void *data),
+			   void *data);
 void probe_destroy(struct probe *probe);
 
 /* Sends the probes to a newly announced upstream. */
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -95,8 +95,7 @@
 	bool is_unconfirmed; /* the current start is not confirmed yet */
 	bool saw_first_report; /* of the current start */
 	unsigned int reports; /* received from this start */
-	unsigned int checks; /* health requests to this start */
-	unsigned int failed_checks; /* unsuccessful ones */
+	unsigned int failed_checks; /* unsuccessful health requests */
 	struct http_pending_call *pending;
 	char *group; /* this and the fields below: as last reported */
 	char *address;
