decide/cold_start: hold the limit until the upstream is warm

Cause: an upstream states in whole milliseconds, rounded down, how long it stays cold. The limit ended up to a millisecond too early, and all that waited for its end was started at once, on top of what had just been started. Class: a time that was rounded on its way, taken for exact.

The limit now lasts for the millisecond that rounding may have taken, and an upstream that states 0 after it was cold gets the same.

--- a/comfreydockd/decide/cold_start.c
+++ b/comfreydockd/decide/cold_start.c
@@ -41,12 +41,19 @@
 	cold->until_us = 0;
 }
 
+/* RETURN VALUE: the latest time at which an upstream that stated this time is
+ * warm. */
+static int64_t warm_at_us(uint32_t remaining_ms, int64_t now_us)
+{
+	return now_us + remaining_ms * US_PER_MS + COLD_START_ROUNDING_US;
+}
+
 void cold_start_note_heartbeat(struct cold_start *cold, uint32_t remaining_ms,
 			       int64_t now_us)
 {
-	int64_t until_us = now_us + remaining_ms * US_PER_MS;
-
-	cold->until_us = MAX(cold->until_us, until_us);
+	if (remaining_ms > 0)
+		cold->until_us =
+			MAX(cold->until_us, warm_at_us(remaining_ms, now_us));
 	cold->is_reported = true;
 	cold->reported_us = now_us;
 }
@@ -54,11 +61,17 @@
 void cold_start_note_health(struct cold_start *cold, uint32_t remaining_ms,
 			    int64_t now_us)
 {
-	cold->until_us = now_us + remaining_ms * US_PER_MS;
+	int64_t until_us = warm_at_us(remaining_ms, now_us);
+	int64_t began_us = now_us + remaining_ms * US_PER_MS - cold->duration_us;
+
+	/* An upstream that states 0 may be cold for the rest of a millisecond,
+	 * if it was cold before. */
+	cold->until_us =
+		remaining_ms > 0 ? until_us : MIN(cold->until_us, until_us);
 	cold->is_reported = true;
 	cold->reported_us = now_us;
 	if (remaining_ms > 0 && cold->duration_us > 0 &&
-	    cold->until_us - cold->duration_us > cold->window.since_us)
+	    began_us > cold->window.since_us)
 		rate_window_forget_unknown(&cold->window);
 }
 
--- a/include/comfreydockd/decide/cold_start.h
+++ b/include/comfreydockd/decide/cold_start.h
@@ -51,6 +51,10 @@
 #include "comfreydockd/decide/rate_window.h"
 
 #define COLD_START_WINDOW_US ((int64_t)1030 * 1000)
+/* The time that an upstream stays cold is stated in whole milliseconds, rounded
+ * down. A limit that ended that much too early would let everything that waits
+ * through to an upstream that is still cold. */
+#define COLD_START_ROUNDING_US ((int64_t)1000)
 /* A daemon that replaces another one on its host starts at least so long after
  * the other's end. An upstream and a daemon that are started together may start
  * in either order. */
