tests: system-thaw suspends the owner only once a call runs

The lines show that the load generator's first call was sent 40 to 50 ms after the owner had been suspended (entry.sent at 43.787, no owner.started before the resume): no call ran, so no late answer could come. The test assumed that its load begins within 50 ms.

--- a/tests/system/test_thaw.c
+++ b/tests/system/test_thaw.c
@@ -10,6 +10,8 @@
 #define WAIT_UP_MS 15000
 /* Any attempt that starts after a pause has started by then. */
 #define SETTLE_MS 1500
+#define SLOW "{\"factor\": 20}"
+#define USUAL "{\"factor\": 1}"
 
 /* With one slot, all calls but one wait at the owner. */
 static const struct cluster_options options = {
@@ -130,6 +132,12 @@
 	}
 }
 
+static bool has_run_late(void *data)
+{
+	(void)data;
+	return count_runs("late") > 0;
+}
+
 /*
  * A POST runs while its owner is suspended. Its caller is told at the deadline
  * that the outcome is unknown. The answer arrives when the owner resumes, and
@@ -138,13 +146,17 @@
 static void test_late_answer_is_discarded(void)
 {
 	struct rig_answer *answer;
-	struct ledger_load load = start_posts("late");
+	struct ledger_load load;
 	int64_t before;
 
-	rig_sleep_ms(50);
+	/* The run is still going on when the owner is suspended. */
+	cluster_set_upstream(&cluster, OWNER, SLOW);
+	load = start_posts("late");
+	g_assert_true(rig_wait_until(has_run_late, NULL, WAIT_UP_MS));
 	rig_signal(cluster.daemons[OWNER], SIGSTOP);
 	before = cluster_counter(&cluster, ENTRY, "peer_unmatched");
 	rig_sleep_ms(1800);
+	cluster_set_upstream(&cluster, OWNER, USUAL);
 	rig_signal(cluster.daemons[OWNER], SIGCONT);
 	answer = cluster_call(&cluster, ENTRY, "GET", "/", "after-late", NULL,
 			      5000);
