upstream/owner: after a freeze, start only what the entry still wants

Callers that had left got a call run on their behalf, seconds later: the owner had been suspended, and started their attempts before it had read the cancels. It waited 50 ms for these; behind a slow network or on busy processors they come later. Class: a fixed time taken for an event.

After a freeze the owner now pings its entries. Frames keep their order, so the reply comes behind all cancels sent before. Until then, and for two seconds at most, an attempt of that entry that would start is refused as not run, and the entry may try another upstream. The 50 ms stay: an entry that was frozen itself needs time to notice that callers have left. An entry of an older release does not reply, and is refused for these two seconds.

--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -188,6 +188,7 @@
 	peers->port = port;
 	peers->outgoing = g_hash_table_new(g_str_hash, g_str_equal);
 	LIST_INIT(&peers->all);
+	peers_init_ping(peers);
 	link_group_init(&peers->links, daemon->loop);
 	ev_io_init(&peers->acceptor, handle_acceptable, fd, EV_READ);
 	ev_timer_init(&peers->sweep, handle_sweep, SWEEP_S, SWEEP_S);
--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -172,6 +172,20 @@
 	attempt_refuse(attempt, reason_of(verdict), owner_retry_after_ms(owner));
 }
 
+/* After a freeze, the cancel of an attempt may arrive long after the attempt. What
+ * the entry has sent before its reply to the ping is known.
+ * RETURN VALUE: false if the attempt was refused and freed. */
+static bool entry_may_wait(struct owner *owner, struct queue_item *item)
+{
+	struct owner_attempt *attempt = owner_attempt_of(item);
+
+	if (!attempt->peer || peer_has_replied(attempt->peer))
+		return true;
+	counters.owner_unconfirmed++;
+	owner_refuse_item(owner, item, QUEUE_REFUSED_BUSY);
+	return false;
+}
+
 static void owner_start_queued(struct owner *owner)
 {
 	enum queue_verdict verdict;
@@ -190,6 +204,8 @@
 			owner_refuse_item(owner, item, verdict);
 			continue;
 		}
+		if (!entry_may_wait(owner, item))
+			continue;
 		if (!gate_may_start(owner, owner_attempt_of(item)) ||
 		    !owner_quarantine_admit_start(owner, owner_attempt_of(item)))
 			continue;
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -14,7 +14,8 @@
 #define FREEZE_US (300 * US_PER_MS)
 /* After a freeze no attempt starts for this long. Frames that entries sent
  * during the freeze, above all cancels and closed connections, are partly still
- * in the entries' own send buffers and arrive only now. */
+ * in the entries' own send buffers and arrive only now. If an entry takes longer
+ * to reply to a ping, its attempts are refused until then. */
 #define POST_FREEZE_READ_US (50 * US_PER_MS)
 
 /* The sweep goes through all running attempts every SWEEP_S. */
@@ -35,6 +36,7 @@
 		   &owner->last_sweep);
 	owner_mark_sweep(owner, now);
 	owner->no_start_before_us = now + POST_FREEZE_READ_US;
+	peers_ping_entries(owner->daemon->peers);
 }
 
 static void owner_sweep_runs(struct owner *owner, int64_t now)
--- a/include/comfreydockd/peer/peers.h
+++ b/include/comfreydockd/peer/peers.h
@@ -35,6 +35,8 @@
 /* Two round trips between regions, and the retransmission of one lost SYN. */
 #define PEERS_CONNECT_TIMEOUT_S 1.2
 
+#define PEERS_PING_TIMEOUT_US ((int64_t)2000 * 1000)
+
 struct peer;
 struct peers;
 
@@ -79,6 +81,14 @@
  * the frames to their handlers. */
 void peers_read_input(struct peers *peers);
 
+/* Sends a ping to all entries that are connected to this owner. */
+void peers_ping_entries(struct peers *peers);
+
+/* RETURN VALUE: false if the peer was sent a ping and has not replied yet, so that
+ * frames which it sent long ago may still be on their way. A peer that doesn't
+ * reply within PEERS_PING_TIMEOUT_US counts as one that can't. */
+bool peer_has_replied(const struct peer *peer);
+
 /* RETURN VALUE: the frame's position, for peer_has_begun_sending(). */
 uint64_t peer_send(struct peer *peer, const Cfd__Frame *frame);
 
--- a/include/comfreydockd/peer/peers_internal.h
+++ b/include/comfreydockd/peer/peers_internal.h
@@ -40,6 +40,9 @@
 	int64_t last_used_us;
 	int64_t last_heard_us;
 	uint32_t uses; /* open attempts */
+	uint64_t ping_id; /* of the last ping to it; 0: none */
+	bool ping_is_open; /* it has not replied */
+	int64_t pinged_us;
 	void *role_data;
 };
 
@@ -58,6 +61,9 @@
 	size_t count;
 };
 
+/* ping.c */
+void peers_init_ping(struct peers *peers);
+
 /* hello.c: the handshake, up to PEER_READY or the end of the link */
 
 void peer_send_hello(struct peer *peer, bool with_proof);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &cfd__timeline_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfd__ping__init
+                     (Cfd__Ping         *message)
+{
+  static const Cfd__Ping init_value = CFD__PING__INIT;
+  *message = init_value;
+}
+size_t cfd__ping__get_packed_size
+                     (const Cfd__Ping *message)
+{
+  assert(message->base.descriptor == &cfd__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfd__ping__pack
+                     (const Cfd__Ping *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfd__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfd__ping__pack_to_buffer
+                     (const Cfd__Ping *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfd__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfd__Ping *
+       cfd__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfd__Ping *)
+     protobuf_c_message_unpack (&cfd__ping__descriptor,
+                                allocator, len, data);
+}
+void   cfd__ping__free_unpacked
+                     (Cfd__Ping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfd__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfd__frame__init
                      (Cfd__Frame         *message)
 {
@@ -2548,7 +2593,58 @@
   (ProtobufCMessageInit) cfd__timeline_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__frame__field_descriptors[15] =
+static const ProtobufCFieldDescriptor cfd__ping__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Ping, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_reply",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Ping, is_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfd__ping__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = is_reply */
+};
+static const ProtobufCIntRange cfd__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfd__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfd.Ping",
+  "Ping",
+  "Cfd__Ping",
+  "cfd",
+  sizeof(Cfd__Ping),
+  2,
+  cfd__ping__field_descriptors,
+  cfd__ping__field_indices_by_name,
+  1,  cfd__ping__number_ranges,
+  (ProtobufCMessageInit) cfd__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfd__frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -2730,6 +2826,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ping",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfd__Frame, kind_case),
+    offsetof(Cfd__Frame, ping),
+    &cfd__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -2744,6 +2852,7 @@
   9,   /* field[9] = load_query */
   10,   /* field[10] = load_report */
   6,   /* field[6] = not_run */
+  15,   /* field[15] = ping */
   13,   /* field[13] = timeline_query */
   14,   /* field[14] = timeline_report */
   8,   /* field[8] = window */
@@ -2751,7 +2860,7 @@
 static const ProtobufCIntRange cfd__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cfd__frame__descriptor =
 {
@@ -2761,7 +2870,7 @@
   "Cfd__Frame",
   "cfd",
   sizeof(Cfd__Frame),
-  15,
+  16,
   cfd__frame__field_descriptors,
   cfd__frame__field_indices_by_name,
   1,  cfd__frame__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Cfd__ConfigBody Cfd__ConfigBody;
 typedef struct Cfd__TimelineQuery Cfd__TimelineQuery;
 typedef struct Cfd__TimelineReport Cfd__TimelineReport;
+typedef struct Cfd__Ping Cfd__Ping;
 typedef struct Cfd__Frame Cfd__Frame;
 
 
@@ -455,6 +456,21 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A reply with the same id follows at once. As frames keep their order, it comes
+ * after all that was sent on the connection before the ping arrived.
+ */
+struct  Cfd__Ping
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  protobuf_c_boolean is_reply;
+};
+#define CFD__PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfd__ping__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   CFD__FRAME__KIND__NOT_SET = 0,
   CFD__FRAME__KIND_HELLO = 1,
@@ -471,7 +487,8 @@
   CFD__FRAME__KIND_CONFIG_QUERY = 12,
   CFD__FRAME__KIND_CONFIG_BODY = 13,
   CFD__FRAME__KIND_TIMELINE_QUERY = 14,
-  CFD__FRAME__KIND_TIMELINE_REPORT = 15
+  CFD__FRAME__KIND_TIMELINE_REPORT = 15,
+  CFD__FRAME__KIND_PING = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFD__FRAME__KIND__CASE)
 } Cfd__Frame__KindCase;
 
@@ -495,6 +512,7 @@
     Cfd__ConfigBody *config_body;
     Cfd__TimelineQuery *timeline_query;
     Cfd__TimelineReport *timeline_report;
+    Cfd__Ping *ping;
   };
 };
 #define CFD__FRAME__INIT \
@@ -844,6 +862,25 @@
 void   cfd__timeline_report__free_unpacked
                      (Cfd__TimelineReport *message,
                       ProtobufCAllocator *allocator);
+/* Cfd__Ping methods */
+void   cfd__ping__init
+                     (Cfd__Ping         *message);
+size_t cfd__ping__get_packed_size
+                     (const Cfd__Ping   *message);
+size_t cfd__ping__pack
+                     (const Cfd__Ping   *message,
+                      uint8_t             *out);
+size_t cfd__ping__pack_to_buffer
+                     (const Cfd__Ping   *message,
+                      ProtobufCBuffer     *buffer);
+Cfd__Ping *
+       cfd__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfd__ping__free_unpacked
+                     (Cfd__Ping *message,
+                      ProtobufCAllocator *allocator);
 /* Cfd__Frame methods */
 void   cfd__frame__init
                      (Cfd__Frame         *message);
@@ -919,6 +956,9 @@
 typedef void (*Cfd__TimelineReport_Closure)
                  (const Cfd__TimelineReport *message,
                   void *closure_data);
+typedef void (*Cfd__Ping_Closure)
+                 (const Cfd__Ping *message,
+                  void *closure_data);
 typedef void (*Cfd__Frame_Closure)
                  (const Cfd__Frame *message,
                   void *closure_data);
@@ -947,6 +987,7 @@
 extern const ProtobufCMessageDescriptor cfd__config_body__descriptor;
 extern const ProtobufCMessageDescriptor cfd__timeline_query__descriptor;
 extern const ProtobufCMessageDescriptor cfd__timeline_report__descriptor;
+extern const ProtobufCMessageDescriptor cfd__ping__descriptor;
 extern const ProtobufCMessageDescriptor cfd__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
