--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -173,6 +173,35 @@
 	node_finish(&b);
 }
 
+/* Guards against a reply that overtakes the frames sent before it, and against a
+ * peer that never replies and is waited for. */
+static void test_ping_reply_comes_last(void)
+{
+	struct node a, b;
+	struct member member;
+	struct peer *peer;
+
+	node_init(&a, "a", "secret");
+	node_init(&b, "b", "secret");
+	member = member_of(&b);
+	peer = peers_connect(a.peers, &member);
+	send_cancel(peer, 1);
+	while (strcmp(b.received->str, "1 ") != 0)
+		run_for(1);
+	g_assert_true(peer_has_replied(b.from));
+	peers_ping_entries(b.peers);
+	send_cancel(peer, 2);
+	g_assert_false(peer_has_replied(b.from));
+	while (!peer_has_replied(b.from))
+		run_for(1);
+	g_assert_cmpstr(b.received->str, ==, "1 2 ");
+	peers_ping_entries(b.peers);
+	paused_clock_advance_us(PEERS_PING_TIMEOUT_US + 1);
+	g_assert_true(peer_has_replied(b.from));
+	node_finish(&a);
+	node_finish(&b);
+}
+
 static void test_connection_to_self_uses_memory(void)
 {
 	struct node a;
@@ -373,6 +402,7 @@
 			test_a_connection_with_an_attempt_out_is_not_idle);
 	g_test_add_func("/peers/before-handshake",
 			test_frames_sent_before_the_handshake_keep_their_order);
+	g_test_add_func("/peers/ping", test_ping_reply_comes_last);
 	g_test_add_func("/peers/memory", test_connection_to_self_uses_memory);
 	g_test_add_func("/peers/wrong-key", test_wrong_key_is_refused);
 	g_test_add_func("/peers/unauthenticated",
