decide/cold_start: use the whole allowance of the operator

Hypothesis: with the limit held until the upstream is warm, owners can start all that the operator allows a cold upstream (rate, overage and slack: 24 in a second) and not only rate and overage (16); and as health requests don't count, a cold upstream may be asked as often as others.

Change: cold_start.slack in the settings, filled in by the platform; no sparing of cold upstreams by the gate, nor of those that state a limit.

--- a/comfreydockd/decide/cold_start.c
+++ b/comfreydockd/decide/cold_start.c
@@ -20,7 +20,7 @@
 void cold_start_configure(struct cold_start *cold,
 			  const struct cold_start_options *options)
 {
-	double most = floor(options->per_s * options->overage);
+	double most = floor(options->per_s * options->overage + options->slack);
 	uint32_t limit = 0;
 
 	if (options->per_s > 0)
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -35,6 +35,7 @@
 #define DEFAULT_RETRY_RATIO 0.1
 #define RETRY_SLACK_MAX 1e6
 #define COLD_OVERAGE_MAX 100.0
+#define COLD_SLACK_MAX 1000.0
 #define PROBES_MAX_PER_S 1000
 /* With fewer lines, not even the refusals of one second could be told apart. */
 #define LOG_LINES_MIN_PER_S 10
@@ -297,6 +298,7 @@
 	schema_init_child(&schema, root, "cold_start", SCHEMA_OPTIONAL);
 	cold_start->overage =
 		schema_double(&schema, "overage", 1.0, COLD_OVERAGE_MAX);
+	cold_start->slack = schema_double(&schema, "slack", 0, COLD_SLACK_MAX);
 	schema_finish(&schema);
 }
 
--- a/comfreydockd/upstream/cold.c
+++ b/comfreydockd/upstream/cold.c
@@ -23,6 +23,7 @@
 				     &(struct cold_start_options){
 					     .per_s = group->cold_per_s,
 					     .overage = settings->overage,
+					     .slack = settings->slack,
 					     .duration_ms = group->cold_ms,
 				     });
 }
--- a/comfreydockd/upstream/gate.c
+++ b/comfreydockd/upstream/gate.c
@@ -12,20 +12,6 @@
  * often. */
 #define ASK_INTERVAL_HELD_S 0.02
 #define ASK_INTERVAL_SLOW_S 0.04
-/* An upstream that tolerates few requests gets fewer queries, which take its
- * time as well. */
-#define ASK_INTERVAL_LIMITED_US (150 * US_PER_MS)
-
-/* RETURN VALUE: true if the upstream tolerates few requests and was asked a
- * moment ago. */
-static bool gate_spares_upstream(const struct owner *owner)
-{
-	int64_t now = clock_mono_us();
-
-	return owner_limits_starts(owner) &&
-	       now - owner->asked_us < ASK_INTERVAL_LIMITED_US &&
-	       !gauge_is_pending(owner->gauge);
-}
 
 static bool gate_ask(struct owner *owner)
 {
@@ -36,17 +22,14 @@
 		.instance = owner_instance(owner),
 	};
 
-	if (!owner->pool || gate_spares_upstream(owner))
+	if (!owner->pool)
 		return false;
 	group = config_snapshot_group(config_store_current(owner->daemon->config),
 				      owner->announced.groups[0]);
 	if (!group)
 		return false;
 	target.path = group->health_path;
-	if (!gauge_ask(owner->gauge, &target))
-		return false;
-	owner->asked_us = clock_mono_us();
-	return true;
+	return gauge_ask(owner->gauge, &target);
 }
 
 static void gate_arm(struct owner *owner)
--- a/comfreydockd/upstream/start_rate.c
+++ b/comfreydockd/upstream/start_rate.c
@@ -124,12 +124,6 @@
 	return wait_us(owner, queue_length(&owner->queue));
 }
 
-bool owner_limits_starts(const struct owner *owner)
-{
-	return cold_start_is_limiting(&owner->cold, clock_mono_us()) ||
-	       advertised_limit_applies(&owner->advertised);
-}
-
 uint32_t owner_rate_slots(const struct owner *owner, uint32_t slots)
 {
 	int64_t service_us = speed_us(&owner->speed);
--- a/include/comfreydockd/decide/cold_start.h
+++ b/include/comfreydockd/decide/cold_start.h
@@ -35,9 +35,8 @@
  *
  * GROUNDS
  *	See rate_window.h for the sliding window. It is slightly longer than a
- *	second, for the way from the owner to the upstream. Health requests don't count; what the upstream tolerates
- *	beyond the limit is left for them and for requests that arrive closer
- *	together than they were started.
+ *	second, for the way from the owner to the upstream. Health requests
+ *	don't count.
  *
  * UNITS
  *	Times are monotonic microseconds.
@@ -64,6 +63,7 @@
 struct cold_start_options {
 	double per_s; /* requests that a cold upstream tolerates; 0: any */
 	double overage; /* factor by which that may be exceeded */
+	double slack; /* requests beyond that in a second */
 	uint32_t duration_ms; /* how long it stays cold; 0: unknown */
 };
 
--- a/include/comfreydockd/settings.h
+++ b/include/comfreydockd/settings.h
@@ -41,6 +41,7 @@
  * decide/cold_start.h. */
 struct settings_cold_start {
 	double overage; /* factor of the rate */
+	double slack; /* requests a second beyond it */
 };
 
 /* Limits of the log's volume; see log.h. */
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -41,7 +41,6 @@
 	ev_timer start_check_timer; /* retries the health request */
 	struct report_check start_check; /* for a start not confirmed yet */
 	struct gauge *gauge;
-	int64_t asked_us; /* time of the gauge's last query */
 	struct pace pace; /* how slow the upstream reports its host to be */
 	struct knee knee;
 	struct breaker breaker; /* opens if the upstream answers no request */
@@ -145,7 +144,6 @@
 
 /* RETURN VALUE: how long the rate delays an attempt that is enqueued now. */
 int64_t owner_start_wait_us(const struct owner *owner);
-bool owner_limits_starts(const struct owner *owner);
 
 /* RETURN VALUE: how many of the slots the rate keeps busy, at least one. */
 uint32_t owner_rate_slots(const struct owner *owner, uint32_t slots);
--- a/tests/test_cold_start.c
+++ b/tests/test_cold_start.c
@@ -228,6 +228,24 @@
 	cold_start_finish(&cold);
 }
 
+/* Guards against an allowance of the operator that is left unused, or exceeded. */
+static void test_allowance_is_rate_overage_and_slack(void)
+{
+	struct cold_start_options options = {
+		.per_s = PER_S,
+		.overage = OVERAGE,
+		.slack = 8,
+	};
+	struct cold_start cold = create(-10 * US_PER_S);
+
+	cold_start_configure(&cold, &options);
+	cold_start_forget(&cold);
+	cold_start_note_heartbeat(&cold, COLD_MS, 0);
+	g_assert_cmpint(cold_start_wait_us(&cold, 23, 0), ==, 0);
+	g_assert_cmpint(cold_start_wait_us(&cold, 24, 0), >, 0);
+	cold_start_finish(&cold);
+}
+
 /* Entries see as many slots as the limit keeps busy. */
 static void test_slots_follow_the_limit(void)
 {
@@ -292,5 +310,7 @@
 	g_test_add_func("/cold-start/slots", test_slots_follow_the_limit);
 	g_test_add_func("/cold-start/warm",
 			test_limit_lasts_until_the_upstream_is_warm);
+	g_test_add_func("/cold-start/allowance",
+			test_allowance_is_rate_overage_and_slack);
 	return g_test_run();
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -175,6 +175,7 @@
 		{"{{bounds.budgetSlack}}", "58"},
 		{"{{bounds.probesPerS}}", "60"},
 		{"{{bounds.coldOverage}}", "1.5"},
+		{"{{bounds.coldSlack}}", "8"},
 		{"{{bounds.graceS}}", "6"},
 	};
 	char *text = read_source("deploy", "settings.json");
@@ -209,6 +210,7 @@
 	g_assert_cmpuint(settings->probes_per_s, ==, 60);
 	g_assert_cmpfloat(settings->cold_start.overage, ==,
 			  limits_cold ? 1.5 : 1.0);
+	g_assert_cmpfloat(settings->cold_start.slack, ==, limits_cold ? 8 : 0);
 	settings_destroy(settings);
 	findings_finish(&findings);
 	g_unlink(file);
