--- a/tests/system/fleet.c
+++ b/tests/system/fleet.c
@@ -347,3 +347,25 @@
 {
 	return (uint64_t)MAX(rig_metric(fleet->hosts[i].admin, name), 0);
 }
+
+bool fleet_knows_all(const struct fleet *fleet)
+{
+	for (unsigned int i = 0; i < fleet->options.count; i++) {
+		if (fleet_metric(fleet, i,
+				 "comfreydock_members{state=\"alive\"}") !=
+		    fleet->options.count)
+			return false;
+	}
+	return true;
+}
+
+int64_t fleet_upstream_count(const struct fleet *fleet, unsigned int i,
+			     const char *name)
+{
+	char *json = rig_http_ok("GET", fleet->hosts[i].upstream->port,
+				 "/standin/runs", NULL);
+	int64_t count = rig_json_int(json, name);
+
+	g_free(json);
+	return count;
+}
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -113,6 +113,14 @@
 /* RETURN VALUE: whether the daemon considers its upstream up. */
 bool fleet_has_upstream(const struct fleet *fleet, unsigned int i);
 
+/* RETURN VALUE: whether each daemon holds all hosts for alive. */
+bool fleet_knows_all(const struct fleet *fleet);
+
+/* RETURN VALUE: a count of host i's upstream; see struct upstream_counts of the
+ * stand-in. */
+int64_t fleet_upstream_count(const struct fleet *fleet, unsigned int i,
+			     const char *name);
+
 /* RETURN VALUE: the value of a metric of the daemon, or 0 if there is none of
  * this name. */
 uint64_t fleet_metric(const struct fleet *fleet, unsigned int i,
--- a/tests/system/test_advertised.c
+++ b/tests/system/test_advertised.c
@@ -28,16 +28,6 @@
 };
 static struct fleet fleet;
 
-static int64_t upstream_count(unsigned int host, const char *name)
-{
-	char *json = rig_http_ok("GET", fleet.hosts[host].upstream->port,
-				 "/standin/runs", NULL);
-	int64_t count = rig_json_int(json, name);
-
-	g_free(json);
-	return count;
-}
-
 static void set_limit(unsigned int host, unsigned int per_s)
 {
 	char *body = g_strdup_printf("{\"limit_per_s\": %u}", per_s);
@@ -59,12 +49,7 @@
 static bool all_know_all(void *data)
 {
 	(void)data;
-	for (unsigned int i = 0; i < HOSTS; i++) {
-		if (fleet_metric(&fleet, i,
-				 "comfreydock_members{state=\"alive\"}") != HOSTS)
-			return false;
-	}
-	return true;
+	return fleet_knows_all(&fleet);
 }
 
 static void test_start(void)
@@ -91,8 +76,10 @@
 	count = callers_stop(callers);
 	g_assert_cmpuint(count.failed, ==, 0);
 	g_assert_cmpuint(count.least_served, >, 0);
-	g_assert_cmpint(upstream_count(LIMITED, "most_limited"), <=, LIMIT_MOST);
-	g_assert_cmpint(upstream_count(LIMITED, "most_limited"), >, 0);
+	g_assert_cmpint(fleet_upstream_count(&fleet, LIMITED, "most_limited"),
+			<=, LIMIT_MOST);
+	g_assert_cmpint(fleet_upstream_count(&fleet, LIMITED, "most_limited"),
+			>, 0);
 	set_limit(LIMITED, 0);
 }
 
@@ -110,7 +97,8 @@
 	}
 	rig_sleep_ms(LOAD_MS / RESTARTS);
 	callers_stop(callers); /* calls through the killed daemon fail */
-	g_assert_cmpint(upstream_count(LIMITED, "most_limited"), <=, LIMIT_MOST);
+	g_assert_cmpint(fleet_upstream_count(&fleet, LIMITED, "most_limited"),
+			<=, LIMIT_MOST);
 	set_limit(LIMITED, 0);
 	g_assert_true(
 		rig_wait_until(is_served, GUINT_TO_POINTER(LIMITED), WAIT_MS));
@@ -136,8 +124,8 @@
 	}
 	count = callers_run(&fleet, CALLERS, PATH, LOAD_MS);
 	for (unsigned int i = 0; i < HOSTS; i++)
-		g_assert_cmpint(upstream_count(i, "most_limited"), <=,
-				LIMIT_MOST);
+		g_assert_cmpint(fleet_upstream_count(&fleet, i, "most_limited"),
+				<=, LIMIT_MOST);
 	g_assert_cmpuint(count.least_served, >, 0);
 	g_assert_cmpuint(count.served, >=,
 			 HOSTS * LIMIT_PER_S * (LOAD_MS / 1000 - 1));
@@ -169,7 +157,8 @@
 	rig_sleep_ms(SHORT_LOAD_MS);
 	g_assert_cmpuint(callers_stop(callers).failed, ==, 0);
 	g_assert_cmpuint(fleet_count_runs_on_host(&fleet, LEAVING), >, runs);
-	g_assert_cmpint(upstream_count(LEAVING, "after_leaving"), ==, 0);
+	g_assert_cmpint(fleet_upstream_count(&fleet, LEAVING, "after_leaving"),
+			==, 0);
 	g_assert_false(fleet_has_upstream(&fleet, LEAVING));
 }
 
--- a/tests/system/test_cold.c
+++ b/tests/system/test_cold.c
@@ -29,16 +29,6 @@
 };
 static struct fleet fleet;
 
-static int64_t most_cold_per_s(unsigned int host)
-{
-	char *json = rig_http_ok("GET", fleet.hosts[host].upstream->port,
-				 "/standin/runs", NULL);
-	int64_t count = rig_json_int(json, "most_cold_per_s");
-
-	g_free(json);
-	return count;
-}
-
 static bool is_served(void *data)
 {
 	return fleet_get(&fleet, GPOINTER_TO_UINT(data), PATH) == 200;
@@ -70,7 +60,8 @@
 	rig_sleep_ms(AFTER_MS);
 	count = callers_stop(callers);
 	for (unsigned int i = 0; i < HOSTS; i++)
-		g_assert_cmpint(most_cold_per_s(i), <=, COLD_PER_S);
+		g_assert_cmpint(fleet_upstream_count(&fleet, i, "most_cold_per_s"),
+				<=, COLD_PER_S);
 	/* What the upstreams tolerate is used, and more once they are warm. */
 	g_assert_cmpuint(count.served, >=, HOSTS * COLD_PER_S * COLD_MS / 1000);
 }
--- a/tests/system/test_evacuation.c
+++ b/tests/system/test_evacuation.c
@@ -97,12 +97,7 @@
 static bool all_know_all(void *data)
 {
 	(void)data;
-	for (unsigned int i = 0; i < HOSTS; i++) {
-		if (fleet_metric(&fleet, i,
-				 "comfreydock_members{state=\"alive\"}") != HOSTS)
-			return false;
-	}
-	return true;
+	return fleet_knows_all(&fleet);
 }
 
 static unsigned int count_runs(unsigned int domain)
@@ -131,16 +126,6 @@
 	return fleet_get(&fleet, GPOINTER_TO_UINT(data), "/list/1") == 200;
 }
 
-static int64_t most_cold_per_s(unsigned int i)
-{
-	char *json = rig_http_ok("GET", fleet.hosts[i].upstream->port,
-				 "/standin/runs", NULL);
-	int64_t most = rig_json_int(json, "most_cold_per_s");
-
-	g_free(json);
-	return most;
-}
-
 static void test_start(void)
 {
 	fleet_put_config(&fleet, 3, "list");
@@ -231,8 +216,10 @@
 	g_assert_true(rig_wait_until(none_is_out, NULL, EVACUATED_MS));
 	g_assert_cmpuint(call_through_all(3 * CALLS), ==, 3 * CALLS);
 	for (unsigned int i = 0; i < HOSTS; i += DOMAINS) {
-		g_assert_cmpint(most_cold_per_s(i), >, 0);
-		g_assert_cmpint(most_cold_per_s(i), <=, COLD_PER_S);
+		g_assert_cmpint(
+			fleet_upstream_count(&fleet, i, "most_cold_per_s"), >, 0);
+		g_assert_cmpint(fleet_upstream_count(&fleet, i, "most_cold_per_s"),
+				<=, COLD_PER_S);
 	}
 }
 
