config/follow: log when a watch opens and ends, and when a row arrives

The lines of the record can't tell a watch that never gets its answer from a row that arrived and isn't put in force: both leave none until the watch is given up after 32 s. 1113 and 1114 show since when a daemon waits, from which version of the store, and how it ended; 1115 comes before 1107 or 1106, so an adoption that doesn't end is seen too.

--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -33,6 +33,8 @@
 	bool is_row_unreadable;
 	int64_t backoff_us;
 	int64_t read_sent_us; /* boot time of the read before the watch */
+	uint64_t watch_after; /* of the latest watch */
+	int64_t watch_sent_us; /* monotonic time */
 
 	/* while behind */
 	ev_timer behind_timer;
@@ -159,6 +161,9 @@
 	adoption->row_version = row->version;
 	adoption->as_of_us = as_of_us;
 	adoption->was_read = was_read;
+	log_event(EV_CONFIG_ROW_RECEIVED, LOG_INT("row_version", row->version),
+		  LOG_INT("bytes", row->size),
+		  LOG_STR("by", was_read ? "read" : "watch"));
 	config_store_begin_adoption(follow->options.store);
 	slice_queue_add(follow->options.slice_queue, adopt_row,
 			free_row_adoption, adoption);
@@ -251,10 +256,25 @@
 			 answer->row_count ? CONFIG_FOLLOW_COALESCE_US : 0);
 }
 
+static void log_watch_end(const struct config_follow *follow,
+			  const struct platform_answer *answer)
+{
+	const char *result = "failed";
+
+	if (answer->status == PLATFORM_HISTORY_GONE)
+		result = "refused";
+	else if (answer->status == PLATFORM_OK)
+		result = "answered";
+	log_event(EV_CONFIG_WATCH_ENDED, LOG_INT("after", follow->watch_after),
+		  LOG_INT("open_us", clock_mono_us() - follow->watch_sent_us),
+		  LOG_STR("result", result), LOG_INT("rows", answer->row_count));
+}
+
 static void handle_watched(const struct platform_answer *answer, void *data)
 {
 	struct config_follow *follow = data;
 
+	log_watch_end(follow, answer);
 	if (answer->status == PLATFORM_HISTORY_GONE) {
 		/* The platform's store dropped only the history; the row can
 		 * be read. */
@@ -325,10 +345,21 @@
 			  FOLLOW_ROWS_MAX, handler, follow);
 }
 
+static void open_watch(struct config_follow *follow)
+{
+	follow->watch_after = follow->store_version;
+	follow->watch_sent_us = clock_mono_us();
+	log_event(EV_CONFIG_WATCH_OPENED, LOG_INT("after", follow->watch_after),
+		  LOG_INT("wait_ms", CONFIG_FOLLOW_WAIT_MS));
+	counters.config_head_reads++;
+	platform_watch(follow->options.platform, follow->options.table,
+		       follow->watch_after, CONFIG_FOLLOW_WAIT_MS,
+		       handle_watched, follow);
+}
+
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct config_follow *follow = timer->data;
-	const struct config_follow_options *options = &follow->options;
 
 	(void)loop;
 	(void)events;
@@ -336,10 +367,7 @@
 		follow->read_sent_us = clock_boot_us();
 		read_row(follow, handle_read);
 	} else if (is_elected_follower(follow)) {
-		counters.config_head_reads++;
-		platform_watch(options->platform, options->table,
-			       follow->store_version, CONFIG_FOLLOW_WAIT_MS,
-			       handle_watched, follow);
+		open_watch(follow);
 	} else {
 		/* Checks again then whether this daemon is elected. */
 		schedule_request(follow, CONFIG_FOLLOW_RETRY_MAX_US);
