--- a/standin/platform/command.c
+++ b/standin/platform/command.c
@@ -10,6 +10,13 @@
 	platform_reply_status(platform, request, 200);
 }
 
+void command_forget_watches(struct platform *platform,
+			    struct http_request *request)
+{
+	platform_forget_watches(platform);
+	platform_reply_status(platform, request, 200);
+}
+
 /* Also closes all watches, since a store is unavailable during a restore. */
 void command_restore(struct platform *platform, struct http_request *request)
 {
--- a/standin/platform/command.h
+++ b/standin/platform/command.h
@@ -8,6 +8,8 @@
 #include "platform.h"
 
 void command_compact(struct platform *platform, struct http_request *request);
+void command_forget_watches(struct platform *platform,
+			    struct http_request *request);
 void command_restore(struct platform *platform, struct http_request *request);
 void command_set_faults(struct platform *platform, struct http_request *request);
 void command_show_history(struct platform *platform,
--- a/standin/platform/main.c
+++ b/standin/platform/main.c
@@ -8,6 +8,7 @@
  *				"status", "slow_ms", "lose_answer_share",
  *				"lose_next", "late_ms"; and "seed"
  *	POST /standin/compact	discards the change history
+ *	POST /standin/forget	leaves the open watches without a response
  *	POST /standin/restore	undoes the last {"transactions"} transactions
  *	POST /standin/operator	applies a transaction that may write to every
  *				table
@@ -286,6 +287,7 @@
 	{"GET", "/standin/history", false, true, command_show_history},
 	{"GET", "/standin/stats", false, true, command_show_stats},
 	{"POST", "/standin/compact", false, true, command_compact},
+	{"POST", "/standin/forget", false, true, command_forget_watches},
 	{"POST", "/standin/restore", false, true, command_restore},
 	{"POST", "/standin/operator", false, true, transact_as_operator},
 	{"POST", WIRE_ROWS_TX, false, false, transact},
@@ -333,6 +335,20 @@
 		late_write_free(late);
 }
 
+void platform_forget_watches(struct platform *platform)
+{
+	struct delayed *delayed;
+
+	LIST_FOREACH (delayed, &platform->delayed, link) {
+		if (!delayed->is_watch)
+			continue;
+		delayed->is_watch = false;
+		ev_timer_stop(platform->loop, &delayed->timer);
+		ev_timer_set(&delayed->timer, (double)SILENCE_MS / 1000.0, 0.0);
+		ev_timer_start(platform->loop, &delayed->timer);
+	}
+}
+
 static void handle_delay_expired(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct delayed *delayed = timer->data;
--- a/standin/platform/platform.h
+++ b/standin/platform/platform.h
@@ -58,4 +58,8 @@
  * were to be applied later. */
 void platform_abort_delayed(struct platform *platform);
 
+/* The watches that are open now get no answer, though their connections stay
+ * open. */
+void platform_forget_watches(struct platform *platform);
+
 #endif
--- a/tests/system/relay.c
+++ b/tests/system/relay.c
@@ -77,6 +77,8 @@
 	standin_read_int(command, "delay_ms", &relay->delay_ms);
 	standin_read_double(command, "lose_share", &relay->lose_share);
 	apply_lose_from(relay, json_object_object_get(command, "lose_from"));
+	if (json_object_get_boolean(json_object_object_get(command, "silence")))
+		tcp_silence(relay);
 	tcp_apply(relay);
 }
 
--- a/tests/system/relay.h
+++ b/tests/system/relay.h
@@ -7,7 +7,8 @@
  *	to its target. Commands arrive over HTTP at its control port:
  *
  *	POST /set {"cut": bool, "hold_forward": bool, "hold_backward": bool,
- *	           "delay_ms": N, "lose_share": 0..1, "lose_from": [PORT, ...]}
+ *	           "delay_ms": N, "lose_share": 0..1, "lose_from": [PORT, ...],
+ *	           "silence": true}
  *
  *	cut		resets all connections, new ones too; drops datagrams
  *	hold_forward	forwards nothing to the target, not even a close; when
@@ -18,6 +19,8 @@
  *	lose_share	drops this share of the datagrams, drawn with a fixed
  *			seed
  *	lose_from	drops all datagrams from and to these ports
+ *	silence		the connections open now forward nothing any more, not
+ *			even a close; new ones work
  *
  *	GET /stats returns the counts of connections, bytes and datagrams.
  */
@@ -75,6 +78,9 @@
 /* Applies changed settings to the open connections. */
 void tcp_apply(struct relay *relay);
 
+/* Makes the open connections forward nothing any more. */
+void tcp_silence(struct relay *relay);
+
 void udp_start(struct relay *relay, int fd);
 void udp_finish(struct relay *relay);
 
--- a/tests/system/relay_tcp.c
+++ b/tests/system/relay_tcp.c
@@ -37,6 +37,7 @@
 	struct relay *relay;
 	int fds[DIRECTIONS]; /* the source socket of each direction */
 	struct flow flows[DIRECTIONS];
+	bool is_silent; /* forwards nothing any more, not even a close */
 };
 
 static void close_with_reset(int fd)
@@ -121,7 +122,7 @@
 
 	ev_io_stop(relay->loop, &flow->writable);
 	ev_timer_stop(relay->loop, &flow->due);
-	while (!relay->hold[flow->direction] &&
+	while (!connection->is_silent && !relay->hold[flow->direction] &&
 	       (chunk = TAILQ_FIRST(&flow->chunks))) {
 		int result;
 
@@ -271,6 +272,14 @@
 	}
 }
 
+void tcp_silence(struct relay *relay)
+{
+	struct tcp_connection *connection;
+
+	LIST_FOREACH (connection, &relay->tcp, link)
+		connection->is_silent = true;
+}
+
 void tcp_finish(struct relay *relay)
 {
 	while (!LIST_EMPTY(&relay->tcp))
