--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -1,9 +1,8 @@
-#include "comfreydockd/config/follow.h"
+#include "comfreydockd/config/follow_internal.h"
 
 #include <glib.h>
 #include <string.h>
 
-#include "comfreydockd/decide/random.h"
 #include "comfreydockd/decide/rendezvous.h"
 #include "comfreydockd/member/evacuation.h"
 #include "common/clock.h"
@@ -12,38 +11,6 @@
 #include "common/slice.h"
 #include "common/timer.h"
 
-/* The configuration and one evacuation more than are taken, which shows that the
- * list is too long. */
-#define FOLLOW_ROWS_MAX (EVACUATION_DOMAINS_MAX + 2)
-
-/*
- * Every daemon reads the row once after the start. The elected daemons of a
- * failure domain then watch it; the others wait for the peers. A daemon that
- * stays behind, elected or not, reads the row by itself: its own read.
- */
-struct config_follow {
-	struct config_follow_options options;
-	struct random_state random;
-	ev_timer timer;
-	bool has_read_row; /* store_version is known, so the row can be watched */
-	/* The version of the platform's store up to which all changes were seen. */
-	uint64_t store_version;
-	uint64_t newest_version; /* of the configuration, as read */
-	/* The latest row was rejected or deleted, or adopt_row() is running. */
-	bool is_row_unreadable;
-	int64_t backoff_us;
-	int64_t read_sent_us; /* boot time of the read before the watch */
-	uint64_t watch_after; /* of the latest watch */
-	int64_t watch_sent_us; /* monotonic time */
-
-	/* while behind */
-	ev_timer behind_timer;
-	int64_t behind_since_us;
-	int64_t own_read_at_us; /* planned time of the next own read */
-	bool is_own_read_open;
-	int64_t own_read_sent_us; /* boot time */
-};
-
 static void schedule_request(struct config_follow *follow, int64_t us)
 {
 	timer_restart_us(follow->options.loop, &follow->timer, us);
@@ -227,10 +194,9 @@
 		take_changed_evacuations(follow, answer);
 }
 
-/* RETURN VALUE: false if the platform's store did not answer. */
-static bool handle_answer(struct config_follow *follow,
-			  const struct platform_answer *answer,
-			  int64_t as_of_us, bool was_read)
+bool follow_take_answer(struct config_follow *follow,
+			const struct platform_answer *answer, int64_t as_of_us,
+			bool was_read)
 {
 	if (answer->status != PLATFORM_OK && answer->status != PLATFORM_NOT_FOUND)
 		return false;
@@ -283,7 +249,7 @@
 		follow->store_version = 0;
 		follow->has_read_row = false;
 		schedule_request(follow, 0);
-	} else if (handle_answer(follow, answer, clock_boot_us(), false)) {
+	} else if (follow_take_answer(follow, answer, clock_boot_us(), false)) {
 		schedule_watch(follow, answer);
 	} else {
 		/* A platform store that was unavailable may have been restored
@@ -298,21 +264,12 @@
 {
 	struct config_follow *follow = data;
 
-	if (handle_answer(follow, answer, follow->read_sent_us, true))
+	if (follow_take_answer(follow, answer, follow->read_sent_us, true))
 		schedule_watch(follow, answer);
 	else
 		schedule_retry(follow);
 }
 
-static void handle_own_read(const struct platform_answer *answer, void *data)
-{
-	struct config_follow *follow = data;
-
-	follow->is_own_read_open = false;
-	if (!handle_answer(follow, answer, follow->own_read_sent_us, true))
-		counters.config_fetch_failures++;
-}
-
 static bool is_candidate(const struct config_follow *follow,
 			 const struct member *member)
 {
@@ -338,7 +295,7 @@
 	return true;
 }
 
-static void read_row(struct config_follow *follow, platform_handler handler)
+void follow_read_row(struct config_follow *follow, platform_handler handler)
 {
 	counters.config_head_reads++;
 	platform_get_from(follow->options.platform, follow->options.key,
@@ -365,7 +322,7 @@
 	(void)events;
 	if (!follow->has_read_row) {
 		follow->read_sent_us = clock_boot_us();
-		read_row(follow, handle_read);
+		follow_read_row(follow, handle_read);
 	} else if (is_elected_follower(follow)) {
 		open_watch(follow);
 	} else {
@@ -374,100 +331,16 @@
 	}
 }
 
-/* The rest of this file handles a daemon that stays behind. */
-
-/* The span has one CONFIG_FOLLOW_READ_SPACING_US per member. Each read after the
- * first is delayed by one span more. Without this the daemons of a large
- * installation would repeat failed reads at a higher rate than the spacing
- * allows. */
-static void schedule_own_read(struct config_follow *follow, bool is_first)
-{
-	uint64_t span = member_table_size(follow->options.members) *
-				CONFIG_FOLLOW_READ_SPACING_US +
-			1;
-
-	follow->own_read_at_us = clock_mono_us() + CONFIG_FOLLOW_PEER_GRACE_US +
-				 (is_first ? 0 : (int64_t)span) +
-				 (int64_t)random_below(&follow->random, span);
-}
-
-/* Delays the own read while pieces of a version still arrive from peers, but not
- * after this daemon was behind for CONFIG_FOLLOW_PIECES_MAX_US: if new versions
- * appear faster than the link transfers one, no version is ever complete. */
-static bool is_own_read_due(const struct config_follow *follow)
-{
-	int64_t now_us = clock_mono_us();
-	int64_t progress_us = config_store_progress_us(follow->options.store);
-
-	return now_us >= follow->own_read_at_us &&
-	       !config_store_is_adopting(follow->options.store) &&
-	       (now_us - progress_us >= CONFIG_FOLLOW_STALL_US ||
-		now_us - follow->behind_since_us >= CONFIG_FOLLOW_PIECES_MAX_US);
-}
-
-static void send_own_read(struct config_follow *follow)
-{
-	const struct config_store *store = follow->options.store;
-
-	log_event(
-		EV_CONFIG_READ_ALONE, LOG_INT("head", config_store_head(store)),
-		LOG_INT("known_head", config_store_known_head(store)),
-		LOG_INT("behind_us", clock_mono_us() - follow->behind_since_us));
-	follow->is_own_read_open = true;
-	follow->own_read_sent_us = clock_boot_us();
-	schedule_own_read(follow, false);
-	read_row(follow, handle_own_read);
-}
-
-static void handle_behind_timer(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	struct config_follow *follow = timer->data;
-
-	(void)events;
-	if (config_store_get_doubt(follow->options.store) != CONFIG_DOUBT_BEHIND)
-		ev_timer_stop(loop, timer);
-	else if (follow->has_read_row && !follow->is_own_read_open &&
-		 is_own_read_due(follow))
-		send_own_read(follow);
-}
-
-/*
- * Most daemons get a version only from peers, the others through a watch that
- * may be lost without an error. If that path fails, because of the version's
- * size or an unforeseen fault, a daemon would keep the old rules for as long as
- * the failure lasts although the platform's store is reachable. The symptom is
- * config.fetch-failed with the same known_head again and again.
- */
-static void handle_behind(uint64_t head, const char *from_host, void *data)
-{
-	struct config_follow *follow = data;
-
-	(void)head;
-	(void)from_host;
-	if (ev_is_active(&follow->behind_timer))
-		return;
-	follow->behind_since_us = clock_mono_us();
-	schedule_own_read(follow, true);
-	ev_timer_again(follow->options.loop, &follow->behind_timer);
-}
-
 struct config_follow *
 config_follow_create(const struct config_follow_options *options)
 {
 	struct config_follow *follow = g_new0(struct config_follow, 1);
-	struct config_store_observer observer = {
-		.handle_behind = handle_behind,
-		.data = follow,
-	};
 
 	follow->options = *options;
-	config_store_observe(options->store, &observer);
 	follow->random.state = options->seed;
 	ev_init(&follow->timer, handle_timer);
 	follow->timer.data = follow;
-	ev_timer_init(&follow->behind_timer, handle_behind_timer, 0.0,
-		      (double)CONFIG_FOLLOW_CHECK_US / US_PER_S);
-	follow->behind_timer.data = follow;
+	follow_behind_init(follow);
 	schedule_request(follow, 0);
 	return follow;
 }
@@ -477,6 +350,6 @@
 	if (!follow)
 		return;
 	ev_timer_stop(follow->options.loop, &follow->timer);
-	ev_timer_stop(follow->options.loop, &follow->behind_timer);
+	follow_behind_finish(follow);
 	g_free(follow);
 }
