--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -203,6 +203,8 @@
 	follow->store_version = MAX(follow->store_version, answer->version);
 	take_evacuations(follow, answer, was_read);
 	for (size_t i = 0; i < answer->row_count; i++) {
+		if (follow->watch && answer->rows[i].version > follow->watch_after)
+			follow_note_missed(follow);
 		if (strcmp(answer->rows[i].key, follow->options.key) == 0)
 			begin_row_adoption(follow, &answer->rows[i], as_of_us,
 					   was_read);
@@ -222,6 +224,33 @@
 			 answer->row_count ? CONFIG_FOLLOW_COALESCE_US : 0);
 }
 
+static void cancel_watch(struct config_follow *follow)
+{
+	if (follow->watch)
+		platform_cancel(follow->watch);
+	follow->watch = NULL;
+}
+
+void follow_renew_watch(struct config_follow *follow)
+{
+	cancel_watch(follow);
+	schedule_request(follow, 0);
+}
+
+void follow_restart(struct config_follow *follow)
+{
+	/* Another answer may have led to a read already. */
+	if (!follow->has_read_row)
+		return;
+	/* The platform's store dropped only the history; the row can be read. */
+	log_event(EV_CONFIG_WATCH_REFUSED,
+		  LOG_INT("after", follow->store_version));
+	cancel_watch(follow);
+	follow->store_version = 0;
+	follow->has_read_row = false;
+	schedule_request(follow, 0);
+}
+
 static void log_watch_end(const struct config_follow *follow,
 			  const struct platform_answer *answer)
 {
@@ -241,14 +270,9 @@
 	struct config_follow *follow = data;
 
 	log_watch_end(follow, answer);
+	follow->watch = NULL;
 	if (answer->status == PLATFORM_HISTORY_GONE) {
-		/* The platform's store dropped only the history; the row can
-		 * be read. */
-		log_event(EV_CONFIG_WATCH_REFUSED,
-			  LOG_INT("after", follow->store_version));
-		follow->store_version = 0;
-		follow->has_read_row = false;
-		schedule_request(follow, 0);
+		follow_restart(follow);
 	} else if (follow_take_answer(follow, answer, clock_boot_us(), false)) {
 		schedule_watch(follow, answer);
 	} else {
@@ -306,12 +330,15 @@
 {
 	follow->watch_after = follow->store_version;
 	follow->watch_sent_us = clock_mono_us();
+	follow->watch_head = config_store_head(follow->options.store);
+	follow->missed_since_us = 0;
 	log_event(EV_CONFIG_WATCH_OPENED, LOG_INT("after", follow->watch_after),
 		  LOG_INT("wait_ms", CONFIG_FOLLOW_WAIT_MS));
 	counters.config_head_reads++;
-	platform_watch(follow->options.platform, follow->options.table,
-		       follow->watch_after, CONFIG_FOLLOW_WAIT_MS,
-		       handle_watched, follow);
+	follow->watch =
+		platform_watch(follow->options.platform, follow->options.table,
+			       follow->watch_after, CONFIG_FOLLOW_WAIT_MS,
+			       handle_watched, follow);
 }
 
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -341,6 +368,7 @@
 	ev_init(&follow->timer, handle_timer);
 	follow->timer.data = follow;
 	follow_behind_init(follow);
+	follow_poll_init(follow);
 	schedule_request(follow, 0);
 	return follow;
 }
@@ -351,5 +379,6 @@
 		return;
 	ev_timer_stop(follow->options.loop, &follow->timer);
 	follow_behind_finish(follow);
+	follow_poll_finish(follow);
 	g_free(follow);
 }
--- /dev/null
+++ b/comfreydockd/config/follow_poll.c
@@ -0,0 +1,147 @@
+#include "comfreydockd/config/follow_internal.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "comfreydockd/decide/poll.h"
+#include "comfreydockd/decide/rendezvous.h"
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "common/timer.h"
+
+/* How long an open watch may take to report a change that is known already. */
+#define WATCH_REPORT_MAX_US ((int64_t)2000 * 1000)
+/* Positions change as daemons come and go. */
+#define POSITION_MAX_AGE_US POLL_INTERVAL_US
+
+static bool is_other_live_member(const struct config_follow *follow,
+				 const struct member *member)
+{
+	return member->state == MEMBER_ALIVE &&
+	       strcmp(member->host, follow->options.host) != 0;
+}
+
+/* RETURN VALUE: see decide/poll.h; POLLERS_MAX also stands for all above. */
+static unsigned int poll_position(const struct config_follow *follow)
+{
+	const char *key = follow->options.key;
+	uint64_t own = rendezvous_weight(follow->options.host, key);
+	unsigned int before = 0;
+	struct member *member;
+
+	TAILQ_FOREACH (member, member_table_all(follow->options.members), link) {
+		if (is_other_live_member(follow, member) &&
+		    rendezvous_weight(member->host, key) > own &&
+		    ++before >= POLLERS_MAX)
+			break;
+	}
+	return before;
+}
+
+static int64_t last_confirmed_us(const struct config_follow *follow)
+{
+	int64_t age_us = config_store_confirmed_age_us(follow->options.store);
+
+	return age_us < 0 ? 0 : clock_boot_us() - age_us;
+}
+
+static void poll_free(struct follow_poll *poll)
+{
+	LIST_REMOVE(poll, link);
+	g_free(poll);
+}
+
+static void handle_poll(const struct platform_answer *answer, void *data)
+{
+	struct follow_poll *poll = data;
+	struct config_follow *follow = poll->follow;
+	int64_t sent_us = poll->sent_us;
+
+	poll_free(poll);
+	if (answer->status == PLATFORM_HISTORY_GONE)
+		follow_restart(follow);
+	else if (!follow_take_answer(follow, answer, sent_us, false))
+		counters.config_fetch_failures++;
+}
+
+static void send_poll(struct config_follow *follow)
+{
+	struct follow_poll *poll = g_new0(struct follow_poll, 1);
+
+	poll->follow = follow;
+	poll->sent_us = clock_boot_us();
+	LIST_INSERT_HEAD(&follow->polls, poll, link);
+	follow->poll_sent_us = poll->sent_us;
+	counters.config_polls++;
+	platform_get_changes(follow->options.platform, follow->options.table,
+			     follow->store_version, handle_poll, poll);
+}
+
+/* RETURN VALUE: whether a peer gave this daemon a version that its watch, open
+ * since before, has not reported. */
+static bool peers_were_first(const struct config_follow *follow)
+{
+	uint64_t head = config_store_head(follow->options.store);
+
+	return follow->watch &&
+	       head > MAX(follow->watch_head, follow->newest_version);
+}
+
+static void renew_lost_watch(struct config_follow *follow)
+{
+	int64_t now_us = clock_mono_us();
+
+	if (peers_were_first(follow))
+		follow_note_missed(follow);
+	if (!follow->watch || !follow->missed_since_us ||
+	    now_us - follow->missed_since_us < WATCH_REPORT_MAX_US)
+		return;
+	log_event(EV_CONFIG_WATCH_LOST, LOG_INT("after", follow->watch_after),
+		  LOG_INT("open_us", now_us - follow->watch_sent_us),
+		  LOG_INT("missed_us", now_us - follow->missed_since_us));
+	counters.config_watches_lost++;
+	follow_renew_watch(follow);
+}
+
+static void handle_poll_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct config_follow *follow = timer->data;
+	unsigned int position = poll_position(follow);
+	int64_t now_us = clock_boot_us();
+	int64_t due_us;
+
+	(void)events;
+	renew_lost_watch(follow);
+	due_us = poll_due_us(position, last_confirmed_us(follow),
+			     follow->poll_sent_us);
+	if (follow->has_read_row && due_us <= now_us) {
+		send_poll(follow);
+		due_us = poll_due_us(position, 0, now_us);
+	}
+	timer_restart_us(loop, timer,
+			 CLAMP(due_us - now_us, CONFIG_FOLLOW_CHECK_US,
+			       POSITION_MAX_AGE_US));
+}
+
+void follow_note_missed(struct config_follow *follow)
+{
+	if (!follow->missed_since_us)
+		follow->missed_since_us = clock_mono_us();
+}
+
+void follow_poll_init(struct config_follow *follow)
+{
+	LIST_INIT(&follow->polls);
+	ev_init(&follow->poll_timer, handle_poll_timer);
+	follow->poll_timer.data = follow;
+	timer_restart_us(follow->options.loop, &follow->poll_timer,
+			 POLL_INTERVAL_US);
+}
+
+void follow_poll_finish(struct config_follow *follow)
+{
+	ev_timer_stop(follow->options.loop, &follow->poll_timer);
+	while (!LIST_EMPTY(&follow->polls))
+		poll_free(LIST_FIRST(&follow->polls));
+}
--- a/include/comfreydockd/config/follow.h
+++ b/include/comfreydockd/config/follow.h
@@ -25,6 +25,14 @@
  *	The read is made in addition to the watch, which may be lost without an
  *	error.
  *
+ *	A watch that the platform's store or the network has lost looks like one
+ *	without a change. So a few daemons of the installation also ask for
+ *	changes beside the watch, as decide/poll.h says: one call a second in
+ *	most cases, 3.4 at most, however many daemons there are. They find a
+ *	change within a second, and the others hear of it by gossip. A daemon
+ *	whose watch has not reported a change that it knows of, from such a poll
+ *	or from a peer, opens another watch.
+ *
  *	If the platform's store is unavailable, the daemon retries after
  *	CONFIG_FOLLOW_RETRY_MIN_US and doubles the delay up to
  *	CONFIG_FOLLOW_RETRY_MAX_US.
--- a/include/comfreydockd/config/follow_internal.h
+++ b/include/comfreydockd/config/follow_internal.h
@@ -4,11 +4,13 @@
  *
  * DESCRIPTION
  *	follow.c reads and watches the row, follow_behind.c reads it for a daemon
- *	that stays behind.
+ *	that stays behind, and follow_poll.c asks for changes beside the watch.
  */
 #ifndef COMFREYDOCKD_CONFIG_FOLLOW_INTERNAL_H
 #define COMFREYDOCKD_CONFIG_FOLLOW_INTERNAL_H
 
+#include <sys/queue.h>
+
 #include "comfreydockd/config/follow.h"
 #include "comfreydockd/decide/random.h"
 
@@ -16,6 +18,13 @@
  * list is too long. */
 #define FOLLOW_ROWS_MAX (EVACUATION_DOMAINS_MAX + 2)
 
+/* A poll that has no answer yet. */
+struct follow_poll {
+	LIST_ENTRY(follow_poll) link;
+	struct config_follow *follow;
+	int64_t sent_us; /* boot time */
+};
+
 /*
  * Every daemon reads the row once after the start. The elected daemons of a
  * failure domain then watch it; the others wait for the peers. A daemon that
@@ -33,8 +42,13 @@
 	bool is_row_unreadable;
 	int64_t backoff_us;
 	int64_t read_sent_us; /* boot time of the read before the watch */
+	struct platform_call *watch; /* NULL: none is open */
 	uint64_t watch_after; /* of the latest watch */
 	int64_t watch_sent_us; /* monotonic time */
+	uint64_t watch_head; /* of config_store, as the watch was opened */
+	/* Monotonic time at which a change became known that the open watch has
+	 * not reported; 0: none. */
+	int64_t missed_since_us;
 
 	/* while behind */
 	ev_timer behind_timer;
@@ -42,6 +56,11 @@
 	int64_t own_read_at_us; /* planned time of the next own read */
 	bool is_own_read_open;
 	int64_t own_read_sent_us; /* boot time */
+
+	/* beside the watch */
+	ev_timer poll_timer;
+	LIST_HEAD(, follow_poll) polls;
+	int64_t poll_sent_us; /* boot time of the latest poll */
 };
 
 /* Takes over the rows of an answer, which were the newest at as_of_us.
@@ -52,7 +71,20 @@
 
 void follow_read_row(struct config_follow *follow, platform_handler handler);
 
+/* Cancels the open watch and opens another at once. */
+void follow_renew_watch(struct config_follow *follow);
+
+/* The store has no changes after store_version any more: cancels the open watch,
+ * reads the row and watches it again. */
+void follow_restart(struct config_follow *follow);
+
 void follow_behind_init(struct config_follow *follow);
 void follow_behind_finish(struct config_follow *follow);
 
+/* A change is known that the open watch has not reported. */
+void follow_note_missed(struct config_follow *follow);
+
+void follow_poll_init(struct config_follow *follow);
+void follow_poll_finish(struct config_follow *follow);
+
 #endif
--- a/include/comfreydockd/platform/platform.h
+++ b/include/comfreydockd/platform/platform.h
@@ -4,7 +4,8 @@
  *
  * DESCRIPTION
  *	Every call ends with exactly one callback, made from the loop and never
- *	from within the call itself, unless platform_destroy() comes first.
+ *	from within the call itself, unless platform_cancel() or
+ *	platform_destroy() comes first.
  *
  *	A key is "TABLE/REST". Versions increase with each change of any row,
  *	and a row never has the same version twice. A store that is restored
@@ -32,6 +33,7 @@
 
 struct http_client;
 struct platform;
+struct platform_call;
 
 #define PLATFORM_VERSION_BITS 40
 #define PLATFORM_VERSION_MASK (((uint64_t)1 << PLATFORM_VERSION_BITS) - 1)
@@ -118,9 +120,18 @@
 		   platform_handler handler, void *data);
 
 /* Long poll: answers once a row of the table has changed after the version
- * after, or after wait_ms without a change. */
-void platform_watch(struct platform *platform, const char *table, uint64_t after,
-		    uint32_t wait_ms, platform_handler handler, void *data);
+ * after, or after wait_ms without a change.
+ * RETURN VALUE: a handle for platform_cancel(), valid until the callback. */
+struct platform_call *platform_watch(struct platform *platform, const char *table,
+				     uint64_t after, uint32_t wait_ms,
+				     platform_handler handler, void *data);
+
+/* The same without a wait: answers at once, with the changes so far. */
+void platform_get_changes(struct platform *platform, const char *table,
+			  uint64_t after, platform_handler handler, void *data);
+
+/* Ends the call without its callback. */
+void platform_cancel(struct platform_call *call);
 
 /* Applies all operations or none. */
 void platform_transact(struct platform *platform, const struct platform_op *ops,
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "comfreydockd/config/follow.h"
+#include "comfreydockd/decide/poll.h"
 #include "comfreydockd/member/evacuation.h"
 #include "common/clock.h"
 #include "common/log.h"
@@ -21,13 +22,20 @@
 	void *data;
 };
 
-/* A fake platform client: one read and one watch may be open at a time. */
+#define POLLS_MAX 64
+
+/* A fake platform client: one read and one watch may be open at a time. A watch
+ * is its own handle. Polls get no answer unless the test gives one. */
 struct platform {
 	struct open_call get;
 	struct open_call watch;
 	uint64_t after;
 	unsigned int gets;
 	unsigned int watches;
+	unsigned int cancelled;
+	struct open_call polls[POLLS_MAX];
+	unsigned int poll_count;
+	uint64_t poll_after;
 };
 
 static struct platform store;
@@ -52,14 +60,34 @@
 	platform->gets++;
 }
 
-void platform_watch(struct platform *platform, const char *table, uint64_t after,
-		    uint32_t wait_ms, platform_handler handler, void *data)
+struct platform_call *platform_watch(struct platform *platform, const char *table,
+				     uint64_t after, uint32_t wait_ms,
+				     platform_handler handler, void *data)
 {
 	g_assert_cmpstr(table, ==, TABLE);
 	g_assert_cmpuint(wait_ms, ==, CONFIG_FOLLOW_WAIT_MS);
 	open_call(&platform->watch, handler, data);
 	platform->after = after;
 	platform->watches++;
+	return (struct platform_call *)&platform->watch;
+}
+
+void platform_get_changes(struct platform *platform, const char *table,
+			  uint64_t after, platform_handler handler, void *data)
+{
+	g_assert_cmpstr(table, ==, TABLE);
+	open_call(&platform->polls[platform->poll_count++ % POLLS_MAX], handler,
+		  data);
+	platform->poll_after = after;
+}
+
+void platform_cancel(struct platform_call *call)
+{
+	struct open_call *open = (struct open_call *)call;
+
+	g_assert_nonnull(open->handler);
+	open->handler = NULL;
+	store.cancelled++;
 }
 
 static bool is_asked(void)
@@ -67,10 +95,10 @@
 	return store.get.handler || store.watch.handler;
 }
 
-/* Answers the open read, if there is one, else the watch. A row without a value
- * was deleted. */
-static void answer_rows(enum platform_status status, uint64_t version,
-			const struct platform_row *rows, size_t count)
+/* A row without a value was deleted. */
+static void answer_call(struct open_call *call, enum platform_status status,
+			uint64_t version, const struct platform_row *rows,
+			size_t count)
 {
 	struct platform_answer told = {
 		.status = status,
@@ -78,7 +106,6 @@
 		.row_count = count,
 		.version = version,
 	};
-	struct open_call *call = store.get.handler ? &store.get : &store.watch;
 	platform_handler handler = call->handler;
 
 	g_assert_nonnull(handler);
@@ -86,19 +113,42 @@
 	handler(&told, call->data);
 }
 
-/* Answers with the row of the configuration, or without rows. */
-static void answer(enum platform_status status, uint64_t version, char *value)
+/* Answers the open read, if there is one, else the watch. */
+static void answer_rows(enum platform_status status, uint64_t version,
+			const struct platform_row *rows, size_t count)
+{
+	answer_call(store.get.handler ? &store.get : &store.watch, status,
+		    version, rows, count);
+}
+
+static struct platform_row config_row(uint64_t version, char *value)
 {
-	struct platform_row row = {
+	return (struct platform_row){
 		.key = (char *)KEY,
 		.version = version,
 		.value = value,
 		.size = value ? strlen(value) : 0,
 	};
+}
+
+/* Answers with the row of the configuration, or without rows. */
+static void answer(enum platform_status status, uint64_t version, char *value)
+{
+	struct platform_row row = config_row(version, value);
 
 	answer_rows(status, version, &row, value != NULL);
 }
 
+/* Answers the latest poll. */
+static void answer_poll(enum platform_status status, uint64_t version, char *value)
+{
+	struct platform_row row = config_row(version, value);
+
+	g_assert_cmpuint(store.poll_count, >, 0);
+	answer_call(&store.polls[(store.poll_count - 1) % POLLS_MAX], status,
+		    version, &row, value != NULL);
+}
+
 static bool is_evacuated(const char *domain)
 {
 	return evacuation_has(&evacuation, evacuation_key(domain));
@@ -466,6 +516,135 @@
 	finish();
 }
 
+/* Begins with version 2 and an open watch. */
+static void begin_watching(void)
+{
+	begin();
+	answer(PLATFORM_OK, 12, (char *)"2");
+	run_ms(300);
+	g_assert_nonnull(store.watch.handler);
+}
+
+/* Guards against a change that no daemon hears of: all open watches were lost
+ * without an error. */
+static void test_poll_finds_what_a_lost_watch_misses(void)
+{
+	begin_watching();
+	run_ms(POLL_INTERVAL_US / US_PER_MS);
+	g_assert_cmpuint(store.poll_count, ==, 1);
+	g_assert_cmpuint(store.poll_after, ==, 12);
+	answer_poll(PLATFORM_OK, 30, (char *)"9");
+	g_assert_cmpuint(held(), ==, 9);
+	run_ms(1900);
+	g_assert_cmpuint(store.cancelled, ==, 0);
+	run_ms(1200);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	g_assert_cmpuint(store.watches, ==, 2);
+	g_assert_cmpuint(store.after, ==, 30);
+	run_ms(10000);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	finish();
+}
+
+/* Guards against more and more calls while the store gives no answer. */
+static void test_unanswered_polls_are_bounded(void)
+{
+	begin_watching();
+	run_ms(20000);
+	g_assert_cmpuint(store.poll_count, <=, 20);
+	g_assert_cmpuint(store.poll_count, >=, 18);
+	finish();
+}
+
+/* A poll without a change confirms the version held, and the watch stays. */
+static void test_poll_confirms_version(void)
+{
+	begin_watching();
+	for (int i = 0; i < 30; i++) {
+		run_ms(POLL_INTERVAL_US / US_PER_MS);
+		if (store.polls[(store.poll_count - 1) % POLLS_MAX].handler)
+			answer_poll(PLATFORM_OK, 12, NULL);
+		g_assert_cmpint(config_store_confirmed_age_us(config), <=,
+				2 * POLL_INTERVAL_US);
+	}
+	g_assert_cmpuint(store.cancelled, ==, 0);
+	g_assert_cmpuint(store.watches, ==, 1);
+	finish();
+}
+
+/* Guards against calls of every daemon: those far behind in the order don't
+ * poll. */
+static void test_few_of_many_poll(void)
+{
+	begin_among_many();
+	run_ms(60000);
+	g_assert_cmpuint(store.poll_count, ==, 0);
+	finish();
+}
+
+/* Guards against two reads or watches at once after a poll that shows that the
+ * store dropped its history. */
+static void test_poll_finds_lost_history(void)
+{
+	begin_watching();
+	run_ms(POLL_INTERVAL_US / US_PER_MS);
+	answer_poll(PLATFORM_HISTORY_GONE, 0, NULL);
+	run_ms(10);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	g_assert_nonnull(store.get.handler);
+	answer(PLATFORM_OK, 40, (char *)"9");
+	g_assert_cmpuint(held(), ==, 9);
+	run_ms(300);
+	g_assert_cmpuint(store.gets, ==, 2);
+	g_assert_cmpuint(store.watches, ==, 2);
+	g_assert_cmpuint(store.after, ==, 40);
+	finish();
+}
+
+static void adopt_from_peer(unsigned int number)
+{
+	struct config_version version = {
+		.name = NAMESPACE, .version = number, .at = number};
+	char *value = g_strdup_printf("%u", number);
+	char *body = g_strdup_printf(FILE_FORMAT, value);
+
+	config_store_note_listing(config, number, &version, 1);
+	config_store_offer_trusted(config, &version, body);
+	g_free(body);
+	g_free(value);
+}
+
+/* Guards against a watch that stays lost until it times out, although peers had
+ * a version that it should have reported. */
+static void test_peers_show_that_a_watch_is_lost(void)
+{
+	begin_watching();
+	adopt_from_peer(9);
+	run_ms(1900);
+	g_assert_cmpuint(store.cancelled, ==, 0);
+	run_ms(2200);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	g_assert_nonnull(store.watch.handler);
+	answer(PLATFORM_OK, 30, (char *)"9");
+	run_ms(10000);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	finish();
+}
+
+/* Guards against a watch that is opened again and again because the row holds a
+ * lower version than this daemon. */
+static void test_lower_row_keeps_the_watch(void)
+{
+	begin_watching();
+	answer(PLATFORM_OK, 20, (char *)"9");
+	run_ms(300);
+	answer(PLATFORM_OK, 21, (char *)"5");
+	run_ms(20000);
+	g_assert_cmpuint(held(), ==, 9);
+	g_assert_cmpuint(store.cancelled, ==, 0);
+	finish();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -484,6 +663,15 @@
 	g_test_add_func("/follow/lost-watch",
 			test_lost_watch_is_bypassed_by_read);
 	g_test_add_func("/follow/rate", test_rate_of_reads);
+	g_test_add_func("/follow/poll", test_poll_finds_what_a_lost_watch_misses);
+	g_test_add_func("/follow/poll-unanswered",
+			test_unanswered_polls_are_bounded);
+	g_test_add_func("/follow/poll-confirms", test_poll_confirms_version);
+	g_test_add_func("/follow/poll-few", test_few_of_many_poll);
+	g_test_add_func("/follow/poll-history", test_poll_finds_lost_history);
+	g_test_add_func("/follow/peers-first",
+			test_peers_show_that_a_watch_is_lost);
+	g_test_add_func("/follow/lower-row", test_lower_row_keeps_the_watch);
 	g_test_add_func("/follow/evacuations", test_evacuations_are_followed);
 	g_test_add_func("/follow/evacuation-history",
 			test_lost_history_restores_domain);
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -215,6 +215,37 @@
 	g_assert_null(f->text);
 }
 
+/* A request for changes must answer at once, also without any. */
+static void test_changes_are_answered_at_once(struct fixture *f,
+					      gconstpointer data)
+{
+	(void)data;
+	put(f, "t/a", PLATFORM_ABSENT, "1");
+	platform_get_changes(f->platform, "t", 0, handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	g_assert_cmpstr(f->text, ==, "1");
+	platform_get_changes(f->platform, "t", f->store_version, handle_answer,
+			     f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	g_assert_cmpuint(f->rows, ==, 0);
+	g_assert_cmpuint(f->store_version, ==, FIRST_ERA_VERSION(1));
+}
+
+/* Guards against a second answer to a caller that has opened another watch. */
+static void test_cancelled_watch_stays_unanswered(struct fixture *f,
+						  gconstpointer data)
+{
+	struct platform_call *watch;
+
+	(void)data;
+	watch = platform_watch(f->platform, "t", 0, 5000, handle_answer, f);
+	g_assert_cmpint(get(f, "t/a"), ==, PLATFORM_NOT_FOUND);
+	platform_cancel(watch);
+	put(f, "t/a", PLATFORM_ABSENT, "1");
+	g_assert_cmpint(get(f, "t/a"), ==, PLATFORM_OK);
+	g_assert_cmpuint(f->answers, ==, 3);
+}
+
 static void restore_store(struct fixture *f, const char *body)
 {
 	g_free(rig_http_ok("POST", f->standin->port, "/standin/restore", body));
@@ -455,6 +486,8 @@
 	ADD("large-row", test_large_row_may_take_seconds);
 	ADD("stalled-row", test_stalled_row_times_out);
 	ADD("watch", test_watch_reports_changes);
+	ADD("changes", test_changes_are_answered_at_once);
+	ADD("cancelled-watch", test_cancelled_watch_stays_unanswered);
 	ADD("compacted-history", test_compacted_history_is_reported);
 	ADD("older-era-watch", test_watch_from_older_era_ends);
 	ADD("older-era-condition", test_conditions_from_older_era_fail);
