--- a/tests/system/fleet.c
+++ b/tests/system/fleet.c
@@ -70,37 +70,28 @@
 	return path;
 }
 
-/* Shifts the wall clock of each process that is started until
- * clear_wall_clock_offset(); see wall_clock.c. */
-static void set_wall_clock_offset(int seconds)
+/* RETURN VALUE: an environment for a process whose wall clock is shifted; see
+ * wall_clock.c. */
+static char **wall_clock_environment(int seconds)
 {
 	const char *sanitizer = g_getenv("ASAN_OPTIONS");
 	char *options = g_strdup_printf("%s:verify_asan_link_order=0",
 					sanitizer ? sanitizer : "detect_leaks=1");
-	char *path;
-	char *text;
-
-	path = g_build_filename(g_getenv("COMFREYDOCK_BUILD"),
-				"tests/system/libwall-clock.so", NULL);
-	text = g_strdup_printf("%d", seconds);
-	g_setenv("LD_PRELOAD", path, TRUE);
-	g_setenv("WALL_CLOCK_S", text, TRUE);
+	char *path = g_build_filename(g_getenv("COMFREYDOCK_BUILD"),
+				      "tests/system/libwall-clock.so", NULL);
+	char *text = g_strdup_printf("%d", seconds);
+	char **environment = g_get_environ();
+
+	environment = g_environ_setenv(environment, "LD_PRELOAD", path, TRUE);
+	environment = g_environ_setenv(environment, "WALL_CLOCK_S", text, TRUE);
 	/* AddressSanitizer refuses to start if another library is loaded before
 	 * it, unless this check is disabled. */
-	g_setenv("ASAN_OPTIONS", options, TRUE);
+	environment =
+		g_environ_setenv(environment, "ASAN_OPTIONS", options, TRUE);
 	g_free(options);
 	g_free(text);
 	g_free(path);
-}
-
-static void clear_wall_clock_offset(const char *asan_options)
-{
-	g_unsetenv("LD_PRELOAD");
-	g_unsetenv("WALL_CLOCK_S");
-	if (asan_options)
-		g_setenv("ASAN_OPTIONS", asan_options, TRUE);
-	else
-		g_unsetenv("ASAN_OPTIONS");
+	return environment;
 }
 
 void fleet_start_daemon(struct fleet *fleet, unsigned int i)
@@ -108,14 +99,13 @@
 	struct fleet_host *host = &fleet->hosts[i];
 	char *name = g_strdup_printf("d%u", i);
 	const char *path = write_settings(fleet, i);
-	char *asan_options = g_strdup(g_getenv("ASAN_OPTIONS"));
-
-	if (host->wall_clock_s)
-		set_wall_clock_offset(host->wall_clock_s);
-	host->daemon = rig_start_daemon(fleet->rig, name, path);
-	if (host->wall_clock_s)
-		clear_wall_clock_offset(asan_options);
-	g_free(asan_options);
+	char **environment = host->wall_clock_s ?
+				     wall_clock_environment(host->wall_clock_s) :
+				     NULL;
+
+	host->daemon =
+		rig_start_daemon_with_env(fleet->rig, name, path, environment);
+	g_strfreev(environment);
 	g_free(name);
 }
 
@@ -206,49 +196,43 @@
 	g_free(fleet->hosts);
 }
 
-void fleet_put_config(const struct fleet *fleet, unsigned int version,
-		      const char *prefix)
+static const char rule_format[] =
+	"{\"name\":\"%s\",\"routeType\":\"%s\",\"targetLatencyMs\":%d,"
+	"\"priority\":%d,\"match\":{\"pathPrefix\":\"/%s/\"},"
+	"\"action\":{\"service\":\"" FLEET_SERVICE
+	"\",\"timeoutMs\":%d,\"attempts\":%d}}";
+
+static void append_fixed_rules(GString *row)
 {
-	fleet_put_large_config(fleet, version, prefix, 0);
+	g_string_append_printf(row, rule_format, "patient", "idempotent", 15000,
+			       2, "patient", FLEET_LONG_DEADLINE_MS, 3);
+	g_string_append_c(row, ',');
+	g_string_append_printf(row, rule_format, "once", "idempotent", 500, 2,
+			       "once", FLEET_DEADLINE_MS, 1);
+	g_string_append_c(row, ',');
+	g_string_append_printf(row, rule_format, "bytes", "idempotent", 500, 2,
+			       "bytes", FLEET_DEADLINE_MS, 3);
+	g_string_append_c(row, ',');
+	g_string_append_printf(row, rule_format, "post", "non_idempotent", 500,
+			       1, "book", FLEET_DEADLINE_MS, 3);
 }
 
-void fleet_put_large_config(const struct fleet *fleet, unsigned int version,
-			    const char *prefix, unsigned int more)
+static char *write_row(const struct fleet *fleet, unsigned int version,
+		       const char *const *prefixes)
 {
-	static const char rule[] =
-		"{\"name\":\"%s\",\"routeType\":\"%s\",\"targetLatencyMs\":%d,"
-		"\"priority\":%d,\"match\":{\"pathPrefix\":\"/%s/\"},"
-		"\"action\":{\"service\":\"" FLEET_SERVICE
-		"\",\"timeoutMs\":%d,\"attempts\":%d}}";
 	GString *row = g_string_new(NULL);
-	char name[32];
-	char *value;
-	char *body;
 
 	g_string_printf(row,
 			"{\"version\":\"r%u\",\"listeners\":[{\"host\":"
 			"\"" FLEET_VIRTUAL_HOST "\",\"ruleSet\":[",
 			version);
-	g_string_append_printf(row, rule, "get", "idempotent", 500, 2, prefix,
-			       FLEET_DEADLINE_MS, 3);
-	g_string_append_c(row, ',');
-	for (unsigned int i = 0; i < more; i++) {
-		g_snprintf(name, sizeof(name), "more-%u", i);
-		g_string_append_printf(row, rule, name, "idempotent", 500, 2,
-				       name, FLEET_DEADLINE_MS, 3);
+	for (unsigned int i = 0; prefixes[i]; i++) {
+		g_string_append_printf(row, rule_format, i ? prefixes[i] : "get",
+				       "idempotent", 500, 2, prefixes[i],
+				       FLEET_DEADLINE_MS, 3);
 		g_string_append_c(row, ',');
 	}
-	g_string_append_printf(row, rule, "patient", "idempotent", 15000, 2,
-			       "patient", FLEET_LONG_DEADLINE_MS, 3);
-	g_string_append_c(row, ',');
-	g_string_append_printf(row, rule, "once", "idempotent", 500, 2, "once",
-			       FLEET_DEADLINE_MS, 1);
-	g_string_append_c(row, ',');
-	g_string_append_printf(row, rule, "bytes", "idempotent", 500, 2,
-			       "bytes", FLEET_DEADLINE_MS, 3);
-	g_string_append_c(row, ',');
-	g_string_append_printf(row, rule, "post", "non_idempotent", 500, 1,
-			       "book", FLEET_DEADLINE_MS, 3);
+	append_fixed_rules(row);
 	g_string_append(row, "]}],\"clusters\":[{\"name\":\"" FLEET_SERVICE
 			     "\",\"healthPath\":\"/health\","
 			     "\"maxConnections\":200");
@@ -258,15 +242,41 @@
 				       fleet->options.cold_ms / 1000.0,
 				       fleet->options.cold_per_s);
 	g_string_append(row, "}]}");
-	value = g_base64_encode((const guchar *)row->str, row->len);
-	body = g_strdup_printf(
+	return g_string_free(row, FALSE);
+}
+
+void fleet_put_routes(const struct fleet *fleet, unsigned int version,
+		      const char *const *prefixes)
+{
+	char *row = write_row(fleet, version, prefixes);
+	char *value = g_base64_encode((const guchar *)row, strlen(row));
+	char *body = g_strdup_printf(
 		"{\"expect\":[],\"setKeys\":[{\"table\":\"op\",\"part\":\"\","
 		"\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
 		value);
+
 	g_free(rig_http_ok("POST", fleet->store->port, "/standin/operator", body));
 	g_free(body);
 	g_free(value);
-	g_string_free(row, TRUE);
+	g_free(row);
+}
+
+void fleet_put_config(const struct fleet *fleet, unsigned int version,
+		      const char *prefix)
+{
+	fleet_put_large_config(fleet, version, prefix, 0);
+}
+
+void fleet_put_large_config(const struct fleet *fleet, unsigned int version,
+			    const char *prefix, unsigned int more)
+{
+	char **prefixes = g_new0(char *, more + 2);
+
+	prefixes[0] = g_strdup(prefix);
+	for (unsigned int i = 0; i < more; i++)
+		prefixes[1 + i] = g_strdup_printf("more-%u", i);
+	fleet_put_routes(fleet, version, (const char *const *)prefixes);
+	g_strfreev(prefixes);
 }
 
 void fleet_set_store(const struct fleet *fleet, const char *body)
--- a/tests/system/fleet.h
+++ b/tests/system/fleet.h
@@ -89,6 +89,11 @@
 void fleet_put_large_config(const struct fleet *fleet, unsigned int version,
 			    const char *prefix, unsigned int more);
 
+/* Same as fleet_put_config(), with several prefixes; the last one is followed by
+ * NULL. */
+void fleet_put_routes(const struct fleet *fleet, unsigned int version,
+		      const char *const *prefixes);
+
 /* Send a command to a stand-in. The header of each stand-in describes the
  * bodies. */
 void fleet_set_store(const struct fleet *fleet, const char *body);
--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -234,7 +234,8 @@
 	return fd;
 }
 
-static struct rig_process *spawn(struct rig *rig, const char *name, char **argv)
+static struct rig_process *spawn(struct rig *rig, const char *name, char **argv,
+				 char **environment)
 {
 	struct rig_process *process = g_new0(struct rig_process, 1);
 	GError *error = NULL;
@@ -247,9 +248,9 @@
 	process->err_path = new_path(rig, name, ".err");
 	out = open_for_write(process->out_path);
 	err = open_for_write(process->err_path);
-	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-			       handle_child_setup, NULL, &pid, -1, out, err,
-			       &error);
+	g_spawn_async_with_fds(NULL, argv, environment,
+			       G_SPAWN_DO_NOT_REAP_CHILD, handle_child_setup,
+			       NULL, &pid, -1, out, err, &error);
 	g_assert_no_error(error);
 	close(out);
 	close(err);
@@ -271,7 +272,8 @@
 					 GPtrArray *argv)
 {
 	char *name = g_path_get_basename(program);
-	struct rig_process *process = spawn(rig, name, (char **)argv->pdata);
+	struct rig_process *process =
+		spawn(rig, name, (char **)argv->pdata, NULL);
 
 	g_free(name);
 	g_ptr_array_unref(argv);
@@ -369,10 +371,17 @@
 
 struct rig_process *rig_start_daemon(struct rig *rig, const char *name,
 				     const char *settings_path)
+{
+	return rig_start_daemon_with_env(rig, name, settings_path, NULL);
+}
+
+struct rig_process *rig_start_daemon_with_env(struct rig *rig, const char *name,
+					      const char *settings_path,
+					      char **environment)
 {
 	char *argv[] = {program_path("comfreydockd/comfreydockd"), "--config",
 			(char *)settings_path, NULL};
-	struct rig_process *process = spawn(rig, name, argv);
+	struct rig_process *process = spawn(rig, name, argv, environment);
 	char *line = wait_for_line(process, process->out_path, "\"event\":1000,");
 
 	process->caller_port = read_port(line, "caller_port");
--- a/tests/system/rig.h
+++ b/tests/system/rig.h
@@ -64,6 +64,11 @@
 struct rig_process *rig_start_daemon(struct rig *rig, const char *name,
 				     const char *settings_path);
 
+/* The same, with this environment; NULL: the test's own. */
+struct rig_process *rig_start_daemon_with_env(struct rig *rig, const char *name,
+					      const char *settings_path,
+					      char **environment);
+
 /* Starts a program that reports no port. */
 struct rig_process *rig_start(struct rig *rig, const char *program,
 			      ...) G_GNUC_NULL_TERMINATED;
