tests/soak: judge CONFIG and DENIED by what callers get

Until now the soak asked the daemons which version they hold, and only whether it is lower than one that all had had. Now each version adds a route and removes one, a prober for each host sends requests on these on a connection that it keeps, and the outcomes are compared with when the store acknowledged each version: a confirmed change in force within 2 s at hosts in touch, no daemon that reverts, no proper request denied. Bounds and windows are those of the service's rules.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -4,6 +4,13 @@
 
 #define HOUR_S 3600
 
+static struct changes *changes;
+
+void faults_init(struct changes *to_write)
+{
+	changes = to_write;
+}
+
 static struct fleet_host *host_of(struct fleet *fleet, unsigned int i)
 {
 	return &fleet->hosts[i];
@@ -137,6 +144,8 @@
 LINK_COMMAND(blackhole_peers, FLEET_LINK_PEERS, LINK_BLACKHOLED)
 LINK_COMMAND(delay_peers, FLEET_LINK_PEERS, "{\"delay_ms\": 150}")
 LINK_COMMAND(lose_gossip, FLEET_LINK_PEERS, "{\"lose_share\": 0.5}")
+LINK_COMMAND(silence_peers, FLEET_LINK_PEERS, "{\"silence\": true}")
+LINK_COMMAND(silence_store, FLEET_LINK_STORE, "{\"silence\": true}")
 LINK_COMMAND(restore_store_link, FLEET_LINK_STORE, LINK_RESTORED)
 LINK_COMMAND(cut_store, FLEET_LINK_STORE, "{\"cut\": true}")
 LINK_COMMAND(blackhole_store, FLEET_LINK_STORE, LINK_BLACKHOLED)
@@ -173,6 +182,19 @@
 	g_free(rig_http_ok("POST", fleet->store->port, "/standin/compact", ""));
 }
 
+static void forget_watches(struct fleet *fleet, unsigned int i)
+{
+	(void)i;
+	g_free(rig_http_ok("POST", fleet->store->port, "/standin/forget", ""));
+}
+
+/* The watches that are opened right after a change never get their answer. */
+static void change_config_before_silence(struct fleet *fleet, unsigned int i)
+{
+	changes_put(changes, fleet, ++fleet->config_version);
+	store_silent(fleet, i);
+}
+
 /* Restores the store from a copy that lacks the last three transactions. The
  * operator then writes the current configuration again. */
 static void restore_store(struct fleet *fleet, unsigned int i)
@@ -180,13 +202,13 @@
 	(void)i;
 	g_free(rig_http_ok("POST", fleet->store->port, "/standin/restore",
 			   "{\"transactions\": 3}"));
-	fleet_put_config(fleet, fleet->config_version, "list");
+	changes_put(changes, fleet, fleet->config_version);
 }
 
 static void change_config(struct fleet *fleet, unsigned int i)
 {
 	(void)i;
-	fleet_put_config(fleet, ++fleet->config_version, "list");
+	changes_put(changes, fleet, ++fleet->config_version);
 }
 
 /* An operator's mistake: an older version is written after a newer one. */
@@ -194,7 +216,7 @@
 {
 	(void)i;
 	if (fleet->config_version > 1)
-		fleet_put_config(fleet, fleet->config_version - 1, "list");
+		changes_put(changes, fleet, fleet->config_version - 1);
 }
 
 #define NO_DURATION 0, 0
@@ -241,6 +263,8 @@
 	 hold_from_peer, restore_peers, NULL},
 	{"peers silent", PART_PEERS, IMPACT_ATTEMPTS, 100, 6000,
 	 blackhole_peers, restore_peers, NULL},
+	{"peer connections silent", PART_PEERS, IMPACT_ATTEMPTS, 100, 100,
+	 silence_peers, restore_peers, NULL},
 	{"peers delayed", PART_PEERS, IMPACT_ATTEMPTS, 500, 3000, delay_peers,
 	 restore_peers, NULL},
 	{"gossip lost", PART_PEERS, IMPACT_ATTEMPTS, 500, 3000, lose_gossip,
@@ -249,6 +273,8 @@
 	 restore_store_link, NULL},
 	{"store link silent", PART_STORE_LINK, IMPACT_NONE, 500, 5000,
 	 blackhole_store, restore_store_link, NULL},
+	{"store connections silent", PART_STORE_LINK, IMPACT_NONE, NO_DURATION,
+	 silence_store, NULL, NULL},
 	{"store link delayed", PART_STORE_LINK, IMPACT_NONE, 500, 5000,
 	 delay_store, restore_store_link, NULL},
 	{"upstream link cut", PART_UPSTREAM_LINK, IMPACT_ATTEMPTS, 100, 2000,
@@ -263,6 +289,10 @@
 	 NULL},
 	{"store silent", PART_STORE, IMPACT_NONE, 500, 6000, store_silent,
 	 store_answers, NULL},
+	{"store silent after a change", PART_STORE, IMPACT_NONE, 100, 1000,
+	 change_config_before_silence, store_answers, NULL},
+	{"store forgets watches", PART_STORE, IMPACT_NONE, NO_DURATION,
+	 forget_watches, NULL, NULL},
 	{"store refuses", PART_STORE, IMPACT_NONE, 500, 6000, store_refuses,
 	 store_accepts, NULL},
 	{"store slow", PART_STORE, IMPACT_NONE, 500, 6000, store_slow,
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -11,7 +11,7 @@
 #ifndef TESTS_SOAK_FAULTS_H
 #define TESTS_SOAK_FAULTS_H
 
-#include "fleet.h"
+#include "changes.h"
 
 enum fault_part {
 	PART_DAEMON,
@@ -47,6 +47,9 @@
 	bool (*is_over)(struct fleet *fleet, unsigned int i);
 };
 
+/* Sets the changes that the faults of PART_CONFIG write; must be called first. */
+void faults_init(struct changes *changes);
+
 extern const struct fault faults[];
 extern const unsigned int fault_count;
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -3,13 +3,15 @@
  *	soak - injects faults of every kind under load
  *
  * SYNOPSIS
- *	soak [--seconds N] [--seed N] [--hosts N] [--rate N] [--list] [--keep]
+ *	soak [--seconds N] [--seed N] [--hosts N] [--rate N] [--gap MS] [--list]
+ *	     [--keep]
  *
  * DESCRIPTION
  *	Starts daemons, upstreams and the store as the users' platform runs
  *	them, with a relay on each link, and a load generator for each daemon
  *	that reuses its connections. Injects the faults of the schedule and then
- *	compares the outcomes that callers got with what the upstreams ran.
+ *	compares the outcomes that callers got with what the upstreams ran, and
+ *	the routes that probes found in force with what the operator wrote.
  *
  *	Prints each fault, each violation, and a line for each invariant. With
  *	--keep the logs of all programs are kept after a violation.
@@ -21,6 +23,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "config_rules.h"
 #include "schedule.h"
 #include "stall_monitor.h"
 #include "watch.h"
@@ -51,6 +54,7 @@
 	struct spans spans;
 	struct verdict verdict;
 	struct watch watch;
+	struct changes changes;
 	GArray *events; /* of struct schedule_event */
 	GPtrArray *active_faults; /* of struct active_fault */
 	int64_t start_us;
@@ -61,9 +65,14 @@
 	int seed;
 	int hosts;
 	int rate;
+	int gap_ms;
 	gboolean list;
 	gboolean keep;
-} settings = {.seconds = 25, .seed = 1, .hosts = 6, .rate = 12};
+} settings = {.seconds = 25,
+	      .seed = 1,
+	      .hosts = 6,
+	      .rate = 12,
+	      .gap_ms = SCHEDULE_GAP_MS};
 
 static const GOptionEntry entries[] = {
 	{"seconds", 0, 0, G_OPTION_ARG_INT, &settings.seconds,
@@ -74,6 +83,8 @@
 	 "daemons, each with an upstream", "N"},
 	{"rate", 0, 0, G_OPTION_ARG_INT, &settings.rate,
 	 "calls per second at each daemon", "N"},
+	{"gap", 0, 0, G_OPTION_ARG_INT, &settings.gap_ms,
+	 "mean time between two faults", "MS"},
 	{"list", 0, 0, G_OPTION_ARG_NONE, &settings.list,
 	 "print the schedule and exit", NULL},
 	{"keep", 0, 0, G_OPTION_ARG_NONE, &settings.keep,
@@ -91,10 +102,10 @@
 	good = g_option_context_parse(context, argc, argv, &error);
 	g_option_context_free(context);
 	if (good && settings.seconds > 1 && settings.hosts > 1 &&
-	    settings.rate > 0)
+	    settings.rate > 0 && settings.gap_ms > 0)
 		return true;
 	fprintf(stderr, "soak: %s\n",
-		error ? error->message : "--seconds and --hosts must be above 1, --rate above 0");
+		error ? error->message : "--seconds and --hosts must be above 1, --rate and --gap above 0");
 	g_clear_error(&error);
 	return false;
 }
@@ -340,15 +351,21 @@
 	struct stall_monitor *stall_monitor;
 	struct load *loads;
 	struct load *last;
+	struct probes *probes;
+	GArray *probed;
 
 	fleet_start(&soak->fleet, &options);
 	soak->fleet.config_version = 1;
-	fleet_put_config(&soak->fleet, 1, "list");
+	changes_init(&soak->changes);
+	faults_init(&soak->changes);
+	changes_put(&soak->changes, &soak->fleet, 1);
 	spans_init(&soak->spans);
 	watch_init(&soak->watch, &soak->fleet, &soak->verdict);
 	soak->active_faults = g_ptr_array_new_with_free_func(g_free);
 	wait_ready(soak);
 	stall_monitor = stall_monitor_start();
+	probes = probes_start(&soak->fleet, &soak->changes,
+			      (guint32)settings.seed);
 	loads = start_loads(soak, settings.seconds, "load");
 	run_schedule(soak);
 	wait_loads(soak, loads);
@@ -356,7 +373,10 @@
 	wait_ready(soak);
 	last = start_loads(soak, LAST_LOAD_S, "last");
 	wait_loads(soak, last);
+	probed = probes_stop(probes);
 	stall_monitor_stop(stall_monitor, &soak->spans);
+	config_rules_check(&soak->verdict, &soak->spans, &soak->changes, probed);
+	g_array_unref(probed);
 	check_loads(soak, loads, false);
 	check_loads(soak, last, true);
 	watch_stop_all(&soak->watch);
@@ -369,6 +389,7 @@
 		printf("logs: %s\n", rig_keep_files(soak->fleet.rig));
 	watch_finish(&soak->watch);
 	spans_finish(&soak->spans);
+	changes_finish(&soak->changes);
 	g_ptr_array_unref(soak->active_faults);
 	fleet_stop(&soak->fleet);
 }
@@ -381,9 +402,9 @@
 	if (!parse(&argc, &argv))
 		return 2;
 	g_test_init(&argc, &argv, NULL);
-	soak.events =
-		schedule_create((guint32)settings.seed,
-				(unsigned int)settings.hosts, settings.seconds);
+	soak.events = schedule_create((guint32)settings.seed,
+				      (unsigned int)settings.hosts,
+				      settings.seconds, settings.gap_ms);
 	if (settings.list) {
 		for (guint i = 0; i < soak.events->len; i++)
 			print_event(&g_array_index(soak.events,
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -5,9 +5,7 @@
 #define ROUND_MS (DISRUPTED_MS + SCHEDULE_RECOVERY_MS + PLANNED_MS)
 /* No fault begins in this time before the end. */
 #define END_MARGIN_MS 1000
-/* The mean time between two faults for six hosts. It is short enough that
- * several faults are active at any moment. */
-#define GAP_MS 500
+/* The number of hosts for which the mean time between two faults is given. */
 #define GAP_HOSTS 6
 /* Outside the disrupted phase at most about a third of the hosts may have a
  * fault of their daemon or upstream, so that most of them are up. */
@@ -103,7 +101,8 @@
 	g_array_append_val(builder->events, event);
 }
 
-GArray *schedule_create(guint32 seed, unsigned int hosts, int seconds)
+GArray *schedule_create(guint32 seed, unsigned int hosts, int seconds,
+			int mean_gap_ms)
 {
 	struct builder builder = {
 		.random = g_rand_new_with_seed(seed),
@@ -112,7 +111,7 @@
 		.busy_until_ms = g_new0(int64_t, PARTS * hosts),
 	};
 	int64_t end_ms = seconds * 1000 - END_MARGIN_MS;
-	double gap_ms = (double)GAP_MS * GAP_HOSTS / hosts;
+	double gap_ms = (double)mean_gap_ms * GAP_HOSTS / hosts;
 	double at_ms = 0;
 
 	while (at_ms < (double)end_ms) {
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -26,8 +26,13 @@
 /* The recovery phase: how long the programs may take to reconnect. */
 #define SCHEDULE_RECOVERY_MS 5000
 
+/* The mean time between two faults, for six hosts. It is so short that several
+ * faults are active at any moment. */
+#define SCHEDULE_GAP_MS 500
+
 /* RETURN VALUE: an array of struct schedule_event, sorted by time, that the
  * caller frees. */
-GArray *schedule_create(guint32 seed, unsigned int hosts, int seconds);
+GArray *schedule_create(guint32 seed, unsigned int hosts, int seconds,
+			int mean_gap_ms);
 
 #endif
--- a/tests/soak/verdict.c
+++ b/tests/soak/verdict.c
@@ -27,6 +27,10 @@
 	[INVARIANT_SERVED] = "no fault with an impact: served",
 	[INVARIANT_DRAINED] = "draining: no new runs after two seconds",
 	[INVARIANT_CONFIG] = "a version that all hosts had stays in force",
+	[INVARIANT_CHANGE_IN_FORCE] =
+		"CONFIG: a confirmed change is in force in time",
+	[INVARIANT_NO_REVERT] = "CONFIG: no daemon reverts",
+	[INVARIANT_NOT_DENIED] = "DENIED: proper requests get no 4xx",
 	[INVARIANT_CLEAN_EXIT] = "programs exit only when told, with status 0",
 	[INVARIANT_RECOVERY] = "after the last fault: served",
 };
--- a/tests/soak/verdict.h
+++ b/tests/soak/verdict.h
@@ -23,6 +23,10 @@
 	INVARIANT_SERVED, /* without faults with an impact each call is served */
 	INVARIANT_DRAINED, /* a draining upstream gets no new attempts */
 	INVARIANT_CONFIG, /* a version that all hosts had stays in force */
+	/* The rules CONFIG and DENIED, see config_rules.h. */
+	INVARIANT_CHANGE_IN_FORCE,
+	INVARIANT_NO_REVERT,
+	INVARIANT_NOT_DENIED,
 	INVARIANT_CLEAN_EXIT, /* programs exit only when told, with status 0 */
 	INVARIANT_RECOVERY, /* after the last fault all calls are served */
 	INVARIANTS,
