--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -3,8 +3,8 @@
  *	soak - injects faults of every kind under load
  *
  * SYNOPSIS
- *	soak [--seconds N] [--seed N] [--hosts N] [--rate N] [--gap MS] [--list]
- *	     [--keep]
+ *	soak [--seconds N] [--seed N] [--hosts N] [--rate N] [--gap MS]
+ *	     [--change MS] [--list] [--keep]
  *
  * DESCRIPTION
  *	Starts daemons, upstreams and the store as the users' platform runs
@@ -31,6 +31,9 @@
 #define TICK_MS 20
 #define WAIT_MS 20000
 #define LAST_LOAD_S 3
+/* Share of versions that are followed by another one within SERIES_GAP_MS. */
+#define SERIES_SHARE 0.3
+#define SERIES_GAP_MS 200
 #define LOAD_END_MS 60000
 /* A draining upstream gets no new attempts after this time. */
 #define DRAIN_DELAY_US ((int64_t)2000 * 1000)
@@ -58,6 +61,8 @@
 	GArray *events; /* of struct schedule_event */
 	GPtrArray *active_faults; /* of struct active_fault */
 	int64_t start_us;
+	GRand *operator; /* draws when versions are written */
+	int64_t next_change_ms; /* since the start */
 };
 
 static struct {
@@ -66,13 +71,15 @@
 	int hosts;
 	int rate;
 	int gap_ms;
+	int change_ms;
 	gboolean list;
 	gboolean keep;
 } settings = {.seconds = 25,
 	      .seed = 1,
 	      .hosts = 6,
 	      .rate = 12,
-	      .gap_ms = SCHEDULE_GAP_MS};
+	      .gap_ms = SCHEDULE_GAP_MS,
+	      .change_ms = 2000};
 
 static const GOptionEntry entries[] = {
 	{"seconds", 0, 0, G_OPTION_ARG_INT, &settings.seconds,
@@ -85,6 +92,8 @@
 	 "calls per second at each daemon", "N"},
 	{"gap", 0, 0, G_OPTION_ARG_INT, &settings.gap_ms,
 	 "mean time between two faults", "MS"},
+	{"change", 0, 0, G_OPTION_ARG_INT, &settings.change_ms,
+	 "mean time between two versions of the operator", "MS"},
 	{"list", 0, 0, G_OPTION_ARG_NONE, &settings.list,
 	 "print the schedule and exit", NULL},
 	{"keep", 0, 0, G_OPTION_ARG_NONE, &settings.keep,
@@ -102,10 +111,12 @@
 	good = g_option_context_parse(context, argc, argv, &error);
 	g_option_context_free(context);
 	if (good && settings.seconds > 1 && settings.hosts > 1 &&
-	    settings.rate > 0 && settings.gap_ms > 0)
+	    settings.rate > 0 && settings.gap_ms > 0 && settings.change_ms > 0)
 		return true;
 	fprintf(stderr, "soak: %s\n",
-		error ? error->message : "--seconds and --hosts must be above 1, --rate and --gap above 0");
+		error ? error->message :
+			"--seconds and --hosts must be above 1, --rate, --gap "
+			"and --change above 0");
 	g_clear_error(&error);
 	return false;
 }
@@ -316,6 +327,20 @@
 		      "not all daemons are ready and know each other");
 }
 
+/* The operator writes single versions and quick series of them. */
+static void write_version_if_due(struct soak *soak, int64_t now_ms)
+{
+	bool is_series = g_rand_double(soak->operator) < SERIES_SHARE;
+
+	if (now_ms < soak->next_change_ms)
+		return;
+	changes_put(&soak->changes, &soak->fleet, ++soak->fleet.config_version);
+	soak->next_change_ms =
+		now_ms + g_rand_int_range(soak->operator, 0,
+					  is_series ? SERIES_GAP_MS :
+						      2 * settings.change_ms);
+}
+
 static void run_schedule(struct soak *soak)
 {
 	guint next = 0;
@@ -334,6 +359,7 @@
 				begin_fault(soak, event);
 		}
 		end_faults(soak);
+		write_version_if_due(soak, now_ms);
 		watch_poll(&soak->watch);
 		rig_sleep_ms(TICK_MS);
 	}
@@ -362,6 +388,7 @@
 	spans_init(&soak->spans);
 	watch_init(&soak->watch, &soak->fleet, &soak->verdict);
 	soak->active_faults = g_ptr_array_new_with_free_func(g_free);
+	soak->operator= g_rand_new_with_seed((guint32)settings.seed);
 	wait_ready(soak);
 	stall_monitor = stall_monitor_start();
 	probes = probes_start(&soak->fleet, &soak->changes,
@@ -390,6 +417,7 @@
 	watch_finish(&soak->watch);
 	spans_finish(&soak->spans);
 	changes_finish(&soak->changes);
+	g_rand_free(soak->operator);
 	g_ptr_array_unref(soak->active_faults);
 	fleet_stop(&soak->fleet);
 }
