platform: read and watch the operator's rows on connections of their own (CONFIG)

Cause: that host knew from gossip that a version was missing. Its questions to peers went over connections that were lost without an error, and so did its own read, on a kept connection to the store: given up after 2 s, and the next own read waits for its turn.

Class: as the watch, a call that is sent into a connection which nobody reads any more. New connections worked all the while.

Change: platform_get_from(), platform_watch() and platform_get_changes() use a new connection each and close it. These are a few calls per change and the polls; writes and the daemon's own rows go on sharing kept connections.

/platform-client/silent-connection failed before (the read ended as unavailable).

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -297,6 +297,10 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 call->connect_timeout_ms ? call->connect_timeout_ms :
 						    DEFAULT_CONNECT_TIMEOUT_MS);
+	if (call->own_connection) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
 	curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
 	curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, call->stall_timeout_s);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body);
--- a/include/comfreydockd/platform/platform.h
+++ b/include/comfreydockd/platform/platform.h
@@ -21,6 +21,11 @@
  *	conditions hold. A write ends with PLATFORM_UNAVAILABLE only if it
  *	certainly had no effect, a read on any failure.
  *
+ *	Calls share connections that are kept open, but for platform_get_from(),
+ *	platform_watch() and platform_get_changes(), which use one of their own:
+ *	a daemon with an old configuration must not wait for a connection that
+ *	was lost without an error.
+ *
  * RETURN VALUE
  *	The status is in the answer; platform_last_error() has the reason.
  */
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -73,6 +73,9 @@
 	const char *url;
 	const char *const *headers; /* name, value, ..., NULL; or NULL */
 	bool send_once; /* for GET and HEAD; always on for other methods */
+	/* Uses a new connection and closes it afterwards. A kept connection may
+	 * be lost without an error. */
+	bool own_connection;
 	const char *body; /* NULL: none */
 	size_t size;
 	long timeout_ms; /* 0: 5000 */
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -246,6 +246,37 @@
 	g_assert_cmpuint(f->answers, ==, 3);
 }
 
+/* Guards against a daemon that waits for the operator's rows on a connection
+ * that was lost without an error, although new ones work. */
+static void test_silent_connection_delays_no_rows(struct fixture *f,
+						  gconstpointer data)
+{
+	char *target = g_strdup_printf("127.0.0.1:%u", f->standin->port);
+	struct rig_process *relay = rig_start_standin(
+		f->rig, "tests/system/relay", "--target", target, NULL);
+	char *url = g_strdup_printf("http://127.0.0.1:%u", relay->port);
+	struct platform *platform = platform_create(f->http, url);
+	enum platform_status statuses[3];
+
+	(void)data;
+	put(f, "t/a", PLATFORM_ABSENT, "1");
+	platform_get(platform, "t/a", handle_answer, f);
+	g_assert_cmpint(wait_answer(f), ==, PLATFORM_OK);
+	g_free(rig_http_ok("POST", relay->control_port, "/set",
+			   "{\"silence\": true}"));
+	platform_get_from(platform, "t/a", 1, handle_answer, f);
+	statuses[0] = wait_answer(f);
+	platform_get_changes(platform, "t", 0, handle_answer, f);
+	statuses[1] = wait_answer(f);
+	platform_watch(platform, "t", 0, 5000, handle_answer, f);
+	statuses[2] = wait_answer(f);
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++)
+		g_assert_cmpint(statuses[i], ==, PLATFORM_OK);
+	platform_destroy(platform);
+	g_free(url);
+	g_free(target);
+}
+
 static void restore_store(struct fixture *f, const char *body)
 {
 	g_free(rig_http_ok("POST", f->standin->port, "/standin/restore", body));
@@ -488,6 +519,7 @@
 	ADD("watch", test_watch_reports_changes);
 	ADD("changes", test_changes_are_answered_at_once);
 	ADD("cancelled-watch", test_cancelled_watch_stays_unanswered);
+	ADD("silent-connection", test_silent_connection_delays_no_rows);
 	ADD("compacted-history", test_compacted_history_is_reported);
 	ADD("older-era-watch", test_watch_from_older_era_ends);
 	ADD("older-era-condition", test_conditions_from_older_era_fail);
