peer/peers: send queries on a connection that has been heard from (CONFIG)

Cause: a question for a configuration goes over the connection that is kept to that peer. If it was lost without an error, the answer never comes; the next peer's connection may be as dead, and so for 1.5 s each until the kernel gives them up. A daemon that gets versions from its peers alone stays behind.

Class: a question sent into a connection that nobody reads any more, as with the store's; new connections work.

Change: peers_connect_for_query() opens another connection if nothing has arrived on the kept one for a second. Attempts that use the former one go on there, it is closed once there are none. The gathering of a trace's lines asks that way too. A daemon asks one peer at a time, so this is at most one connection per question, whatever the size of the installation.

--- a/comfreydockd/config/spread_peers.c
+++ b/comfreydockd/config/spread_peers.c
@@ -30,7 +30,7 @@
 		void *data)
 {
 	struct spread_peers *peers = data;
-	struct peer *peer = peers_connect(peers->daemon->peers, member);
+	struct peer *peer = peers_connect_for_query(peers->daemon->peers, member);
 	Cfd__Frame frame = CFD__FRAME__INIT;
 
 	frame.kind_case = CFD__FRAME__KIND_CONFIG_QUERY;
--- a/comfreydockd/operator/gather.c
+++ b/comfreydockd/operator/gather.c
@@ -84,7 +84,7 @@
 	query.trace = gather->trace;
 	frame.kind_case = CFD__FRAME__KIND_TIMELINE_QUERY;
 	frame.timeline_query = &query;
-	peer_send(peers_connect(daemon->peers, member), &frame);
+	peer_send(peers_connect_for_query(daemon->peers, member), &frame);
 }
 
 /* Queries the daemon that a note names: "seq=7 to=esja-07 may-queue=0". */
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -47,14 +47,21 @@
 	peer_refuse(peer, "unexpected frame");
 }
 
+/* From now on peers_connect() opens another connection to the host. */
+static void peer_forget_outgoing(struct peer *peer)
+{
+	GHashTable *outgoing = peer->peers->outgoing;
+
+	if (peer->outgoing && g_hash_table_lookup(outgoing, peer->host) == peer)
+		g_hash_table_remove(outgoing, peer->host);
+}
+
 static void peer_free(struct peer *peer)
 {
 	struct peers *peers = peer->peers;
 
 	ev_timer_stop(peers->daemon->loop, &peer->timeout);
-	if (peer->outgoing &&
-	    g_hash_table_lookup(peers->outgoing, peer->host) == peer)
-		g_hash_table_remove(peers->outgoing, peer->host);
+	peer_forget_outgoing(peer);
 	LIST_REMOVE(peer, link_all);
 	peers->count--;
 	link_destroy(peer->link);
@@ -72,8 +79,7 @@
 		  LOG_STR("side", peer->outgoing ? "entry" : "owner"),
 		  LOG_STR("why", error));
 	/* The handler may open a new connection to the same host. */
-	if (peer->outgoing)
-		g_hash_table_remove(peer->peers->outgoing, peer->host);
+	peer_forget_outgoing(peer);
 	peer->role->handle_lost(peer, error, peer->role->data);
 	peer_free(peer);
 }
@@ -97,7 +103,8 @@
 	peer->role = outgoing ? &peers->entry : &peers->owner;
 	peer->held = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)g_byte_array_unref);
-	peer->last_used_us = clock_mono_us();
+	peer->created_us = clock_mono_us();
+	peer->last_used_us = peer->created_us;
 	handshake_make_nonce(peer->our_nonce);
 	ev_timer_init(&peer->timeout, handle_handshake_timeout,
 		      PEERS_CONNECT_TIMEOUT_S, 0.0);
@@ -136,6 +143,8 @@
  */
 static bool peer_is_idle(const struct peer *peer, int64_t now_us)
 {
+	if (peer->is_replaced && peer->uses == 0)
+		return true;
 	return peer->outgoing && peer->state == PEER_READY && peer->uses == 0 &&
 	       now_us - peer->last_used_us > PEERS_IDLE_US;
 }
@@ -293,6 +302,27 @@
 	return peer;
 }
 
+static bool may_be_lost(const struct peer *peer)
+{
+	int64_t heard_us = MAX(peer->last_heard_us, peer->created_us);
+
+	return clock_mono_us() - heard_us > PEERS_HEARD_US;
+}
+
+struct peer *peers_connect_for_query(struct peers *peers,
+				     const struct member *member)
+{
+	struct peer *peer = g_hash_table_lookup(peers->outgoing, member->host);
+	bool is_self = strcmp(member->host, peers->daemon->settings->host) == 0;
+
+	if (peer && !is_self && may_be_lost(peer)) {
+		peer->is_replaced = true;
+		peer_forget_outgoing(peer);
+		counters.peer_links_replaced++;
+	}
+	return peers_connect(peers, member);
+}
+
 void peers_note_dead(struct peers *peers, const char *host)
 {
 	struct peer *peer = g_hash_table_lookup(peers->outgoing, host);
--- a/include/comfreydockd/peer/peers.h
+++ b/include/comfreydockd/peer/peers.h
@@ -6,7 +6,8 @@
  *	There is one TCP connection for each ordered pair of daemons: the daemon
  *	that opens it is the entry, the one that accepts it is the owner. It is
  *	opened for the first frame, and closed after PEERS_IDLE_US without one
- *	unless an answer is still expected on it.
+ *	unless an answer is still expected on it. A connection that may be lost
+ *	is replaced, see peers_connect_for_query().
  *	A daemon's connection to itself goes through memory.
  *
  *	Before any other frame each side proves, by an HMAC-SHA256 over both
@@ -32,6 +33,7 @@
 /* The connection of a host that members call dead is kept if a frame arrived on
  * it this recently. */
 #define PEERS_SILENT_US ((int64_t)1000 * 1000)
+#define PEERS_HEARD_US ((int64_t)1000 * 1000)
 /* Two round trips between regions, and the retransmission of one lost SYN. */
 #define PEERS_CONNECT_TIMEOUT_S 1.2
 
@@ -70,6 +72,12 @@
  * none. */
 struct peer *peers_connect(struct peers *peers, const struct member *member);
 
+/* The same for a query that another daemon could answer as well. If nothing has
+ * arrived on the connection for PEERS_HEARD_US, it may be lost without an error,
+ * and another one is opened. The former one is closed once no attempt uses it. */
+struct peer *peers_connect_for_query(struct peers *peers,
+				     const struct member *member);
+
 /* Closes the entry's connection to a host that members call dead or no longer
  * know, unless frames still arrive on it. */
 void peers_note_dead(struct peers *peers, const char *host);
--- a/include/comfreydockd/peer/peers_internal.h
+++ b/include/comfreydockd/peer/peers_internal.h
@@ -28,6 +28,7 @@
 	struct link *link;
 	const struct peers_role *role;
 	bool outgoing;
+	bool is_replaced; /* another outgoing connection has taken its place */
 	enum peer_state state;
 	ev_timer timeout; /* of the handshake */
 	char host[MEMBER_HOST_MAX];
@@ -37,6 +38,7 @@
 	GPtrArray *held; /* of GByteArray: frames sent before PEER_READY */
 	uint64_t held_bytes;
 	uint64_t base; /* position in the link's stream of the first frame */
+	int64_t created_us;
 	int64_t last_used_us;
 	int64_t last_heard_us;
 	uint32_t uses; /* open attempts */
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -393,6 +393,43 @@
 	node_finish(&b);
 }
 
+/* Guards against a query that is sent on a connection which was lost without an
+ * error. What is open on the former connection goes on. */
+static void test_query_avoids_a_connection_that_may_be_lost(void)
+{
+	struct node a, b;
+	struct member member;
+	struct peer *peer;
+
+	node_init(&a, "a", "secret");
+	node_init(&b, "b", "secret");
+	member = member_of(&b);
+	member_table_update(a.daemon.members, &member, 0);
+	peer = peers_connect_for_query(a.peers, &member);
+	send_cancel(peer, 1);
+	while (strcmp(b.received->str, "1 ") != 0)
+		run_for(1);
+	send_window(b.from);
+	run_for(PEERS_HEARD_US / 1000 - 100);
+	g_assert_true(peers_connect_for_query(a.peers, &member) == peer);
+	run_for(200);
+	peer_begin_use(peer);
+	g_assert_true(peers_connect(a.peers, &member) == peer);
+	g_assert_true(peers_connect_for_query(a.peers, &member) != peer);
+	g_assert_true(peers_connect(a.peers, &member) != peer);
+	run_for(3000);
+	g_assert_cmpuint(a.lost, ==, 0);
+	send_cancel(peer, 2);
+	while (strcmp(b.received->str, "1 2 ") != 0)
+		run_for(1);
+	peer_end_use(peer);
+	run_for(1100);
+	g_assert_cmpuint(a.lost, ==, 1);
+	g_assert_cmpuint(peers_count(a.peers), ==, 1);
+	node_finish(&a);
+	node_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	int status;
@@ -412,6 +449,8 @@
 			test_a_refused_connection_sent_nothing);
 	g_test_add_func("/peers/dead-but-sending",
 			test_connection_of_a_dead_member_that_sends_is_kept);
+	g_test_add_func("/peers/silent-query",
+			test_query_avoids_a_connection_that_may_be_lost);
 	g_test_add_func("/peers/ping", test_ping_reply_comes_last);
 	status = g_test_run();
 	ev_loop_destroy(loop);
