tests/soak: silent connections between daemons end as a kernel would end them

Traced: the kernel of the relay acknowledges what nobody reads any more, so neither keepalive nor the user timeout of the daemons can see it; on a network, where packets are lost, they end the connection after 5 to 8 s.

--- a/tests/system/relay.h
+++ b/tests/system/relay.h
@@ -8,7 +8,7 @@
  *
  *	POST /set {"cut": bool, "hold_forward": bool, "hold_backward": bool,
  *	           "delay_ms": N, "lose_share": 0..1, "lose_from": [PORT, ...],
- *	           "silence": true}
+ *	           "silence": bool}
  *
  *	cut		resets all connections, new ones too; drops datagrams
  *	hold_forward	forwards nothing to the target, not even a close; when
@@ -19,8 +19,9 @@
  *	lose_share	drops this share of the datagrams, drawn with a fixed
  *			seed
  *	lose_from	drops all datagrams from and to these ports
- *	silence		the connections open now forward nothing any more, not
- *			even a close; new ones work
+ *	silence		true: the connections open now forward nothing any more,
+ *			not even a close; new ones work. false: resets these
+ *			connections, as a kernel does whose keepalive fails
  *
  *	GET /stats returns the counts of connections, bytes and datagrams.
  */
@@ -80,6 +81,7 @@
 
 /* Makes the open connections forward nothing any more. */
 void tcp_silence(struct relay *relay);
+void tcp_reset_silent(struct relay *relay);
 
 void udp_start(struct relay *relay, int fd);
 void udp_finish(struct relay *relay);
--- a/tests/system/relay_tcp.c
+++ b/tests/system/relay_tcp.c
@@ -280,6 +280,19 @@
 		connection->is_silent = true;
 }
 
+void tcp_reset_silent(struct relay *relay)
+{
+	struct tcp_connection *connection = LIST_FIRST(&relay->tcp);
+
+	while (connection) {
+		struct tcp_connection *next = LIST_NEXT(connection, link);
+
+		if (connection->is_silent)
+			connection_reset(connection);
+		connection = next;
+	}
+}
+
 void tcp_finish(struct relay *relay)
 {
 	while (!LIST_EMPTY(&relay->tcp))
