--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -546,6 +546,23 @@
 	finish();
 }
 
+/* Guards against requests to an evacuated domain whose row a lost watch did not
+ * report. */
+static void test_poll_finds_an_evacuation(void)
+{
+	const struct platform_row row = {.key = (char *)PREFIX "esja",
+					 .version = 30,
+					 .value = (char *)"{}"};
+
+	begin_watching();
+	run_ms(POLL_INTERVAL_US / US_PER_MS);
+	answer_call(&store.polls[0], PLATFORM_OK, 30, &row, 1);
+	g_assert_true(is_evacuated("esja"));
+	run_ms(3200);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	finish();
+}
+
 /* Guards against more and more calls while the store gives no answer. */
 static void test_unanswered_polls_are_bounded(void)
 {
@@ -664,6 +681,7 @@
 			test_lost_watch_is_bypassed_by_read);
 	g_test_add_func("/follow/rate", test_rate_of_reads);
 	g_test_add_func("/follow/poll", test_poll_finds_what_a_lost_watch_misses);
+	g_test_add_func("/follow/poll-evacuation", test_poll_finds_an_evacuation);
 	g_test_add_func("/follow/poll-unanswered",
 			test_unanswered_polls_are_bounded);
 	g_test_add_func("/follow/poll-confirms", test_poll_confirms_version);
