--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -130,7 +130,7 @@
 	adoption->was_read = was_read;
 	log_event(EV_CONFIG_ROW_RECEIVED, LOG_INT("row_version", row->version),
 		  LOG_INT("bytes", row->size),
-		  LOG_STR("by", was_read ? "read" : "watch"));
+		  LOG_STR("by", was_read ? "read" : "changes"));
 	config_store_begin_adoption(follow->options.store);
 	slice_queue_add(follow->options.slice_queue, adopt_row,
 			free_row_adoption, adoption);
--- a/comfreydockd/config/follow_poll.c
+++ b/comfreydockd/config/follow_poll.c
@@ -104,24 +104,34 @@
 	follow_renew_watch(follow);
 }
 
-static void handle_poll_timer(struct ev_loop *loop, ev_timer *timer, int events)
+/* RETURN VALUE: the delay until the next poll, if this daemon sends any. */
+static int64_t poll_if_due(struct config_follow *follow)
 {
-	struct config_follow *follow = timer->data;
 	unsigned int position = poll_position(follow);
 	int64_t now_us = clock_boot_us();
-	int64_t due_us;
+	int64_t due_us = poll_due_us(position, last_confirmed_us(follow),
+				     follow->poll_sent_us);
 
-	(void)events;
-	renew_lost_watch(follow);
-	due_us = poll_due_us(position, last_confirmed_us(follow),
-			     follow->poll_sent_us);
-	if (follow->has_read_row && due_us <= now_us) {
+	if (due_us <= now_us) {
 		send_poll(follow);
 		due_us = poll_due_us(position, 0, now_us);
 	}
-	timer_restart_us(loop, timer,
-			 CLAMP(due_us - now_us, CONFIG_FOLLOW_CHECK_US,
-			       POSITION_MAX_AGE_US));
+	return due_us - now_us;
+}
+
+static void handle_poll_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct config_follow *follow = timer->data;
+	int64_t delay_us = POSITION_MAX_AGE_US;
+
+	(void)events;
+	renew_lost_watch(follow);
+	/* Until then the row is being read anyway. */
+	if (follow->has_read_row)
+		delay_us = poll_if_due(follow);
+	timer_restart_us(
+		loop, timer,
+		CLAMP(delay_us, CONFIG_FOLLOW_CHECK_US, POSITION_MAX_AGE_US));
 }
 
 void follow_note_missed(struct config_follow *follow)
