platform/rows_store: end the calls that are open at a stop

The store of rows promises one answer per call, and gave none to those that were open when the platform's client was destroyed, so their memory was lost at exit. Callers saw nothing of it.

--- a/comfreydockd/platform/rows_store.c
+++ b/comfreydockd/platform/rows_store.c
@@ -42,6 +42,16 @@
 	g_free(call);
 }
 
+/* Ends a call that the platform will not answer any more. */
+static void call_abandon(struct store_call *call)
+{
+	if (call->handle_rows)
+		call->handle_rows(ROWS_UNAVAILABLE, NULL, 0, call->data);
+	else
+		call->handle_done(ROWS_UNKNOWN, call->data);
+	call_end(call);
+}
+
 void rows_store_destroy(struct rows_store *store)
 {
 	struct store_call *call;
@@ -49,7 +59,7 @@
 	if (!store)
 		return;
 	while ((call = LIST_FIRST(&store->calls)))
-		call_end(call);
+		call_abandon(call);
 	g_free(store);
 }
 
--- a/include/comfreydockd/platform/rows_store.h
+++ b/include/comfreydockd/platform/rows_store.h
@@ -5,8 +5,8 @@
  * DESCRIPTION
  *	Implements the store that member/rows needs with the platform client.
  *	The store argument of the functions is a struct rows_store. Destroy it
- *	after the rows and the platform; it then frees the calls that got no
- *	answer.
+ *	after the rows and the platform; it then ends the calls that got no
+ *	answer, reads as unavailable and writes as unknown.
  */
 #ifndef COMFREYDOCKD_PLATFORM_ROWS_STORE_H
 #define COMFREYDOCKD_PLATFORM_ROWS_STORE_H
