tests/soak: one search for overlapping faults, one way to change the configuration

The judge of CONFIG and DENIED had two loops over the spans beside spans_overlap(), which now takes the condition as a function. The silence after a change begins with change_config(). Same windows, bounds and checks; no schedule changes.

--- a/tests/soak/config_rules.c
+++ b/tests/soak/config_rules.c
@@ -36,16 +36,15 @@
 
 static bool is_in_touch(const struct spans *spans, const struct probe *probe)
 {
-	for (guint i = 0; i < spans->all->len; i++) {
-		const struct span *span =
-			&g_array_index(spans->all, struct span, i);
-
-		if (may_put_out_of_touch(span, probe->host) &&
-		    span->begin_us <= probe->ended_us &&
-		    span->end_us >= probe->sent_us - CONFIG_RULES_TOUCH_US)
-			return false;
-	}
-	return true;
+	struct span_query query = {
+		.selects = may_put_out_of_touch,
+		.host = probe->host,
+		.from_us = probe->sent_us,
+		.to_us = probe->ended_us,
+		.after_us = CONFIG_RULES_TOUCH_US,
+	};
+
+	return !spans_overlap(spans, &query);
 }
 
 /* A version that the operator wrote after a higher one may be in force at a
@@ -112,19 +111,23 @@
 			      PROBE_FORMAT, PROBE_VALUES(probe, range));
 }
 
+static bool affects_daemon(const struct span *span, unsigned int host)
+{
+	return span->host == host && span->fault->part == PART_DAEMON &&
+	       span->fault->end;
+}
+
 static bool was_daemon_faulty(const struct spans *spans,
 			      const struct probe *probe, int64_t since_us)
 {
-	for (guint i = 0; i < spans->all->len; i++) {
-		const struct span *span =
-			&g_array_index(spans->all, struct span, i);
-
-		if (span->host == probe->host &&
-		    span->fault->part == PART_DAEMON && span->fault->end &&
-		    span->begin_us <= probe->ended_us && span->end_us >= since_us)
-			return true;
-	}
-	return false;
+	struct span_query query = {
+		.selects = affects_daemon,
+		.host = probe->host,
+		.from_us = since_us,
+		.to_us = probe->ended_us,
+	};
+
+	return spans_overlap(spans, &query);
 }
 
 static bool has_reverted(const struct lifetime *lifetime,
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -191,13 +191,6 @@
 	g_free(rig_http_ok("POST", fleet->store->port, "/standin/forget", ""));
 }
 
-/* The watches that are opened right after a change never get their answer. */
-static void change_config_before_silence(struct fleet *fleet, unsigned int i)
-{
-	changes_put(changes, fleet, ++fleet->config_version);
-	store_silent(fleet, i);
-}
-
 /* Restores the store from a copy that lacks the last three transactions. The
  * operator then writes the current configuration again. */
 static void restore_store(struct fleet *fleet, unsigned int i)
@@ -214,6 +207,13 @@
 	changes_put(changes, fleet, ++fleet->config_version);
 }
 
+/* The watches that are opened right after a change never get their answer. */
+static void change_config_before_silence(struct fleet *fleet, unsigned int i)
+{
+	change_config(fleet, i);
+	store_silent(fleet, i);
+}
+
 /* An operator's mistake: an older version is written after a newer one. */
 static void revert_config(struct fleet *fleet, unsigned int i)
 {
--- a/tests/soak/span.c
+++ b/tests/soak/span.c
@@ -43,6 +43,8 @@
 
 static bool matches(const struct span *span, const struct span_query *query)
 {
+	if (query->selects)
+		return query->selects(span, query->host);
 	if (query->host != SPAN_ANY_HOST && span->host != SPAN_ANY_HOST &&
 	    query->host != span->host)
 		return false;
--- a/tests/soak/span.h
+++ b/tests/soak/span.h
@@ -36,6 +36,8 @@
 void spans_add(struct spans *spans, const struct span *span);
 
 struct span_query {
+	/* If set, it alone selects the faults, of which host is the context. */
+	bool (*selects)(const struct span *span, unsigned int host);
 	unsigned int host; /* or SPAN_ANY_HOST */
 	enum fault_impact min_impact; /* ignores faults with less impact */
 	bool planned_stop; /* only planned stops, whatever min_impact is */
