member/member_table: one count for the elections by rendezvous hashing

Followers of the operator's row, readers of the head row and the order of polls counted the live members before a daemon in three loops. Of two constants for a connection that may be lost one is left.

--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -3,7 +3,6 @@
 #include <glib.h>
 #include <string.h>
 
-#include "comfreydockd/decide/rendezvous.h"
 #include "comfreydockd/member/evacuation.h"
 #include "common/clock.h"
 #include "common/counters.h"
@@ -294,29 +293,13 @@
 		schedule_retry(follow);
 }
 
-static bool is_candidate(const struct config_follow *follow,
-			 const struct member *member)
-{
-	return member->state == MEMBER_ALIVE &&
-	       strcmp(member->domain, follow->options.domain) == 0 &&
-	       strcmp(member->host, follow->options.host) != 0;
-}
-
 static bool is_elected_follower(const struct config_follow *follow)
 {
-	uint64_t own =
-		rendezvous_weight(follow->options.host, follow->options.domain);
-	unsigned int above = 0;
-	struct member *member;
-
-	TAILQ_FOREACH (member, member_table_all(follow->options.members), link) {
-		if (is_candidate(follow, member) &&
-		    rendezvous_weight(member->host, follow->options.domain) > own)
-			above++;
-		if (above >= CONFIG_FOLLOWERS)
-			return false;
-	}
-	return true;
+	const struct config_follow_options *options = &follow->options;
+
+	return member_table_count_before(options->members, options->host,
+					 options->domain, options->domain,
+					 CONFIG_FOLLOWERS) < CONFIG_FOLLOWERS;
 }
 
 void follow_read_row(struct config_follow *follow, platform_handler handler)
--- a/comfreydockd/config/follow_poll.c
+++ b/comfreydockd/config/follow_poll.c
@@ -1,10 +1,8 @@
 #include "comfreydockd/config/follow_internal.h"
 
 #include <glib.h>
-#include <string.h>
 
 #include "comfreydockd/decide/poll.h"
-#include "comfreydockd/decide/rendezvous.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
@@ -15,28 +13,13 @@
 /* Positions change as daemons come and go. */
 #define POSITION_MAX_AGE_US POLL_INTERVAL_US
 
-static bool is_other_live_member(const struct config_follow *follow,
-				 const struct member *member)
-{
-	return member->state == MEMBER_ALIVE &&
-	       strcmp(member->host, follow->options.host) != 0;
-}
-
 /* RETURN VALUE: see decide/poll.h; POLLERS_MAX also stands for all above. */
 static unsigned int poll_position(const struct config_follow *follow)
 {
-	const char *key = follow->options.key;
-	uint64_t own = rendezvous_weight(follow->options.host, key);
-	unsigned int before = 0;
-	struct member *member;
-
-	TAILQ_FOREACH (member, member_table_all(follow->options.members), link) {
-		if (is_other_live_member(follow, member) &&
-		    rendezvous_weight(member->host, key) > own &&
-		    ++before >= POLLERS_MAX)
-			break;
-	}
-	return before;
+	const struct config_follow_options *options = &follow->options;
+
+	return member_table_count_before(options->members, options->host,
+					 options->key, NULL, POLLERS_MAX);
 }
 
 static int64_t last_confirmed_us(const struct config_follow *follow)
--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -4,7 +4,6 @@
 
 #include "comfreydockd/config/rows.h"
 #include "comfreydockd/config/spread_internal.h"
-#include "comfreydockd/decide/rendezvous.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
@@ -35,29 +34,12 @@
 	spread->ops->publish(head, spread->ops->data);
 }
 
-/*
- * RETURN VALUE
- *	whether this daemon is a reader of its domain by rendezvous hashing.
- *	A suspected member does not count, because it may be dead and its domain
- *	would have one reader less until that is certain. An additional reader
- *	is harmless.
- */
 static bool is_elected_reader(const struct config_spread *spread)
 {
-	uint64_t own = rendezvous_weight(spread->host, spread->domain);
-	unsigned int above = 0;
-	struct member *member;
-
-	TAILQ_FOREACH (member, member_table_all(spread->members), link) {
-		if (member->state != MEMBER_ALIVE ||
-		    strcmp(member->domain, spread->domain) != 0 ||
-		    strcmp(member->host, spread->host) == 0)
-			continue;
-		above += rendezvous_weight(member->host, spread->domain) > own;
-		if (above >= CONFIG_SPREAD_READERS)
-			return false;
-	}
-	return true;
+	return member_table_count_before(spread->members, spread->host,
+					 spread->domain, spread->domain,
+					 CONFIG_SPREAD_READERS) <
+	       CONFIG_SPREAD_READERS;
 }
 
 static void read_row(struct config_spread *spread, const char *key);
--- a/comfreydockd/member/member_table.c
+++ b/comfreydockd/member/member_table.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "comfreydockd/decide/rendezvous.h"
 #include "comfreydockd/member/evacuation.h"
 #include "comfreydockd/member/member.h"
 
@@ -93,6 +94,24 @@
 	return g_hash_table_size(table->by_host);
 }
 
+unsigned int member_table_count_before(struct member_table *table,
+				       const char *host, const char *key,
+				       const char *domain, unsigned int limit)
+{
+	uint64_t own = rendezvous_weight(host, key);
+	unsigned int before = 0;
+	const struct member *member;
+
+	TAILQ_FOREACH (member, &table->all, link) {
+		if (before >= limit)
+			break;
+		if (member->state == MEMBER_ALIVE &&
+		    (!domain || strcmp(member->domain, domain) == 0))
+			before += rendezvous_weight(member->host, key) > own;
+	}
+	return before;
+}
+
 const GPtrArray *member_table_group(struct member_table *table, const char *group)
 {
 	const struct group *found = g_hash_table_lookup(table->by_group, group);
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -306,7 +306,7 @@
 {
 	int64_t heard_us = MAX(peer->last_heard_us, peer->created_us);
 
-	return clock_mono_us() - heard_us > PEERS_HEARD_US;
+	return clock_mono_us() - heard_us > PEERS_SILENT_US;
 }
 
 struct peer *peers_connect_for_query(struct peers *peers,
--- a/include/comfreydockd/member/member.h
+++ b/include/comfreydockd/member/member.h
@@ -96,6 +96,19 @@
 struct member_list *member_table_all(struct member_table *table);
 size_t member_table_size(const struct member_table *table);
 
+/*
+ * Elects daemons without a lease, by rendezvous hashing. A suspected member does
+ * not count, because it may be dead; one elected daemon more is harmless.
+ *
+ * RETURN VALUE
+ *	the number of live members that are before the host in the order for
+ *	key, but limit at most. domain: only members of this failure domain
+ *	count; NULL: all.
+ */
+unsigned int member_table_count_before(struct member_table *table,
+				       const char *host, const char *key,
+				       const char *domain, unsigned int limit);
+
 /*
  * RETURN VALUE
  *	The members that announced the group, in whatever state; never NULL.
--- a/include/comfreydockd/peer/peers.h
+++ b/include/comfreydockd/peer/peers.h
@@ -30,10 +30,9 @@
 
 #define PEERS_PROTOCOL_VERSION 1
 #define PEERS_IDLE_US ((int64_t)60 * 1000 * 1000)
-/* The connection of a host that members call dead is kept if a frame arrived on
- * it this recently. */
+/* A connection on which no frame has arrived for this long may be lost. That of a
+ * host that members call dead is kept until then. */
 #define PEERS_SILENT_US ((int64_t)1000 * 1000)
-#define PEERS_HEARD_US ((int64_t)1000 * 1000)
 /* Two round trips between regions, and the retransmission of one lost SYN. */
 #define PEERS_CONNECT_TIMEOUT_S 1.2
 
@@ -73,7 +72,7 @@
 struct peer *peers_connect(struct peers *peers, const struct member *member);
 
 /* The same for a query that another daemon could answer as well. If nothing has
- * arrived on the connection for PEERS_HEARD_US, it may be lost without an error,
+ * arrived on the connection for PEERS_SILENT_US, it may be lost without an error,
  * and another one is opened. The former one is closed once no attempt uses it. */
 struct peer *peers_connect_for_query(struct peers *peers,
 				     const struct member *member);
--- a/tests/test_member_table.c
+++ b/tests/test_member_table.c
@@ -176,6 +176,38 @@
 	member_table_destroy(table);
 }
 
+/* Guards against none or all of the daemons being elected: each live one has a
+ * place of its own, and others' places don't count. */
+static void test_live_members_have_one_order(void)
+{
+	static const char *const hosts[] = {"esja-1", "esja-2", "esja-3"};
+	struct member_table *table = member_table_create();
+	bool is_taken[G_N_ELEMENTS(hosts)] = {false};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++)
+		update_and_expect(table, hosts[i], 5, MEMBER_ALIVE, true);
+	update_and_expect(table, "esja-4", 5, MEMBER_SUSPECT, true);
+	update_and_expect(table, "esja-5", 5, MEMBER_DEAD, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		unsigned int place = member_table_count_before(
+			table, hosts[i], "key", "hall-esja", 9);
+
+		g_assert_cmpuint(place, <, G_N_ELEMENTS(hosts));
+		g_assert_false(is_taken[place]);
+		is_taken[place] = true;
+		g_assert_cmpuint(member_table_count_before(table, hosts[i],
+							   "key", NULL, 9),
+				 ==, place);
+		g_assert_cmpuint(member_table_count_before(table, hosts[i],
+							   "key", NULL, 1),
+				 ==, MIN(place, 1));
+		g_assert_cmpuint(member_table_count_before(table, hosts[i], "key",
+							   "hall-katla", 9),
+				 ==, 0);
+	}
+	member_table_destroy(table);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -190,5 +222,6 @@
 			test_group_version_changes_with_members);
 	g_test_add_func("/member_table/other-groups",
 			test_other_groups_keep_their_version);
+	g_test_add_func("/member_table/order", test_live_members_have_one_order);
 	return g_test_run();
 }
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -410,7 +410,7 @@
 	while (strcmp(b.received->str, "1 ") != 0)
 		run_for(1);
 	send_window(b.from);
-	run_for(PEERS_HEARD_US / 1000 - 100);
+	run_for(PEERS_SILENT_US / 1000 - 100);
 	g_assert_true(peers_connect_for_query(a.peers, &member) == peer);
 	run_for(200);
 	peer_begin_use(peer);
