--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,6 +24,7 @@
 ROUTES = 330
 DELAY_MS = 1.4  # one way between the zones
 ANSWER_BYTES = 540_000
+CHUNK_BYTES = 20_000
 DEADLINE_MS = 2000
 CLIENTS = 8
 SLOW_S = 4.5  # a spell of the slow store
@@ -73,13 +74,23 @@
         id = fields.get(r.ID.lower(), "")
         with self.lock:
             self.ran[id] += 1
-        sock.sendall(r.answer_bytes(200, self.fields_of(id), body_of(id)))
+        send_in_chunks(sock, self.fields_of(id), body_of(id))
 
 
 def body_of(id):
     return id.encode() * (ANSWER_BYTES // 16)
 
 
+def send_in_chunks(sock, fields, body):
+    lines = ["HTTP/1.1 200 OK"] + ["%s: %s" % item for item in fields.items()]
+    lines.append("Transfer-Encoding: chunked")
+    sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+    for at in range(0, len(body), CHUNK_BYTES):
+        part = body[at:at + CHUNK_BYTES]
+        sock.sendall(b"%x\r\n" % len(part) + part + b"\r\n")
+    sock.sendall(b"0\r\n\r\n")
+
+
 class Client:
     """Sends downloads on connections that it keeps."""
 
@@ -128,7 +139,11 @@
                 time.sleep(0.05)
             elif body != body_of(id):
                 self.wrong.append(id)
-                self.record.say("client id=%s wrong body" % id)
+                self.record.say(
+                    "client id=%s wrong body: status 200, signature %s, complete, "
+                    "%d bytes in place of %d" %
+                    (id, fields.get(r.SIGNATURE.lower()), len(body),
+                     ANSWER_BYTES))
             else:
                 self.served += 1
             if fields.get("connection", "").lower() == "close":
@@ -263,7 +278,8 @@
                       "status %s" % (len(cut), len(ends),
                                      sorted(set(s for _, s in ends))))
     if wrong:
-        breaks.append("MIXED: %d wrong bodies" % len(wrong))
+        breaks.append("MIXED: %d complete answers with a body that isn't the "
+                      "upstream's" % len(wrong))
     return breaks
 
 
