--- a/review/1/run.py
+++ b/review/1/run.py
@@ -271,6 +271,17 @@
                "the clients ended by itself %d times, the other one: %s" %
                (sum(c.served for c in clients), sum(c.refused for c in clients),
                 len(wrong), len(cut), version, len(ends), owner_ended))
+    for number, client in enumerate(clients):
+        record.say("client %d: %d answered with 200, %d refused, %d cut, %d "
+                   "wrong" % (number, client.served + len(client.wrong),
+                              client.refused, len(client.cut),
+                              len(client.wrong)))
+    record.say("upstream i-owner: %d requests run, %d runs" %
+               (len(upstreams[0].ran), sum(upstreams[0].ran.values())))
+    for id in cut:
+        record.say("id=%s: runs %d, no answer" % (id, upstreams[0].ran[id]))
+    for id in wrong:
+        record.say("id=%s: runs %d, wrong body" % (id, upstreams[0].ran[id]))
     breaks = []
     if len(cut) > 3:
         breaks.append("LOST: %d requests on kept connections had run and got no "
