common/slice: continue jobs from the loop, each on a stack of its own

Cause: slice_yield() ran the loop within a job. The loop called the handler of a peer's frame, which parsed a configuration, yielded too and ran the loop once more: link_parse() was entered again on the same buffer, handled its frames a second time and freed it below the outer call. Any handler that takes long is open to this, not only the one of links.

Change: a job runs on a fiber. slice_yield() returns to the loop, which resumes the job after the events of its next iteration. On the loop's own stack it does nothing, so that no handler is interrupted or entered again.

--- a/comfreydockd/assembly.c
+++ b/comfreydockd/assembly.c
@@ -400,6 +400,8 @@
 void assembly_run(struct assembly *assembly)
 {
 	ev_run(assembly->daemon.loop, 0);
+	/* What the job uses still exists. */
+	slice_queue_finish_job(assembly->daemon.slice_queue);
 }
 
 void assembly_destroy(struct assembly *assembly)
--- a/include/common/slice.h
+++ b/include/common/slice.h
@@ -3,11 +3,12 @@
  *	slice - runs long jobs in time slices, between which the loop runs
  *
  * DESCRIPTION
- *	A queue runs its jobs from its own timer, never from within the callback
- *	that adds them. Code that takes long calls slice_yield() regularly.
- *	Inside a job that has worked for SLICE_US, slice_yield() runs the loop
- *	once without waiting, so that pending I/O events and timers are handled.
- *	Outside of a job it does nothing.
+ *	A queue runs its jobs after the events of an iteration of the loop, each
+ *	on a stack of its own. Code that takes long calls slice_yield()
+ *	regularly. Inside a job that has worked for SLICE_US, slice_yield()
+ *	returns to the loop, which continues the job after the events of its next
+ *	iteration. Outside of a job it does nothing, so a handler of an event is
+ *	never interrupted, and no handler runs within another one.
  *
  *	A job must own the data that it works on, because anything else may
  *	change at each slice_yield(). Jobs run one at a time, in the order in
@@ -34,7 +35,10 @@
 
 struct slice_queue *slice_queue_create(struct ev_loop *loop);
 
-/* Frees jobs that have not begun without running them. */
+/* Runs the job that has begun to its end. */
+void slice_queue_finish_job(struct slice_queue *slice_queue);
+
+/* Finishes the job that has begun and frees the others without running them. */
 void slice_queue_destroy(struct slice_queue *slice_queue);
 
 /* Runs the job immediately if the queue is NULL. */
--- /dev/null
+++ b/tests/test_link.c
@@ -0,0 +1,152 @@
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "comfreydockd/peer/link.h"
+#include "common/slice.h"
+#include "paused_clock.h"
+
+#define FRAMES 8
+#define STEPS 40 /* of work on a frame or in a job, 1 ms each */
+
+/* One end of a socket pair is a link; the test writes to the other one. */
+struct fixture {
+	struct ev_loop *loop;
+	struct link_group group;
+	struct link *link;
+	struct slice_queue *slice_queue;
+	GString *handled; /* the numbers of the frames, in order */
+	GByteArray *bytes; /* FRAMES frames */
+	int far;
+	bool is_handling;
+	bool has_more; /* to be written while the first frame is handled */
+};
+
+static void work(void)
+{
+	for (int i = 0; i < STEPS; i++) {
+		paused_clock_advance_us(1000);
+		slice_yield();
+	}
+}
+
+static void append_frame(GByteArray *bytes, uint64_t seq)
+{
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+	uint8_t packed[64];
+	uint32_t size;
+	uint32_t length;
+
+	cancel.seq = seq;
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	size = (uint32_t)cfd__frame__pack(&frame, packed);
+	length = htonl(size);
+	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(bytes, packed, size);
+}
+
+static void write_half(struct fixture *f, bool is_second)
+{
+	size_t half = f->bytes->len / 2;
+	size_t size = is_second ? f->bytes->len - half : half;
+
+	g_assert_cmpint(
+		write(f->far, f->bytes->data + (is_second ? half : 0), size),
+		==, (gssize)size);
+}
+
+static void handle_frame(struct link *link, Cfd__Frame *frame, void *data)
+{
+	struct fixture *f = data;
+
+	(void)link;
+	g_assert_false(f->is_handling);
+	f->is_handling = true;
+	g_string_append_printf(f->handled, "%d ", (int)frame->cancel->seq);
+	if (f->has_more) {
+		f->has_more = false;
+		write_half(f, true);
+	}
+	work();
+	f->is_handling = false;
+}
+
+static void handle_closed(struct link *link, const char *error, void *data)
+{
+	(void)link;
+	(void)error;
+	(void)data;
+	g_assert_not_reached();
+}
+
+static void setup(struct fixture *f, gconstpointer unused)
+{
+	struct link_callbacks callbacks = {handle_frame, handle_closed, f};
+	int ends[2];
+
+	(void)unused;
+	f->loop = ev_loop_new(0);
+	f->handled = g_string_new(NULL);
+	f->bytes = g_byte_array_new();
+	for (uint64_t i = 1; i <= FRAMES; i++)
+		append_frame(f->bytes, i);
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends),
+			==, 0);
+	f->far = ends[1];
+	link_group_init(&f->group, f->loop);
+	f->link = link_create(&f->group, ends[0], &callbacks);
+	f->slice_queue = slice_queue_create(f->loop);
+}
+
+static void teardown(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	slice_queue_destroy(f->slice_queue);
+	link_destroy(f->link);
+	link_group_finish(&f->group);
+	close(f->far);
+	g_byte_array_unref(f->bytes);
+	g_string_free(f->handled, TRUE);
+	ev_loop_destroy(f->loop);
+}
+
+static void run_job(void *data)
+{
+	struct fixture *f = data;
+
+	write_half(f, false);
+	f->has_more = true;
+	work();
+}
+
+static void free_nothing(void *data)
+{
+	(void)data;
+}
+
+/* Guards against frames that are handled twice, and a read beyond the buffer,
+ * as more of them arrive while a job runs and a handler takes long. */
+static void test_frames_during_a_job_are_handled_once(struct fixture *f,
+						      gconstpointer unused)
+{
+	(void)unused;
+	slice_queue_add(f->slice_queue, run_job, free_nothing, f);
+	for (int i = 0; i < 4 * STEPS; i++) {
+		paused_clock_advance_us(1000);
+		ev_run(f->loop, EVRUN_NOWAIT);
+	}
+	g_assert_cmpstr(f->handled->str, ==, "1 2 3 4 5 6 7 8 ");
+}
+
+#define ADD(path, function) \
+	g_test_add(path, struct fixture, NULL, setup, function, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/link/job", test_frames_during_a_job_are_handled_once);
+	return g_test_run();
+}
--- a/tests/test_slice.c
+++ b/tests/test_slice.c
@@ -1,5 +1,6 @@
 #include <ev.h>
 #include <glib.h>
+#include <stdbool.h>
 
 #include "common/clock.h"
 #include "common/slice.h"
@@ -58,7 +59,7 @@
 
 static void run_loop(void)
 {
-	for (int i = 0; i < 3; i++) {
+	for (int i = 0; i < 3 * STEPS; i++) {
 		paused_clock_advance_us(10);
 		ev_run(EV_DEFAULT, EVRUN_NOWAIT);
 	}
@@ -104,6 +105,69 @@
 	finish(&timer);
 }
 
+/* Whether a handler runs, and how often it was entered while it did. */
+static bool is_handling;
+static unsigned int reentered;
+
+static void handle_slowly(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)timer;
+	(void)events;
+	if (is_handling) {
+		reentered++;
+		return;
+	}
+	is_handling = true;
+	for (int i = 0; i < STEPS; i++) {
+		paused_clock_advance_us(STEP_US);
+		slice_yield();
+	}
+	is_handling = false;
+}
+
+/* Guards against an event handler that is entered again, or interrupted by
+ * another one, because it takes long while a job runs. */
+static void test_handlers_are_not_interrupted(void)
+{
+	ev_timer tick, slow;
+
+	begin(&tick);
+	reentered = 0;
+	ev_timer_init(&slow, handle_slowly, 0.0, 0.02);
+	ev_timer_again(EV_DEFAULT, &slow);
+	slice_queue_add(slice_queue, work, note_freed, (void *)"a");
+	run_loop();
+	g_assert_cmpstr(trace_text->str, ==, "a( )a ");
+	g_assert_cmpuint(reentered, ==, 0);
+	ev_timer_stop(EV_DEFAULT, &slow);
+	finish(&tick);
+}
+
+static void stop_loop(void *data)
+{
+	ev_break(EV_DEFAULT, EVBREAK_ALL);
+	work(data);
+}
+
+/* Guards against a stop that leaves a job half done, with the memory that the
+ * job holds. */
+static void test_begun_job_is_finished(void)
+{
+	ev_timer timer;
+
+	begin(&timer);
+	slice_queue_add(slice_queue, stop_loop, note_freed, (void *)"a");
+	slice_queue_add(slice_queue, work, note_freed, (void *)"b");
+	ev_run(EV_DEFAULT, 0);
+	g_assert_cmpstr(trace_text->str, ==, "a( ");
+	slice_queue_finish_job(slice_queue);
+	g_assert_cmpstr(trace_text->str, ==, "a( )a ");
+	g_assert_cmpuint(freed, ==, 1);
+	finish(&timer);
+	g_assert_cmpuint(freed, ==, 2);
+}
+
 static void test_yield_outside_jobs_does_nothing(void)
 {
 	ev_timer timer;
@@ -123,6 +187,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/slice/loop-runs", test_loop_runs_during_job);
 	g_test_add_func("/slice/order", test_jobs_run_one_at_a_time_in_order);
+	g_test_add_func("/slice/handlers", test_handlers_are_not_interrupted);
+	g_test_add_func("/slice/finish", test_begun_job_is_finished);
 	g_test_add_func("/slice/outside", test_yield_outside_jobs_does_nothing);
 	return g_test_run();
 }
