peer/link: leave out a link whose frames are being handled when reading all input

A handler that calls link_group_read_input() enters link_parse() of its own link again; no handler does so today, as owner and quota call it from the loop's prepare and timer watchers, but nothing kept them from it. A handler that destroys another link also freed the one that the walk would have read next.

Change: the walk leaves out links whose frames are being handled; what arrived on them stays in the kernel until the loop reads it. The link that is next is kept in the group, where link_destroy() sees it.

Evidence: /link/read-input before, three runs of three: heap-buffer-overflow in link_parse(); it passes now. The second part has no test of its own.

--- a/comfreydockd/peer/link.c
+++ b/comfreydockd/peer/link.c
@@ -281,6 +281,7 @@
 	group->chunk = g_malloc(READ_CHUNK_BYTES);
 	LIST_INIT(&group->to_flush);
 	LIST_INIT(&group->all);
+	group->next_to_read = NULL;
 	ev_prepare_init(&group->flush_prepare, handle_flush);
 	ev_timer_init(&group->flush_timer, handle_flush_timer, 0.0, 0.0);
 	group->flush_prepare.data = group;
@@ -300,11 +301,10 @@
 	struct link *link = LIST_FIRST(&group->all);
 
 	while (link) {
-		struct link *next = LIST_NEXT(link, all_node);
-
-		if (link->fd >= 0 && !link->failed)
+		group->next_to_read = LIST_NEXT(link, all_node);
+		if (link->fd >= 0 && !link->failed && !link->dispatching)
 			link_read(link, SIZE_MAX);
-		link = next;
+		link = group->next_to_read;
 	}
 }
 
@@ -367,6 +367,8 @@
 	ev_io_stop(link->group->loop, &link->writer);
 	ev_timer_stop(link->group->loop, &link->close_timer);
 	link_unschedule_flush(link);
+	if (link->group->next_to_read == link)
+		link->group->next_to_read = LIST_NEXT(link, all_node);
 	LIST_REMOVE(link, all_node);
 	if (link->other) {
 		link->other->other = NULL;
--- a/include/comfreydockd/peer/link.h
+++ b/include/comfreydockd/peer/link.h
@@ -52,13 +52,15 @@
 	ev_timer flush_timer;
 	LIST_HEAD(, link) to_flush; /* links with new frames */
 	LIST_HEAD(, link) all;
+	/* Of link_group_read_input(): a handler may destroy this link too. */
+	struct link *next_to_read;
 };
 
 void link_group_init(struct link_group *group, struct ev_loop *loop);
 void link_group_finish(struct link_group *group);
 
 /* Reads all that is readable on any link, without blocking, and passes the
- * frames to their handlers. */
+ * frames to their handlers. A link whose frames are being handled is left out. */
 void link_group_read_input(struct link_group *group);
 
 /* Takes over a connected or connecting non-blocking socket. If the socket could
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -141,6 +141,44 @@
 	g_assert_cmpstr(f->handled->str, ==, "1 2 3 4 5 6 7 8 ");
 }
 
+/* Reads the input of all links, as an owner does before it starts a request. */
+static void read_input_within_handler(struct link *link, Cfd__Frame *frame,
+				      void *data)
+{
+	struct fixture *f = data;
+
+	(void)link;
+	g_string_append_printf(f->handled, "%d ", (int)frame->cancel->seq);
+	if (f->has_more) {
+		f->has_more = false;
+		write_half(f, true);
+	}
+	link_group_read_input(&f->group);
+}
+
+/* Guards against frames that are handled twice because the handler of a frame
+ * reads the input of all links. */
+static void test_frames_read_by_a_handler_are_handled_once(struct fixture *f,
+							   gconstpointer unused)
+{
+	struct link_callbacks callbacks = {read_input_within_handler,
+					   handle_closed, f};
+	int ends[2];
+
+	(void)unused;
+	link_destroy(f->link);
+	close(f->far);
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends),
+			==, 0);
+	f->far = ends[1];
+	f->link = link_create(&f->group, ends[0], &callbacks);
+	f->has_more = true;
+	write_half(f, false);
+	for (int i = 0; i < 10; i++)
+		ev_run(f->loop, EVRUN_NOWAIT);
+	g_assert_cmpstr(f->handled->str, ==, "1 2 3 4 5 6 7 8 ");
+}
+
 #define ADD(path, function) \
 	g_test_add(path, struct fixture, NULL, setup, function, teardown)
 
@@ -148,5 +186,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD("/link/job", test_frames_during_a_job_are_handled_once);
+	ADD("/link/read-input", test_frames_read_by_a_handler_are_handled_once);
 	return g_test_run();
 }
