config: adopt whatever was accepted; an invalid entry costs itself alone

Callers saw: after the store had acknowledged a manifest with a new host of 69 bytes, all daemons kept the whole old manifest for good.

A listener's host becomes the name of a service, so one host was enough. The platform promises none of these limits.

Change: a document that was accepted before restricts nothing that the daemon can follow. Names are free, a number beyond its range counts as the nearest one, and what remains invalid is a warning: it has a line 1117 config.entry-invalid, the counter config_invalid_entries and a word in `comfreydockctl show`, and the rest is adopted. A rule that can't serve refuses its requests at once with 503 rule-invalid, as another rule or 404 would be wrong. An organisation with an invalid limit gets no key, and a document whose organisations aren't an object is refused, as both would open what is closed. A file is checked for being applied as before.

--- a/comfreydockctl/show.c
+++ b/comfreydockctl/show.c
@@ -40,6 +40,12 @@
 		       jsonc_get_text(item, "name"),
 		       jsonc_get_uint(item, "version"),
 		       jsonc_get_text(item, "sha256"));
+		if (jsonc_get_uint(item, "invalid_entries"))
+			printf("  invalid entries, left out or followed in "
+			       "part: "
+			       "%" G_GUINT64_FORMAT
+			       "; see config.entry-invalid in the log\n",
+			       jsonc_get_uint(item, "invalid_entries"));
 		if (body)
 			puts(jsonc_get_text(item, "body"));
 	}
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -337,6 +337,23 @@
 	entry_refuse(entry, &refusal, sink, data);
 }
 
+/* Answers 503, as another route or none would be wrong, and 404 final. */
+static void entry_refuse_unusable_rule(struct entry *entry,
+				       const struct call_request *request,
+				       const struct call_sink *sink, void *data)
+{
+	static const struct entry_refusal refusal = {
+		.status = STATUS_UNAVAILABLE,
+		.reason = "rule-invalid",
+		.come_back_ms = CONFIG_UNCONFIRMED_COME_BACK_MS,
+		.text = "not run: the rule is invalid\n",
+	};
+
+	counters.caller_rule_invalid++;
+	log_unmatched(entry, request, refusal.status, refusal.reason);
+	entry_refuse(entry, &refusal, sink, data);
+}
+
 static void entry_refuse_too_deep(const struct entry *entry,
 				  const struct call_sink *sink, void *data)
 {
@@ -368,6 +385,10 @@
 				       sink, data);
 		return NULL;
 	}
+	if (!config_rule_is_usable(match.rule)) {
+		entry_refuse_unusable_rule(entry, request, sink, data);
+		return NULL;
+	}
 	if (!entry_key_check(entry, request, &match, &refusal)) {
 		entry_refuse(entry, &refusal, sink, data);
 		return NULL;
--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -46,7 +46,7 @@
 	service->load_path =
 		schema_string(&measure, "load_path", SCHEMA_OPTIONAL);
 	config_check_path(&measure, "load_path", service->load_path);
-	if (!service->measure_budget_permille &&
+	if (schema_is_strict(schema) && !service->measure_budget_permille &&
 	    (service->health_path || service->load_path))
 		schema_error(&measure, "budget_permille",
 			     "with a budget of 0 no path is ever asked");
@@ -62,7 +62,7 @@
 	for (char **path = service->path_prefixes; path && *path; path++)
 		config_check_path(schema, "path_prefixes", *path);
 	for (char **host = service->hosts; host && *host; host++) {
-		if (!schema_is_name(*host, HOST_MAX_BYTES))
+		if (!schema_is_name(schema, *host, HOST_MAX_BYTES))
 			schema_error(schema, "hosts",
 				     "\"%s\" is not a host name without a port",
 				     *host);
@@ -117,7 +117,7 @@
 	service->namespace = g_strdup(ns->name);
 	service->rules =
 		g_ptr_array_new_with_free_func((GDestroyNotify)config_rule_unref);
-	if (!schema_is_name(name, CONFIG_NAME_MAX_BYTES))
+	if (!schema_is_name(schema, name, CONFIG_NAME_MAX_BYTES))
 		schema_error(
 			schema,
 			NULL, "the name may hold up to %d letters, digits, '-', '_' and '.'",
@@ -133,11 +133,14 @@
 	return service;
 }
 
-static void read_services(struct schema *root, struct config_namespace *ns)
+/* RETURN VALUE: whether the file has services, if perhaps none. */
+static bool read_services(struct schema *root, struct config_namespace *ns)
 {
 	struct schema services;
+	bool is_present =
+		schema_init_child(&services, root, "services", SCHEMA_REQUIRED);
 
-	if (schema_init_child(&services, root, "services", SCHEMA_REQUIRED)) {
+	if (is_present) {
 		json_object_object_foreach(services.object, name, value)
 		{
 			struct schema schema;
@@ -149,10 +152,11 @@
 					read_service(&schema, name, ns));
 			schema_finish(&schema);
 		}
-		if (!ns->services->len)
+		if (!ns->services->len && schema_is_strict(root))
 			schema_error(root, "services", "may not be empty");
 	}
 	schema_finish(&services);
+	return is_present;
 }
 
 static struct config_group_settings *read_group_settings(struct schema *schema,
@@ -199,6 +203,7 @@
 {
 	struct config_namespace *ns = config_namespace_create();
 	unsigned int errors = findings->errors;
+	unsigned int warnings = findings->warnings;
 	struct schema root;
 
 	schema_init(&root, doc, findings);
@@ -206,8 +211,12 @@
 			       CONFIG_NAME_MAX_BYTES);
 	ns->organisations = config_read_organisations(&root);
 	read_groups(&root, ns);
-	read_services(&root, ns);
+	/* Without these two even an accepted document is of something else. */
+	if (!read_services(&root, ns) || !ns->name)
+		findings_add(findings, FINDING_ERROR, doc->file, 0, NULL,
+			     "not a namespace");
 	schema_finish(&root);
+	ns->invalid_entries = findings->warnings - warnings;
 	if (findings->errors == errors)
 		return ns;
 	config_namespace_unref(ns);
--- a/comfreydockd/config/check_organisations.c
+++ b/comfreydockd/config/check_organisations.c
@@ -43,18 +43,34 @@
 			    organisation);
 }
 
+/* RETURN VALUE: whether a limit is absent or a number that is not negative. */
+static bool is_limit(const struct schema *schema, const char *key)
+{
+	json_object *value = NULL;
+
+	if (!json_object_object_get_ex(schema->object, key, &value))
+		return true;
+	return (json_object_is_type(value, json_type_int) ||
+		json_object_is_type(value, json_type_double)) &&
+	       json_object_get_double(value) >= 0;
+}
+
 static void read_organisation(struct schema *schema, const char *name,
 			      struct config_organisation_set *set)
 {
 	struct config_organisation *organisation =
 		config_organisation_set_add(set, name);
 
-	if (!schema_is_name(name, CONFIG_ORGANISATION_NAME_MAX_BYTES))
+	if (!schema_is_name(schema, name, CONFIG_ORGANISATION_NAME_MAX_BYTES))
 		schema_error(
 			schema,
 			NULL, "the name must be 1 to %d letters, digits, '-', '_' and '.'",
 			CONFIG_ORGANISATION_NAME_MAX_BYTES);
-	read_digests(schema, set, organisation);
+	/* With an invalid limit its callers would have none, so that in an
+	 * accepted document it gets no key instead. */
+	if (schema_is_strict(schema) ||
+	    (is_limit(schema, "rate_per_s") && is_limit(schema, "burst")))
+		read_digests(schema, set, organisation);
 	organisation->has_class =
 		json_object_object_get_ex(schema->object, "class", NULL);
 	organisation->class = (enum config_class)schema_enum(
@@ -89,7 +105,7 @@
 {
 	char *text = g_strndup(span->at, span->size);
 	struct findings *findings = root->findings;
-	unsigned int errors = findings->errors;
+	unsigned int warnings = findings->warnings;
 	struct jsonc_doc *doc =
 		jsonc_parse_accepted(root->doc->file, text, findings);
 	struct config_organisation_set *set = NULL;
@@ -102,7 +118,7 @@
 		schema.key = CONFIG_ORGANISATIONS_KEY;
 		set = read_all(&schema);
 		schema_finish(&schema);
-		if (findings->errors == errors)
+		if (findings->warnings == warnings)
 			config_organisation_set_add_known(set, span);
 	}
 	jsonc_doc_destroy(doc);
@@ -124,6 +140,12 @@
 	if (schema_init_child(&schema, root, CONFIG_ORGANISATIONS_KEY,
 			      SCHEMA_OPTIONAL))
 		set = read_all(&schema);
+	else if (!schema_is_strict(root) &&
+		 json_object_object_get_ex(root->object,
+					   CONFIG_ORGANISATIONS_KEY, NULL))
+		/* Without organisations its services would be open to all. */
+		findings_add(root->findings, FINDING_ERROR, root->doc->file, 0,
+			     CONFIG_ORGANISATIONS_KEY, "expected an object");
 	schema_finish(&schema);
 	return set;
 }
--- a/comfreydockd/config/check_rules.c
+++ b/comfreydockd/config/check_rules.c
@@ -40,7 +40,8 @@
 	rule->retry_budget_percent = (uint32_t)schema_uint(
 		&retry, "budget_percent", SCHEMA_REQUIRED, 0, 0, 100);
 	schema_finish(&retry);
-	if (present && rule->max_attempts > 1 && !rule->retry_budget_percent)
+	if (present && schema_is_strict(schema) && rule->max_attempts > 1 &&
+	    !rule->retry_budget_percent)
 		schema_error(schema, "retry",
 			     "with a budget of 0 no retry is ever made");
 }
@@ -54,9 +55,10 @@
 		&hedge, "budget_percent", SCHEMA_REQUIRED, 0, 1, 50);
 	schema_finish(&hedge);
 	/* A hedge runs the same request a second time. */
-	if (rule->hedge && !rule->idempotent)
-		schema_error(schema, "hedge",
-			     "only an idempotent rule may be hedged");
+	if (!rule->hedge || rule->idempotent)
+		return;
+	schema_error(schema, "hedge", "only an idempotent rule may be hedged");
+	rule->hedge = false;
 }
 
 static void read_destination(struct schema *item, struct config_rule *rule)
@@ -93,6 +95,21 @@
 		schema_error(schema, "to", "needs a weight above 0");
 }
 
+/* A rule applies to all paths if it names none. */
+static char *read_path_prefix(struct schema *schema)
+{
+	bool is_present =
+		json_object_object_get_ex(schema->object, "path_prefix", NULL);
+	char *prefix = schema_string(schema, "path_prefix", SCHEMA_OPTIONAL);
+
+	if (!is_present)
+		return g_strdup("/");
+	config_check_path(schema, "path_prefix", prefix);
+	if (prefix && *prefix != '/')
+		g_clear_pointer(&prefix, g_free);
+	return prefix;
+}
+
 static struct config_rule *read_rule(struct schema *schema, const char *group)
 {
 	struct config_rule *rule = config_rule_create();
@@ -100,10 +117,9 @@
 	rule->name = schema_name(schema, "name", SCHEMA_REQUIRED,
 				 CONFIG_NAME_MAX_BYTES);
 	read_methods(schema, rule);
-	rule->path_prefix = schema_string(schema, "path_prefix", SCHEMA_OPTIONAL);
-	config_check_path(schema, "path_prefix", rule->path_prefix);
-	if (!rule->path_prefix)
-		rule->path_prefix = g_strdup("/");
+	if (!rule->name)
+		rule->name = g_strdup("");
+	rule->path_prefix = read_path_prefix(schema);
 	rule->idempotent = schema_bool(schema, "idempotent", false);
 	rule->deadline_ms = (uint32_t)schema_uint(
 		schema, "deadline_ms", SCHEMA_REQUIRED, 0, 1, DEADLINE_MAX_MS);
@@ -175,8 +191,7 @@
 		index->lengths |= length_bit(strlen(rule->path_prefix));
 	}
 	g_ptr_array_add(rules, (gpointer)rule);
-	if (rule->name)
-		g_hash_table_add(index->names, rule->name);
+	g_hash_table_add(index->names, rule->name);
 }
 
 static void check_shadowing(struct schema *schema, const GPtrArray *rules,
@@ -189,7 +204,7 @@
 			schema_error(schema, NULL,
 				     "never applies: the earlier rule \"%s\" "
 				     "matches all its requests",
-				     first->name ? first->name : "");
+				     first->name);
 	}
 }
 
@@ -199,7 +214,7 @@
 {
 	char *prefix = g_strdup(rule->path_prefix);
 
-	if (rule->name && g_hash_table_contains(index->names, rule->name))
+	if (g_hash_table_contains(index->names, rule->name))
 		schema_error(schema, "name", "another rule has this name");
 	for (size_t length = strlen(prefix); length > 0; length--) {
 		prefix[length] = '\0';
@@ -219,7 +234,7 @@
 {
 	char *text = g_strndup(span->at, span->size);
 	struct findings *findings = item->findings;
-	unsigned int errors = findings->errors;
+	unsigned int warnings = findings->warnings;
 	struct jsonc_doc *doc =
 		jsonc_parse_accepted(item->doc->file, text, findings);
 	struct config_rule *rule = NULL;
@@ -227,11 +242,15 @@
 
 	if (doc) {
 		schema_init(&schema, doc, findings);
+		/* Findings give the location in the whole file. */
+		schema.parent = item->parent;
+		schema.key = item->key;
+		schema.index = item->index;
 		rule = read_rule(&schema, group);
 		schema_finish(&schema);
 		/* Without "to" the rule depends on the group of its service, so
 		 * it must not be shared by its text. */
-		if (findings->errors == errors &&
+		if (findings->warnings == warnings &&
 		    json_object_object_get_ex(doc->root, "to", NULL))
 			config_known_rules_add(rule, span);
 	}
@@ -247,18 +266,34 @@
 	struct config_rule *rule;
 
 	if (!span)
-		return read_rule(item, group);
+		return item->object ? read_rule(item, group) : NULL;
 	rule = config_known_rules_find(span);
 	return rule ? rule : read_cut_rule(item, group, span);
 }
 
+/* Adds a rule to its service. One without a prefix matches no request, which
+ * happens only in a document that was accepted before. */
+static void add_rule(struct schema *item, struct rule_index *index,
+		     struct config_service *service, struct config_rule *rule)
+{
+	if (!rule->path_prefix) {
+		config_rule_unref(rule);
+		return;
+	}
+	if (schema_is_strict(item)) {
+		check_reachable(item, index, rule);
+		rule_index_add(index, rule);
+	}
+	g_ptr_array_add(service->rules, rule);
+}
+
 void config_read_rules(struct schema *schema, struct config_service *service)
 {
 	json_object *array = schema_array(schema, "rules", SCHEMA_REQUIRED);
 	size_t length = array ? json_object_array_length(array) : 0;
 	struct rule_index index;
 
-	if (array && !length)
+	if (array && !length && schema_is_strict(schema))
 		schema_error(schema, "rules", "may not be empty");
 	rule_index_init(&index);
 	for (size_t i = 0; i < length; i++) {
@@ -268,11 +303,8 @@
 		schema_init_item(&item, schema, "rules", i);
 		rule = load_rule(&item, json_object_array_get_idx(array, i),
 				 service->group);
-		if (rule) {
-			check_reachable(&item, &index, rule);
-			g_ptr_array_add(service->rules, rule);
-			rule_index_add(&index, rule);
-		}
+		if (rule)
+			add_rule(&item, &index, service, rule);
 		schema_finish(&item);
 		slice_yield();
 	}
--- a/comfreydockd/config/model.c
+++ b/comfreydockd/config/model.c
@@ -62,6 +62,11 @@
 	return sum;
 }
 
+bool config_rule_is_usable(const struct config_rule *rule)
+{
+	return rule->deadline_ms > 0 && config_rule_total_weight(rule) > 0;
+}
+
 const char *config_rule_select_group(const struct config_rule *rule,
 				     uint64_t drawn)
 {
--- a/comfreydockd/config/routes.c
+++ b/comfreydockd/config/routes.c
@@ -30,11 +30,22 @@
 	g_free(routes);
 }
 
+/* RETURN VALUE: the length of the host without its port. An IPv6 address is in
+ * brackets. */
+static size_t host_length(const char *host)
+{
+	const char *colon = strrchr(host, ':');
+
+	if (!colon || strchr(colon, ']'))
+		return strlen(host);
+	return (size_t)(colon - host);
+}
+
 void config_routes_add(struct config_routes *routes,
 		       const struct config_service *service)
 {
 	for (char **host = service->hosts; host && *host; host++) {
-		char *name = g_ascii_strdown(*host, -1);
+		char *name = g_ascii_strdown(*host, (gssize)host_length(*host));
 
 		if (g_hash_table_contains(routes->by_host, name))
 			g_free(name);
@@ -52,17 +63,6 @@
 	}
 }
 
-/* RETURN VALUE: the length of the host without its port. An IPv6 address is in
- * brackets. */
-static size_t host_length(const char *host)
-{
-	const char *colon = strrchr(host, ':');
-
-	if (!colon || strchr(colon, ']'))
-		return strlen(host);
-	return (size_t)(colon - host);
-}
-
 static const struct config_service *find_host(const struct config_routes *routes,
 					      const char *host)
 {
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -7,6 +7,8 @@
 #include "common/counters.h"
 #include "common/log.h"
 
+#define INVALID_ENTRIES_LOGGED 8 /* in one version */
+
 #define OBSERVERS_MAX 4
 
 /* The head at which a version of a namespace was applied. */
@@ -422,6 +424,24 @@
 	return CONFIG_OFFER_BAD_CONTENT;
 }
 
+static void log_invalid_entries(const struct config_namespace *ns,
+				const struct findings *findings)
+{
+	const struct finding *finding;
+	unsigned int count = 0;
+
+	TAILQ_FOREACH (finding, &findings->list, link) {
+		if (count++ < INVALID_ENTRIES_LOGGED)
+			log_event(EV_CONFIG_ENTRY_INVALID,
+				  LOG_STR("namespace", ns->name),
+				  LOG_INT("version", ns->version),
+				  LOG_STR("path",
+					  finding->path ? finding->path : ""),
+				  LOG_STR("error", finding->text));
+	}
+	counters.config_invalid_entries += count;
+}
+
 static bool is_newer(const struct config_store *store, const char *name,
 		     uint64_t version)
 {
@@ -447,14 +467,16 @@
 		config_namespace_unref(ns);
 		return CONFIG_OFFER_BAD_CONTENT;
 	}
-	findings_finish(&findings);
 	/* The event loop may have run during the parsing, see slice_yield(), so
 	 * a newer version may be in force now. */
 	if (!is_newer(store, name, version)) {
+		findings_finish(&findings);
 		config_namespace_unref(ns);
 		return CONFIG_OFFER_NOT_NEWER;
 	}
 	ns->version = version;
+	log_invalid_entries(ns, &findings);
+	findings_finish(&findings);
 	adopt(store, ns);
 	config_namespace_unref(ns);
 	advance_head(store);
--- a/comfreydockd/operator/config.c
+++ b/comfreydockd/operator/config.c
@@ -32,6 +32,7 @@
 	jsonc_add_text(root, "name", ns->name);
 	jsonc_add_uint(root, "version", ns->version);
 	jsonc_add_text(root, "sha256", ns->sha256);
+	jsonc_add_uint(root, "invalid_entries", ns->invalid_entries);
 	if (with_body)
 		jsonc_add_text(root, "body", ns->body);
 	return root;
--- a/common/jsonc.c
+++ b/common/jsonc.c
@@ -250,6 +250,7 @@
 	doc = g_new0(struct jsonc_doc, 1);
 	doc->file = g_strdup(file);
 	doc->root = root;
+	doc->is_accepted = true;
 	return doc;
 }
 
@@ -301,6 +302,7 @@
 	scanner.doc = jsonc_parse_accepted(file, text, findings);
 	if (!scanner.doc)
 		return NULL;
+	scanner.doc->is_accepted = false;
 	scanner.doc->lines =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	skip_blank(&scanner);
--- a/common/schema.c
+++ b/common/schema.c
@@ -24,6 +24,11 @@
 	schema_init_at(schema, doc, findings, doc->root);
 }
 
+bool schema_is_strict(const struct schema *schema)
+{
+	return !schema->doc->is_accepted;
+}
+
 /* RETURN VALUE: the path, which the caller frees. */
 static char *schema_path(const struct schema *schema)
 {
@@ -53,9 +58,10 @@
 	va_start(args, format);
 	text = g_strdup_vprintf(format, args);
 	va_end(args);
-	findings_add(schema->findings, FINDING_ERROR, schema->doc->file,
-		     jsonc_line(schema->doc, path), *path ? path : NULL, "%s",
-		     text);
+	findings_add(schema->findings,
+		     schema_is_strict(schema) ? FINDING_ERROR : FINDING_WARNING,
+		     schema->doc->file, jsonc_line(schema->doc, path),
+		     *path ? path : NULL, "%s", text);
 	g_free(text);
 	g_free(path);
 	g_free(own);
@@ -236,8 +242,11 @@
 	return NULL;
 }
 
-bool schema_is_name(const char *text, size_t max_bytes)
+bool schema_is_name(const struct schema *schema, const char *text,
+		    size_t max_bytes)
 {
+	if (!schema_is_strict(schema))
+		return *text;
 	return *text && strlen(text) <= max_bytes &&
 	       strspn(text, "abcdefghijklmnopqrstuvwxyz"
 			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
@@ -249,7 +258,7 @@
 {
 	char *name = schema_string(schema, key, need);
 
-	if (name && !schema_is_name(name, max_bytes))
+	if (name && !schema_is_name(schema, name, max_bytes))
 		schema_error(
 			schema, key,
 			"must be up to %zu letters, digits, '-', '_' and '.'",
@@ -307,7 +316,7 @@
 		     "must be between %" G_GUINT64_FORMAT
 		     " and %" G_GUINT64_FORMAT,
 		     min, max);
-	return fallback;
+	return number < 0 ? min : CLAMP((uint64_t)number, min, max);
 }
 
 double schema_double(struct schema *schema, const char *key, double fallback,
@@ -329,7 +338,7 @@
 	if (number >= 0 && number <= max)
 		return number;
 	schema_error(schema, key, "must be between 0 and %g", max);
-	return fallback;
+	return CLAMP(number, 0, max);
 }
 
 int schema_enum(struct schema *schema, const char *key,
--- a/include/comfreydockd/config/check.h
+++ b/include/comfreydockd/config/check.h
@@ -4,9 +4,13 @@
  *
  * DESCRIPTION
  *	Checks the whole file and reports all findings with their lines. Only a
- *	file that passes may be put in force: the same function runs in the
- *	command line tool, in the daemon that applies a file and in each daemon
- *	that adopts it.
+ *	file that passes may be applied: the same function runs in the command
+ *	line tool and in the daemon that applies a file.
+ *
+ *	A version that was accepted, by the platform or by another daemon, is in
+ *	force and has to be followed. Daemons that adopt it restrict names and
+ *	numbers no further than they must, and what is invalid costs its own
+ *	entry alone.
  *
  *	The defaults are the safe ones: a rule is not idempotent, not retried
  *	and not hedged unless the file says so.
@@ -22,15 +26,15 @@
 					       struct findings *findings);
 
 /*
- * Parses a body that this or another daemon has accepted before. It does not
- * report where an error is: recording the position of every member took a third
- * of the time in which the daemon serves nothing else.
+ * Parses a body that the platform or a daemon has accepted before. It does not
+ * report lines: recording the position of every member took a third of the time
+ * in which the daemon serves nothing else.
  *
  * sha256: the hash of the text, already verified.
- * findings: get the errors, without their lines.
+ * findings: get a warning for each entry that is left out or followed in part.
  *
  * RETURN VALUE
- *	the namespace, or NULL if the body fails the check.
+ *	the namespace, or NULL if the body isn't one; findings then has errors.
  */
 struct config_namespace *
 config_namespace_load_accepted(const char *text, const char *sha256,
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -39,7 +39,8 @@
 	uint32_t hedge_budget_percent;
 	char *fairness_header; /* NULL: fairness by the caller's address */
 	bool is_public; /* needs no key in any namespace */
-	GArray *destinations; /* of struct config_destination, at least one */
+	/* Of struct config_destination; at least one in a usable rule. */
+	GArray *destinations;
 };
 
 /* A group of upstreams that gets a share of a rule's requests. */
@@ -95,6 +96,8 @@
 	GPtrArray *services; /* of struct config_service */
 	GPtrArray *upstreams; /* of struct config_group_settings */
 	struct config_organisation_set *organisations; /* NULL: no key needed */
+	/* What isn't followed as it stands in the file, because it is invalid. */
+	unsigned int invalid_entries;
 };
 
 struct config_snapshot {
@@ -117,6 +120,10 @@
 void config_rule_add_destination(struct config_rule *rule, const char *group,
 				 uint32_t weight);
 
+/* RETURN VALUE: whether the rule can serve a request. One that can't still
+ * matches its requests: it is part of a namespace that was accepted elsewhere. */
+bool config_rule_is_usable(const struct config_rule *rule);
+
 /* Selects a destination by weight. drawn is a random number below
  * config_rule_total_weight().
  *
--- a/include/common/jsonc.h
+++ b/include/common/jsonc.h
@@ -27,6 +27,7 @@
 	json_object *root;
 	GHashTable *lines; /* path to line; NULL: not recorded */
 	GArray *omitted; /* struct json_span, not parsed; NULL: none */
+	bool is_accepted; /* not parsed by jsonc_parse() */
 };
 
 /* RETURN VALUE: NULL if the text has errors; all of them are added to
@@ -34,7 +35,7 @@
 struct jsonc_doc *jsonc_parse(const char *file, const char *text,
 			      struct findings *findings);
 
-/* Parses text that jsonc_parse() has accepted before. It records no lines and
+/* Parses text that somebody has accepted before. It records no lines and
  * skips the checks that jsonc_parse() makes beyond JSON syntax. */
 struct jsonc_doc *jsonc_parse_accepted(const char *file, const char *text,
 				       struct findings *findings);
--- a/include/common/schema.h
+++ b/include/common/schema.h
@@ -10,6 +10,10 @@
  *	parent must outlive its children. After a finding a getter returns a
  *	usable default, so that reading continues and all findings are reported
  *	together.
+ *
+ *	A document that was accepted before is not refused: its findings are
+ *	warnings, names may be of any length and hold any character, and a
+ *	number out of its range becomes the nearest one within.
  */
 #ifndef COMMON_SCHEMA_H
 #define COMMON_SCHEMA_H
@@ -50,6 +54,10 @@
 		      const char *key, size_t index);
 void schema_finish(struct schema *schema);
 
+/* RETURN VALUE: whether what the operator should correct is to be reported,
+ * though it can be used. */
+bool schema_is_strict(const struct schema *schema);
+
 /* RETURN VALUE: the text under key, if it was left unparsed, or NULL. */
 const struct json_span *schema_omitted(struct schema *schema, const char *key);
 
@@ -64,7 +72,9 @@
 /* Reads a string of up to max_bytes letters, digits, '-', '_' and '.'. */
 char *schema_name(struct schema *schema, const char *key, enum schema_need need,
 		  size_t max_bytes);
-bool schema_is_name(const char *text, size_t max_bytes);
+/* RETURN VALUE: whether text may be a name in this document. */
+bool schema_is_name(const struct schema *schema, const char *text,
+		    size_t max_bytes);
 
 /* RETURN VALUE: a NULL-terminated copy, or NULL if absent, empty or invalid. */
 char **schema_strings(struct schema *schema, const char *key,
@@ -82,7 +92,8 @@
 int schema_enum(struct schema *schema, const char *key,
 		const char *const *names, int fallback);
 
-/* Adds an error at a key of this object, or at the object if key is NULL. */
+/* Adds an error at a key of this object, or at the object if key is NULL. In a
+ * document that was accepted before it is a warning. */
 void schema_error(struct schema *schema, const char *key, const char *format,
 		  ...) G_GNUC_PRINTF(3, 4);
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -56,6 +56,25 @@
 	g_assert_cmpuint(f->come_back_ms, ==, 0);
 }
 
+/* Guards against requests for a rule that is invalid, in a version accepted
+ * elsewhere, waiting for an upstream, ending as final or following another
+ * rule. */
+static void test_invalid_rule_gets_503(struct entry_fixture *f,
+				       gconstpointer unused)
+{
+	(void)unused;
+	entry_fixture_adopt(f, 1,
+			    "{\"namespace\":\"n\",\"services\":{\"s\":{"
+			    "\"hosts\":[\"old.example\"],\"rules\":["
+			    "{\"name\":\"r\",\"path_prefix\":\"/r/\","
+			    "\"deadline_ms\":100},"
+			    "{\"name\":\"all\",\"deadline_ms\":100,"
+			    "\"to\":[{\"group\":\"g\"}]}]}}}");
+	g_assert_cmpuint(request_status(f, "old.example", "/r/1"), ==, 503);
+	g_assert_cmpstr(f->reason, ==, "rule-invalid");
+	g_assert_cmpuint(f->come_back_ms, >, 0);
+}
+
 /*
  * Guards against a 404 for a route that a newer configuration adds. No client
  * retries a 404, while other daemons serve the route already. It happens if the
@@ -185,6 +204,9 @@
 	g_test_add("/entry/unmatched", struct entry_fixture, NULL,
 		   entry_fixture_set_up, test_unmatched_request_gets_404,
 		   entry_fixture_tear_down);
+	g_test_add("/entry/invalid-rule", struct entry_fixture, NULL,
+		   entry_fixture_set_up, test_invalid_rule_gets_503,
+		   entry_fixture_tear_down);
 	g_test_add("/entry/behind", struct entry_fixture, NULL,
 		   entry_fixture_set_up,
 		   test_no_404_while_a_newer_version_is_known,
