config/spread: adopt every received body by a job

A fetch that has brought one has succeeded or failed once the job says so, and the wait after bodies that are rejected grows as for other failures; for those in pieces it didn't.

Evidence: /spread/jobs before: held without the loop having run, "(1 == 0)"; it passes now, and the other cases of test_config_spread as before.

--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -130,27 +130,73 @@
 		spread->fetch_at_us = spread->now_us;
 }
 
+/* A body that is parsed and adopted by a job, and the fetch that brought it. */
+struct received_body {
+	struct config_spread *spread;
+	char *name; /* of the namespace */
+	uint64_t version;
+	char sha256[65];
+	GByteArray *bytes;
+};
+
+static void received_body_free(void *data)
+{
+	struct received_body *body = data;
+
+	g_byte_array_unref(body->bytes);
+	g_free(body->name);
+	g_free(body);
+}
+
+static void adopt_received_body(void *data)
+{
+	const struct received_body *body = data;
+	struct config_spread *spread = body->spread;
+	enum config_offer result = config_store_offer(
+		spread->store, body->name, body->version, body->sha256,
+		(const char *)body->bytes->data, body->bytes->len);
+
+	config_store_end_adoption(spread->store);
+	if (result == CONFIG_OFFER_ADOPTED || result == CONFIG_OFFER_NOT_NEWER)
+		note_success(spread);
+	else
+		note_failure(spread, "the body was rejected");
+	config_spread_publish_head(spread);
+}
+
+/* Queues a body. Until it is adopted or refused nothing else is fetched, and the
+ * fetch has neither succeeded nor failed. Takes over bytes. */
+static void adopt_body(struct config_spread *spread, const char *name,
+		       uint64_t version, const char *sha256, GByteArray *bytes)
+{
+	struct received_body *body = g_new0(struct received_body, 1);
+
+	body->spread = spread;
+	body->name = g_strdup(name);
+	body->version = version;
+	g_strlcpy(body->sha256, sha256, sizeof(body->sha256));
+	body->bytes = bytes;
+	config_store_begin_adoption(spread->store);
+	slice_queue_add(spread->slice_queue, adopt_received_body,
+			received_body_free, body);
+}
+
 static void handle_object(enum config_platform_status status,
 			  uint64_t row_version, const char *value, size_t size,
 			  void *data)
 {
 	struct config_spread *spread = data;
-	enum config_offer result = CONFIG_OFFER_BAD_CONTENT;
 
 	(void)row_version;
 	counters.config_platform_bytes += size;
+	spread->step = CONFIG_FETCH_NONE;
 	if (status == CONFIG_PLATFORM_OK && value)
-		result = config_store_offer(spread->store, spread->object_name,
-					    spread->object_version,
-					    spread->object_sha256, value, size);
-	g_clear_pointer(&spread->object_name, g_free);
-	if (result == CONFIG_OFFER_ADOPTED || result == CONFIG_OFFER_NOT_NEWER)
-		note_success(spread);
+		adopt_body(spread, spread->object_name, spread->object_version,
+			   spread->object_sha256,
+			   g_byte_array_new_take(g_memdup2(value, size), size));
 	else
-		note_failure(
-			spread,
-			"could not read a valid body from the object store");
-	config_spread_publish_head(spread);
+		note_failure(spread, "could not read the object store");
+	g_clear_pointer(&spread->object_name, g_free);
 	config_fetch_next(spread);
 }
 
@@ -343,88 +389,56 @@
 		config_pieces_clear(pieces);
 }
 
-/* A line of an answer describes one version of a namespace. It may carry the
- * whole body or, if its size is set, one piece of the body. */
-static bool offer_line(struct config_spread *spread, const Cfd__ConfigLine *line)
-{
-	return config_store_offer(spread->store, line->namespace_, line->version,
-				  line->sha256, (const char *)line->body.data,
-				  line->body.len) == CONFIG_OFFER_ADOPTED;
-}
-
-/* A body that arrived in pieces and is being parsed and adopted in time
- * slices. */
-struct complete_body {
-	struct config_spread *spread;
-	struct config_pieces pieces;
+/* What an answer has brought. */
+struct received {
+	bool has_piece; /* of a body that isn't complete yet */
+	bool has_body; /* it is adopted by a job */
 };
 
-static void free_complete_body(void *data)
+static void take_piece(struct config_spread *spread,
+		       const Cfd__ConfigLine *line, struct received *received)
 {
-	struct complete_body *complete = data;
-
-	config_pieces_finish(&complete->pieces);
-	g_free(complete);
-}
-
-static void adopt_complete_body(void *data)
-{
-	struct complete_body *complete = data;
-	struct config_spread *spread = complete->spread;
-	const struct config_pieces *pieces = &complete->pieces;
-	enum config_offer result = config_store_offer(
-		spread->store, pieces->name, pieces->version, pieces->sha256,
-		(const char *)pieces->bytes->data, pieces->bytes->len);
-
-	config_store_end_adoption(spread->store);
-	if (result != CONFIG_OFFER_ADOPTED && result != CONFIG_OFFER_NOT_NEWER)
-		note_failure(spread, "the body was rejected");
-	config_spread_publish_head(spread);
-}
-
-static void begin_body_adoption(struct config_spread *spread)
-{
-	struct complete_body *complete = g_new0(struct complete_body, 1);
+	struct config_pieces *pieces = &spread->pieces;
 
-	complete->spread = spread;
-	complete->pieces = spread->pieces;
-	config_pieces_init(&spread->pieces);
-	config_store_begin_adoption(spread->store);
-	slice_queue_add(spread->slice_queue, adopt_complete_body,
-			free_complete_body, complete);
+	if (!config_pieces_add(pieces, line))
+		return;
+	config_store_note_piece(spread->store);
+	received->has_piece = true;
+	if (!config_pieces_are_complete(pieces))
+		return;
+	received->has_body = true;
+	adopt_body(spread, pieces->name, pieces->version, pieces->sha256,
+		   g_byte_array_ref(pieces->bytes));
+	config_pieces_clear(pieces);
 }
 
-/* RETURN VALUE: whether the piece extended the body. */
-static bool take_piece(struct config_spread *spread, const Cfd__ConfigLine *line)
+static void take_body(struct config_spread *spread, const Cfd__ConfigLine *line,
+		      struct received *received)
 {
-	struct config_pieces *pieces = &spread->pieces;
+	GByteArray *bytes = g_byte_array_new();
 
-	if (config_store_holds(spread->store, line->namespace_, line->version) ||
-	    !config_pieces_add(pieces, line))
-		return false;
-	config_store_note_piece(spread->store);
-	if (config_pieces_are_complete(pieces))
-		begin_body_adoption(spread);
-	return true;
+	g_byte_array_append(bytes, line->body.data, (guint)line->body.len);
+	received->has_body = true;
+	adopt_body(spread, line->namespace_, line->version, line->sha256, bytes);
 }
 
-/* RETURN VALUE: whether the answer brought a new version or a piece of one. */
-static bool take_bodies(struct config_spread *spread,
-			const Cfd__ConfigBody *answer)
+/* A line of an answer describes one version of a namespace. It may carry the
+ * whole body or, if its size is set, one piece of the body. */
+static void take_bodies(struct config_spread *spread,
+			const Cfd__ConfigBody *answer, struct received *received)
 {
-	bool has_news = false;
-
 	for (size_t i = 0; i < answer->n_lines; i++) {
 		const Cfd__ConfigLine *line = answer->lines[i];
 
-		if (!line->has_body)
+		if (!line->has_body ||
+		    config_store_holds(spread->store, line->namespace_,
+				       line->version))
 			continue;
 		if (line->size)
-			has_news |= take_piece(spread, line);
+			take_piece(spread, line, received);
 		else
-			has_news |= offer_line(spread, line);
+			take_body(spread, line, received);
 	}
-	return has_news;
 }
 
 static void take_listing(struct config_spread *spread,
@@ -467,15 +481,20 @@
 			       const Cfd__ConfigBody *answer)
 {
 	bool was_behind = config_fetch_is_behind(spread);
-	bool has_news = take_bodies(spread, answer);
+	struct received received = {0};
 
+	spread->step = CONFIG_FETCH_NONE;
+	take_bodies(spread, answer, &received);
 	if (answer->is_listing)
 		take_listing(spread, answer);
 	/* The peer that sent a piece has the others as well. */
-	if (has_news && spread->pieces.bytes->len)
+	if (received.has_piece && spread->pieces.bytes->len)
 		g_strlcpy(spread->hint_host, spread->asked_host,
 			  sizeof(spread->hint_host));
-	if (has_news || config_store_head(spread->store) > spread->head_before ||
+	if (received.has_body)
+		return;
+	if (received.has_piece ||
+	    config_store_head(spread->store) > spread->head_before ||
 	    (was_behind && !config_fetch_is_behind(spread)))
 		note_success(spread);
 	else
--- a/tests/spread_net.c
+++ b/tests/spread_net.c
@@ -296,6 +296,7 @@
 		.platform_ops = &platform_ops,
 		.platform = node,
 		.ops = &node->ops,
+		.slice_queue = net->slice_queue,
 		.seed = (uint64_t)g_test_rand_int(),
 	};
 
--- a/tests/spread_net.h
+++ b/tests/spread_net.h
@@ -18,6 +18,8 @@
 #define NET_MAX 12
 #define NET_NAMES 3 /* namespaces "a", "b", "c" */
 
+struct slice_queue;
+
 struct net_node {
 	char host[MEMBER_HOST_MAX];
 	unsigned int starts; /* number of its starts */
@@ -42,6 +44,7 @@
 	bool platform_down;
 	struct config_head head;
 	GHashTable *objects;
+	struct slice_queue *slice_queue; /* of daemons started from now on */
 	unsigned int head_reads;
 	unsigned int object_reads;
 	unsigned int questions;
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -5,6 +5,7 @@
 #include "comfreydockd/config/spread_internal.h"
 #include "comfreydockd/peer/link.h"
 #include "common/clock.h"
+#include "common/slice.h"
 #include "spread_net.h"
 
 static struct net net;
@@ -76,6 +77,29 @@
 	check_peers_pass_on(0);
 }
 
+/* Guards against calls that wait while the handler of a peer's frame, or of an
+ * answer of the platform, parses a configuration: a job does. */
+static void test_bodies_are_adopted_by_jobs(void)
+{
+	net_init(&net, 8);
+	net.slice_queue = slice_queue_create(EV_DEFAULT);
+	for (unsigned int i = 0; i < net.count; i += 2) {
+		net_stop(&net, i);
+		net_start(&net, i);
+	}
+	net_run(&net, 2000);
+	net_apply(&net, 0);
+	net_run(&net, 5000);
+	for (unsigned int i = 0; i < net.count; i++)
+		g_assert_cmpuint(net_held(&net, i, 0), ==, i % 2);
+	while (!net_has_converged(&net))
+		ev_run(EV_DEFAULT, EVRUN_NOWAIT);
+	net_run(&net, 1000);
+	g_assert_true(net_has_converged(&net));
+	net_finish(&net);
+	slice_queue_destroy(net.slice_queue);
+}
+
 /*
  * Guards against a body that is too large for the usual answer of a peer and is
  * therefore not distributed. The platform fails once a few daemons have read
@@ -328,6 +352,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/spread/readers",
 			test_change_reaches_all_with_few_reads);
+	g_test_add_func("/spread/jobs", test_bodies_are_adopted_by_jobs);
 	g_test_add_func("/spread/replaced", test_readers_are_replaced);
 	g_test_add_func("/spread/peers",
 			test_peers_distribute_without_the_platform);
