member: carry groups of up to 253 bytes, domains and regions of up to 63

Change: groups have their own limit in records, the same as in the settings. Domains and regions get the length of a DNS label.

Evidence: /swim/long-group before: "swim_receive(...) should be TRUE"; it passes now. Hosts stay at 47 bytes; a longer one is refused at the start, with its line.

--- a/comfreydockd/member/swim_message.c
+++ b/comfreydockd/member/swim_message.c
@@ -224,7 +224,7 @@
 	size_t host = strlen(record->host);
 
 	for (size_t i = 0; i < record->n_groups; i++) {
-		if (strlen(record->groups[i]) >= MEMBER_DOMAIN_MAX)
+		if (strlen(record->groups[i]) >= MEMBER_GROUP_MAX)
 			return false;
 	}
 	return host > 0 && host < MEMBER_HOST_MAX &&
--- a/comfreydockd/settings.c
+++ b/comfreydockd/settings.c
@@ -52,8 +52,8 @@
 #define PEER_KEY_MIN_BYTES 16
 /* Names are sent in frames and stored in fixed-size member records. */
 #define HOST_MAX_BYTES 47
-#define NAME_MAX_BYTES 31
-#define SERVICE_MAX_BYTES 63
+#define NAME_MAX_BYTES 63
+#define SERVICE_MAX_BYTES 253
 
 static const char *const log_formats[] = {"json", "text", "none", NULL};
 
--- a/include/comfreydockd/member/member.h
+++ b/include/comfreydockd/member/member.h
@@ -18,7 +18,9 @@
 #include <sys/queue.h>
 
 #define MEMBER_HOST_MAX 48
-#define MEMBER_DOMAIN_MAX 32 /* longest domain, region or group, with its 0 */
+#define MEMBER_DOMAIN_MAX 64 /* longest domain or region, with its 0 */
+/* Longest group, with its 0. A record has to fit into a packet of gossip. */
+#define MEMBER_GROUP_MAX 254
 #define MEMBER_ADDRESS_MAX 46
 
 enum member_state {
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -180,6 +180,24 @@
 	net_stop();
 }
 
+/* Guards against an upstream that gets no work as its service has a long name:
+ * its own daemon announces it and all others drop the record. */
+static void test_long_group_spreads(void)
+{
+	char *name = g_strnfill(MEMBER_GROUP_MAX - 1, 'g');
+	char *groups[] = {name, NULL};
+
+	net_start(3);
+	net_settle(10 * SECOND);
+	g_assert_true(swim_announce(net.hosts[1].swim, MEMBER_SERVICE_UP,
+				    groups, 9, 500, net.now_us));
+	run_until_all_see(1, MEMBER_SERVICE_UP, 0);
+	g_assert_cmpuint(member_table_group(net.hosts[0].table, name)->len, ==,
+			 1);
+	net_stop();
+	g_free(name);
+}
+
 /* Starts a network in which one host's config head is confirmed as the newest,
  * and lets that spread for 5 s. RETURN VALUE: the time of the confirmation. */
 static int64_t start_with_confirmed_head(void)
@@ -482,6 +500,7 @@
 	g_test_add_func("/swim/frozen", test_resumed_host_declares_nobody_dead);
 	g_test_add_func("/swim/partition", test_partition_heals);
 	g_test_add_func("/swim/drain", test_drain_and_config_head_spread);
+	g_test_add_func("/swim/long-group", test_long_group_spreads);
 	g_test_add_func("/swim/head-confirmation",
 			test_head_confirmation_spreads_and_ages);
 	g_test_add_func("/swim/head-confirmation-queued",
