stop: wait for callers that still read their answers

Cause: a stop counted calls and runs only. A call ends with the last byte from the owner, while up to 320 KiB of the answer wait in the request, in the connection and in the kernel; the process ended 0.8 s later and dropped the first two.

Change: what callers haven't acknowledged, in all three places, keeps a stop busy until its time is over. A caller whose kernel takes nothing for two seconds doesn't. daemon.stopped says whether callers were still reading.

--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -133,7 +133,7 @@
 
 /* Writing the answer. */
 
-static size_t request_unwritten(const struct caller_request *request)
+size_t request_unwritten(const struct caller_request *request)
 {
 	return request->body->len - request->body_start;
 }
--- a/comfreydockd/stop.c
+++ b/comfreydockd/stop.c
@@ -14,7 +14,8 @@
 
 #define CHECK_INTERVAL_S 0.05
 /* How long the daemon must be idle after the port was closed, so that the
- * connections accepted last still get their answers. */
+ * connections accepted last still get their answers. It isn't while a caller
+ * reads. */
 #define IDLE_BEFORE_LEAVE_US (300 * US_PER_MS)
 /* Time to write the last answers to callers before the process exits. */
 #define FINAL_ANSWERS_US (100 * US_PER_MS)
@@ -44,6 +45,7 @@
 	bool row_leave_done;
 	bool has_cancelled;
 	bool has_ended_calls;
+	bool is_being_read; /* callers read answers, as of the last check */
 };
 
 static bool is_idle(const struct stop *stop)
@@ -52,7 +54,8 @@
 
 	owner_get_status(stop->daemon->owner, &status);
 	return status.running == 0 && status.queued == 0 &&
-	       entry_call_count(stop->daemon->entry) == 0;
+	       entry_call_count(stop->daemon->entry) == 0 &&
+	       !stop->is_being_read;
 }
 
 static void handle_row_leave_done(bool is_deleted, void *data)
@@ -151,6 +154,7 @@
 
 	(void)events;
 	advance_steps(stop, elapsed_us);
+	stop->is_being_read = listener_is_being_read(stop->listener);
 	if (stop->step < STOP_REFUSING_CONNECTIONS || !is_idle(stop))
 		stop->last_busy_us = now;
 	if (has_timed_out)
@@ -163,7 +167,8 @@
 	if (!may_exit(stop, now, elapsed_us >= timeout_us + LEAVE_SPREAD_US))
 		return;
 	log_event(EV_DAEMON_STOPPED,
-		  LOG_INT("calls", entry_call_count(stop->daemon->entry)));
+		  LOG_INT("calls", entry_call_count(stop->daemon->entry)),
+		  LOG_INT("being_read", stop->is_being_read));
 	ev_break(loop, EVBREAK_ALL);
 }
 
--- a/include/comfreydockd/caller/connection_internal.h
+++ b/include/comfreydockd/caller/connection_internal.h
@@ -46,6 +46,8 @@
 	size_t lingered_bytes;
 	int64_t active_us; /* when bytes were last read or written */
 	int64_t head_since_us; /* when an unfinished head began; 0: none */
+	int64_t unread; /* by the caller, at the last listener_is_being_read() */
+	int64_t unread_changed_us;
 };
 
 /* connection_input.c */
--- a/include/comfreydockd/caller/listener.h
+++ b/include/comfreydockd/caller/listener.h
@@ -17,6 +17,7 @@
 #ifndef COMFREYDOCKD_CALLER_LISTENER_H
 #define COMFREYDOCKD_CALLER_LISTENER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "comfreydockd/daemon.h"
@@ -37,6 +38,11 @@
  * daemon. */
 void listener_turn_away(struct listener *listener);
 
+/* Call this regularly: what has changed since the last call tells a caller that
+ * reads slowly from one that reads nothing.
+ * RETURN VALUE: whether any caller still reads an answer. */
+bool listener_is_being_read(struct listener *listener);
+
 /* Called when a connection has closed: there is room for another. */
 void listener_note_closed(struct listener *listener);
 
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -62,6 +62,9 @@
 /* The sink for the request's call. data is the request. */
 extern const struct call_sink request_sink;
 
+/* RETURN VALUE: how many bytes of its answer's body wait here. */
+size_t request_unwritten(const struct caller_request *request);
+
 enum request_progress {
 	REQUEST_WAITS, /* for more of the answer */
 	REQUEST_FULL, /* out has reached its limit, and more is ready */
