member/evacuation: apply the changes of one answer as a whole

Callers saw: an operator took back the evacuation of one domain and evacuated another in one transaction; requests went on running in the second one (EVAC).

Cause: rows changed together have one version. The first one raised the version of the list, and the second one counted as known. A list with the first alone passed for the complete list of that version, to peers as well, so that no daemon's list was later than another's.

Change: evacuation_apply() takes all changes of an answer that are later than the list and gives the result the answer's version. There is no call for a single row any more. The tests that used it make a change of one; what they assert is unchanged.

--- a/comfreydockd/config/follow.c
+++ b/comfreydockd/config/follow.c
@@ -170,16 +170,25 @@
 static void take_changed_evacuations(const struct config_follow *follow,
 				     const struct platform_answer *answer)
 {
+	struct evacuation_change *changes =
+		g_new0(struct evacuation_change, answer->row_count);
+	size_t count = 0;
+
 	for (size_t i = 0; i < answer->row_count; i++) {
 		const struct platform_row *row = &answer->rows[i];
 		const char *domain = evacuated_domain(follow, row);
 
-		if (domain)
-			evacuation_set(follow->options.evacuation, row->version,
-				       evacuation_key(domain), row->value,
-				       clock_mono_us());
+		if (!domain)
+			continue;
+		changes[count++] = (struct evacuation_change){
+			.version = row->version,
+			.key = evacuation_key(domain),
+			.is_evacuated = row->value,
+		};
 	}
-	evacuation_note_complete(follow->options.evacuation, answer->version);
+	evacuation_apply(follow->options.evacuation, answer->version, changes,
+			 count, clock_mono_us());
+	g_free(changes);
 }
 
 static void take_evacuations(const struct config_follow *follow,
--- a/comfreydockd/member/evacuation.c
+++ b/comfreydockd/member/evacuation.c
@@ -85,22 +85,34 @@
 	return true;
 }
 
-bool evacuation_set(struct evacuation *evacuation, uint64_t as_of, uint64_t key,
-		    bool is_evacuated, int64_t now_us)
+static void apply_change(GArray *keys, const struct evacuation_change *change)
 {
-	uint64_t keys[EVACUATION_DOMAINS_MAX + 1];
-	size_t count = 0;
-
-	for (size_t i = 0; i < evacuation->count; i++) {
-		if (evacuation->entries[i].key != key)
-			keys[count++] = evacuation->entries[i].key;
+	for (guint i = 0; i < keys->len; i++) {
+		if (g_array_index(keys, uint64_t, i) != change->key)
+			continue;
+		g_array_remove_index(keys, i);
+		break;
 	}
-	if (is_evacuated)
-		keys[count++] = key;
-	return evacuation_replace(evacuation, as_of, keys, count, now_us);
+	if (change->is_evacuated)
+		g_array_append_val(keys, change->key);
 }
 
-void evacuation_note_complete(struct evacuation *evacuation, uint64_t as_of)
+bool evacuation_apply(struct evacuation *evacuation, uint64_t as_of,
+		      const struct evacuation_change *changes, size_t count,
+		      int64_t now_us)
 {
-	evacuation->as_of = MAX(evacuation->as_of, as_of);
+	GArray *keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	bool has_changed;
+
+	for (size_t i = 0; i < evacuation->count; i++)
+		g_array_append_val(keys, evacuation->entries[i].key);
+	for (size_t i = 0; i < count; i++) {
+		if (changes[i].version > evacuation->as_of)
+			apply_change(keys, &changes[i]);
+	}
+	has_changed = evacuation_replace(evacuation, as_of,
+					 (const uint64_t *)keys->data,
+					 keys->len, now_us);
+	g_array_unref(keys);
+	return has_changed;
 }
--- a/include/comfreydockd/member/evacuation.h
+++ b/include/comfreydockd/member/evacuation.h
@@ -6,7 +6,7 @@
  *	An operator evacuates a failure domain, for example before work on its
  *	power supply, and restores it later. Each daemon holds the list of all
  *	evacuated domains as of a version of the platform's store. Daemons that
- *	read the store replace the list or change it row by row. Gossip carries
+ *	read the store replace the list or apply changes to it. Gossip carries
  *	the whole list in every packet, and of two lists the later one wins. So
  *	a daemon that missed a change, was partitioned or has just been started
  *	gets it from any peer.
@@ -41,6 +41,13 @@
 	void *data;
 };
 
+/* A change of one domain, as of a version of the store. */
+struct evacuation_change {
+	uint64_t version;
+	uint64_t key;
+	bool is_evacuated;
+};
+
 uint64_t evacuation_key(const char *domain);
 
 bool evacuation_has(const struct evacuation *evacuation, uint64_t key);
@@ -56,16 +63,15 @@
 			const uint64_t *keys, size_t count, int64_t now_us);
 
 /*
- * Adds or removes one domain as of a version. All changes up to that version
- * must have been applied before.
+ * Applies the changes of the store after the own version, up to as_of, as a
+ * whole: those of one transaction have one version, and a list with some of them
+ * would pass for the complete list as of it. Older changes are left out.
  *
  * RETURN VALUE
  *	true if the list has changed.
  */
-bool evacuation_set(struct evacuation *evacuation, uint64_t as_of, uint64_t key,
-		    bool is_evacuated, int64_t now_us);
-
-/* All changes up to this version have been applied. */
-void evacuation_note_complete(struct evacuation *evacuation, uint64_t as_of);
+bool evacuation_apply(struct evacuation *evacuation, uint64_t as_of,
+		      const struct evacuation_change *changes, size_t count,
+		      int64_t now_us);
 
 #endif
--- a/tests/operator_fixture.c
+++ b/tests/operator_fixture.c
@@ -63,11 +63,16 @@
 			    const char *by, evacuation_change_handler handler,
 			    void *data)
 {
+	struct evacuation_change change = {
+		.version = rows->evacuation->as_of + 1,
+		.is_evacuated = by,
+	};
+
 	if (rows->changes_to == PLATFORM_OK) {
 		g_strlcpy(rows->domain, by ? domain : "", sizeof(rows->domain));
 		g_strlcpy(rows->by, by ? by : "", sizeof(rows->by));
-		evacuation_set(rows->evacuation, rows->evacuation->as_of + 1,
-			       evacuation_key(domain), by, 0);
+		change.key = evacuation_key(domain);
+		evacuation_apply(rows->evacuation, change.version, &change, 1, 0);
 	}
 	handler(rows->changes_to, data);
 }
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -25,6 +25,15 @@
 	return evacuation_has(evacuation, evacuation_key(domain));
 }
 
+static bool set(struct evacuation *evacuation, uint64_t version,
+		const char *domain, bool is_evacuated, int64_t now_us)
+{
+	struct evacuation_change change = {version, evacuation_key(domain),
+					   is_evacuated};
+
+	return evacuation_apply(evacuation, version, &change, 1, now_us);
+}
+
 /* Guards against an old list from a peer that was partitioned: it would bring
  * requests back to a domain whose power is about to be cut. */
 static void test_older_list_is_ignored(void)
@@ -47,20 +56,46 @@
 {
 	struct evacuation evacuation = create();
 
-	evacuation_set(&evacuation, 5, evacuation_key("esja"), true, 100);
-	evacuation_set(&evacuation, 7, evacuation_key("katla"), true, 200);
-	evacuation_set(&evacuation, 8, evacuation_key("esja"), false, 300);
-	g_assert_false(evacuation_set(&evacuation, 6, evacuation_key("esja"),
-				      true, 400));
+	set(&evacuation, 5, "esja", true, 100);
+	set(&evacuation, 7, "katla", true, 200);
+	set(&evacuation, 8, "esja", false, 300);
+	g_assert_false(set(&evacuation, 6, "esja", true, 400));
 	g_assert_false(has(&evacuation, "esja"));
 	g_assert_true(has(&evacuation, "katla"));
 	g_assert_cmpuint(evacuation.count, ==, 1);
 	g_assert_cmpint(evacuation.entries[0].since_us, ==, 200);
-	evacuation_note_complete(&evacuation, 40);
+	evacuation_apply(&evacuation, 40, NULL, 0, 500);
 	g_assert_cmpuint(evacuation.as_of, ==, 40);
 	g_assert_cmpuint(changes, ==, 3);
 }
 
+/* Guards against the second change of a transaction being lost, and against a
+ * list with the first alone, which would spread as the complete one. */
+static void test_changes_of_a_transaction_apply_together(void)
+{
+	struct evacuation evacuation = create();
+	const struct evacuation_change both[] = {
+		{9, evacuation_key("esja"), false},
+		{9, evacuation_key("katla"), true},
+	};
+	const struct evacuation_change known[] = {
+		{8, evacuation_key("katla"), true},
+		{9, evacuation_key("askja"), true},
+	};
+	uint64_t keys[] = {evacuation_key("katla")};
+
+	set(&evacuation, 5, "esja", true, 0);
+	g_assert_true(evacuation_apply(&evacuation, 9, both, 2, 0));
+	g_assert_false(has(&evacuation, "esja"));
+	g_assert_true(has(&evacuation, "katla"));
+	g_assert_cmpuint(changes, ==, 2);
+	/* A later list came by gossip before the answer of the store. */
+	evacuation_replace(&evacuation, 10, keys, 0, 0);
+	g_assert_false(evacuation_apply(&evacuation, 12, known, 2, 0));
+	g_assert_cmpuint(evacuation.count, ==, 0);
+	g_assert_cmpuint(evacuation.as_of, ==, 12);
+}
+
 /* A later list with the same domains is no change: nothing is logged, spread or
  * rebuilt for it. */
 static void test_same_list_is_no_change(void)
@@ -81,8 +116,11 @@
 {
 	struct evacuation evacuation = create();
 
-	for (uint64_t i = 0; i < 3 * EVACUATION_DOMAINS_MAX; i++)
-		evacuation_set(&evacuation, i + 1, i + 1, true, 0);
+	for (uint64_t i = 0; i < 3 * EVACUATION_DOMAINS_MAX; i++) {
+		struct evacuation_change change = {i + 1, i + 1, true};
+
+		evacuation_apply(&evacuation, i + 1, &change, 1, 0);
+	}
 	g_assert_cmpuint(evacuation.count, ==, EVACUATION_DOMAINS_MAX);
 }
 
@@ -116,14 +154,14 @@
 	add_member(table, "esja-1", "esja");
 	add_member(table, "katla-1", "katla");
 	version = member_table_group_version(table, "desk");
-	evacuation_set(&evacuation, 1, evacuation_key("esja"), true, 0);
+	set(&evacuation, 1, "esja", true, 0);
 	member_table_set_evacuation(table, &evacuation);
 	add_member(table, "esja-2", "esja");
 	g_assert_false(is_usable(table, "esja-1"));
 	g_assert_false(is_usable(table, "esja-2"));
 	g_assert_true(is_usable(table, "katla-1"));
 	g_assert_cmpuint(member_table_group_version(table, "desk"), !=, version);
-	evacuation_set(&evacuation, 2, evacuation_key("esja"), false, 0);
+	set(&evacuation, 2, "esja", false, 0);
 	member_table_set_evacuation(table, &evacuation);
 	g_assert_true(is_usable(table, "esja-1"));
 	member_table_destroy(table);
@@ -134,6 +172,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/evacuation/older", test_older_list_is_ignored);
 	g_test_add_func("/evacuation/order", test_changes_apply_in_order);
+	g_test_add_func("/evacuation/transaction",
+			test_changes_of_a_transaction_apply_together);
 	g_test_add_func("/evacuation/same", test_same_list_is_no_change);
 	g_test_add_func("/evacuation/bounded", test_list_is_bounded);
 	g_test_add_func("/evacuation/members",
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -497,6 +497,27 @@
 	finish();
 }
 
+/* Guards against a domain that goes on getting requests, as its row was changed
+ * in one transaction with another. */
+static void test_evacuations_of_a_transaction_are_followed(void)
+{
+	const struct platform_row changed[] = {
+		{.key = (char *)PREFIX "askja", .version = 14},
+		{.key = (char *)PREFIX "esja", .version = 14, .value = (char *)"{}"},
+		{.key = (char *)PREFIX "katla",
+		 .version = 14,
+		 .value = (char *)"{}"},
+	};
+
+	begin();
+	answer(PLATFORM_OK, 12, (char *)"2");
+	run_ms(300);
+	answer_rows(PLATFORM_OK, 14, changed, G_N_ELEMENTS(changed));
+	g_assert_true(is_evacuated("esja"));
+	g_assert_true(is_evacuated("katla"));
+	finish();
+}
+
 /* Guards against a domain that stays out of use, as it was restored while the
  * store dropped its history: the rows that are read are all there are. */
 static void test_lost_history_restores_domain(void)
@@ -691,6 +712,8 @@
 			test_peers_show_that_a_watch_is_lost);
 	g_test_add_func("/follow/lower-row", test_lower_row_keeps_the_watch);
 	g_test_add_func("/follow/evacuations", test_evacuations_are_followed);
+	g_test_add_func("/follow/evacuation-transaction",
+			test_evacuations_of_a_transaction_are_followed);
 	g_test_add_func("/follow/evacuation-history",
 			test_lost_history_restores_domain);
 	return g_test_run();
--- a/tests/test_swim_evacuation.c
+++ b/tests/test_swim_evacuation.c
@@ -20,11 +20,13 @@
 }
 
 /* The hosts that watch the store see the change at once. */
-static void change(uint64_t as_of, bool is_evacuated)
+static void apply_change(uint64_t as_of, bool is_evacuated)
 {
+	struct evacuation_change change = {as_of, DOMAIN_KEY, is_evacuated};
+
 	for (int i = 0; i < FOLLOWERS; i++)
-		evacuation_set(&net.hosts[i].evacuation, as_of, DOMAIN_KEY,
-			       is_evacuated, net.now_us);
+		evacuation_apply(&net.hosts[i].evacuation, as_of, &change, 1,
+				 net.now_us);
 }
 
 /* Guards against daemons that go on using an evacuated domain as they don't
@@ -33,10 +35,10 @@
 {
 	net_start(HOSTS);
 	net_settle(30 * SECOND);
-	change(5, true);
+	apply_change(5, true);
 	net_run(SPREAD_LIMIT_US);
 	g_assert_cmpint(count_with(true), ==, net.count);
-	change(6, false);
+	apply_change(6, false);
 	net_run(SPREAD_LIMIT_US);
 	g_assert_cmpint(count_with(false), ==, net.count);
 	net_stop();
@@ -49,11 +51,11 @@
 	net_start(CLUSTER_SIZE);
 	net_settle(20 * SECOND);
 	net.loss_percent = 20;
-	change(5, true);
+	apply_change(5, true);
 	net_run(SECOND / 2);
-	change(6, false);
+	apply_change(6, false);
 	net_run(SECOND / 4);
-	change(7, true);
+	apply_change(7, true);
 	net_run(3 * SECOND);
 	g_assert_cmpint(count_with(true), ==, net.count);
 	net_stop();
@@ -66,7 +68,7 @@
 	net_start(CLUSTER_SIZE);
 	net_settle(20 * SECOND);
 	net.hosts[20].partition = 1;
-	change(5, true);
+	apply_change(5, true);
 	net_run(SPREAD_LIMIT_US);
 	host_kill(30);
 	host_start(30);
--- a/tests/test_swim_relays_spread.c
+++ b/tests/test_swim_relays_spread.c
@@ -72,6 +72,13 @@
 	}
 }
 
+static void evacuate(struct host *host, uint64_t as_of, uint64_t key)
+{
+	struct evacuation_change change = {as_of, key, true};
+
+	evacuation_apply(&host->evacuation, as_of, &change, 1, net.now_us);
+}
+
 static void make_change(enum change change, int subject, int round)
 {
 	struct host *host = &net.hosts[subject];
@@ -84,8 +91,8 @@
 		host->known_config_head = 42 + (uint64_t)round;
 		swim_set_config_head(host->swim, host->known_config_head);
 	} else if (change == EVACUATION) {
-		evacuation_set(&host->evacuation, 5 + (uint64_t)round,
-			       EVACUATED_KEY + (uint64_t)round, true, net.now_us);
+		evacuate(host, 5 + (uint64_t)round,
+			 EVACUATED_KEY + (uint64_t)round);
 	} else {
 		note_crashes(subject, round);
 	}
