upstream/report: ignore reports of services that nobody configured

Callers saw: one report of another writer, with the address of an upstream, a start that lies ahead and a service that nobody named, and every request for that upstream was refused from then on.

Cause: the order of starts was kept for any report with the address. The start ahead became the current one and was never confirmed, and the upstream's own reports counted as late for good.

Change: a report counts only if its service is the one in the settings or is part of the configuration; while there is none, all count, as before.

A report of another configured service still replaces the start.

--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -106,6 +106,19 @@
 		strcmp(configured->address, report->address) == 0);
 }
 
+/* A report of another service is of another writer. This daemon knows that only
+ * once it has a configuration. */
+static bool names_known_service(const struct owner *owner,
+				const struct report *report)
+{
+	const struct daemon *daemon = owner->daemon;
+
+	return g_strcmp0(report->group, daemon->settings->service) == 0 ||
+	       !config_store_is_ready(daemon->config) ||
+	       config_snapshot_group(config_store_current(daemon->config),
+				     report->group);
+}
+
 void report_check_reset(struct report_check *check)
 {
 	if (check->pending)
@@ -301,7 +314,8 @@
 {
 	enum report_verdict verdict = REPORT_FOREIGN;
 
-	if (is_configured_upstream(owner, report))
+	if (is_configured_upstream(owner, report) &&
+	    names_known_service(owner, report))
 		verdict = report_classify(&owner->history, report);
 	if (verdict != REPORT_NEWS)
 		log_event(EV_OWNER_REPORT, LOG_STR("instance", report->instance),
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -62,7 +62,9 @@
 	REPORT_NEW_START, /* from a later start, which is now the current one */
 	REPORT_LATE, /* older than what is known; ignored */
 	REPORT_GONE, /* from an instance that has left; ignored */
-	REPORT_FOREIGN, /* from an upstream of another daemon; ignored */
+	/* From an upstream of another daemon, or of a service that is neither
+	 * configured nor in the settings; ignored. */
+	REPORT_FOREIGN,
 };
 
 /* Classifies a report, and records it in the history unless it is ignored. */
