--- a/comfreydockd/quota/client.c
+++ b/comfreydockd/quota/client.c
@@ -23,6 +23,11 @@
 		client->short_until_us =
 			now_us + MIN(retry_us, QUOTA_SHORT_MAX_US);
 	quota_waiting_serve(client, now_us);
+	/* What a deputy lacks shows nothing while the next keeper is not known. */
+	if (is_short && client->asked_deputy && client->is_keeper_starting) {
+		quota_waiting_delay(client, now_us);
+		return;
+	}
 	if (is_short)
 		quota_waiting_refuse(client, now_us);
 	quota_waiting_schedule(client, is_short ? retry_us : 0);
--- a/tests/test_quota_start.c
+++ b/tests/test_quota_start.c
@@ -119,6 +119,41 @@
 	quota_nodes_stop_all();
 }
 
+static void inject_grant(struct quota_client *client, Cfd__QuotaGrant *grant)
+{
+	grant->seq = client->ask_seq;
+	quota_client_handle_grant(client, grant, clock_mono_us());
+}
+
+/* Guards against 503 for calls within the quota as their keeper stops: it denies
+ * being one before this host knows the next, and the deputy's pool is empty. */
+static void test_calls_wait_beside_an_empty_deputy(void)
+{
+	const struct config_organisation one = {.name = "one", .rate_per_s = 20};
+	Cfd__QuotaGrant denial = CFD__QUOTA_GRANT__INIT;
+	Cfd__QuotaGrant nothing = CFD__QUOTA_GRANT__INIT;
+	struct node *parts[NODES];
+	struct quota_client *client;
+	struct outcome outcome;
+
+	quota_nodes_start_all();
+	quota_nodes_ready_wait_us = 400 * US_PER_MS;
+	quota_nodes_find_parts("one", parts);
+	g_assert_cmpint(quota_nodes_acquire(parts[2], &one, &outcome), ==,
+			QUOTA_PENDING);
+	client = g_hash_table_lookup(parts[2]->daemon.quota->clients, "one");
+	denial.not_keeper = true;
+	inject_grant(client, &denial);
+	g_assert_true(client->asked_deputy);
+	nothing.retry_after_ms = QUOTA_POOL_RETRY_MAX_US / US_PER_MS;
+	inject_grant(client, &nothing);
+	g_assert_cmpint(outcome.verdict, ==, QUOTA_PENDING);
+	quota_nodes_run_for(300);
+	g_assert_cmpint(outcome.verdict, ==, QUOTA_GRANTED);
+	quota_nodes_ready_wait_us = 0;
+	quota_nodes_stop_all();
+}
+
 /* Guards against a share that grows with a host from the other side of a
  * partition while that side's keeper still counts it. */
 static void test_share_grows_late(void)
@@ -177,6 +212,8 @@
 			test_calls_wait_until_the_keeper_is_ready);
 	g_test_add_func("/quota-start/restart-all", test_restart_of_all_hosts);
 	g_test_add_func("/quota-start/settling", test_settling_after_a_start);
+	g_test_add_func("/quota-start/empty-deputy",
+			test_calls_wait_beside_an_empty_deputy);
 	g_test_add_func("/quota-start/share", test_share_grows_late);
 	g_test_add_func("/quota-start/no-deputy", test_domain_without_a_deputy);
 	return g_test_run();
