config/check: report a missing name or services once, with its line

The check of a file for being applied got a second finding, without a line, for what it had reported already. The finding is now only for documents that were accepted before; /mutations passes.

--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -204,6 +204,7 @@
 	struct config_namespace *ns = config_namespace_create();
 	unsigned int errors = findings->errors;
 	unsigned int warnings = findings->warnings;
+	bool has_services;
 	struct schema root;
 
 	schema_init(&root, doc, findings);
@@ -211,8 +212,9 @@
 			       CONFIG_NAME_MAX_BYTES);
 	ns->organisations = config_read_organisations(&root);
 	read_groups(&root, ns);
+	has_services = read_services(&root, ns);
 	/* Without these two even an accepted document is of something else. */
-	if (!read_services(&root, ns) || !ns->name)
+	if (!schema_is_strict(&root) && (!has_services || !ns->name))
 		findings_add(findings, FINDING_ERROR, doc->file, 0, NULL,
 			     "not a namespace");
 	schema_finish(&root);
