upstream/answer: take a refusal for the request's only with its trace

By reading, in the review: an answer that says "not executed" and has no trace counted as the answer of the request on its connection. Health checks have no trace and share their connections with requests through libcurl, so a late second answer to a check that was refused told a request as not run, which may have run and would run again.

Change: such an answer is of another request, like any other without the trace.

--- a/comfreydockd/upstream/answer.c
+++ b/comfreydockd/upstream/answer.c
@@ -53,8 +53,11 @@
 	if (!has_trace(headers, trace, fields) &&
 	    fields_find(fields, headers->trace))
 		return ANSWER_STRANGE;
+	/* Health checks use the same connections and have no trace, so a late
+	 * second answer to one that was refused has none either. */
 	if (fields_find(fields, headers->not_run))
-		return ANSWER_NOT_RUN;
+		return has_trace(headers, trace, fields) ? ANSWER_NOT_RUN :
+							   ANSWER_STRANGE;
 	if (status == STATUS_MISDIRECTED)
 		return ANSWER_OTHER_INSTANCE;
 	if (status_implies_not_run(status))
