--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -135,6 +135,7 @@
 	Cfd__Frame frame = CFD__FRAME__INIT;
 
 	attempt->head_us = clock_mono_us();
+	attempt->progress_us = attempt->head_us;
 	attempt->status = status;
 	owner_note_arrived(attempt->owner, attempt);
 	latency_record_us(&latencies.owner_upstream,
@@ -168,8 +169,9 @@
 	struct owner_attempt *attempt = data;
 
 	attempt->credit -= (int64_t)size;
+	attempt->progress_us = clock_mono_us();
 	if (attempt->credit <= 0 && !attempt->stalled_since_us)
-		attempt->stalled_since_us = clock_mono_us();
+		attempt->stalled_since_us = attempt->progress_us;
 	attempt_send_answer_body(attempt, bytes, size, false, false);
 }
 
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -8,6 +8,9 @@
 /* A run without an answer's head this long after its deadline is aborted:
  * nobody waits for it, and its slot would otherwise never be freed. */
 #define HEAD_GRACE_US (1 * US_PER_S)
+/* A run whose answer has stopped for this long is aborted once its deadline is
+ * over. An answer that still arrives may take as long as it needs. */
+#define ANSWER_PAUSE_US (5 * US_PER_S)
 /* A run whose caller reads no byte of its answer for this long is aborted. */
 #define STALL_US (60 * US_PER_S)
 /* A loop without an iteration for this long was stopped or starved. */
@@ -39,6 +42,23 @@
 	peers_ping_entries(owner->daemon->peers);
 }
 
+/* RETURN VALUE: why the run has to end; NULL: it need not. */
+static const char *find_end(const struct owner_attempt *attempt, int64_t now)
+{
+	if (!attempt->head_us)
+		return now > attempt->item.deadline_us + HEAD_GRACE_US ?
+			       "no answer long after deadline" :
+			       NULL;
+	if (attempt->stalled_since_us)
+		return now - attempt->stalled_since_us > STALL_US ?
+			       "the caller takes nothing" :
+			       NULL;
+	if (now > attempt->item.deadline_us + HEAD_GRACE_US &&
+	    now - attempt->progress_us > ANSWER_PAUSE_US)
+		return "the answer stopped";
+	return NULL;
+}
+
 static void owner_sweep_runs(struct owner *owner, int64_t now)
 {
 	struct owner_attempt *attempt = TAILQ_FIRST(&owner->runs);
@@ -46,13 +66,14 @@
 	while (attempt) {
 		struct owner_attempt *next = TAILQ_NEXT(attempt, running_link);
 
-		if (!attempt->head_us &&
-		    now > attempt->item.deadline_us + HEAD_GRACE_US) {
-			attempt_abort(attempt, "no answer long after deadline");
-			owner_note_breaker_result(owner, false);
-		} else if (attempt->stalled_since_us &&
-			   now - attempt->stalled_since_us > STALL_US)
-			attempt_abort(attempt, "the caller takes nothing");
+		const char *why = find_end(attempt, now);
+		bool is_upstreams_fault = !attempt->stalled_since_us;
+
+		if (why) {
+			attempt_abort(attempt, why);
+			if (is_upstreams_fault)
+				owner_note_breaker_result(owner, false);
+		}
 		attempt = next;
 	}
 }
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -49,6 +49,7 @@
 	int64_t started_us;
 	uint32_t busy_slots; /* when it started, including its own */
 	int64_t head_us; /* when the answer's head came; 0: not yet */
+	int64_t progress_us; /* when its last part came */
 	int64_t stalled_since_us; /* since when it has no credit; 0: it has */
 	int64_t credit;
 	unsigned int status;
--- a/tests/system/test_upstream_faults.c
+++ b/tests/system/test_upstream_faults.c
@@ -13,6 +13,8 @@
  * and a margin. */
 #define STALLED_BYTES 30000000
 #define STALL_ABORT_MAX_MS 6000
+/* The pause that an answer may make after the deadline, and a margin. */
+#define SLOT_FREE_MAX_MS 15000
 
 static const struct cluster_options options = {
 	.count = 3,
@@ -192,6 +194,31 @@
 	}
 }
 
+static bool has_no_runs(void *data)
+{
+	(void)data;
+	return cluster_sum_counter(&cluster, "upstream_running") == 0;
+}
+
+/* Guards against a slot that is never freed: the answer to a request that must
+ * not be cut off stops for good, and its caller has gone. */
+static void test_stopped_answer_frees_its_slot(void)
+{
+	int fd = raw_connect(cluster.daemons[0]->caller_port);
+	GString *got = g_string_new(NULL);
+
+	raw_send_text(fd, "POST /bytes/" G_STRINGIFY(
+				  STALLED_BYTES) " HTTP/1.1\r\nHost: h\r\n"
+						 "Content-Length: 0\r\n\r\n");
+	g_assert_true(raw_read_some(fd, got, 1, WAIT_UP_MS));
+	signal_upstreams(SIGSTOP);
+	close(fd);
+	g_assert_false(has_no_runs(NULL));
+	g_assert_true(rig_wait_until(has_no_runs, NULL, SLOT_FREE_MAX_MS));
+	signal_upstreams(SIGCONT);
+	g_string_free(got, TRUE);
+}
+
 /* RETURN VALUE: whether a chunked answer has its last chunk, which marks it as
  * complete. */
 static bool has_last_chunk(const GString *answer)
@@ -255,6 +282,8 @@
 			test_truncated_request_does_not_run);
 	g_test_add_func("/upstream-faults/stuck-answer",
 			test_stalled_answer_is_aborted);
+	g_test_add_func("/upstream-faults/stopped-answer",
+			test_stopped_answer_frees_its_slot);
 	g_test_add_func("/upstream-faults/half-answer",
 			test_truncated_answer_has_no_last_chunk);
 	status = g_test_run();
