--- a/comfreydockd/config/check.c
+++ b/comfreydockd/config/check.c
@@ -40,12 +40,8 @@
 	schema_init_child(&measure, schema, "measure", SCHEMA_OPTIONAL);
 	service->measure_budget_permille = (uint32_t)schema_uint(
 		&measure, "budget_permille", SCHEMA_REQUIRED, 0, 0, 1000);
-	service->health_path =
-		schema_string(&measure, "health_path", SCHEMA_OPTIONAL);
-	config_check_path(&measure, "health_path", service->health_path);
-	service->load_path =
-		schema_string(&measure, "load_path", SCHEMA_OPTIONAL);
-	config_check_path(&measure, "load_path", service->load_path);
+	service->health_path = config_read_path(&measure, "health_path");
+	service->load_path = config_read_path(&measure, "load_path");
 	if (schema_is_strict(schema) && !service->measure_budget_permille &&
 	    (service->health_path || service->load_path))
 		schema_error(&measure, "budget_permille",
@@ -166,9 +162,7 @@
 		g_new0(struct config_group_settings, 1);
 
 	upstreams->group = g_strdup(group);
-	upstreams->health_path =
-		schema_string(schema, "health_path", SCHEMA_OPTIONAL);
-	config_check_path(schema, "health_path", upstreams->health_path);
+	upstreams->health_path = config_read_path(schema, "health_path");
 	upstreams->max_connections = (uint32_t)schema_uint(
 		schema, "max_connections", SCHEMA_OPTIONAL, 0, 0, UINT32_MAX);
 	upstreams->cold_per_s =
--- a/comfreydockd/config/check_rules.c
+++ b/comfreydockd/config/check_rules.c
@@ -13,10 +13,21 @@
 static const char *const methods[] = {"GET",	"HEAD",	   "POST",  "PUT",
 				      "DELETE", "OPTIONS", "PATCH", NULL};
 
-void config_check_path(struct schema *schema, const char *key, const char *path)
+bool config_check_path(struct schema *schema, const char *key, const char *path)
 {
-	if (path && *path != '/')
-		schema_error(schema, key, "must begin with \"/\"");
+	if (*path == '/')
+		return true;
+	schema_error(schema, key, "must begin with \"/\"");
+	return false;
+}
+
+char *config_read_path(struct schema *schema, const char *key)
+{
+	char *path = schema_string(schema, key, SCHEMA_OPTIONAL);
+
+	if (path && !config_check_path(schema, key, path))
+		g_clear_pointer(&path, g_free);
+	return path;
 }
 
 static void read_methods(struct schema *schema, struct config_rule *rule)
@@ -100,14 +111,9 @@
 {
 	bool is_present =
 		json_object_object_get_ex(schema->object, "path_prefix", NULL);
-	char *prefix = schema_string(schema, "path_prefix", SCHEMA_OPTIONAL);
-
-	if (!is_present)
-		return g_strdup("/");
-	config_check_path(schema, "path_prefix", prefix);
-	if (prefix && *prefix != '/')
-		g_clear_pointer(&prefix, g_free);
-	return prefix;
+	char *prefix = config_read_path(schema, "path_prefix");
+
+	return is_present ? prefix : g_strdup("/");
 }
 
 static struct config_rule *read_rule(struct schema *schema, const char *group)
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -43,7 +43,8 @@
 }
 
 /* RETURN VALUE: why the run has to end; NULL: it need not. */
-static const char *find_end(const struct owner_attempt *attempt, int64_t now)
+static const char *find_abort_reason(const struct owner_attempt *attempt,
+				     int64_t now)
 {
 	if (!attempt->head_us)
 		return now > attempt->item.deadline_us + HEAD_GRACE_US ?
@@ -66,7 +67,7 @@
 	while (attempt) {
 		struct owner_attempt *next = TAILQ_NEXT(attempt, running_link);
 
-		const char *why = find_end(attempt, now);
+		const char *why = find_abort_reason(attempt, now);
 		bool is_upstreams_fault = !attempt->stalled_since_us;
 
 		if (why) {
--- a/common/schema.c
+++ b/common/schema.c
@@ -338,7 +338,7 @@
 	if (number >= 0 && number <= max)
 		return number;
 	schema_error(schema, key, "must be between 0 and %g", max);
-	return CLAMP(number, 0, max);
+	return number > max ? max : fallback;
 }
 
 int schema_enum(struct schema *schema, const char *key,
--- a/include/comfreydockd/config/check_rules.h
+++ b/include/comfreydockd/config/check_rules.h
@@ -22,8 +22,11 @@
 /* The values of "class", in the order of enum config_class, NULL-terminated. */
 extern const char *const config_class_names[];
 
-/* Adds an error if the path does not begin with "/". path may be NULL. */
-void config_check_path(struct schema *schema, const char *key, const char *path);
+/* Adds an error and returns false if the path does not begin with "/". */
+bool config_check_path(struct schema *schema, const char *key, const char *path);
+
+/* RETURN VALUE: a copy, or NULL if absent or invalid. */
+char *config_read_path(struct schema *schema, const char *key);
 
 /* Reads the rules of a service. service->group must be set before. */
 void config_read_rules(struct schema *schema, struct config_service *service);
