stop: wait only for answers that the kernel doesn't have

A stop that waits until callers have acknowledged everything holds a host out of service for what the kernel delivers by itself after the process has ended.

Change: complete answers that are still in the process keep a stop busy. What the kernel holds only shows that a caller reads on.

--- a/comfreydockd/caller/connection_unread.c
+++ b/comfreydockd/caller/connection_unread.c
@@ -8,32 +8,38 @@
 /* A caller whose kernel acknowledges nothing for this time doesn't read. */
 #define STALL_US (2 * US_PER_S)
 
-/* RETURN VALUE: the bytes of answers that the caller hasn't acknowledged, as far
- * as they are here. */
-static int64_t count_unread(const struct connection *connection)
+/* RETURN VALUE: the bytes of complete answers that the kernel hasn't taken. It
+ * delivers what it has taken even after the process has ended. */
+static int64_t count_unsent(const struct connection *connection)
 {
 	const struct caller_request *request;
-	int64_t unread = connection->out->len;
-	int queued = 0;
+	int64_t unsent = connection->out->len;
 
-	/* This counts what the kernel has taken. */
-	if (ioctl(connection->fd, SIOCOUTQ, &queued) == 0)
-		unread += queued;
 	TAILQ_FOREACH (request, &connection->requests, link) {
 		if (request->answer_complete)
-			unread += request_unwritten(request);
+			unsent += (int64_t)request_unwritten(request);
 	}
-	return unread;
+	return unsent;
+}
+
+/* RETURN VALUE: the bytes that the kernel has taken and the caller's has not
+ * acknowledged. They show that a caller reads before there is room for more. */
+static int64_t count_unacknowledged(const struct connection *connection)
+{
+	int queued = 0;
+
+	return ioctl(connection->fd, SIOCOUTQ, &queued) == 0 ? queued : 0;
 }
 
 static bool connection_is_being_read(struct connection *connection, int64_t now_us)
 {
-	int64_t unread = count_unread(connection);
+	int64_t unsent = count_unsent(connection);
+	int64_t unread = unsent + count_unacknowledged(connection);
 
 	if (unread != connection->unread)
 		connection->unread_changed_us = now_us;
 	connection->unread = unread;
-	return unread > 0 && now_us - connection->unread_changed_us < STALL_US;
+	return unsent > 0 && now_us - connection->unread_changed_us < STALL_US;
 }
 
 bool listener_is_being_read(struct listener *listener)
--- a/include/comfreydockd/caller/listener.h
+++ b/include/comfreydockd/caller/listener.h
@@ -40,7 +40,8 @@
 
 /* Call this regularly: what has changed since the last call tells a caller that
  * reads slowly from one that reads nothing.
- * RETURN VALUE: whether any caller still reads an answer. */
+ * RETURN VALUE: whether any caller still reads an answer that isn't yet all with
+ * the kernel. */
 bool listener_is_being_read(struct listener *listener);
 
 /* Called when a connection has closed: there is room for another. */
--- a/include/comfreydockd/stop.h
+++ b/include/comfreydockd/stop.h
@@ -15,8 +15,8 @@
  *	turn away
  *		the daemon refuses requests on open connections at once, so
  *		that callers go elsewhere
- *	leave	once no request is in flight and callers have read their
- *		answers, the daemon leaves the cluster
+ *	leave	once no request is in flight and the kernel has all answers
+ *		that callers read, the daemon leaves the cluster
  *
  *	Requests that are still in flight at the last limit are cancelled. Their
  *	callers are told that they did not run, or that the outcome is unknown.
