--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -179,6 +179,156 @@
 	g_assert_cmpstr(f->handled->str, ==, "1 2 3 4 5 6 7 8 ");
 }
 
+/* Bytes arrive on several links while jobs and handlers work, in an order that
+ * is drawn from a seed. */
+
+#define SEEDS 100
+#define LINKS 4
+#define DRAWN_FRAMES 40 /* on each link */
+#define DRAWN_JOBS 6
+#define STEPS_MAX 20 /* of work in a job or a handler, 1 ms each */
+#define PART_MAX 60 /* bytes that arrive at once; a frame has ten or fewer */
+
+struct end {
+	struct link *link;
+	int far; /* the test writes to it */
+	GByteArray *bytes; /* all frames */
+	guint written;
+	uint64_t handled; /* number of the last frame */
+	bool is_handling;
+};
+
+static struct ev_loop *loop;
+static struct link_group group;
+static struct slice_queue *slice_queue;
+static struct end ends[LINKS];
+static GRand *source;
+static unsigned int jobs_done;
+
+static guint draw_below(guint limit)
+{
+	return (guint)g_rand_int_range(source, 0, (gint)limit);
+}
+
+/* Something arrives on some of the links. */
+static void write_some(void)
+{
+	for (int i = 0; i < LINKS; i++) {
+		struct end *end = &ends[i];
+		guint size = draw_below(PART_MAX);
+
+		size = MIN(size, end->bytes->len - end->written);
+		if (draw_below(2) || size == 0)
+			continue;
+		g_assert_cmpint(
+			write(end->far, end->bytes->data + end->written, size),
+			==, (gssize)size);
+		end->written += size;
+	}
+}
+
+static void work_drawn_time(void)
+{
+	for (guint i = draw_below(STEPS_MAX); i > 0; i--) {
+		paused_clock_advance_us(1000);
+		write_some();
+		slice_yield();
+	}
+}
+
+static void handle_drawn_frame(struct link *link, Cfd__Frame *frame, void *data)
+{
+	struct end *end = data;
+
+	(void)link;
+	g_assert_false(end->is_handling);
+	g_assert_cmpuint(frame->cancel->seq, ==, end->handled + 1);
+	end->is_handling = true;
+	if (draw_below(4) == 0)
+		work_drawn_time();
+	if (draw_below(4) == 0)
+		link_group_read_input(&group);
+	end->is_handling = false;
+	end->handled = frame->cancel->seq;
+}
+
+static void end_init(struct end *end)
+{
+	struct link_callbacks callbacks = {handle_drawn_frame, handle_closed,
+					   end};
+	int pair[2];
+
+	*end = (struct end){.bytes = g_byte_array_new()};
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair),
+			==, 0);
+	end->far = pair[1];
+	end->link = link_create(&group, pair[0], &callbacks);
+	for (uint64_t seq = 1; seq <= DRAWN_FRAMES; seq++)
+		append_frame(end->bytes, seq);
+}
+
+static void end_finish(struct end *end)
+{
+	link_destroy(end->link);
+	close(end->far);
+	g_byte_array_unref(end->bytes);
+}
+
+static void run_drawn_job(void *data)
+{
+	(void)data;
+	work_drawn_time();
+}
+
+static void note_done(void *data)
+{
+	(void)data;
+	jobs_done++;
+}
+
+static bool is_done(void)
+{
+	for (int i = 0; i < LINKS; i++) {
+		if (ends[i].handled < DRAWN_FRAMES)
+			return false;
+	}
+	return jobs_done == DRAWN_JOBS;
+}
+
+static void play(guint32 seed)
+{
+	source = g_rand_new_with_seed(seed);
+	loop = ev_loop_new(0);
+	link_group_init(&group, loop);
+	slice_queue = slice_queue_create(loop);
+	jobs_done = 0;
+	for (int i = 0; i < LINKS; i++)
+		end_init(&ends[i]);
+	for (int i = 0; i < DRAWN_JOBS; i++)
+		slice_queue_add(slice_queue, run_drawn_job, note_done, NULL);
+	for (int i = 0; i < 10000 && !is_done(); i++) {
+		paused_clock_advance_us(1000);
+		write_some();
+		ev_run(loop, EVRUN_NOWAIT);
+	}
+	if (!is_done())
+		g_error("seed %u: frames or jobs are missing", seed);
+	slice_queue_destroy(slice_queue);
+	for (int i = 0; i < LINKS; i++)
+		end_finish(&ends[i]);
+	link_group_finish(&group);
+	ev_loop_destroy(loop);
+	g_rand_free(source);
+}
+
+/* Guards against a handler that is entered again, and frames that are handled
+ * twice, late or never, whatever arrives while jobs and handlers work. */
+static void test_drawn_schedules(void)
+{
+	for (guint32 seed = 1; seed <= SEEDS; seed++)
+		play(seed);
+}
+
 #define ADD(path, function) \
 	g_test_add(path, struct fixture, NULL, setup, function, teardown)
 
@@ -187,5 +337,6 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD("/link/job", test_frames_during_a_job_are_handled_once);
 	ADD("/link/read-input", test_frames_read_by_a_handler_are_handled_once);
+	g_test_add_func("/link/drawn", test_drawn_schedules);
 	return g_test_run();
 }
