config/check_rules: don't report two rules without a name as of one name

Found when reading the change again: a rule without a name now has an empty one, so that a file to be applied with two of them got "another rule has this name" besides "is missing" for each. Such a file is refused either way. The check is for names again, as before.

Checks: formatter, linter of the file, and the eleven tests of the configuration: 11 passed, 0 failed.

--- a/comfreydockd/config/check_rules.c
+++ b/comfreydockd/config/check_rules.c
@@ -220,7 +220,7 @@
 {
 	char *prefix = g_strdup(rule->path_prefix);
 
-	if (g_hash_table_contains(index->names, rule->name))
+	if (*rule->name && g_hash_table_contains(index->names, rule->name))
 		schema_error(schema, "name", "another rule has this name");
 	for (size_t length = strlen(prefix); length > 0; length--) {
 		prefix[length] = '\0';
