config: log the way of a version from the first word of it to its adoption

A host that gets a version from a peer logged nothing between the gossip that names a higher head and config.adopted.

config.behind tells when a higher head became known, and from whom; config.body-received what came, in how many pieces and after what time; config.adopted has the time of parsing and since the head became known. That time is also a histogram, comfreydock_config_behind_seconds. head_history keeps when heads became known, so that the time of the first that supersedes a configuration can be told while newer ones come.

No decision depends on it yet.

--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -82,6 +82,8 @@
 	query->above_head = config_store_head(spread->store);
 	query->head_only = step == CONFIG_FETCH_HEAD;
 	query->takes_pieces = true;
+	if (!spread->began_us)
+		spread->began_us = spread->now_us;
 	spread->step = step;
 	spread->head_before = query->above_head;
 	spread->give_up_us = spread->now_us + ANSWER_TIMEOUT_US;
@@ -123,6 +125,8 @@
 {
 	spread->step = CONFIG_FETCH_NONE;
 	spread->tries = 0;
+	if (!spread->pieces.bytes->len)
+		spread->began_us = 0;
 	spread->fetch_at_us =
 		config_spread_random_time(spread, PAUSE_MIN_US, PAUSE_MAX_US);
 	if (config_fetch_is_behind(spread) &&
@@ -164,6 +168,15 @@
 	config_spread_publish_head(spread);
 }
 
+static void log_received(const struct config_spread *spread, uint64_t version,
+			 size_t size, unsigned int pieces)
+{
+	log_event(EV_CONFIG_BODY_RECEIVED, LOG_INT("version", version),
+		  LOG_STR("from", spread->asked_host), LOG_INT("bytes", size),
+		  LOG_INT("size", size), LOG_INT("pieces", pieces),
+		  LOG_INT("took_us", spread->now_us - spread->began_us));
+}
+
 /* Queues a body. Until it is adopted or refused nothing else is fetched, and the
  * fetch has neither succeeded nor failed. Takes over bytes. */
 static void adopt_body(struct config_spread *spread, const char *name,
@@ -407,6 +420,7 @@
 	if (!config_pieces_are_complete(pieces))
 		return;
 	received->has_body = true;
+	log_received(spread, pieces->version, pieces->bytes->len, pieces->count);
 	adopt_body(spread, pieces->name, pieces->version, pieces->sha256,
 		   g_byte_array_ref(pieces->bytes));
 	config_pieces_clear(pieces);
@@ -419,6 +433,7 @@
 
 	g_byte_array_append(bytes, line->body.data, (guint)line->body.len);
 	received->has_body = true;
+	log_received(spread, line->version, bytes->len, 1);
 	adopt_body(spread, line->namespace_, line->version, line->sha256, bytes);
 }
 
--- a/comfreydockd/config/spread_pieces.c
+++ b/comfreydockd/config/spread_pieces.c
@@ -79,6 +79,7 @@
 	g_byte_array_append(pieces->bytes, line->body.data,
 			    (guint)line->body.len);
 	pieces->refused = 0;
+	pieces->count++;
 	return true;
 }
 
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -3,8 +3,10 @@
 #include <string.h>
 
 #include "comfreydockd/config/check.h"
+#include "comfreydockd/config/head_history.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/latency.h"
 #include "common/log.h"
 
 #define INVALID_ENTRIES_LOGGED 8 /* in one version */
@@ -22,6 +24,7 @@
 	bool ready;
 	uint64_t head; /* everything applied up to it is held here */
 	uint64_t known_head; /* the highest heard of, confirmed or not */
+	struct head_history history; /* of known_head */
 	uint64_t listed_head; /* of listing */
 	int64_t adopted_us;
 	int64_t progress_us;
@@ -103,6 +106,11 @@
 	return store->known_head;
 }
 
+int64_t config_store_superseded_us(const struct config_store *store, uint64_t head)
+{
+	return head_history_superseded_us(&store->history, head, clock_mono_us());
+}
+
 int64_t config_store_adopted_us(const struct config_store *store)
 {
 	return store->adopted_us;
@@ -292,6 +300,7 @@
 		return;
 	store->known_head = head;
 	store->known_head_us = clock_boot_us();
+	head_history_note(&store->history, head, clock_mono_us());
 }
 
 /* Drops the heads above the newest one, and the listing of such a head. See
@@ -302,6 +311,7 @@
 		  LOG_INT("known_head", store->known_head),
 		  LOG_INT("newest", head), LOG_INT("head", store->head));
 	store->known_head = head;
+	head_history_drop_above(&store->history, head);
 	store->pending_head = MIN(store->pending_head, head);
 	if (store->listed_head > head) {
 		store->listed_head = store->head;
@@ -326,6 +336,10 @@
 		config_store_note_confirmed(store, head, 0);
 	if (head <= store->head && store->ready)
 		return;
+	if (head > store->known_head && store->ready)
+		log_event(EV_CONFIG_BEHIND, LOG_INT("head", store->head),
+			  LOG_INT("known_head", head),
+			  LOG_STR("from", from_host ? from_host : ""));
 	note_known_head(store, head);
 	for (size_t i = 0; i < store->observer_count; i++) {
 		struct config_store_observer *observer = &store->observers[i];
@@ -354,7 +368,23 @@
 	advance_head(store);
 }
 
-static void adopt(struct config_store *store, struct config_namespace *ns)
+static void log_adopted(const struct config_store *store,
+			const struct config_namespace *ns, int64_t began_us)
+{
+	int64_t behind_us = config_store_superseded_us(store, store->head);
+
+	counters.config_adopted++;
+	if (store->ready && behind_us)
+		latency_record_us(&latencies.config_behind, behind_us);
+	log_event(EV_CONFIG_ADOPTED, LOG_STR("namespace", ns->name),
+		  LOG_INT("version", ns->version), LOG_STR("sha256", ns->sha256),
+		  LOG_INT("parse_us", clock_mono_us() - began_us),
+		  LOG_INT("behind_us", behind_us));
+}
+
+/* began_us: the time at which the parsing of ns began. */
+static void adopt(struct config_store *store, struct config_namespace *ns,
+		  int64_t began_us)
 {
 	struct config_snapshot *old = store->current;
 
@@ -362,9 +392,7 @@
 	config_snapshot_unref(old);
 	store->adopted_us = clock_mono_us();
 	store->progress_us = store->adopted_us;
-	counters.config_adopted++;
-	log_event(EV_CONFIG_ADOPTED, LOG_STR("namespace", ns->name),
-		  LOG_INT("version", ns->version), LOG_STR("sha256", ns->sha256));
+	log_adopted(store, ns, began_us);
 	for (size_t i = 0; i < store->observer_count; i++) {
 		struct config_store_observer *observer = &store->observers[i];
 
@@ -376,6 +404,7 @@
 bool config_store_load_file(struct config_store *store, const char *file,
 			    struct findings *findings)
 {
+	int64_t began_us = clock_mono_us();
 	struct config_namespace *ns;
 	GError *error = NULL;
 	char *text = NULL;
@@ -391,7 +420,7 @@
 	if (!ns)
 		return false;
 	if (!config_snapshot_find(store->current, ns->name))
-		adopt(store, ns);
+		adopt(store, ns, began_us);
 	config_namespace_unref(ns);
 	store->ready = true;
 	return true;
@@ -453,6 +482,7 @@
 				    uint64_t version, const char *sha256,
 				    const char *body, size_t size)
 {
+	int64_t began_us = clock_mono_us();
 	struct config_namespace *ns = NULL;
 	char *text = g_strndup(body, size);
 	struct findings findings;
@@ -477,7 +507,7 @@
 	ns->version = version;
 	log_invalid_entries(ns, &findings);
 	findings_finish(&findings);
-	adopt(store, ns);
+	adopt(store, ns, began_us);
 	config_namespace_unref(ns);
 	advance_head(store);
 	return CONFIG_OFFER_ADOPTED;
--- a/include/comfreydockd/config/spread_internal.h
+++ b/include/comfreydockd/config/spread_internal.h
@@ -34,6 +34,7 @@
 	uint64_t size; /* of the complete body */
 	GByteArray *bytes;
 	unsigned int refused; /* pieces of other bodies in a row */
+	unsigned int count; /* of the pieces in bytes */
 };
 
 struct config_spread {
@@ -66,6 +67,7 @@
 	int64_t give_up_us;
 	int64_t fetch_at_us;
 	unsigned int tries; /* failed fetches in a row */
+	int64_t began_us; /* first query since the last success; 0: none yet */
 
 	/* the peer that last named a higher head */
 	char hint_host[MEMBER_HOST_MAX];
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -106,6 +106,11 @@
 /* The highest head heard of. */
 uint64_t config_store_known_head(const struct config_store *store);
 
+/* RETURN VALUE: the time since a head above this one became known here, see
+ * head_history_superseded_us(). */
+int64_t config_store_superseded_us(const struct config_store *store,
+				   uint64_t head);
+
 /* RETURN VALUE: the monotonic time at which a version was last adopted; 0:
  * never. */
 int64_t config_store_adopted_us(const struct config_store *store);
