tests/system: a host that is behind runs requests by a removed rule, known red

What made it a wrong answer is reproduced here, with real processes: a host whose link to the store is cut knows by gossip of version 5, which removes /list/, and can't get it, as it has over 4 MiB. 3 s later it runs 10 of 10 requests on /list/ by version 3.

Nothing compares versions between the entry, which picks the rule, and the owner, which runs the request.

Also: config.body-received counts its time from when the host fell behind. It counted from the first query of the process.

--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -157,6 +157,8 @@
 void config_spread_tick(struct config_spread *spread, int64_t now_us)
 {
 	spread->now_us = now_us;
+	if (!config_fetch_is_behind(spread))
+		spread->began_us = 0;
 	read_if_due(spread);
 	config_fetch_check_timeout(spread);
 	config_fetch_drop_adopted_pieces(spread);
--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -125,8 +125,6 @@
 {
 	spread->step = CONFIG_FETCH_NONE;
 	spread->tries = 0;
-	if (!spread->pieces.bytes->len)
-		spread->began_us = 0;
 	spread->fetch_at_us =
 		config_spread_random_time(spread, PAUSE_MIN_US, PAUSE_MAX_US);
 	if (config_fetch_is_behind(spread) &&
--- a/include/comfreydockd/config/spread_internal.h
+++ b/include/comfreydockd/config/spread_internal.h
@@ -67,7 +67,7 @@
 	int64_t give_up_us;
 	int64_t fetch_at_us;
 	unsigned int tries; /* failed fetches in a row */
-	int64_t began_us; /* first query since the last success; 0: none yet */
+	int64_t began_us; /* first query since this daemon fell behind; 0: none */
 
 	/* the peer that last named a higher head */
 	char hint_host[MEMBER_HOST_MAX];
--- /dev/null
+++ b/tests/system/test_stale_rules.c
@@ -0,0 +1,81 @@
+#include <glib.h>
+
+#include "fleet.h"
+
+/*
+ * A host that can't reach the platform's store stays behind: its peers hold a
+ * newer configuration, which is too large to be passed on.
+ */
+
+#define HOSTS 3
+#define ISOLATED (HOSTS - 1) /* the host that can't reach the store */
+#define MORE_ROUTES 24000 /* over 4 MiB, the limit between daemons */
+#define WAIT_MS 30000
+/* The host has to know by then that a route was replaced: the time that a
+ * change may take, and some for its requests. */
+#define PROPAGATION_MAX_MS 3000
+#define REQUESTS 10
+
+static const struct fleet_options options = {
+	.count = HOSTS,
+	.domains = HOSTS,
+	.slots = "8",
+	.service_time_us = "10000",
+	.relayed = true,
+};
+static struct fleet fleet;
+
+static bool is_served(void *path)
+{
+	return fleet_get(&fleet, ISOLATED, path) == 200;
+}
+
+static bool knows_all(void *unused)
+{
+	(void)unused;
+	return fleet_metric(&fleet, ISOLATED,
+			    "comfreydock_members{state=\"alive\"}") == HOSTS;
+}
+
+static bool is_behind(void *unused)
+{
+	(void)unused;
+	return fleet_metric(&fleet, ISOLATED, "comfreydock_config_behind") > 0 &&
+	       fleet_metric(&fleet, 0, "comfreydock_config_head") == 5;
+}
+
+static unsigned int count_served(const char *path)
+{
+	unsigned int served = 0;
+
+	for (unsigned int i = 0; i < REQUESTS; i++)
+		served += fleet_get(&fleet, ISOLATED, path) == 200;
+	return served;
+}
+
+/* Guards against a host that is behind and runs requests by a rule that a newer
+ * version has removed, and against one that refuses what is still allowed. */
+static void test_removed_rule_is_not_used(void)
+{
+	fleet_put_config(&fleet, 3, "list");
+	g_assert_true(rig_wait_until(is_served, (void *)"/list/1", WAIT_MS));
+	g_assert_true(rig_wait_until(knows_all, NULL, WAIT_MS));
+	fleet_set_relay(&fleet, ISOLATED, FLEET_LINK_STORE, "{\"cut\": true}");
+	fleet_put_large_config(&fleet, 5, "fresh", MORE_ROUTES);
+	g_assert_true(rig_wait_until(is_behind, NULL, WAIT_MS));
+	rig_sleep_ms(PROPAGATION_MAX_MS);
+	g_assert_cmpuint(count_served("/list/1"), ==, 0);
+	g_assert_cmpuint(count_served("/patient/1"), ==, REQUESTS);
+}
+
+int main(int argc, char **argv)
+{
+	int result;
+
+	g_test_init(&argc, &argv, NULL);
+	fleet_start(&fleet, &options);
+	g_test_add_func("/stale-rules/removed", test_removed_rule_is_not_used);
+	result = g_test_run();
+	fleet_stop(&fleet);
+	return result;
+}
