config/rule_check: refuse requests by rules that a newer configuration replaced

Cause: the entry picks the group of upstreams by its own configuration, and the owner runs what it is given. An entry that gets a version late, for whatever reason, serves replaced rules until it has it. That a higher head is known changed only the answer to requests that no rule matches. Class: a daemon acts for good on a belief that it knows may be old, though another on the way knows better.

Attempts carry the head by which the group was selected. An owner that has known of a higher one for 1.5 s matches the request again and refuses it, not run, if its rules don't send it to the group. An entry that has been behind for that long requires an owner that holds the newer head, for as long as peers name that head. A host that is cut off serves on. Older daemons ignore the fields, and an entry that doesn't know the reasons ends the call as not run.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -2,6 +2,7 @@
 #include "comfreydockd/caller/call_internal.h"
 
 #include "comfreydockd/caller/feedback.h"
+#include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/decide/health.h"
 #include "comfreydockd/decide/pick.h"
@@ -22,6 +23,18 @@
 	return (uint64_t)MAX(left_us - path_us, 1);
 }
 
+/* A call that began before the configuration held here was adopted keeps its
+ * rule, so it is not checked. */
+static void fill_config_heads(const struct call *call, Cfd__Attempt *out)
+{
+	const struct config_store *store = call->entry->daemon->config;
+
+	if (call->config_head != config_store_head(store))
+		return;
+	out->config_head = call->config_head;
+	out->required_head = config_store_required_head(store);
+}
+
 static void fill_attempt(const struct call *call, Cfd__Attempt *out,
 			 const struct service_upstream *upstream)
 {
@@ -48,6 +61,7 @@
 	out->depth = call->depth;
 	out->holds_others = call->holds_others;
 	out->answer_window = call->answer_blocked ? PIPELINE_WINDOW_BYTES : 0;
+	fill_config_heads(call, out);
 }
 
 static size_t fill_shed_statuses(const struct config_service *config,
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -158,6 +158,7 @@
 	case CFD__REASON__REASON_SLOW:
 	case CFD__REASON__REASON_FAILING:
 	case CFD__REASON__REASON_EVACUATED:
+	case CFD__REASON__REASON_CONFIG_BEHIND:
 		return RETRY_OUTCOME_NOT_HERE;
 	case CFD__REASON__REASON_OVERLOAD:
 	case CFD__REASON__REASON_SHED:
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -1,6 +1,5 @@
 #include "comfreydockd/caller/entry.h"
 
-#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -79,24 +78,6 @@
 	g_free(entry);
 }
 
-/* Copies the host in lower case, without its port; "" if there is none. */
-static void copy_host(const char *field, char *out, size_t size)
-{
-	size_t length = field ? strcspn(field, ":") : 0;
-
-	if (field && field[0] == '[')
-		length = strcspn(field, "]") + 1;
-	length = MIN(length, size - 1);
-	for (size_t i = 0; i < length; i++)
-		out[i] = (char)tolower((unsigned char)field[i]);
-	out[length] = '\0';
-}
-
-static char *copy_path(const char *target)
-{
-	return g_strndup(target, strcspn(target, "?#"));
-}
-
 void entry_copy_trace(const struct daemon *daemon, const struct fields *fields,
 		      char trace[TIMELINE_TRACE_MAX])
 {
@@ -212,6 +193,7 @@
 	call->entry = entry;
 	call->snapshot =
 		config_snapshot_ref(config_store_current(entry->daemon->config));
+	call->config_head = config_store_head(entry->daemon->config);
 	call->service_config = match->service;
 	call->rule = rule;
 	call->organisation = organisation;
@@ -244,16 +226,9 @@
 			const struct call_request *request,
 			struct entry_match *match)
 {
-	char host[256];
-	char *path = copy_path(request->target);
-	bool found;
-
-	copy_host(request->host, host, sizeof(host));
-	found = config_snapshot_match(config_store_current(entry->daemon->config),
-				      host, request->method, path,
-				      &match->service, &match->rule);
-	g_free(path);
-	return found;
+	return config_snapshot_match_request(
+		config_store_current(entry->daemon->config), request->host,
+		request->method, request->target, &match->service, &match->rule);
 }
 
 bool entry_request_is_idempotent(const struct entry *entry,
@@ -274,7 +249,7 @@
 	char path[LOGGED_NAME_MAX];
 
 	entry_copy_trace(entry->daemon, request->fields, trace);
-	copy_host(request->host, host, sizeof(host));
+	config_copy_host(request->host, host, sizeof(host));
 	g_strlcpy(path, request->target, sizeof(path));
 	path[strcspn(path, "?#")] = '\0';
 	timeline_log(&entry->daemon->timeline, trace, EV_ENTRY_NO_RULE,
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -27,6 +27,8 @@
 	[CFD__REASON__REASON_UNREACHABLE] = "unreachable",
 	[CFD__REASON__REASON_QUARANTINED] = "quarantined",
 	[CFD__REASON__REASON_EVACUATED] = "evacuated",
+	[CFD__REASON__REASON_RULE_REPLACED] = "rule-replaced",
+	[CFD__REASON__REASON_CONFIG_BEHIND] = "configuration-behind",
 };
 
 const char *outcome_reason_name(Cfd__Reason reason)
--- a/comfreydockd/config/model.c
+++ b/comfreydockd/config/model.c
@@ -125,6 +125,8 @@
 	g_free(upstreams);
 }
 
+#define CONFIG_HOST_MAX 256 /* with the terminating null byte */
+
 struct config_namespace *config_namespace_create(void)
 {
 	struct config_namespace *ns = g_new0(struct config_namespace, 1);
@@ -363,3 +365,32 @@
 	}
 	return false;
 }
+
+void config_copy_host(const char *host, char *out, size_t size)
+{
+	size_t length = host ? strcspn(host, ":") : 0;
+
+	if (host && host[0] == '[')
+		length = strcspn(host, "]") + 1;
+	length = MIN(length, size - 1);
+	for (size_t i = 0; i < length; i++)
+		out[i] = g_ascii_tolower(host[i]);
+	out[length] = '\0';
+}
+
+bool config_snapshot_match_request(const struct config_snapshot *snapshot,
+				   const char *host, const char *method,
+				   const char *target,
+				   const struct config_service **service,
+				   const struct config_rule **rule)
+{
+	char name[CONFIG_HOST_MAX];
+	char *path = g_strndup(target, strcspn(target, "?#"));
+	bool found;
+
+	config_copy_host(host, name, sizeof(name));
+	found = config_snapshot_match(snapshot, name, method, path, service,
+				      rule);
+	g_free(path);
+	return found;
+}
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -111,6 +111,16 @@
 	return head_history_superseded_us(&store->history, head, clock_mono_us());
 }
 
+uint64_t config_store_required_head(const struct config_store *store)
+{
+	if (!store->ready || store->known_head <= store->head ||
+	    config_store_superseded_us(store, store->head) <
+		    CONFIG_STALE_AFTER_US ||
+	    clock_boot_us() - store->known_head_us > CONFIG_HEAD_NAMED_MAX_AGE_US)
+		return 0;
+	return store->known_head;
+}
+
 int64_t config_store_adopted_us(const struct config_store *store)
 {
 	return store->adopted_us;
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -1,11 +1,16 @@
 #include <string.h>
 
+#include "comfreydockd/config/rule_check.h"
 #include "comfreydockd/decide/deadline.h"
+#include "comfreydockd/peer/fields.h"
 #include "comfreydockd/upstream/gate.h"
 #include "comfreydockd/upstream/owner_internal.h"
 #include "common/clock.h"
 #include "common/counters.h"
 
+/* The entry usually has the newer configuration after this time. */
+#define STALE_RETRY_AFTER_MS 300
+
 static bool owner_takes_attempts(const struct owner *owner, const char *group)
 {
 	return owner->state == OWNER_UP && !owner->is_evacuated &&
@@ -22,6 +27,33 @@
 	return CFD__REASON__REASON_NO_UPSTREAM;
 }
 
+/* RETURN VALUE: why the attempt's group may not be the one that the
+ * configuration in force selects; REASON_UNSPECIFIED: it is. */
+static Cfd__Reason check_rule(const struct owner *owner,
+			      const Cfd__Attempt *request)
+{
+	const struct fields fields = {.items = request->headers,
+				      .count = request->n_headers};
+	const struct rule_check check = {
+		.host = fields_find(&fields, "Host"),
+		.method = request->method,
+		.target = request->target,
+		.group = request->group,
+		.head = request->config_head,
+		.required_head = request->required_head,
+	};
+
+	switch (rule_check_run(owner->daemon->config, &check)) {
+	case RULE_CHECK_REPLACED:
+		return CFD__REASON__REASON_RULE_REPLACED;
+	case RULE_CHECK_BEHIND:
+		return CFD__REASON__REASON_CONFIG_BEHIND;
+	case RULE_CHECK_OK:
+		break;
+	}
+	return CFD__REASON__REASON_UNSPECIFIED;
+}
+
 static void attempt_fill_item(struct owner_attempt *attempt)
 {
 	const Cfd__Attempt *request = attempt->request;
@@ -49,6 +81,7 @@
 	struct owner_attempt *attempt = g_new0(struct owner_attempt, 1);
 	Cfd__Attempt *request = frame->attempt;
 	int64_t now = clock_mono_us();
+	Cfd__Reason stale;
 
 	/* The attempt outlives its frame. */
 	frame->attempt = NULL;
@@ -69,6 +102,12 @@
 			       OWNER_RETRY_AFTER_MS);
 		return;
 	}
+	stale = check_rule(owner, request);
+	if (stale != CFD__REASON__REASON_UNSPECIFIED) {
+		attempt_owner_step(&attempt->state, OWNER_REFUSE);
+		attempt_refuse(attempt, stale, STALE_RETRY_AFTER_MS);
+		return;
+	}
 	if (owner_quarantine_admit_arrival(owner, attempt))
 		gate_offer(owner, attempt);
 }
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -73,6 +73,7 @@
 	const struct call_sink *sink;
 	void *sink_data;
 	struct config_snapshot *snapshot;
+	uint64_t config_head; /* at which snapshot was the current one */
 	const struct config_service *service_config;
 	const struct config_rule *rule;
 	const struct config_organisation *organisation; /* NULL: none */
--- a/include/comfreydockd/config/model.h
+++ b/include/comfreydockd/config/model.h
@@ -170,4 +170,15 @@
 			   const struct config_service **service,
 			   const struct config_rule **rule);
 
+/* Same, with the host and the target as they stand in a request's head. The host
+ * may be NULL. */
+bool config_snapshot_match_request(const struct config_snapshot *snapshot,
+				   const char *host, const char *method,
+				   const char *target,
+				   const struct config_service **service,
+				   const struct config_rule **rule);
+
+/* Copies a host in lower case, without its port; "" if it is NULL. */
+void config_copy_host(const char *host, char *out, size_t size);
+
 #endif
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -49,6 +49,14 @@
  */
 #define CONFIG_CONFIRMED_MAX_AGE_US ((int64_t)60 * 1000 * 1000)
 
+/* A change has usually been adopted everywhere after this time. A daemon that
+ * still lacks it must not run requests by the rules that it removed. */
+#define CONFIG_STALE_AFTER_US ((int64_t)1500 * 1000)
+
+/* A head that no host has named for this long may be out of reach: its holders
+ * are gone or cut off. */
+#define CONFIG_HEAD_NAMED_MAX_AGE_US ((int64_t)3 * 1000 * 1000)
+
 /* Why the configuration held here may not be the one in force. */
 enum config_doubt {
 	CONFIG_DOUBT_NONE,
@@ -111,6 +119,15 @@
 int64_t config_store_superseded_us(const struct config_store *store,
 				   uint64_t head);
 
+/*
+ * RETURN VALUE
+ *	the head that another daemon must hold to confirm that a rule held here
+ *	is in force. 0: no confirmation is needed, because no higher head has
+ *	been known for CONFIG_STALE_AFTER_US, or because nobody in reach names
+ *	it any more. A host that is cut off goes on with the rules that it has.
+ */
+uint64_t config_store_required_head(const struct config_store *store);
+
 /* RETURN VALUE: the monotonic time at which a version was last adopted; 0:
  * never. */
 int64_t config_store_adopted_us(const struct config_store *store);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1466,7 +1466,7 @@
   (ProtobufCMessageInit) cfd__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[24] =
+static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[26] =
 {
   {
     "seq",
@@ -1756,12 +1756,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_head",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, config_head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "required_head",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, required_head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__attempt__field_indices_by_name[] = {
   21,   /* field[21] = answer_window */
   12,   /* field[12] = body */
   13,   /* field[13] = body_ends */
   16,   /* field[16] = budget_permille */
+  24,   /* field[24] = config_head */
   23,   /* field[23] = content_key */
   14,   /* field[14] = depth */
   11,   /* field[11] = fairness_key */
@@ -1776,6 +1801,7 @@
   18,   /* field[18] = other_pace_percent */
   10,   /* field[10] = priority */
   7,   /* field[7] = remaining_us */
+  25,   /* field[25] = required_head */
   0,   /* field[0] = seq */
   15,   /* field[15] = shed_statuses */
   5,   /* field[5] = target */
@@ -1786,7 +1812,7 @@
 static const ProtobufCIntRange cfd__attempt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor cfd__attempt__descriptor =
 {
@@ -1796,7 +1822,7 @@
   "Cfd__Attempt",
   "cfd",
   sizeof(Cfd__Attempt),
-  24,
+  26,
   cfd__attempt__field_descriptors,
   cfd__attempt__field_indices_by_name,
   1,  cfd__attempt__number_ranges,
@@ -3848,7 +3874,7 @@
   (ProtobufCMessageInit) cfd__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cfd__reason__enum_values_by_number[15] =
+static const ProtobufCEnumValue cfd__reason__enum_values_by_number[17] =
 {
   { "REASON_UNSPECIFIED", "CFD__REASON__REASON_UNSPECIFIED", 0 },
   { "REASON_BUSY", "CFD__REASON__REASON_BUSY", 1 },
@@ -3865,14 +3891,17 @@
   { "REASON_FAILING", "CFD__REASON__REASON_FAILING", 14 },
   { "REASON_QUARANTINED", "CFD__REASON__REASON_QUARANTINED", 15 },
   { "REASON_EVACUATED", "CFD__REASON__REASON_EVACUATED", 16 },
+  { "REASON_RULE_REPLACED", "CFD__REASON__REASON_RULE_REPLACED", 17 },
+  { "REASON_CONFIG_BEHIND", "CFD__REASON__REASON_CONFIG_BEHIND", 18 },
 };
 static const ProtobufCIntRange cfd__reason__value_ranges[] = {
-{0, 0},{12, 10},{0, 15}
+{0, 0},{12, 10},{0, 17}
 };
-static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[15] =
+static const ProtobufCEnumValueIndex cfd__reason__enum_values_by_name[17] =
 {
   { "REASON_BUSY", 1 },
   { "REASON_CANCELLED", 4 },
+  { "REASON_CONFIG_BEHIND", 16 },
   { "REASON_CONNECT", 8 },
   { "REASON_DEADLINE", 2 },
   { "REASON_DRAINING", 3 },
@@ -3881,6 +3910,7 @@
   { "REASON_NO_UPSTREAM", 6 },
   { "REASON_OVERLOAD", 9 },
   { "REASON_QUARANTINED", 13 },
+  { "REASON_RULE_REPLACED", 15 },
   { "REASON_SHED", 7 },
   { "REASON_SLOW", 10 },
   { "REASON_UNFAIR", 5 },
@@ -3894,9 +3924,9 @@
   "Reason",
   "Cfd__Reason",
   "cfd",
-  15,
+  17,
   cfd__reason__enum_values_by_number,
-  15,
+  17,
   cfd__reason__enum_values_by_name,
   2,
   cfd__reason__value_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -73,6 +73,14 @@
    * the operator evacuated the failure domain
    */
   CFD__REASON__REASON_EVACUATED = 16,
+  /*
+   * by a configuration that the entry lacks
+   */
+  CFD__REASON__REASON_RULE_REPLACED = 17,
+  /*
+   * the owner does not hold the required head
+   */
+  CFD__REASON__REASON_CONFIG_BEHIND = 18,
   /*
    * set by an entry: no owner of the group answers
    */
@@ -199,10 +207,18 @@
    * Bytes of the answer to send before a Window grants more; 0: the default.
    */
   uint32_t answer_window;
+  /*
+   * The head of the configuration whose rule selected the group; 0: not checked.
+   */
+  uint64_t config_head;
+  /*
+   * The owner must hold at least this head to run the request; 0: any.
+   */
+  uint64_t required_head;
 };
 #define CFD__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__attempt__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cfd__Body
