config/encodings: send peers what changed, and large bodies compressed

Cause: any change travels as the whole configuration, in pieces of 64 KiB, each its own question, over links that carry calls as well. The time depends on the size of the configuration, not of the change. Seen with the new lines: of the hosts that get a version from peers, the ones adopting last spent 0.6 to 1.3 s of it on five pieces, and 0.1 s on parsing.

Each daemon encodes a version that it adopts, in a job, as the difference from the one before and compressed as a whole (Zstandard, with the older body as prefix). A query names the hashes of the bodies held; the answer has the differences from one of them, up to eight in a row, or pieces of the compressed body. The hash of the result is checked as before. What can't be decoded, or is wrong, is dropped, counted and logged, and asked for as plain. Earlier releases ask plainly and get plain bodies. Bodies under 16 KiB travel as before. The head is published once the version is encoded, so that whoever hears of it gets its smallest form.

tests/test_config_spread.c /spread/small-change, before: 4,795,462 bytes of answers for one changed route of 5,400 at 12 daemons, 49,152 allowed; passes now. Large bodies of the test net are drawn text now in place of blanks, which would be one piece when compressed; sizes and assertions are the same.

spread_body.c takes the adoption of received bodies out of spread_fetch.c.

--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "comfreydockd/config/encodings.h"
 #include "comfreydockd/config/rows.h"
 #include "comfreydockd/config/spread_internal.h"
 #include "common/clock.h"
@@ -28,7 +29,10 @@
 {
 	uint64_t head = config_store_head(spread->store);
 
-	if (head == spread->published_head)
+	/* Peers that hear of a head ask for it at once, and should then get it in
+	 * its smallest form. */
+	if (head == spread->published_head ||
+	    encodings_are_pending(spread->encodings))
 		return;
 	spread->published_head = head;
 	spread->ops->publish(head, spread->ops->data);
@@ -154,6 +158,13 @@
 	g_strlcpy(spread->hint_host, from_host, sizeof(spread->hint_host));
 }
 
+static void handle_changed(struct config_snapshot *snapshot, void *data)
+{
+	struct config_spread *spread = data;
+
+	encodings_update(spread->encodings, snapshot);
+}
+
 void config_spread_tick(struct config_spread *spread, int64_t now_us)
 {
 	spread->now_us = now_us;
@@ -176,6 +187,7 @@
 {
 	struct config_spread *spread = g_new0(struct config_spread, 1);
 	struct config_store_observer observer = {
+		.handle_changed = handle_changed,
 		.handle_behind = handle_behind,
 		.data = spread,
 	};
@@ -197,6 +209,7 @@
 	g_strlcpy(spread->host, options->host, sizeof(spread->host));
 	g_strlcpy(spread->domain, options->domain, sizeof(spread->domain));
 	config_pieces_init(&spread->pieces);
+	spread->encodings = encodings_create(options->slice_queue);
 	config_store_observe(options->store, &observer);
 	return spread;
 }
@@ -207,5 +220,6 @@
 		return;
 	g_free(spread->object_name);
 	config_pieces_finish(&spread->pieces);
+	encodings_destroy(spread->encodings);
 	g_free(spread);
 }
--- a/comfreydockd/config/spread_answer.c
+++ b/comfreydockd/config/spread_answer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "comfreydockd/config/encodings.h"
 #include "common/clock.h"
 #include "common/counters.h"
 
@@ -19,6 +20,15 @@
 	return true;
 }
 
+bool config_query_wants(const Cfd__ConfigQuery *query, const char *name)
+{
+	for (size_t i = 0; i < query->n_wanted; i++) {
+		if (strcmp(query->wanted[i], name) == 0)
+			return true;
+	}
+	return query->n_wanted == 0;
+}
+
 static bool is_wanted(const Cfd__ConfigQuery *query,
 		      const struct config_version *version)
 {
@@ -26,11 +36,7 @@
 		return false; /* loaded from a local file */
 	if (!query->n_wanted)
 		return !version->at || version->at > query->above_head;
-	for (size_t i = 0; i < query->n_wanted; i++) {
-		if (strcmp(query->wanted[i], version->name) == 0)
-			return true;
-	}
-	return false;
+	return config_query_wants(query, version->name);
 }
 
 /* One token pays for CONFIG_SPREAD_ANSWER_BYTES. An answer with a piece is
@@ -47,6 +53,44 @@
 	       size <= CONFIG_SPREAD_BODY_MAX_BYTES;
 }
 
+/* RETURN VALUE: whether the answer has room for the differences that lead to the
+ * version, which the line then has. */
+static bool fill_deltas(const struct config_spread *spread,
+			const Cfd__ConfigQuery *query,
+			const struct config_namespace *ns, size_t *bytes_left,
+			Cfd__ConfigLine *line)
+{
+	size_t size = 0;
+
+	if (query->takes_encoded)
+		size = encodings_fill_deltas(
+			spread->encodings, ns, query->held_sha256,
+			query->n_held_sha256,
+			MIN(*bytes_left, CONFIG_SPREAD_PIECE_BYTES), line);
+	line->has_body = size > 0;
+	*bytes_left -= size;
+	return line->has_body;
+}
+
+/* Fills the line with a piece of the body, compressed if the peer takes that and
+ * has not begun with the plain body. */
+static void fill_piece(const struct config_spread *spread,
+		       const Cfd__ConfigQuery *query,
+		       const struct config_namespace *ns, Cfd__ConfigLine *line)
+{
+	uint64_t hash = 0;
+	GBytes *encoded = NULL;
+
+	if (query->takes_encoded &&
+	    !config_pieces_is_plain_continued(query, ns->sha256))
+		encoded = encodings_find_body(spread->encodings, ns, &hash);
+	if (encoded)
+		config_pieces_cut(query, g_bytes_get_data(encoded, NULL),
+				  g_bytes_get_size(encoded), hash, line);
+	else
+		config_pieces_cut(query, ns->body, strlen(ns->body), 0, line);
+}
+
 /*
  * The first body of an answer is sent whatever its size, a large one in pieces.
  * With a size limit here, a file above it would never be distributed: each peer
@@ -54,7 +98,8 @@
  * themselves would leave the old rules. The symptom is config.fetch-failed on
  * most hosts.
  */
-static Cfd__ConfigLine *line_create(const Cfd__ConfigQuery *query,
+static Cfd__ConfigLine *line_create(const struct config_spread *spread,
+				    const Cfd__ConfigQuery *query,
 				    const struct config_version *version,
 				    struct config_namespace *ns,
 				    size_t *bytes_left, bool is_first)
@@ -67,9 +112,11 @@
 	line->version = version->version;
 	line->sha256 = ns->sha256;
 	line->at = version->at;
+	if (fill_deltas(spread, query, ns, bytes_left, line))
+		return line;
 	if (is_sent_in_pieces(query, size)) {
 		if (is_first)
-			config_pieces_cut(query, ns->body, size, line);
+			fill_piece(spread, query, ns, line);
 		*bytes_left = 0;
 		return line;
 	}
@@ -82,7 +129,7 @@
 	return line;
 }
 
-/* RETURN VALUE: whether the answer contains a piece of a body. */
+/* RETURN VALUE: whether the answer contains a piece of a body, or differences. */
 static bool fill_lines(const struct config_spread *spread,
 		       const Cfd__ConfigQuery *query, Cfd__ConfigBody *answer)
 {
@@ -100,11 +147,11 @@
 
 		if (!is_wanted(query, version))
 			continue;
-		line = line_create(query, version,
+		line = line_create(spread, query, version,
 				   config_snapshot_find(snapshot, version->name),
 				   &bytes_left, answer->n_lines == 0);
 		answer->lines[answer->n_lines++] = line;
-		has_piece |= line->size > 0;
+		has_piece |= line->size > 0 || line->n_deltas > 0;
 	}
 	g_array_unref(all);
 	return has_piece;
@@ -135,8 +182,10 @@
 
 void config_spread_free_answer(Cfd__ConfigBody *answer)
 {
-	for (size_t i = 0; i < answer->n_lines; i++)
+	for (size_t i = 0; i < answer->n_lines; i++) {
+		g_free(answer->lines[i]->deltas);
 		g_free(answer->lines[i]);
+	}
 	g_free(answer->lines);
 	g_free(answer);
 }
--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -2,11 +2,11 @@
 
 #include <string.h>
 
+#include "comfreydockd/config/encodings.h"
 #include "comfreydockd/config/rows.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
-#include "common/slice.h"
 
 #define ANSWER_TIMEOUT_US (1500 * US_PER_MS)
 /* Delay between two successful fetches, so that one fetch gets several
@@ -19,6 +19,7 @@
  * platform. */
 #define PEER_TRIES 3
 #define WANTED_MAX 64
+#define HELD_MAX 8
 
 bool config_fetch_is_behind(const struct config_spread *spread)
 {
@@ -75,13 +76,39 @@
 	return is_live_peer(spread, member) ? member : pick_random_peer(spread);
 }
 
+/* Names the bodies to which this daemon can apply differences. A difference saves
+ * more than the names cost only where bodies are large.
+ * RETURN VALUE: their number. */
+static size_t collect_held(const struct config_spread *spread,
+			   const Cfd__ConfigQuery *query, char **held)
+{
+	const GPtrArray *namespaces =
+		config_store_current(spread->store)->namespaces;
+	size_t count = 0;
+
+	for (guint i = 0; i < namespaces->len && count < HELD_MAX; i++) {
+		struct config_namespace *ns = namespaces->pdata[i];
+
+		if (config_query_wants(query, ns->name) &&
+		    strlen(ns->body) >= ENCODINGS_BODY_MIN_BYTES)
+			held[count++] = ns->sha256;
+	}
+	return count;
+}
+
 static void send_query(struct config_spread *spread, const struct member *member,
 		       enum config_fetch_step step, Cfd__ConfigQuery *query)
 {
+	char *held[HELD_MAX];
+
 	query->seq = ++spread->seq;
 	query->above_head = config_store_head(spread->store);
 	query->head_only = step == CONFIG_FETCH_HEAD;
 	query->takes_pieces = true;
+	query->takes_encoded = !spread->wants_plain;
+	if (query->takes_encoded && !query->head_only)
+		query->n_held_sha256 = collect_held(spread, query, held);
+	query->held_sha256 = held;
 	if (!spread->began_us)
 		spread->began_us = spread->now_us;
 	spread->step = step;
@@ -101,7 +128,7 @@
 	send_query(spread, member, step, &query);
 }
 
-static void note_failure(struct config_spread *spread, const char *why)
+void config_fetch_note_failure(struct config_spread *spread, const char *why)
 {
 	unsigned int doublings = MIN(spread->tries, BACKOFF_MAX_DOUBLINGS);
 	int64_t most = (int64_t)BACKOFF_US << doublings;
@@ -121,7 +148,7 @@
 		spread->head_read_requested = true;
 }
 
-static void note_success(struct config_spread *spread)
+void config_fetch_note_success(struct config_spread *spread)
 {
 	spread->step = CONFIG_FETCH_NONE;
 	spread->tries = 0;
@@ -132,64 +159,17 @@
 		spread->fetch_at_us = spread->now_us;
 }
 
-/* A body that is parsed and adopted by a job, and the fetch that brought it. */
-struct received_body {
-	struct config_spread *spread;
-	char *name; /* of the namespace */
-	uint64_t version;
-	char sha256[65];
-	GByteArray *bytes;
-};
-
-static void received_body_free(void *data)
+static void adopt_object(struct config_spread *spread, const char *value,
+			 size_t size)
 {
-	struct received_body *body = data;
+	struct received_body body = {
+		.name = spread->object_name,
+		.version = spread->object_version,
+		.bytes = g_byte_array_new_take(g_memdup2(value, size), size),
+	};
 
-	g_byte_array_unref(body->bytes);
-	g_free(body->name);
-	g_free(body);
-}
-
-static void adopt_received_body(void *data)
-{
-	const struct received_body *body = data;
-	struct config_spread *spread = body->spread;
-	enum config_offer result = config_store_offer(
-		spread->store, body->name, body->version, body->sha256,
-		(const char *)body->bytes->data, body->bytes->len);
-
-	config_store_end_adoption(spread->store);
-	if (result == CONFIG_OFFER_ADOPTED || result == CONFIG_OFFER_NOT_NEWER)
-		note_success(spread);
-	else
-		note_failure(spread, "the body was rejected");
-	config_spread_publish_head(spread);
-}
-
-static void log_received(const struct config_spread *spread, uint64_t version,
-			 size_t size, unsigned int pieces)
-{
-	log_event(EV_CONFIG_BODY_RECEIVED, LOG_INT("version", version),
-		  LOG_STR("from", spread->asked_host), LOG_INT("bytes", size),
-		  LOG_INT("size", size), LOG_INT("pieces", pieces),
-		  LOG_INT("took_us", spread->now_us - spread->began_us));
-}
-
-/* Queues a body. Until it is adopted or refused nothing else is fetched, and the
- * fetch has neither succeeded nor failed. Takes over bytes. */
-static void adopt_body(struct config_spread *spread, const char *name,
-		       uint64_t version, const char *sha256, GByteArray *bytes)
-{
-	struct received_body *body = g_new0(struct received_body, 1);
-
-	body->spread = spread;
-	body->name = g_strdup(name);
-	body->version = version;
-	g_strlcpy(body->sha256, sha256, sizeof(body->sha256));
-	body->bytes = bytes;
-	config_store_begin_adoption(spread->store);
-	slice_queue_add(spread->slice_queue, adopt_received_body,
-			received_body_free, body);
+	g_strlcpy(body.sha256, spread->object_sha256, sizeof(body.sha256));
+	received_body_adopt(spread, &body);
 }
 
 static void handle_object(enum config_platform_status status,
@@ -202,11 +182,10 @@
 	counters.config_platform_bytes += size;
 	spread->step = CONFIG_FETCH_NONE;
 	if (status == CONFIG_PLATFORM_OK && value)
-		adopt_body(spread, spread->object_name, spread->object_version,
-			   spread->object_sha256,
-			   g_byte_array_new_take(g_memdup2(value, size), size));
+		adopt_object(spread, value, size);
 	else
-		note_failure(spread, "could not read the object store");
+		config_fetch_note_failure(spread,
+					  "could not read the object store");
 	g_clear_pointer(&spread->object_name, g_free);
 	config_fetch_next(spread);
 }
@@ -271,7 +250,7 @@
  * hardly any peer has the body yet, so it reads the object store first. The
  * other daemons, and a reader that has just started and lacks everything, read
  * it after two peers failed in a row. This read gets one body;
- * note_failure() requests reads of the head.
+ * config_fetch_note_failure() requests reads of the head.
  */
 static bool prefers_object_store(const struct config_spread *spread)
 {
@@ -299,7 +278,7 @@
 		read_object(spread,
 			    &g_array_index(missing, struct config_version, 0));
 	else
-		note_failure(spread, "no live peer");
+		config_fetch_note_failure(spread, "no live peer");
 }
 
 /* Chooses the peer with the highest head among those asked at startup, or the
@@ -340,7 +319,7 @@
 	if (member)
 		send_simple_query(spread, member, CONFIG_FETCH_LISTING);
 	else
-		note_failure(spread, "no live peer");
+		config_fetch_note_failure(spread, "no live peer");
 }
 
 static void fetch_changes(struct config_spread *spread)
@@ -350,7 +329,7 @@
 	if (member)
 		send_simple_query(spread, member, CONFIG_FETCH_LISTING);
 	else
-		note_failure(spread, "no live peer");
+		config_fetch_note_failure(spread, "no live peer");
 }
 
 void config_fetch_next(struct config_spread *spread)
@@ -386,9 +365,9 @@
 	    spread->step == CONFIG_FETCH_OBJECT)
 		return;
 	if (is_gone(member_table_find(spread->members, spread->asked_host)))
-		note_failure(spread, "the peer left or died");
+		config_fetch_note_failure(spread, "the peer left or died");
 	else if (spread->now_us >= spread->give_up_us)
-		note_failure(spread, "no answer in time");
+		config_fetch_note_failure(spread, "no answer in time");
 }
 
 void config_fetch_drop_adopted_pieces(struct config_spread *spread)
@@ -418,25 +397,12 @@
 	if (!config_pieces_are_complete(pieces))
 		return;
 	received->has_body = true;
-	log_received(spread, pieces->version, pieces->bytes->len, pieces->count);
-	adopt_body(spread, pieces->name, pieces->version, pieces->sha256,
-		   g_byte_array_ref(pieces->bytes));
-	config_pieces_clear(pieces);
-}
-
-static void take_body(struct config_spread *spread, const Cfd__ConfigLine *line,
-		      struct received *received)
-{
-	GByteArray *bytes = g_byte_array_new();
-
-	g_byte_array_append(bytes, line->body.data, (guint)line->body.len);
-	received->has_body = true;
-	log_received(spread, line->version, bytes->len, 1);
-	adopt_body(spread, line->namespace_, line->version, line->sha256, bytes);
+	received_body_adopt_pieces(spread);
 }
 
 /* A line of an answer describes one version of a namespace. It may carry the
- * whole body or, if its size is set, one piece of the body. */
+ * whole body, the differences that lead to it or, if its size is set, one piece of
+ * it. */
 static void take_bodies(struct config_spread *spread,
 			const Cfd__ConfigBody *answer, struct received *received)
 {
@@ -447,10 +413,12 @@
 		    config_store_holds(spread->store, line->namespace_,
 				       line->version))
 			continue;
-		if (line->size)
+		if (line->size) {
 			take_piece(spread, line, received);
-		else
-			take_body(spread, line, received);
+			continue;
+		}
+		if (received_body_adopt_line(spread, line))
+			received->has_body = true;
 	}
 }
 
@@ -509,9 +477,10 @@
 	if (received.has_piece ||
 	    config_store_head(spread->store) > spread->head_before ||
 	    (was_behind && !config_fetch_is_behind(spread)))
-		note_success(spread);
+		config_fetch_note_success(spread);
 	else
-		note_failure(spread, "nothing newer in the answer");
+		config_fetch_note_failure(spread,
+					  "nothing newer in the answer");
 }
 
 void config_spread_take_answer(struct config_spread *spread, const char *host,
@@ -529,7 +498,8 @@
 	if (spread->step == CONFIG_FETCH_HEAD)
 		take_startup_head(spread, host, answer);
 	else if (answer->busy || !answer->ready)
-		note_failure(spread, answer->busy ? "busy" : "not ready");
+		config_fetch_note_failure(spread,
+					  answer->busy ? "busy" : "not ready");
 	else
 		take_configuration(spread, answer);
 	config_spread_publish_head(spread);
--- a/comfreydockd/config/spread_pieces.c
+++ b/comfreydockd/config/spread_pieces.c
@@ -33,7 +33,8 @@
 {
 	return pieces->name && strcmp(pieces->name, line->namespace_) == 0 &&
 	       strcmp(pieces->sha256, line->sha256) == 0 &&
-	       pieces->version == line->version && pieces->size == line->size;
+	       pieces->version == line->version && pieces->size == line->size &&
+	       pieces->encoded_hash == line->encoded_hash;
 }
 
 /*
@@ -58,6 +59,7 @@
 	pieces->name = g_strdup(line->namespace_);
 	pieces->version = line->version;
 	pieces->size = line->size;
+	pieces->encoded_hash = line->encoded_hash;
 	g_strlcpy(pieces->sha256, line->sha256, sizeof(pieces->sha256));
 }
 
@@ -93,15 +95,25 @@
 {
 	query->piece_sha256 = (char *)pieces->sha256;
 	query->piece_offset = pieces->bytes->len;
+	query->piece_encoded_hash = pieces->encoded_hash;
 }
 
-void config_pieces_cut(const Cfd__ConfigQuery *query, const char *body,
-		       size_t size, Cfd__ConfigLine *line)
+bool config_pieces_is_plain_continued(const Cfd__ConfigQuery *query,
+				      const char *sha256)
+{
+	return query->piece_offset > 0 && !query->piece_encoded_hash &&
+	       strcmp(query->piece_sha256, sha256) == 0;
+}
+
+void config_pieces_cut(const Cfd__ConfigQuery *query, const void *body,
+		       size_t size, uint64_t encoded_hash, Cfd__ConfigLine *line)
 {
 	bool goes_on = strcmp(query->piece_sha256, line->sha256) == 0 &&
+		       query->piece_encoded_hash == encoded_hash &&
 		       query->piece_offset < size;
 
 	line->size = size;
+	line->encoded_hash = encoded_hash;
 	line->offset = goes_on ? query->piece_offset : 0;
 	line->has_body = true;
 	line->body.data = (uint8_t *)body + line->offset;
--- a/include/comfreydockd/config/spread.h
+++ b/include/comfreydockd/config/spread.h
@@ -85,7 +85,8 @@
 struct config_spread *
 config_spread_create(const struct config_spread_options *options, int64_t now_us);
 
-/* The caller makes sure that no platform call calls back afterwards. */
+/* The caller makes sure that no platform call calls back afterwards, and that no
+ * job is left in the slice_queue. */
 void config_spread_destroy(struct config_spread *spread);
 
 /* Call this every CONFIG_SPREAD_TICK_US. */
--- a/include/comfreydockd/config/spread_internal.h
+++ b/include/comfreydockd/config/spread_internal.h
@@ -4,8 +4,9 @@
  *
  * DESCRIPTION
  *	spread.c decides when to read the platform; spread_fetch.c queries peers
- *	and the object store and handles their answers; spread_answer.c answers
- *	peers; spread_pieces.c splits and assembles large bodies.
+ *	and the object store and handles their answers; spread_body.c decodes and
+ *	adopts the bodies in them; spread_answer.c answers peers; spread_pieces.c
+ *	splits and assembles large bodies.
  */
 #ifndef COMFREYDOCKD_CONFIG_SPREAD_INTERNAL_H
 #define COMFREYDOCKD_CONFIG_SPREAD_INTERNAL_H
@@ -31,7 +32,8 @@
 	char *name; /* of the namespace */
 	uint64_t version;
 	char sha256[65];
-	uint64_t size; /* of the complete body */
+	uint64_t size; /* of all pieces */
+	uint64_t encoded_hash; /* 0: the pieces are of the body itself */
 	GByteArray *bytes;
 	unsigned int refused; /* pieces of other bodies in a row */
 	unsigned int count; /* of the pieces in bytes */
@@ -85,6 +87,8 @@
 	char object_sha256[65];
 
 	struct config_pieces pieces;
+	struct encodings *encodings; /* of what is held, for peers */
+	bool wants_plain; /* an encoded body was rejected; ask for plain ones */
 	struct slice_queue *slice_queue;
 
 	/* token bucket for answers to peers */
@@ -105,6 +109,41 @@
 
 bool config_fetch_is_behind(const struct config_spread *spread);
 
+/* RETURN VALUE: whether a query for bodies is for this namespace. */
+bool config_query_wants(const Cfd__ConfigQuery *query, const char *name);
+
+/* The fetch in progress has brought nothing, and the next one may be delayed. */
+void config_fetch_note_failure(struct config_spread *spread, const char *why);
+void config_fetch_note_success(struct config_spread *spread);
+
+/* spread_body.c */
+
+/* A body as it was received: its bytes, or frames to decode. */
+struct received_body {
+	char *name; /* of the namespace */
+	uint64_t version;
+	char sha256[65];
+	GByteArray *bytes;
+	GPtrArray *frames; /* of GBytes, see body_codec.h; NULL: none */
+	struct config_namespace *base; /* of the first frame; may be NULL */
+	size_t wire_bytes;
+	unsigned int pieces;
+};
+
+/* Queues a body for adoption and takes over all but its name. Until it is adopted
+ * or rejected nothing else is fetched, and the fetch has neither succeeded nor
+ * failed. */
+void received_body_adopt(struct config_spread *spread,
+			 const struct received_body *body);
+
+/* Does this with the complete pieces, and clears them. */
+void received_body_adopt_pieces(struct config_spread *spread);
+
+/* Does this with the body, or the differences, of an answer's line.
+ * RETURN VALUE: false if the differences are from a body that is not held. */
+bool received_body_adopt_line(struct config_spread *spread,
+			      const Cfd__ConfigLine *line);
+
 /* spread_pieces.c */
 
 void config_pieces_init(struct config_pieces *pieces);
@@ -124,10 +163,15 @@
 void config_pieces_fill_query(const struct config_pieces *pieces,
 			      Cfd__ConfigQuery *query);
 
-/* Fills line with the piece of the body that the query asks for, or the
- * first. */
-void config_pieces_cut(const Cfd__ConfigQuery *query, const char *body,
-		       size_t size, Cfd__ConfigLine *line);
+/* Fills line with the piece of the body that the query asks for, or the first. With
+ * a hash, body is an encoded one. */
+void config_pieces_cut(const Cfd__ConfigQuery *query, const void *body,
+		       size_t size, uint64_t encoded_hash, Cfd__ConfigLine *line);
+
+/* RETURN VALUE: whether the query asks for a further piece of this body, as it
+ * is. */
+bool config_pieces_is_plain_continued(const Cfd__ConfigQuery *query,
+				      const char *sha256);
 
 /* spread.c */
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2484,7 +2484,7 @@
   (ProtobufCMessageInit) cfd__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__config_query__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cfd__config_query__field_descriptors[10] =
 {
   {
     "seq",
@@ -2570,20 +2570,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_sha256",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfd__ConfigQuery, n_held_sha256),
+    offsetof(Cfd__ConfigQuery, held_sha256),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "takes_encoded",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigQuery, takes_encoded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "piece_encoded_hash",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigQuery, piece_encoded_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__config_query__field_indices_by_name[] = {
   1,   /* field[1] = above_head */
   2,   /* field[2] = head_only */
+  7,   /* field[7] = held_sha256 */
+  9,   /* field[9] = piece_encoded_hash */
   6,   /* field[6] = piece_offset */
   5,   /* field[5] = piece_sha256 */
   0,   /* field[0] = seq */
+  8,   /* field[8] = takes_encoded */
   4,   /* field[4] = takes_pieces */
   3,   /* field[3] = wanted */
 };
 static const ProtobufCIntRange cfd__config_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cfd__config_query__descriptor =
 {
@@ -2593,14 +2632,14 @@
   "Cfd__ConfigQuery",
   "cfd",
   sizeof(Cfd__ConfigQuery),
-  7,
+  10,
   cfd__config_query__field_descriptors,
   cfd__config_query__field_indices_by_name,
   1,  cfd__config_query__number_ranges,
   (ProtobufCMessageInit) cfd__config_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__config_line__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cfd__config_line__field_descriptors[11] =
 {
   {
     "namespace",
@@ -2698,10 +2737,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deltas",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Cfd__ConfigLine, n_deltas),
+    offsetof(Cfd__ConfigLine, deltas),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_sha256",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigLine, base_sha256),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "encoded_hash",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__ConfigLine, encoded_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__config_line__field_indices_by_name[] = {
   3,   /* field[3] = at */
+  9,   /* field[9] = base_sha256 */
   5,   /* field[5] = body */
+  8,   /* field[8] = deltas */
+  10,   /* field[10] = encoded_hash */
   4,   /* field[4] = has_body */
   0,   /* field[0] = namespace */
   7,   /* field[7] = offset */
@@ -2712,7 +2790,7 @@
 static const ProtobufCIntRange cfd__config_line__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cfd__config_line__descriptor =
 {
@@ -2722,7 +2800,7 @@
   "Cfd__ConfigLine",
   "cfd",
   sizeof(Cfd__ConfigLine),
-  8,
+  11,
   cfd__config_line__field_descriptors,
   cfd__config_line__field_indices_by_name,
   1,  cfd__config_line__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -391,10 +391,20 @@
    */
   char *piece_sha256;
   uint64_t piece_offset;
+  /*
+   * of that body, see ConfigLine
+   */
+  uint64_t piece_encoded_hash;
+  /*
+   * Hashes of bodies to which a difference may be applied.
+   */
+  size_t n_held_sha256;
+  char **held_sha256;
+  protobuf_c_boolean takes_encoded;
 };
 #define CFD__CONFIG_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__config_query__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 struct  Cfd__ConfigLine
@@ -417,10 +427,22 @@
    */
   uint64_t size;
   uint64_t offset;
+  /*
+   * In place of a body: zstd frames, each with the result of the one before as
+   * its prefix, the first with the body of base_sha256.
+   */
+  size_t n_deltas;
+  ProtobufCBinaryData *deltas;
+  char *base_sha256;
+  /*
+   * The piece is of a zstd frame, and so are size and offset. The XXH64 of the
+   * frame; 0: the piece is of the body itself.
+   */
+  uint64_t encoded_hash;
 };
 #define CFD__CONFIG_LINE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__config_line__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cfd__ConfigBody
--- a/tests/spread_net.c
+++ b/tests/spread_net.c
@@ -74,17 +74,32 @@
 {
 	struct net_node *from = data;
 	struct net *net = from->net;
-	size_t size = cfd__config_query__get_packed_size(query);
-	uint8_t *bytes = g_malloc(size);
 	struct event event = {.node = node_of(net, member->host), .from = from};
+	Cfd__ConfigQuery sent = *query;
+	uint8_t *bytes;
+	size_t size;
 
+	if (net->asks_plainly) {
+		sent.n_held_sha256 = 0;
+		sent.takes_encoded = false;
+	}
+	size = cfd__config_query__get_packed_size(&sent);
+	bytes = g_malloc(size);
 	net->questions++;
-	cfd__config_query__pack(query, bytes);
+	cfd__config_query__pack(&sent, bytes);
 	event.query = cfd__config_query__unpack(NULL, size, bytes);
 	g_free(bytes);
 	post(net, event, random_delay_ms(net));
 }
 
+static void damage(Cfd__ConfigLine *line)
+{
+	if (line->body.len)
+		line->body.data[0] ^= 1;
+	if (line->n_deltas)
+		line->deltas[0].data[line->deltas[0].len / 2] ^= 1;
+}
+
 static void deliver_query(struct event *event)
 {
 	struct net_node *node = event->node;
@@ -98,12 +113,11 @@
 	/* A link drops larger frames. */
 	g_assert_cmpuint(size, <, LINK_MAX_FRAME_BYTES);
 	back.answer = cfd__config_body__unpack(NULL, size, bytes);
-	for (size_t i = 0; node->corrupts && i < back.answer->n_lines; i++) {
-		if (back.answer->lines[i]->body.len)
-			back.answer->lines[i]->body.data[0] ^= 1;
-	}
+	for (size_t i = 0; node->corrupts && i < back.answer->n_lines; i++)
+		damage(back.answer->lines[i]);
 	g_free(bytes);
 	config_spread_free_answer(answer);
+	node->net->answer_bytes += size;
 	post(node->net, back, random_delay_ms(node->net));
 }
 
@@ -360,23 +374,36 @@
 	net_apply_sized(net, name, 0);
 }
 
-/* Pads the body with blanks, which do not change its meaning. */
-static char *body_of_size(unsigned int name, uint64_t version, size_t least)
+/* Appends a comment of drawn characters, which does not change the meaning. */
+static char *body_of_size(unsigned int name, uint64_t version, size_t bytes)
 {
 	char *body = body_of(name, version);
 	GString *text = g_string_new(body);
 
-	while (text->len < least)
-		g_string_append_c(text, ' ');
+	if (text->len < bytes)
+		g_string_append(text, " // ");
+	while (text->len < bytes)
+		g_string_append_c(text, (char)g_test_rand_int_range('0', 'z'));
 	g_free(body);
 	return g_string_free(text, FALSE);
 }
 
-void net_apply_sized(struct net *net, unsigned int name, size_t least)
+static uint64_t next_version(const struct net *net, unsigned int name)
 {
 	const struct config_version *version = listed(net, name);
-	uint64_t next = (version ? version->version : 0) + 1;
-	char *body = body_of_size(name, next, least);
+
+	return (version ? version->version : 0) + 1;
+}
+
+void net_apply_sized(struct net *net, unsigned int name, size_t bytes)
+{
+	net_apply_body(net, name,
+		       body_of_size(name, next_version(net, name), bytes));
+}
+
+void net_apply_body(struct net *net, unsigned int name, char *body)
+{
+	uint64_t next = next_version(net, name);
 	char sha256[65];
 
 	config_body_sha256(body, strlen(body), sha256);
--- a/tests/spread_net.h
+++ b/tests/spread_net.h
@@ -48,6 +48,8 @@
 	unsigned int head_reads;
 	unsigned int object_reads;
 	unsigned int questions;
+	uint64_t answer_bytes; /* of peers */
+	bool asks_plainly; /* queries are those of an earlier release */
 };
 
 /* Up to three nodes are in one failure domain, more alternate between two. */
@@ -60,8 +62,12 @@
 /* Writes the next version of a namespace to the platform's rows. */
 void net_apply(struct net *net, unsigned int name);
 
-/* The same with a body of at least so many bytes. */
-void net_apply_sized(struct net *net, unsigned int name, size_t least);
+/* The same with a body of about so many bytes that hardly compresses and has
+ * little in common with the version before. */
+void net_apply_sized(struct net *net, unsigned int name, size_t bytes);
+
+/* The same with this body, which the net takes over. */
+void net_apply_body(struct net *net, unsigned int name, char *body);
 
 /* RETURN VALUE: the version that a daemon holds; 0: none. */
 uint64_t net_held(const struct net *net, unsigned int i, unsigned int name);
--- a/tests/test_config_pieces.c
+++ b/tests/test_config_pieces.c
@@ -38,7 +38,7 @@
 	line.namespace_ = (char *)"n";
 	line.version = version;
 	line.sha256 = (char *)sha256;
-	config_pieces_cut(&query, f->body, size, &line);
+	config_pieces_cut(&query, f->body, size, 0, &line);
 	return config_pieces_add(&f->pieces, &line);
 }
 
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -1,13 +1,18 @@
 #include <glib.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "comfreydockd/config/spread_internal.h"
 #include "comfreydockd/peer/link.h"
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/slice.h"
 #include "spread_net.h"
 
+/* A change of one route must not cost each daemon more than this. */
+#define CHANGE_BYTES_MAX 4096
+
 static struct net net;
 
 static unsigned int count_readers(void)
@@ -121,6 +126,125 @@
 	check_peers_pass_on(LINK_MAX_FRAME_BYTES * 3);
 }
 
+/* RETURN VALUE: a configuration of the namespace "a" with drawn routes. The
+ * route at the index changed has another group. */
+static char *body_of_routes(unsigned int routes, unsigned int changed)
+{
+	GString *text =
+		g_string_new("{\"namespace\": \"a\", \"services\": "
+			     "{\"s\": {\"hosts\": [\"a\"], \"rules\": [");
+	struct random_state random = {1};
+
+	for (unsigned int i = 0; i < routes; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\": \"r%u\", \"path_prefix\": \"/%016" PRIx64
+			"/\", \"deadline_ms\": 2000, \"to\": [{\"group\": "
+			"\"%s\"}]}",
+			i ? ", " : "", i, random_u64(&random),
+			i == changed ? "videos" : "bookings");
+	g_string_append(text, "]}}}");
+	return g_string_free(text, FALSE);
+}
+
+/* Guards against a change of one route that travels as the whole configuration:
+ * on a slow link it would be in force too late, and each further change too. */
+static void test_small_change_is_a_small_transfer(void)
+{
+	net_init(&net, 12);
+	net_run(&net, 2000);
+	net_apply_body(&net, 0, body_of_routes(5400, 0));
+	net_run(&net, 8000);
+	g_assert_true(net_has_converged(&net));
+	for (unsigned int change = 1; change <= 3; change++) {
+		net.answer_bytes = 0;
+		net_apply_body(&net, 0, body_of_routes(5400, change));
+		net_run(&net, 3000);
+		g_assert_true(net_has_converged(&net));
+		g_assert_cmpuint(net.answer_bytes, >, 0);
+		g_assert_cmpuint(net.answer_bytes, <=,
+				 CHANGE_BYTES_MAX * net.count);
+	}
+	net_finish(&net);
+}
+
+/* RETURN VALUE: the bytes of all peers' answers about a change of one route. */
+static uint64_t bytes_of_change(unsigned int changed)
+{
+	net.answer_bytes = 0;
+	net_apply_body(&net, 0, body_of_routes(1000, changed));
+	net_run(&net, 6000);
+	g_assert_true(net_has_converged(&net));
+	return net.answer_bytes;
+}
+
+/* Guards against a host that missed some versions and needs the whole body for
+ * it. */
+static void test_missed_changes_are_one_difference(void)
+{
+	unsigned int missing = 0;
+
+	net_init(&net, 8);
+	net_run(&net, 2000);
+	bytes_of_change(0);
+	while (config_spread_is_reader(net.nodes[missing].spread))
+		missing++;
+	net.nodes[missing].partitioned = true;
+	for (unsigned int change = 1; change < 6; change++)
+		net_apply_body(&net, 0, body_of_routes(1000, change));
+	net_run(&net, 5000);
+	for (unsigned int change = 6; change < 8; change++) {
+		net_apply_body(&net, 0, body_of_routes(1000, change));
+		net_run(&net, 3000);
+	}
+	g_assert_false(net_has_converged(&net));
+	net.platform_down = true;
+	net.nodes[missing].partitioned = false;
+	net.answer_bytes = 0;
+	net_run(&net, 5000);
+	g_assert_true(net_has_converged(&net));
+	g_assert_cmpuint(net.answer_bytes, <, CHANGE_BYTES_MAX);
+	net_finish(&net);
+}
+
+/* Guards against a difference that is damaged, or leads elsewhere, and is asked
+ * for again and again: no peer sends a sound one here. */
+static void test_wrong_differences_are_replaced(void)
+{
+	uint64_t undecodable = counters.config_bodies_undecodable;
+	uint64_t refused = counters.config_offers_refused;
+
+	net_init(&net, 8);
+	net_run(&net, 2000);
+	bytes_of_change(0);
+	for (unsigned int i = 0; i < net.count; i++)
+		net.nodes[i].corrupts = true;
+	net_apply_body(&net, 0, body_of_routes(1000, 1));
+	net_run(&net, 1500);
+	g_assert_cmpuint(counters.config_bodies_undecodable +
+				 counters.config_offers_refused,
+			 >, undecodable + refused);
+	for (unsigned int i = 0; i < net.count; i++)
+		net.nodes[i].corrupts = false;
+	net_run(&net, 8000);
+	g_assert_true(net_has_converged(&net));
+	net_finish(&net);
+}
+
+/* Guards against hosts of an earlier release that get no change any more during
+ * a rolling upgrade. */
+static void test_earlier_release_gets_plain_bodies(void)
+{
+	net_init(&net, 8);
+	net.asks_plainly = true;
+	net_run(&net, 2000);
+	bytes_of_change(0);
+	g_assert_cmpuint(bytes_of_change(1), >, 8 * CHANGE_BYTES_MAX);
+	net.asks_plainly = false;
+	g_assert_cmpuint(bytes_of_change(2), <=, 8 * CHANGE_BYTES_MAX);
+	net_finish(&net);
+}
+
 static unsigned int pieces_at(unsigned int i)
 {
 	return net.nodes[i].spread->pieces.bytes->len;
@@ -360,6 +484,14 @@
 			test_body_larger_than_an_answer_is_distributed);
 	g_test_add_func("/spread/larger-than-a-frame",
 			test_body_larger_than_a_frame_is_distributed);
+	g_test_add_func("/spread/small-change",
+			test_small_change_is_a_small_transfer);
+	g_test_add_func("/spread/missed-changes",
+			test_missed_changes_are_one_difference);
+	g_test_add_func("/spread/wrong-differences",
+			test_wrong_differences_are_replaced);
+	g_test_add_func("/spread/earlier-release",
+			test_earlier_release_gets_plain_bodies);
 	g_test_add_func("/spread/peer-stopped",
 			test_fetch_from_stopped_peer_is_abandoned);
 	g_test_add_func("/spread/freed-pieces",
