config/rule_check: refuse a key that a newer configuration has removed

The same cause as with rules: a host that knows that it is behind looked a key up in its own configuration alone, and the owner ran what it was given.

Seen in own tests only.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -25,7 +25,7 @@
 
 /* A call that began before the configuration held here was adopted keeps its
  * rule, so it is not checked. */
-static void fill_config_heads(const struct call *call, Cfd__Attempt *out)
+static void fill_rule_check(const struct call *call, Cfd__Attempt *out)
 {
 	const struct config_store *store = call->entry->daemon->config;
 
@@ -33,6 +33,8 @@
 		return;
 	out->config_head = call->config_head;
 	out->required_head = config_store_required_head(store);
+	if (config_store_known_head(store) > call->config_head)
+		out->key_digest = (char *)call->key_digest;
 }
 
 static void fill_attempt(const struct call *call, Cfd__Attempt *out,
@@ -61,7 +63,7 @@
 	out->depth = call->depth;
 	out->holds_others = call->holds_others;
 	out->answer_window = call->answer_blocked ? PIPELINE_WINDOW_BYTES : 0;
-	fill_config_heads(call, out);
+	fill_rule_check(call, out);
 }
 
 static size_t fill_shed_statuses(const struct config_service *config,
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -197,6 +197,7 @@
 	call->service_config = match->service;
 	call->rule = rule;
 	call->organisation = organisation;
+	g_strlcpy(call->key_digest, match->key_digest, sizeof(call->key_digest));
 	call->class = organisation && organisation->has_class ?
 			      organisation->class :
 			      rule->class;
--- a/comfreydockd/caller/entry_key.c
+++ b/comfreydockd/caller/entry_key.c
@@ -36,20 +36,22 @@
 	return api_key_find_fault(start, size) ? NULL : g_strndup(start, size);
 }
 
-static const struct config_organisation *find_holder(const struct entry *entry,
-						     const char *key)
+static bool find_holder(const struct entry *entry, const char *key,
+			struct entry_match *match)
 {
-	char hex[KEY_DIGEST_SIZE];
-
-	key_digest_of(entry->daemon->settings, key, hex);
-	return config_snapshot_organisation_by_digest(
-		config_store_current(entry->daemon->config), hex);
+	key_digest_of(entry->daemon->settings, key, match->key_digest);
+	match->organisation = config_snapshot_organisation_by_digest(
+		config_store_current(entry->daemon->config), match->key_digest);
+	if (!match->organisation)
+		match->key_digest[0] = '\0';
+	return match->organisation;
 }
 
 static enum key_verdict read_key(const struct entry *entry,
 				 const struct fields *fields,
-				 const struct config_organisation **organisation)
+				 struct entry_match *match)
 {
+	bool is_known;
 	const char *value = NULL;
 	char *key;
 
@@ -65,9 +67,9 @@
 	key = copy_key(value);
 	if (!key)
 		return KEY_BAD;
-	*organisation = find_holder(entry, key);
+	is_known = find_holder(entry, key, match);
 	g_free(key);
-	return *organisation ? KEY_KNOWN : KEY_UNKNOWN;
+	return is_known ? KEY_KNOWN : KEY_UNKNOWN;
 }
 
 static void log_refused(const struct entry *entry,
@@ -122,9 +124,10 @@
 	enum key_verdict verdict;
 
 	match->organisation = NULL;
+	match->key_digest[0] = '\0';
 	if (!match->service->needs_key)
 		return true;
-	verdict = read_key(entry, request->fields, &match->organisation);
+	verdict = read_key(entry, request->fields, match);
 	if (verdict == KEY_KNOWN || match->rule->is_public)
 		return true;
 	fill_refusal(entry, verdict, refusal);
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -39,6 +39,7 @@
 		.method = request->method,
 		.target = request->target,
 		.group = request->group,
+		.key_digest = request->key_digest,
 		.head = request->config_head,
 		.required_head = request->required_head,
 	};
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -27,6 +27,7 @@
 
 #include "comfreydockd/caller/entry.h"
 #include "comfreydockd/caller/services.h"
+#include "comfreydockd/config/key_digest.h"
 #include "comfreydockd/config/model.h"
 #include "comfreydockd/peer/attempt.h"
 #include "comfreydockd/peer/peers.h"
@@ -77,6 +78,7 @@
 	const struct config_service *service_config;
 	const struct config_rule *rule;
 	const struct config_organisation *organisation; /* NULL: none */
+	char key_digest[KEY_DIGEST_SIZE]; /* "": without a known key */
 	enum config_class class; /* of the organisation, else of the rule */
 	const char *group; /* of the upstreams that it goes to */
 	uint64_t content_key; /* see content.h */
--- a/include/comfreydockd/caller/entry_key.h
+++ b/include/comfreydockd/caller/entry_key.h
@@ -12,6 +12,7 @@
 #define COMFREYDOCKD_CALLER_ENTRY_KEY_H
 
 #include "comfreydockd/caller/call_internal.h"
+#include "comfreydockd/config/key_digest.h"
 #include "comfreydockd/config/organisation.h"
 
 /* What the configuration says about a request. */
@@ -19,6 +20,7 @@
 	const struct config_service *service;
 	const struct config_rule *rule;
 	const struct config_organisation *organisation; /* NULL: none */
+	char key_digest[KEY_DIGEST_SIZE]; /* "": the organisation is not known */
 };
 
 /*
--- a/include/comfreydockd/config/rule_check.h
+++ b/include/comfreydockd/config/rule_check.h
@@ -9,7 +9,7 @@
  *	has moved them. So the owner matches the request again if its own
  *	configuration is newer. Within CONFIG_STALE_AFTER_US of a change it
  *	accepts either rule, because both are allowed then and a refusal would
- *	not help the caller.
+ *	not help the caller. The same holds for keys.
  *
  *	An entry that knows itself to be behind for that long requires an owner
  *	that holds the newer configuration and can check the rule.
@@ -26,13 +26,16 @@
 	const char *method;
 	const char *target;
 	const char *group; /* selected by the entry */
+	const char *key_digest; /* of the caller's key; "": not checked */
 	uint64_t head; /* of the entry's configuration; 0: not checked */
 	uint64_t required_head; /* 0: none */
 };
 
 enum rule_check_result {
 	RULE_CHECK_OK,
-	RULE_CHECK_REPLACED, /* the rule held here does not lead to the group */
+	/* The rule held here does not lead to the group, or needs a key that no
+	 * organisation holds any more. */
+	RULE_CHECK_REPLACED,
 	RULE_CHECK_BEHIND, /* this daemon does not hold the required head */
 };
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1466,7 +1466,7 @@
   (ProtobufCMessageInit) cfd__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[26] =
+static const ProtobufCFieldDescriptor cfd__attempt__field_descriptors[27] =
 {
   {
     "seq",
@@ -1780,6 +1780,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_digest",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfd__Attempt, key_digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfd__attempt__field_indices_by_name[] = {
   21,   /* field[21] = answer_window */
@@ -1794,6 +1806,7 @@
   6,   /* field[6] = headers */
   22,   /* field[22] = holds_others */
   8,   /* field[8] = idempotent */
+  26,   /* field[26] = key_digest */
   19,   /* field[19] = last_resort */
   9,   /* field[9] = may_queue */
   20,   /* field[20] = may_repeat */
@@ -1812,7 +1825,7 @@
 static const ProtobufCIntRange cfd__attempt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor cfd__attempt__descriptor =
 {
@@ -1822,7 +1835,7 @@
   "Cfd__Attempt",
   "cfd",
   sizeof(Cfd__Attempt),
-  26,
+  27,
   cfd__attempt__field_descriptors,
   cfd__attempt__field_indices_by_name,
   1,  cfd__attempt__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -215,10 +215,15 @@
    * The owner must hold at least this head to run the request; 0: any.
    */
   uint64_t required_head;
+  /*
+   * The digest of the caller's API key. Set while the entry knows of a higher head
+   * than config_head.
+   */
+  char *key_digest;
 };
 #define CFD__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfd__attempt__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Cfd__Body
--- a/tests/system/test_stale_rules.c
+++ b/tests/system/test_stale_rules.c
@@ -16,18 +16,50 @@
 #define PROPAGATION_MAX_MS 3000
 #define REQUESTS 10
 
+#define KEPT_KEY "kept-key"
+#define REMOVED_KEY "removed-key"
+
+static void append_tenants(GString *row, unsigned int version)
+{
+	g_string_append_printf(
+		row, ",\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s\"%s\"]}]",
+		version < 5 ? "\"" REMOVED_KEY "\"," : "", KEPT_KEY);
+}
+
 static const struct fleet_options options = {
 	.count = HOSTS,
 	.domains = HOSTS,
 	.slots = "8",
 	.service_time_us = "10000",
 	.relayed = true,
+	.append_tenants = append_tenants,
 };
 static struct fleet fleet;
+static unsigned int requests;
+
+static bool get(const char *path, const char *key)
+{
+	char *field = g_strdup_printf("Bearer %s", key);
+	char *id = g_strdup_printf("stale-%u", ++requests);
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+				    fleet.hosts[ISOLATED].caller, path);
+	const char *headers[] = {
+		"Host", FLEET_VIRTUAL_HOST, "X-Comfreydock-Request-Id",
+		id,	"Authorization",    field,
+		NULL};
+	struct rig_answer *answer = rig_http("GET", url, headers, NULL, WAIT_MS);
+	bool is_served = answer->arrived && answer->status == 200;
+
+	rig_answer_free(answer);
+	g_free(url);
+	g_free(id);
+	g_free(field);
+	return is_served;
+}
 
 static bool is_served(void *path)
 {
-	return fleet_get(&fleet, ISOLATED, path) == 200;
+	return get(path, REMOVED_KEY);
 }
 
 static bool knows_all(void *unused)
@@ -44,18 +76,17 @@
 	       fleet_metric(&fleet, 0, "comfreydock_config_head") == 5;
 }
 
-static unsigned int count_served(const char *path)
+static unsigned int count_served(const char *path, const char *key)
 {
 	unsigned int served = 0;
 
 	for (unsigned int i = 0; i < REQUESTS; i++)
-		served += fleet_get(&fleet, ISOLATED, path) == 200;
+		served += get(path, key);
 	return served;
 }
 
-/* Guards against a host that is behind and runs requests by a rule that a newer
- * version has removed, and against one that refuses what is still allowed. */
-static void test_removed_rule_is_not_used(void)
+/* Leaves the host behind for the tests that follow. */
+static void isolate_host(void)
 {
 	fleet_put_config(&fleet, 3, "list");
 	g_assert_true(rig_wait_until(is_served, (void *)"/list/1", WAIT_MS));
@@ -64,8 +95,23 @@
 	fleet_put_large_config(&fleet, 5, "fresh", MORE_ROUTES);
 	g_assert_true(rig_wait_until(is_behind, NULL, WAIT_MS));
 	rig_sleep_ms(PROPAGATION_MAX_MS);
-	g_assert_cmpuint(count_served("/list/1"), ==, 0);
-	g_assert_cmpuint(count_served("/patient/1"), ==, REQUESTS);
+}
+
+/* Guards against a host that is behind and runs requests by a rule that a newer
+ * version has removed, and against one that refuses what is still allowed. */
+static void test_removed_rule_is_not_used(void)
+{
+	isolate_host();
+	g_assert_cmpuint(count_served("/list/1", KEPT_KEY), ==, 0);
+	g_assert_cmpuint(count_served("/patient/1", KEPT_KEY), ==, REQUESTS);
+}
+
+/* Guards against a host that is behind and accepts a key that a newer version
+ * has removed. */
+static void test_removed_key_is_not_accepted(void)
+{
+	g_assert_cmpuint(count_served("/patient/1", REMOVED_KEY), ==, 0);
+	g_assert_cmpuint(count_served("/patient/1", KEPT_KEY), ==, REQUESTS);
 }
 
 int main(int argc, char **argv)
@@ -75,6 +121,8 @@
 	g_test_init(&argc, &argv, NULL);
 	fleet_start(&fleet, &options);
 	g_test_add_func("/stale-rules/removed", test_removed_rule_is_not_used);
+	g_test_add_func("/stale-rules/removed-key",
+			test_removed_key_is_not_accepted);
 	result = g_test_run();
 	fleet_stop(&fleet);
 	return result;
--- a/tests/test_rule_check.c
+++ b/tests/test_rule_check.c
@@ -13,18 +13,35 @@
 	"\"to\":[{\"group\":\"%s\",\"weight\":1},"                             \
 	"{\"group\":\"unused\",\"weight\":0}]}]}}}"
 
-static void adopt(struct config_store *store, uint64_t version,
-		  const char *prefix, const char *group)
+#define KEY_DIGEST \
+	"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define OTHER_DIGEST \
+	"ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define BODY_WITH_KEY                                                         \
+	"{\"namespace\":\"n\",\"organisations\":{\"acme\":{\"key_digests\":[" \
+	"\"" KEY_DIGEST                                                       \
+	"\"]}},\"services\":{\"s\":{\"hosts\":[\"a.example\"],\"rules\":["    \
+	"{\"name\":\"r\",\"deadline_ms\":9,\"to\":[{\"group\":\"g\"}]}]}}}"
+
+static void adopt_text(struct config_store *store, uint64_t version,
+		       const char *body)
 {
 	struct config_version line = {
 		.name = "n", .version = version, .at = version};
-	char *body = g_strdup_printf(BODY, prefix, group);
 
 	config_body_sha256(body, strlen(body), line.sha256);
 	config_store_note_listing(store, version, &line, 1);
 	g_assert_cmpint(config_store_offer(store, "n", version, line.sha256,
 					   body, strlen(body)),
 			==, CONFIG_OFFER_ADOPTED);
+}
+
+static void adopt(struct config_store *store, uint64_t version,
+		  const char *prefix, const char *group)
+{
+	char *body = g_strdup_printf(BODY, prefix, group);
+
+	adopt_text(store, version, body);
 	g_free(body);
 }
 
@@ -37,6 +54,7 @@
 		.method = "GET",
 		.target = "/a/1?q",
 		.group = group,
+		.key_digest = "",
 		.head = head,
 		.required_head = required_head,
 	};
@@ -67,6 +85,30 @@
 	config_store_destroy(store);
 }
 
+/* Guards against a request with a key that a newer configuration has removed. */
+static void test_removed_key_is_refused(void)
+{
+	struct config_store *store = config_store_create();
+	struct rule_check request = {
+		.host = "a.example",
+		.method = "GET",
+		.target = "/a/1",
+		.group = "g",
+		.key_digest = KEY_DIGEST,
+		.head = 1,
+	};
+
+	adopt(store, 1, "/a/", "g");
+	adopt_text(store, 2, BODY_WITH_KEY);
+	paused_clock_advance_us(CONFIG_STALE_AFTER_US);
+	g_assert_cmpint(rule_check_run(store, &request), ==, RULE_CHECK_OK);
+	request.key_digest = OTHER_DIGEST;
+	g_assert_cmpint(rule_check_run(store, &request), ==, RULE_CHECK_REPLACED);
+	request.key_digest = "";
+	g_assert_cmpint(rule_check_run(store, &request), ==, RULE_CHECK_OK);
+	config_store_destroy(store);
+}
+
 /* Guards against changes in quick succession that keep an old configuration
  * from ever counting as superseded. */
 static void test_series_of_changes_does_not_extend_the_time(void)
@@ -119,6 +161,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/rule-check/replaced", test_replaced_rule_is_refused);
+	g_test_add_func("/rule-check/removed-key", test_removed_key_is_refused);
 	g_test_add_func("/rule-check/series",
 			test_series_of_changes_does_not_extend_the_time);
 	g_test_add_func("/rule-check/required-head",
