caller/attempts: serve by the held rules where no owner can confirm them

An entry that is behind requires an owner with the newer configuration. Where the only host that holds it can run nothing, or a row takes longer to parse than the change may take, all hosts would refuse everything although most requests are not concerned by the change.

A call now asks three owners at most for this, and not once all have been tried. Nor is a head required that no other daemon has named as its own: a host that is still parsing the row knows of a head that nobody can confirm.

tests/system/test_stale_rules.c /stale-rules/nobody-confirms, before: 0 of 10 requests on an unchanged route served by a host that is behind, beside another one and one that holds the version and drains; 10 of 10 now.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -23,6 +23,10 @@
 	return (uint64_t)MAX(left_us - path_us, 1);
 }
 
+/* If this many owners are behind as well, or all that can be tried, the call does
+ * better by the old rule than by none. */
+#define BEHIND_REFUSALS_MAX 3
+
 /* A call that began before the configuration held here was adopted keeps its
  * rule, so it is not checked. */
 static void fill_rule_check(const struct call *call, Cfd__Attempt *out)
@@ -32,7 +36,9 @@
 	if (call->config_head != config_store_head(store))
 		return;
 	out->config_head = call->config_head;
-	out->required_head = config_store_required_head(store);
+	if (call->behind_refusals < BEHIND_REFUSALS_MAX &&
+	    !call->has_retried_refused)
+		out->required_head = config_store_required_head(store);
 	if (config_store_known_head(store) > call->config_head)
 		out->key_digest = (char *)call->key_digest;
 }
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -211,7 +211,8 @@
 
 	if (reason == CFD__REASON__REASON_BUSY ||
 	    reason == CFD__REASON__REASON_SLOW ||
-	    reason == CFD__REASON__REASON_FAILING)
+	    reason == CFD__REASON__REASON_FAILING ||
+	    reason == CFD__REASON__REASON_CONFIG_BEHIND)
 		pick_tried_add(&call->refused_for_now,
 			       attempt->upstream->candidate.id);
 	call_log_event(call, EV_ENTRY_NOT_RUN,
@@ -219,6 +220,7 @@
 		       LOG_STR("reason", outcome_reason_name(reason)),
 		       LOG_INT("after_us", clock_mono_us() - attempt->sent_us),
 		       LOG_INT("come_back_ms", retry_after_ms));
+	call->behind_refusals += reason == CFD__REASON__REASON_CONFIG_BEHIND;
 	call_append_history(call, attempt, outcome_reason_name(reason));
 	call_note_throttle_refusal(call, attempt, reason, retry_after_ms);
 	if (attempt->waits_locally)
--- a/comfreydockd/config/store.c
+++ b/comfreydockd/config/store.c
@@ -36,6 +36,8 @@
 	bool expects_confirmation;
 	int64_t expects_since_us; /* boot time */
 	int64_t known_head_us; /* boot time at which it was last heard of */
+	uint64_t held_head; /* the highest that another daemon holds */
+	int64_t held_head_us; /* boot time at which one last said so */
 	GArray *listing; /* the last one; of struct config_version, names owned */
 	GHashTable *applied_heads; /* name -> struct applied_head */
 	struct config_store_observer observers[OBSERVERS_MAX];
@@ -113,12 +115,13 @@
 
 uint64_t config_store_required_head(const struct config_store *store)
 {
-	if (!store->ready || store->known_head <= store->head ||
-	    config_store_superseded_us(store, store->head) <
-		    CONFIG_STALE_AFTER_US ||
-	    clock_boot_us() - store->known_head_us > CONFIG_HEAD_NAMED_MAX_AGE_US)
+	int64_t named_age_us = clock_boot_us() - store->held_head_us;
+
+	if (!store->ready || store->held_head <= store->head ||
+	    named_age_us > CONFIG_HEAD_NAMED_MAX_AGE_US ||
+	    config_store_superseded_us(store, store->head) < CONFIG_STALE_AFTER_US)
 		return 0;
-	return store->known_head;
+	return store->held_head;
 }
 
 int64_t config_store_adopted_us(const struct config_store *store)
@@ -313,6 +316,14 @@
 	head_history_note(&store->history, head, clock_mono_us());
 }
 
+static void note_held_head(struct config_store *store, uint64_t head)
+{
+	if (head < store->held_head)
+		return;
+	store->held_head = head;
+	store->held_head_us = clock_boot_us();
+}
+
 /* Drops the heads above the newest one, and the listing of such a head. See
  * config_store_note_newest() for how they arise. */
 static void drop_heads_above(struct config_store *store, uint64_t head)
@@ -321,6 +332,7 @@
 		  LOG_INT("known_head", store->known_head),
 		  LOG_INT("newest", head), LOG_INT("head", store->head));
 	store->known_head = head;
+	store->held_head = MIN(store->held_head, head);
 	head_history_drop_above(&store->history, head);
 	store->pending_head = MIN(store->pending_head, head);
 	if (store->listed_head > head) {
@@ -351,6 +363,8 @@
 			  LOG_INT("known_head", head),
 			  LOG_STR("from", from_host ? from_host : ""));
 	note_known_head(store, head);
+	if (from_host)
+		note_held_head(store, head);
 	for (size_t i = 0; i < store->observer_count; i++) {
 		struct config_store_observer *observer = &store->observers[i];
 
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -108,6 +108,7 @@
 	uint32_t attempts; /* without hedges, but with overtaking attempts */
 	uint32_t busy_refusals; /* of them, refused as busy */
 	uint32_t uncounted_attempts; /* of them, see retry_counts() */
+	uint32_t behind_refusals; /* of them, REASON_CONFIG_BEHIND */
 	uint32_t hedges;
 	uint32_t max_attempts;
 	bool may_have_run; /* an attempt ended UNKNOWN */
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -53,8 +53,8 @@
  * still lacks it must not run requests by the rules that it removed. */
 #define CONFIG_STALE_AFTER_US ((int64_t)1500 * 1000)
 
-/* A head that no host has named for this long may be out of reach: its holders
- * are gone or cut off. */
+/* A head that no daemon has named as its own for this long may be out of reach:
+ * those that hold it are gone or cut off. */
 #define CONFIG_HEAD_NAMED_MAX_AGE_US ((int64_t)3 * 1000 * 1000)
 
 /* Why the configuration held here may not be the one in force. */
@@ -123,8 +123,8 @@
  * RETURN VALUE
  *	the head that another daemon must hold to confirm that a rule held here
  *	is in force. 0: no confirmation is needed, because no higher head has
- *	been known for CONFIG_STALE_AFTER_US, or because nobody in reach names
- *	it any more. A host that is cut off goes on with the rules that it has.
+ *	been known for CONFIG_STALE_AFTER_US, or because no daemon in reach
+ *	holds it. A host that is cut off goes on with the rules that it has.
  */
 uint64_t config_store_required_head(const struct config_store *store);
 
--- a/tests/system/test_stale_rules.c
+++ b/tests/system/test_stale_rules.c
@@ -114,6 +114,25 @@
 	g_assert_cmpuint(count_served("/patient/1", KEPT_KEY), ==, REQUESTS);
 }
 
+static bool is_behind_peer(void *unused)
+{
+	(void)unused;
+	return fleet_metric(&fleet, 1, "comfreydock_config_behind") > 0 &&
+	       fleet_metric(&fleet, 0, "comfreydock_config_head") == 7;
+}
+
+/* Guards against hosts that are all behind and refuse everything, because the
+ * only host that holds the newest version can run no requests. */
+static void test_hosts_behind_serve_if_nobody_can_confirm(void)
+{
+	fleet_set_upstream(&fleet, 0, "{\"draining\": true}");
+	fleet_set_relay(&fleet, 1, FLEET_LINK_STORE, "{\"cut\": true}");
+	fleet_put_large_config(&fleet, 7, "fresh", MORE_ROUTES);
+	g_assert_true(rig_wait_until(is_behind_peer, NULL, WAIT_MS));
+	rig_sleep_ms(PROPAGATION_MAX_MS);
+	g_assert_cmpuint(count_served("/patient/1", KEPT_KEY), ==, REQUESTS);
+}
+
 int main(int argc, char **argv)
 {
 	int result;
@@ -123,6 +142,8 @@
 	g_test_add_func("/stale-rules/removed", test_removed_rule_is_not_used);
 	g_test_add_func("/stale-rules/removed-key",
 			test_removed_key_is_not_accepted);
+	g_test_add_func("/stale-rules/nobody-confirms",
+			test_hosts_behind_serve_if_nobody_can_confirm);
 	result = g_test_run();
 	fleet_stop(&fleet);
 	return result;
