--- a/bench/capacity/bench_routes.c
+++ b/bench/capacity/bench_routes.c
@@ -10,7 +10,9 @@
  *	the platform's row, to put the first configuration in force, and to put
  *	one in force in which a single route has changed; and the memory that
  *	the daemon keeps for it. A second line shows the time of each step of
- *	adopting the changed configuration, each step run by itself.
+ *	adopting the changed configuration, each step run by itself. A third one
+ *	shows what peers send of it: the difference and the compressed body, with
+ *	their sizes and the times to encode and to decode them.
  */
 #include <glib.h>
 #include <malloc.h>
@@ -19,6 +21,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "comfreydockd/config/body_codec.h"
 #include "comfreydockd/config/check.h"
 #include "comfreydockd/config/model.h"
 #include "comfreydockd/config/store.h"
@@ -167,6 +170,67 @@
 	platform_manifest_reader_destroy(reader);
 }
 
+static char *make_body(int routes, int version)
+{
+	struct platform_manifest_reader *reader =
+		platform_manifest_reader_create(digest_key, NULL);
+	char *text = make_manifest(routes, version);
+	const char *error = NULL;
+	uint64_t number;
+	char *body;
+
+	g_assert_true(platform_manifest_read(reader, text, strlen(text),
+					     RETRY_PERCENT, &number, &body,
+					     &error));
+	platform_manifest_reader_destroy(reader);
+	g_free(text);
+	return body;
+}
+
+struct codec_cost {
+	double encode_ms;
+	double decode_ms;
+	size_t bytes;
+};
+
+static void time_codec(const char *base, const char *body, struct codec_cost *cost)
+{
+	for (int i = 0; i < ROUNDS; i++) {
+		double began = now_ms();
+		GBytes *frame = body_encode(base, body);
+		GByteArray *decoded;
+
+		cost->encode_ms += lap(&began) / ROUNDS;
+		decoded = body_decode(g_bytes_get_data(frame, NULL),
+				      g_bytes_get_size(frame), base,
+				      base ? strlen(base) : 0, strlen(body));
+		cost->decode_ms += lap(&began) / ROUNDS;
+		g_assert_cmpmem(decoded->data, decoded->len, body, strlen(body));
+		cost->bytes = g_bytes_get_size(frame);
+		g_byte_array_unref(decoded);
+		g_bytes_unref(frame);
+	}
+}
+
+static void run_codec(int routes)
+{
+	char *base = make_body(routes, 1);
+	char *body = make_body(routes, routes / 2);
+	struct codec_cost delta = {0};
+	struct codec_cost whole = {0};
+
+	time_codec(base, body, &delta);
+	time_codec(NULL, body, &whole);
+	printf("%6d routes, one changed, to peers: %zu bytes; difference %zu "
+	       "bytes, "
+	       "encode %.2f ms, decode %.2f ms; compressed %zu bytes, "
+	       "encode %.2f ms, decode %.2f ms\n",
+	       routes, strlen(body), delta.bytes, delta.encode_ms,
+	       delta.decode_ms, whole.bytes, whole.encode_ms, whole.decode_ms);
+	g_free(base);
+	g_free(body);
+}
+
 static void run_size(int routes)
 {
 	struct platform_manifest_reader *reader =
@@ -192,6 +256,7 @@
 	config_store_destroy(store);
 	platform_manifest_reader_destroy(reader);
 	run_steps(routes);
+	run_codec(routes);
 }
 
 int main(int argc, char **argv)
