--- a/comfreydockd/config/spread_fetch.c
+++ b/comfreydockd/config/spread_fetch.c
@@ -2,13 +2,11 @@
 
 #include <string.h>
 
-#include "comfreydockd/config/encodings.h"
 #include "comfreydockd/config/rows.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
 
-#define ANSWER_TIMEOUT_US (1500 * US_PER_MS)
 /* Delay between two successful fetches, so that one fetch gets several
  * changes. */
 #define PAUSE_MIN_US (100 * US_PER_MS)
@@ -18,8 +16,6 @@
 /* Each time this many fetches in a row have failed, the head is read from the
  * platform. */
 #define PEER_TRIES 3
-#define WANTED_MAX 64
-#define HELD_MAX 8
 
 bool config_fetch_is_behind(const struct config_spread *spread)
 {
@@ -76,58 +72,6 @@
 	return is_live_peer(spread, member) ? member : pick_random_peer(spread);
 }
 
-/* Names the bodies to which this daemon can apply differences. A difference saves
- * more than the names cost only where bodies are large.
- * RETURN VALUE: their number. */
-static size_t collect_held(const struct config_spread *spread,
-			   const Cfd__ConfigQuery *query, char **held)
-{
-	const GPtrArray *namespaces =
-		config_store_current(spread->store)->namespaces;
-	size_t count = 0;
-
-	for (guint i = 0; i < namespaces->len && count < HELD_MAX; i++) {
-		struct config_namespace *ns = namespaces->pdata[i];
-
-		if (config_query_wants(query, ns->name) &&
-		    strlen(ns->body) >= ENCODINGS_BODY_MIN_BYTES)
-			held[count++] = ns->sha256;
-	}
-	return count;
-}
-
-static void send_query(struct config_spread *spread, const struct member *member,
-		       enum config_fetch_step step, Cfd__ConfigQuery *query)
-{
-	char *held[HELD_MAX];
-
-	query->seq = ++spread->seq;
-	query->above_head = config_store_head(spread->store);
-	query->head_only = step == CONFIG_FETCH_HEAD;
-	query->takes_pieces = true;
-	query->takes_encoded = !spread->wants_plain;
-	if (query->takes_encoded && !query->head_only)
-		query->n_held_sha256 = collect_held(spread, query, held);
-	query->held_sha256 = held;
-	if (!spread->began_us)
-		spread->began_us = spread->now_us;
-	spread->step = step;
-	spread->head_before = query->above_head;
-	spread->give_up_us = spread->now_us + ANSWER_TIMEOUT_US;
-	g_strlcpy(spread->asked_host, member->host, sizeof(spread->asked_host));
-	counters.config_fetches++;
-	spread->ops->ask(member, query, spread->ops->data);
-}
-
-static void send_simple_query(struct config_spread *spread,
-			      const struct member *member,
-			      enum config_fetch_step step)
-{
-	Cfd__ConfigQuery query = CFD__CONFIG_QUERY__INIT;
-
-	send_query(spread, member, step, &query);
-}
-
 void config_fetch_note_failure(struct config_spread *spread, const char *why)
 {
 	unsigned int doublings = MIN(spread->tries, BACKOFF_MAX_DOUBLINGS);
@@ -206,45 +150,6 @@
 	g_free(key);
 }
 
-/* RETURN VALUE: whether a version of this namespace is missing. */
-static bool contains_name(GArray *missing, const char *name)
-{
-	for (guint i = 0; name && i < missing->len; i++) {
-		if (strcmp(g_array_index(missing, struct config_version, i).name,
-			   name) == 0)
-			return true;
-	}
-	return false;
-}
-
-/* RETURN VALUE: the number of namespaces put into names, at most WANTED_MAX. */
-static size_t collect_names(GArray *missing, char **names)
-{
-	size_t count = MIN(missing->len, WANTED_MAX);
-
-	for (size_t i = 0; i < count; i++)
-		names[i] =
-			(char *)g_array_index(missing, struct config_version, i).name;
-	return count;
-}
-
-static void ask_for_bodies(struct config_spread *spread,
-			   const struct member *member, GArray *missing)
-{
-	struct config_pieces *pieces = &spread->pieces;
-	Cfd__ConfigQuery query = CFD__CONFIG_QUERY__INIT;
-	char *wanted[WANTED_MAX];
-
-	if (contains_name(missing, pieces->name)) {
-		wanted[query.n_wanted++] = pieces->name;
-		config_pieces_fill_query(pieces, &query);
-	} else {
-		query.n_wanted = collect_names(missing, wanted);
-	}
-	query.wanted = wanted;
-	send_query(spread, member, CONFIG_FETCH_BODIES, &query);
-}
-
 /*
  * A reader of the platform's head is among the first to see a new head and
  * hardly any peer has the body yet, so it reads the object store first. The
@@ -273,7 +178,7 @@
 	}
 	peer = choose_peer(spread);
 	if (peer)
-		ask_for_bodies(spread, peer, missing);
+		config_query_send_wanted(spread, peer, missing);
 	else if (may_read)
 		read_object(spread,
 			    &g_array_index(missing, struct config_version, 0));
@@ -312,12 +217,12 @@
 	if (member) {
 		g_strlcpy(spread->startup_peer_hosts[spread->startup_peer_count++],
 			  member->host, MEMBER_HOST_MAX);
-		send_simple_query(spread, member, CONFIG_FETCH_HEAD);
+		config_query_send_simple(spread, member, CONFIG_FETCH_HEAD);
 		return;
 	}
 	member = choose_startup_peer(spread);
 	if (member)
-		send_simple_query(spread, member, CONFIG_FETCH_LISTING);
+		config_query_send_simple(spread, member, CONFIG_FETCH_LISTING);
 	else
 		config_fetch_note_failure(spread, "no live peer");
 }
@@ -327,7 +232,7 @@
 	struct member *member = choose_peer(spread);
 
 	if (member)
-		send_simple_query(spread, member, CONFIG_FETCH_LISTING);
+		config_query_send_simple(spread, member, CONFIG_FETCH_LISTING);
 	else
 		config_fetch_note_failure(spread, "no live peer");
 }
--- a/include/comfreydockd/config/spread_internal.h
+++ b/include/comfreydockd/config/spread_internal.h
@@ -3,10 +3,10 @@
  *	spread_internal - state of config_spread, shared by config/spread*.c
  *
  * DESCRIPTION
- *	spread.c decides when to read the platform; spread_fetch.c queries peers
- *	and the object store and handles their answers; spread_body.c decodes and
- *	adopts the bodies in them; spread_answer.c answers peers; spread_pieces.c
- *	splits and assembles large bodies.
+ *	spread.c decides when to read the platform; spread_fetch.c chooses whom
+ *	to ask and handles the answers; spread_query.c sends queries to peers;
+ *	spread_body.c decodes and adopts received bodies; spread_answer.c answers
+ *	peers; spread_pieces.c splits and assembles large bodies.
  */
 #ifndef COMFREYDOCKD_CONFIG_SPREAD_INTERNAL_H
 #define COMFREYDOCKD_CONFIG_SPREAD_INTERNAL_H
@@ -109,13 +109,25 @@
 
 bool config_fetch_is_behind(const struct config_spread *spread);
 
-/* RETURN VALUE: whether a query for bodies is for this namespace. */
-bool config_query_wants(const Cfd__ConfigQuery *query, const char *name);
-
 /* The fetch in progress has brought nothing, and the next one may be delayed. */
 void config_fetch_note_failure(struct config_spread *spread, const char *why);
 void config_fetch_note_success(struct config_spread *spread);
 
+/* spread_query.c */
+
+/* RETURN VALUE: whether a query asks for this namespace. */
+bool config_query_wants(const Cfd__ConfigQuery *query, const char *name);
+
+/* Sends a query for a head or a listing. */
+void config_query_send_simple(struct config_spread *spread,
+			      const struct member *member,
+			      enum config_fetch_step step);
+
+/* Sends a query for bodies of missing, an array of struct config_version. It
+ * continues the incomplete body if that is among them. */
+void config_query_send_wanted(struct config_spread *spread,
+			      const struct member *member, GArray *missing);
+
 /* spread_body.c */
 
 /* A body as it was received: its bytes, or frames to decode. */
