config/encodings: keep no difference that can't be sent, and publish a head once it is encoded

A difference larger than a piece is never sent, and eight of them from bodies that don't compress could hold 32 MB; it isn't kept now. A body of over 4 MiB doesn't travel between hosts, so it isn't encoded either: a receiver would refuse what comes out of the difference. And the head was published at the next tick after the encoding, up to 0.1 s later at each host on the way; the end of the last job publishes it now.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -11,6 +11,10 @@
 #include "common/counters.h"
 #include "common/key_text.h"
 
+/* If this many owners are behind as well, or all that can be tried, the call does
+ * better by the old rule than by none. */
+#define BEHIND_REFUSALS_MAX 3
+
 /* RETURN VALUE: the time left until the rule's target, at least 1; 0 if the
  * rule has no target. */
 static uint64_t call_target_left_us(const struct call *call, int64_t path_us)
@@ -23,10 +27,6 @@
 	return (uint64_t)MAX(left_us - path_us, 1);
 }
 
-/* If this many owners are behind as well, or all that can be tried, the call does
- * better by the old rule than by none. */
-#define BEHIND_REFUSALS_MAX 3
-
 /* A call that began before the configuration held here was adopted keeps its
  * rule, so it is not checked. */
 static void fill_rule_check(const struct call *call, Cfd__Attempt *out)
--- a/comfreydockd/config/encodings.c
+++ b/comfreydockd/config/encodings.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "comfreydockd/config/body_codec.h"
+#include "comfreydockd/config/spread.h"
 #include "common/counters.h"
 #include "common/slice.h"
 
@@ -27,6 +28,8 @@
 	struct slice_queue *slice_queue;
 	LIST_HEAD(, encoded) all;
 	unsigned int jobs; /* queued or running */
+	void (*handle_done)(void *data);
+	void *data;
 };
 
 struct encode_job {
@@ -58,11 +61,14 @@
 	g_free(encoded);
 }
 
-struct encodings *encodings_create(struct slice_queue *slice_queue)
+struct encodings *encodings_create(struct slice_queue *slice_queue,
+				   void (*handle_done)(void *data), void *data)
 {
 	struct encodings *encodings = g_new0(struct encodings, 1);
 
 	encodings->slice_queue = slice_queue;
+	encodings->handle_done = handle_done;
+	encodings->data = data;
 	LIST_INIT(&encodings->all);
 	return encodings;
 }
@@ -106,15 +112,25 @@
 	delta->frame = frame;
 }
 
+/* RETURN VALUE: the difference, or NULL if there is none that may be sent. */
+static GBytes *encode_delta(const struct encode_job *job)
+{
+	GBytes *delta = NULL;
+
+	if (job->from)
+		delta = body_encode(job->from->body, job->to->body);
+	if (delta && g_bytes_get_size(delta) > ENCODINGS_DELTA_MAX_BYTES)
+		g_clear_pointer(&delta, g_bytes_unref);
+	return delta;
+}
+
 static void run_encode_job(void *data)
 {
 	const struct encode_job *job = data;
-	GBytes *delta = NULL;
+	GBytes *delta = encode_delta(job);
 	GBytes *body = body_encode(NULL, job->to->body);
 	struct encoded *encoded;
 
-	if (job->from)
-		delta = body_encode(job->from->body, job->to->body);
 	counters.config_encodings++;
 	/* The namespace may have changed again, or shrunk, meanwhile. */
 	encoded = find_name(job->encodings, job->to->name);
@@ -129,13 +145,14 @@
 	}
 	g_clear_pointer(&delta, g_bytes_unref);
 	g_clear_pointer(&body, g_bytes_unref);
+	if (--job->encodings->jobs == 0)
+		job->encodings->handle_done(job->encodings->data);
 }
 
 static void free_encode_job(void *data)
 {
 	struct encode_job *job = data;
 
-	job->encodings->jobs--;
 	if (job->from)
 		config_namespace_unref(job->from);
 	config_namespace_unref(job->to);
@@ -169,9 +186,11 @@
 			     struct config_namespace *ns)
 {
 	struct encoded *encoded = find_name(encodings, ns->name);
+	size_t size = strlen(ns->body);
 	struct config_namespace *from;
 
-	if (strlen(ns->body) < ENCODINGS_BODY_MIN_BYTES) {
+	if (size < ENCODINGS_BODY_MIN_BYTES ||
+	    size > CONFIG_SPREAD_BODY_MAX_BYTES) {
 		if (encoded)
 			encoded_free(encoded);
 		return;
--- a/comfreydockd/config/spread.c
+++ b/comfreydockd/config/spread.c
@@ -158,6 +158,11 @@
 	g_strlcpy(spread->hint_host, from_host, sizeof(spread->hint_host));
 }
 
+static void handle_encoded(void *data)
+{
+	config_spread_publish_head(data);
+}
+
 static void handle_changed(struct config_snapshot *snapshot, void *data)
 {
 	struct config_spread *spread = data;
@@ -209,7 +214,8 @@
 	g_strlcpy(spread->host, options->host, sizeof(spread->host));
 	g_strlcpy(spread->domain, options->domain, sizeof(spread->domain));
 	config_pieces_init(&spread->pieces);
-	spread->encodings = encodings_create(options->slice_queue);
+	spread->encodings =
+		encodings_create(options->slice_queue, handle_encoded, spread);
 	config_store_observe(options->store, &observer);
 	return spread;
 }
--- a/include/comfreydockd/config/encodings.h
+++ b/include/comfreydockd/config/encodings.h
@@ -6,7 +6,8 @@
  *	For each namespace with a body of at least ENCODINGS_BODY_MIN_BYTES it
  *	holds the compressed body and the differences between the latest
  *	versions that this daemon has adopted. They are encoded by jobs, in the
- *	order of the adoptions.
+ *	order of the adoptions. A body of over CONFIG_SPREAD_BODY_MAX_BYTES is
+ *	not sent to peers, so it is not encoded.
  *
  *	LOAD PATTERN: operators change one of thousands of routes, again and
  *	again, and each change goes to each host.
@@ -26,10 +27,14 @@
 
 /* A smaller body is sent as it is. */
 #define ENCODINGS_BODY_MIN_BYTES (16 * 1024)
+/* A larger difference is not kept: the compressed body is sent in its place. */
+#define ENCODINGS_DELTA_MAX_BYTES (64 * 1024)
 /* Differences kept of one namespace. */
 #define ENCODINGS_DELTAS_MAX 8
 
-struct encodings *encodings_create(struct slice_queue *slice_queue);
+/* handle_done is called each time that no version is left to encode. */
+struct encodings *encodings_create(struct slice_queue *slice_queue,
+				   void (*handle_done)(void *data), void *data);
 void encodings_destroy(struct encodings *encodings);
 
 /* Begins to encode what is new in the snapshot that is in force now. */
--- a/tests/test_encodings.c
+++ b/tests/test_encodings.c
@@ -9,6 +9,11 @@
 #define SERIES_IN_CI 60
 #define VERSIONS 14 /* of a series; more than there are differences kept */
 
+static void handle_done(void *data)
+{
+	(void)data;
+}
+
 /* RETURN VALUE: the namespace in force, with a reference. */
 static struct config_namespace *put_in_force(struct encodings *encodings,
 					     const char *body)
@@ -94,7 +99,7 @@
 
 static void run_series(void)
 {
-	struct encodings *encodings = encodings_create(NULL);
+	struct encodings *encodings = encodings_create(NULL, handle_done, NULL);
 	GPtrArray *routes = g_ptr_array_new_with_free_func(g_free);
 	char *bodies[VERSIONS];
 
@@ -135,7 +140,7 @@
  * that fits a packet or two. */
 static void test_other_bodies_get_no_difference(void)
 {
-	struct encodings *encodings = encodings_create(NULL);
+	struct encodings *encodings = encodings_create(NULL, handle_done, NULL);
 	char *large = g_strnfill(ENCODINGS_BODY_MIN_BYTES, 'a');
 	struct config_namespace *first = put_in_force(encodings, large);
 	struct config_namespace *second;
