--- a/comfreydockd/config/spread_answer.c
+++ b/comfreydockd/config/spread_answer.c
@@ -20,6 +20,15 @@
 	return true;
 }
 
+bool config_query_wants(const Cfd__ConfigQuery *query, const char *name)
+{
+	for (size_t i = 0; i < query->n_wanted; i++) {
+		if (strcmp(query->wanted[i], name) == 0)
+			return true;
+	}
+	return query->n_wanted == 0;
+}
+
 static bool is_wanted(const Cfd__ConfigQuery *query,
 		      const struct config_version *version)
 {
--- a/comfreydockd/config/spread_query.c
+++ b/comfreydockd/config/spread_query.c
@@ -10,15 +10,6 @@
 #define WANTED_MAX 64
 #define HELD_MAX 8
 
-bool config_query_wants(const Cfd__ConfigQuery *query, const char *name)
-{
-	for (size_t i = 0; i < query->n_wanted; i++) {
-		if (strcmp(query->wanted[i], name) == 0)
-			return true;
-	}
-	return query->n_wanted == 0;
-}
-
 /* Names the bodies to which this daemon can apply differences. A difference saves
  * more than the names cost only where bodies are large.
  * RETURN VALUE: their number. */
--- a/include/comfreydockd/config/spread_internal.h
+++ b/include/comfreydockd/config/spread_internal.h
@@ -115,9 +115,6 @@
 
 /* spread_query.c */
 
-/* RETURN VALUE: whether a query asks for this namespace. */
-bool config_query_wants(const Cfd__ConfigQuery *query, const char *name);
-
 /* Sends a query for a head or a listing. */
 void config_query_send_simple(struct config_spread *spread,
 			      const struct member *member,
@@ -156,6 +153,11 @@
 bool received_body_adopt_line(struct config_spread *spread,
 			      const Cfd__ConfigLine *line);
 
+/* spread_answer.c */
+
+/* RETURN VALUE: whether a query asks for this namespace. */
+bool config_query_wants(const Cfd__ConfigQuery *query, const char *name);
+
 /* spread_pieces.c */
 
 void config_pieces_init(struct config_pieces *pieces);
