config/store: one time to come back for a version that is on its way

Found in reading the change again: the entry and the owner each had 300 ms for the same reason. They use CONFIG_BEHIND_COME_BACK_MS of the store's header now, and CONFIG_HOST_MAX stands with the other constants of its file. No change of behaviour.

--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -21,8 +21,6 @@
 /* For a daemon without a configuration, or with one that was not confirmed
  * lately as the newest (CONFIG_DOUBT_UNCONFIRMED). */
 #define CONFIG_UNCONFIRMED_COME_BACK_MS 1000
-/* A version that is being fetched has usually arrived after this time. */
-#define CONFIG_BEHIND_COME_BACK_MS 300
 /* For a rule without a deadline, so that no call stays forever. */
 #define DEFAULT_DEADLINE_MS 30000
 /* Size of a host or a path in a log line. */
--- a/comfreydockd/config/model.c
+++ b/comfreydockd/config/model.c
@@ -7,6 +7,8 @@
 #include "comfreydockd/config/routes.h"
 #include "common/slice.h"
 
+#define CONFIG_HOST_MAX 256 /* with the terminating null byte */
+
 #define HASH_CHUNK_BYTES ((size_t)(64 * 1024)) /* takes about 0.2 ms */
 
 void config_body_sha256(const char *body, size_t size, char hex[65])
@@ -125,8 +127,6 @@
 	g_free(upstreams);
 }
 
-#define CONFIG_HOST_MAX 256 /* with the terminating null byte */
-
 struct config_namespace *config_namespace_create(void)
 {
 	struct config_namespace *ns = g_new0(struct config_namespace, 1);
--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "comfreydockd/config/rule_check.h"
+#include "comfreydockd/config/store.h"
 #include "comfreydockd/decide/deadline.h"
 #include "comfreydockd/peer/fields.h"
 #include "comfreydockd/upstream/gate.h"
@@ -8,9 +9,6 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
-/* The entry usually has the newer configuration after this time. */
-#define STALE_RETRY_AFTER_MS 300
-
 static bool owner_takes_attempts(const struct owner *owner, const char *group)
 {
 	return owner->state == OWNER_UP && !owner->is_evacuated &&
@@ -106,7 +104,7 @@
 	stale = check_rule(owner, request);
 	if (stale != CFD__REASON__REASON_UNSPECIFIED) {
 		attempt_owner_step(&attempt->state, OWNER_REFUSE);
-		attempt_refuse(attempt, stale, STALE_RETRY_AFTER_MS);
+		attempt_refuse(attempt, stale, CONFIG_BEHIND_COME_BACK_MS);
 		return;
 	}
 	if (owner_quarantine_admit_arrival(owner, attempt))
--- a/include/comfreydockd/config/store.h
+++ b/include/comfreydockd/config/store.h
@@ -53,6 +53,9 @@
  * still lacks it must not run requests by the rules that it removed. */
 #define CONFIG_STALE_AFTER_US ((int64_t)1500 * 1000)
 
+/* A version that is being fetched has usually arrived after this time. */
+#define CONFIG_BEHIND_COME_BACK_MS 300
+
 /* A head that no daemon has named as its own for this long may be out of reach:
  * those that hold it are gone or cut off. */
 #define CONFIG_HEAD_NAMED_MAX_AGE_US ((int64_t)3 * 1000 * 1000)
