--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -64,6 +64,7 @@
 static void call_abort_answer(struct call *call)
 {
 	counters.caller_aborted++;
+	outcome_check_overdue(call, "aborted");
 	call->sink->handle_abort(call->sink_data);
 	call_free(call);
 }
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -114,6 +114,7 @@
 						     DEFAULT_DEADLINE_MS;
 
 	call->began_us = request->arrived_us;
+	call->waited_us = clock_mono_us() - request->arrived_us;
 	call->deadline_us = deadline_at(given_ms < 0 ? -1 : given_ms * US_PER_MS,
 					rule_ms, call->began_us);
 }
@@ -177,7 +178,8 @@
 		LOG_STR("group", call->group), LOG_INT("class", call->class),
 		LOG_INT("head", config_store_head(call->entry->daemon->config)),
 		LOG_INT("left_us", call->deadline_us - call->began_us),
-		LOG_INT("in_front", request->in_front));
+		LOG_INT("in_front", request->in_front),
+		LOG_INT("waited_us", call->waited_us));
 }
 
 static struct call *call_create(struct entry *entry,
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -11,6 +11,9 @@
 #define STATUS_LOST 502
 #define STATUS_TIMEOUT 504
 
+/* A call that ends later than this after its deadline is overdue. */
+#define OVERDUE_US (250 * US_PER_MS)
+
 static const char *const reason_names[] = {
 	[CFD__REASON__REASON_UNSPECIFIED] = "unavailable",
 	[CFD__REASON__REASON_BUSY] = "busy",
@@ -86,9 +89,24 @@
 	fields_finish(&reply.fields);
 }
 
+void outcome_check_overdue(const struct call *call, const char *outcome)
+{
+	int64_t late_us = clock_mono_us() - call->deadline_us;
+
+	if (late_us <= OVERDUE_US)
+		return;
+	counters.caller_overdue++;
+	call_log_event(call, EV_ENTRY_OVERDUE, LOG_STR("outcome", outcome),
+		       LOG_STR("rule", call->rule->name),
+		       LOG_INT("late_us", late_us),
+		       LOG_INT("waited_us", call->waited_us),
+		       LOG_STR("attempts", call->history));
+}
+
 void outcome_count(const struct call *call, struct latency *latency,
 		   const char *outcome)
 {
+	outcome_check_overdue(call, outcome);
 	latency_record_us(latency, clock_mono_us() - call->began_us);
 	tally_add(TALLY_CALLS, call->rule->name, outcome);
 }
--- a/comfreydockd/config/follow_poll.c
+++ b/comfreydockd/config/follow_poll.c
@@ -10,6 +10,8 @@
 
 /* How long an open watch may take to report a change that is known already. */
 #define WATCH_REPORT_MAX_US ((int64_t)2000 * 1000)
+/* A daemon that has sent no poll for this long logs its next one. */
+#define POLLER_PAUSE_US (3 * POLL_INTERVAL_US)
 /* Positions change as daemons come and go. */
 #define POSITION_MAX_AGE_US POLL_INTERVAL_US
 
@@ -48,6 +50,15 @@
 		counters.config_fetch_failures++;
 }
 
+static void log_poller(const struct config_follow *follow, unsigned int position)
+{
+	if (clock_boot_us() - follow->poll_sent_us < POLLER_PAUSE_US)
+		return;
+	log_event(EV_CONFIG_POLLER, LOG_INT("position", position),
+		  LOG_INT("confirmed_age_us",
+			  config_store_confirmed_age_us(follow->options.store)));
+}
+
 static void send_poll(struct config_follow *follow)
 {
 	struct follow_poll *poll = g_new0(struct follow_poll, 1);
@@ -96,6 +107,7 @@
 				     follow->poll_sent_us);
 
 	if (due_us <= now_us) {
+		log_poller(follow, position);
 		send_poll(follow);
 		due_us = poll_due_us(position, 0, now_us);
 	}
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -86,6 +86,7 @@
 	char trace[TIMELINE_TRACE_MAX];
 	uint32_t depth;
 	int64_t began_us;
+	int64_t waited_us; /* in its connection, since began_us */
 	int64_t deadline_us;
 	char *method;
 	char *target;
@@ -221,6 +222,9 @@
 void outcome_count(const struct call *call, struct latency *latency,
 		   const char *outcome);
 
+/* Counts and logs a call that ends well after its deadline. */
+void outcome_check_overdue(const struct call *call, const char *outcome);
+
 /* Counts the call for its organisation, if it has one. reason: of a refusal. */
 void outcome_count_organisation(const struct call *call,
 				enum organisation_outcome outcome,
