--- /dev/null
+++ b/tests/test_call.c
@@ -0,0 +1,319 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "comfreydockd/caller/listener.h"
+#include "comfreydockd/member/member.h"
+#include "comfreydockd/peer/peers.h"
+#include "common/clock.h"
+#include "common/socket.h"
+#include "entry_fixture.h"
+#include "paused_clock.h"
+
+/*
+ * Requests over a socket to an entry whose only owner does what their paths
+ * ask for.
+ */
+
+#define HOST "esja-02" /* the host of the fixture */
+#define DEADLINE_MS 800
+/* A caller has its final answer at most this long after the deadline. */
+#define PAST_DEADLINE_MAX_MS 500
+#define STEP_MS 10
+#define SHORT_BYTES 400
+#define LONG_BYTES 90000
+#define PART_BYTES 100
+
+#define CONFIG                                                         \
+	"{\"namespace\":\"n\",\"services\":{\"s\":{\"hosts\":[\"h\"]," \
+	"\"group\":\"g\",\"rules\":[{\"name\":\"r\",\"path_prefix\":"  \
+	"\"/\",\"idempotent\":true,\"deadline_ms\":" G_STRINGIFY(DEADLINE_MS) "}]}}}"
+
+struct fixture {
+	struct entry_fixture entry;
+	struct listener *listener;
+	int fd; /* the caller's end */
+	GString *answers;
+	bool is_closed;
+	/* The owner's end of the latest attempt. */
+	struct peer *peer;
+	uint64_t seq;
+	unsigned int attempts;
+};
+
+static void send_head(const struct fixture *f, int64_t length)
+{
+	Cfd__Answer answer = CFD__ANSWER__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	answer.seq = f->seq;
+	answer.status = 200;
+	answer.length = length;
+	frame.kind_case = CFD__FRAME__KIND_ANSWER;
+	frame.answer = &answer;
+	peer_send(f->peer, &frame);
+}
+
+static void send_part(const struct fixture *f, size_t size, bool ends)
+{
+	Cfd__AnswerBody body = CFD__ANSWER_BODY__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+	char *bytes = g_strnfill(size, 'b');
+
+	body.seq = f->seq;
+	body.data.data = (uint8_t *)bytes;
+	body.data.len = size;
+	body.ends = ends;
+	frame.kind_case = CFD__FRAME__KIND_ANSWER_BODY;
+	frame.answer_body = &body;
+	peer_send(f->peer, &frame);
+	g_free(bytes);
+}
+
+/* Answers to /silent are left to the test. */
+static void handle_attempt(struct peer *peer, Cfd__Frame *frame, void *data)
+{
+	struct fixture *f = data;
+	const char *target;
+
+	if (frame->kind_case != CFD__FRAME__KIND_ATTEMPT)
+		return;
+	target = frame->attempt->target;
+	f->peer = peer;
+	f->seq = frame->attempt->seq;
+	f->attempts++;
+	if (strcmp(target, "/short-head") == 0)
+		send_head(f, SHORT_BYTES);
+	if (strcmp(target, "/long-head") == 0)
+		send_head(f, LONG_BYTES);
+	if (strcmp(target, "/short-part") == 0) {
+		send_head(f, SHORT_BYTES);
+		send_part(f, PART_BYTES, false);
+	}
+	if (strcmp(target, "/long-part") == 0) {
+		send_head(f, LONG_BYTES);
+		send_part(f, PART_BYTES, false);
+	}
+}
+
+static void handle_lost(struct peer *peer, const char *error, void *data)
+{
+	struct fixture *f = data;
+
+	(void)peer;
+	(void)error;
+	f->peer = NULL;
+}
+
+static void add_member(struct fixture *f)
+{
+	char *groups[] = {(char *)"g", NULL};
+	struct member member = {.host = HOST,
+				.address = "127.0.0.1",
+				.incarnation = 1,
+				.domain = "d",
+				.region = "r",
+				.peer_port = 1,
+				.service_state = MEMBER_SERVICE_UP,
+				.groups = groups,
+				.slots = 64};
+
+	member_table_update(f->entry.daemon.members, &member, clock_mono_us());
+}
+
+static void set_up(struct fixture *f, gconstpointer unused)
+{
+	struct peers_role role = {
+		.handle_frame = handle_attempt,
+		.handle_lost = handle_lost,
+		.data = f,
+	};
+	struct settings *settings = &f->entry.settings;
+
+	settings->domain = (char *)"d";
+	settings->caller.address = (char *)"127.0.0.1";
+	settings->max_connections = 8;
+	settings->max_head_bytes = 4096;
+	entry_fixture_set_up(&f->entry, unused);
+	entry_fixture_adopt(&f->entry, 1, CONFIG);
+	add_member(f);
+	peers_set_owner_role(f->entry.daemon.peers, &role);
+	f->listener = listener_create(&f->entry.daemon);
+	g_assert_nonnull(f->listener);
+	f->fd = socket_connect("127.0.0.1", listener_port(f->listener));
+	g_assert_cmpint(f->fd, >=, 0);
+	f->answers = g_string_new(NULL);
+}
+
+static void tear_down(struct fixture *f, gconstpointer unused)
+{
+	close(f->fd);
+	listener_destroy(f->listener);
+	entry_fixture_tear_down(&f->entry, unused);
+	g_string_free(f->answers, TRUE);
+}
+
+static void read_answers(struct fixture *f)
+{
+	char bytes[65536];
+	ssize_t size;
+
+	while ((size = recv(f->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		g_string_append_len(f->answers, bytes, size);
+	f->is_closed |= size == 0;
+}
+
+/* Lets all that is due happen. */
+static void run_due(struct fixture *f)
+{
+	for (int i = 0; i < 10; i++) {
+		ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
+		read_answers(f);
+	}
+}
+
+static void run_for(struct fixture *f, int ms)
+{
+	for (int i = 0; i < ms; i += STEP_MS) {
+		paused_clock_advance_us(STEP_MS * US_PER_MS);
+		run_due(f);
+	}
+}
+
+static void send_requests(struct fixture *f, const char *target, int count)
+{
+	GString *text = g_string_new(NULL);
+
+	for (int i = 0; i < count; i++)
+		g_string_append_printf(
+			text, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target);
+	g_assert_cmpint(send(f->fd, text->str, text->len, MSG_NOSIGNAL), ==,
+			text->len);
+	g_string_free(text, TRUE);
+	run_due(f);
+}
+
+static unsigned int count_answers(const struct fixture *f, const char *status)
+{
+	char *line = g_strconcat("HTTP/1.1 ", status, NULL);
+	const char *at = f->answers->str;
+	unsigned int count = 0;
+
+	for (; (at = strstr(at, line)); at++)
+		count++;
+	g_free(line);
+	return count;
+}
+
+/* Guards against a short answer that stops in the middle and leaves its caller
+ * without any answer for seconds past the deadline. */
+static void test_short_answer_stops(struct fixture *f, gconstpointer target)
+{
+	send_requests(f, target, 1);
+	run_for(f, DEADLINE_MS - STEP_MS);
+	g_assert_cmpuint(f->answers->len, ==, 0);
+	run_for(f, STEP_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+	g_assert_false(f->is_closed);
+}
+
+/* The same for an answer that begins shortly before the deadline. */
+static void test_late_answer_stops(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_requests(f, "/silent", 1);
+	run_for(f, DEADLINE_MS - 3 * STEP_MS);
+	send_head(f, SHORT_BYTES);
+	send_part(f, PART_BYTES, false);
+	run_for(f, 3 * STEP_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+}
+
+/* Guards against a short answer that comes byte by byte and is held back until
+ * it is whole. */
+static void test_short_answer_is_slow(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_requests(f, "/short-head", 1);
+	for (int ms = 0; ms < DEADLINE_MS + PAST_DEADLINE_MAX_MS;
+	     ms += 2 * STEP_MS) {
+		if (f->answers->len == 0)
+			send_part(f, 1, false);
+		run_for(f, 2 * STEP_MS);
+	}
+	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+}
+
+/* Guards against a long answer that stops and keeps its caller waiting. */
+static void test_long_answer_stops(struct fixture *f, gconstpointer target)
+{
+	send_requests(f, target, 1);
+	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_true(f->is_closed);
+	g_assert_cmpuint(f->answers->len, <, LONG_BYTES);
+}
+
+/* Guards against a long answer that is cut off although it still comes. */
+static void test_long_answer_goes_on(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_requests(f, "/long-head", 1);
+	for (int sent = 0; sent < LONG_BYTES; sent += LONG_BYTES / 30) {
+		run_for(f, 100);
+		send_part(f, LONG_BYTES / 30, false);
+	}
+	send_part(f, 0, true);
+	run_due(f);
+	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	g_assert_cmpuint(f->answers->len, >, LONG_BYTES);
+	g_assert_false(f->is_closed);
+}
+
+/* Guards against requests whose time begins only when the daemon reads them,
+ * after those in front are answered; also against a late start of such a
+ * request. */
+static void test_unread_requests(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_requests(f, "/silent", 20);
+	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(count_answers(f, "50"), ==, 20);
+	g_assert_cmpuint(f->attempts, <, 20);
+}
+
+/* Guards against time that a request is charged for, although it was sent after
+ * others that waited. */
+static void test_later_requests(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_requests(f, "/silent", 9);
+	run_for(f, DEADLINE_MS / 2);
+	send_requests(f, "/silent", 1);
+	run_for(f, DEADLINE_MS);
+	g_assert_cmpuint(count_answers(f, "50"), ==, 9);
+	run_for(f, DEADLINE_MS / 2);
+	g_assert_cmpuint(count_answers(f, "50"), ==, 10);
+	g_assert_cmpuint(f->attempts, ==, 9);
+}
+
+#define ADD(name, data, function) \
+	g_test_add(name, struct fixture, data, set_up, function, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/call/short-answer-stops/head", "/short-head",
+	    test_short_answer_stops);
+	ADD("/call/short-answer-stops/part", "/short-part",
+	    test_short_answer_stops);
+	ADD("/call/late-answer-stops", NULL, test_late_answer_stops);
+	ADD("/call/short-answer-slow", NULL, test_short_answer_is_slow);
+	ADD("/call/long-answer-stops/head", "/long-head", test_long_answer_stops);
+	ADD("/call/long-answer-stops/part", "/long-part", test_long_answer_stops);
+	ADD("/call/long-answer-goes-on", NULL, test_long_answer_goes_on);
+	ADD("/call/unread-requests", NULL, test_unread_requests);
+	ADD("/call/later-requests", NULL, test_later_requests);
+	return g_test_run();
+}
--- a/tests/test_poll.c
+++ b/tests/test_poll.c
@@ -114,11 +114,23 @@
 	g_assert_cmpuint(all.polls, <=, SECONDS * 34 / 10);
 }
 
+/* Guards against a change that comes an interval later than others because the
+ * first daemon that polls is gone at that moment. */
+static void test_first_daemon_is_gone(void)
+{
+	struct installation all = create(8, 300 * 1000);
+
+	all.pollers[0].is_cut = true;
+	run(&all);
+	g_assert_cmpint(all.max_gap_us, <=, POLL_INTERVAL_US + STEP_US);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/poll/bounded", test_calls_are_bounded);
 	g_test_add_func("/poll/quick-gossip", test_quick_gossip_saves_calls);
 	g_test_add_func("/poll/takes-over", test_next_daemon_takes_over);
+	g_test_add_func("/poll/first-gone", test_first_daemon_is_gone);
 	return g_test_run();
 }
