caller/call: end an answer that stops within half a second of its deadline

What callers saw: no answer for up to 5 s past the timeout of their route (0.8 s: 2.0 to 5.6 s), with 10 real daemons and an upstream that stops in the middle of its answers. Cause: once an answer's head was there, only a silence of 2 s ended it. A short answer is withheld until it is whole, and the part withheld counted as bytes that the caller doesn't read, which stopped that clock; the owner then ended the run 5 s after its last byte. Change: an answer that is withheld is bound by the deadline, as its caller has nothing yet: 200 ms past it, or past its head if a daemon that stood still reads that later. One that is being delivered may pause for 400 ms after the deadline, not 2 s; it goes on as long as it makes progress. Conclusion: no answer without progress lasts past the deadline by half a second.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -260,19 +260,25 @@
 	call_decide_retry(call, RETRY_OUTCOME_UNKNOWN, state);
 }
 
-/* Aborts the call if its answer has stalled, see deadline_idle_left_us().
- * This may free the call, but not when its answer has just begun. */
-static void call_check_stalled_answer(struct call *call)
+static int64_t call_answer_left_us(struct call *call, int64_t now)
 {
-	int64_t now = clock_mono_us();
-	int64_t left_us;
-
+	if (call->answer_is_withheld)
+		return deadline_withheld_left_us(
+			call->deadline_us, call->answering_attempt->head_us, now);
 	/* While bytes wait for the caller, the caller causes the silence. The
 	 * owner then aborts the answer if the caller reads nothing for too
 	 * long, see upstream/sweep.c. */
 	if (call->unread > 0)
 		call->heard_us = now;
-	left_us = deadline_idle_left_us(call->deadline_us, call->heard_us, now);
+	return deadline_idle_left_us(call->deadline_us, call->heard_us, now);
+}
+
+/* Aborts the call if its answer has stalled or comes too late. This may free the
+ * call, but not when its answer has just begun. */
+static void call_check_stalled_answer(struct call *call)
+{
+	int64_t left_us = call_answer_left_us(call, clock_mono_us());
+
 	if (left_us > 0) {
 		call_start_timer(call, &call->deadline_timer, left_us);
 		return;
@@ -303,6 +309,8 @@
 	call->answering_attempt = attempt;
 	call->status = answer->status;
 	call->heard_us = attempt->head_us;
+	call->answer_is_withheld = answer->length >= 0 &&
+				   answer->length <= ENTRY_WITHHELD_ANSWER_MAX;
 	call_check_stalled_answer(call);
 	ev_timer_stop(loop, &call->hedge_timer);
 	call_stop_patience(call);
--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -7,8 +7,6 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
-/* An answer up to this size is written only once it is complete. */
-#define BUFFERED_ANSWER_MAX (16 * 1024)
 #define STATUS_LOST 502
 
 struct caller_request *request_create(struct connection *connection)
@@ -144,8 +142,9 @@
 	if (!request->has_answer)
 		return false;
 	return request->answer_complete ||
-	       request_unwritten(request) >= BUFFERED_ANSWER_MAX ||
-	       request->length < 0 || request->length > BUFFERED_ANSWER_MAX;
+	       request_unwritten(request) >= ENTRY_WITHHELD_ANSWER_MAX ||
+	       request->length < 0 ||
+	       request->length > ENTRY_WITHHELD_ANSWER_MAX;
 }
 
 /* The time to come back counts from the moment that the refusal is sent. */
--- a/comfreydockd/decide/deadline.c
+++ b/comfreydockd/decide/deadline.c
@@ -122,6 +122,13 @@
 	return MAX(deadline_us, last_data_us + DEADLINE_IDLE_US) - now_us;
 }
 
+int64_t deadline_withheld_left_us(int64_t deadline_us, int64_t head_us,
+				  int64_t now_us)
+{
+	return deadline_after(MAX(deadline_us, head_us), DEADLINE_WITHHELD_US) -
+	       now_us;
+}
+
 bool deadline_is_overdue(int64_t started_us, int64_t deadline_us, int64_t now_us)
 {
 	return now_us - started_us >= deadline_remaining_us(deadline_us, now_us);
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -122,6 +122,7 @@
 	size_t consumed; /* sent to the caller, window not yet extended */
 	size_t unread; /* bytes of the answer that wait for the caller */
 	int64_t heard_us; /* when the last part of the answer came */
+	bool answer_is_withheld; /* from the caller, until it is complete */
 	ev_timer deadline_timer;
 	ev_timer retry_timer;
 	ev_timer hedge_timer;
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -37,6 +37,10 @@
 	const char *text;
 };
 
+/* A sink withholds an answer whose length is known and at most this until it is
+ * complete. */
+#define ENTRY_WITHHELD_ANSWER_MAX (16 * 1024)
+
 struct call_sink {
 	/* The head of an answer; length is -1 if unknown. It may move the
 	 * fields out and leave them empty. */
--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -52,9 +52,11 @@
 #define DEADLINE_OVERDUE_REPLY_MIN_US ((int64_t)10000)
 
 /* An answer that has begun may last beyond the deadline, but must not pause for
- * longer than this after it. Retransmission of a lost segment takes far
- * less. */
-#define DEADLINE_IDLE_US ((int64_t)2 * 1000 * 1000)
+ * longer than this after it. A kernel retransmits a lost segment after 200 ms. */
+#define DEADLINE_IDLE_US ((int64_t)400 * 1000)
+/* An answer of which the caller has no part yet must be whole this long after the
+ * deadline, or after its head if that was read later. */
+#define DEADLINE_WITHHELD_US ((int64_t)200 * 1000)
 
 /* Round-trip estimate for one peer. Zero-initialised. */
 struct deadline_rtt {
@@ -119,17 +121,24 @@
 int64_t deadline_overdue_reply_us(const struct deadline_rtt *rtt);
 
 /*
- * Returns how long an answer that has begun may stay idle. The deadline covers
- * only the head: a long answer may take its time, but must make progress. An
- * upstream that stops in the middle of an answer resets nothing. Without this
- * limit its caller would wait forever, with a connection and a slot held at
- * both ends; the fault shows as slots that never become free again.
+ * deadline_idle_left_us() returns how long an answer that is being delivered may
+ * stay idle. The deadline covers only its head: a long answer may take its time,
+ * but must make progress. An upstream that stops in the middle of an answer
+ * resets nothing. Without this limit its caller would wait forever, with a
+ * connection and a slot held at both ends; the fault shows as slots that never
+ * become free again.
+ *
+ * deadline_withheld_left_us() returns how long to wait for the rest of an answer
+ * that is withheld from its caller until it is whole. To the caller there is no
+ * answer so far, so the deadline covers all of it.
  *
  * RETURN VALUE
  *	0 or less: the answer must be aborted.
  */
 int64_t deadline_idle_left_us(int64_t deadline_us, int64_t last_data_us,
 			      int64_t now_us);
+int64_t deadline_withheld_left_us(int64_t deadline_us, int64_t head_us,
+				  int64_t now_us);
 
 /* Returns true if the work has run for at least as long as time remains. */
 bool deadline_is_overdue(int64_t started_us, int64_t deadline_us, int64_t now_us);
--- a/tests/test_deadline.c
+++ b/tests/test_deadline.c
@@ -155,6 +155,20 @@
 			==, due_us);
 }
 
+/* Guards against an answer that is lost although it was whole in time: a daemon
+ * that stood still reads its head only after the deadline. */
+static void test_withheld_answer_has_time(void)
+{
+	int64_t late_us = 1000 + 10 * DEADLINE_WITHHELD_US;
+
+	g_assert_cmpint(deadline_withheld_left_us(1000, late_us, late_us), ==,
+			DEADLINE_WITHHELD_US);
+	g_assert_cmpint(deadline_withheld_left_us(1000, 10, 1000), ==,
+			DEADLINE_WITHHELD_US);
+	g_assert_cmpint(deadline_withheld_left_us(INT64_MAX, 10, 1000), ==,
+			INT64_MAX - 1000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -168,5 +182,7 @@
 	g_test_add_func("/deadline/overdue", test_started_late_is_not_overdue);
 	g_test_add_func("/deadline/stalled-answer",
 			test_stalled_answer_is_aborted);
+	g_test_add_func("/deadline/withheld-answer",
+			test_withheld_answer_has_time);
 	return g_test_run();
 }
