caller/connection: keep the wake of a request that is refused as it is parsed

What callers saw: a pipelined request that had to wait for those in front, and was refused at once when its turn came (no rule matches, or the configuration is on its way), got no answer until its caller sent something or went away. Cause: handle_write() parsed further requests and then stopped the write watcher, as there was nothing to write. ev_io_stop() also drops the event that connection_wake() had fed for the refusal. Change: the watcher is updated before parsing. Evidence: /call/waiting-refused failed before (no 404 in 0.5 s past the deadline of the one in front). It is the same fault for each request that is begun from handle_write(). Conclusion: a refusal is sent whenever the request was parsed.

--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -294,10 +294,12 @@
 		connection_start_linger(connection);
 	else if (connection->lingers && connection->out->len == 0)
 		connection_end_output(connection);
-	else if (!connection->lingers)
+	connection_update_write_event(connection);
+	/* Stopping the watcher also drops a wake, and a request that is refused
+	 * as it is parsed wakes the connection. So parsing comes last. */
+	if (!connection->lingers)
 		connection_parse(connection);
 	connection_update_read_event(connection);
-	connection_update_write_event(connection);
 }
 
 /* Timeouts. */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -271,6 +271,23 @@
 	g_assert_false(f->is_closed);
 }
 
+/* Guards against a request that waited for those in front, is refused at once
+ * when its turn comes, and gets no answer. */
+static void test_waiting_request_is_refused(struct fixture *f,
+					    gconstpointer unused)
+{
+	static const char unmatched[] =
+		"GET /none HTTP/1.1\r\nHost: other\r\n\r\n";
+
+	(void)unused;
+	send_requests(f, "/silent", 1);
+	g_assert_cmpint(send(f->fd, unmatched, strlen(unmatched), MSG_NOSIGNAL),
+			==, strlen(unmatched));
+	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(count_answers(f, "504"), ==, 1);
+	g_assert_cmpuint(count_answers(f, "404"), ==, 1);
+}
+
 /* Guards against requests whose time begins only when the daemon reads them,
  * after those in front are answered; also against a late start of such a
  * request. */
@@ -313,6 +330,7 @@
 	ADD("/call/long-answer-stops/head", "/long-head", test_long_answer_stops);
 	ADD("/call/long-answer-stops/part", "/long-part", test_long_answer_stops);
 	ADD("/call/long-answer-goes-on", NULL, test_long_answer_goes_on);
+	ADD("/call/waiting-refused", NULL, test_waiting_request_is_refused);
 	ADD("/call/unread-requests", NULL, test_unread_requests);
 	ADD("/call/later-requests", NULL, test_later_requests);
 	return g_test_run();
