caller/connection: count a request's time from its arrival, also while it waits unread

What callers saw: of 20 requests sent at once on a connection, to a route with a timeout of 0.8 s, the 9th and later ones ended after 1.6 s and the 17th and later ones after 2.4 s. A call whose time is up when it could start is refused at once and sent to no owner.

--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -417,6 +417,11 @@
 
 void call_start(struct call *call)
 {
+	if (clock_mono_us() >= call->deadline_us) {
+		call->reason = CFD__REASON__REASON_DEADLINE;
+		call_finish_unanswered(call);
+		return;
+	}
 	if (!call_acquire_quota(call))
 		return;
 	call->is_started = true;
--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -110,9 +110,12 @@
 
 	if (count < 0)
 		return errno == EAGAIN || errno == EINTR;
-	g_byte_array_append(connection->in, bytes, (guint)count);
 	connection->active_us = clock_mono_us();
-	return count > 0;
+	if (count == 0)
+		return false;
+	g_byte_array_append(connection->in, bytes, (guint)count);
+	arrivals_add(&connection->arrivals, (size_t)count, connection->active_us);
+	return true;
 }
 
 static void connection_drop_input(struct connection *connection)
@@ -254,6 +257,7 @@
 	connection_remove_all_requests(connection);
 	connection->lingers = true;
 	g_byte_array_set_size(connection->in, 0);
+	arrivals_clear(&connection->arrivals);
 	if (connection->out->len == 0)
 		connection_end_output(connection);
 }
--- a/comfreydockd/caller/connection_input.c
+++ b/comfreydockd/caller/connection_input.c
@@ -161,7 +161,7 @@
 	return pipeline_may_start(&request);
 }
 
-static void connection_take_head(struct connection *connection)
+static void connection_take_head(struct connection *connection, int64_t arrived_us)
 {
 	struct caller_request *request;
 	struct reader_head head;
@@ -176,10 +176,10 @@
 	if (!connection_may_begin(connection, &head)) {
 		counters.caller_waited++;
 		connection->waiting = request;
-		connection->waiting_since_us = clock_mono_us();
+		connection->waiting_arrived_us = arrived_us;
 		return;
 	}
-	request_begin(request, &head, clock_mono_us());
+	request_begin(request, &head, arrived_us);
 }
 
 /* Begins the waiting request: all requests in front of it are answered. */
@@ -190,7 +190,7 @@
 
 	reader_get_head(&connection->reader, &head);
 	connection->waiting = NULL;
-	request_begin(request, &head, connection->waiting_since_us);
+	request_begin(request, &head, connection->waiting_arrived_us);
 }
 
 static void connection_take_body(struct connection *connection)
@@ -236,17 +236,23 @@
 		       "bad-request", 0, fault);
 }
 
-/* RETURN VALUE: whether another request may be read. */
-static bool connection_accepts_requests(const struct connection *connection)
+/* RETURN VALUE: whether another request will be begun at some time. */
+static bool connection_expects_requests(const struct connection *connection)
 {
-	if (connection->input_ended ||
-	    connection->unanswered >= PIPELINE_CALLS_MAX)
+	if (connection->input_ended)
 		return false;
 	/* The answer to the last request will close the connection. */
 	return !connection->listener->announces_close ||
 	       connection->unanswered == 0;
 }
 
+/* RETURN VALUE: whether another request may be parsed. */
+static bool connection_accepts_requests(const struct connection *connection)
+{
+	return connection_expects_requests(connection) &&
+	       connection->unanswered < PIPELINE_CALLS_MAX;
+}
+
 /* RETURN VALUE: how many bytes may be given to the reader now. */
 static size_t connection_input_limit(const struct connection *connection)
 {
@@ -261,10 +267,10 @@
 }
 
 static void connection_take_event(struct connection *connection,
-				  enum reader_event event)
+				  enum reader_event event, int64_t arrived_us)
 {
 	if (event == READER_HEAD)
-		connection_take_head(connection);
+		connection_take_head(connection, arrived_us);
 	else if (event == READER_BODY)
 		connection_take_body(connection);
 	else
@@ -282,6 +288,7 @@
 void connection_parse(struct connection *connection)
 {
 	enum reader_event event;
+	int64_t arrived_us;
 	size_t size;
 	size_t used;
 
@@ -292,11 +299,12 @@
 		event = reader_read(&connection->reader, connection->in->data,
 				    size, &used);
 		g_byte_array_remove_range(connection->in, 0, (guint)used);
+		arrived_us = arrivals_take(&connection->arrivals, used);
 		if (event == READER_NEEDS_BYTES) {
 			connection_start_head_timeout(connection);
 			break;
 		}
-		connection_take_event(connection, event);
+		connection_take_event(connection, event, arrived_us);
 	}
 }
 
@@ -304,9 +312,14 @@
 {
 	if (connection->lingers)
 		return true;
-	if (connection->waiting || connection->in->len >= READ_BYTES * 2)
+	if (connection->in->len >= READ_BYTES * 2)
 		return false;
 	if (connection->in_body)
 		return connection_input_limit(connection) > 0;
-	return connection_accepts_requests(connection);
+	if (!connection->waiting && connection_accepts_requests(connection))
+		return true;
+	/* Requests that have to wait are read ahead, as their deadlines count
+	 * from when they were read. */
+	return connection_expects_requests(connection) &&
+	       connection->in->len < READ_BYTES;
 }
--- a/include/comfreydockd/caller/connection_internal.h
+++ b/include/comfreydockd/caller/connection_internal.h
@@ -9,6 +9,7 @@
 #ifndef COMFREYDOCKD_CALLER_CONNECTION_INTERNAL_H
 #define COMFREYDOCKD_CALLER_CONNECTION_INTERNAL_H
 
+#include "comfreydockd/caller/arrivals.h"
 #include "comfreydockd/caller/connection.h"
 #include "comfreydockd/caller/reader.h"
 #include "comfreydockd/caller/request.h"
@@ -28,13 +29,14 @@
 	ev_timer idle;
 	struct reader reader;
 	GByteArray *in; /* read and not yet parsed */
+	struct arrivals arrivals; /* of the bytes of in */
 	GByteArray *out; /* written and not yet taken by the kernel */
 	guint in_peak; /* largest length since the buffer was allocated */
 	guint out_peak;
 	struct caller_request_list requests;
 	uint32_t unanswered; /* length of the list */
 	struct caller_request *waiting; /* the last, if not yet begun */
-	int64_t waiting_since_us;
+	int64_t waiting_arrived_us;
 	struct caller_request *in_body; /* the last, while its body arrives */
 	bool is_surplus; /* beyond the listener's limit of connections */
 	bool is_pipelined; /* its caller has sent requests ahead of answers */
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -63,7 +63,7 @@
 	const char *caller; /* the caller's IP address */
 	const struct fields *fields;
 	bool has_body;
-	int64_t arrived_us; /* when its head was complete */
+	int64_t arrived_us; /* when its head was read completely */
 	bool holds_others; /* its caller sends others meanwhile */
 	uint32_t in_front; /* unanswered requests that its answer waits for */
 };
