decide/poll: two daemons ask for changes whatever they hear from each other

What callers saw: where the watches were lost in a silence of the store, and the daemon that polls for all was killed or stopped as the next change was sent, it was in force at the last of the others up to 2.57 s after the acknowledgement; 2 s are promised. Cause: the second daemon in the order polled only 2 s after the last confirmation, and a change takes 0.3 to 0.8 s more to reach the last host. Change: the first two poll each second, without regard to confirmations. One call a second more at the store, whatever the size. Conclusion: the loss of one poller no longer delays a change.

--- a/include/comfreydockd/decide/poll.h
+++ b/include/comfreydockd/decide/poll.h
@@ -9,11 +9,12 @@
  *	that nothing newer exists; the confirmation carries its age.
  *
  *	All daemons order each other by rendezvous hashing. The position of a
- *	daemon is the number of live ones before it. It polls once the latest
- *	confirmation that it knows of, and its own latest poll, are older than
- *	position + 1 intervals. So the first daemon polls in each interval. A
- *	later one takes over within position + 1 intervals if those before it
- *	can't reach the store, or can't reach this daemon.
+ *	daemon is the number of live ones before it. The first two poll in each
+ *	interval, whatever they hear, so that a change is found within an interval
+ *	though one of them is gone and not missed yet. A later one polls once the
+ *	latest confirmation that it knows of, and its own latest poll, are older
+ *	than position + 1 intervals: it takes over if those before it can't reach
+ *	the store, or can't reach this daemon.
  *
  * LOAD PATTERN
  *	The store, or the way to it, is silent for a moment, and all open watches
@@ -26,7 +27,7 @@
  * GROUNDS
  *	Without any gossip, or with gossip that is slower than POLLERS_MAX
  *	intervals, the daemon at each position polls at its own rate: in total
- *	1 + 1/2 + ... + 1/POLLERS_MAX, or 3.4 calls per interval in the whole
+ *	1 + 1 + 1/3 + ... + 1/POLLERS_MAX, or 3.9 calls per interval in the whole
  *	installation, whatever its size.
  *
  * UNITS
@@ -38,7 +39,9 @@
 #include <stdint.h>
 
 #define POLL_INTERVAL_US ((int64_t)1000 * 1000)
-/* Daemons at higher positions don't poll. */
+/* Daemons before this position poll whatever they hear from others. */
+#define POLLERS_INDEPENDENT 2
+/* Daemons from this position on don't poll. */
 #define POLLERS_MAX 16
 
 /*
