--- a/include/comfreydockd/decide/deadline.h
+++ b/include/comfreydockd/decide/deadline.h
@@ -52,7 +52,7 @@
 #define DEADLINE_OVERDUE_REPLY_MIN_US ((int64_t)10000)
 
 /* An answer that has begun may last beyond the deadline, but must not pause for
- * longer than this after it. A kernel retransmits a lost segment after 200 ms. */
+ * longer than this after it. Covers the retransmission of a lost segment. */
 #define DEADLINE_IDLE_US ((int64_t)400 * 1000)
 /* An answer of which the caller has no part yet must be whole this long after the
  * deadline, or after its head if that was read later. */
