upstream/run, common/http_client: log what tells late second answers apart

Three hypotheses explain a success where the upstream had failed, and no line or counter tells them apart. Change: http.unasked-input (1005) and its counter, where bytes had come on a kept connection before a request was sent on it (common/http_sockets: libcurl doesn't say which connection it chose); owner.repeated (1426) and its counter, where an upstream gets an id for the second time in a minute (upstream/recent_ids); owner.strange-answer has a field fault and a counter of its own, where a head can't be that of one answer (upstream/answer_head). No decision has changed: what is found is logged, and served as before.

--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -252,14 +252,22 @@
 	attempt_destroy(attempt);
 }
 
-/* Rejects an answer that can't be attributed to this request. The run has
- * already closed the connection, so later bytes on it reach no caller. */
-static void attempt_finish_strange(struct owner_attempt *attempt)
+static void attempt_note_strange(const struct owner_attempt *attempt)
 {
+	const char *fault = run_fault(attempt->run);
+
+	counters.owner_malformed_heads += fault != NULL;
 	log_event(EV_OWNER_STRANGE_ANSWER,
 		  LOG_STR("trace", attempt->request->trace),
 		  LOG_STR("verdict", answer_verdict_name(attempt->verdict)),
-		  LOG_INT("status", attempt->status));
+		  LOG_STR("fault", fault), LOG_INT("status", attempt->status));
+}
+
+/* Rejects an answer that can't be attributed to this request. The run has
+ * already closed the connection, so later bytes on it reach no caller. */
+static void attempt_finish_strange(struct owner_attempt *attempt)
+{
+	attempt_note_strange(attempt);
 	attempt_finish_broken(attempt, false,
 			      answer_verdict_name(attempt->verdict));
 }
@@ -275,6 +283,8 @@
 		return;
 	}
 	if (attempt->verdict == ANSWER_GOOD && result == RUN_COMPLETE) {
+		if (run_fault(attempt->run))
+			attempt_note_strange(attempt);
 		attempt_finish_complete(attempt);
 		return;
 	}
@@ -394,6 +404,9 @@
 	attempt->run = run_create(owner_pool(attempt->owner), &run_request,
 				  (size_t)attempt->credit, &callbacks, attempt);
 	fields_finish(&fields);
+	if (run_is_repeat(attempt->run))
+		attempt_note(attempt, EV_OWNER_REPEATED,
+			     LOG_INT("idempotent", request->idempotent));
 	if (attempt->body)
 		run_add_body(attempt->run, attempt->body->data,
 			     attempt->body->len, attempt->body_ends);
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -6,7 +6,11 @@
 #include <string.h>
 #include <strings.h>
 
+#include "comfreydockd/upstream/answer_head.h"
+#include "comfreydockd/upstream/recent_ids.h"
 #include "common/address.h"
+#include "common/clock.h"
+#include "common/counters.h"
 
 #define POOL_MAX_IDLE 64
 #define CONNECT_TIMEOUT_MS 1000L
@@ -22,6 +26,7 @@
 	long idle_s; /* how long an idle connection may be reused */
 	char *url;
 	GPtrArray *idle; /* of CURL */
+	struct recent_ids recent;
 };
 
 struct run {
@@ -40,7 +45,9 @@
 	bool answer_paused;
 	bool has_head;
 	bool refused; /* handle_head returned false */
+	bool is_repeat;
 	bool running;
+	struct answer_head checked; /* finds the head's faults */
 };
 
 struct run_pool *run_pool_create(struct http_client *client,
@@ -54,6 +61,7 @@
 	pool->idle_s = MAX_IDLE_CONNECTION_S;
 	pool->url = address_to_url(address, port, "/");
 	pool->idle = g_ptr_array_new();
+	recent_ids_init(&pool->recent);
 	return pool;
 }
 
@@ -64,6 +72,7 @@
 	for (guint i = 0; i < pool->idle->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(pool->idle, i));
 	g_ptr_array_unref(pool->idle);
+	recent_ids_finish(&pool->recent);
 	g_free(pool->url);
 	g_free(pool);
 }
@@ -155,8 +164,10 @@
 
 static size_t run_finish_head(struct run *run, size_t size)
 {
-	if (run->status < 200)
+	if (run->status < 200) {
+		answer_head_restart(&run->checked);
 		return size;
+	}
 	run->has_head = true;
 	if (run->callbacks.handle_head(run->data, run->status,
 				       &run->answer_fields, run->answer_length))
@@ -165,6 +176,18 @@
 	return 0;
 }
 
+/* Removes one line end. A carriage return before it belongs to the line. */
+static void line_strip_end(char *line)
+{
+	size_t size = strlen(line);
+
+	if (size > 0 && line[size - 1] == '\n')
+		size--;
+	if (size > 0 && line[size - 1] == '\r')
+		size--;
+	line[size] = '\0';
+}
+
 static size_t handle_header(char *bytes, size_t size, size_t count, void *data)
 {
 	struct run *run = data;
@@ -174,6 +197,9 @@
 	if (run->has_head) /* trailers are not forwarded */
 		return total;
 	line = g_strndup(bytes, total);
+	line_strip_end(line);
+	if (*line)
+		answer_head_add_line(&run->checked, line);
 	g_strchomp(line);
 	if (strncmp(line, "HTTP/", 5) == 0)
 		run_parse_status_line(run, line);
@@ -293,6 +319,15 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, run);
 }
 
+static void run_note_repeat(struct run *run, const struct fields *fields)
+{
+	struct run_pool *pool = run->pool;
+	const char *id = fields_find(fields, pool->headers->trace);
+
+	run->is_repeat = id && recent_ids_add(&pool->recent, id, clock_mono_us());
+	counters.owner_repeated += run->is_repeat;
+}
+
 struct run *run_create(struct run_pool *pool, const struct run_request *request,
 		       int64_t credit, const struct run_callbacks *callbacks,
 		       void *data)
@@ -306,6 +341,7 @@
 	run->answer_length = -1;
 	run->body = g_byte_array_new();
 	fields_init(&run->answer_fields);
+	answer_head_init(&run->checked, pool->headers);
 	run->transfer.easy = pool_acquire(pool);
 	run->transfer.handle_done = handle_done;
 	run->transfer.data = run;
@@ -313,6 +349,7 @@
 	run_set_transport(run, request->target);
 	run_set_fields(run, request->fields);
 	run_set_body(run, request);
+	run_note_repeat(run, request->fields);
 	run->running = true;
 	http_client_add_transfer(pool->client, &run->transfer);
 	return run;
@@ -327,6 +364,7 @@
 	pool_release(run->pool, run->transfer.easy);
 	curl_slist_free_all(run->request_fields);
 	fields_finish(&run->answer_fields);
+	answer_head_finish(&run->checked);
 	g_byte_array_unref(run->body);
 	g_free(run);
 }
@@ -362,3 +400,13 @@
 {
 	return run->transfer.sent;
 }
+
+bool run_is_repeat(const struct run *run)
+{
+	return run->is_repeat;
+}
+
+const char *run_fault(const struct run *run)
+{
+	return run->checked.fault;
+}
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -3,6 +3,10 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "common/counters.h"
+#include "common/http_sockets.h"
+#include "common/log.h"
+
 #define DEFAULT_TIMEOUT_MS 5000
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000
 /* Limit of the whole client, over all servers. It is more than one upstream accepts
@@ -27,6 +31,7 @@
 	ev_timer timer;
 	bool has_unstarted; /* transfers that libcurl has not begun */
 	LIST_HEAD(, http_pending_call) pending;
+	struct http_sockets sockets;
 };
 
 struct socket_watch {
@@ -128,6 +133,7 @@
 	ev_init(&client->timer, handle_timeout);
 	client->timer.data = client;
 	LIST_INIT(&client->pending);
+	http_sockets_init(&client->sockets);
 	/* By default libcurl caches four connections per running transfer. It
 	 * would close most of them when the load drops and would have to open
 	 * them again when it rises. */
@@ -152,23 +158,34 @@
 		http_client_cancel(pending);
 	ev_timer_stop(client->loop, &client->timer);
 	curl_multi_cleanup(client->multi);
+	http_sockets_finish(&client->sockets);
 	g_free(client);
 }
 
+static void note_unasked_input(struct http_transfer *transfer,
+			       const char *remote_ip, int remote_port,
+			       int local_port)
+{
+	if (http_sockets_check(&transfer->client->sockets, local_port,
+			       remote_port) != HTTP_SOCKET_HAS_INPUT)
+		return;
+	counters.http_unasked_input++;
+	log_event(EV_HTTP_UNASKED_INPUT, LOG_STR("server", remote_ip),
+		  LOG_INT("port", remote_port));
+}
+
 /* libcurl calls this each time before it sends the request. It sends again if a
- * reused connection closes before the first byte of the answer. The second time is
- * aborted, because the first request may have taken effect. */
+ * reused connection closes before the first byte of the answer. With send_once,
+ * the second time is aborted, because the first request may have taken effect. */
 static int handle_prerequest(void *data, char *remote_ip, char *local_ip,
 			     int remote_port, int local_port)
 {
 	struct http_transfer *transfer = data;
 
-	(void)remote_ip;
 	(void)local_ip;
-	(void)remote_port;
-	(void)local_port;
-	if (transfer->sent)
+	if (transfer->send_once && transfer->sent)
 		return CURL_PREREQFUNC_ABORT;
+	note_unasked_input(transfer, remote_ip, remote_port, local_port);
 	transfer->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
@@ -176,12 +193,12 @@
 void http_client_add_transfer(struct http_client *client,
 			      struct http_transfer *transfer)
 {
+	transfer->client = client;
 	transfer->sent = false;
-	if (transfer->send_once) {
-		curl_easy_setopt(transfer->easy, CURLOPT_PREREQFUNCTION,
-				 handle_prerequest);
-		curl_easy_setopt(transfer->easy, CURLOPT_PREREQDATA, transfer);
-	}
+	http_sockets_attach(&client->sockets, transfer->easy);
+	curl_easy_setopt(transfer->easy, CURLOPT_PREREQFUNCTION,
+			 handle_prerequest);
+	curl_easy_setopt(transfer->easy, CURLOPT_PREREQDATA, transfer);
 	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
 	curl_multi_add_handle(client->multi, transfer->easy);
 	client->has_unstarted = true;
--- a/include/comfreydockd/upstream/run.h
+++ b/include/comfreydockd/upstream/run.h
@@ -71,6 +71,14 @@
 void run_add_credit(struct run *run, uint32_t bytes);
 bool run_has_begun(const struct run *run);
 
+/* RETURN VALUE: whether a request with the same id was sent to the upstream in the
+ * last minute. */
+bool run_is_repeat(const struct run *run);
+
+/* RETURN VALUE: why the answer's head can't be that of one answer; NULL: nothing was
+ * found. */
+const char *run_fault(const struct run *run);
+
 /* RETURN VALUE: the pool of the upstream that it runs on. */
 const struct run_pool *run_pool_of(const struct run *run);
 
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -25,8 +25,8 @@
 void http_client_destroy(struct http_client *client);
 
 /* Lower layer. The user owns the easy handle. handle_done is called once, when
- * the easy handle has been removed from the multi handle. CURLOPT_PRIVATE is
- * reserved for this module.
+ * the easy handle has been removed from the multi handle. CURLOPT_PRIVATE, the
+ * callbacks for sockets and CURLOPT_PREREQFUNCTION are reserved for this module.
  *
  * libcurl resends a request, even a POST, if a reused connection closes before
  * the first byte of the answer. With send_once it does not resend: the transfer
@@ -35,8 +35,9 @@
 	CURL *easy;
 	void (*handle_done)(struct http_transfer *transfer, CURLcode result);
 	void *data;
-	bool send_once; /* reserves CURLOPT_PREREQFUNCTION */
-	bool sent; /* with send_once: writing the request has begun */
+	bool send_once;
+	bool sent; /* writing the request has begun */
+	struct http_client *client; /* set by this module */
 };
 
 /* Adds the transfer; it begins in the next iteration of the loop. */
