--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -1,35 +1,65 @@
 #include <arpa/inet.h>
 #include <ev.h>
 #include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "comfreydockd/upstream/answer.h"
 #include "comfreydockd/upstream/run.h"
+#include "platform/headers.h"
 
-/* An upstream that answers the first request and closes the connection after it
- * has read the second, as an upstream that crashes while it works does. */
+#define CONNECTIONS_MAX 4
+#define BODY_BYTES 6
+#define FIRST "9c41d07be2a35f68"
+#define SECOND "1988b75365ad025e"
+#define ANSWER(status, trace, body)                  \
+	"HTTP/1.1 " status "\r\n"                    \
+	"X-Comfreydock-Request-Id: " trace "\r\n"    \
+	"X-Comfreydock-Response-Signature: 3e1b\r\n" \
+	"Content-Length: " G_STRINGIFY(BODY_BYTES) "\r\n\r\n" body
+#define SUCCESS ANSWER("200 OK", FIRST, "first.")
+#define FAILURE ANSWER("500 Internal Server Error", SECOND, "second")
+
+/* An upstream that answers each request with the next of these texts, and closes
+ * the connection if there is none, as one that crashes while it works does. */
 struct upstream {
 	struct ev_loop *loop;
 	int listener;
-	int connection;
+	int connection; /* the newest; -1: closed */
 	ev_io acceptor;
-	ev_io reader;
+	ev_io readers[CONNECTIONS_MAX];
+	const char *const *answers; /* ends with NULL */
+	/* Sent on the first connection when the second request has come. */
+	const char *late;
+	size_t late_bytes;
 	unsigned int requests;
 	unsigned int connections;
 };
 
 struct outcome {
 	struct ev_loop *loop;
+	const struct headers *headers;
+	const char *trace;
 	bool done;
 	enum run_result result;
+	enum answer_verdict verdict;
 	unsigned int status;
 	GString *body;
 	struct run *run;
 };
 
-static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/* A pool of connections to such an upstream. */
+struct fixture {
+	struct ev_loop *loop;
+	struct upstream upstream;
+	struct outcome outcome;
+	struct http_client *client;
+	struct run_pool *pool;
+};
 
 static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -38,10 +68,14 @@
 	ssize_t got = recv(io->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 
 	(void)events;
-	if (got > 0)
-		upstream->requests++;
-	if (got > 0 && upstream->requests == 1) {
-		send(io->fd, answer, sizeof(answer) - 1, MSG_NOSIGNAL);
+	upstream->requests += got > 0;
+	if (upstream->requests == 2)
+		send(upstream->readers[0].fd, upstream->late,
+		     upstream->late_bytes, MSG_NOSIGNAL);
+	if (got > 0 && *upstream->answers) {
+		send(io->fd, *upstream->answers, strlen(*upstream->answers),
+		     MSG_NOSIGNAL);
+		upstream->answers++;
 		return;
 	}
 	ev_io_stop(loop, io);
@@ -52,14 +86,14 @@
 static void handle_acceptable(struct ev_loop *loop, ev_io *io, int events)
 {
 	struct upstream *upstream = io->data;
+	ev_io *reader = &upstream->readers[upstream->connections++];
 
 	(void)events;
+	g_assert_cmpuint(upstream->connections, <=, CONNECTIONS_MAX);
 	upstream->connection = accept(io->fd, NULL, NULL);
-	upstream->connections++;
-	ev_io_init(&upstream->reader, handle_readable, upstream->connection,
-		   EV_READ);
-	upstream->reader.data = upstream;
-	ev_io_start(loop, &upstream->reader);
+	ev_io_init(reader, handle_readable, upstream->connection, EV_READ);
+	reader->data = upstream;
+	ev_io_start(loop, reader);
 }
 
 static uint16_t upstream_listen(struct upstream *upstream)
@@ -88,10 +122,11 @@
 {
 	struct outcome *outcome = data;
 
-	(void)fields;
 	(void)length;
 	outcome->status = status;
-	return true;
+	outcome->verdict = answer_classify(outcome->headers, outcome->trace,
+					   status, fields);
+	return outcome->verdict == ANSWER_GOOD;
 }
 
 static void handle_answer_body(void *data, const void *bytes, size_t size)
@@ -121,9 +156,47 @@
 	.handle_done = handle_done,
 };
 
-static enum run_result run_once(struct run_pool *pool, const char *method,
-				struct outcome *outcome)
+static void fixture_start(struct fixture *fixture, const struct headers *headers,
+			  const char *const *answers)
+{
+	struct ev_loop *loop = ev_loop_new(0);
+
+	*fixture = (struct fixture){
+		.loop = loop,
+		.upstream = {.loop = loop, .connection = -1, .answers = answers},
+		.outcome = {.loop = loop, .headers = headers},
+		.client = http_client_create(loop),
+	};
+	fixture->outcome.body = g_string_new(NULL);
+	fixture->pool = run_pool_create(fixture->client, headers, "127.0.0.1",
+					upstream_listen(&fixture->upstream));
+}
+
+static void fixture_stop_upstream(struct fixture *fixture)
 {
+	ev_io_stop(fixture->loop, &fixture->upstream.acceptor);
+	close(fixture->upstream.listener);
+}
+
+static void fixture_stop(struct fixture *fixture)
+{
+	run_pool_destroy(fixture->pool);
+	http_client_destroy(fixture->client);
+	for (unsigned int i = 0; i < fixture->upstream.connections; i++) {
+		ev_io *reader = &fixture->upstream.readers[i];
+
+		if (ev_is_active(reader))
+			close(reader->fd);
+		ev_io_stop(fixture->loop, reader);
+	}
+	ev_loop_destroy(fixture->loop);
+	g_string_free(fixture->outcome.body, TRUE);
+}
+
+static enum run_result run_once(struct fixture *fixture, const char *method,
+				const char *trace)
+{
+	struct outcome *outcome = &fixture->outcome;
 	struct fields fields;
 	struct run_request request = {
 		.method = method,
@@ -133,11 +206,17 @@
 	};
 
 	fields_init(&fields);
+	fields_add(&fields, outcome->headers->trace, trace);
+	outcome->trace = trace;
+	outcome->status = 0;
 	outcome->done = false;
-	outcome->run = run_create(pool, &request, 65536, &callbacks, outcome);
+	g_string_truncate(outcome->body, 0);
+	outcome->run =
+		run_create(fixture->pool, &request, 65536, &callbacks, outcome);
 	while (!outcome->done)
 		ev_run(outcome->loop, 0);
 	run_destroy(outcome->run);
+	fields_finish(&fields);
 	return outcome->result;
 }
 
@@ -149,33 +228,110 @@
  */
 static void test_a_broken_connection_is_not_retried(void)
 {
-	struct ev_loop *loop = ev_loop_new(0);
-	struct upstream upstream = {.loop = loop, .connection = -1};
-	struct outcome outcome = {.loop = loop};
-	struct http_client *client = http_client_create(loop);
-	struct run_pool *pool;
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", NULL};
+	struct fixture fixture;
 
-	outcome.body = g_string_new(NULL);
-	pool = run_pool_create(client, &headers_own, "127.0.0.1",
-			       upstream_listen(&upstream));
-	g_assert_cmpint(run_once(pool, "POST", &outcome), ==, RUN_COMPLETE);
-	g_assert_cmpint((int)outcome.status, ==, 200);
-	g_assert_cmpstr(outcome.body->str, ==, "ok");
-	g_assert_cmpint(run_once(pool, "POST", &outcome), ==, RUN_BROKEN);
-	g_assert_cmpuint(upstream.requests, ==, 2);
-	ev_io_stop(loop, &upstream.acceptor);
-	close(upstream.listener);
+	fixture_start(&fixture, &headers_own, answers);
+	g_assert_cmpint(run_once(&fixture, "POST", FIRST), ==, RUN_COMPLETE);
+	g_assert_cmpint((int)fixture.outcome.status, ==, 200);
+	g_assert_cmpstr(fixture.outcome.body->str, ==, "ok");
+	g_assert_cmpint(run_once(&fixture, "POST", SECOND), ==, RUN_BROKEN);
+	g_assert_cmpuint(fixture.upstream.requests, ==, 2);
+	fixture_stop_upstream(&fixture);
 	/* The port refuses connections, so the run has certainly not begun. */
-	g_assert_cmpint(run_once(pool, "POST", &outcome), ==, RUN_NOT_BEGUN);
-	run_pool_destroy(pool);
-	http_client_destroy(client);
-	ev_loop_destroy(loop);
-	g_string_free(outcome.body, TRUE);
+	g_assert_cmpint(run_once(&fixture, "POST", SECOND), ==, RUN_NOT_BEGUN);
+	fixture_stop(&fixture);
+}
+
+/* Sends bytes after the last answer, and waits until they have arrived. */
+static void send_late(struct upstream *upstream, const char *text, size_t size)
+{
+	int unsent = 1;
+
+	send(upstream->connection, text, size, MSG_NOSIGNAL);
+	while (unsent > 0)
+		g_assert_cmpint(ioctl(upstream->connection, SIOCOUTQ, &unsent),
+				==, 0);
+}
+
+/* Whatever precedes it on its connection, a failure must not become a success,
+ * nor its body another. */
+static void assert_no_success(const struct fixture *fixture)
+{
+	const struct outcome *outcome = &fixture->outcome;
+
+	if (outcome->result != RUN_COMPLETE)
+		return;
+	g_assert_cmpint((int)outcome->status, ==, 500);
+	g_assert_cmpstr(outcome->body->str, ==, "second");
+}
+
+/* Guards against a success where the upstream failed: the beginning of a late
+ * second answer lies in the connection when the next request is sent. */
+static void test_late_bytes_on_an_idle_connection(void)
+{
+	static const char *const answers[] = {SUCCESS, FAILURE, NULL};
+
+	for (size_t cut = 1; cut <= strlen(SUCCESS); cut++) {
+		struct fixture fixture;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		run_once(&fixture, "GET", FIRST);
+		send_late(&fixture.upstream, SUCCESS, cut);
+		g_assert_cmpint(run_once(&fixture, "GET", SECOND), ==,
+				RUN_COMPLETE);
+		assert_no_success(&fixture);
+		g_assert_cmpuint(fixture.upstream.connections, ==, 2);
+		g_assert_cmpuint(fixture.upstream.requests, ==, 2);
+		fixture_stop(&fixture);
+	}
+}
+
+/* The same where these bytes arrive after the next request was sent. */
+static void test_late_bytes_before_the_next_answer(void)
+{
+	static const char *const answers[] = {SUCCESS, FAILURE, NULL};
+
+	for (size_t cut = 1; cut <= strlen(SUCCESS); cut++) {
+		struct fixture fixture;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		fixture.upstream.late = SUCCESS;
+		fixture.upstream.late_bytes = cut;
+		run_once(&fixture, "GET", FIRST);
+		run_once(&fixture, "GET", SECOND);
+		assert_no_success(&fixture);
+		fixture_stop(&fixture);
+	}
+}
+
+/* Guards against the answer of another run of the same request: it is sent again
+ * under its id, and a second answer to the first time comes late. */
+static void test_a_request_that_is_sent_again(void)
+{
+	static const char *const answers[] = {
+		SUCCESS, ANSWER("500 Internal Server Error", FIRST, "second"),
+		NULL};
+	struct fixture fixture;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	fixture.upstream.late = SUCCESS;
+	fixture.upstream.late_bytes = strlen(SUCCESS);
+	run_once(&fixture, "GET", FIRST);
+	g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==, RUN_COMPLETE);
+	assert_no_success(&fixture);
+	fixture_stop(&fixture);
 }
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/run/no-retry", test_a_broken_connection_is_not_retried);
+	g_test_add_func("/run/late-bytes/idle",
+			test_late_bytes_on_an_idle_connection);
+	g_test_add_func("/run/late-bytes/awaited",
+			test_late_bytes_before_the_next_answer);
+	g_test_add_func("/run/same-request", test_a_request_that_is_sent_again);
 	return g_test_run();
 }
