common/http_client: don't reuse a connection on which bytes arrived unasked

What callers saw: a success where the upstream had answered with a failure, or an unknown outcome where it had answered. A part of a late second answer then is the beginning of the next answer: cut in the middle of its head, its status goes with the fields and the body of the next; a whole one is read in place of it, so that the request ends as unknown although its own answer comes right behind. Change: before a request is written, its connection is looked at. One with input, or closed by the server, is dropped, and the request, of which nothing was sent, goes over a new one. Why it works: what comes before the request was sent can't be its answer.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -39,6 +39,16 @@
 	struct http_client *client;
 };
 
+/* Sends a request again of which nothing was written. */
+static void transfer_restart(struct http_transfer *transfer)
+{
+	transfer->found_unusable = false;
+	transfer->uses_new_connection = true;
+	curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_multi_add_handle(transfer->client->multi, transfer->easy);
+	transfer->client->has_unstarted = true;
+}
+
 static void report_done(struct http_client *client)
 {
 	CURLMsg *message;
@@ -53,7 +63,10 @@
 			continue;
 		curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
 		curl_multi_remove_handle(client->multi, easy);
-		transfer->handle_done(transfer, result);
+		if (transfer->found_unusable)
+			transfer_restart(transfer);
+		else
+			transfer->handle_done(transfer, result);
 	}
 }
 
@@ -162,16 +175,21 @@
 	g_free(client);
 }
 
-static void note_unasked_input(struct http_transfer *transfer,
-			       const char *remote_ip, int remote_port,
-			       int local_port)
+/* RETURN VALUE: whether the connection that libcurl chose was closed, or has
+ * input although no request was sent on it. */
+static bool connection_is_unusable(const struct http_transfer *transfer,
+				   const char *remote_ip, int remote_port,
+				   int local_port)
 {
-	if (http_sockets_check(&transfer->client->sockets, local_port,
-			       remote_port) != HTTP_SOCKET_HAS_INPUT)
-		return;
-	counters.http_unasked_input++;
-	log_event(EV_HTTP_UNASKED_INPUT, LOG_STR("server", remote_ip),
-		  LOG_INT("port", remote_port));
+	enum http_socket_state state = http_sockets_check(
+		&transfer->client->sockets, local_port, remote_port);
+
+	if (state == HTTP_SOCKET_HAS_INPUT) {
+		counters.http_unasked_input++;
+		log_event(EV_HTTP_UNASKED_INPUT, LOG_STR("server", remote_ip),
+			  LOG_INT("port", remote_port));
+	}
+	return state != HTTP_SOCKET_QUIET;
 }
 
 /* libcurl calls this each time before it sends the request. It sends again if a
@@ -185,7 +203,12 @@
 	(void)local_ip;
 	if (transfer->send_once && transfer->sent)
 		return CURL_PREREQFUNC_ABORT;
-	note_unasked_input(transfer, remote_ip, remote_port, local_port);
+	transfer->found_unusable =
+		!transfer->uses_new_connection &&
+		connection_is_unusable(transfer, remote_ip, remote_port,
+				       local_port);
+	if (transfer->found_unusable)
+		return CURL_PREREQFUNC_ABORT;
 	transfer->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
@@ -195,6 +218,8 @@
 {
 	transfer->client = client;
 	transfer->sent = false;
+	transfer->found_unusable = false;
+	transfer->uses_new_connection = false;
 	http_sockets_attach(&client->sockets, transfer->easy);
 	curl_easy_setopt(transfer->easy, CURLOPT_PREREQFUNCTION,
 			 handle_prerequest);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -30,14 +30,21 @@
  *
  * libcurl resends a request, even a POST, if a reused connection closes before
  * the first byte of the answer. With send_once it does not resend: the transfer
- * ends with CURLE_ABORTED_BY_CALLBACK, and the request may have taken effect. */
+ * ends with CURLE_ABORTED_BY_CALLBACK, and the request may have taken effect.
+ *
+ * A kept connection on which bytes arrived that nobody asked for is closed, and
+ * the transfer uses a new one. libcurl would take these bytes for the beginning
+ * of the answer. */
 struct http_transfer {
 	CURL *easy;
 	void (*handle_done)(struct http_transfer *transfer, CURLcode result);
 	void *data;
 	bool send_once;
 	bool sent; /* writing the request has begun */
-	struct http_client *client; /* set by this module */
+	/* For this module: */
+	struct http_client *client;
+	bool found_unusable; /* the kept connection that libcurl chose */
+	bool uses_new_connection;
 };
 
 /* Adds the transfer; it begins in the next iteration of the loop. */
