upstream/run: accept only a head that can be of one answer

What callers saw: a success where the upstream had answered with a failure, with the failure's own body and signature. Cause: the status came from the first line of a head and the rest from whatever followed. A second answer that breaks off in the middle of its head, after the next request was sent, and the next answer make one head: "HTTP/1.1 200 OK", half a field that runs into "HTTP/1.1 500 ...", which was passed over as a line without a colon, then the failure's fields. Trace and signature are right then. Change: upstream/answer_head reads the head. It has one status line; every other line is a field; no line has another status line in it; the fields that tell whose answer it is, and the body's length, come at most once, the length is a number and doesn't stand beside a transfer coding. All else ends the run as broken, closes the connection and is logged (owner.strange-answer, verdict malformed, fault). Why it works: wherever the first answer breaks off, the next one's status line stands at the begin of a later line or within one, as it is sent whole. Conclusion: an answer that quotes a status line in a field is refused as well.

--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -252,24 +252,20 @@
 	attempt_destroy(attempt);
 }
 
-static void attempt_note_strange(const struct owner_attempt *attempt)
+/* Rejects an answer that can't be attributed to this request. The run has
+ * already closed the connection, so later bytes on it reach no caller. */
+static void attempt_finish_strange(struct owner_attempt *attempt)
 {
 	const char *fault = run_fault(attempt->run);
+	const char *verdict =
+		fault ? "malformed" : answer_verdict_name(attempt->verdict);
 
 	counters.owner_malformed_heads += fault != NULL;
 	log_event(EV_OWNER_STRANGE_ANSWER,
 		  LOG_STR("trace", attempt->request->trace),
-		  LOG_STR("verdict", answer_verdict_name(attempt->verdict)),
-		  LOG_STR("fault", fault), LOG_INT("status", attempt->status));
-}
-
-/* Rejects an answer that can't be attributed to this request. The run has
- * already closed the connection, so later bytes on it reach no caller. */
-static void attempt_finish_strange(struct owner_attempt *attempt)
-{
-	attempt_note_strange(attempt);
-	attempt_finish_broken(attempt, false,
-			      answer_verdict_name(attempt->verdict));
+		  LOG_STR("verdict", verdict), LOG_STR("fault", fault),
+		  LOG_INT("status", attempt->status));
+	attempt_finish_broken(attempt, false, verdict);
 }
 
 static void handle_done(void *data, enum run_result result)
@@ -283,12 +279,10 @@
 		return;
 	}
 	if (attempt->verdict == ANSWER_GOOD && result == RUN_COMPLETE) {
-		if (run_fault(attempt->run))
-			attempt_note_strange(attempt);
 		attempt_finish_complete(attempt);
 		return;
 	}
-	if (attempt->verdict != ANSWER_GOOD) {
+	if (attempt->verdict != ANSWER_GOOD || run_fault(attempt->run)) {
 		attempt_finish_strange(attempt);
 	} else {
 		owner_note_broken(owner, attempt);
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -38,16 +38,12 @@
 	GByteArray *body; /* not yet written */
 	bool body_ends;
 	bool body_paused;
-	struct fields answer_fields;
-	unsigned int status;
-	int64_t answer_length;
+	struct answer_head head;
 	int64_t credit;
 	bool answer_paused;
 	bool has_head;
-	bool refused; /* handle_head returned false */
 	bool is_repeat;
 	bool running;
-	struct answer_head checked; /* finds the head's faults */
 };
 
 struct run_pool *run_pool_create(struct http_client *client,
@@ -112,15 +108,6 @@
 	return taken;
 }
 
-static void run_parse_status_line(struct run *run, const char *line)
-{
-	/* Parses "HTTP/1.1 200 OK". Drops the fields of an interim answer (1xx),
-	 * which another head follows. */
-	fields_finish(&run->answer_fields);
-	run->answer_length = -1;
-	run->status = (unsigned int)strtoul(line + strcspn(line, " "), NULL, 10);
-}
-
 /* Parses a Keep-Alive value such as "timeout=10, max=100". */
 static void pool_note_keep_alive(struct run_pool *pool, const char *value)
 {
@@ -134,46 +121,26 @@
 		pool->idle_s = (long)seconds - IDLE_MARGIN_S;
 }
 
-/* Keeps the trace, which shows to which request the answer belongs, and drops
- * the other fields that comfreydock sets itself. */
-static void run_add_field(struct run *run, const char *name, const char *value)
+static void run_note_keep_alive(struct run *run, const char *line)
 {
-	const struct headers *headers = run->pool->headers;
+	static const char name[] = "Keep-Alive:";
 
-	if (strcasecmp(name, headers->trace) == 0)
-		fields_add(&run->answer_fields, name, value);
-	else
-		fields_add_forwarded(&run->answer_fields, headers, name, value);
+	if (strncasecmp(line, name, strlen(name)) == 0)
+		pool_note_keep_alive(run->pool, line + strlen(name));
 }
 
-static void run_parse_field(struct run *run, char *line)
+/* RETURN VALUE: false if the run ends here. */
+static bool run_finish_head(struct run *run)
 {
-	char *colon = strchr(line, ':');
-
-	if (!colon)
-		return;
-	*colon = '\0';
-	g_strstrip(line);
-	g_strstrip(colon + 1);
-	if (strcasecmp(line, "Content-Length") == 0)
-		run->answer_length = g_ascii_strtoll(colon + 1, NULL, 10);
-	else if (strcasecmp(line, "Keep-Alive") == 0)
-		pool_note_keep_alive(run->pool, colon + 1);
-	run_add_field(run, line, colon + 1);
-}
+	const struct answer_head *head = &run->head;
 
-static size_t run_finish_head(struct run *run, size_t size)
-{
-	if (run->status < 200) {
-		answer_head_restart(&run->checked);
-		return size;
+	if (head->status < 200) {
+		answer_head_restart(&run->head);
+		return true;
 	}
 	run->has_head = true;
-	if (run->callbacks.handle_head(run->data, run->status,
-				       &run->answer_fields, run->answer_length))
-		return size;
-	run->refused = true;
-	return 0;
+	return run->callbacks.handle_head(run->data, head->status,
+					  &head->fields, head->length);
 }
 
 /* Removes one line end. A carriage return before it belongs to the line. */
@@ -193,22 +160,20 @@
 	struct run *run = data;
 	size_t total = size * count;
 	char *line;
+	bool goes_on;
 
 	if (run->has_head) /* trailers are not forwarded */
 		return total;
 	line = g_strndup(bytes, total);
 	line_strip_end(line);
-	if (*line)
-		answer_head_add_line(&run->checked, line);
-	g_strchomp(line);
-	if (strncmp(line, "HTTP/", 5) == 0)
-		run_parse_status_line(run, line);
-	else if (*line)
-		run_parse_field(run, line);
-	else
-		total = run_finish_head(run, total);
+	if (*line) {
+		goes_on = answer_head_add_line(&run->head, line);
+		run_note_keep_alive(run, line);
+	} else {
+		goes_on = run_finish_head(run);
+	}
 	g_free(line);
-	return total;
+	return goes_on ? total : 0;
 }
 
 static size_t handle_write(char *bytes, size_t size, size_t count, void *data)
@@ -338,10 +303,8 @@
 	run->callbacks = *callbacks;
 	run->data = data;
 	run->credit = credit;
-	run->answer_length = -1;
 	run->body = g_byte_array_new();
-	fields_init(&run->answer_fields);
-	answer_head_init(&run->checked, pool->headers);
+	answer_head_init(&run->head, pool->headers);
 	run->transfer.easy = pool_acquire(pool);
 	run->transfer.handle_done = handle_done;
 	run->transfer.data = run;
@@ -363,8 +326,7 @@
 		http_client_remove_transfer(run->pool->client, &run->transfer);
 	pool_release(run->pool, run->transfer.easy);
 	curl_slist_free_all(run->request_fields);
-	fields_finish(&run->answer_fields);
-	answer_head_finish(&run->checked);
+	answer_head_finish(&run->head);
 	g_byte_array_unref(run->body);
 	g_free(run);
 }
@@ -408,5 +370,5 @@
 
 const char *run_fault(const struct run *run)
 {
-	return run->checked.fault;
+	return run->head.fault;
 }
--- a/include/comfreydockd/upstream/run.h
+++ b/include/comfreydockd/upstream/run.h
@@ -75,8 +75,8 @@
  * last minute. */
 bool run_is_repeat(const struct run *run);
 
-/* RETURN VALUE: why the answer's head can't be that of one answer; NULL: nothing was
- * found. */
+/* RETURN VALUE: why the answer's head can't be that of one answer; the run ended as
+ * RUN_BROKEN then. NULL: nothing was found. */
 const char *run_fault(const struct run *run);
 
 /* RETURN VALUE: the pool of the upstream that it runs on. */
