upstream/run: send an id that was sent before over a new connection

Cause: an answer names its request, not the run. The second run fails, a late second answer of the first one comes on the same connection, and passes. Why it works: the second answer to the first run can come on the first connection only. Conclusion: one new connection for each repeat. A call doesn't send twice to an upstream that may have run it, so only callers cause repeats.

--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -284,13 +284,17 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, run);
 }
 
-static void run_note_repeat(struct run *run, const struct fields *fields)
+/* A late second answer to the first time can't arrive on a new connection. */
+static void run_separate_repeat(struct run *run, const struct fields *fields)
 {
 	struct run_pool *pool = run->pool;
 	const char *id = fields_find(fields, pool->headers->trace);
 
 	run->is_repeat = id && recent_ids_add(&pool->recent, id, clock_mono_us());
-	counters.owner_repeated += run->is_repeat;
+	if (!run->is_repeat)
+		return;
+	counters.owner_repeated++;
+	curl_easy_setopt(run->transfer.easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
 struct run *run_create(struct run_pool *pool, const struct run_request *request,
@@ -312,7 +316,7 @@
 	run_set_transport(run, request->target);
 	run_set_fields(run, request->fields);
 	run_set_body(run, request);
-	run_note_repeat(run, request->fields);
+	run_separate_repeat(run, request->fields);
 	run->running = true;
 	http_client_add_transfer(pool->client, &run->transfer);
 	return run;
