tests/run: cut answers at each offset

What callers see: other operators report a 200 with an empty or short body, framed as whole, where an upstream stopped in the middle of its answer's head. Change: /run/cut sends each beginning of thirteen answers (with a length, chunked, chunked with a trailer, without a length; 200, 204, 304, HEAD, 103 before 200), then closes, resets at once, or resets when the beginning was read. Evidence: passes on but for one offset, for which it failed first: of a chunked answer the last line feed alone is missing. libcurl ends the transfer at the carriage return and doesn't tell. The last chunk has come then, and the body is whole, which the test checks instead. Conclusion: no change to the daemon. An answer without a length that is closed in the middle can't be told from a whole one.

--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -13,6 +13,7 @@
 #include "platform/headers.h"
 
 #define CONNECTIONS_MAX 4
+#define RESET_DELAY_S 0.0005
 #define BODY_BYTES 6
 #define FIRST "9c41d07be2a35f68"
 #define SECOND "1988b75365ad025e"
@@ -24,6 +25,14 @@
 #define SUCCESS ANSWER("200 OK", FIRST, "first.")
 #define FAILURE ANSWER("500 Internal Server Error", SECOND, "second")
 
+/* How the upstream ends a connection after a part of its answer. */
+enum ending {
+	ENDING_NONE, /* the whole answer, and the connection is kept */
+	ENDING_CLOSE,
+	ENDING_RESET,
+	ENDING_RESET_LATER, /* when the part has been read */
+};
+
 /* An upstream that answers each request with the next of these texts, and closes
  * the connection if there is none, as one that crashes while it works does. */
 struct upstream {
@@ -36,6 +45,9 @@
 	/* Sent on the first connection when the second request has come. */
 	const char *late;
 	size_t late_bytes;
+	enum ending ending;
+	size_t answer_bytes; /* with an ending: the part that is sent */
+	ev_timer reset_timer;
 	unsigned int requests;
 	unsigned int connections;
 };
@@ -61,6 +73,40 @@
 	struct run_pool *pool;
 };
 
+static void upstream_reset(struct upstream *upstream)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	setsockopt(upstream->connection, SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	ev_io_stop(upstream->loop, &upstream->readers[0]);
+	close(upstream->connection);
+}
+
+static void handle_reset_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	upstream_reset(timer->data);
+}
+
+static void upstream_end(struct upstream *upstream)
+{
+	send(upstream->connection, *upstream->answers, upstream->answer_bytes,
+	     MSG_NOSIGNAL);
+	if (upstream->ending == ENDING_RESET_LATER) {
+		ev_timer_init(&upstream->reset_timer, handle_reset_timer,
+			      RESET_DELAY_S, 0.0);
+		upstream->reset_timer.data = upstream;
+		ev_timer_start(upstream->loop, &upstream->reset_timer);
+	} else if (upstream->ending == ENDING_RESET) {
+		upstream_reset(upstream);
+	} else {
+		ev_io_stop(upstream->loop, &upstream->readers[0]);
+		close(upstream->connection);
+	}
+}
+
 static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
 {
 	struct upstream *upstream = io->data;
@@ -69,6 +115,10 @@
 
 	(void)events;
 	upstream->requests += got > 0;
+	if (got > 0 && upstream->ending) {
+		upstream_end(upstream);
+		return;
+	}
 	if (upstream->requests == 2)
 		send(upstream->readers[0].fd, upstream->late,
 		     upstream->late_bytes, MSG_NOSIGNAL);
@@ -78,6 +128,7 @@
 		upstream->answers++;
 		return;
 	}
+	ev_timer_stop(loop, &upstream->reset_timer);
 	ev_io_stop(loop, io);
 	close(io->fd);
 	upstream->connection = -1;
@@ -174,12 +225,16 @@
 
 static void fixture_stop_upstream(struct fixture *fixture)
 {
+	if (!ev_is_active(&fixture->upstream.acceptor))
+		return;
 	ev_io_stop(fixture->loop, &fixture->upstream.acceptor);
 	close(fixture->upstream.listener);
 }
 
 static void fixture_stop(struct fixture *fixture)
 {
+	fixture_stop_upstream(fixture);
+	ev_timer_stop(fixture->loop, &fixture->upstream.reset_timer);
 	run_pool_destroy(fixture->pool);
 	http_client_destroy(fixture->client);
 	for (unsigned int i = 0; i < fixture->upstream.connections; i++) {
@@ -324,6 +379,87 @@
 	fixture_stop(&fixture);
 }
 
+#define HEAD(status)                              \
+	"HTTP/1.1 " status "\r\n"                 \
+	"X-Comfreydock-Request-Id: " FIRST "\r\n" \
+	"X-Comfreydock-Response-Signature: 3e1b\r\n"
+#define LENGTH "Content-Length: 6\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+#define EARLY_HINTS "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+struct whole_answer {
+	const char *method;
+	const char *head;
+	const char *body;
+	const char *content; /* of the body */
+	bool ends_by_close;
+	/* libcurl doesn't wait for the line feed at the end of the last chunk; the
+	 * body is whole then. */
+	size_t unread;
+};
+
+static const struct whole_answer whole_answers[] = {
+	{"GET", HEAD("200 OK") LENGTH "\r\n", "first.", "first."},
+	{"GET", EARLY_HINTS HEAD("200 OK") LENGTH "\r\n", "first.", "first."},
+	{"GET", HEAD("200 OK") CHUNKED "\r\n",
+	 "4\r\nfirs\r\n2\r\nt.\r\n0\r\n\r\n", "first.", false, 1},
+	{"GET", HEAD("200 OK") CHUNKED "\r\n",
+	 "6;a=b\r\nfirst.\r\n0\r\nChecksum: 1\r\n\r\n", "first.", false, 1},
+	{"GET", HEAD("200 OK") "\r\n", "first.", "first.", true},
+	{"GET", HEAD("200 OK") "Connection: close\r\n" LENGTH "\r\n", "first.",
+	 "first."},
+	{"POST", HEAD("200 OK") LENGTH "\r\n", "first.", "first."},
+	{"GET", HEAD("200 OK") "Content-Length: 0\r\n\r\n", "", ""},
+	{"GET", HEAD("204 No Content") "\r\n", "", ""},
+	{"GET", HEAD("304 Not Modified") LENGTH "\r\n", "", ""},
+	{"HEAD", HEAD("200 OK") LENGTH "\r\n", "", ""},
+	{"HEAD", EARLY_HINTS HEAD("200 OK") CHUNKED "\r\n", "", ""},
+	{"HEAD", HEAD("200 OK") "\r\n", "", ""},
+};
+
+static void check_cut_answer(const struct whole_answer *answer, size_t cut,
+			     enum ending ending)
+{
+	char *text = g_strconcat(answer->head, answer->body, NULL);
+	const char *const answers[] = {text, NULL};
+	bool is_whole = cut + answer->unread >= strlen(text) ||
+			(answer->ends_by_close && cut >= strlen(answer->head));
+	bool is_closed = ending == ENDING_CLOSE;
+	struct fixture fixture;
+	enum run_result result;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	fixture.upstream.ending = ending;
+	fixture.upstream.answer_bytes = cut;
+	result = run_once(&fixture, answer->method, FIRST);
+	if (is_whole && is_closed)
+		g_assert_cmpint(result, ==, RUN_COMPLETE);
+	if (!is_whole || (answer->ends_by_close && !is_closed))
+		g_assert_cmpint(result, !=, RUN_COMPLETE);
+	if (result == RUN_COMPLETE && !answer->ends_by_close)
+		g_assert_cmpstr(fixture.outcome.body->str, ==, answer->content);
+	g_assert_cmpuint(fixture.upstream.requests, ==, 1);
+	fixture_stop(&fixture);
+	g_free(text);
+}
+
+/* Guards against an answer that is passed on as whole although its upstream broke
+ * off: at each offset, closed or reset. */
+static void test_cut_answers(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(whole_answers); i++) {
+		const struct whole_answer *answer = &whole_answers[i];
+		size_t size = strlen(answer->head) + strlen(answer->body);
+
+		for (size_t cut = 0; cut <= size; cut++) {
+			g_test_message("answer %zu, %zu bytes", i, cut);
+			check_cut_answer(answer, cut, ENDING_CLOSE);
+			check_cut_answer(answer, cut, ENDING_RESET);
+			check_cut_answer(answer, cut, ENDING_RESET_LATER);
+		}
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -333,5 +469,6 @@
 	g_test_add_func("/run/late-bytes/awaited",
 			test_late_bytes_before_the_next_answer);
 	g_test_add_func("/run/same-request", test_a_request_that_is_sent_again);
+	g_test_add_func("/run/cut", test_cut_answers);
 	return g_test_run();
 }
