upstream/answer_head: refuse a carriage return before a line's end

What callers see: nothing so far; libcurl may take a bare carriage return for the end of a line, and this daemon's reading must not differ. Cause: the value was stripped of all white space, carriage returns, vertical tabs and form feeds included, before it was checked for control characters. Change: only blanks and tabs are stripped. Conclusion: nothing that common servers send is among what is refused; nothing was relaxed.

--- a/comfreydockd/upstream/answer_head.c
+++ b/comfreydockd/upstream/answer_head.c
@@ -149,21 +149,36 @@
 	return true;
 }
 
+/* Removes blanks at both ends, but no carriage return, which libcurl may take for
+ * the end of the line. */
+static char *strip_blanks(char *text)
+{
+	size_t size;
+
+	text += strspn(text, " \t");
+	size = strlen(text);
+	while (size > 0 && (text[size - 1] == ' ' || text[size - 1] == '\t'))
+		size--;
+	text[size] = '\0';
+	return text;
+}
+
 static bool head_add_field_line(struct answer_head *head, char *line)
 {
 	char *colon = strchr(line, ':');
+	char *value;
 
 	if (!head->status)
 		return head_fail(head, "no status line");
 	if (!colon || !is_token(line, (size_t)(colon - line)))
 		return head_fail(head, "a line that is no field");
 	*colon = '\0';
-	g_strstrip(colon + 1);
-	if (!is_value(colon + 1))
+	value = strip_blanks(colon + 1);
+	if (!is_value(value))
 		return head_fail(head, "a control character in a field");
-	if (contains_status(colon + 1))
+	if (contains_status(value))
 		return head_fail(head, "a status line within a line");
-	return head_add_field(head, line, colon + 1);
+	return head_add_field(head, line, value);
 }
 
 bool answer_head_add_line(struct answer_head *head, const char *line)
