upstream/health_call: read no late second answer of a request

What callers see: work that goes to or stays away from an upstream for a load, a limit, a leaving or a health that it didn't state; a new start confirmed by another answer. Cause: health calls use the connections of runs, and gauge, probe and report read whatever came next there: a late second answer of a run, or the head that such an answer and the health answer make together. Change: upstream/health_call sends these requests. It reads the head through answer_head, and ends the call with an error and closes the connection if the head can't be of one answer or names a request (probe.strange-answer). Upstreams echo ids, and a health call has none. http_client passes lines of a head to a user that asks for them. Conclusion: an upstream that puts a request id of its own into health answers isn't read.

--- a/comfreydockd/upstream/answer_head.c
+++ b/comfreydockd/upstream/answer_head.c
@@ -35,6 +35,15 @@
 	answer_head_init(head, head->headers);
 }
 
+char *answer_head_dup_line(const char *bytes, size_t size)
+{
+	if (size > 0 && bytes[size - 1] == '\n')
+		size--;
+	if (size > 0 && bytes[size - 1] == '\r')
+		size--;
+	return g_strndup(bytes, size);
+}
+
 static bool is_digits(const char *text)
 {
 	return *text && strspn(text, "0123456789") == strlen(text);
--- a/comfreydockd/upstream/gauge.c
+++ b/comfreydockd/upstream/gauge.c
@@ -4,10 +4,9 @@
 #include <string.h>
 
 #include "comfreydockd/settings.h"
-#include "common/address.h"
+#include "comfreydockd/upstream/health_call.h"
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/http_client.h"
 
 /* The bucket holds the tokens of one second, divided by this. */
 #define BURST_DIVISOR 4
@@ -16,7 +15,7 @@
 	struct daemon *daemon;
 	gauge_handler handler;
 	void *data;
-	struct http_pending_call *pending;
+	struct health_call *pending;
 	char *instance;
 	double tokens;
 	int64_t refilled_us;
@@ -39,7 +38,7 @@
 	if (!gauge)
 		return;
 	if (gauge->pending)
-		http_client_cancel(gauge->pending);
+		health_call_cancel(gauge->pending);
 	g_free(gauge->instance);
 	g_free(gauge);
 }
@@ -105,11 +104,12 @@
 
 bool gauge_ask(struct gauge *gauge, const struct gauge_target *target)
 {
-	struct http_call call = {
-		.method = "GET",
+	struct health_call_target call = {
+		.address = target->address,
+		.port = target->port,
+		.path = target->path,
 		.timeout_ms = GAUGE_TIMEOUT_MS,
 	};
-	char *url;
 
 	if (gauge->pending)
 		return true;
@@ -118,10 +118,7 @@
 	counters.gauge_asked++;
 	g_free(gauge->instance);
 	gauge->instance = g_strdup(target->instance);
-	url = address_to_url(target->address, target->port, target->path);
-	call.url = url;
-	gauge->pending = http_client_call(gauge->daemon->http, &call,
-					  handle_answer, gauge);
-	g_free(url);
+	gauge->pending =
+		health_call_start(gauge->daemon, &call, handle_answer, gauge);
 	return true;
 }
--- a/comfreydockd/upstream/probe.c
+++ b/comfreydockd/upstream/probe.c
@@ -10,10 +10,10 @@
 #include <glib.h>
 
 #include "comfreydockd/config/store.h"
+#include "comfreydockd/upstream/health_call.h"
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/http_client.h"
 #include "common/log.h"
 #include "common/timer.h"
 
@@ -31,7 +31,7 @@
 	char *path; /* NULL: no health requests are sent */
 	ev_timer timer;
 	ev_timer connect_timer; /* runs while the port refuses connections */
-	struct http_pending_call *pending;
+	struct health_call *pending;
 	int64_t asked_us;
 	unsigned int refusals; /* in a row */
 	bool is_unreachable;
@@ -88,19 +88,17 @@
 static void probe_send(struct probe *probe)
 {
 	const struct owner_announcement *announced = probe->announced;
-	char *url =
-		address_to_url(announced->address, announced->port, probe->path);
-	struct http_call call = {
-		.method = "GET",
-		.url = url,
+	struct health_call_target target = {
+		.address = announced->address,
+		.port = announced->port,
+		.path = probe->path,
 		.timeout_ms = TIMEOUT_MS,
 	};
 
 	counters.probe_sent++;
 	probe->asked_us = clock_mono_us();
-	probe->pending = http_client_call(probe->daemon->http, &call,
-					  handle_answer, probe);
-	g_free(url);
+	probe->pending =
+		health_call_start(probe->daemon, &target, handle_answer, probe);
 }
 
 static void handle_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -181,7 +179,7 @@
 	ev_timer_stop(probe->daemon->loop, &probe->timer);
 	ev_timer_stop(probe->daemon->loop, &probe->connect_timer);
 	if (probe->pending)
-		http_client_cancel(probe->pending);
+		health_call_cancel(probe->pending);
 	g_free(probe->path);
 	g_free(probe);
 }
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -5,9 +5,9 @@
 
 #include "comfreydockd/config/store.h"
 #include "comfreydockd/settings.h"
+#include "comfreydockd/upstream/health_call.h"
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/owner_internal.h"
-#include "common/http_client.h"
 #include "common/log.h"
 
 static const char *const verdict_names[] = {
@@ -122,7 +122,7 @@
 void report_check_reset(struct report_check *check)
 {
 	if (check->pending)
-		http_client_cancel(check->pending);
+		health_call_cancel(check->pending);
 	g_free(check->group);
 	g_free(check->address);
 	memset(check, 0, sizeof(*check));
@@ -228,22 +228,19 @@
 	const struct config_group *group =
 		config_snapshot_group(config_store_current(owner->daemon->config),
 				      owner->start_check.group);
-	struct http_call call = {
-		.method = "GET",
+	struct health_call_target target = {
+		.address = owner->start_check.address,
+		.port = owner->start_check.port,
 		.timeout_ms = REPORT_CHECK_TIMEOUT_MS,
 	};
-	char *url;
 
 	if (!group || !group->health_path)
 		return false;
 	if (owner->start_check.pending)
 		return true;
-	url = address_to_url(owner->start_check.address,
-			     owner->start_check.port, group->health_path);
-	call.url = url;
-	owner->start_check.pending = http_client_call(owner->daemon->http, &call,
-						      handle_health, owner);
-	g_free(url);
+	target.path = group->health_path;
+	owner->start_check.pending =
+		health_call_start(owner->daemon, &target, handle_health, owner);
 	return true;
 }
 
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -143,18 +143,6 @@
 					  &head->fields, head->length);
 }
 
-/* Removes one line end. A carriage return before it belongs to the line. */
-static void line_strip_end(char *line)
-{
-	size_t size = strlen(line);
-
-	if (size > 0 && line[size - 1] == '\n')
-		size--;
-	if (size > 0 && line[size - 1] == '\r')
-		size--;
-	line[size] = '\0';
-}
-
 static size_t handle_header(char *bytes, size_t size, size_t count, void *data)
 {
 	struct run *run = data;
@@ -164,8 +152,7 @@
 
 	if (run->has_head) /* trailers are not forwarded */
 		return total;
-	line = g_strndup(bytes, total);
-	line_strip_end(line);
+	line = answer_head_dup_line(bytes, total);
 	if (*line) {
 		goes_on = answer_head_add_line(&run->head, line);
 		run_note_keep_alive(run, line);
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -23,6 +23,8 @@
 	GString *answer_body;
 	http_answer_handler handler;
 	void *data;
+	bool (*handle_head_line)(void *data, const char *bytes, size_t size);
+	void *head_data;
 };
 
 struct http_client {
@@ -256,6 +258,27 @@
 	return size * count;
 }
 
+static size_t handle_header(char *bytes, size_t size, size_t count, void *user)
+{
+	struct http_pending_call *pending = user;
+
+	return pending->handle_head_line(pending->head_data, bytes, size * count) ?
+		       size * count :
+		       0;
+}
+
+static void set_head_handler(struct http_pending_call *pending,
+			     const struct http_call *call)
+{
+	if (!call->handle_head_line)
+		return;
+	pending->handle_head_line = call->handle_head_line;
+	pending->head_data = call->head_data;
+	curl_easy_setopt(pending->transfer.easy, CURLOPT_HEADERFUNCTION,
+			 handle_header);
+	curl_easy_setopt(pending->transfer.easy, CURLOPT_HEADERDATA, pending);
+}
+
 static void http_pending_call_free(struct http_pending_call *pending)
 {
 	LIST_REMOVE(pending, link);
@@ -348,6 +371,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
 	set_headers(pending, call->headers);
+	set_head_handler(pending, call);
 	if (call->body) {
 		g_string_append_len(pending->request_body, call->body,
 				    (gssize)call->size);
--- a/include/comfreydockd/upstream/answer_head.h
+++ b/include/comfreydockd/upstream/answer_head.h
@@ -41,6 +41,10 @@
 /* Drops an interim answer (1xx), which another head follows. */
 void answer_head_restart(struct answer_head *head);
 
+/* RETURN VALUE: a copy of a line without its end; free it. A carriage return before
+ * that belongs to the line. */
+char *answer_head_dup_line(const char *bytes, size_t size);
+
 /* Adds a line, without its end. */
 bool answer_head_add_line(struct answer_head *head, const char *line);
 
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -90,7 +90,7 @@
 #define REPORT_CHECK_TIMEOUT_MS 200 /* a health answer on the same host */
 #define REPORT_CHECK_RETRY_S 0.25 /* shorter than an upstream's start */
 
-struct http_pending_call;
+struct health_call;
 
 /* The confirmation of the current start, and the upstream as last reported. */
 struct report_check {
@@ -98,7 +98,7 @@
 	bool saw_first_report; /* of the current start */
 	unsigned int reports; /* received from this start */
 	unsigned int failed_checks; /* unsuccessful health requests */
-	struct http_pending_call *pending;
+	struct health_call *pending;
 	char *group; /* this and the fields below: as last reported */
 	char *address;
 	uint16_t port;
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -89,6 +89,11 @@
 	long timeout_ms; /* 0: 5000 */
 	long connect_timeout_ms; /* 0: 1000 */
 	long stall_timeout_s; /* time without received bytes; 0: no limit */
+	/* Called with each line of the answer's head as it came, also of an
+	 * interim head and of trailers. If it returns false, the call ends with
+	 * CURLE_WRITE_ERROR and its connection is closed. NULL: not called. */
+	bool (*handle_head_line)(void *data, const char *bytes, size_t size);
+	void *head_data;
 };
 
 struct http_pending_call;
--- a/tests/test_probe.c
+++ b/tests/test_probe.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "comfreydockd/config/store.h"
+#include "comfreydockd/headers.h"
 #include "comfreydockd/upstream/probe.h"
 #include "common/http_client.h"
 #include "common/http_server.h"
@@ -75,7 +76,7 @@
  */
 static void test_a_dead_upstream_is_found_without_traffic(void)
 {
-	struct daemon daemon = {.loop = loop};
+	struct daemon daemon = {.loop = loop, .headers = &headers_own};
 	char *groups[] = {(char *)"s", NULL};
 	struct owner_announcement announced = {
 		.groups = groups,
@@ -112,7 +113,7 @@
  */
 static void test_refused_requests_count_as_refused_probes(void)
 {
-	struct daemon daemon = {.loop = loop};
+	struct daemon daemon = {.loop = loop, .headers = &headers_own};
 	struct owner_announcement announced = {
 		.address = (char *)"127.0.0.1",
 		.slots = 4,
@@ -149,7 +150,7 @@
  */
 static void test_probes_stay_within_the_budget(void)
 {
-	struct daemon daemon = {.loop = loop};
+	struct daemon daemon = {.loop = loop, .headers = &headers_own};
 	char *groups[] = {(char *)"s", NULL};
 	struct owner_announcement announced = {
 		.groups = groups,
