upstream/attempts: take a shed status only from an answer to the request

What callers see: a request that isn't idempotent may run twice. Cause: a status that the configuration names as "not run" was taken as that before the answer's id was compared, so a late second answer to another request told that this one had not run, and it was sent elsewhere. Change: answer_classify_shed() compares first. An answer that names another request is strange; so is one that names none, where upstreams sign and echo. Evidence: /answer/shed failed before, with the comparison left out as it was (an answer to another request was 'not run'), and passes now. Conclusion: where upstreams needn't echo, an answer without an id counts as before.

--- a/comfreydockd/upstream/answer.c
+++ b/comfreydockd/upstream/answer.c
@@ -35,6 +35,13 @@
 	return given && strcmp(given, trace) == 0;
 }
 
+static bool names_other_request(const struct headers *headers,
+				const char *trace, const struct fields *fields)
+{
+	return fields_find(fields, headers->trace) &&
+	       !has_trace(headers, trace, fields);
+}
+
 static bool has_content_coding(const struct fields *fields)
 {
 	const char *coding = fields_find(fields, "Content-Encoding");
@@ -50,8 +57,7 @@
 
 	if (!headers->signature)
 		return ANSWER_GOOD;
-	if (!has_trace(headers, trace, fields) &&
-	    fields_find(fields, headers->trace))
+	if (names_other_request(headers, trace, fields))
 		return ANSWER_STRANGE;
 	/* Health checks use the same connections and have no trace, so a late
 	 * second answer to one that was refused has none either. */
@@ -69,6 +75,16 @@
 	return ANSWER_GOOD;
 }
 
+enum answer_verdict answer_classify_shed(const struct headers *headers,
+					 const char *trace,
+					 const struct fields *fields)
+{
+	if (names_other_request(headers, trace, fields) ||
+	    (headers->signature && !has_trace(headers, trace, fields)))
+		return ANSWER_STRANGE;
+	return ANSWER_NOT_RUN;
+}
+
 bool answer_parse_load(const char *text, struct answer_load *load)
 {
 	uint32_t *const figures[LOAD_FIGURES] = {
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -120,10 +120,12 @@
 					    unsigned int status,
 					    const struct fields *fields)
 {
+	const struct headers *headers = owner_daemon(attempt->owner)->headers;
+	const char *trace = attempt->request->trace;
+
 	if (status_is_shed(attempt, status))
-		return ANSWER_NOT_RUN;
-	return answer_classify(owner_daemon(attempt->owner)->headers,
-			       attempt->request->trace, status, fields);
+		return answer_classify_shed(headers, trace, fields);
+	return answer_classify(headers, trace, status, fields);
 }
 
 static bool handle_head(void *data, unsigned int status,
--- a/include/comfreydockd/upstream/answer.h
+++ b/include/comfreydockd/upstream/answer.h
@@ -40,6 +40,11 @@
 				    const char *trace, unsigned int status,
 				    const struct fields *fields);
 
+/* The same for a status that the configuration names as "not run". */
+enum answer_verdict answer_classify_shed(const struct headers *headers,
+					 const char *trace,
+					 const struct fields *fields);
+
 const char *answer_verdict_name(enum answer_verdict verdict);
 
 /* RETURN VALUE: false if the load is absent or malformed. */
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -91,6 +91,36 @@
 			==, ANSWER_UNCLEAR);
 }
 
+static enum answer_verdict classify_shed(const struct headers *headers,
+					 const char *id)
+{
+	enum answer_verdict verdict;
+	struct fields fields;
+
+	fields_init(&fields);
+	if (id)
+		fields_add(&fields, headers->trace, id);
+	verdict = answer_classify_shed(headers, TRACE, &fields);
+	fields_finish(&fields);
+	return verdict;
+}
+
+/* Guards against a booking that runs twice: a late second answer to another request
+ * has a status that the configuration names as "not run". */
+static void test_shed_statuses_of_other_requests_are_rejected(void)
+{
+	g_assert_cmpint(classify_shed(&platform_headers, TRACE), ==,
+			ANSWER_NOT_RUN);
+	g_assert_cmpint(classify_shed(&platform_headers, "another"), ==,
+			ANSWER_STRANGE);
+	g_assert_cmpint(classify_shed(&platform_headers, NULL), ==,
+			ANSWER_STRANGE);
+	g_assert_cmpint(classify_shed(&headers_own, "another"), ==,
+			ANSWER_STRANGE);
+	/* Upstreams that sign no answers needn't echo the id either. */
+	g_assert_cmpint(classify_shed(&headers_own, NULL), ==, ANSWER_NOT_RUN);
+}
+
 /* comfreydock's own headers table names no signature field, so every answer is
  * accepted. */
 static void test_without_signature_header_all_answers_pass(void)
@@ -177,6 +207,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/answer/shed",
+			test_shed_statuses_of_other_requests_are_rejected);
 	g_test_add_func("/answer/this-request",
 			test_answers_to_this_request_pass);
 	g_test_add_func("/answer/other-request",
