upstream/answer_head: refuse a switch of protocols

What callers see: an entry got a body without a head where an upstream answered 101. Cause: the head of a 101 was passed over as an interim one, but libcurl reads no further head after it and takes all that follows for the body. Change: a 101 is a fault of the head; the run ends as broken. Evidence: /run/switch failed before (the answer after the 101, head and all, was handed on as a body), and passes now. /run/late-bytes/same-read, new as well, passed at once: a second answer that begins in the same read as the end of the first, cut at each offset, gives no caller a success. Conclusion: Upgrade is never forwarded, so no request is answered 101 rightly.

--- a/comfreydockd/upstream/answer_head.c
+++ b/comfreydockd/upstream/answer_head.c
@@ -8,6 +8,7 @@
 /* "HTTP/1.1 200" */
 #define STATUS_LINE_MIN 12
 #define CODE_OFFSET 9
+#define STATUS_SWITCHING 101
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
 static bool head_fail(struct answer_head *head, const char *fault)
@@ -99,6 +100,9 @@
 		return head_fail(head, "a status line within a line");
 	head->status =
 		(unsigned int)g_ascii_strtoull(line + CODE_OFFSET, NULL, 10);
+	/* Upgrade isn't forwarded. libcurl takes what follows for a body. */
+	if (head->status == STATUS_SWITCHING)
+		return head_fail(head, "a switch of protocols");
 	return true;
 }
 
--- a/tests/test_answer_head.c
+++ b/tests/test_answer_head.c
@@ -39,6 +39,7 @@
 {
 	static const struct head_case cases[] = {
 		{OK, NULL, 200, -1},
+		{"HTTP/1.1 103 Early Hints\n", NULL, 103, -1},
 		{"HTTP/1.1 200\n", NULL, 200, -1},
 		{"HTTP/1.1 200 \n", NULL, 200, -1},
 		{"HTTP/1.0 404 Not Found\nContent-Length: 9\n", NULL, 404, 9},
@@ -108,6 +109,7 @@
 		{OK "X-Comfreydock-Request-Id: 9c4HTTP/1.1 500 Failed\n", within},
 		{"HTTP/1.1 200 OHTTP/1.1 500 Failed\n", within},
 		{OK TRACE TRACE, twice},
+		{"HTTP/1.1 101 Switching Protocols\n", "a switch of protocols"},
 		{"Server: a\n", no_status},
 		{"HTTP/1.1 20\n", no_status},
 		{"HTTP/1.1 2000 OK\n", no_status},
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -460,6 +460,54 @@
 	}
 }
 
+/* Guards against a body that is passed on without its head: libcurl takes all that
+ * follows a 101 for one, also if no upgrade was asked for. */
+static void test_a_switch_of_protocols(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: "
+		"x\r\n\r\n" SUCCESS,
+		NULL};
+	struct fixture fixture;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	fixture.upstream.ending = ENDING_CLOSE;
+	fixture.upstream.answer_bytes = strlen(answers[0]);
+	g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==, RUN_BROKEN);
+	g_assert_cmpstr(fixture.outcome.body->str, ==, "");
+	fixture_stop(&fixture);
+}
+
+/* Guards against an answer of another request where a late second answer begins in
+ * the same read as the end of the first, and the rest of it comes later. */
+static void test_late_bytes_in_the_same_read(void)
+{
+	static const char *const firsts[] = {
+		SUCCESS,
+		HEAD("200 OK") CHUNKED "\r\n6\r\nfirst.\r\n0\r\n\r\n",
+		HEAD("204 No Content") "\r\n",
+		HEAD("200 OK") "Content-Length: 0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(firsts) * strlen(SUCCESS); i++) {
+		size_t cut = 1 + i / G_N_ELEMENTS(firsts);
+		char *text = g_strdup_printf("%s%.*s",
+					     firsts[i % G_N_ELEMENTS(firsts)],
+					     (int)cut, SUCCESS);
+		const char *const answers[] = {text, FAILURE, NULL};
+		struct fixture fixture;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		fixture.upstream.late = &SUCCESS[cut];
+		fixture.upstream.late_bytes = strlen(SUCCESS) - cut;
+		run_once(&fixture, "GET", FIRST);
+		run_once(&fixture, "GET", SECOND);
+		assert_no_success(&fixture);
+		fixture_stop(&fixture);
+		g_free(text);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -470,5 +518,8 @@
 			test_late_bytes_before_the_next_answer);
 	g_test_add_func("/run/same-request", test_a_request_that_is_sent_again);
 	g_test_add_func("/run/cut", test_cut_answers);
+	g_test_add_func("/run/switch", test_a_switch_of_protocols);
+	g_test_add_func("/run/late-bytes/same-read",
+			test_late_bytes_in_the_same_read);
 	return g_test_run();
 }
