upstream/run: leave an idle connection a second before its upstream closes it

What callers see: now and then a booking ends as unknown, as it crosses the close of an idle connection. Cause: a second was to be left, but libcurl compares the idle time in whole seconds and reuses a connection of just that age, so up to the very end of the upstream's timeout; five seconds where none is stated, which is a common timeout. A timeout of one second was passed over. Change: the age given to libcurl is one less; a timeout of one or two seconds allows reuse for less than one. Evidence: /run/idle (timeout=2, 1.2 s idle) failed before, one connection for both requests, and passes now. /run/streamed-body, new as well, passed at once: a POST whose body comes in two parts, and whose kept connection is found to have input, is sent whole and once on a new one. Conclusion: some more new connections; what that costs wasn't measured.

--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -19,6 +19,7 @@
  * less a second for the time that a request is on its way. */
 #define MAX_IDLE_CONNECTION_S 4L
 #define IDLE_MARGIN_S 1L
+#define IDLE_MIN_S 1L
 
 struct run_pool {
 	struct http_client *client;
@@ -117,8 +118,8 @@
 	if (!timeout)
 		return;
 	seconds = g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
-	if (seconds > IDLE_MARGIN_S)
-		pool->idle_s = (long)seconds - IDLE_MARGIN_S;
+	if (seconds > 0)
+		pool->idle_s = MAX((long)seconds - IDLE_MARGIN_S, IDLE_MIN_S);
 }
 
 static void run_note_keep_alive(struct run *run, const char *line)
@@ -264,7 +265,8 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, run->pool->idle_s);
+	/* libcurl counts whole seconds, and reuses a connection of that age. */
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, run->pool->idle_s - 1);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, run);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_write);
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -14,6 +14,7 @@
 
 #define CONNECTIONS_MAX 4
 #define RESET_DELAY_S 0.0005
+#define BODY_DELAY_S 0.02
 #define BODY_BYTES 6
 #define FIRST "9c41d07be2a35f68"
 #define SECOND "1988b75365ad025e"
@@ -48,6 +49,9 @@
 	enum ending ending;
 	size_t answer_bytes; /* with an ending: the part that is sent */
 	ev_timer reset_timer;
+	/* Answers only what ends with this; NULL: whatever comes. */
+	const char *awaited;
+	GString *received; /* since the last answer */
 	unsigned int requests;
 	unsigned int connections;
 };
@@ -61,6 +65,7 @@
 	enum answer_verdict verdict;
 	unsigned int status;
 	GString *body;
+	size_t consumed; /* of the request's body */
 	struct run *run;
 };
 
@@ -119,6 +124,11 @@
 		upstream_end(upstream);
 		return;
 	}
+	if (got > 0 && upstream->awaited) {
+		g_string_append_len(upstream->received, buffer, got);
+		if (!g_str_has_suffix(upstream->received->str, upstream->awaited))
+			return;
+	}
 	if (upstream->requests == 2)
 		send(upstream->readers[0].fd, upstream->late,
 		     upstream->late_bytes, MSG_NOSIGNAL);
@@ -187,8 +197,7 @@
 
 static void handle_request_body_consumed(void *data, size_t size)
 {
-	(void)data;
-	(void)size;
+	((struct outcome *)data)->consumed += size;
 }
 
 static void handle_done(void *data, enum run_result result)
@@ -219,6 +228,7 @@
 		.client = http_client_create(loop),
 	};
 	fixture->outcome.body = g_string_new(NULL);
+	fixture->upstream.received = g_string_new(NULL);
 	fixture->pool = run_pool_create(fixture->client, headers, "127.0.0.1",
 					upstream_listen(&fixture->upstream));
 }
@@ -246,6 +256,7 @@
 	}
 	ev_loop_destroy(fixture->loop);
 	g_string_free(fixture->outcome.body, TRUE);
+	g_string_free(fixture->upstream.received, TRUE);
 }
 
 static enum run_result run_once(struct fixture *fixture, const char *method,
@@ -508,6 +519,84 @@
 	}
 }
 
+static void handle_body_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	run_add_body(timer->data, "second", BODY_BYTES, true);
+}
+
+/* Sends a booking whose body comes in two parts. */
+static enum run_result run_streamed(struct fixture *fixture)
+{
+	struct outcome *outcome = &fixture->outcome;
+	struct fields fields;
+	struct run_request request = {
+		.method = "POST",
+		.target = "/book",
+		.fields = &fields,
+		.body = (const uint8_t *)"first.",
+		.body_size = BODY_BYTES,
+	};
+	ev_timer timer;
+
+	fields_init(&fields);
+	fields_add(&fields, outcome->headers->trace, SECOND);
+	outcome->trace = SECOND;
+	outcome->done = false;
+	outcome->run =
+		run_create(fixture->pool, &request, 65536, &callbacks, outcome);
+	ev_timer_init(&timer, handle_body_timer, BODY_DELAY_S, 0.0);
+	timer.data = outcome->run;
+	ev_timer_start(outcome->loop, &timer);
+	while (!outcome->done)
+		ev_run(outcome->loop, 0);
+	ev_timer_stop(outcome->loop, &timer);
+	run_destroy(outcome->run);
+	fields_finish(&fields);
+	return outcome->result;
+}
+
+/* Guards against a booking whose body is sent in part or twice when its connection
+ * is found unusable and another one is opened. */
+static void test_a_streamed_body_on_another_connection(void)
+{
+	static const char *const answers[] = {SUCCESS, FAILURE, NULL};
+	static const char body[] =
+		"\r\n\r\n6\r\nfirst.\r\n6\r\nsecond\r\n0\r\n\r\n";
+	struct fixture fixture;
+	struct upstream *upstream = &fixture.upstream;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	run_once(&fixture, "GET", FIRST);
+	send_late(upstream, SUCCESS, strlen(SUCCESS));
+	upstream->awaited = "\r\n0\r\n\r\n";
+	g_assert_cmpint(run_streamed(&fixture), ==, RUN_COMPLETE);
+	g_assert_cmpint((int)fixture.outcome.status, ==, 500);
+	g_assert_cmpuint(fixture.outcome.consumed, ==, 2 * BODY_BYTES);
+	g_assert_true(g_str_has_prefix(upstream->received->str, "POST /book "));
+	g_assert_cmpstr(strstr(upstream->received->str, "\r\n\r\n"), ==, body);
+	g_assert_cmpuint(upstream->connections, ==, 2);
+	fixture_stop(&fixture);
+}
+
+/* Guards against a request that crosses the upstream's closing of an idle
+ * connection. */
+static void test_idle_connections_are_left_in_time(void)
+{
+	static const char *const answers[] = {
+		HEAD("200 OK") "Keep-Alive: timeout=2\r\n" LENGTH "\r\nfirst.",
+		FAILURE, NULL};
+	struct fixture fixture;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	run_once(&fixture, "GET", FIRST);
+	g_usleep(1200000);
+	run_once(&fixture, "GET", SECOND);
+	g_assert_cmpuint(fixture.upstream.connections, ==, 2);
+	fixture_stop(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -521,5 +610,8 @@
 	g_test_add_func("/run/switch", test_a_switch_of_protocols);
 	g_test_add_func("/run/late-bytes/same-read",
 			test_late_bytes_in_the_same_read);
+	g_test_add_func("/run/streamed-body",
+			test_a_streamed_body_on_another_connection);
+	g_test_add_func("/run/idle", test_idle_connections_are_left_in_time);
 	return g_test_run();
 }
