--- a/comfreydockd/upstream/answer_head.c
+++ b/comfreydockd/upstream/answer_head.c
@@ -8,6 +8,7 @@
 /* "HTTP/1.1 200" */
 #define STATUS_LINE_MIN 12
 #define CODE_OFFSET 9
+#define STATUS_SWITCHING 101
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
 static bool head_fail(struct answer_head *head, const char *fault)
@@ -35,6 +36,15 @@
 	answer_head_init(head, head->headers);
 }
 
+char *answer_head_dup_line(const char *bytes, size_t size)
+{
+	if (size > 0 && bytes[size - 1] == '\n')
+		size--;
+	if (size > 0 && bytes[size - 1] == '\r')
+		size--;
+	return g_strndup(bytes, size);
+}
+
 static bool is_digits(const char *text)
 {
 	return *text && strspn(text, "0123456789") == strlen(text);
@@ -90,6 +100,9 @@
 		return head_fail(head, "a status line within a line");
 	head->status =
 		(unsigned int)g_ascii_strtoull(line + CODE_OFFSET, NULL, 10);
+	/* Upgrade isn't forwarded. libcurl takes what follows for a body. */
+	if (head->status == STATUS_SWITCHING)
+		return head_fail(head, "a switch of protocols");
 	return true;
 }
 
@@ -149,21 +162,36 @@
 	return true;
 }
 
+/* Removes blanks at both ends, but no carriage return, which libcurl may take for
+ * the end of the line. */
+static char *strip_blanks(char *text)
+{
+	size_t size;
+
+	text += strspn(text, " \t");
+	size = strlen(text);
+	while (size > 0 && (text[size - 1] == ' ' || text[size - 1] == '\t'))
+		size--;
+	text[size] = '\0';
+	return text;
+}
+
 static bool head_add_field_line(struct answer_head *head, char *line)
 {
 	char *colon = strchr(line, ':');
+	char *value;
 
 	if (!head->status)
 		return head_fail(head, "no status line");
 	if (!colon || !is_token(line, (size_t)(colon - line)))
 		return head_fail(head, "a line that is no field");
 	*colon = '\0';
-	g_strstrip(colon + 1);
-	if (!is_value(colon + 1))
+	value = strip_blanks(colon + 1);
+	if (!is_value(value))
 		return head_fail(head, "a control character in a field");
-	if (contains_status(colon + 1))
+	if (contains_status(value))
 		return head_fail(head, "a status line within a line");
-	return head_add_field(head, line, colon + 1);
+	return head_add_field(head, line, value);
 }
 
 bool answer_head_add_line(struct answer_head *head, const char *line)
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -1,18 +1,16 @@
-#include <arpa/inet.h>
 #include <ev.h>
 #include <glib.h>
 #include <linux/sockios.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "comfreydockd/upstream/answer.h"
 #include "comfreydockd/upstream/run.h"
 #include "platform/headers.h"
+#include "scripted_upstream.h"
 
-#define CONNECTIONS_MAX 4
+#define BODY_DELAY_S 0.02
 #define BODY_BYTES 6
 #define FIRST "9c41d07be2a35f68"
 #define SECOND "1988b75365ad025e"
@@ -24,22 +22,6 @@
 #define SUCCESS ANSWER("200 OK", FIRST, "first.")
 #define FAILURE ANSWER("500 Internal Server Error", SECOND, "second")
 
-/* An upstream that answers each request with the next of these texts, and closes
- * the connection if there is none, as one that crashes while it works does. */
-struct upstream {
-	struct ev_loop *loop;
-	int listener;
-	int connection; /* the newest; -1: closed */
-	ev_io acceptor;
-	ev_io readers[CONNECTIONS_MAX];
-	const char *const *answers; /* ends with NULL */
-	/* Sent on the first connection when the second request has come. */
-	const char *late;
-	size_t late_bytes;
-	unsigned int requests;
-	unsigned int connections;
-};
-
 struct outcome {
 	struct ev_loop *loop;
 	const struct headers *headers;
@@ -49,74 +31,19 @@
 	enum answer_verdict verdict;
 	unsigned int status;
 	GString *body;
+	size_t consumed; /* of the request's body */
 	struct run *run;
 };
 
 /* A pool of connections to such an upstream. */
 struct fixture {
 	struct ev_loop *loop;
-	struct upstream upstream;
+	struct scripted_upstream upstream;
 	struct outcome outcome;
 	struct http_client *client;
 	struct run_pool *pool;
 };
 
-static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
-{
-	struct upstream *upstream = io->data;
-	char buffer[4096];
-	ssize_t got = recv(io->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
-
-	(void)events;
-	upstream->requests += got > 0;
-	if (upstream->requests == 2)
-		send(upstream->readers[0].fd, upstream->late,
-		     upstream->late_bytes, MSG_NOSIGNAL);
-	if (got > 0 && *upstream->answers) {
-		send(io->fd, *upstream->answers, strlen(*upstream->answers),
-		     MSG_NOSIGNAL);
-		upstream->answers++;
-		return;
-	}
-	ev_io_stop(loop, io);
-	close(io->fd);
-	upstream->connection = -1;
-}
-
-static void handle_acceptable(struct ev_loop *loop, ev_io *io, int events)
-{
-	struct upstream *upstream = io->data;
-	ev_io *reader = &upstream->readers[upstream->connections++];
-
-	(void)events;
-	g_assert_cmpuint(upstream->connections, <=, CONNECTIONS_MAX);
-	upstream->connection = accept(io->fd, NULL, NULL);
-	ev_io_init(reader, handle_readable, upstream->connection, EV_READ);
-	reader->data = upstream;
-	ev_io_start(loop, reader);
-}
-
-static uint16_t upstream_listen(struct upstream *upstream)
-{
-	struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	};
-	socklen_t size = sizeof(address);
-
-	upstream->listener = socket(AF_INET, SOCK_STREAM, 0);
-	g_assert_cmpint(
-		bind(upstream->listener, (struct sockaddr *)&address, size), ==,
-		0);
-	g_assert_cmpint(listen(upstream->listener, 8), ==, 0);
-	getsockname(upstream->listener, (struct sockaddr *)&address, &size);
-	ev_io_init(&upstream->acceptor, handle_acceptable, upstream->listener,
-		   EV_READ);
-	upstream->acceptor.data = upstream;
-	ev_io_start(upstream->loop, &upstream->acceptor);
-	return ntohs(address.sin_port);
-}
-
 static bool handle_head(void *data, unsigned int status,
 			const struct fields *fields, int64_t length)
 {
@@ -136,8 +63,7 @@
 
 static void handle_request_body_consumed(void *data, size_t size)
 {
-	(void)data;
-	(void)size;
+	((struct outcome *)data)->consumed += size;
 }
 
 static void handle_done(void *data, enum run_result result)
@@ -163,32 +89,21 @@
 
 	*fixture = (struct fixture){
 		.loop = loop,
-		.upstream = {.loop = loop, .connection = -1, .answers = answers},
+		.upstream = {.loop = loop, .answers = answers},
 		.outcome = {.loop = loop, .headers = headers},
 		.client = http_client_create(loop),
 	};
 	fixture->outcome.body = g_string_new(NULL);
-	fixture->pool = run_pool_create(fixture->client, headers, "127.0.0.1",
-					upstream_listen(&fixture->upstream));
-}
-
-static void fixture_stop_upstream(struct fixture *fixture)
-{
-	ev_io_stop(fixture->loop, &fixture->upstream.acceptor);
-	close(fixture->upstream.listener);
+	fixture->pool =
+		run_pool_create(fixture->client, headers, "127.0.0.1",
+				scripted_upstream_start(&fixture->upstream));
 }
 
 static void fixture_stop(struct fixture *fixture)
 {
 	run_pool_destroy(fixture->pool);
 	http_client_destroy(fixture->client);
-	for (unsigned int i = 0; i < fixture->upstream.connections; i++) {
-		ev_io *reader = &fixture->upstream.readers[i];
-
-		if (ev_is_active(reader))
-			close(reader->fd);
-		ev_io_stop(fixture->loop, reader);
-	}
+	scripted_upstream_stop(&fixture->upstream);
 	ev_loop_destroy(fixture->loop);
 	g_string_free(fixture->outcome.body, TRUE);
 }
@@ -238,14 +153,15 @@
 	g_assert_cmpstr(fixture.outcome.body->str, ==, "ok");
 	g_assert_cmpint(run_once(&fixture, "POST", SECOND), ==, RUN_BROKEN);
 	g_assert_cmpuint(fixture.upstream.requests, ==, 2);
-	fixture_stop_upstream(&fixture);
+	scripted_upstream_stop_listening(&fixture.upstream);
 	/* The port refuses connections, so the run has certainly not begun. */
 	g_assert_cmpint(run_once(&fixture, "POST", SECOND), ==, RUN_NOT_BEGUN);
 	fixture_stop(&fixture);
 }
 
 /* Sends bytes after the last answer, and waits until they have arrived. */
-static void send_late(struct upstream *upstream, const char *text, size_t size)
+static void send_late(struct scripted_upstream *upstream, const char *text,
+		      size_t size)
 {
 	int unsent = 1;
 
@@ -324,6 +240,213 @@
 	fixture_stop(&fixture);
 }
 
+#define HEAD(status)                              \
+	"HTTP/1.1 " status "\r\n"                 \
+	"X-Comfreydock-Request-Id: " FIRST "\r\n" \
+	"X-Comfreydock-Response-Signature: 3e1b\r\n"
+#define LENGTH "Content-Length: 6\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+#define EARLY_HINTS "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+struct whole_answer {
+	const char *method;
+	const char *head;
+	const char *body;
+	const char *content; /* of the body */
+	bool ends_by_close;
+	/* libcurl doesn't wait for the line feed at the end of the last chunk; the
+	 * body is whole then. */
+	size_t unread;
+};
+
+static const struct whole_answer whole_answers[] = {
+	{"GET", HEAD("200 OK") LENGTH "\r\n", "first.", "first."},
+	{"GET", EARLY_HINTS HEAD("200 OK") LENGTH "\r\n", "first.", "first."},
+	{"GET", HEAD("200 OK") CHUNKED "\r\n",
+	 "4\r\nfirs\r\n2\r\nt.\r\n0\r\n\r\n", "first.", false, 1},
+	{"GET", HEAD("200 OK") CHUNKED "\r\n",
+	 "6;a=b\r\nfirst.\r\n0\r\nChecksum: 1\r\n\r\n", "first.", false, 1},
+	{"GET", HEAD("200 OK") "\r\n", "first.", "first.", true},
+	{"GET", HEAD("200 OK") "Connection: close\r\n" LENGTH "\r\n", "first.",
+	 "first."},
+	{"POST", HEAD("200 OK") LENGTH "\r\n", "first.", "first."},
+	{"GET", HEAD("200 OK") "Content-Length: 0\r\n\r\n", "", ""},
+	{"GET", HEAD("204 No Content") "\r\n", "", ""},
+	{"GET", HEAD("304 Not Modified") LENGTH "\r\n", "", ""},
+	{"HEAD", HEAD("200 OK") LENGTH "\r\n", "", ""},
+	{"HEAD", EARLY_HINTS HEAD("200 OK") CHUNKED "\r\n", "", ""},
+	{"HEAD", HEAD("200 OK") "\r\n", "", ""},
+};
+
+static void check_cut_answer(const struct whole_answer *answer, size_t cut,
+			     enum ending ending)
+{
+	char *text = g_strconcat(answer->head, answer->body, NULL);
+	const char *const answers[] = {text, NULL};
+	bool is_whole = cut + answer->unread >= strlen(text) ||
+			(answer->ends_by_close && cut >= strlen(answer->head));
+	bool is_closed = ending == ENDING_CLOSE;
+	struct fixture fixture;
+	enum run_result result;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	fixture.upstream.ending = ending;
+	fixture.upstream.answer_bytes = cut;
+	result = run_once(&fixture, answer->method, FIRST);
+	if (is_whole && is_closed)
+		g_assert_cmpint(result, ==, RUN_COMPLETE);
+	if (!is_whole || (answer->ends_by_close && !is_closed))
+		g_assert_cmpint(result, !=, RUN_COMPLETE);
+	if (result == RUN_COMPLETE && !answer->ends_by_close)
+		g_assert_cmpstr(fixture.outcome.body->str, ==, answer->content);
+	g_assert_cmpuint(fixture.upstream.requests, ==, 1);
+	fixture_stop(&fixture);
+	g_free(text);
+}
+
+/* Guards against an answer that is passed on as whole although its upstream broke
+ * off: at each offset, closed or reset. */
+static void test_cut_answers(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(whole_answers); i++) {
+		const struct whole_answer *answer = &whole_answers[i];
+		size_t size = strlen(answer->head) + strlen(answer->body);
+
+		for (size_t cut = 0; cut <= size; cut++) {
+			g_test_message("answer %zu, %zu bytes", i, cut);
+			check_cut_answer(answer, cut, ENDING_CLOSE);
+			check_cut_answer(answer, cut, ENDING_RESET);
+			check_cut_answer(answer, cut, ENDING_RESET_LATER);
+		}
+	}
+}
+
+/* Guards against a body that is passed on without its head: libcurl takes all that
+ * follows a 101 for one, also if no upgrade was asked for. */
+static void test_a_switch_of_protocols(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: "
+		"x\r\n\r\n" SUCCESS,
+		NULL};
+	struct fixture fixture;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	fixture.upstream.ending = ENDING_CLOSE;
+	fixture.upstream.answer_bytes = strlen(answers[0]);
+	g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==, RUN_BROKEN);
+	g_assert_cmpstr(fixture.outcome.body->str, ==, "");
+	fixture_stop(&fixture);
+}
+
+/* Guards against an answer of another request where a late second answer begins in
+ * the same read as the end of the first, and the rest of it comes later. */
+static void test_late_bytes_in_the_same_read(void)
+{
+	static const char *const firsts[] = {
+		SUCCESS,
+		HEAD("200 OK") CHUNKED "\r\n6\r\nfirst.\r\n0\r\n\r\n",
+		HEAD("204 No Content") "\r\n",
+		HEAD("200 OK") "Content-Length: 0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(firsts) * strlen(SUCCESS); i++) {
+		size_t cut = 1 + i / G_N_ELEMENTS(firsts);
+		char *text = g_strdup_printf("%s%.*s",
+					     firsts[i % G_N_ELEMENTS(firsts)],
+					     (int)cut, SUCCESS);
+		const char *const answers[] = {text, FAILURE, NULL};
+		struct fixture fixture;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		fixture.upstream.late = &SUCCESS[cut];
+		fixture.upstream.late_bytes = strlen(SUCCESS) - cut;
+		run_once(&fixture, "GET", FIRST);
+		run_once(&fixture, "GET", SECOND);
+		assert_no_success(&fixture);
+		fixture_stop(&fixture);
+		g_free(text);
+	}
+}
+
+static void handle_body_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	run_add_body(timer->data, "second", BODY_BYTES, true);
+}
+
+/* Sends a booking whose body comes in two parts. */
+static enum run_result run_streamed(struct fixture *fixture)
+{
+	struct outcome *outcome = &fixture->outcome;
+	struct fields fields;
+	struct run_request request = {
+		.method = "POST",
+		.target = "/book",
+		.fields = &fields,
+		.body = (const uint8_t *)"first.",
+		.body_size = BODY_BYTES,
+	};
+	ev_timer timer;
+
+	fields_init(&fields);
+	fields_add(&fields, outcome->headers->trace, SECOND);
+	outcome->trace = SECOND;
+	outcome->done = false;
+	outcome->run =
+		run_create(fixture->pool, &request, 65536, &callbacks, outcome);
+	ev_timer_init(&timer, handle_body_timer, BODY_DELAY_S, 0.0);
+	timer.data = outcome->run;
+	ev_timer_start(outcome->loop, &timer);
+	while (!outcome->done)
+		ev_run(outcome->loop, 0);
+	ev_timer_stop(outcome->loop, &timer);
+	run_destroy(outcome->run);
+	fields_finish(&fields);
+	return outcome->result;
+}
+
+/* Guards against a booking whose body is sent in part or twice when its connection
+ * is found unusable and another one is opened. */
+static void test_a_streamed_body_on_another_connection(void)
+{
+	static const char *const answers[] = {SUCCESS, FAILURE, NULL};
+	static const char body[] =
+		"\r\n\r\n6\r\nfirst.\r\n6\r\nsecond\r\n0\r\n\r\n";
+	struct fixture fixture;
+	struct scripted_upstream *upstream = &fixture.upstream;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	run_once(&fixture, "GET", FIRST);
+	send_late(upstream, SUCCESS, strlen(SUCCESS));
+	upstream->awaited = "\r\n0\r\n\r\n";
+	g_assert_cmpint(run_streamed(&fixture), ==, RUN_COMPLETE);
+	g_assert_cmpint((int)fixture.outcome.status, ==, 500);
+	g_assert_cmpuint(fixture.outcome.consumed, ==, 2 * BODY_BYTES);
+	g_assert_true(g_str_has_prefix(upstream->received->str, "POST /book "));
+	g_assert_cmpstr(strstr(upstream->received->str, "\r\n\r\n"), ==, body);
+	g_assert_cmpuint(upstream->connections, ==, 2);
+	fixture_stop(&fixture);
+}
+
+/* Guards against a request that crosses the upstream's closing of an idle
+ * connection. */
+static void test_idle_connections_are_left_in_time(void)
+{
+	static const char *const answers[] = {
+		HEAD("200 OK") "Keep-Alive: timeout=2\r\n" LENGTH "\r\nfirst.",
+		FAILURE, NULL};
+	struct fixture fixture;
+
+	fixture_start(&fixture, &platform_headers, answers);
+	run_once(&fixture, "GET", FIRST);
+	g_usleep(1200000);
+	run_once(&fixture, "GET", SECOND);
+	g_assert_cmpuint(fixture.upstream.connections, ==, 2);
+	fixture_stop(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -333,5 +456,12 @@
 	g_test_add_func("/run/late-bytes/awaited",
 			test_late_bytes_before_the_next_answer);
 	g_test_add_func("/run/same-request", test_a_request_that_is_sent_again);
+	g_test_add_func("/run/cut", test_cut_answers);
+	g_test_add_func("/run/switch", test_a_switch_of_protocols);
+	g_test_add_func("/run/late-bytes/same-read",
+			test_late_bytes_in_the_same_read);
+	g_test_add_func("/run/streamed-body",
+			test_a_streamed_body_on_another_connection);
+	g_test_add_func("/run/idle", test_idle_connections_are_left_in_time);
 	return g_test_run();
 }
