common/http_head: check the heads of all answers, also those of buffered calls

What callers see: nothing so far; a daemon took a head that breaks off, or one that runs into the next, as a success of the platform's store, of a probe or of the check of a new start. Change: the part of answer_head that knows HTTP is common/http_head, and common/http_client reads each head through it. A call whose head has a fault, or isn't complete at its end, ends with an error. health_call keeps only what is its own: an answer that names a request isn't read.

--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -42,7 +42,6 @@
 	struct answer_head head;
 	int64_t credit;
 	bool answer_paused;
-	bool has_head;
 	bool is_repeat;
 	bool running;
 };
@@ -109,59 +108,29 @@
 	return taken;
 }
 
-/* Parses a Keep-Alive value such as "timeout=10, max=100". */
-static void pool_note_keep_alive(struct run_pool *pool, const char *value)
+static void pool_note_idle_timeout(struct run_pool *pool, long timeout_s)
 {
-	const char *timeout = strstr(value, "timeout=");
-	gint64 seconds;
-
-	if (!timeout)
-		return;
-	seconds = g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
-	if (seconds > 0)
-		pool->idle_s = MAX((long)seconds - IDLE_MARGIN_S, IDLE_MIN_S);
-}
-
-static void run_note_keep_alive(struct run *run, const char *line)
-{
-	static const char name[] = "Keep-Alive:";
-
-	if (strncasecmp(line, name, strlen(name)) == 0)
-		pool_note_keep_alive(run->pool, line + strlen(name));
-}
-
-/* RETURN VALUE: false if the run ends here. */
-static bool run_finish_head(struct run *run)
-{
-	const struct answer_head *head = &run->head;
-
-	if (head->status < 200) {
-		answer_head_restart(&run->head);
-		return true;
-	}
-	run->has_head = true;
-	return run->callbacks.handle_head(run->data, head->status,
-					  &head->fields, head->length);
+	if (timeout_s > 0)
+		pool->idle_s = MAX(timeout_s - IDLE_MARGIN_S, IDLE_MIN_S);
 }
 
 static size_t handle_header(char *bytes, size_t size, size_t count, void *data)
 {
 	struct run *run = data;
+	const struct answer_head *head = &run->head;
 	size_t total = size * count;
-	char *line;
-	bool goes_on;
 
-	if (run->has_head) /* trailers are not forwarded */
+	if (head->message.is_complete) /* trailers are not forwarded */
 		return total;
-	line = answer_head_dup_line(bytes, total);
-	if (*line) {
-		goes_on = answer_head_add_line(&run->head, line);
-		run_note_keep_alive(run, line);
-	} else {
-		goes_on = run_finish_head(run);
-	}
-	g_free(line);
-	return goes_on ? total : 0;
+	if (!answer_head_add_line(&run->head, bytes, total))
+		return 0;
+	if (!head->message.is_complete)
+		return total;
+	pool_note_idle_timeout(run->pool, head->idle_timeout_s);
+	return run->callbacks.handle_head(run->data, head->message.status,
+					  &head->fields, head->message.length) ?
+		       total :
+		       0;
 }
 
 static size_t handle_write(char *bytes, size_t size, size_t count, void *data)
@@ -182,9 +151,9 @@
 {
 	if (!run_has_begun(run))
 		return RUN_NOT_BEGUN;
-	if (result == CURLE_OK && run->has_head)
+	if (result == CURLE_OK && run->head.message.is_complete)
 		return RUN_COMPLETE;
-	return run->has_head ? RUN_TRUNCATED : RUN_BROKEN;
+	return run->head.message.is_complete ? RUN_TRUNCATED : RUN_BROKEN;
 }
 
 static void handle_done(struct http_transfer *transfer, CURLcode result)
@@ -363,5 +332,5 @@
 
 const char *run_fault(const struct run *run)
 {
-	return run->head.fault;
+	return run->head.message.fault;
 }
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include "common/counters.h"
+#include "common/http_head.h"
 #include "common/http_sockets.h"
 #include "common/log.h"
 
@@ -23,8 +24,8 @@
 	GString *answer_body;
 	http_answer_handler handler;
 	void *data;
-	bool (*handle_head_line)(void *data, const char *bytes, size_t size);
-	void *head_data;
+	bool (*handle_field)(void *data, const char *name, const char *value);
+	struct http_head head;
 };
 
 struct http_client {
@@ -261,22 +262,15 @@
 static size_t handle_header(char *bytes, size_t size, size_t count, void *user)
 {
 	struct http_pending_call *pending = user;
-
-	return pending->handle_head_line(pending->head_data, bytes, size * count) ?
-		       size * count :
-		       0;
-}
-
-static void set_head_handler(struct http_pending_call *pending,
-			     const struct http_call *call)
-{
-	if (!call->handle_head_line)
-		return;
-	pending->handle_head_line = call->handle_head_line;
-	pending->head_data = call->head_data;
-	curl_easy_setopt(pending->transfer.easy, CURLOPT_HEADERFUNCTION,
-			 handle_header);
-	curl_easy_setopt(pending->transfer.easy, CURLOPT_HEADERDATA, pending);
+	char *line = http_head_dup_line(bytes, size * count);
+	struct http_head_field field;
+	bool is_good = http_head_take_line(&pending->head, line, &field);
+
+	if (is_good && field.name && pending->handle_field)
+		is_good = pending->handle_field(pending->data, field.name,
+						field.value);
+	g_free(line);
+	return is_good ? size * count : 0;
 }
 
 static void http_pending_call_free(struct http_pending_call *pending)
@@ -289,11 +283,21 @@
 	g_free(pending);
 }
 
+/* libcurl reports success for a head that ends with its connection. */
+static CURLcode call_result(const struct http_pending_call *pending,
+			    CURLcode result)
+{
+	return result == CURLE_OK && !pending->head.is_complete ?
+		       CURLE_WEIRD_SERVER_REPLY :
+		       result;
+}
+
 static void handle_call_done(struct http_transfer *transfer, CURLcode result)
 {
 	struct http_pending_call *pending = transfer->data;
 	struct http_answer answer = {
-		.result = result,
+		.result = call_result(pending, result),
+		.fault = pending->head.fault,
 		.never_sent = result == CURLE_COULDNT_CONNECT,
 		.body = pending->answer_body->str,
 		.size = pending->answer_body->len,
@@ -348,7 +352,9 @@
 		call->send_once || (strcmp(call->method, "GET") != 0 &&
 				    strcmp(call->method, "HEAD") != 0);
 	pending->handler = handler;
+	pending->handle_field = call->handle_field;
 	pending->data = data;
+	http_head_init(&pending->head);
 	pending->answer_body = g_string_new(NULL);
 	pending->request_body = g_string_new(NULL);
 	LIST_INSERT_HEAD(&client->pending, pending, link);
@@ -370,8 +376,9 @@
 	curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, call->stall_timeout_s);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, pending);
 	set_headers(pending, call->headers);
-	set_head_handler(pending, call);
 	if (call->body) {
 		g_string_append_len(pending->request_body, call->body,
 				    (gssize)call->size);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -60,9 +60,12 @@
 				 struct http_transfer *transfer);
 
 struct http_answer {
-	CURLcode result; /* CURLE_OK: an answer with any status arrived */
+	CURLcode result; /* CURLE_OK: a whole answer with any status arrived */
 	/* True if certainly no byte of the request was sent. */
 	bool never_sent;
+	/* Why its head can't be of one answer, see common/http_head.h; NULL:
+	 * nothing was found. The result is an error then. */
+	const char *fault;
 	long status;
 	const char *body;
 	size_t size;
@@ -89,11 +92,10 @@
 	long timeout_ms; /* 0: 5000 */
 	long connect_timeout_ms; /* 0: 1000 */
 	long stall_timeout_s; /* time without received bytes; 0: no limit */
-	/* Called with each line of the answer's head as it came, also of an
-	 * interim head and of trailers. If it returns false, the call ends with
-	 * CURLE_WRITE_ERROR and its connection is closed. NULL: not called. */
-	bool (*handle_head_line)(void *data, const char *bytes, size_t size);
-	void *head_data;
+	/* Called with each field of the answer's head, also of an interim one.
+	 * If it returns false, the call ends with CURLE_WRITE_ERROR and its
+	 * connection is closed. NULL: not called. */
+	bool (*handle_field)(void *data, const char *name, const char *value);
 };
 
 struct http_pending_call;
--- /dev/null
+++ b/include/common/http_head.h
@@ -0,0 +1,52 @@
+/*
+ * NAME
+ *	http_head - checks the head of an answer, line by line
+ *
+ * DESCRIPTION
+ *	A faulty server may send a part of an answer again after it was
+ *	complete, or break off in the middle of a head. libcurl takes a head
+ *	that two answers make together, with the status of one and the fields
+ *	and the body of another, and one that ends with its connection.
+ *
+ *	This module accepts only a head that can be of one answer: one status
+ *	line, then fields, none of which contains another status line, and at
+ *	most one that tells where the body ends.
+ */
+#ifndef COMMON_HTTP_HEAD_H
+#define COMMON_HTTP_HEAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct http_head {
+	unsigned int status; /* 0: no status line has come */
+	int64_t length; /* of the body; -1: not stated */
+	bool has_coding;
+	bool is_complete; /* the empty line of the final head has come */
+	const char *fault; /* NULL: none */
+};
+
+struct http_head_field {
+	const char *name; /* NULL: the line was none of a field */
+	const char *value;
+};
+
+void http_head_init(struct http_head *head);
+
+/* RETURN VALUE: a copy of a line without its end; free it. A carriage return before
+ * that belongs to the line. */
+char *http_head_dup_line(const char *bytes, size_t size);
+
+/* Takes a line, which is split at its colon. An empty line ends the head; after an
+ * interim one (1xx) the next begins.
+ * RETURN VALUE: false if the head has a fault. */
+bool http_head_take_line(struct http_head *head, char *line,
+			 struct http_head_field *field);
+
+/* RETURN VALUE: whether the text can be the name, or the value, of a field. A value
+ * may have non-ASCII bytes, but no control character except a tab. */
+bool http_is_token(const char *text, size_t size);
+bool http_is_value(const char *text);
+
+#endif
--- a/tests/test_answer_head.c
+++ b/tests/test_answer_head.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "comfreydockd/upstream/answer_head.h"
 #include "platform/headers.h"
@@ -22,13 +23,13 @@
 
 	answer_head_init(&head, &platform_headers);
 	for (char **line = lines; **line && accepted; line++)
-		accepted = answer_head_add_line(&head, *line);
+		accepted = answer_head_add_line(&head, *line, strlen(*line));
 	g_test_message("%s", expected->lines);
-	g_assert_cmpstr(head.fault, ==, expected->fault);
+	g_assert_cmpstr(head.message.fault, ==, expected->fault);
 	g_assert_cmpint(accepted, ==, !expected->fault);
 	if (accepted) {
-		g_assert_cmpuint(head.status, ==, expected->status);
-		g_assert_cmpint(head.length, ==, expected->length);
+		g_assert_cmpuint(head.message.status, ==, expected->status);
+		g_assert_cmpint(head.message.length, ==, expected->length);
 	}
 	answer_head_finish(&head);
 	g_strfreev(lines);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -9,6 +9,13 @@
 
 #include "common/http_client.h"
 #include "common/http_server.h"
+#include "scripted_upstream.h"
+
+#define WHOLE                                                             \
+	"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " \
+	"2\r\n\r\n"
+#define FAILURE \
+	"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy"
 
 struct fixture {
 	struct ev_loop *loop;
@@ -58,10 +65,10 @@
 	ev_break(f->loop, EVBREAK_ALL);
 }
 
-static void call(struct fixture *f, const char *path, const char *body)
+static void call_port(struct fixture *f, uint16_t port, const char *path,
+		      const char *body)
 {
-	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
-				    http_server_port(f->server), path);
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
 	struct http_call call = {
 		.method = "POST",
 		.url = url,
@@ -74,6 +81,11 @@
 	g_free(url);
 }
 
+static void call(struct fixture *f, const char *path, const char *body)
+{
+	call_port(f, http_server_port(f->server), path, body);
+}
+
 static void test_replies_now_and_later(void)
 {
 	struct http_server_options options = {.address = "127.0.0.1"};
@@ -147,10 +159,53 @@
 	ev_loop_destroy(f.loop);
 }
 
+/* RETURN VALUE: the status of a call, -1: it failed. */
+static long call_scripted(const char *answer, enum ending ending, size_t bytes)
+{
+	const char *const answers[] = {answer, NULL};
+	struct fixture f = {.loop = ev_loop_new(0)};
+	struct scripted_upstream server = {
+		.loop = f.loop,
+		.answers = answers,
+		.ending = ending,
+		.answer_bytes = bytes,
+	};
+
+	f.client = http_client_create(f.loop);
+	call_port(&f, scripted_upstream_start(&server), "/", "x");
+	http_client_destroy(f.client);
+	scripted_upstream_stop(&server);
+	ev_loop_destroy(f.loop);
+	g_free(f.body);
+	return f.status;
+}
+
+/* Guards against a success where the server broke off in the middle of its
+ * answer's head. */
+static void test_a_head_that_breaks_off(void)
+{
+	for (size_t cut = 1; cut < strlen(WHOLE); cut++)
+		g_assert_cmpint(call_scripted(WHOLE, ENDING_CLOSE, cut), ==, -1);
+}
+
+/* Guards against the status of one answer with the fields and body of the next. */
+static void test_a_head_that_runs_into_the_next(void)
+{
+	for (size_t cut = 1; cut < strlen(WHOLE); cut++) {
+		char *joined = g_strdup_printf("%.*s" FAILURE, (int)cut, WHOLE);
+
+		g_assert_cmpint(call_scripted(joined, ENDING_NONE, 0), !=, 200);
+		g_free(joined);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http/quiesced", test_quiesced_port);
 	g_test_add_func("/http/now-and-later", test_replies_now_and_later);
+	g_test_add_func("/http/head-breaks-off", test_a_head_that_breaks_off);
+	g_test_add_func("/http/heads-run-together",
+			test_a_head_that_runs_into_the_next);
 	return g_test_run();
 }
