common/http_head: remove white space before a colon instead of refusing the answer

What callers see: an unknown outcome for each answer with a field such as "Content-Type : text/plain", and an upstream that always sends one is left out. In a field of the framing it is still a fault, as libcurl passes such a field over.

--- a/common/http_head.c
+++ b/common/http_head.c
@@ -92,6 +92,11 @@
 	return true;
 }
 
+static bool is_framing(const char *name)
+{
+	return strcasecmp(name, LENGTH) == 0 || strcasecmp(name, CODING) == 0;
+}
+
 /* Where two fields state the end of the body, sender and receiver may follow
  * different ones. */
 static bool head_note_framing(struct http_head *head, const char *name,
@@ -130,18 +135,34 @@
 	return text;
 }
 
+/* RETURN VALUE: the end of the field's name, without white space before the
+ * colon. */
+static char *trim_name(char *name, char *colon)
+{
+	while (colon > name && (colon[-1] == ' ' || colon[-1] == '\t'))
+		colon--;
+	return colon;
+}
+
 static bool head_split_field(struct http_head *head, char *line,
 			     struct http_head_field *field)
 {
 	char *colon = strchr(line, ':');
+	char *name_end;
 
 	if (!head->status)
 		return head_fail(head, "no status line");
-	if (!colon || !http_is_token(line, (size_t)(colon - line)))
+	if (!colon)
+		return head_fail(head, "a line that is no field");
+	name_end = trim_name(line, colon);
+	if (!http_is_token(line, (size_t)(name_end - line)))
 		return head_fail(head, "a line that is no field");
 	field->value = strip_blanks(colon + 1);
-	*colon = '\0';
+	*name_end = '\0';
 	field->name = line;
+	/* libcurl passes such a field over. */
+	if (name_end != colon && is_framing(line))
+		return head_fail(head, "white space in a field of the framing");
 	if (!http_is_value(field->value))
 		return head_fail(head, "a control character in a field");
 	if (contains_status(field->value))
--- a/include/common/http_head.h
+++ b/include/common/http_head.h
@@ -10,7 +10,9 @@
  *
  *	This module accepts only a head that can be of one answer: one status
  *	line, then fields, none of which contains another status line, and at
- *	most one that tells where the body ends.
+ *	most one that tells where the body ends. White space before a colon is
+ *	removed, as RFC 9112, section 5.1, demands; folded lines are refused,
+ *	as its section 5.2 allows.
  */
 #ifndef COMMON_HTTP_HEAD_H
 #define COMMON_HTTP_HEAD_H
