upstream/recent_ids: keep the ids that were answered, for as long as connections live

What callers see: as in "send an id that was sent before over a new connection", where the upstream was announced anew in between. Where upstreams sign nothing, a trace names a whole tree of calls, and each further call of a tree to one upstream got a new connection. Cause: each pool had ids of its own, but libcurl keeps connections for all pools of a client, and old pools stay until the owner ends, with their tables. Ids were kept as requests were sent, also of those whose connection is closed with them. Change: the ids belong to the owner, are kept once an answer is complete, and only where answers are signed.

--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -350,6 +350,7 @@
 	owner->daemon = daemon;
 	owner->old_pools =
 		g_ptr_array_new_with_free_func((GDestroyNotify)run_pool_destroy);
+	recent_ids_init(&owner->answered);
 	TAILQ_INIT(&owner->runs);
 	queue_init(&owner->queue, &options);
 	limit_init(&owner->limit, owner_limit_policy(owner), 1, clock_mono_us());
@@ -402,6 +403,7 @@
 	probe_destroy(owner->probe);
 	run_pool_destroy(owner->pool);
 	g_ptr_array_unref(owner->old_pools);
+	recent_ids_finish(&owner->answered);
 	owner_announcement_finish(&owner->announced);
 	g_free(owner);
 }
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -64,9 +64,9 @@
 {
 	if (owner->pool)
 		g_ptr_array_add(owner->old_pools, owner->pool);
-	owner->pool =
-		run_pool_create(owner->daemon->http, owner->daemon->headers,
-				announcement->address, announcement->port);
+	owner->pool = run_pool_create(owner->daemon->http,
+				      owner->daemon->headers, &owner->answered,
+				      announcement->address, announcement->port);
 	g_strlcpy(owner->pool_instance, owner->history.instance,
 		  sizeof(owner->pool_instance));
 }
--- a/comfreydockd/upstream/recent_ids.c
+++ b/comfreydockd/upstream/recent_ids.c
@@ -26,13 +26,21 @@
 	ids->since_us = now_us;
 }
 
-bool recent_ids_add(struct recent_ids *ids, const char *id, int64_t now_us)
+static gpointer hash_of(const char *id)
 {
-	gpointer hash = GSIZE_TO_POINTER(XXH3_64bits(id, strlen(id)));
+	return GSIZE_TO_POINTER(XXH3_64bits(id, strlen(id)));
+}
 
+void recent_ids_add(struct recent_ids *ids, const char *id, int64_t now_us)
+{
 	if (now_us - ids->since_us > RECENT_IDS_KEEP_US ||
 	    g_hash_table_size(ids->current) >= RECENT_IDS_MAX)
 		recent_ids_turn(ids, now_us);
-	return !g_hash_table_add(ids->current, hash) ||
-	       g_hash_table_contains(ids->previous, hash);
+	g_hash_table_add(ids->current, hash_of(id));
+}
+
+bool recent_ids_has(const struct recent_ids *ids, const char *id)
+{
+	return g_hash_table_contains(ids->current, hash_of(id)) ||
+	       g_hash_table_contains(ids->previous, hash_of(id));
 }
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -27,7 +27,7 @@
 	long idle_s; /* how long an idle connection may be reused */
 	char *url;
 	GPtrArray *idle; /* of CURL */
-	struct recent_ids recent;
+	struct recent_ids *answered; /* NULL: none are kept */
 };
 
 struct run {
@@ -42,12 +42,14 @@
 	struct answer_head head;
 	int64_t credit;
 	bool answer_paused;
+	char *id; /* NULL: it is not to be kept */
 	bool is_repeat;
 	bool running;
 };
 
 struct run_pool *run_pool_create(struct http_client *client,
 				 const struct headers *headers,
+				 struct recent_ids *answered,
 				 const char *address, uint16_t port)
 {
 	struct run_pool *pool = g_new0(struct run_pool, 1);
@@ -57,7 +59,8 @@
 	pool->idle_s = MAX_IDLE_CONNECTION_S;
 	pool->url = address_to_url(address, port, "/");
 	pool->idle = g_ptr_array_new();
-	recent_ids_init(&pool->recent);
+	/* Without signatures the id is that of a whole tree of calls. */
+	pool->answered = headers->signature ? answered : NULL;
 	return pool;
 }
 
@@ -68,7 +71,6 @@
 	for (guint i = 0; i < pool->idle->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(pool->idle, i));
 	g_ptr_array_unref(pool->idle);
-	recent_ids_finish(&pool->recent);
 	g_free(pool->url);
 	g_free(pool);
 }
@@ -159,9 +161,13 @@
 static void handle_done(struct http_transfer *transfer, CURLcode result)
 {
 	struct run *run = transfer->data;
+	enum run_result outcome = run_classify(run, result);
 
 	run->running = false;
-	run->callbacks.handle_done(run->data, run_classify(run, result));
+	/* Of any other outcome the connection is closed. */
+	if (outcome == RUN_COMPLETE && run->id)
+		recent_ids_add(run->pool->answered, run->id, clock_mono_us());
+	run->callbacks.handle_done(run->data, outcome);
 }
 
 static void append_field(struct run *run, const char *name, const char *value)
@@ -245,10 +251,13 @@
 /* A late second answer to the first time can't arrive on a new connection. */
 static void run_separate_repeat(struct run *run, const struct fields *fields)
 {
-	struct run_pool *pool = run->pool;
-	const char *id = fields_find(fields, pool->headers->trace);
+	struct recent_ids *answered = run->pool->answered;
+	const char *id = fields_find(fields, run->pool->headers->trace);
 
-	run->is_repeat = id && recent_ids_add(&pool->recent, id, clock_mono_us());
+	if (!answered || !id)
+		return;
+	run->id = g_strdup(id);
+	run->is_repeat = recent_ids_has(answered, id);
 	if (!run->is_repeat)
 		return;
 	counters.owner_repeated++;
@@ -289,6 +298,7 @@
 	pool_release(run->pool, run->transfer.easy);
 	curl_slist_free_all(run->request_fields);
 	answer_head_finish(&run->head);
+	g_free(run->id);
 	g_byte_array_unref(run->body);
 	g_free(run);
 }
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -23,6 +23,7 @@
 #include "comfreydockd/upstream/gauge.h"
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/probe.h"
+#include "comfreydockd/upstream/recent_ids.h"
 #include "comfreydockd/upstream/report.h"
 #include "comfreydockd/upstream/unread_fields.h"
 #include "common/freeze.h"
@@ -51,6 +52,7 @@
 	int64_t load_at_us; /* 0: never */
 	struct run_pool *pool;
 	char pool_instance[REPORT_INSTANCE_MAX]; /* the start that it is of */
+	struct recent_ids answered; /* by the upstream, on connections of any pool */
 	GPtrArray *old_pools; /* of former addresses; runs may still use them */
 	struct limit limit;
 	struct warm warm;
--- a/include/comfreydockd/upstream/recent_ids.h
+++ b/include/comfreydockd/upstream/recent_ids.h
@@ -1,12 +1,12 @@
 /*
  * NAME
- *	recent_ids - the ids of the requests that were sent in the last minute
+ *	recent_ids - the ids of the requests that were answered in the last minute
  *
  * DESCRIPTION
  *	An answer names its request, not the run: if a request is sent twice
  *	under one id, a late second answer to the first run passes for the
  *	second run's. It can arrive only on the connection of the first run, so
- *	a request whose id is known here must be sent on another.
+ *	a request whose id is kept here must be sent on another.
  *
  *	Ids are kept as hashes. Two ids with the same hash cost a connection,
  *	nothing else.
@@ -32,7 +32,7 @@
 void recent_ids_init(struct recent_ids *ids);
 void recent_ids_finish(struct recent_ids *ids);
 
-/* Adds an id. RETURN VALUE: whether it was known. */
-bool recent_ids_add(struct recent_ids *ids, const char *id, int64_t now_us);
+void recent_ids_add(struct recent_ids *ids, const char *id, int64_t now_us);
+bool recent_ids_has(const struct recent_ids *ids, const char *id);
 
 #endif
--- a/include/comfreydockd/upstream/run.h
+++ b/include/comfreydockd/upstream/run.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 
 #include "comfreydockd/peer/fields.h"
+#include "comfreydockd/upstream/recent_ids.h"
 #include "common/http_client.h"
 
 struct run;
@@ -54,9 +55,11 @@
 	bool body_ends; /* the body is complete */
 };
 
-/* Creates a pool of reusable libcurl handles for one upstream. */
+/* Creates a pool of reusable libcurl handles for one upstream. answered outlives
+ * the pool, as connections do. */
 struct run_pool *run_pool_create(struct http_client *client,
 				 const struct headers *headers,
+				 struct recent_ids *answered,
 				 const char *address, uint16_t port);
 void run_pool_destroy(struct run_pool *pool);
 
@@ -71,8 +74,8 @@
 void run_add_credit(struct run *run, uint32_t bytes);
 bool run_has_begun(const struct run *run);
 
-/* RETURN VALUE: whether a request with the same id was sent to the upstream in the
- * last minute. */
+/* RETURN VALUE: whether the upstream answered a request with the same id in the last
+ * minute. */
 bool run_is_repeat(const struct run *run);
 
 /* RETURN VALUE: why the answer's head can't be that of one answer; the run ended as
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -41,6 +41,8 @@
 	struct scripted_upstream upstream;
 	struct outcome outcome;
 	struct http_client *client;
+	struct recent_ids answered;
+	uint16_t port;
 	struct run_pool *pool;
 };
 
@@ -82,6 +84,12 @@
 	.handle_done = handle_done,
 };
 
+static struct run_pool *fixture_create_pool(struct fixture *fixture)
+{
+	return run_pool_create(fixture->client, fixture->outcome.headers,
+			       &fixture->answered, "127.0.0.1", fixture->port);
+}
+
 static void fixture_start(struct fixture *fixture, const struct headers *headers,
 			  const char *const *answers)
 {
@@ -94,15 +102,16 @@
 		.client = http_client_create(loop),
 	};
 	fixture->outcome.body = g_string_new(NULL);
-	fixture->pool =
-		run_pool_create(fixture->client, headers, "127.0.0.1",
-				scripted_upstream_start(&fixture->upstream));
+	recent_ids_init(&fixture->answered);
+	fixture->port = scripted_upstream_start(&fixture->upstream);
+	fixture->pool = fixture_create_pool(fixture);
 }
 
 static void fixture_stop(struct fixture *fixture)
 {
 	run_pool_destroy(fixture->pool);
 	http_client_destroy(fixture->client);
+	recent_ids_finish(&fixture->answered);
 	scripted_upstream_stop(&fixture->upstream);
 	ev_loop_destroy(fixture->loop);
 	g_string_free(fixture->outcome.body, TRUE);
@@ -224,19 +233,47 @@
 
 /* Guards against the answer of another run of the same request: it is sent again
  * under its id, and a second answer to the first time comes late. */
-static void test_a_request_that_is_sent_again(void)
+static void check_request_sent_again(bool announced_anew)
 {
 	static const char *const answers[] = {
 		SUCCESS, ANSWER("500 Internal Server Error", FIRST, "second"),
 		NULL};
+	struct run_pool *old_pool = NULL;
 	struct fixture fixture;
 
 	fixture_start(&fixture, &platform_headers, answers);
 	fixture.upstream.late = SUCCESS;
 	fixture.upstream.late_bytes = strlen(SUCCESS);
 	run_once(&fixture, "GET", FIRST);
+	if (announced_anew) {
+		old_pool = fixture.pool;
+		fixture.pool = fixture_create_pool(&fixture);
+	}
 	g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==, RUN_COMPLETE);
 	assert_no_success(&fixture);
+	run_pool_destroy(old_pool);
+	fixture_stop(&fixture);
+}
+
+static void test_a_request_that_is_sent_again(void)
+{
+	check_request_sent_again(false);
+	check_request_sent_again(true);
+}
+
+/* Guards against a new connection for each call that an upstream makes under the
+ * trace of the request it works on. */
+static void test_calls_of_one_trace_share_connections(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfirst.",
+		"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond", NULL};
+	struct fixture fixture;
+
+	fixture_start(&fixture, &headers_own, answers);
+	run_once(&fixture, "GET", FIRST);
+	g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==, RUN_COMPLETE);
+	g_assert_cmpuint(fixture.upstream.connections, ==, 1);
 	fixture_stop(&fixture);
 }
 
@@ -456,6 +493,8 @@
 	g_test_add_func("/run/late-bytes/awaited",
 			test_late_bytes_before_the_next_answer);
 	g_test_add_func("/run/same-request", test_a_request_that_is_sent_again);
+	g_test_add_func("/run/calls-of-one-trace",
+			test_calls_of_one_trace_share_connections);
 	g_test_add_func("/run/cut", test_cut_answers);
 	g_test_add_func("/run/switch", test_a_switch_of_protocols);
 	g_test_add_func("/run/late-bytes/same-read",
