upstream/answer: compare the trace also where upstreams sign nothing

What callers see: another request's answer, where an upstream of the product's own protocol names the trace and answers twice. Cause: answer_classify() accepted all answers of such upstreams before it compared. Change: it compares first. An answer without a trace is accepted as before.

--- a/comfreydockd/upstream/answer.c
+++ b/comfreydockd/upstream/answer.c
@@ -55,10 +55,10 @@
 {
 	bool has_signature;
 
-	if (!headers->signature)
-		return ANSWER_GOOD;
 	if (names_other_request(headers, trace, fields))
 		return ANSWER_STRANGE;
+	if (!headers->signature)
+		return ANSWER_GOOD;
 	/* Health checks use the same connections and have no trace, so a late
 	 * second answer to one that was refused has none either. */
 	if (fields_find(fields, headers->not_run))
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -204,6 +204,19 @@
 	g_assert_false(answer_says_leaving(NULL));
 }
 
+/* Guards against another request's answer where upstreams give no signature but
+ * name the trace. */
+static void test_another_trace_without_signatures(void)
+{
+	struct fields fields;
+
+	fields_init(&fields);
+	fields_add(&fields, headers_own.trace, "another");
+	g_assert_cmpint(answer_classify(&headers_own, TRACE, 200, &fields), ==,
+			ANSWER_STRANGE);
+	fields_finish(&fields);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -224,5 +237,7 @@
 	g_test_add_func("/answer/load", test_load_is_parsed_or_rejected);
 	g_test_add_func("/answer/limit", test_limit_is_a_decimal_number);
 	g_test_add_func("/answer/leaving", test_leaving_is_said_by_one);
+	g_test_add_func("/answer/another-trace-unsigned",
+			test_another_trace_without_signatures);
 	return g_test_run();
 }
