upstream/attempts: read the load of an answer only once it is the request's

What callers see: nothing so far; the load of a late second answer, of another moment, reached the gate and the entries. Cause: the load field was read before the verdict on the answer. Change: after it, and only of answers of the request. Evidence: found by the review, by reading; no test.

--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -142,10 +142,12 @@
 	owner_note_arrived(attempt->owner, attempt);
 	latency_record_us(&latencies.owner_upstream,
 			  attempt->head_us - attempt->started_us);
-	owner_note_load_header(attempt->owner, fields);
 	attempt->verdict = attempt_classify(attempt, status, fields);
-	if (attempt->verdict == ANSWER_GOOD || attempt->verdict == ANSWER_NOT_RUN)
+	if (attempt->verdict == ANSWER_GOOD ||
+	    attempt->verdict == ANSWER_NOT_RUN) {
+		owner_note_load_header(attempt->owner, fields);
 		owner_note_answer(attempt->owner, attempt, fields);
+	}
 	if (attempt->verdict != ANSWER_GOOD)
 		return false;
 	if (!attempt->peer)
