caller/frames: pass on only a head that a caller reads as one answer

What callers see: with an owner's daemon that is faulty or of another version, a status line of "HTTP/1.1 0" or "HTTP/1.1 100" and a body behind it, or, where a field has a line end in its value, two answers in place of one. Cause: the entry writes status and fields of an Answer frame as they come. Only the owner's answer_head checks them, and owners before don't. Change: answer_check_head takes a status from 200 to 999, a length from -1 on, and fields that are a token and a value without control characters. Conclusion: no answer of an owner of this version is refused by it, as answer_head takes the same statuses and fields. The checks of a field now stand twice (upstream/answer_head.c and peer/fields.c).

--- a/comfreydockd/caller/frames.c
+++ b/comfreydockd/caller/frames.c
@@ -1,5 +1,6 @@
 #include "comfreydockd/caller/call.h"
 
+#include "comfreydockd/caller/answer_check.h"
 #include "comfreydockd/caller/feedback.h"
 #include "comfreydockd/decide/deadline.h"
 #include "common/clock.h"
@@ -19,6 +20,21 @@
 	return NULL;
 }
 
+/* Ends an attempt whose owner sends what can't be of one whole answer. Its outcome
+ * is unknown, and what still comes for it reaches no caller. */
+static void attempt_end_faulty(struct entry_attempt *attempt, const char *fault)
+{
+	counters.entry_faulty_answers++;
+	call_log_event(attempt->call, EV_ENTRY_FAULTY_ANSWER,
+		       LOG_STR("from", attempt->upstream->host),
+		       LOG_STR("fault", fault),
+		       LOG_STR("state", attempt_entry_state_name(attempt->state)));
+	entry_attempt_cancel(attempt);
+	attempt_entry_step(&attempt->state, ENTRY_GET_FAILED);
+	feedback_note_end(attempt, ATTEMPT_LOST, NULL);
+	call_note_unknown(attempt, true);
+}
+
 /*
  * A crashed upstream refuses each connection at once, so its slots look free
  * and it attracts calls. If health saw these as ordinary refusals, the upstream
@@ -59,9 +75,16 @@
 			const Cfd__Answer *answer)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, answer->seq);
+	const char *fault = answer_check_head(answer);
 
 	timeline_observe(&entry->daemon->timeline, answer->time);
-	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_ANSWER))
+	if (!attempt)
+		return;
+	if (fault) {
+		attempt_end_faulty(attempt, fault);
+		return;
+	}
+	if (!attempt_entry_step(&attempt->state, ENTRY_GET_ANSWER))
 		return;
 	attempt->head_us = clock_mono_us();
 	attempt->failed = answer->status >= 500;
--- a/comfreydockd/peer/fields.c
+++ b/comfreydockd/peer/fields.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #define FIRST_CAPACITY 16
+#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
 struct name {
 	const char *text;
@@ -102,6 +103,19 @@
 	return is_own_header(headers, name);
 }
 
+bool field_is_valid(const char *name, const char *value)
+{
+	for (const char *at = name; *at; at++) {
+		if (!g_ascii_isalnum(*at) && !strchr(TOKEN_MARKS, *at))
+			return false;
+	}
+	for (const char *at = value; *at; at++) {
+		if (g_ascii_iscntrl(*at) && *at != '\t')
+			return false;
+	}
+	return *name != '\0';
+}
+
 void fields_add_forwarded(struct fields *fields, const struct headers *headers,
 			  const char *name, const char *value)
 {
--- a/include/comfreydockd/peer/fields.h
+++ b/include/comfreydockd/peer/fields.h
@@ -40,6 +40,11 @@
  * NULL. */
 const char *fields_find(const struct fields *fields, const char *name);
 
+/* True if the name is a token, and the value has no control character except a
+ * tab: as a line of a head, the field neither ends the head nor begins another
+ * field. */
+bool field_is_valid(const char *name, const char *value);
+
 /* True for hop-by-hop fields and for those that comfreydock sets itself. */
 bool field_is_not_forwarded(const struct headers *headers, const char *name);
 
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -41,21 +41,34 @@
 	struct peer *peer;
 	uint64_t seq;
 	unsigned int attempts;
+	unsigned int cancels;
 };
 
-static void send_head(const struct fixture *f, int64_t length)
+static void send_head_as(const struct fixture *f, uint32_t status,
+			 int64_t length, const char *name, const char *value)
 {
 	Cfd__Answer answer = CFD__ANSWER__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
+	Cfd__Header header = CFD__HEADER__INIT;
+	Cfd__Header *headers[] = {&header};
 
+	header.name = (char *)name;
+	header.value = (char *)value;
 	answer.seq = f->seq;
-	answer.status = 200;
+	answer.status = status;
 	answer.length = length;
+	answer.headers = headers;
+	answer.n_headers = name ? 1 : 0;
 	frame.kind_case = CFD__FRAME__KIND_ANSWER;
 	frame.answer = &answer;
 	peer_send(f->peer, &frame);
 }
 
+static void send_head(const struct fixture *f, int64_t length)
+{
+	send_head_as(f, 200, length, NULL, NULL);
+}
+
 static void send_part(const struct fixture *f, size_t size, bool ends)
 {
 	Cfd__AnswerBody body = CFD__ANSWER_BODY__INIT;
@@ -78,6 +91,7 @@
 	struct fixture *f = data;
 	const char *target;
 
+	f->cancels += frame->kind_case == CFD__FRAME__KIND_CANCEL;
 	if (frame->kind_case != CFD__FRAME__KIND_ATTEMPT)
 		return;
 	target = frame->attempt->target;
@@ -315,6 +329,46 @@
 	g_assert_cmpuint(f->attempts, ==, 9);
 }
 
+/* What an owner says of an answer that can't be passed on as it stands. */
+struct head_case {
+	const char *path;
+	uint32_t status;
+	int64_t length;
+	const char *name;
+	const char *value;
+};
+
+static const struct head_case bad_heads[] = {
+	{"/call/bad-head/status-0", 0, 4, NULL, NULL},
+	{"/call/bad-head/status-100", 100, 4, NULL, NULL},
+	{"/call/bad-head/status-199", 199, 4, NULL, NULL},
+	{"/call/bad-head/status-1000", 1000, 4, NULL, NULL},
+	{"/call/bad-head/length", 200, -2, NULL, NULL},
+	{"/call/bad-head/no-name", 200, 4, "", "v"},
+	{"/call/bad-head/space-in-name", 200, 4, "a b", "v"},
+	{"/call/bad-head/colon-in-name", 200, 4, "a:", "v"},
+	{"/call/bad-head/line-in-name", 200, 4, "a\r\nb", "v"},
+	{"/call/bad-head/line-in-value", 200, 4, "a", "v\r\n\r\nHTTP/1.1 200 OK"},
+	{"/call/bad-head/line-feed", 200, 4, "a", "v\nb: c"},
+	{"/call/bad-head/control", 200, 4, "a", "v\001"},
+};
+
+/* Guards against a head of an owner of another version that is passed on, and
+ * that its caller reads as two answers, or as none. */
+static void test_bad_head(struct fixture *f, gconstpointer data)
+{
+	const struct head_case *head = data;
+
+	send_requests(f, "/silent", 1);
+	send_head_as(f, head->status, head->length, head->name, head->value);
+	send_part(f, 4, true);
+	run_due(f);
+	g_assert_cmpuint(count_answers(f, ""), ==, 1);
+	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+	g_assert_cmpuint(f->cancels, ==, 1);
+	g_assert_false(f->is_closed);
+}
+
 #define ADD(name, data, function) \
 	g_test_add(name, struct fixture, data, set_up, function, tear_down)
 
@@ -333,5 +387,7 @@
 	ADD("/call/waiting-refused", NULL, test_waiting_request_is_refused);
 	ADD("/call/unread-requests", NULL, test_unread_requests);
 	ADD("/call/later-requests", NULL, test_later_requests);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_heads); i++)
+		ADD(bad_heads[i].path, &bad_heads[i], test_bad_head);
 	return g_test_run();
 }
