caller/frames: end an answer whose frames are not those of one whole answer

What callers see, with an owner's daemon that is faulty or of another version: a chunked answer that is ended as complete and is made of two (a second head for the attempt was passed over, and the body behind it was added), or that lacks its first part, or whose upstream broke it off. Where the body has more or fewer bytes than the length of the head, an answer of up to 16 KiB that could have become a 502 cost its caller the connection, and was counted as run. Cause: the entry adds each part to the answer in progress, whatever came before. The only check of the length is in caller/request, once the head is being written. Change: the entry counts the bytes that are due (none for HEAD, 204 and 304). No byte of such a part is passed on. Conclusion: bytes that come only after the whole stated length went to the caller still can't be taken back; the connection is closed behind them.

--- a/comfreydockd/caller/answer_check.c
+++ b/comfreydockd/caller/answer_check.c
@@ -1,15 +1,19 @@
 #include "comfreydockd/caller/answer_check.h"
 
+#include <string.h>
+
 #include "comfreydockd/peer/fields.h"
 
 #define STATUS_MIN 200 /* the owner drops interim answers */
 #define STATUS_MAX 999
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 
 const char *answer_check_head(const Cfd__Answer *answer)
 {
 	if (answer->status < STATUS_MIN || answer->status > STATUS_MAX)
 		return "not a final status";
-	if (answer->length < -1)
+	if (answer->length < ANSWER_LENGTH_UNKNOWN)
 		return "a negative length";
 	for (size_t i = 0; i < answer->n_headers; i++) {
 		if (!field_is_valid(answer->headers[i]->name,
@@ -18,3 +22,26 @@
 	}
 	return NULL;
 }
+
+const char *answer_check_part(const Cfd__AnswerBody *part, int64_t body_left)
+{
+	int64_t size = (int64_t)part->data.len;
+
+	if (part->ends && part->aborted)
+		return "an end that is both complete and aborted";
+	if (body_left == ANSWER_LENGTH_UNKNOWN)
+		return NULL;
+	if (size > body_left)
+		return "more bytes than its length";
+	if (part->ends && size < body_left)
+		return "fewer bytes than its length";
+	return NULL;
+}
+
+int64_t answer_body_size(const Cfd__Answer *answer, const char *method)
+{
+	if (strcmp(method, "HEAD") == 0 || answer->status == STATUS_NO_CONTENT ||
+	    answer->status == STATUS_NOT_MODIFIED)
+		return 0;
+	return answer->length;
+}
--- a/comfreydockd/caller/frames.c
+++ b/comfreydockd/caller/frames.c
@@ -57,8 +57,12 @@
 	enum attempt_end end = refusal_end(not_run->reason);
 
 	timeline_observe(&entry->daemon->timeline, not_run->time);
-	if (!attempt || !attempt_entry_step(&attempt->state, ENTRY_GET_NOT_RUN))
+	if (!attempt)
+		return;
+	if (!attempt_entry_step(&attempt->state, ENTRY_GET_NOT_RUN)) {
+		attempt_end_faulty(attempt, "refused after its head");
 		return;
+	}
 	feedback_note_end(attempt, end, not_run->load);
 	if (busy)
 		stay_note_busy(&attempt->upstream->candidate,
@@ -84,8 +88,11 @@
 		attempt_end_faulty(attempt, fault);
 		return;
 	}
-	if (!attempt_entry_step(&attempt->state, ENTRY_GET_ANSWER))
+	if (!attempt_entry_step(&attempt->state, ENTRY_GET_ANSWER)) {
+		attempt_end_faulty(attempt, "a second head");
 		return;
+	}
+	attempt->body_left = answer_body_size(answer, attempt->call->method);
 	attempt->head_us = clock_mono_us();
 	attempt->failed = answer->status >= 500;
 	attempt->pace_percent = answer->pace_percent;
@@ -93,20 +100,35 @@
 	call_note_head(attempt, answer);
 }
 
+static void attempt_pass_on(struct entry_attempt *attempt,
+			    const ProtobufCBinaryData *bytes)
+{
+	struct call *call = attempt->call;
+
+	if (attempt->body_left != ANSWER_LENGTH_UNKNOWN)
+		attempt->body_left -= (int64_t)bytes->len;
+	call->heard_us = clock_mono_us();
+	call->unread += bytes->len;
+	if (bytes->len)
+		call->sink->handle_body(call->sink_data, bytes->data, bytes->len);
+}
+
 static void take_answer_body(struct entry *entry, struct peer *peer,
 			     const Cfd__AnswerBody *body)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, body->seq);
-	struct call *call;
+	const char *fault;
 
-	if (!attempt || attempt->state != ENTRY_ANSWERING)
+	if (!attempt)
 		return;
-	call = attempt->call;
-	call->heard_us = clock_mono_us();
-	call->unread += body->data.len;
-	if (body->data.len)
-		call->sink->handle_body(call->sink_data, body->data.data,
-					body->data.len);
+	fault = attempt->state == ENTRY_ANSWERING ?
+			answer_check_part(body, attempt->body_left) :
+			"a part before its head";
+	if (fault) {
+		attempt_end_faulty(attempt, fault);
+		return;
+	}
+	attempt_pass_on(attempt, &body->data);
 	if (body->ends) {
 		attempt_entry_step(&attempt->state, ENTRY_GET_END);
 		feedback_note_end(attempt,
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -57,6 +57,7 @@
 	int64_t sent_us;
 	uint32_t epoch; /* of its upstream's health when it was sent */
 	int64_t head_us; /* when the answer began */
+	int64_t body_left; /* of the answer, see answer_check.h */
 	uint32_t pace_percent; /* of the host as the run began; 0: unknown */
 	bool is_parallel; /* a hedge, or it overtakes another attempt */
 	bool failed; /* its answer is an error of the upstream */
