caller/parallel: hold the owner mute that was asked, not the latest one

What callers see: an owner that was never asked gets an open question. After some of these it counts as mute and is left out of new work, so that calls are refused or sent elsewhere; and its attempt is overtaken at the cost of the retry budget. Cause: the call keeps only that some owner was asked whether its attempt is overdue. When the reply is due, the question counts for the attempt sent last. That is the hedge, if one was sent in between, or what is left once the asked attempt ended. Change: the call keeps which attempt was asked. A reply for another one is passed over, and when the asked attempt ends, the next expiry asks the remaining one. Evidence: /call-parallel/mute/silent and /refused failed before, both with '(open_questions(f, f->order[1]) == f->order[1]->queries): (1 == 0)'.

--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -233,6 +233,8 @@
 	}
 	if (call->answering_attempt == attempt)
 		call->answering_attempt = NULL;
+	if (call->queried_attempt == attempt)
+		call->queried_attempt = NULL;
 	g_hash_table_remove(call->entry->attempts, &attempt->seq);
 	LIST_REMOVE(attempt, link);
 	LIST_REMOVE(attempt, peer_link);
--- a/comfreydockd/caller/parallel.c
+++ b/comfreydockd/caller/parallel.c
@@ -26,7 +26,7 @@
 void call_stop_patience(struct call *call)
 {
 	ev_timer_stop(call->entry->daemon->loop, &call->patience_timer);
-	call->awaits_overdue_reply = false;
+	call->queried_attempt = NULL;
 }
 
 /* Restarts the time after which the owner is asked whether the attempt is
@@ -80,7 +80,7 @@
 	enum retry_verdict verdict;
 	int64_t now = clock_mono_us();
 
-	call->awaits_overdue_reply = false;
+	call->queried_attempt = NULL;
 	if (!slow || LIST_NEXT(slow, link) || call->body_exceeds_buffer ||
 	    !call->body_ends)
 		return;
@@ -112,7 +112,7 @@
 {
 	struct call *call = attempt->call;
 
-	if (!call->awaits_overdue_reply)
+	if (call->queried_attempt != attempt)
 		return;
 	if (is_overdue)
 		call_overtake(call);
@@ -124,7 +124,7 @@
 {
 	struct entry_attempt *attempt = LIST_FIRST(&call->active);
 
-	call->awaits_overdue_reply = true;
+	call->queried_attempt = attempt;
 	entry_attempt_query_overdue(attempt);
 	call_start_timer(call, &call->patience_timer,
 			 deadline_overdue_reply_us(&attempt->upstream->rtt));
@@ -140,11 +140,11 @@
 	(void)events;
 	if (LIST_EMPTY(&call->active))
 		return;
-	if (!call->awaits_overdue_reply) {
+	if (!call->queried_attempt) {
 		call_query_owner(call);
 		return;
 	}
-	service_upstream_note_mute(LIST_FIRST(&call->active)->upstream,
+	service_upstream_note_mute(call->queried_attempt->upstream,
 				   clock_mono_us());
 	call_overtake(call);
 }
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -128,7 +128,8 @@
 	ev_timer retry_timer;
 	ev_timer hedge_timer;
 	ev_timer patience_timer; /* until the attempt's owner is queried */
-	bool awaits_overdue_reply; /* the owner was asked whether it is overdue */
+	/* Its owner was asked whether it is overdue; NULL: none was. */
+	struct entry_attempt *queried_attempt;
 	ev_timer queue_timer; /* see call_note_holds_others() */
 	uint32_t min_come_back_ms; /* after the queue timer has expired */
 	bool cancels_sent;
--- a/tests/test_call_parallel.c
+++ b/tests/test_call_parallel.c
@@ -26,6 +26,7 @@
 	const char *host;
 	struct peer *peer; /* of its latest attempt; NULL: none */
 	uint64_t seq;
+	unsigned int queries;
 };
 
 struct fixture {
@@ -105,6 +106,7 @@
 {
 	struct owner *owner = data;
 
+	owner->queries += frame->kind_case == CFD__FRAME__KIND_LOAD_QUERY;
 	if (frame->kind_case != CFD__FRAME__KIND_ATTEMPT)
 		return;
 	g_assert_cmpuint(fixture->attempts, <, OWNERS);
@@ -347,6 +349,39 @@
 	g_assert_cmpuint(f->ends, ==, 1);
 }
 
+static uint32_t open_questions(const struct fixture *f, const struct owner *owner)
+{
+	struct service *service =
+		services_get(f->entry.daemon.entry->services, "g");
+	struct service_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
+		if (strcmp(upstream->host, owner->host) == 0)
+			return upstream->health.open_questions;
+	}
+	g_assert_not_reached();
+}
+
+/* Guards against an owner that is held to be mute for a question to another one:
+ * the hedge was sent while the first attempt's owner was asked, which then refuses
+ * the attempt (n) or says nothing. */
+static void test_mute(struct fixture *f, gconstpointer frame)
+{
+	struct call *call = begin(f);
+
+	for (int ms = 0; ms < DEADLINE_MS && !f->order[0]->queries; ms++)
+		run_for(f, 1);
+	g_assert_cmpuint(f->order[0]->queries, ==, 1);
+	send_hedge(f, call);
+	if (frame)
+		send_frame(f, 0, *(const char *)frame);
+	run_for(f, 60);
+	g_assert_cmpuint(open_questions(f, f->order[1]), ==,
+			 f->order[1]->queries);
+	if (!frame)
+		g_assert_cmpuint(open_questions(f, f->order[0]), ==, 1);
+}
+
 #define ADD(path, data, function) \
 	g_test_add(path, struct fixture, data, set_up, function, tear_down)
 
@@ -355,5 +390,7 @@
 	g_test_init(&argc, &argv, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++)
 		ADD(orders[i].path, &orders[i], test_order);
+	ADD("/call-parallel/mute/silent", NULL, test_mute);
+	ADD("/call-parallel/mute/refused", "n", test_mute);
 	return g_test_run();
 }
