upstream/frames: drop a second attempt under one number

What callers see, with an entry's daemon that is faulty: two attempts of one link share a number. Both run; the entry adds the second one's body to the first one's answer, or takes the refusal of the one for that of the other, which ran. Cause: owner_handle_attempt takes any number; frames name their attempt by it alone. Change: an entry numbers its attempts upwards for as long as it lives (entry_attempt_new), so a link's owner takes only a number above that of the last attempt. Any other is dropped with a line (owner.reused-seq, 1427) and counted in peer_bad_frames. It gets no answer, which would be taken for the first one's. Conclusion: not reached by an entry of any release here, as all count up.

--- a/comfreydockd/upstream/frames.c
+++ b/comfreydockd/upstream/frames.c
@@ -111,6 +111,28 @@
 		gate_offer(owner, attempt);
 }
 
+/*
+ * A second attempt under a number would be answered, or refused, in place of the
+ * first one. Nothing is sent for it, as the entry would take that for the first one
+ * as well.
+ */
+static bool owner_admit_seq(struct owner *owner, struct peer *peer,
+			    const Cfd__Attempt *request)
+{
+	struct owner_peer *state = peer_role_data(peer);
+
+	if (request->seq > state->last_seq) {
+		state->last_seq = request->seq;
+		return true;
+	}
+	counters.peer_bad_frames++;
+	timeline_log(&owner->daemon->timeline, request->trace,
+		     EV_OWNER_REUSED_SEQ, LOG_INT("seq", request->seq),
+		     LOG_INT("last_seq", state->last_seq),
+		     LOG_STR("from", peer_host(peer)));
+	return false;
+}
+
 static struct owner_attempt *owner_find(struct peer *peer, uint64_t seq)
 {
 	struct owner_peer *state = peer_role_data(peer);
@@ -170,7 +192,8 @@
 
 	switch (frame->kind_case) {
 	case CFD__FRAME__KIND_ATTEMPT:
-		owner_handle_attempt(owner, peer, frame);
+		if (owner_admit_seq(owner, peer, frame->attempt))
+			owner_handle_attempt(owner, peer, frame);
 		break;
 	case CFD__FRAME__KIND_BODY:
 		attempt = owner_find(peer, frame->body->seq);
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -62,6 +62,7 @@
 struct owner_peer {
 	struct owner_attempt_list attempts;
 	int64_t attempt_us; /* when the last attempt came; 0: none did */
+	uint64_t last_seq; /* of its attempts, which are numbered upwards */
 };
 
 void attempt_destroy(struct owner_attempt *attempt);
