tests/test_link: a link that ends anywhere in its frames

Closed or reset after each number of bytes, and around the size of one read, where input and the end come in one read: the whole frames are handled, the cut one isn't, and the loss comes once, after them. No fault was found. Evidence: passes as it stands.

--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 #include <netinet/in.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +10,7 @@
 
 #define FRAMES 8
 #define STEPS 40 /* of work on a frame or in a job, 1 ms each */
+#define PART_MAX 60 /* bytes that arrive at once; a frame has ten or fewer */
 
 /* One end of a socket pair is a link; the test writes to the other one. */
 struct fixture {
@@ -179,6 +181,94 @@
 	g_assert_cmpstr(f->handled->str, ==, "1 2 3 4 5 6 7 8 ");
 }
 
+/* A link whose other end goes away in the middle of its bytes. */
+struct cut {
+	unsigned int handled;
+	unsigned int closed;
+};
+
+static void note_cut_frame(struct link *link, Cfd__Frame *frame, void *data)
+{
+	struct cut *cut = data;
+
+	(void)link;
+	g_assert_cmpuint(cut->closed, ==, 0);
+	cut->handled++;
+	g_assert_cmpuint(frame->cancel->seq, ==, cut->handled);
+}
+
+static void note_cut(struct link *link, const char *error, void *data)
+{
+	struct cut *cut = data;
+
+	(void)link;
+	(void)error;
+	cut->closed++;
+}
+
+static unsigned int count_whole_frames(const GByteArray *bytes, guint size)
+{
+	unsigned int count = 0;
+	uint32_t length;
+
+	for (guint at = 0; at + sizeof(length) <= size; count++) {
+		memcpy(&length, bytes->data + at, sizeof(length));
+		at += (guint)sizeof(length) + ntohl(length);
+		if (at > size)
+			break;
+	}
+	return count;
+}
+
+static void play_cut(struct fixture *f, const GByteArray *bytes, guint size,
+		     bool is_reset)
+{
+	struct cut cut = {0};
+	struct link_callbacks callbacks = {note_cut_frame, note_cut, &cut};
+	Cfd__Cancel cancel = CFD__CANCEL__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+	struct link *link;
+	int pair[2];
+
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair),
+			==, 0);
+	link = link_create(&f->group, pair[0], &callbacks);
+	link_set_trusted(link);
+	frame.kind_case = CFD__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	/* Unread bytes turn the close into a reset. */
+	if (is_reset)
+		link_send(link, &frame);
+	paused_clock_advance_us(1000);
+	ev_run(f->loop, EVRUN_NOWAIT);
+	g_assert_cmpint(write(pair[1], bytes->data, size), ==, (gssize)size);
+	close(pair[1]);
+	for (int i = 0; i < 5; i++) {
+		paused_clock_advance_us(1000);
+		ev_run(f->loop, EVRUN_NOWAIT);
+	}
+	g_assert_cmpuint(cut.handled, ==, count_whole_frames(bytes, size));
+	g_assert_cmpuint(cut.closed, ==, 1);
+	link_destroy(link);
+}
+
+#define READ_BYTES (64 * 1024) /* a link reads at once */
+
+/* Guards against a frame that is cut and handled as a whole one, against frames in
+ * front of the cut that are dropped, and against any that come after the loss. */
+static void test_cut_frames(struct fixture *f, gconstpointer is_reset)
+{
+	GByteArray *bytes = g_byte_array_new();
+
+	for (guint size = 0; size <= f->bytes->len; size++)
+		play_cut(f, f->bytes, size, is_reset);
+	for (uint64_t seq = 1; bytes->len < READ_BYTES + PART_MAX; seq++)
+		append_frame(bytes, seq);
+	for (guint size = READ_BYTES - 1; size <= READ_BYTES + 1; size++)
+		play_cut(f, bytes, size, is_reset);
+	g_byte_array_unref(bytes);
+}
+
 /* Bytes arrive on several links while jobs and handlers work, in an order that
  * is drawn from a seed. */
 
@@ -187,7 +277,6 @@
 #define DRAWN_FRAMES 40 /* on each link */
 #define DRAWN_JOBS 6
 #define STEPS_MAX 20 /* of work in a job or a handler, 1 ms each */
-#define PART_MAX 60 /* bytes that arrive at once; a frame has ten or fewer */
 
 struct end {
 	struct link *link;
@@ -337,6 +426,10 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD("/link/job", test_frames_during_a_job_are_handled_once);
 	ADD("/link/read-input", test_frames_read_by_a_handler_are_handled_once);
+	g_test_add("/link/cut/closed", struct fixture, NULL, setup,
+		   test_cut_frames, teardown);
+	g_test_add("/link/cut/reset", struct fixture, GINT_TO_POINTER(1), setup,
+		   test_cut_frames, teardown);
 	g_test_add_func("/link/drawn", test_drawn_schedules);
 	return g_test_run();
 }
