tests/test_call_parallel: lost links, before and after an answer's head

A link that is cut before a head, between head and body and in the body, of the winner or the loser. No fault was found. Evidence: all seven pass as they stand; with a lost link always taken for "not run", lost-after-head, lost-in-body, lost-and-refused and both-lost fail (503 in place of 201 or 502).

--- a/tests/test_call_parallel.c
+++ b/tests/test_call_parallel.c
@@ -4,7 +4,7 @@
 
 #include "comfreydockd/caller/call_internal.h"
 #include "comfreydockd/member/member.h"
-#include "comfreydockd/peer/peers.h"
+#include "comfreydockd/peer/peers_internal.h"
 #include "common/clock.h"
 #include "entry_fixture.h"
 #include "paused_clock.h"
@@ -206,6 +206,10 @@
 	case 'n':
 		send_not_run(owner);
 		break;
+	case 'x':
+		link_fail(owner->peer->link, "cut by the test");
+		run_for(f, 5); /* one end after the other */
+		break;
 	default:
 		send_failed(owner);
 	}
@@ -310,7 +314,7 @@
 	g_assert_true(f->order[0] != f->order[1]);
 }
 
-/* Owner and kind of each frame, as in send_frame(). */
+/* Owner and kind of each frame, as in send_frame(); x cuts the owner's link. */
 struct order_case {
 	const char *path;
 	const char *frames;
@@ -332,6 +336,13 @@
 	{"/call-parallel/order/both-refused", "1n2n", 503, "", false},
 	{"/call-parallel/order/failed-and-refused", "1f2n", 502, "", false},
 	{"/call-parallel/order/refused-and-failed", "1n2f", 502, "", false},
+	{"/call-parallel/order/lost", "1x2h2p2e", 202, "2", false},
+	{"/call-parallel/order/lost-after-head", "1h1x", 201, "", true},
+	{"/call-parallel/order/lost-in-body", "1h1p1x", 201, "1", true},
+	{"/call-parallel/order/loser-lost", "2h1x2p2e", 202, "2", false},
+	{"/call-parallel/order/hedge-lost", "2x1h1p1e", 201, "1", false},
+	{"/call-parallel/order/lost-and-refused", "1x2n", 502, "", false},
+	{"/call-parallel/order/both-lost", "1x2x", 502, "", false},
 };
 
 /* Guards against an answer of two attempts, of the one that lost, or that is
