--- a/tests/test_call_parallel.c
+++ b/tests/test_call_parallel.c
@@ -1,17 +1,12 @@
-#include <ev.h>
 #include <glib.h>
 #include <string.h>
 
+#include "call_owners.h"
 #include "comfreydockd/caller/call_internal.h"
-#include "comfreydockd/member/member.h"
-#include "comfreydockd/peer/peers_internal.h"
 #include "common/clock.h"
-#include "entry_fixture.h"
-#include "paused_clock.h"
 
 /* A call with two attempts in parallel, whose owners send what the test says. */
 
-#define OWNERS 2
 #define DEADLINE_MS 800
 
 #define CONFIG                                                         \
@@ -21,8 +16,6 @@
 	"\"deadline_ms\":" G_STRINGIFY(DEADLINE_MS) "}]}}}"
 
 struct owner {
-	struct settings settings;
-	struct daemon daemon;
 	const char *host;
 	struct peer *peer; /* of its latest attempt; NULL: none */
 	uint64_t seq;
@@ -30,9 +23,9 @@
 };
 
 struct fixture {
-	struct entry_fixture entry;
-	struct owner owners[OWNERS];
-	struct owner *order[OWNERS]; /* as the attempts came to them */
+	struct call_owners owners;
+	struct owner owner[CALL_OWNERS];
+	struct owner *order[CALL_OWNERS]; /* as the attempts came to them */
 	unsigned int attempts;
 	/* What the call's caller gets. */
 	unsigned int status; /* 0: no head */
@@ -109,7 +102,7 @@
 	owner->queries += frame->kind_case == CFD__FRAME__KIND_LOAD_QUERY;
 	if (frame->kind_case != CFD__FRAME__KIND_ATTEMPT)
 		return;
-	g_assert_cmpuint(fixture->attempts, <, OWNERS);
+	g_assert_cmpuint(fixture->attempts, <, CALL_OWNERS);
 	owner->peer = peer;
 	owner->seq = frame->attempt->seq;
 	fixture->order[fixture->attempts++] = owner;
@@ -124,64 +117,9 @@
 	owner->peer = NULL;
 }
 
-static void send_part(const struct owner *owner, const char *text, bool ends)
-{
-	Cfd__AnswerBody body = CFD__ANSWER_BODY__INIT;
-	Cfd__Frame frame = CFD__FRAME__INIT;
-
-	body.seq = owner->seq;
-	body.data.data = (uint8_t *)text;
-	body.data.len = strlen(text);
-	body.ends = ends;
-	body.aborted = !ends && !*text;
-	frame.kind_case = CFD__FRAME__KIND_ANSWER_BODY;
-	frame.answer_body = &body;
-	peer_send(owner->peer, &frame);
-}
-
-static void send_head(const struct owner *owner, uint32_t status)
-{
-	Cfd__Answer answer = CFD__ANSWER__INIT;
-	Cfd__Frame frame = CFD__FRAME__INIT;
-
-	answer.seq = owner->seq;
-	answer.status = status;
-	answer.length = -1;
-	frame.kind_case = CFD__FRAME__KIND_ANSWER;
-	frame.answer = &answer;
-	peer_send(owner->peer, &frame);
-}
-
-static void send_not_run(const struct owner *owner)
-{
-	Cfd__NotRun not_run = CFD__NOT_RUN__INIT;
-	Cfd__Frame frame = CFD__FRAME__INIT;
-
-	not_run.seq = owner->seq;
-	not_run.reason = CFD__REASON__REASON_OVERLOAD;
-	frame.kind_case = CFD__FRAME__KIND_NOT_RUN;
-	frame.not_run = &not_run;
-	peer_send(owner->peer, &frame);
-}
-
-static void send_failed(const struct owner *owner)
-{
-	Cfd__Failed failed = CFD__FAILED__INIT;
-	Cfd__Frame frame = CFD__FRAME__INIT;
-
-	failed.seq = owner->seq;
-	frame.kind_case = CFD__FRAME__KIND_FAILED;
-	frame.failed = &failed;
-	peer_send(owner->peer, &frame);
-}
-
 static void run_for(struct fixture *f, int ms)
 {
-	for (int i = 0; i < ms; i++) {
-		paused_clock_advance_us(US_PER_MS);
-		for (int j = 0; j < 4; j++)
-			ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
-	}
+	call_owners_run_for(&f->owners, ms);
 }
 
 /* which: 0 for the first attempt, 1 for the hedge. The first one's answer is of
@@ -192,97 +130,53 @@
 
 	switch (kind) {
 	case 'h':
-		send_head(owner, 201 + which);
+		call_owner_send_head(owner->peer, owner->seq, 201 + which);
 		break;
 	case 'p':
-		send_part(owner, which ? "2" : "1", false);
+		call_owner_send_part(owner->peer, owner->seq, which ? "2" : "1",
+				     false);
 		break;
 	case 'e':
-		send_part(owner, "", true);
+		call_owner_send_part(owner->peer, owner->seq, "", true);
 		break;
 	case 'a':
-		send_part(owner, "", false);
+		call_owner_send_part(owner->peer, owner->seq, "", false);
 		break;
 	case 'n':
-		send_not_run(owner);
+		call_owner_send_not_run(owner->peer, owner->seq,
+					CFD__REASON__REASON_OVERLOAD);
 		break;
 	case 'x':
 		link_fail(owner->peer->link, "cut by the test");
 		run_for(f, 5); /* one end after the other */
 		break;
 	default:
-		send_failed(owner);
+		call_owner_send_failed(owner->peer, owner->seq);
 	}
 	run_for(f, 1);
 }
 
 /* Set up. */
 
-static void add_member(struct fixture *f, const char *host, uint16_t port)
-{
-	char *groups[] = {(char *)"g", NULL};
-	struct member member = {.address = "127.0.0.1",
-				.incarnation = 1,
-				.domain = "d",
-				.region = "r",
-				.peer_port = port,
-				.service_state = MEMBER_SERVICE_UP,
-				.groups = groups,
-				.slots = 64};
-
-	g_strlcpy(member.host, host, sizeof(member.host));
-	member_table_update(f->entry.daemon.members, &member, clock_mono_us());
-}
-
-static void set_key(struct settings *settings)
-{
-	settings->peer_key = (uint8_t *)"key";
-	settings->peer_key_size = strlen("key");
-}
-
-/* The first owner is beside the entry, the second on another host. */
-static void set_up_owners(struct fixture *f)
-{
-	struct owner *other = &f->owners[1];
-	struct daemon *daemon = &other->daemon;
-
-	other->settings.host = (char *)"hekla-02";
-	other->settings.peer.address = (char *)"127.0.0.1";
-	set_key(&other->settings);
-	daemon->loop = f->entry.daemon.loop;
-	daemon->settings = &other->settings;
-	daemon->members = member_table_create();
-	daemon->peers = peers_create(daemon);
-	f->owners[0].host = f->entry.settings.host;
-	f->owners[1].host = other->settings.host;
-	for (int i = 0; i < OWNERS; i++) {
-		struct peers_role role = {handle_frame, handle_lost,
-					  &f->owners[i]};
-		struct peers *peers = i ? daemon->peers : f->entry.daemon.peers;
-
-		peers_set_owner_role(peers, &role);
-		add_member(f, f->owners[i].host, peers_port(peers));
-	}
-}
-
 static void set_up(struct fixture *f, gconstpointer unused)
 {
+	struct peers_role roles[CALL_OWNERS];
+
+	(void)unused;
 	fixture = f;
 	f->body = g_string_new(NULL);
-	set_key(&f->entry.settings);
-	f->entry.settings.domain = (char *)"d";
-	entry_fixture_set_up(&f->entry, unused);
-	entry_fixture_adopt(&f->entry, 1, CONFIG);
-	set_up_owners(f);
+	for (int i = 0; i < CALL_OWNERS; i++) {
+		f->owner[i].host = call_owner_hosts[i];
+		roles[i] = (struct peers_role){handle_frame, handle_lost,
+					       &f->owner[i]};
+	}
+	call_owners_set_up(&f->owners, CONFIG, roles);
 }
 
 static void tear_down(struct fixture *f, gconstpointer unused)
 {
-	struct daemon *daemon = &f->owners[1].daemon;
-
-	entry_fixture_tear_down(&f->entry, unused);
-	peers_destroy(daemon->peers);
-	member_table_destroy(daemon->members);
+	(void)unused;
+	call_owners_tear_down(&f->owners);
 	g_string_free(f->body, TRUE);
 }
 
@@ -298,7 +192,7 @@
 	struct call *call;
 
 	fields_init(&fields);
-	call = entry_begin(f->entry.daemon.entry, &request, &sink, f);
+	call = entry_begin(f->owners.entry.daemon.entry, &request, &sink, f);
 	g_assert_nonnull(call);
 	fields_finish(&fields);
 	run_for(f, 10);
@@ -363,7 +257,7 @@
 static uint32_t open_questions(const struct fixture *f, const struct owner *owner)
 {
 	struct service *service =
-		services_get(f->entry.daemon.entry->services, "g");
+		services_get(f->owners.entry.daemon.entry->services, "g");
 	struct service_upstream *upstream;
 
 	TAILQ_FOREACH (upstream, &service->upstreams, link) {
