tests/test_call_drawn: replace the link to an owner while attempts are out

As if nothing had been heard on it for long (peers_connect_for_query): the next attempts use the new link, the answers of those before come on the old one.

--- a/tests/test_call_drawn.c
+++ b/tests/test_call_drawn.c
@@ -4,6 +4,7 @@
 #include "call_owners.h"
 #include "comfreydockd/caller/call_internal.h"
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/id.h"
 
 /* Calls whose owners answer, refuse, fail, contradict themselves and lose their
@@ -301,6 +302,22 @@
 	refused += call->reply == 503;
 }
 
+/* As if nothing had been heard on the second owner's link for long: the next
+ * attempts use another one, while the answers to those before come on the old. */
+static void replace_link(void)
+{
+	struct peers *peers = owners.entry.daemon.peers;
+	const struct member *member = member_table_find(
+		owners.entry.daemon.members, call_owner_hosts[1]);
+	struct peer *peer = g_hash_table_lookup(peers->outgoing, member->host);
+
+	if (!peer)
+		return;
+	peer->created_us = clock_mono_us() - 2 * PEERS_SILENT_US;
+	peer->last_heard_us = peer->created_us;
+	peers_connect_for_query(peers, member);
+}
+
 static void step(void)
 {
 	int what = draw_below(20);
@@ -312,6 +329,8 @@
 	if (what == 17 && call_count > 0 && calls[call_count - 1].call)
 		call_start_timer(calls[call_count - 1].call,
 				 &calls[call_count - 1].call->hedge_timer, 0);
+	if (what == 18 && draw_below(2))
+		replace_link();
 	call_owners_run_for(&owners, draw_below(4));
 }
 
@@ -348,6 +367,7 @@
 		play();
 	g_assert_cmpuint(complete, >, 0);
 	g_assert_cmpuint(refused, >, 0);
+	g_assert_cmpuint(counters.peer_links_replaced, >, 0);
 	g_test_message("%u answers, %u refusals", complete, refused);
 }
 
