--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -57,6 +57,7 @@
 	int64_t sent_us;
 	uint32_t epoch; /* of its upstream's health when it was sent */
 	int64_t head_us; /* when the answer began */
+	int64_t body_left; /* of the answer, see answer_check.h */
 	uint32_t pace_percent; /* of the host as the run began; 0: unknown */
 	bool is_parallel; /* a hedge, or it overtakes another attempt */
 	bool failed; /* its answer is an error of the upstream */
@@ -127,7 +128,8 @@
 	ev_timer retry_timer;
 	ev_timer hedge_timer;
 	ev_timer patience_timer; /* until the attempt's owner is queried */
-	bool awaits_overdue_reply; /* the owner was asked whether it is overdue */
+	/* Its owner was asked whether it is overdue; NULL: none was. */
+	struct entry_attempt *queried_attempt;
 	ev_timer queue_timer; /* see call_note_holds_others() */
 	uint32_t min_come_back_ms; /* after the queue timer has expired */
 	bool cancels_sent;
