peer/fields, caller/head: one check of a field's name and value

It stood three times: for requests, for what owners send and for upstreams' heads (common/http_head).

--- a/comfreydockd/caller/head.c
+++ b/comfreydockd/caller/head.c
@@ -4,28 +4,9 @@
 #include <string.h>
 #include <strings.h>
 
-#define HTTP_SCHEME "http://"
-
-static bool is_token(const char *text)
-{
-	if (!*text)
-		return false;
-	for (; *text; text++) {
-		if (!g_ascii_isalnum(*text) && !strchr("!#$%&'*+-.^_`|~", *text))
-			return false;
-	}
-	return true;
-}
+#include "common/http_head.h"
 
-/* A value may have non-ASCII bytes, but no control character except a tab. */
-static bool is_value(const char *text)
-{
-	for (; *text; text++) {
-		if (g_ascii_iscntrl(*text) && *text != '\t')
-			return false;
-	}
-	return true;
-}
+#define HTTP_SCHEME "http://"
 
 static bool is_target(const char *text)
 {
@@ -82,7 +63,7 @@
 {
 	const char *text = value ? value : "";
 
-	head->has_bad_field |= !is_token(name) || !is_value(text);
+	head->has_bad_field |= !field_is_valid(name, text);
 	if (strcasecmp(name, "Content-Length") == 0) {
 		head->length_count++;
 		head->has_body |= strcmp(text, "0") != 0;
@@ -102,7 +83,8 @@
 const char *head_fault(const struct head *head, const char *method,
 		       bool is_http_1_0)
 {
-	if (!is_token(method) || strcmp(method, "CONNECT") == 0)
+	if (!http_is_token(method, strlen(method)) ||
+	    strcmp(method, "CONNECT") == 0)
 		return "the method is not served";
 	if (!head->target || (head->authority && !is_authority(head->authority)))
 		return "the target can't be read";
--- a/comfreydockd/peer/fields.c
+++ b/comfreydockd/peer/fields.c
@@ -4,8 +4,9 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/http_head.h"
+
 #define FIRST_CAPACITY 16
-#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
 struct name {
 	const char *text;
@@ -105,15 +106,7 @@
 
 bool field_is_valid(const char *name, const char *value)
 {
-	for (const char *at = name; *at; at++) {
-		if (!g_ascii_isalnum(*at) && !strchr(TOKEN_MARKS, *at))
-			return false;
-	}
-	for (const char *at = value; *at; at++) {
-		if (g_ascii_iscntrl(*at) && *at != '\t')
-			return false;
-	}
-	return *name != '\0';
+	return http_is_token(name, strlen(name)) && http_is_value(value);
 }
 
 void fields_add_forwarded(struct fields *fields, const struct headers *headers,
