caller/connection: break off an answer whose request's body can't be read

What callers saw: a caller that is answered while its chunked body is still on its way, and then sends a chunk that can't be read, got "HTTP/1.1 400" and its text in the middle of the answer's body. Where less of the body was due than the refusal is long, the answer looked whole: a success with a part of another answer in it. Cause: connection_take_fault() removed a request whose call had not ended, also where its answer's head was written, and wrote the refusal in its place. Change: such an answer is broken off as one that its upstream breaks off: connection_fail_body(), request_abort(). A request whose head isn't written yet is refused with 400 as before; one whose answer is complete gets it. Conclusion: nothing is written behind an answer's head but its own body.

--- a/comfreydockd/caller/connection_input.c
+++ b/comfreydockd/caller/connection_input.c
@@ -209,6 +209,20 @@
 		call_end_body(request->call);
 }
 
+/* Ends the request whose body can't be read. */
+static void connection_fail_body(struct connection *connection)
+{
+	struct caller_request *request = connection->in_body;
+
+	connection->in_body = NULL;
+	if (!request || !request->call)
+		return; /* its answer, if complete, is still to be written */
+	if (request->head_written)
+		request_abort(request);
+	else
+		connection_remove_request(connection, request);
+}
+
 /* Refuses a malformed request. Nothing more is read, as the bytes that follow
  * may be part of this request. */
 static void connection_take_fault(struct connection *connection)
@@ -220,13 +234,7 @@
 	fault = reader_fault(&connection->reader, &status);
 	connection->input_ended = true;
 	connection->head_since_us = 0;
-	if (connection->in_body) {
-		/* If its call has ended, its answer is still to be written. */
-		if (connection->in_body->call)
-			connection_remove_request(connection,
-						  connection->in_body);
-		connection->in_body = NULL;
-	}
+	connection_fail_body(connection);
 	if (reader_is_http(&connection->reader))
 		counters.caller_bad_requests++;
 	else
--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -27,6 +27,15 @@
 	g_free(request);
 }
 
+void request_abort(struct caller_request *request)
+{
+	if (request->call)
+		call_note_caller_gone(request->call);
+	request->call = NULL;
+	request->aborted = true;
+	connection_wake(request->connection);
+}
+
 /* Callbacks from the call. */
 
 static void handle_head(void *data, unsigned int status, struct fields *fields,
--- a/include/comfreydockd/caller/request.h
+++ b/include/comfreydockd/caller/request.h
@@ -59,6 +59,10 @@
 /* Abandons the request's call, if it has one. */
 void request_destroy(struct caller_request *request);
 
+/* Abandons the request's call and breaks off its answer, whose head is written:
+ * the connection ends there. */
+void request_abort(struct caller_request *request);
+
 /* The sink for the request's call. data is the request. */
 extern const struct call_sink request_sink;
 
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/listener.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/peer/peers.h"
@@ -72,6 +73,19 @@
 	g_free(bytes);
 }
 
+/* Lets the daemon send more of the request's body. */
+static void send_window(const struct fixture *f)
+{
+	Cfd__Window window = CFD__WINDOW__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	window.seq = f->seq;
+	window.bytes = CALL_BODY_BUFFER_MAX;
+	frame.kind_case = CFD__FRAME__KIND_WINDOW;
+	frame.window = &window;
+	peer_send(f->peer, &frame);
+}
+
 /* Answers to /silent are left to the test. */
 static void handle_attempt(struct peer *peer, Cfd__Frame *frame, void *data)
 {
@@ -182,6 +196,13 @@
 	}
 }
 
+static void send_text(struct fixture *f, const char *text)
+{
+	g_assert_cmpint(send(f->fd, text, strlen(text), MSG_NOSIGNAL), ==,
+			strlen(text));
+	run_due(f);
+}
+
 static void send_requests(struct fixture *f, const char *target, int count)
 {
 	GString *text = g_string_new(NULL);
@@ -189,10 +210,26 @@
 	for (int i = 0; i < count; i++)
 		g_string_append_printf(
 			text, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target);
-	g_assert_cmpint(send(f->fd, text->str, text->len, MSG_NOSIGNAL), ==,
-			text->len);
+	send_text(f, text->str);
 	g_string_free(text, TRUE);
-	run_due(f);
+}
+
+/* Begins a request whose body is passed on before its end. */
+static void send_long_body(struct fixture *f, const char *target)
+{
+	char *body = g_strnfill(CALL_BODY_BUFFER_MAX, 'x');
+	char *text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\n"
+				     "Transfer-Encoding: chunked\r\n\r\n"
+				     "%x\r\n%s\r\n",
+				     target, CALL_BODY_BUFFER_MAX, body);
+
+	send_text(f, text);
+	run_for(f, STEP_MS);
+	g_assert_cmpuint(f->attempts, ==, 1);
+	send_window(f);
+	run_for(f, STEP_MS);
+	g_free(text);
+	g_free(body);
 }
 
 static unsigned int count_answers(const struct fixture *f, const char *status)
@@ -281,8 +318,7 @@
 
 	(void)unused;
 	send_requests(f, "/silent", 1);
-	g_assert_cmpint(send(f->fd, unmatched, strlen(unmatched), MSG_NOSIGNAL),
-			==, strlen(unmatched));
+	send_text(f, unmatched);
 	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
 	g_assert_cmpuint(count_answers(f, "504"), ==, 1);
 	g_assert_cmpuint(count_answers(f, "404"), ==, 1);
@@ -315,6 +351,23 @@
 	g_assert_cmpuint(f->attempts, ==, 9);
 }
 
+/* Guards against a refusal in the middle of another answer's body: of a request
+ * whose body can't be read, and that is answered already. */
+static void test_fault_in_answered_body(struct fixture *f, gconstpointer unused)
+{
+	const char *body;
+
+	(void)unused;
+	send_long_body(f, "/long-part");
+	send_part(f, LONG_BYTES - PART_BYTES - 1, false);
+	run_for(f, STEP_MS);
+	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	send_text(f, "zz\r\n");
+	g_assert_true(f->is_closed);
+	body = strstr(f->answers->str, "\r\n\r\n") + strlen("\r\n\r\n");
+	g_assert_cmpuint(strlen(body), ==, LONG_BYTES - 1);
+}
+
 #define ADD(name, data, function) \
 	g_test_add(name, struct fixture, data, set_up, function, tear_down)
 
@@ -333,5 +386,6 @@
 	ADD("/call/waiting-refused", NULL, test_waiting_request_is_refused);
 	ADD("/call/unread-requests", NULL, test_unread_requests);
 	ADD("/call/later-requests", NULL, test_later_requests);
+	ADD("/call/fault-in-answered-body", NULL, test_fault_in_answered_body);
 	return g_test_run();
 }
