caller/connection: cut an answer without a length with a reset, whoever closes

What callers saw: an HTTP/1.0 caller of an answer without a length (chunked or until close from the upstream) got a normal close in the middle of it, and took the part for the whole, where this daemon itself ended the connection: the daemon ended, the caller had closed its own sending side, or it had read nothing for 60 s. Cause: the connection was only reset where the answer was known to be broken off. All other ways to connection_destroy() close the socket. Change: from the head of such an answer until the kernel has taken its last byte, a close of the socket is a reset (SO_LINGER of 0), also one by the kernel when the process ends. Evidence: /call/cut/daemon-ends, /call/cut/caller-half-closes and /call/cut/caller-does-not-read failed before; /call/cut/aborted and /call/cut/not (a whole answer is closed as before) didn't, and hold the two other ways. Conclusion: such an answer ends with a normal close only when it is whole.

--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -185,6 +185,22 @@
 		call_open_answer_window(request->call);
 }
 
+/*
+ * Whether a close of the socket is a reset, whoever closes it: also the kernel,
+ * when the process ends. A caller takes a normal close for the end of an answer
+ * without a length; a reset is an error to it.
+ */
+static void connection_set_resets(struct connection *connection, bool resets)
+{
+	struct linger linger = {.l_onoff = resets};
+
+	if (connection->resets == resets)
+		return;
+	connection->resets = resets;
+	setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+}
+
 /* RETURN VALUE: false if the connection ends after what was written. */
 static bool connection_write_answers(struct connection *connection)
 {
@@ -197,12 +213,14 @@
 		progress = request_write(
 			request, connection->out, OUTPUT_BUFFER_MAX,
 			connection_closes_after(connection, request));
+		if (request->framing == RESPONSE_UNTIL_CLOSE)
+			connection_set_resets(connection, true);
 		connection->output_full = progress == REQUEST_FULL;
 		if (progress == REQUEST_WAITS || progress == REQUEST_FULL)
 			return true;
 		closes = request->closes || progress == REQUEST_BROKEN;
-		connection->must_reset = progress == REQUEST_BROKEN &&
-					 request->framing == RESPONSE_UNTIL_CLOSE;
+		connection->is_cut =
+			progress == REQUEST_BROKEN && connection->resets;
 		connection_remove_request(connection, request);
 		if (closes)
 			return false;
@@ -231,25 +249,12 @@
 /* Called once the kernel has taken the last byte. */
 static void connection_end_output(struct connection *connection)
 {
+	connection_set_resets(connection, false);
 	shutdown(connection->fd, SHUT_WR);
 	timer_restart_us(connection_loop(connection), &connection->idle,
 			 LINGER_TIMEOUT_US);
 }
 
-/*
- * Called for an incomplete answer that ends with the connection. Its caller
- * would take a normal close for the end of the answer; a reset is an error to
- * it.
- */
-static void connection_reset(struct connection *connection)
-{
-	struct linger linger = {.l_onoff = 1};
-
-	setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &linger,
-		   sizeof(linger));
-	connection_destroy(connection);
-}
-
 /* Removes all requests and drops all further input. Sends only what is already
  * in the output buffer. */
 static void connection_start_linger(struct connection *connection)
@@ -290,8 +295,8 @@
 		connection_destroy(connection);
 		return;
 	}
-	if (!stays_open && connection->must_reset) {
-		connection_reset(connection);
+	if (!stays_open && connection->is_cut) {
+		connection_destroy(connection);
 		return;
 	}
 	if (!stays_open)
--- a/include/comfreydockd/caller/connection_internal.h
+++ b/include/comfreydockd/caller/connection_internal.h
@@ -43,7 +43,8 @@
 	bool has_request; /* a request line was read */
 	bool input_ended; /* no request follows those in the list */
 	bool output_full; /* more of an answer is ready than fits in */
-	bool must_reset; /* a normal close would look like an answer's end */
+	bool resets; /* a close is a reset, see connection_set_resets() */
+	bool is_cut; /* ends at once, with a reset */
 	bool lingers; /* no more answers are written; input is dropped */
 	size_t lingered_bytes;
 	int64_t active_us; /* when bytes were last read or written */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <ev.h>
 #include <glib.h>
 #include <string.h>
@@ -26,6 +27,9 @@
 #define SHORT_BYTES 400
 #define LONG_BYTES 90000
 #define PART_BYTES 100
+#define HANGUP_NOTICED_MS 500
+#define UNREAD_PARTS 200
+#define UNREAD_PART_BYTES 65536
 
 #define CONFIG                                                         \
 	"{\"namespace\":\"n\",\"services\":{\"s\":{\"hosts\":[\"h\"]," \
@@ -38,6 +42,7 @@
 	int fd; /* the caller's end */
 	GString *answers;
 	bool is_closed;
+	bool is_reset;
 	/* The owner's end of the latest attempt. */
 	struct peer *peer;
 	uint64_t seq;
@@ -73,6 +78,18 @@
 	g_free(bytes);
 }
 
+static void send_abort(const struct fixture *f)
+{
+	Cfd__AnswerBody body = CFD__ANSWER_BODY__INIT;
+	Cfd__Frame frame = CFD__FRAME__INIT;
+
+	body.seq = f->seq;
+	body.aborted = true;
+	frame.kind_case = CFD__FRAME__KIND_ANSWER_BODY;
+	frame.answer_body = &body;
+	peer_send(f->peer, &frame);
+}
+
 /* Lets the daemon send more of the request's body. */
 static void send_window(const struct fixture *f)
 {
@@ -102,6 +119,10 @@
 		send_head(f, SHORT_BYTES);
 	if (strcmp(target, "/long-head") == 0)
 		send_head(f, LONG_BYTES);
+	if (strcmp(target, "/no-length-part") == 0) {
+		send_head(f, -1);
+		send_part(f, PART_BYTES, false);
+	}
 	if (strcmp(target, "/short-part") == 0) {
 		send_head(f, SHORT_BYTES);
 		send_part(f, PART_BYTES, false);
@@ -176,7 +197,8 @@
 
 	while ((size = recv(f->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
 		g_string_append_len(f->answers, bytes, size);
-	f->is_closed |= size == 0;
+	f->is_closed |= size == 0 && !f->is_reset;
+	f->is_reset |= size < 0 && errno == ECONNRESET;
 }
 
 /* Lets all that is due happen. */
@@ -368,6 +390,75 @@
 	g_assert_cmpuint(strlen(body), ==, LONG_BYTES - 1);
 }
 
+static void stop_daemon(struct fixture *f)
+{
+	listener_destroy(f->listener);
+	f->listener = NULL;
+}
+
+static void end_own_side(struct fixture *f)
+{
+	shutdown(f->fd, SHUT_WR);
+	run_for(f, HANGUP_NOTICED_MS);
+}
+
+static void abort_answer(struct fixture *f)
+{
+	send_abort(f);
+}
+
+/* More than the kernel takes, to a caller that doesn't read. */
+static void read_nothing(struct fixture *f)
+{
+	for (int i = 0; i < UNREAD_PARTS; i++) {
+		send_part(f, UNREAD_PART_BYTES, i == UNREAD_PARTS - 1);
+		for (int turn = 0; turn < 4; turn++)
+			ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
+	}
+	paused_clock_advance_us(120 * US_PER_S);
+	for (int turn = 0; turn < 10; turn++)
+		ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
+}
+
+struct cut_case {
+	const char *name;
+	void (*cut)(struct fixture *f);
+};
+
+static const struct cut_case cut_cases[] = {
+	{"/call/cut/aborted", abort_answer},
+	{"/call/cut/daemon-ends", stop_daemon},
+	{"/call/cut/caller-half-closes", end_own_side},
+	{"/call/cut/caller-does-not-read", read_nothing},
+};
+
+/* Guards against an answer that ends with its connection, is cut off by the
+ * daemon itself and looks complete. */
+static void test_cut_answer_without_length(struct fixture *f, gconstpointer data)
+{
+	const struct cut_case *test = data;
+
+	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
+	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	test->cut(f);
+	run_due(f);
+	g_assert_true(f->is_reset);
+	g_assert_false(f->is_closed);
+}
+
+/* Guards against a complete answer that looks cut off. */
+static void test_whole_answer_without_length(struct fixture *f,
+					     gconstpointer unused)
+{
+	(void)unused;
+	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
+	send_part(f, PART_BYTES, true);
+	run_due(f);
+	g_assert_true(f->is_closed);
+	run_for(f, 3000);
+	g_assert_false(f->is_reset);
+}
+
 #define ADD(name, data, function) \
 	g_test_add(name, struct fixture, data, set_up, function, tear_down)
 
@@ -387,5 +478,9 @@
 	ADD("/call/unread-requests", NULL, test_unread_requests);
 	ADD("/call/later-requests", NULL, test_later_requests);
 	ADD("/call/fault-in-answered-body", NULL, test_fault_in_answered_body);
+	for (size_t i = 0; i < G_N_ELEMENTS(cut_cases); i++)
+		ADD(cut_cases[i].name, &cut_cases[i],
+		    test_cut_answer_without_length);
+	ADD("/call/cut/not", NULL, test_whole_answer_without_length);
 	return g_test_run();
 }
