caller/reader: send no "100 Continue" to an HTTP/1.0 caller

What callers saw: an HTTP/1.0 caller whose request has "Expect: 100-continue" got "HTTP/1.1 100 Continue" in front of its answer. HTTP/1.0 knows no interim answers, so such a caller takes it for the answer, and the answer itself for its body or for that of its next request. Cause: the field was honoured in every version. Change: it is honoured in HTTP/1.1 only (RFC 9110, section 10.1.1). Evidence: /call/no-continue-to-1.0 failed before (25 bytes written where none are due). Conclusion: an HTTP/1.0 caller gets final answers only.

--- a/comfreydockd/caller/reader.c
+++ b/comfreydockd/caller/reader.c
@@ -267,13 +267,16 @@
 void reader_get_head(const struct reader *reader, struct reader_head *head)
 {
 	const char *expects = fields_find(&reader->head.fields, "Expect");
+	bool is_http_1_0 = reader->parser.http_minor == 0;
 
 	*head = (struct reader_head){
 		.head = &reader->head,
 		.method = http_method_str((enum http_method)reader->parser.method),
-		.is_http_1_0 = reader->parser.http_minor == 0,
+		.is_http_1_0 = is_http_1_0,
 		.keeps_alive = http_should_keep_alive(&reader->parser) != 0,
-		.awaits_continue = expects && strcasecmp(expects, CONTINUE) == 0,
+		/* HTTP/1.0 knows no interim answers. */
+		.awaits_continue = !is_http_1_0 && expects &&
+				   strcasecmp(expects, CONTINUE) == 0,
 		.ends = reader->is_complete,
 	};
 }
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -459,6 +459,19 @@
 	g_assert_false(f->is_reset);
 }
 
+/* Guards against a "100 Continue" that an HTTP/1.0 caller takes for its
+ * answer. */
+static void test_no_continue_to_1_0(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_text(f, "POST /short-head HTTP/1.0\r\nHost: h\r\n"
+		     "Expect: 100-continue\r\n"
+		     "Content-Length: 1\r\n\r\n");
+	g_assert_cmpuint(f->answers->len, ==, 0);
+	send_text(f, "x");
+	g_assert_cmpuint(f->attempts, ==, 1);
+}
+
 #define ADD(name, data, function) \
 	g_test_add(name, struct fixture, data, set_up, function, tear_down)
 
@@ -482,5 +495,6 @@
 		ADD(cut_cases[i].name, &cut_cases[i],
 		    test_cut_answer_without_length);
 	ADD("/call/cut/not", NULL, test_whole_answer_without_length);
+	ADD("/call/no-continue-to-1.0", NULL, test_no_continue_to_1_0);
 	return g_test_run();
 }
