caller/connection: begin no request behind an answer that closes the connection

What callers saw: a caller that is answered while its body is still on its way, or an HTTP/1.0 caller with keep-alive that gets an answer without a length, and that sends another request on that connection, got no answer to it although it was passed on: it was cancelled at its owner once the answer in front ended. Cause: that the answer closes the connection is known when its head is written; the input went on until its end. Change: the input ends with that head. What remains of the request's own body is still read. Evidence: /call/behind-close/until-close and /call/behind-close/in-body failed before (2 attempts where 1 is due). Conclusion: requests behind an announced close cross it and are not passed on.

--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -215,6 +215,7 @@
 			connection_closes_after(connection, request));
 		if (request->framing == RESPONSE_UNTIL_CLOSE)
 			connection_set_resets(connection, true);
+		connection->input_ended |= request->closes;
 		connection->output_full = progress == REQUEST_FULL;
 		if (progress == REQUEST_WAITS || progress == REQUEST_FULL)
 			return true;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -420,12 +420,12 @@
 		ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
 }
 
-struct cut_case {
+struct connection_case {
 	const char *name;
-	void (*cut)(struct fixture *f);
+	void (*act)(struct fixture *f);
 };
 
-static const struct cut_case cut_cases[] = {
+static const struct connection_case cut_cases[] = {
 	{"/call/cut/aborted", abort_answer},
 	{"/call/cut/daemon-ends", stop_daemon},
 	{"/call/cut/caller-half-closes", end_own_side},
@@ -436,11 +436,11 @@
  * daemon itself and looks complete. */
 static void test_cut_answer_without_length(struct fixture *f, gconstpointer data)
 {
-	const struct cut_case *test = data;
+	const struct connection_case *test = data;
 
 	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
 	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
-	test->cut(f);
+	test->act(f);
 	run_due(f);
 	g_assert_true(f->is_reset);
 	g_assert_false(f->is_closed);
@@ -472,6 +472,37 @@
 	g_assert_cmpuint(f->attempts, ==, 1);
 }
 
+static void begin_until_close(struct fixture *f)
+{
+	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n"
+		     "Connection: keep-alive\r\n\r\n");
+}
+
+static void begin_in_body(struct fixture *f)
+{
+	send_long_body(f, "/long-part");
+	send_text(f, "0\r\n\r\n");
+}
+
+/* Guards against a request that is passed on behind an answer that says that
+ * the connection closes, and that gets no answer. */
+static void test_request_behind_close(struct fixture *f, gconstpointer data)
+{
+	const struct connection_case *test = data;
+
+	test->act(f);
+	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	g_assert_nonnull(strstr(f->answers->str, "Connection: close\r\n"));
+	send_requests(f, "/silent", 1);
+	run_for(f, STEP_MS);
+	g_assert_cmpuint(f->attempts, ==, 1);
+}
+
+static const struct connection_case close_cases[] = {
+	{"/call/behind-close/until-close", begin_until_close},
+	{"/call/behind-close/in-body", begin_in_body},
+};
+
 #define ADD(name, data, function) \
 	g_test_add(name, struct fixture, data, set_up, function, tear_down)
 
@@ -496,5 +527,8 @@
 		    test_cut_answer_without_length);
 	ADD("/call/cut/not", NULL, test_whole_answer_without_length);
 	ADD("/call/no-continue-to-1.0", NULL, test_no_continue_to_1_0);
+	for (size_t i = 0; i < G_N_ELEMENTS(close_cases); i++)
+		ADD(close_cases[i].name, &close_cases[i],
+		    test_request_behind_close);
 	return g_test_run();
 }
