caller/request: write no head of a withheld answer whose body doesn't fit

What callers saw: an answer that its owner states to be empty, and to which it sends a body, as "200" with "Content-Length: 0": a success that looks whole, without the upstream's body. Of other lengths, the head of a success and nothing else. Cause: the length was checked behind the head. A head with a length of 0 is a whole answer. Change: the framing is chosen and the length checked before the head is written. An answer that doesn't fit by then writes nothing and ends the connection as before. Conclusion: a withheld answer is written only if it fits its length. A long one, whose bytes are written as they come, is still cut where the surplus shows.

--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -168,7 +168,24 @@
 		(uint32_t)MAX(request->come_back_ms - waited_ms, 1));
 }
 
-static void request_write_head(struct caller_request *request, GByteArray *out,
+/*
+ * RETURN VALUE: whether the body does not fit the length in the head. The
+ * caller would take its surplus bytes for the next answer, or the next answer
+ * for its missing bytes.
+ */
+static bool request_has_wrong_length(const struct caller_request *request)
+{
+	int64_t known = request->written + (int64_t)request_unwritten(request);
+
+	if (request->framing != RESPONSE_LENGTH)
+		return false;
+	return known > request->length ||
+	       (request->answer_complete && known < request->length);
+}
+
+/* RETURN VALUE: false if nothing was written, as the body does not fit the
+ * head. */
+static bool request_write_head(struct caller_request *request, GByteArray *out,
 			       bool closes)
 {
 	struct response_head head = {
@@ -180,10 +197,14 @@
 		.closes = closes,
 	};
 
+	request->framing = response_framing_of(&head);
+	if (request_has_wrong_length(request))
+		return false;
 	request_add_come_back(request);
-	request->framing = response_write_head(out, &head);
+	response_write_head(out, &head, request->framing);
 	request->head_written = true;
 	request->closes = closes || request->framing == RESPONSE_UNTIL_CLOSE;
+	return true;
 }
 
 static void request_write_body(struct caller_request *request, GByteArray *out,
@@ -201,21 +222,6 @@
 		call_note_consumed(request->call, size);
 }
 
-/*
- * RETURN VALUE: whether the body does not fit the length in the head. The
- * caller would take its surplus bytes for the next answer, or the next answer
- * for its missing bytes.
- */
-static bool request_has_wrong_length(const struct caller_request *request)
-{
-	int64_t known = request->written + (int64_t)request_unwritten(request);
-
-	if (request->framing != RESPONSE_LENGTH)
-		return false;
-	return known > request->length ||
-	       (request->answer_complete && known < request->length);
-}
-
 enum request_progress request_write(struct caller_request *request,
 				    GByteArray *out, size_t max_size, bool closes)
 {
@@ -224,7 +230,8 @@
 	if (!request->head_written) {
 		if (!request_is_ready(request))
 			return REQUEST_WAITS;
-		request_write_head(request, out, closes);
+		if (!request_write_head(request, out, closes))
+			return REQUEST_BROKEN;
 	}
 	if (request->aborted || request_has_wrong_length(request))
 		return REQUEST_BROKEN;
--- a/comfreydockd/caller/response.c
+++ b/comfreydockd/caller/response.c
@@ -51,7 +51,7 @@
 	write_field(out, "Date", text);
 }
 
-static enum response_framing choose_framing(const struct response_head *head)
+enum response_framing response_framing_of(const struct response_head *head)
 {
 	if (head->is_head_method || head->status == STATUS_NO_CONTENT ||
 	    head->status == STATUS_NOT_MODIFIED)
@@ -78,11 +78,9 @@
 		write_field(out, "Connection", "keep-alive");
 }
 
-enum response_framing response_write_head(GByteArray *out,
-					  const struct response_head *head)
+void response_write_head(GByteArray *out, const struct response_head *head,
+			 enum response_framing framing)
 {
-	enum response_framing framing = choose_framing(head);
-
 	write_status_line(out, head->status);
 	if (!fields_find(head->fields, "Date"))
 		write_date(out);
@@ -91,7 +89,6 @@
 			    head->fields->items[i]->value);
 	write_framing(out, head, framing);
 	write_text(out, "\r\n");
-	return framing;
 }
 
 void response_write_body(GByteArray *out, enum response_framing framing,
--- a/include/comfreydockd/caller/response.h
+++ b/include/comfreydockd/caller/response.h
@@ -38,8 +38,9 @@
 };
 
 /* RETURN VALUE: how the body must be written. */
-enum response_framing response_write_head(GByteArray *out,
-					  const struct response_head *head);
+enum response_framing response_framing_of(const struct response_head *head);
+void response_write_head(GByteArray *out, const struct response_head *head,
+			 enum response_framing framing);
 void response_write_body(GByteArray *out, enum response_framing framing,
 			 const uint8_t *bytes, size_t size);
 void response_write_end(GByteArray *out, enum response_framing framing);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -143,6 +143,31 @@
 	g_assert_cmpint(write_out(f), ==, REQUEST_BROKEN);
 }
 
+struct length_case {
+	const char *name;
+	int64_t length;
+	const char *body;
+};
+
+static const struct length_case length_cases[] = {
+	{"/request/withheld-length/surplus-to-none", 0, "x"},
+	{"/request/withheld-length/surplus", 3, "hello"},
+	{"/request/withheld-length/short", 8, "hello"},
+};
+
+/* Guards against a withheld answer of a wrong length whose head is written: a
+ * caller takes one that is stated to be empty for complete. */
+static void test_withheld_wrong_length(struct fixture *f, gconstpointer data)
+{
+	const struct length_case *test = data;
+
+	give_head(f, test->length);
+	give_body(f, test->body);
+	request_sink.handle_end(f->request);
+	g_assert_cmpint(write_out(f), ==, REQUEST_BROKEN);
+	g_assert_cmpuint(f->out->len, ==, 0);
+}
+
 /*
  * Guards against a come-back time that is too long for a refusal behind a
  * lookup of 300 ms. The caller reads the refusal only after the lookup's
@@ -174,5 +199,8 @@
 	ADD("/request/abort-after-head", test_abort_after_head_is_written);
 	ADD("/request/wrong-length", test_wrong_length);
 	ADD("/request/come-back", test_come_back_counts_from_sending);
+	for (size_t i = 0; i < G_N_ELEMENTS(length_cases); i++)
+		g_test_add(length_cases[i].name, struct fixture, &length_cases[i],
+			   set_up, test_withheld_wrong_length, tear_down);
 	return g_test_run();
 }
