--- a/comfreydockd/caller/head.c
+++ b/comfreydockd/caller/head.c
@@ -27,6 +27,11 @@
 	return true;
 }
 
+bool head_field_is_valid(const char *name, const char *value)
+{
+	return is_token(name) && is_value(value);
+}
+
 static bool is_target(const char *text)
 {
 	for (; *text; text++) {
@@ -82,7 +87,7 @@
 {
 	const char *text = value ? value : "";
 
-	head->has_bad_field |= !is_token(name) || !is_value(text);
+	head->has_bad_field |= !head_field_is_valid(name, text);
 	if (strcasecmp(name, "Content-Length") == 0) {
 		head->length_count++;
 		head->has_body |= strcmp(text, "0") != 0;
--- a/include/comfreydockd/caller/head.h
+++ b/include/comfreydockd/caller/head.h
@@ -36,6 +36,9 @@
 	unsigned int host_count;
 };
 
+/* RETURN VALUE: whether a parser of HTTP reads these as one field. */
+bool head_field_is_valid(const char *name, const char *value);
+
 /* Copies target. */
 void head_init(struct head *head, const char *target);
 void head_finish(struct head *head);
