caller/connection: keep a closing connection until its caller has the answer

What callers saw: a caller that is answered while it sends its body, and that reads the answer only after that, lost it: 2 s after the kernel had taken the answer's last byte the connection was closed, the next bytes of the body made it a reset, and that discards what the caller's kernel has not taken yet. Cause: the time in which late input is read and dropped counted from when the answer was with this kernel, not with the caller's. Change: it lasts as long as bytes are unacknowledged (SIOCOUTQ, asked every 2 s), up to 60 s after the last write as for each caller that doesn't read. Evidence: /call/early-answer-is-read-late failed before (5 s of sending, an answer of 1 MB: the caller's send failed). Conclusion: a caller that goes on reading gets its last answer. One that uploads over 16 MB before it reads still gets the reset.

--- a/comfreydockd/caller/connection.c
+++ b/comfreydockd/caller/connection.c
@@ -33,7 +33,7 @@
 /*
  * After the last answer, bytes that still arrive are read and dropped. Unread
  * bytes would make the kernel reset the connection, and the answer would be
- * lost with it.
+ * lost with it. This lasts until the caller's kernel has the answer.
  */
 #define LINGER_TIMEOUT_US (2 * US_PER_S)
 #define LINGER_BYTES_MAX (16 * 1024 * 1024)
@@ -316,7 +316,8 @@
 
 static int64_t connection_timeout_at_us(const struct connection *connection)
 {
-	if (connection->lingers && connection->out->len == 0)
+	if (connection->lingers && connection->out->len == 0 &&
+	    connection_unacknowledged(connection) == 0)
 		return 0;
 	if (connection->head_since_us)
 		return connection->head_since_us + HEAD_TIMEOUT_US;
@@ -337,6 +338,8 @@
 		connection_destroy(connection);
 		return;
 	}
+	if (connection->lingers)
+		left_us = MIN(left_us, LINGER_TIMEOUT_US);
 	timer_restart_us(loop, timer, left_us);
 }
 
--- a/comfreydockd/caller/connection_unread.c
+++ b/comfreydockd/caller/connection_unread.c
@@ -22,9 +22,7 @@
 	return unsent;
 }
 
-/* RETURN VALUE: the bytes that the kernel has taken and the caller's has not
- * acknowledged. They show that a caller reads before there is room for more. */
-static int64_t count_unacknowledged(const struct connection *connection)
+int64_t connection_unacknowledged(const struct connection *connection)
 {
 	int queued = 0;
 
@@ -34,7 +32,9 @@
 static bool connection_is_being_read(struct connection *connection, int64_t now_us)
 {
 	int64_t unsent = count_unsent(connection);
-	int64_t unread = unsent + count_unacknowledged(connection);
+	/* What was acknowledged shows that a caller reads before there is room
+	 * for more. */
+	int64_t unread = unsent + connection_unacknowledged(connection);
 
 	if (unread != connection->unread)
 		connection->unread_changed_us = now_us;
--- a/include/comfreydockd/caller/connection_internal.h
+++ b/include/comfreydockd/caller/connection_internal.h
@@ -53,6 +53,12 @@
 	int64_t unread_changed_us;
 };
 
+/* connection_unread.c */
+
+/* RETURN VALUE: the bytes that the kernel has taken and the caller's has not
+ * acknowledged. */
+int64_t connection_unacknowledged(const struct connection *connection);
+
 /* connection_input.c */
 
 /* Handles as much of the input as may be handled now. */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "comfreydockd/caller/call.h"
+#include "comfreydockd/caller/connection.h"
 #include "comfreydockd/caller/listener.h"
 #include "comfreydockd/member/member.h"
 #include "comfreydockd/peer/peers.h"
@@ -28,6 +29,8 @@
 #define LONG_BYTES 90000
 #define PART_BYTES 100
 #define HANGUP_NOTICED_MS 500
+#define LATE_READ_BYTES 1000000
+#define LATE_READ_MS 5000
 #define UNREAD_PARTS 200
 #define UNREAD_PART_BYTES 65536
 
@@ -407,17 +410,21 @@
 	send_abort(f);
 }
 
+static void run_unread(struct fixture *f, int ms)
+{
+	paused_clock_advance_us(ms * US_PER_MS);
+	for (int i = 0; i < 10; i++)
+		ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
+}
+
 /* More than the kernel takes, to a caller that doesn't read. */
 static void read_nothing(struct fixture *f)
 {
 	for (int i = 0; i < UNREAD_PARTS; i++) {
 		send_part(f, UNREAD_PART_BYTES, i == UNREAD_PARTS - 1);
-		for (int turn = 0; turn < 4; turn++)
-			ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
+		run_unread(f, 0);
 	}
-	paused_clock_advance_us(120 * US_PER_S);
-	for (int turn = 0; turn < 10; turn++)
-		ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
+	run_unread(f, 120000);
 }
 
 struct connection_case {
@@ -503,6 +510,33 @@
 	{"/call/behind-close/in-body", begin_in_body},
 };
 
+/* Guards against a reset that discards an answer: its caller, which is answered
+ * while it sends its body, reads only after that. */
+static void test_early_answer_is_read_late(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_long_body(f, "/silent");
+	send_head(f, LATE_READ_BYTES);
+	for (int sent = 0; sent < LATE_READ_BYTES; sent += LATE_READ_BYTES / 10) {
+		send_part(f, LATE_READ_BYTES / 10, false);
+		run_unread(f, 0);
+	}
+	send_part(f, 0, true);
+	for (int ms = 0; ms < LATE_READ_MS; ms += 100) {
+		run_unread(f, 100);
+		g_assert_cmpint(send(f->fd, "1\r\nx\r\n", 6, MSG_NOSIGNAL), ==,
+				6);
+	}
+	for (int i = 0; i < 100 && !f->is_closed; i++) {
+		run_due(f);
+		g_usleep(10000);
+	}
+	g_assert_true(f->is_closed);
+	g_assert_cmpuint(f->answers->len, >, LATE_READ_BYTES);
+	run_for(f, 3000);
+	g_assert_null(LIST_FIRST(&f->listener->connections));
+}
+
 #define ADD(name, data, function) \
 	g_test_add(name, struct fixture, data, set_up, function, tear_down)
 
@@ -527,6 +561,8 @@
 		    test_cut_answer_without_length);
 	ADD("/call/cut/not", NULL, test_whole_answer_without_length);
 	ADD("/call/no-continue-to-1.0", NULL, test_no_continue_to_1_0);
+	ADD("/call/early-answer-is-read-late", NULL,
+	    test_early_answer_is_read_late);
 	for (size_t i = 0; i < G_N_ELEMENTS(close_cases); i++)
 		ADD(close_cases[i].name, &close_cases[i],
 		    test_request_behind_close);
