caller/connection: say "unknown" of a request that was sent before its body broke

What callers saw: "400" with the outcome "not-run" for a request whose chunked body can't be read behind its first 64 KiB, which an upstream had by then and may have worked on. Cause: each malformed request was refused as one that never became a call. Change: if an attempt of its call is out or may have run, the 400 has the outcome "unknown" (call_may_have_run(), outcome_fail()). Evidence: /call/fault-in-sent-body failed before. /call/fault-in-unsent-body, which holds the other case, didn't. Conclusion: "not-run" is said only of what did not run. The status stays 400, which promises nothing.

--- a/comfreydockd/caller/call_state.c
+++ b/comfreydockd/caller/call_state.c
@@ -51,3 +51,8 @@
 		.retry_after_us = (int64_t)call->come_back_ms * US_PER_MS,
 	};
 }
+
+bool call_may_have_run(const struct call *call)
+{
+	return call->may_have_run || !LIST_EMPTY(&call->active);
+}
--- a/comfreydockd/caller/connection_input.c
+++ b/comfreydockd/caller/connection_input.c
@@ -8,6 +8,7 @@
 #include "common/counters.h"
 
 #define STATUS_UNAVAILABLE 503
+#define BAD_REQUEST "bad-request"
 #define SURPLUS_COME_BACK_MS 1000
 /* Another daemon can take the request at once. */
 #define TURN_AWAY_COME_BACK_MS 10
@@ -209,18 +210,36 @@
 		call_end_body(request->call);
 }
 
-/* Ends the request whose body can't be read. */
-static void connection_fail_body(struct connection *connection)
+/* Ends the request whose body can't be read.
+ * RETURN VALUE: whether it may have run. */
+static bool connection_fail_body(struct connection *connection)
 {
 	struct caller_request *request = connection->in_body;
+	bool may_have_run;
 
 	connection->in_body = NULL;
 	if (!request || !request->call)
-		return; /* its answer, if complete, is still to be written */
+		return false; /* its answer, if complete, is still to be written */
+	may_have_run = call_may_have_run(request->call);
 	if (request->head_written)
 		request_abort(request);
 	else
 		connection_remove_request(connection, request);
+	return may_have_run;
+}
+
+/* The same as request_refuse() for a request that may have run. */
+static void request_fail(struct caller_request *request, unsigned int status,
+			 const char *why)
+{
+	char *text =
+		g_strdup_printf("it is not known whether this ran: %s\n", why);
+
+	request->connection->input_ended = true;
+	request->keeps_alive = false;
+	outcome_fail(connection_headers(request->connection), &request_sink,
+		     request, status, BAD_REQUEST, text);
+	g_free(text);
 }
 
 /* Refuses a malformed request. Nothing more is read, as the bytes that follow
@@ -228,20 +247,25 @@
 static void connection_take_fault(struct connection *connection)
 {
 	struct reader_head none = {.method = "", .ends = true};
+	struct caller_request *request;
 	const char *fault;
 	unsigned int status;
+	bool may_have_run;
 
 	fault = reader_fault(&connection->reader, &status);
 	connection->input_ended = true;
 	connection->head_since_us = 0;
-	connection_fail_body(connection);
+	may_have_run = connection_fail_body(connection);
 	if (reader_is_http(&connection->reader))
 		counters.caller_bad_requests++;
 	else
 		counters.caller_empty_connections++;
 	connection->has_request = true;
-	request_refuse(connection_add_request(connection, &none), status,
-		       "bad-request", 0, fault);
+	request = connection_add_request(connection, &none);
+	if (may_have_run)
+		request_fail(request, status, fault);
+	else
+		request_refuse(request, status, BAD_REQUEST, 0, fault);
 }
 
 /* RETURN VALUE: whether another request will be begun at some time. */
--- a/comfreydockd/caller/outcome.c
+++ b/comfreydockd/caller/outcome.c
@@ -89,6 +89,20 @@
 	fields_finish(&reply.fields);
 }
 
+void outcome_fail(const struct headers *headers, const struct call_sink *sink,
+		  void *data, unsigned int status, const char *reason,
+		  const char *text)
+{
+	struct call_reply reply = {
+		.status = status,
+		.text = text,
+	};
+
+	outcome_add_fields(&reply.fields, headers, "unknown", reason, NULL);
+	sink->handle_reply(data, &reply);
+	fields_finish(&reply.fields);
+}
+
 void outcome_check_overdue(const struct call *call, const char *outcome)
 {
 	int64_t late_us = clock_mono_us() - call->deadline_us;
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -239,6 +239,11 @@
 		    void *data, unsigned int status, const char *reason,
 		    uint32_t come_back_ms, const char *text);
 
+/* Ends a request with a failure of unknown outcome. */
+void outcome_fail(const struct headers *headers, const struct call_sink *sink,
+		  void *data, unsigned int status, const char *reason,
+		  const char *text);
+
 /* come_back_ms counts from the moment that the answer is sent. */
 void outcome_add_come_back(struct fields *fields, const struct headers *headers,
 			   uint32_t come_back_ms);
--- a/include/comfreydockd/caller/entry.h
+++ b/include/comfreydockd/caller/entry.h
@@ -103,6 +103,9 @@
 /* Called when size bytes of the answer have gone to the caller. */
 void call_note_consumed(struct call *call, size_t size);
 
+/* RETURN VALUE: whether an upstream may have worked on the call. */
+bool call_may_have_run(const struct call *call);
+
 /* Called when the caller has gone away. Calls no function of the sink. */
 void call_note_caller_gone(struct call *call);
 
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -393,6 +393,31 @@
 	g_assert_cmpuint(strlen(body), ==, LONG_BYTES - 1);
 }
 
+/* Guards against a request that is refused as not run, because of the rest of its
+ * body, although an upstream has it. */
+static void test_fault_in_sent_body(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_long_body(f, "/silent");
+	send_text(f, "zz\r\n");
+	g_assert_cmpuint(count_answers(f, "400"), ==, 1);
+	g_assert_nonnull(
+		strstr(f->answers->str, FIELD_OUTCOME ": unknown\r\n"));
+	g_assert_null(strstr(f->answers->str, "not run"));
+}
+
+/* A request of which nothing was passed on didn't run. */
+static void test_fault_in_unsent_body(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	send_text(f, "POST /silent HTTP/1.1\r\nHost: h\r\n"
+		     "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+	g_assert_cmpuint(count_answers(f, "400"), ==, 1);
+	g_assert_nonnull(
+		strstr(f->answers->str, FIELD_OUTCOME ": not-run\r\n"));
+	g_assert_cmpuint(f->attempts, ==, 0);
+}
+
 static void stop_daemon(struct fixture *f)
 {
 	listener_destroy(f->listener);
@@ -556,6 +581,8 @@
 	ADD("/call/unread-requests", NULL, test_unread_requests);
 	ADD("/call/later-requests", NULL, test_later_requests);
 	ADD("/call/fault-in-answered-body", NULL, test_fault_in_answered_body);
+	ADD("/call/fault-in-sent-body", NULL, test_fault_in_sent_body);
+	ADD("/call/fault-in-unsent-body", NULL, test_fault_in_unsent_body);
 	for (size_t i = 0; i < G_N_ELEMENTS(cut_cases); i++)
 		ADD(cut_cases[i].name, &cut_cases[i],
 		    test_cut_answer_without_length);
