tests: kill the processes on the way of an answer without a length

With real processes: an HTTP/1.0 caller gets an answer of 200 MB without a length, and its entry, its owner or its upstream is killed in the middle.

--- a/tests/system/test_streaming.c
+++ b/tests/system/test_streaming.c
@@ -1,5 +1,7 @@
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "cluster.h"
@@ -92,10 +94,79 @@
 	cluster_stop(&cluster);
 }
 
+/* RETURN VALUE: whether the connection ends with a reset. */
+static bool ends_with_reset(int fd)
+{
+	char bytes[65536];
+	ssize_t size;
+
+	while ((size = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		;
+	return size < 0 && errno == ECONNRESET;
+}
+
+static struct rig_process *get_owner(struct cluster *cluster)
+{
+	return cluster->daemons[1];
+}
+
+static struct rig_process *get_upstream(struct cluster *cluster)
+{
+	return cluster->upstreams[1];
+}
+
+static struct rig_process *get_entry(struct cluster *cluster)
+{
+	return cluster->daemons[0];
+}
+
+struct killed_case {
+	const char *name;
+	struct rig_process *(*get)(struct cluster *cluster);
+};
+
+static const struct killed_case killed_cases[] = {
+	{"/streaming/killed/owner", get_owner},
+	{"/streaming/killed/upstream", get_upstream},
+	{"/streaming/killed/entry", get_entry},
+};
+
+/* Guards against an answer that ends with its connection and looks complete to an
+ * HTTP/1.0 caller although a process on its way was killed. */
+static void test_killed_without_length(const void *data)
+{
+	const struct killed_case *test = data;
+	struct timeval timeout = {.tv_sec = WAIT_MS / 1000};
+	struct cluster_options options = {.count = 2};
+	GString *head = g_string_new(NULL);
+	struct cluster cluster;
+	int fd;
+
+	cluster_start(&cluster, &options);
+	g_free(rig_http_ok("POST", cluster.daemons[0]->admin_port,
+			   "/v1/upstream/drain", ""));
+	cluster_wait_up(&cluster, 1, WAIT_MS);
+	fd = raw_connect(cluster.daemons[0]->caller_port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	raw_send_text(fd, "GET /chunks/200000000 HTTP/1.0\r\nHost: h\r\n\r\n");
+	while (!strstr(head->str, "\r\n\r\n"))
+		g_assert_true(raw_read_some(fd, head, 1, WAIT_MS));
+	g_assert_true(g_str_has_prefix(head->str, "HTTP/1.1 200"));
+	g_assert_null(strstr(head->str, "Content-Length"));
+	rig_kill(test->get(&cluster));
+	g_assert_true(ends_with_reset(fd));
+	close(fd);
+	cluster_stop(&cluster);
+	g_string_free(head, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/streaming/long-beside-short",
 			test_long_answer_beside_short_calls);
+	for (size_t i = 0; i < G_N_ELEMENTS(killed_cases); i++)
+		g_test_add_data_func(killed_cases[i].name, &killed_cases[i],
+				     test_killed_without_length);
 	return g_test_run();
 }
