--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -4,10 +4,14 @@
 
 #include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/connection.h"
+#include "comfreydockd/caller/head.h"
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/log.h"
 
 #define STATUS_LOST 502
+#define STATUS_MIN 200
+#define STATUS_MAX 999
 
 struct caller_request *request_create(struct connection *connection)
 {
@@ -27,6 +31,15 @@
 	g_free(request);
 }
 
+void request_abort(struct caller_request *request)
+{
+	if (request->call)
+		call_note_caller_gone(request->call);
+	request->call = NULL;
+	request->aborted = true;
+	connection_wake(request->connection);
+}
+
 /* Callbacks from the call. */
 
 static void handle_head(void *data, unsigned int status, struct fields *fields,
@@ -159,7 +172,56 @@
 		(uint32_t)MAX(request->come_back_ms - waited_ms, 1));
 }
 
-static void request_write_head(struct caller_request *request, GByteArray *out,
+/*
+ * RETURN VALUE: whether the body does not fit the length in the head. The
+ * caller would take its surplus bytes for the next answer, or the next answer
+ * for its missing bytes.
+ */
+static bool request_has_wrong_length(const struct caller_request *request)
+{
+	int64_t known = request->written + (int64_t)request_unwritten(request);
+
+	if (request->framing != RESPONSE_LENGTH)
+		return false;
+	return known > request->length ||
+	       (request->answer_complete && known < request->length);
+}
+
+/* Whether a caller reads this head as that of one final answer. */
+static bool request_head_is_valid(const struct caller_request *request)
+{
+	const struct fields *fields = &request->fields;
+
+	if (request->status < STATUS_MIN || request->status > STATUS_MAX)
+		return false;
+	for (size_t i = 0; i < fields->count; i++) {
+		if (!field_is_valid(fields->items[i]->name,
+				    fields->items[i]->value))
+			return false;
+	}
+	return true;
+}
+
+/* Replaces an answer whose head can't be written by a failure of unknown
+ * outcome. */
+static void request_replace_answer(struct caller_request *request)
+{
+	const struct headers *headers = connection_headers(request->connection);
+
+	counters.caller_aborted++;
+	log_event(EV_ENTRY_FAILED,
+		  LOG_STR("trace", fields_find(&request->fields, headers->trace)),
+		  LOG_STR("outcome", "aborted"),
+		  LOG_STR("reason", "the answer's head is malformed"),
+		  LOG_INT("status", request->status));
+	if (request->call)
+		call_note_caller_gone(request->call);
+	handle_abort(request);
+}
+
+/* RETURN VALUE: false if nothing was written, as the body does not fit the
+ * head. */
+static bool request_write_head(struct caller_request *request, GByteArray *out,
 			       bool closes)
 {
 	struct response_head head = {
@@ -171,10 +233,14 @@
 		.closes = closes,
 	};
 
+	request->framing = response_framing_of(&head);
+	if (request_has_wrong_length(request))
+		return false;
 	request_add_come_back(request);
-	request->framing = response_write_head(out, &head);
+	response_write_head(out, &head, request->framing);
 	request->head_written = true;
 	request->closes = closes || request->framing == RESPONSE_UNTIL_CLOSE;
+	return true;
 }
 
 static void request_write_body(struct caller_request *request, GByteArray *out,
@@ -192,21 +258,6 @@
 		call_note_consumed(request->call, size);
 }
 
-/*
- * RETURN VALUE: whether the body does not fit the length in the head. The
- * caller would take its surplus bytes for the next answer, or the next answer
- * for its missing bytes.
- */
-static bool request_has_wrong_length(const struct caller_request *request)
-{
-	int64_t known = request->written + (int64_t)request_unwritten(request);
-
-	if (request->framing != RESPONSE_LENGTH)
-		return false;
-	return known > request->length ||
-	       (request->answer_complete && known < request->length);
-}
-
 enum request_progress request_write(struct caller_request *request,
 				    GByteArray *out, size_t max_size, bool closes)
 {
@@ -215,7 +266,10 @@
 	if (!request->head_written) {
 		if (!request_is_ready(request))
 			return REQUEST_WAITS;
-		request_write_head(request, out, closes);
+		if (!request_head_is_valid(request))
+			request_replace_answer(request);
+		if (!request_write_head(request, out, closes))
+			return REQUEST_BROKEN;
 	}
 	if (request->aborted || request_has_wrong_length(request))
 		return REQUEST_BROKEN;
