--- a/comfreydockd/caller/request.c
+++ b/comfreydockd/caller/request.c
@@ -4,14 +4,10 @@
 
 #include "comfreydockd/caller/call.h"
 #include "comfreydockd/caller/connection.h"
-#include "comfreydockd/caller/head.h"
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/log.h"
 
 #define STATUS_LOST 502
-#define STATUS_MIN 200
-#define STATUS_MAX 999
 
 struct caller_request *request_create(struct connection *connection)
 {
@@ -187,38 +183,6 @@
 	       (request->answer_complete && known < request->length);
 }
 
-/* Whether a caller reads this head as that of one final answer. */
-static bool request_head_is_valid(const struct caller_request *request)
-{
-	const struct fields *fields = &request->fields;
-
-	if (request->status < STATUS_MIN || request->status > STATUS_MAX)
-		return false;
-	for (size_t i = 0; i < fields->count; i++) {
-		if (!field_is_valid(fields->items[i]->name,
-				    fields->items[i]->value))
-			return false;
-	}
-	return true;
-}
-
-/* Replaces an answer whose head can't be written by a failure of unknown
- * outcome. */
-static void request_replace_answer(struct caller_request *request)
-{
-	const struct headers *headers = connection_headers(request->connection);
-
-	counters.caller_aborted++;
-	log_event(EV_ENTRY_FAILED,
-		  LOG_STR("trace", fields_find(&request->fields, headers->trace)),
-		  LOG_STR("outcome", "aborted"),
-		  LOG_STR("reason", "the answer's head is malformed"),
-		  LOG_INT("status", request->status));
-	if (request->call)
-		call_note_caller_gone(request->call);
-	handle_abort(request);
-}
-
 /* RETURN VALUE: false if nothing was written, as the body does not fit the
  * head. */
 static bool request_write_head(struct caller_request *request, GByteArray *out,
@@ -266,8 +230,6 @@
 	if (!request->head_written) {
 		if (!request_is_ready(request))
 			return REQUEST_WAITS;
-		if (!request_head_is_valid(request))
-			request_replace_answer(request);
 		if (!request_write_head(request, out, closes))
 			return REQUEST_BROKEN;
 	}
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -168,43 +168,6 @@
 	g_assert_cmpuint(f->out->len, ==, 0);
 }
 
-struct head_case {
-	const char *name;
-	unsigned int status;
-	const char *field;
-	const char *value;
-};
-
-static const struct head_case head_cases[] = {
-	{"/request/faulty-head/interim", 101, "X-Id", "1"},
-	{"/request/faulty-head/status", 1200, "X-Id", "1"},
-	{"/request/faulty-head/value-lines", 200, "X-Id",
-	 "1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK"},
-	{"/request/faulty-head/value-cr", 200, "X-Id", "1\rX: 2"},
-	{"/request/faulty-head/name-lines", 200, "X-Id: 1\r\nX", "1"},
-	{"/request/faulty-head/name-space", 200, "X-Id ", "1"},
-	{"/request/faulty-head/name-empty", 200, "", "X-Id"},
-};
-
-/* Guards against an owner's head in which a caller reads the end of the answer,
- * fields or another answer that the daemon doesn't know of. */
-static void test_faulty_head(struct fixture *f, gconstpointer data)
-{
-	const struct head_case *test = data;
-	struct fields fields;
-
-	fields_init(&fields);
-	fields_add(&fields, test->field, test->value);
-	request_sink.handle_head(f->request, test->status, &fields, 5);
-	give_body(f, "hello");
-	request_sink.handle_end(f->request);
-	g_assert_cmpint(write_out(f), ==, REQUEST_ANSWERED);
-	g_assert_true(g_str_has_prefix((char *)f->out->data, "HTTP/1.1 502 "));
-	g_assert_false(has_text(f, "X-Id"));
-	g_assert_false(has_text(f, "hello"));
-	g_assert_false(f->request->closes);
-}
-
 /*
  * Guards against a come-back time that is too long for a refusal behind a
  * lookup of 300 ms. The caller reads the refusal only after the lookup's
@@ -239,8 +202,5 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(length_cases); i++)
 		g_test_add(length_cases[i].name, struct fixture, &length_cases[i],
 			   set_up, test_withheld_wrong_length, tear_down);
-	for (size_t i = 0; i < G_N_ELEMENTS(head_cases); i++)
-		g_test_add(head_cases[i].name, struct fixture, &head_cases[i],
-			   set_up, test_faulty_head, tear_down);
 	return g_test_run();
 }
