tests/run: an answer that comes before the request's body is whole

Passed at once: libcurl sends the rest after a success, and closes the connection after a failure. The scripted upstream looks for what it awaits anywhere in the bytes, not at their end, as parts may arrive together. The end of a failure is known only once more of the body has come or it has ended.

--- a/tests/scripted_upstream.c
+++ b/tests/scripted_upstream.c
@@ -56,8 +56,10 @@
 	}
 	if (got > 0 && upstream->awaited) {
 		g_string_append_len(upstream->received, buffer, got);
-		if (!g_str_has_suffix(upstream->received->str, upstream->awaited))
+		if (!strstr(upstream->received->str + upstream->answered,
+			    upstream->awaited))
 			return;
+		upstream->answered = upstream->received->len;
 	}
 	if (upstream->requests == 2)
 		send(upstream->readers[0].fd, upstream->late,
--- a/tests/scripted_upstream.h
+++ b/tests/scripted_upstream.h
@@ -35,9 +35,10 @@
 	enum ending ending;
 	size_t answer_bytes; /* with an ending: the part that is sent */
 	ev_timer reset_timer;
-	/* Answers only what ends with this; NULL: whatever comes. */
+	/* Answers once this has come; NULL: whatever comes. */
 	const char *awaited;
-	GString *received; /* since the last answer */
+	GString *received; /* while something is awaited */
+	size_t answered; /* this much of it */
 	unsigned int requests;
 	unsigned int connections;
 };
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -430,6 +430,41 @@
 	fixture_stop(&fixture);
 }
 
+/* Guards against the next request's bytes where the upstream reads on the rest of a
+ * long body, having answered early. */
+static void test_an_answer_before_the_body_is_whole(void)
+{
+	static const char *const statuses[] = {"200 OK", "404 Not Found",
+					       "500 Internal Server Error"};
+	/* After a failure the rest isn't sent, and the connection is closed. */
+	static const char *const rests[] = {
+		"first.\r\n6\r\nsecond\r\n0\r\n\r\nGET /", "first.\r\nGET /",
+		"first.\r\nGET /"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		char *early = g_strdup_printf(
+			"HTTP/1.1 %s\r\n"
+			"X-Comfreydock-Request-Id: " SECOND "\r\n"
+			"X-Comfreydock-Response-Signature: 3e1b\r\n" LENGTH
+			"\r\nsecond",
+			statuses[i]);
+		const char *const answers[] = {early, SUCCESS, NULL};
+		struct fixture fixture;
+		struct scripted_upstream *upstream = &fixture.upstream;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		upstream->awaited = "first.\r\n";
+		g_assert_cmpint(run_streamed(&fixture), ==, RUN_COMPLETE);
+		upstream->awaited = "GET /";
+		g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==,
+				RUN_COMPLETE);
+		g_assert_cmpuint(upstream->connections, ==, i == 0 ? 1 : 2);
+		g_assert_nonnull(strstr(upstream->received->str, rests[i]));
+		fixture_stop(&fixture);
+		g_free(early);
+	}
+}
+
 /* Guards against a request that crosses the upstream's closing of an idle
  * connection. */
 static void test_idle_connections_are_left_in_time(void)
@@ -462,6 +497,8 @@
 			test_late_bytes_in_the_same_read);
 	g_test_add_func("/run/streamed-body",
 			test_a_streamed_body_on_another_connection);
+	g_test_add_func("/run/early-answer",
+			test_an_answer_before_the_body_is_whole);
 	g_test_add_func("/run/idle", test_idle_connections_are_left_in_time);
 	return g_test_run();
 }
