--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -10,7 +10,6 @@
 #include "platform/headers.h"
 #include "scripted_upstream.h"
 
-#define BODY_DELAY_S 0.02
 #define BODY_BYTES 6
 #define FIRST "9c41d07be2a35f68"
 #define SECOND "1988b75365ad025e"
@@ -32,6 +31,8 @@
 	unsigned int status;
 	GString *body;
 	size_t consumed; /* of the request's body */
+	ev_timer body_timer; /* for its second part */
+	bool body_awaits_head; /* else, that the first part was sent */
 	struct run *run;
 };
 
@@ -51,6 +52,8 @@
 
 	(void)length;
 	outcome->status = status;
+	if (outcome->body_awaits_head)
+		ev_timer_start(outcome->loop, &outcome->body_timer);
 	outcome->verdict = answer_classify(outcome->headers, outcome->trace,
 					   status, fields);
 	return outcome->verdict == ANSWER_GOOD;
@@ -63,7 +66,11 @@
 
 static void handle_request_body_consumed(void *data, size_t size)
 {
-	((struct outcome *)data)->consumed += size;
+	struct outcome *outcome = data;
+
+	outcome->consumed += size;
+	if (outcome->consumed == BODY_BYTES && !outcome->body_awaits_head)
+		ev_timer_start(outcome->loop, &outcome->body_timer);
 }
 
 static void handle_done(void *data, enum run_result result)
@@ -388,20 +395,19 @@
 		.body = (const uint8_t *)"first.",
 		.body_size = BODY_BYTES,
 	};
-	ev_timer timer;
 
 	fields_init(&fields);
 	fields_add(&fields, outcome->headers->trace, SECOND);
 	outcome->trace = SECOND;
 	outcome->done = false;
+	outcome->consumed = 0;
+	ev_timer_init(&outcome->body_timer, handle_body_timer, 0.0, 0.0);
 	outcome->run =
 		run_create(fixture->pool, &request, 65536, &callbacks, outcome);
-	ev_timer_init(&timer, handle_body_timer, BODY_DELAY_S, 0.0);
-	timer.data = outcome->run;
-	ev_timer_start(outcome->loop, &timer);
+	outcome->body_timer.data = outcome->run;
 	while (!outcome->done)
 		ev_run(outcome->loop, 0);
-	ev_timer_stop(outcome->loop, &timer);
+	ev_timer_stop(outcome->loop, &outcome->body_timer);
 	run_destroy(outcome->run);
 	fields_finish(&fields);
 	return outcome->result;
@@ -454,7 +460,9 @@
 
 		fixture_start(&fixture, &platform_headers, answers);
 		upstream->awaited = "first.\r\n";
+		fixture.outcome.body_awaits_head = true;
 		g_assert_cmpint(run_streamed(&fixture), ==, RUN_COMPLETE);
+		fixture.outcome.body_awaits_head = false;
 		upstream->awaited = "GET /";
 		g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==,
 				RUN_COMPLETE);
