--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -10,7 +10,6 @@
 #include "platform/headers.h"
 #include "scripted_upstream.h"
 
-#define BODY_DELAY_S 0.02
 #define BODY_BYTES 6
 #define FIRST "9c41d07be2a35f68"
 #define SECOND "1988b75365ad025e"
@@ -32,6 +31,8 @@
 	unsigned int status;
 	GString *body;
 	size_t consumed; /* of the request's body */
+	ev_timer body_timer; /* for its second part */
+	bool body_awaits_head; /* else, that the first part was sent */
 	struct run *run;
 };
 
@@ -53,6 +54,8 @@
 
 	(void)length;
 	outcome->status = status;
+	if (outcome->body_awaits_head)
+		ev_timer_start(outcome->loop, &outcome->body_timer);
 	outcome->verdict = answer_classify(outcome->headers, outcome->trace,
 					   status, fields);
 	return outcome->verdict == ANSWER_GOOD;
@@ -65,7 +68,11 @@
 
 static void handle_request_body_consumed(void *data, size_t size)
 {
-	((struct outcome *)data)->consumed += size;
+	struct outcome *outcome = data;
+
+	outcome->consumed += size;
+	if (outcome->consumed == BODY_BYTES && !outcome->body_awaits_head)
+		ev_timer_start(outcome->loop, &outcome->body_timer);
 }
 
 static void handle_done(void *data, enum run_result result)
@@ -425,20 +432,19 @@
 		.body = (const uint8_t *)"first.",
 		.body_size = BODY_BYTES,
 	};
-	ev_timer timer;
 
 	fields_init(&fields);
 	fields_add(&fields, outcome->headers->trace, SECOND);
 	outcome->trace = SECOND;
 	outcome->done = false;
+	outcome->consumed = 0;
+	ev_timer_init(&outcome->body_timer, handle_body_timer, 0.0, 0.0);
 	outcome->run =
 		run_create(fixture->pool, &request, 65536, &callbacks, outcome);
-	ev_timer_init(&timer, handle_body_timer, BODY_DELAY_S, 0.0);
-	timer.data = outcome->run;
-	ev_timer_start(outcome->loop, &timer);
+	outcome->body_timer.data = outcome->run;
 	while (!outcome->done)
 		ev_run(outcome->loop, 0);
-	ev_timer_stop(outcome->loop, &timer);
+	ev_timer_stop(outcome->loop, &outcome->body_timer);
 	run_destroy(outcome->run);
 	fields_finish(&fields);
 	return outcome->result;
@@ -467,6 +473,43 @@
 	fixture_stop(&fixture);
 }
 
+/* Guards against the next request's bytes where the upstream reads on the rest of a
+ * long body, having answered early. */
+static void test_an_answer_before_the_body_is_whole(void)
+{
+	static const char *const statuses[] = {"200 OK", "404 Not Found",
+					       "500 Internal Server Error"};
+	/* After a failure the rest isn't sent, and the connection is closed. */
+	static const char *const rests[] = {
+		"first.\r\n6\r\nsecond\r\n0\r\n\r\nGET /", "first.\r\nGET /",
+		"first.\r\nGET /"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		char *early = g_strdup_printf(
+			"HTTP/1.1 %s\r\n"
+			"X-Comfreydock-Request-Id: " SECOND "\r\n"
+			"X-Comfreydock-Response-Signature: 3e1b\r\n" LENGTH
+			"\r\nsecond",
+			statuses[i]);
+		const char *const answers[] = {early, SUCCESS, NULL};
+		struct fixture fixture;
+		struct scripted_upstream *upstream = &fixture.upstream;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		upstream->awaited = "first.\r\n";
+		fixture.outcome.body_awaits_head = true;
+		g_assert_cmpint(run_streamed(&fixture), ==, RUN_COMPLETE);
+		fixture.outcome.body_awaits_head = false;
+		upstream->awaited = "GET /";
+		g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==,
+				RUN_COMPLETE);
+		g_assert_cmpuint(upstream->connections, ==, i == 0 ? 1 : 2);
+		g_assert_nonnull(strstr(upstream->received->str, rests[i]));
+		fixture_stop(&fixture);
+		g_free(early);
+	}
+}
+
 /* Guards against a request that crosses the upstream's closing of an idle
  * connection. */
 static void test_idle_connections_are_left_in_time(void)
@@ -501,6 +544,8 @@
 			test_late_bytes_in_the_same_read);
 	g_test_add_func("/run/streamed-body",
 			test_a_streamed_body_on_another_connection);
+	g_test_add_func("/run/early-answer",
+			test_an_answer_before_the_body_is_whole);
 	g_test_add_func("/run/idle", test_idle_connections_are_left_in_time);
 	return g_test_run();
 }
