common/http_client: count kept connections that the server closed

Each such restart was silent. A test that closes the kept connection before the second request passes with and without the check, as libcurl looks itself first; it isn't added.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -187,6 +187,7 @@
 	enum http_socket_state state = http_sockets_check(
 		&transfer->client->sockets, local_port, remote_port);
 
+	counters.http_closed_kept += state == HTTP_SOCKET_CLOSED;
 	if (state == HTTP_SOCKET_HAS_INPUT) {
 		counters.http_unasked_input++;
 		log_event(EV_HTTP_UNASKED_INPUT, LOG_STR("server", remote_ip),
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -32,9 +32,9 @@
  * the first byte of the answer. With send_once it does not resend: the transfer
  * ends with CURLE_ABORTED_BY_CALLBACK, and the request may have taken effect.
  *
- * A kept connection on which bytes arrived that nobody asked for is closed, and
- * the transfer uses a new one. libcurl would take these bytes for the beginning
- * of the answer. */
+ * A kept connection on which bytes arrived that nobody asked for, or which the
+ * server closed, is dropped, and the transfer uses a new one. libcurl would take
+ * these bytes for the beginning of the answer. */
 struct http_transfer {
 	CURL *easy;
 	void (*handle_done)(struct http_transfer *transfer, CURLcode result);
