--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -164,7 +164,7 @@
 	enum run_result outcome = run_classify(run, result);
 
 	run->running = false;
-	/* Of any other outcome the connection is closed. */
+	/* Any other outcome closes the connection. */
 	if (outcome == RUN_COMPLETE && run->id)
 		recent_ids_add(run->pool->answered, run->id, clock_mono_us());
 	run->callbacks.handle_done(run->data, outcome);
