--- a/tests/call_fixture.c
+++ b/tests/call_fixture.c
@@ -18,8 +18,8 @@
 	"\"group\":\"g\",\"rules\":[{\"name\":\"r\",\"path_prefix\":"  \
 	"\"/\",\"idempotent\":true,\"deadline_ms\":" G_STRINGIFY(DEADLINE_MS) "}]}}}"
 
-void send_head_as(const struct fixture *f, uint32_t status, int64_t length,
-		  const char *name, const char *value)
+void cf_send_head_as(const struct fixture *f, uint32_t status, int64_t length,
+		     const char *name, const char *value)
 {
 	Cfd__Answer answer = CFD__ANSWER__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
@@ -38,12 +38,13 @@
 	peer_send(f->peer, &frame);
 }
 
-void send_head(const struct fixture *f, int64_t length)
+void cf_send_head(const struct fixture *f, int64_t length)
 {
-	send_head_as(f, 200, length, NULL, NULL);
+	cf_send_head_as(f, 200, length, NULL, NULL);
 }
 
-void send_last_part(const struct fixture *f, size_t size, bool ends, bool aborted)
+void cf_send_last_part(const struct fixture *f, size_t size, bool ends,
+		       bool aborted)
 {
 	Cfd__AnswerBody body = CFD__ANSWER_BODY__INIT;
 	Cfd__Frame frame = CFD__FRAME__INIT;
@@ -60,9 +61,9 @@
 	g_free(bytes);
 }
 
-void send_part(const struct fixture *f, size_t size, bool ends)
+void cf_send_part(const struct fixture *f, size_t size, bool ends)
 {
-	send_last_part(f, size, ends, false);
+	cf_send_last_part(f, size, ends, false);
 }
 
 /* Answers to /silent are left to the test. */
@@ -79,20 +80,20 @@
 	f->seq = frame->attempt->seq;
 	f->attempts++;
 	if (strcmp(target, "/short-head") == 0)
-		send_head(f, SHORT_BYTES);
+		cf_send_head(f, SHORT_BYTES);
 	if (strcmp(target, "/long-head") == 0)
-		send_head(f, LONG_BYTES);
+		cf_send_head(f, LONG_BYTES);
 	if (strcmp(target, "/no-length-part") == 0) {
-		send_head(f, -1);
-		send_part(f, PART_BYTES, false);
+		cf_send_head(f, -1);
+		cf_send_part(f, PART_BYTES, false);
 	}
 	if (strcmp(target, "/short-part") == 0) {
-		send_head(f, SHORT_BYTES);
-		send_part(f, PART_BYTES, false);
+		cf_send_head(f, SHORT_BYTES);
+		cf_send_part(f, PART_BYTES, false);
 	}
 	if (strcmp(target, "/long-part") == 0) {
-		send_head(f, LONG_BYTES);
-		send_part(f, PART_BYTES, false);
+		cf_send_head(f, LONG_BYTES);
+		cf_send_part(f, PART_BYTES, false);
 	}
 }
 
@@ -121,7 +122,7 @@
 	member_table_update(f->entry.daemon.members, &member, clock_mono_us());
 }
 
-void set_up(struct fixture *f, gconstpointer unused)
+void cf_set_up(struct fixture *f, gconstpointer unused)
 {
 	struct peers_role role = {
 		.handle_frame = handle_attempt,
@@ -145,7 +146,7 @@
 	f->answers = g_string_new(NULL);
 }
 
-void tear_down(struct fixture *f, gconstpointer unused)
+void cf_tear_down(struct fixture *f, gconstpointer unused)
 {
 	close(f->fd);
 	listener_destroy(f->listener);
@@ -164,7 +165,7 @@
 	f->is_reset |= size < 0 && errno == ECONNRESET;
 }
 
-void run_due(struct fixture *f)
+void cf_run_due(struct fixture *f)
 {
 	for (int i = 0; i < 10; i++) {
 		ev_run(f->entry.daemon.loop, EVRUN_NOWAIT);
@@ -172,33 +173,33 @@
 	}
 }
 
-void run_for(struct fixture *f, int ms)
+void cf_run_for(struct fixture *f, int ms)
 {
 	for (int i = 0; i < ms; i += STEP_MS) {
 		paused_clock_advance_us(STEP_MS * US_PER_MS);
-		run_due(f);
+		cf_run_due(f);
 	}
 }
 
-void send_text(struct fixture *f, const char *text)
+void cf_send_text(struct fixture *f, const char *text)
 {
 	g_assert_cmpint(send(f->fd, text, strlen(text), MSG_NOSIGNAL), ==,
 			strlen(text));
-	run_due(f);
+	cf_run_due(f);
 }
 
-void send_requests(struct fixture *f, const char *target, int count)
+void cf_send_requests(struct fixture *f, const char *target, int count)
 {
 	GString *text = g_string_new(NULL);
 
 	for (int i = 0; i < count; i++)
 		g_string_append_printf(
 			text, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target);
-	send_text(f, text->str);
+	cf_send_text(f, text->str);
 	g_string_free(text, TRUE);
 }
 
-unsigned int count_answers(const struct fixture *f, const char *status)
+unsigned int cf_count_answers(const struct fixture *f, const char *status)
 {
 	char *line = g_strconcat("HTTP/1.1 ", status, NULL);
 	const char *at = f->answers->str;
--- a/tests/call_fixture.h
+++ b/tests/call_fixture.h
@@ -43,32 +43,32 @@
 
 /* For g_test_add() */
 #define ADD(name, data, function) \
-	g_test_add(name, struct fixture, data, set_up, function, tear_down)
+	g_test_add(name, struct fixture, data, cf_set_up, function, cf_tear_down)
 
-void set_up(struct fixture *f, gconstpointer unused);
-void tear_down(struct fixture *f, gconstpointer unused);
+void cf_set_up(struct fixture *f, gconstpointer unused);
+void cf_tear_down(struct fixture *f, gconstpointer unused);
 
 /* Frames of the owner, for its latest attempt.
  * length: of the whole body; -1: not stated
  * name: of the head's only field; NULL: no field */
-void send_head_as(const struct fixture *f, uint32_t status, int64_t length,
-		  const char *name, const char *value);
-void send_head(const struct fixture *f, int64_t length);
-void send_last_part(const struct fixture *f, size_t size, bool ends,
-		    bool aborted);
-void send_part(const struct fixture *f, size_t size, bool ends);
+void cf_send_head_as(const struct fixture *f, uint32_t status, int64_t length,
+		     const char *name, const char *value);
+void cf_send_head(const struct fixture *f, int64_t length);
+void cf_send_last_part(const struct fixture *f, size_t size, bool ends,
+		       bool aborted);
+void cf_send_part(const struct fixture *f, size_t size, bool ends);
 
 /* Lets all that is due happen. */
-void run_due(struct fixture *f);
+void cf_run_due(struct fixture *f);
 
 /* Advances the paused clock in steps of STEP_MS. */
-void run_for(struct fixture *f, int ms);
+void cf_run_for(struct fixture *f, int ms);
 
 /* What the caller sends. */
-void send_text(struct fixture *f, const char *text);
-void send_requests(struct fixture *f, const char *target, int count);
+void cf_send_text(struct fixture *f, const char *text);
+void cf_send_requests(struct fixture *f, const char *target, int count);
 
 /* status: the beginning of a status; "" counts all answers */
-unsigned int count_answers(const struct fixture *f, const char *status);
+unsigned int cf_count_answers(const struct fixture *f, const char *status);
 
 #endif
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -11,11 +11,11 @@
  * without any answer for seconds past the deadline. */
 static void test_short_answer_stops(struct fixture *f, gconstpointer target)
 {
-	send_requests(f, target, 1);
-	run_for(f, DEADLINE_MS - STEP_MS);
+	cf_send_requests(f, target, 1);
+	cf_run_for(f, DEADLINE_MS - STEP_MS);
 	g_assert_cmpuint(f->answers->len, ==, 0);
-	run_for(f, STEP_MS + PAST_DEADLINE_MAX_MS);
-	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+	cf_run_for(f, STEP_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(cf_count_answers(f, "502"), ==, 1);
 	g_assert_false(f->is_closed);
 }
 
@@ -23,12 +23,12 @@
 static void test_late_answer_stops(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_requests(f, "/silent", 1);
-	run_for(f, DEADLINE_MS - 3 * STEP_MS);
-	send_head(f, SHORT_BYTES);
-	send_part(f, PART_BYTES, false);
-	run_for(f, 3 * STEP_MS + PAST_DEADLINE_MAX_MS);
-	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+	cf_send_requests(f, "/silent", 1);
+	cf_run_for(f, DEADLINE_MS - 3 * STEP_MS);
+	cf_send_head(f, SHORT_BYTES);
+	cf_send_part(f, PART_BYTES, false);
+	cf_run_for(f, 3 * STEP_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(cf_count_answers(f, "502"), ==, 1);
 }
 
 /* Guards against a short answer that comes byte by byte and is held back until
@@ -36,21 +36,21 @@
 static void test_short_answer_is_slow(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_requests(f, "/short-head", 1);
+	cf_send_requests(f, "/short-head", 1);
 	for (int ms = 0; ms < DEADLINE_MS + PAST_DEADLINE_MAX_MS;
 	     ms += 2 * STEP_MS) {
 		if (f->answers->len == 0)
-			send_part(f, 1, false);
-		run_for(f, 2 * STEP_MS);
+			cf_send_part(f, 1, false);
+		cf_run_for(f, 2 * STEP_MS);
 	}
-	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+	g_assert_cmpuint(cf_count_answers(f, "502"), ==, 1);
 }
 
 /* Guards against a long answer that stops and keeps its caller waiting. */
 static void test_long_answer_stops(struct fixture *f, gconstpointer target)
 {
-	send_requests(f, target, 1);
-	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
+	cf_send_requests(f, target, 1);
+	cf_run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
 	g_assert_true(f->is_closed);
 	g_assert_cmpuint(f->answers->len, <, LONG_BYTES);
 }
@@ -59,14 +59,14 @@
 static void test_long_answer_goes_on(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_requests(f, "/long-head", 1);
+	cf_send_requests(f, "/long-head", 1);
 	for (int sent = 0; sent < LONG_BYTES; sent += LONG_BYTES / 30) {
-		run_for(f, 100);
-		send_part(f, LONG_BYTES / 30, false);
+		cf_run_for(f, 100);
+		cf_send_part(f, LONG_BYTES / 30, false);
 	}
-	send_part(f, 0, true);
-	run_due(f);
-	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	cf_send_part(f, 0, true);
+	cf_run_due(f);
+	g_assert_cmpuint(cf_count_answers(f, "200"), ==, 1);
 	g_assert_cmpuint(f->answers->len, >, LONG_BYTES);
 	g_assert_false(f->is_closed);
 }
@@ -80,11 +80,11 @@
 		"GET /none HTTP/1.1\r\nHost: other\r\n\r\n";
 
 	(void)unused;
-	send_requests(f, "/silent", 1);
-	send_text(f, unmatched);
-	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
-	g_assert_cmpuint(count_answers(f, "504"), ==, 1);
-	g_assert_cmpuint(count_answers(f, "404"), ==, 1);
+	cf_send_requests(f, "/silent", 1);
+	cf_send_text(f, unmatched);
+	cf_run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(cf_count_answers(f, "504"), ==, 1);
+	g_assert_cmpuint(cf_count_answers(f, "404"), ==, 1);
 }
 
 /* Guards against requests whose time begins only when the daemon reads them,
@@ -93,9 +93,9 @@
 static void test_unread_requests(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_requests(f, "/silent", 20);
-	run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
-	g_assert_cmpuint(count_answers(f, "50"), ==, 20);
+	cf_send_requests(f, "/silent", 20);
+	cf_run_for(f, DEADLINE_MS + PAST_DEADLINE_MAX_MS);
+	g_assert_cmpuint(cf_count_answers(f, "50"), ==, 20);
 	g_assert_cmpuint(f->attempts, <, 20);
 }
 
@@ -104,13 +104,13 @@
 static void test_later_requests(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_requests(f, "/silent", 9);
-	run_for(f, DEADLINE_MS / 2);
-	send_requests(f, "/silent", 1);
-	run_for(f, DEADLINE_MS);
-	g_assert_cmpuint(count_answers(f, "50"), ==, 9);
-	run_for(f, DEADLINE_MS / 2);
-	g_assert_cmpuint(count_answers(f, "50"), ==, 10);
+	cf_send_requests(f, "/silent", 9);
+	cf_run_for(f, DEADLINE_MS / 2);
+	cf_send_requests(f, "/silent", 1);
+	cf_run_for(f, DEADLINE_MS);
+	g_assert_cmpuint(cf_count_answers(f, "50"), ==, 9);
+	cf_run_for(f, DEADLINE_MS / 2);
+	g_assert_cmpuint(cf_count_answers(f, "50"), ==, 10);
 	g_assert_cmpuint(f->attempts, ==, 9);
 }
 
--- a/tests/test_call_connection.c
+++ b/tests/test_call_connection.c
@@ -39,11 +39,11 @@
 				     "%x\r\n%s\r\n",
 				     target, CALL_BODY_BUFFER_MAX, body);
 
-	send_text(f, text);
-	run_for(f, STEP_MS);
+	cf_send_text(f, text);
+	cf_run_for(f, STEP_MS);
 	g_assert_cmpuint(f->attempts, ==, 1);
 	send_window(f);
-	run_for(f, STEP_MS);
+	cf_run_for(f, STEP_MS);
 	g_free(text);
 	g_free(body);
 }
@@ -56,10 +56,10 @@
 
 	(void)unused;
 	send_long_body(f, "/long-part");
-	send_part(f, LONG_BYTES - PART_BYTES - 1, false);
-	run_for(f, STEP_MS);
-	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
-	send_text(f, "zz\r\n");
+	cf_send_part(f, LONG_BYTES - PART_BYTES - 1, false);
+	cf_run_for(f, STEP_MS);
+	g_assert_cmpuint(cf_count_answers(f, "200"), ==, 1);
+	cf_send_text(f, "zz\r\n");
 	g_assert_true(f->is_closed);
 	body = strstr(f->answers->str, "\r\n\r\n") + strlen("\r\n\r\n");
 	g_assert_cmpuint(strlen(body), ==, LONG_BYTES - 1);
@@ -71,8 +71,8 @@
 {
 	(void)unused;
 	send_long_body(f, "/silent");
-	send_text(f, "zz\r\n");
-	g_assert_cmpuint(count_answers(f, "400"), ==, 1);
+	cf_send_text(f, "zz\r\n");
+	g_assert_cmpuint(cf_count_answers(f, "400"), ==, 1);
 	g_assert_nonnull(
 		strstr(f->answers->str, FIELD_OUTCOME ": unknown\r\n"));
 	g_assert_null(strstr(f->answers->str, "not run"));
@@ -82,9 +82,9 @@
 static void test_fault_in_unsent_body(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_text(f, "POST /silent HTTP/1.1\r\nHost: h\r\n"
-		     "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
-	g_assert_cmpuint(count_answers(f, "400"), ==, 1);
+	cf_send_text(f, "POST /silent HTTP/1.1\r\nHost: h\r\n"
+			"Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+	g_assert_cmpuint(cf_count_answers(f, "400"), ==, 1);
 	g_assert_nonnull(
 		strstr(f->answers->str, FIELD_OUTCOME ": not-run\r\n"));
 	g_assert_cmpuint(f->attempts, ==, 0);
@@ -99,12 +99,12 @@
 static void end_own_side(struct fixture *f)
 {
 	shutdown(f->fd, SHUT_WR);
-	run_for(f, HANGUP_NOTICED_MS);
+	cf_run_for(f, HANGUP_NOTICED_MS);
 }
 
 static void abort_answer(struct fixture *f)
 {
-	send_last_part(f, 0, false, true);
+	cf_send_last_part(f, 0, false, true);
 }
 
 static void run_unread(struct fixture *f, int ms)
@@ -118,7 +118,7 @@
 static void read_nothing(struct fixture *f)
 {
 	for (int i = 0; i < UNREAD_PARTS; i++) {
-		send_part(f, UNREAD_PART_BYTES, i == UNREAD_PARTS - 1);
+		cf_send_part(f, UNREAD_PART_BYTES, i == UNREAD_PARTS - 1);
 		run_unread(f, 0);
 	}
 	run_unread(f, 120000);
@@ -142,10 +142,10 @@
 {
 	const struct connection_case *test = data;
 
-	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
-	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	cf_send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
+	g_assert_cmpuint(cf_count_answers(f, "200"), ==, 1);
 	test->act(f);
-	run_due(f);
+	cf_run_due(f);
 	g_assert_true(f->is_reset);
 	g_assert_false(f->is_closed);
 }
@@ -155,11 +155,11 @@
 					     gconstpointer unused)
 {
 	(void)unused;
-	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
-	send_part(f, PART_BYTES, true);
-	run_due(f);
+	cf_send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n\r\n");
+	cf_send_part(f, PART_BYTES, true);
+	cf_run_due(f);
 	g_assert_true(f->is_closed);
-	run_for(f, 3000);
+	cf_run_for(f, 3000);
 	g_assert_false(f->is_reset);
 }
 
@@ -168,24 +168,24 @@
 static void test_no_continue_to_1_0(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
-	send_text(f, "POST /short-head HTTP/1.0\r\nHost: h\r\n"
-		     "Expect: 100-continue\r\n"
-		     "Content-Length: 1\r\n\r\n");
+	cf_send_text(f, "POST /short-head HTTP/1.0\r\nHost: h\r\n"
+			"Expect: 100-continue\r\n"
+			"Content-Length: 1\r\n\r\n");
 	g_assert_cmpuint(f->answers->len, ==, 0);
-	send_text(f, "x");
+	cf_send_text(f, "x");
 	g_assert_cmpuint(f->attempts, ==, 1);
 }
 
 static void begin_until_close(struct fixture *f)
 {
-	send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n"
-		     "Connection: keep-alive\r\n\r\n");
+	cf_send_text(f, "GET /no-length-part HTTP/1.0\r\nHost: h\r\n"
+			"Connection: keep-alive\r\n\r\n");
 }
 
 static void begin_in_body(struct fixture *f)
 {
 	send_long_body(f, "/long-part");
-	send_text(f, "0\r\n\r\n");
+	cf_send_text(f, "0\r\n\r\n");
 }
 
 /* Guards against a request that is passed on behind an answer that says that
@@ -195,10 +195,10 @@
 	const struct connection_case *test = data;
 
 	test->act(f);
-	g_assert_cmpuint(count_answers(f, "200"), ==, 1);
+	g_assert_cmpuint(cf_count_answers(f, "200"), ==, 1);
 	g_assert_nonnull(strstr(f->answers->str, "Connection: close\r\n"));
-	send_requests(f, "/silent", 1);
-	run_for(f, STEP_MS);
+	cf_send_requests(f, "/silent", 1);
+	cf_run_for(f, STEP_MS);
 	g_assert_cmpuint(f->attempts, ==, 1);
 }
 
@@ -213,26 +213,26 @@
 {
 	(void)unused;
 	send_long_body(f, "/silent");
-	send_head(f, LATE_READ_BYTES);
+	cf_send_head(f, LATE_READ_BYTES);
 	for (int sent = 0; sent < LATE_READ_BYTES; sent += LATE_READ_BYTES / 10) {
-		send_part(f, LATE_READ_BYTES / 10, false);
+		cf_send_part(f, LATE_READ_BYTES / 10, false);
 		run_unread(f, 0);
 	}
-	send_part(f, 0, true);
+	cf_send_part(f, 0, true);
 	for (int ms = 0; ms < LATE_READ_MS; ms += 100) {
 		run_unread(f, 100);
 		g_assert_cmpint(send(f->fd, "1\r\nx\r\n", 6, MSG_NOSIGNAL), ==,
 				6);
 	}
 	for (int i = 0; i < 100 && !f->is_closed; i++) {
-		run_due(f);
+		cf_run_due(f);
 		g_usleep(10000);
 	}
 	g_assert_true(f->is_closed);
 	g_assert_cmpuint(f->answers->len, >, LATE_READ_BYTES);
 	/* The kernel acknowledges in real time. */
 	for (int i = 0; i < 100 && LIST_FIRST(&f->listener->connections); i++) {
-		run_for(f, 100);
+		cf_run_for(f, 100);
 		g_usleep(10000);
 	}
 	g_assert_null(LIST_FIRST(&f->listener->connections));
--- a/tests/test_call_frames.c
+++ b/tests/test_call_frames.c
@@ -36,12 +36,12 @@
 {
 	const struct head_case *head = data;
 
-	send_requests(f, "/silent", 1);
-	send_head_as(f, head->status, head->length, head->name, head->value);
-	send_part(f, 4, true);
-	run_due(f);
-	g_assert_cmpuint(count_answers(f, ""), ==, 1);
-	g_assert_cmpuint(count_answers(f, "502"), ==, 1);
+	cf_send_requests(f, "/silent", 1);
+	cf_send_head_as(f, head->status, head->length, head->name, head->value);
+	cf_send_part(f, 4, true);
+	cf_run_due(f);
+	g_assert_cmpuint(cf_count_answers(f, ""), ==, 1);
+	g_assert_cmpuint(cf_count_answers(f, "502"), ==, 1);
 	g_assert_cmpuint(f->cancels, ==, 1);
 	g_assert_false(f->is_closed);
 }
@@ -89,28 +89,28 @@
 {
 	switch (kind) {
 	case 'h':
-		send_head(f, SHORT_BYTES);
+		cf_send_head(f, SHORT_BYTES);
 		break;
 	case 'H':
-		send_head(f, LONG_BYTES);
+		cf_send_head(f, LONG_BYTES);
 		break;
 	case 'u':
-		send_head(f, -1);
+		cf_send_head(f, -1);
 		break;
 	case 'p':
-		send_part(f, PART_BYTES, false);
+		cf_send_part(f, PART_BYTES, false);
 		break;
 	case 'P':
-		send_part(f, LONG_BYTES / 2, false);
+		cf_send_part(f, LONG_BYTES / 2, false);
 		break;
 	case 'Q':
-		send_part(f, LONG_BYTES / 2 + PART_BYTES, false);
+		cf_send_part(f, LONG_BYTES / 2 + PART_BYTES, false);
 		break;
 	case 'e':
-		send_part(f, 0, true);
+		cf_send_part(f, 0, true);
 		break;
 	case 'x':
-		send_last_part(f, 0, true, true);
+		cf_send_last_part(f, 0, true, true);
 		break;
 	default:
 		send_not_run(f);
@@ -123,14 +123,14 @@
 {
 	const struct order_case *order = data;
 
-	send_requests(f, "/silent", 1);
+	cf_send_requests(f, "/silent", 1);
 	for (const char *kind = order->frames; *kind; kind++) {
 		send_frame(f, *kind);
-		run_due(f);
+		cf_run_due(f);
 	}
-	run_due(f);
-	g_assert_cmpuint(count_answers(f, "502"), ==, order->is_withheld);
-	g_assert_cmpuint(count_answers(f, "200"), ==, !order->is_withheld);
+	cf_run_due(f);
+	g_assert_cmpuint(cf_count_answers(f, "502"), ==, order->is_withheld);
+	g_assert_cmpuint(cf_count_answers(f, "200"), ==, !order->is_withheld);
 	g_assert_null(strstr(f->answers->str, "\r\n0\r\n\r\n"));
 	g_assert_cmpuint(f->answers->len, <, LONG_BYTES);
 	g_assert_true(f->is_closed != order->is_withheld);
@@ -154,11 +154,11 @@
 
 	g_assert_cmpint(send(f->fd, text, strlen(text), MSG_NOSIGNAL), ==,
 			strlen(text));
-	run_due(f);
-	send_head_as(f, head->status, head->length, NULL, NULL);
-	send_part(f, 0, true);
-	run_due(f);
-	g_assert_cmpuint(count_answers(f, status), ==, 1);
+	cf_run_due(f);
+	cf_send_head_as(f, head->status, head->length, NULL, NULL);
+	cf_send_part(f, 0, true);
+	cf_run_due(f);
+	g_assert_cmpuint(cf_count_answers(f, status), ==, 1);
 	g_assert_true(g_str_has_suffix(f->answers->str, "\r\n\r\n"));
 	g_assert_false(f->is_closed);
 	g_free(status);
