caller/response: one place that says which answers have no body

caller/answer_check had its own copy of the statuses and of HEAD. The check of a head is made only for an attempt that is still out.

--- a/comfreydockd/caller/answer_check.c
+++ b/comfreydockd/caller/answer_check.c
@@ -2,12 +2,11 @@
 
 #include <string.h>
 
+#include "comfreydockd/caller/response.h"
 #include "comfreydockd/peer/fields.h"
 
 #define STATUS_MIN 200 /* the owner drops interim answers */
 #define STATUS_MAX 999
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
 
 const char *answer_check_head(const Cfd__Answer *answer)
 {
@@ -40,8 +39,9 @@
 
 int64_t answer_body_size(const Cfd__Answer *answer, const char *method)
 {
-	if (strcmp(method, "HEAD") == 0 || answer->status == STATUS_NO_CONTENT ||
-	    answer->status == STATUS_NOT_MODIFIED)
-		return 0;
-	return answer->length;
+	bool is_head_method = strcmp(method, "HEAD") == 0;
+
+	return response_has_body(answer->status, is_head_method) ?
+		       answer->length :
+		       0;
 }
--- a/comfreydockd/caller/frames.c
+++ b/comfreydockd/caller/frames.c
@@ -79,11 +79,12 @@
 			const Cfd__Answer *answer)
 {
 	struct entry_attempt *attempt = entry_find(entry, peer, answer->seq);
-	const char *fault = answer_check_head(answer);
+	const char *fault;
 
 	timeline_observe(&entry->daemon->timeline, answer->time);
 	if (!attempt)
 		return;
+	fault = answer_check_head(answer);
 	if (fault) {
 		attempt_end_faulty(attempt, fault);
 		return;
--- a/comfreydockd/caller/response.c
+++ b/comfreydockd/caller/response.c
@@ -51,10 +51,15 @@
 	write_field(out, "Date", text);
 }
 
+bool response_has_body(unsigned int status, bool is_head_method)
+{
+	return !is_head_method && status != STATUS_NO_CONTENT &&
+	       status != STATUS_NOT_MODIFIED;
+}
+
 enum response_framing response_framing_of(const struct response_head *head)
 {
-	if (head->is_head_method || head->status == STATUS_NO_CONTENT ||
-	    head->status == STATUS_NOT_MODIFIED)
+	if (!response_has_body(head->status, head->is_head_method))
 		return RESPONSE_NO_BODY;
 	if (head->length >= 0)
 		return RESPONSE_LENGTH;
--- a/include/comfreydockd/caller/response.h
+++ b/include/comfreydockd/caller/response.h
@@ -37,6 +37,9 @@
 	bool closes; /* the connection closes after this answer */
 };
 
+/* RETURN VALUE: whether a body may follow the head of such an answer. */
+bool response_has_body(unsigned int status, bool is_head_method);
+
 /* RETURN VALUE: how the body must be written. */
 enum response_framing response_framing_of(const struct response_head *head);
 void response_write_head(GByteArray *out, const struct response_head *head,
