upstream: limit the heads and the trailer section of an answer

Cause: libcurl keeps each header line until the transfer ends. Lines after the head were accepted in any number, and nothing ended such a run before its deadline. Interim heads and buffered answers (health checks, gauges, calls of the store) had no limit of their own either.

Change: common/http_head counts the bytes of all heads of an answer (256 KiB) and of its trailer section (64 KiB); what exceeds them is a fault and closes the connection. Buffered answers have a limit as well. A fault after the head ends the attempt as a body that was aborted, since the entry already has the head.

Conclusion: the memory of an answer is bound by the limits, not by the upstream's speed.

--- a/comfreydockctl/ctl.c
+++ b/comfreydockctl/ctl.c
@@ -9,6 +9,7 @@
 #include "common/jsonc.h"
 
 #define CONCURRENT_CALLS_MAX 64
+#define ANSWER_MAX_BYTES ((size_t)256 * 1024 * 1024)
 
 void ctl_print_error(const char *format, ...)
 {
@@ -135,6 +136,7 @@
 		.body = call->body,
 		.size = call->body ? strlen(call->body) : 0,
 		.timeout_ms = call->timeout_ms,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
 	};
 
 	running->run = run;
--- a/comfreydockd/upstream/answer_head.c
+++ b/comfreydockd/upstream/answer_head.c
@@ -63,10 +63,14 @@
 
 bool answer_head_add_line(struct answer_head *head, const char *bytes, size_t size)
 {
-	char *line = http_head_dup_line(bytes, size);
 	struct http_head_field field;
-	bool is_good = http_head_take_line(&head->message, line, &field);
+	bool is_good;
+	char *line;
 
+	if (!http_head_count_line(&head->message, size))
+		return false;
+	line = http_head_dup_line(bytes, size);
+	is_good = http_head_take_line(&head->message, line, &field);
 	if (is_good && field.name)
 		is_good = head_add_field(head, &field);
 	/* What came with an interim answer is not of the final one. */
--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -256,8 +256,9 @@
 	attempt_destroy(attempt);
 }
 
-/* Rejects an answer that can't be attributed to this request. The run has
- * already closed the connection, so later bytes on it reach no caller. */
+/* Rejects an answer that can't be attributed to this request, or whose trailer
+ * section has a fault. The run has already closed the connection, so later bytes
+ * on it reach no caller. */
 static void attempt_finish_strange(struct owner_attempt *attempt)
 {
 	const char *fault = run_fault(attempt->run);
@@ -269,7 +270,9 @@
 		  LOG_STR("trace", attempt->request->trace),
 		  LOG_STR("verdict", verdict), LOG_STR("fault", fault),
 		  LOG_INT("status", attempt->status));
-	attempt_finish_broken(attempt, false, verdict);
+	attempt_finish_broken(attempt,
+			      attempt->head_us && attempt->verdict == ANSWER_GOOD,
+			      verdict);
 }
 
 static void handle_done(void *data, enum run_result result)
--- a/comfreydockd/upstream/health_call.c
+++ b/comfreydockd/upstream/health_call.c
@@ -8,6 +8,9 @@
 #include "common/counters.h"
 #include "common/log.h"
 
+/* Only the head of an answer is read. */
+#define ANSWER_MAX_BYTES (64 * 1024)
+
 struct health_call {
 	struct http_pending_call *pending;
 	const struct headers *headers;
@@ -57,6 +60,7 @@
 		.method = "GET",
 		.url = url,
 		.timeout_ms = target->timeout_ms,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
 		.handle_field = handle_field,
 	};
 
--- a/comfreydockd/upstream/run.c
+++ b/comfreydockd/upstream/run.c
@@ -121,12 +121,11 @@
 	struct run *run = data;
 	const struct answer_head *head = &run->head;
 	size_t total = size * count;
+	bool is_trailer = head->message.is_complete;
 
-	if (head->message.is_complete) /* trailers are not forwarded */
-		return total;
 	if (!answer_head_add_line(&run->head, bytes, total))
 		return 0;
-	if (!head->message.is_complete)
+	if (is_trailer || !head->message.is_complete)
 		return total;
 	pool_note_idle_timeout(run->pool, head->idle_timeout_s);
 	return run->callbacks.handle_head(run->data, head->message.status,
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -22,6 +22,7 @@
 	struct curl_slist *headers;
 	GString *request_body;
 	GString *answer_body;
+	size_t answer_max_bytes;
 	http_answer_handler handler;
 	void *data;
 	bool (*handle_field)(void *data, const char *name, const char *value);
@@ -256,6 +257,10 @@
 {
 	struct http_pending_call *pending = user;
 
+	if (pending->answer_body->len + size * count > pending->answer_max_bytes) {
+		pending->head.fault = "a body that is too large";
+		return 0;
+	}
 	g_string_append_len(pending->answer_body, data, (gssize)(size * count));
 	return size * count;
 }
@@ -263,10 +268,14 @@
 static size_t handle_header(char *bytes, size_t size, size_t count, void *user)
 {
 	struct http_pending_call *pending = user;
-	char *line = http_head_dup_line(bytes, size * count);
 	struct http_head_field field;
-	bool is_good = http_head_take_line(&pending->head, line, &field);
+	bool is_good;
+	char *line;
 
+	if (!http_head_count_line(&pending->head, size * count))
+		return 0;
+	line = http_head_dup_line(bytes, size * count);
+	is_good = http_head_take_line(&pending->head, line, &field);
 	if (is_good && field.name && pending->handle_field)
 		is_good = pending->handle_field(pending->data, field.name,
 						field.value);
@@ -356,6 +365,9 @@
 	pending->handle_field = call->handle_field;
 	pending->data = data;
 	http_head_init(&pending->head);
+	pending->answer_max_bytes = call->answer_max_bytes ?
+					    call->answer_max_bytes :
+					    HTTP_ANSWER_MAX_BYTES;
 	pending->answer_body = g_string_new(NULL);
 	pending->request_body = g_string_new(NULL);
 	LIST_INSERT_HEAD(&client->pending, pending, link);
--- a/common/http_head.c
+++ b/common/http_head.c
@@ -26,6 +26,18 @@
 	*head = (struct http_head){.length = -1};
 }
 
+bool http_head_count_line(struct http_head *head, size_t size)
+{
+	if (!head->is_complete) {
+		head->head_bytes += size;
+		return head->head_bytes <= HTTP_HEAD_MAX_BYTES ||
+		       head_fail(head, "a head that is too large");
+	}
+	head->trailer_bytes += size;
+	return head->trailer_bytes <= HTTP_TRAILERS_MAX_BYTES ||
+	       head_fail(head, "a trailer section that is too large");
+}
+
 char *http_head_dup_line(const char *bytes, size_t size)
 {
 	if (size > 0 && bytes[size - 1] == '\n') {
@@ -172,12 +184,16 @@
 
 static bool head_end(struct http_head *head)
 {
+	size_t head_bytes = head->head_bytes;
+
 	if (!head->status)
 		return head_fail(head, "no status line");
-	if (head->status < STATUS_FINAL_MIN)
+	if (head->status < STATUS_FINAL_MIN) {
 		http_head_init(head);
-	else
+		head->head_bytes = head_bytes;
+	} else {
 		head->is_complete = true;
+	}
 	return true;
 }
 
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -63,8 +63,9 @@
 	CURLcode result; /* CURLE_OK: a whole answer with any status arrived */
 	/* True if certainly no byte of the request was sent. */
 	bool never_sent;
-	/* Why its head can't be of one answer, see common/http_head.h; NULL:
-	 * nothing was found. The result is an error then. */
+	/* Why its head can't be of one answer, see common/http_head.h, or that
+	 * its body is too large; NULL: nothing was found. The result is an error
+	 * then. */
 	const char *fault;
 	long status;
 	const char *body;
@@ -79,6 +80,8 @@
 
 typedef void (*http_answer_handler)(const struct http_answer *answer, void *data);
 
+#define HTTP_ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
+
 struct http_call {
 	const char *method;
 	const char *url;
@@ -92,6 +95,8 @@
 	long timeout_ms; /* 0: 5000 */
 	long connect_timeout_ms; /* 0: 1000 */
 	long stall_timeout_s; /* time without received bytes; 0: no limit */
+	/* A call whose answer has a larger body fails. 0: HTTP_ANSWER_MAX_BYTES. */
+	size_t answer_max_bytes;
 	/* Called with each field of the answer's head, also of an interim one.
 	 * If it returns false, the call ends with CURLE_WRITE_ERROR and its
 	 * connection is closed. NULL: not called. */
--- a/include/common/http_head.h
+++ b/include/common/http_head.h
@@ -13,6 +13,9 @@
  *	most one that tells where the body ends. White space before a colon is
  *	removed, as RFC 9112, section 5.1, demands; folded lines are refused,
  *	as its section 5.2 allows.
+ *
+ *	A faulty server may also send lines without end. The head, with the
+ *	interim ones before it, and the trailer section have a limit each.
  */
 #ifndef COMMON_HTTP_HEAD_H
 #define COMMON_HTTP_HEAD_H
@@ -21,11 +24,18 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Limits of all heads of an answer together, and of its trailer section. libcurl
+ * keeps each line until the transfer ends. */
+#define HTTP_HEAD_MAX_BYTES (256 * 1024)
+#define HTTP_TRAILERS_MAX_BYTES (64 * 1024)
+
 struct http_head {
 	unsigned int status; /* 0: no status line has come */
 	int64_t length; /* of the body; -1: not stated */
 	bool has_coding;
 	bool is_complete; /* the empty line of the final head has come */
+	size_t head_bytes; /* interim heads included */
+	size_t trailer_bytes;
 	const char *fault; /* NULL: none */
 };
 
@@ -36,6 +46,11 @@
 
 void http_head_init(struct http_head *head);
 
+/* Counts a line of this size, with its end, towards the limit of its section. Call it
+ * before the line is copied.
+ * RETURN VALUE: false if the section exceeds its limit, which is a fault. */
+bool http_head_count_line(struct http_head *head, size_t size);
+
 /* RETURN VALUE: a copy of a line without its end; free it. A carriage return before
  * that belongs to the line. */
 char *http_head_dup_line(const char *bytes, size_t size);
--- a/tests/scripted_upstream.c
+++ b/tests/scripted_upstream.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #define RESET_DELAY_S 0.0005
+#define FLOOD_BLOCK_BYTES (64 * 1024)
 
 static void upstream_reset(struct scripted_upstream *upstream)
 {
@@ -42,6 +43,33 @@
 	}
 }
 
+static void handle_flood_writable(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct scripted_upstream *upstream = io->data;
+	const GString *block = upstream->flood_block;
+	size_t at = upstream->flooded % block->len;
+	ssize_t sent = send(io->fd, block->str + at, block->len - at,
+			    MSG_DONTWAIT | MSG_NOSIGNAL);
+
+	(void)events;
+	if (sent > 0)
+		upstream->flooded += (size_t)sent;
+	if (sent <= 0 ||
+	    (upstream->flood_max && upstream->flooded >= upstream->flood_max)) {
+		ev_io_stop(loop, io);
+		shutdown(io->fd, SHUT_WR);
+	}
+}
+
+static void upstream_start_flood(struct scripted_upstream *upstream, int fd)
+{
+	while (upstream->flood_block->len < FLOOD_BLOCK_BYTES)
+		g_string_append(upstream->flood_block, upstream->flood);
+	ev_io_init(&upstream->flood_writer, handle_flood_writable, fd, EV_WRITE);
+	upstream->flood_writer.data = upstream;
+	ev_io_start(upstream->loop, &upstream->flood_writer);
+}
+
 static void handle_readable(struct ev_loop *loop, ev_io *io, int events)
 {
 	struct scripted_upstream *upstream = io->data;
@@ -68,9 +96,13 @@
 		send(io->fd, *upstream->answers, strlen(*upstream->answers),
 		     MSG_NOSIGNAL);
 		upstream->answers++;
+		if (upstream->flood && upstream->requests == 1)
+			upstream_start_flood(upstream, io->fd);
 		return;
 	}
 	ev_timer_stop(loop, &upstream->reset_timer);
+	if (upstream->flood_writer.fd == io->fd)
+		ev_io_stop(loop, &upstream->flood_writer);
 	ev_io_stop(loop, io);
 	close(io->fd);
 	upstream->connection = -1;
@@ -99,6 +131,7 @@
 
 	upstream->connection = -1;
 	upstream->received = g_string_new(NULL);
+	upstream->flood_block = g_string_new(NULL);
 	upstream->listener = socket(AF_INET, SOCK_STREAM, 0);
 	g_assert_cmpint(
 		bind(upstream->listener, (struct sockaddr *)&address, size), ==,
@@ -124,6 +157,7 @@
 {
 	scripted_upstream_stop_listening(upstream);
 	ev_timer_stop(upstream->loop, &upstream->reset_timer);
+	ev_io_stop(upstream->loop, &upstream->flood_writer);
 	for (unsigned int i = 0; i < upstream->connections; i++) {
 		ev_io *reader = &upstream->readers[i];
 
@@ -132,4 +166,5 @@
 		ev_io_stop(upstream->loop, reader);
 	}
 	g_string_free(upstream->received, TRUE);
+	g_string_free(upstream->flood_block, TRUE);
 }
--- a/tests/scripted_upstream.h
+++ b/tests/scripted_upstream.h
@@ -37,6 +37,13 @@
 	ev_timer reset_timer;
 	/* Answers once this has come; NULL: whatever comes. */
 	const char *awaited;
+	/* Sent again and again after the first answer, until the caller closes or
+	 * flood_max bytes have been sent. NULL: nothing. */
+	const char *flood;
+	size_t flood_max; /* 0: no limit */
+	size_t flooded; /* bytes */
+	GString *flood_block; /* repeats the flood */
+	ev_io flood_writer;
 	GString *received; /* while something is awaited */
 	size_t answered; /* this much of it */
 	unsigned int requests;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -14,6 +14,7 @@
 #define WHOLE                                                             \
 	"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " \
 	"2\r\n\r\n"
+#define FLOOD_MAX_BYTES ((size_t)64 * 1024 * 1024)
 #define FAILURE \
 	"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy"
 
@@ -199,6 +200,44 @@
 	}
 }
 
+struct endless_answer {
+	const char *answer; /* its beginning */
+	const char *flood;
+};
+
+/* Guards against memory that the answer to a health check or a call of the store
+ * takes without end. */
+static void test_answers_without_end(void)
+{
+	static const char line[] = "a line of the body that has no end\r\n";
+	static const struct endless_answer cases[] = {
+		{"HTTP/1.1 200 OK\r\n\r\n", line},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		 "Checksum: 1\r\n"},
+		{"HTTP/1.1 200 OK\r\n", "Server: a\r\n"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *const answers[] = {cases[i].answer, NULL};
+		struct fixture f = {.loop = ev_loop_new(0)};
+		struct scripted_upstream server = {
+			.loop = f.loop,
+			.answers = answers,
+			.flood = cases[i].flood,
+			.flood_max = FLOOD_MAX_BYTES,
+		};
+
+		f.client = http_client_create(f.loop);
+		call_port(&f, scripted_upstream_start(&server), "/", "x");
+		g_assert_cmpint(f.status, ==, -1);
+		g_assert_cmpuint(server.flooded, <, FLOOD_MAX_BYTES);
+		http_client_destroy(f.client);
+		scripted_upstream_stop(&server);
+		ev_loop_destroy(f.loop);
+		g_free(f.body);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -207,5 +246,6 @@
 	g_test_add_func("/http/head-breaks-off", test_a_head_that_breaks_off);
 	g_test_add_func("/http/heads-run-together",
 			test_a_head_that_runs_into_the_next);
+	g_test_add_func("/http/without-end", test_answers_without_end);
 	return g_test_run();
 }
--- a/tests/test_owner_frames.c
+++ b/tests/test_owner_frames.c
@@ -3,13 +3,14 @@
 #include <string.h>
 
 #include "comfreydockd/peer/peers.h"
-#include "comfreydockd/upstream/owner.h"
+#include "comfreydockd/upstream/attempts.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/http_client.h"
 #include "common/http_server.h"
 #include "entry_fixture.h"
 #include "paused_clock.h"
+#include "scripted_upstream.h"
 
 /* Frames of an entry to an owner, over the link in memory. The owner's upstream
  * answers as the test says, with the request's path. */
@@ -27,6 +28,7 @@
 	unsigned int runs[ATTEMPTS + 1]; /* by the number in the path */
 	GString *bodies[ATTEMPTS + 1]; /* of the answers, by seq */
 	unsigned int ends[ATTEMPTS + 1]; /* frames that end the attempt */
+	bool was_aborted[ATTEMPTS + 1]; /* in the middle of the answer */
 	bool was_refused[ATTEMPTS + 1];
 	bool was_answered[ATTEMPTS + 1];
 	bool was_cancelled[ATTEMPTS + 1]; /* by the entry, once it was sent */
@@ -76,6 +78,7 @@
 				    (gssize)body->data.len);
 		f->ends[body->seq] += body->ends || body->aborted;
 		f->was_answered[body->seq] |= body->ends;
+		f->was_aborted[body->seq] |= body->aborted;
 		break;
 	default:
 		break;
@@ -161,21 +164,27 @@
 
 /* Set up. */
 
-static void set_up_upstream(struct fixture *f)
+static void announce(struct fixture *f, uint16_t port)
 {
-	struct http_server_options options = {.address = "127.0.0.1"};
 	char *groups[] = {(char *)"g", NULL};
 	struct owner_announcement announcement = {
 		.groups = groups,
 		.address = (char *)"127.0.0.1",
+		.port = port,
 		.slots = ATTEMPTS / 2,
 		.is_new_start = true,
 	};
 
+	owner_announce(f->owner, &announcement);
+}
+
+static void set_up_upstream(struct fixture *f)
+{
+	struct http_server_options options = {.address = "127.0.0.1"};
+
 	f->server = http_server_create(f->entry.daemon.loop, &options,
 				       handle_request, f);
-	announcement.port = http_server_port(f->server);
-	owner_announce(f->owner, &announcement);
+	announce(f, http_server_port(f->server));
 }
 
 static void set_up(struct fixture *f, gconstpointer unused)
@@ -302,11 +311,53 @@
 	}
 }
 
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static void start_flooding_upstream(struct fixture *f,
+				    struct scripted_upstream *upstream)
+{
+	upstream->loop = f->entry.daemon.loop;
+	announce(f, scripted_upstream_start(upstream));
+}
+
+static void wait_for_flood(struct fixture *f,
+			   const struct scripted_upstream *upstream)
+{
+	for (int i = 0; i < 1000 && upstream->flooded == 0; i++)
+		run_for(f, 1);
+	g_assert_cmpuint(upstream->flooded, >, 0);
+}
+
+/* Guards against an entry that waits for an answer whose trailer section has no
+ * end, or takes it for whole. */
+static void test_trailers_without_end(struct fixture *f, gconstpointer unused)
+{
+	static const char *const answers[] = {CHUNKED "6\r\nfirst.\r\n0\r\n",
+					      NULL};
+	struct scripted_upstream upstream = {
+		.answers = answers,
+		.flood = "Checksum: 1\r\n",
+	};
+
+	(void)unused;
+	start_flooding_upstream(f, &upstream);
+	send_attempt(f, 1, 1, false);
+	wait_for_flood(f, &upstream);
+	run_for(f, 100);
+	g_assert_cmpstr(f->bodies[1]->str, ==, "first.");
+	g_assert_cmpuint(f->ends[1], ==, 1);
+	g_assert_true(f->was_aborted[1]);
+	g_assert_cmpuint(owner_running(f->owner), ==, 0);
+	scripted_upstream_stop(&upstream);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add("/owner-frames/number-twice", struct fixture, NULL, set_up,
 		   test_number_twice, tear_down);
 	g_test_add_func("/owner-frames/drawn", test_drawn_frames);
+	g_test_add("/owner-frames/trailers-without-end", struct fixture, NULL,
+		   set_up, test_trailers_without_end, tear_down);
 	return g_test_run();
 }
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -11,6 +11,7 @@
 #include "scripted_upstream.h"
 
 #define BODY_BYTES 6
+#define FLOOD_MAX_BYTES ((size_t)64 * 1024 * 1024)
 #define FIRST "9c41d07be2a35f68"
 #define SECOND "1988b75365ad025e"
 #define ANSWER(status, trace, body)                  \
@@ -27,6 +28,7 @@
 	const char *trace;
 	bool done;
 	enum run_result result;
+	const char *fault;
 	enum answer_verdict verdict;
 	unsigned int status;
 	GString *body;
@@ -81,6 +83,7 @@
 
 	outcome->done = true;
 	outcome->result = result;
+	outcome->fault = run_fault(outcome->run);
 	ev_break(outcome->loop, EVBREAK_ALL);
 }
 
@@ -413,6 +416,42 @@
 	}
 }
 
+struct endless_section {
+	const char *answer; /* its beginning */
+	const char *flood;
+	enum run_result result;
+	const char *fault;
+};
+
+/* Guards against memory that an answer takes without end: libcurl keeps each line of
+ * the trailer section and of interim heads until the transfer ends. */
+static void test_sections_without_end(void)
+{
+	static const char no_end[] = "a head that is too large";
+	static const struct endless_section sections[] = {
+		{HEAD("200 OK") CHUNKED "\r\n6\r\nfirst.\r\n0\r\n",
+		 "Checksum: 1\r\n", RUN_TRUNCATED,
+		 "a trailer section that is too large"},
+		{HEAD("200 OK"), "Server: a\r\n", RUN_BROKEN, no_end},
+		{EARLY_HINTS, EARLY_HINTS, RUN_BROKEN, no_end},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sections); i++) {
+		const struct endless_section *section = &sections[i];
+		const char *const answers[] = {section->answer, NULL};
+		struct fixture fixture;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		fixture.upstream.flood = section->flood;
+		fixture.upstream.flood_max = FLOOD_MAX_BYTES;
+		g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==,
+				section->result);
+		g_assert_cmpstr(fixture.outcome.fault, ==, section->fault);
+		g_assert_cmpuint(fixture.upstream.flooded, <, FLOOD_MAX_BYTES);
+		fixture_stop(&fixture);
+	}
+}
+
 static void handle_body_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	(void)loop;
@@ -542,6 +581,7 @@
 	g_test_add_func("/run/switch", test_a_switch_of_protocols);
 	g_test_add_func("/run/late-bytes/same-read",
 			test_late_bytes_in_the_same_read);
+	g_test_add_func("/run/sections-without-end", test_sections_without_end);
 	g_test_add_func("/run/streamed-body",
 			test_a_streamed_body_on_another_connection);
 	g_test_add_func("/run/early-answer",
