upstream: end a run past its deadline if no caller waits for it

Change: a run without a caller ends a second after its deadline.

Evidence: owner-frames/body-without-end and extension-without-end (one run still going 1.2 s past the deadline) failed before and pass now.

--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -5,9 +5,9 @@
 #include "common/freeze.h"
 
 #define SWEEP_S 0.1
-/* A run without an answer's head this long after its deadline is aborted:
- * nobody waits for it, and its slot would otherwise never be freed. */
-#define HEAD_GRACE_US (1 * US_PER_S)
+/* A run without an answer's head, or without a caller, is aborted this long after its
+ * deadline: nobody waits for it, and its slot would otherwise never be freed. */
+#define DEADLINE_GRACE_US (1 * US_PER_S)
 /* A run whose answer has stopped for this long is aborted once its deadline is
  * over. An answer that still arrives may take as long as it needs. */
 #define ANSWER_PAUSE_US (5 * US_PER_S)
@@ -47,14 +47,16 @@
 				     int64_t now)
 {
 	if (!attempt->head_us)
-		return now > attempt->item.deadline_us + HEAD_GRACE_US ?
+		return now > attempt->item.deadline_us + DEADLINE_GRACE_US ?
 			       "no answer long after deadline" :
 			       NULL;
+	if (!attempt->peer && now > attempt->item.deadline_us + DEADLINE_GRACE_US)
+		return "no caller waits for the rest of the answer";
 	if (attempt->stalled_since_us)
 		return now - attempt->stalled_since_us > STALL_US ?
 			       "the caller takes nothing" :
 			       NULL;
-	if (now > attempt->item.deadline_us + HEAD_GRACE_US &&
+	if (now > attempt->item.deadline_us + DEADLINE_GRACE_US &&
 	    now - attempt->progress_us > ANSWER_PAUSE_US)
 		return "the answer stopped";
 	return NULL;
--- a/tests/test_owner_frames.c
+++ b/tests/test_owner_frames.c
@@ -18,6 +18,7 @@
 #define ATTEMPTS 12
 #define SEEDS 60
 #define STEPS 120
+#define DEADLINE_MS 500
 
 struct fixture {
 	struct entry_fixture entry;
@@ -92,8 +93,8 @@
 	(void)data;
 }
 
-static void send_attempt(struct fixture *f, uint64_t seq, int number,
-			 bool idempotent)
+static void send_attempt_for(struct fixture *f, uint64_t seq, int number,
+			     bool idempotent, uint32_t remaining_ms)
 {
 	char *target = g_strdup_printf("/%d", number);
 	Cfd__Attempt attempt = CFD__ATTEMPT__INIT;
@@ -104,7 +105,7 @@
 	attempt.group = (char *)"g";
 	attempt.method = (char *)"GET";
 	attempt.target = target;
-	attempt.remaining_us = 60 * US_PER_S;
+	attempt.remaining_us = remaining_ms * US_PER_MS;
 	attempt.may_queue = true;
 	attempt.idempotent = idempotent;
 	attempt.body_ends = true;
@@ -114,6 +115,12 @@
 	g_free(target);
 }
 
+static void send_attempt(struct fixture *f, uint64_t seq, int number,
+			 bool idempotent)
+{
+	send_attempt_for(f, seq, number, idempotent, 60000);
+}
+
 /* Sends a frame about an attempt, of one of four kinds. */
 static void send_about(struct fixture *f, uint64_t seq, unsigned int kind)
 {
@@ -351,6 +358,41 @@
 	scripted_upstream_stop(&upstream);
 }
 
+static uint32_t run_past_deadline(struct fixture *f, const char *answer,
+				  const char *flood)
+{
+	const char *const answers[] = {answer, NULL};
+	struct scripted_upstream upstream = {.answers = answers, .flood = flood};
+	uint32_t running;
+
+	start_flooding_upstream(f, &upstream);
+	send_attempt_for(f, 1, 1, false, DEADLINE_MS);
+	wait_for_flood(f, &upstream);
+	send_about(f, 1, 0);
+	run_for(f, DEADLINE_MS / 2);
+	g_assert_cmpuint(owner_running(f->owner), ==, 1);
+	run_for(f, DEADLINE_MS + 1200);
+	running = owner_running(f->owner);
+	scripted_upstream_stop(&upstream);
+	return running;
+}
+
+/* Guards against a slot that an answer without end keeps although its caller has
+ * left and its deadline is over. */
+static void test_body_without_end(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	g_assert_cmpuint(run_past_deadline(f, CHUNKED, "1\r\na\r\n"), ==, 0);
+}
+
+static void test_chunk_extension_without_end(struct fixture *f,
+					     gconstpointer unused)
+{
+	(void)unused;
+	g_assert_cmpuint(run_past_deadline(f, CHUNKED "1;", "name=value;"), ==,
+			 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -359,5 +401,9 @@
 	g_test_add_func("/owner-frames/drawn", test_drawn_frames);
 	g_test_add("/owner-frames/trailers-without-end", struct fixture, NULL,
 		   set_up, test_trailers_without_end, tear_down);
+	g_test_add("/owner-frames/body-without-end", struct fixture, NULL,
+		   set_up, test_body_without_end, tear_down);
+	g_test_add("/owner-frames/extension-without-end", struct fixture, NULL,
+		   set_up, test_chunk_extension_without_end, tear_down);
 	return g_test_run();
 }
