upstream: keep a replaced start from serving when its port opens

Cause: the crash set the owner to "no upstream" by two refused connections. The first report of the new start asked for the same state, so nothing kept apart why.

Change: the owner notes that the announced start was replaced, until its next announcement. Neither the probe nor the operator's resume brings it back. Requests and gauges expect the id of the announced start, no longer the newest one in any report.

--- a/comfreydockd/upstream/owner.c
+++ b/comfreydockd/upstream/owner.c
@@ -463,7 +463,7 @@
 
 const char *owner_instance(const struct owner *owner)
 {
-	return owner->history.instance[0] ? owner->history.instance : NULL;
+	return owner->pool_instance[0] ? owner->pool_instance : NULL;
 }
 
 void owner_when_idle(struct owner *owner, void (*handle_idle)(void *data),
--- a/comfreydockd/upstream/owner_state.c
+++ b/comfreydockd/upstream/owner_state.c
@@ -39,7 +39,8 @@
 	if (!reachable && owner->state == OWNER_UP) {
 		owner->state = OWNER_NO_UPSTREAM;
 		owner_refuse_all(owner, CFD__REASON__REASON_NO_UPSTREAM);
-	} else if (reachable && owner->state == OWNER_NO_UPSTREAM) {
+	} else if (reachable && owner->state == OWNER_NO_UPSTREAM &&
+		   !owner->is_superseded) {
 		owner->state = OWNER_UP;
 		warm_begin(&owner->warm, owner->announced.warm_ms,
 			   clock_mono_us());
@@ -101,6 +102,7 @@
 
 	if (!announcement->is_report)
 		owner->is_closed = owner->is_stopping;
+	owner->is_superseded = false;
 	if (is_known(owner, announcement) &&
 	    (owner->state == OWNER_UP || owner->is_closed)) {
 		owner_announcement_finish(&copy);
@@ -161,7 +163,7 @@
 	owner->is_closed = owner->is_stopping;
 	if (owner->state != OWNER_DRAINING || !owner->pool)
 		return;
-	owner->state = OWNER_UP;
+	owner->state = owner->is_superseded ? OWNER_NO_UPSTREAM : OWNER_UP;
 	warm_begin(&owner->warm, owner->announced.warm_ms, clock_mono_us());
 	log_event(EV_OWNER_RESUMED);
 	owner_publish(owner);
@@ -214,6 +216,7 @@
 
 void owner_set_no_upstream(struct owner *owner)
 {
+	owner->is_superseded = true;
 	if (owner->state != OWNER_UP)
 		return;
 	owner->state = OWNER_NO_UPSTREAM;
--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -128,10 +128,12 @@
 	memset(check, 0, sizeof(*check));
 }
 
-/* Passes the upstream to the owner as it was last reported. */
+/* Passes the upstream to the owner as it was last reported. A start that drained in
+ * its first report and is ready in a later one is new to the owner then. */
 static void announce_to_owner(struct owner *owner,
 			      const struct report_check *check, bool is_new_start)
 {
+	const char *announced = owner_instance(owner);
 	char *groups[] = {check->group, NULL};
 	struct owner_announcement announcement = {
 		.groups = groups,
@@ -139,7 +141,8 @@
 		.port = check->port,
 		.slots = check->slots,
 		.warm_ms = check->warm_ms,
-		.is_new_start = is_new_start,
+		.is_new_start = is_new_start ||
+				g_strcmp0(announced, owner->history.instance),
 		.is_report = true,
 	};
 
--- a/include/comfreydockd/upstream/attempts.h
+++ b/include/comfreydockd/upstream/attempts.h
@@ -110,7 +110,8 @@
 /* An instance other than the announced one answers at the address. */
 void owner_note_other_instance(struct owner *owner);
 
-/* RETURN VALUE: the instance id of the upstream's current start, or NULL. */
+/* RETURN VALUE: the instance id of the announced start, which requests expect, or
+ * NULL. A newer start that isn't confirmed yet has another one. */
 const char *owner_instance(const struct owner *owner);
 
 /* Removes the attempt from the attempts that wait at the gate, if it is one of
--- a/include/comfreydockd/upstream/owner_internal.h
+++ b/include/comfreydockd/upstream/owner_internal.h
@@ -36,6 +36,9 @@
 	enum owner_state state;
 	struct owner_announcement announced;
 	struct report_history history; /* empty if the upstream never reports */
+	/* Another start than the announced one listens at its address, or may. That
+	 * the port accepts connections says nothing about the announced one. */
+	bool is_superseded;
 	bool is_closed; /* drained by the operator or by this daemon's stop */
 	bool is_stopping;
 	bool is_evacuated; /* with the failure domain of this host */
