caller: forward a request's id as its caller sent it

Cause: the id had 40 bytes in the call, in the timeline and in the record of a crash. One that didn't fit, or had a character other than letters, digits, '-', '_' and '.', was taken for a missing one, without a line.

Change: the call keeps the id whole. Log lines and timelines show its label: the id itself if it has up to 63 visible ASCII characters, else its beginning and a hash of all of it. Lookups take both forms. Frames carry the id as text already. 24 bytes more for each entry of a timeline, 0.2 MB for a daemon.

--- a/comfreydockctl/timeline.c
+++ b/comfreydockctl/timeline.c
@@ -4,6 +4,7 @@
 #include "comfreydockctl/ctl.h"
 #include "comfreydockctl/logs.h"
 #include "common/jsonc.h"
+#include "common/trace.h"
 
 static int compare_time(const void *a, const void *b)
 {
@@ -43,7 +44,7 @@
 }
 
 struct search {
-	const char *trace;
+	char trace[TRACE_LABEL_SIZE];
 	json_object *events;
 };
 
@@ -93,12 +94,10 @@
 static json_object *search_logs(const char *trace)
 {
 	json_object *root = json_object_new_object();
-	struct search search = {
-		.trace = trace,
-		.events = json_object_new_array(),
-	};
+	struct search search = {.events = json_object_new_array()};
 	size_t unreadable;
 
+	trace_label(trace, search.trace);
 	json_object_object_add(root, "events", search.events);
 	if (logs_read(files, handle_line, &search, &unreadable))
 		return root;
--- a/comfreydockd/caller/attempts.c
+++ b/comfreydockd/caller/attempts.c
@@ -48,7 +48,7 @@
 {
 	int64_t path_us = deadline_rtt_us(&upstream->rtt);
 
-	out->trace = (char *)call->trace;
+	out->trace = call->trace;
 	out->group = (char *)call->group;
 	out->method = call->method;
 	out->target = call->target;
--- a/comfreydockd/caller/call.c
+++ b/comfreydockd/caller/call.c
@@ -52,6 +52,7 @@
 	config_snapshot_unref(call->snapshot);
 	fields_finish(&call->fields);
 	g_byte_array_unref(call->body);
+	g_free(call->trace);
 	g_free(call->method);
 	g_free(call->target);
 	g_free(call->fairness_key);
--- a/comfreydockd/caller/entry.c
+++ b/comfreydockd/caller/entry.c
@@ -76,15 +76,12 @@
 	g_free(entry);
 }
 
-void entry_copy_trace(const struct daemon *daemon, const struct fields *fields,
-		      char trace[TIMELINE_TRACE_MAX])
+char *entry_dup_trace(const struct daemon *daemon, const struct fields *fields)
 {
 	const char *given = fields_find(fields, daemon->headers->trace);
 
-	if (trace_is_valid(given))
-		g_strlcpy(trace, given, TIMELINE_TRACE_MAX);
-	else
-		trace_create(daemon->settings->host, trace);
+	return given && *given ? g_strdup(given) :
+				 trace_create(daemon->settings->host);
 }
 
 static int64_t read_number(const struct fields *fields, const char *name,
@@ -209,7 +206,7 @@
 	call->body = g_byte_array_new();
 	call->body_ends = !request->has_body;
 	call->max_attempts = deadline_attempts(rule->max_attempts, depth);
-	entry_copy_trace(entry->daemon, request->fields, call->trace);
+	call->trace = entry_dup_trace(entry->daemon, request->fields);
 	call_set_deadline(call, request);
 	call->answer_blocked = request->in_front > 0;
 	call->holds_others = request->holds_others;
@@ -245,11 +242,10 @@
 			  unsigned int status, const char *reason)
 {
 	const struct config_store *store = entry->daemon->config;
-	char trace[TIMELINE_TRACE_MAX];
+	char *trace = entry_dup_trace(entry->daemon, request->fields);
 	char host[LOGGED_NAME_MAX];
 	char path[LOGGED_NAME_MAX];
 
-	entry_copy_trace(entry->daemon, request->fields, trace);
 	config_copy_host(request->host, host, sizeof(host));
 	g_strlcpy(path, request->target, sizeof(path));
 	path[strcspn(path, "?#")] = '\0';
@@ -259,6 +255,7 @@
 		     LOG_INT("head", config_store_head(store)),
 		     LOG_INT("known_head", config_store_known_head(store)),
 		     LOG_INT("told_age_us", config_store_confirmed_age_us(store)));
+	g_free(trace);
 }
 
 /*
--- a/comfreydockd/caller/entry_key.c
+++ b/comfreydockd/caller/entry_key.c
@@ -78,9 +78,8 @@
 			const struct entry_refusal *refusal)
 {
 	const struct config_store *store = entry->daemon->config;
-	char trace[TIMELINE_TRACE_MAX];
+	char *trace = entry_dup_trace(entry->daemon, request->fields);
 
-	entry_copy_trace(entry->daemon, request->fields, trace);
 	timeline_log(&entry->daemon->timeline, trace, EV_ENTRY_KEY_REFUSED,
 		     LOG_STR("service", match->service->name),
 		     LOG_STR("rule", match->rule->name),
@@ -89,6 +88,7 @@
 		     LOG_INT("status", refusal->status),
 		     LOG_INT("head", config_store_head(store)),
 		     LOG_INT("known_head", config_store_known_head(store)));
+	g_free(trace);
 }
 
 static void fill_refusal(const struct entry *entry, enum key_verdict verdict,
--- a/comfreydockd/upstream/crash.c
+++ b/comfreydockd/upstream/crash.c
@@ -85,7 +85,7 @@
 	if (watch->count == CRASH_RUNS_MAX)
 		return;
 	run = &watch->runs[watch->count++];
-	g_strlcpy(run->trace, attempt->request->trace, sizeof(run->trace));
+	trace_label(attempt->request->trace, run->trace);
 	run->content = attempt->request->content_key;
 	run->started_us = attempt->started_us;
 }
--- a/common/log.c
+++ b/common/log.c
@@ -8,6 +8,7 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/trace.h"
 
 /* Event numbers range from 1000 to 1999. */
 #define EVENT_NUMBER_FIRST 1000
@@ -84,22 +85,35 @@
 	g_string_append_c(line, '"');
 }
 
+/* RETURN VALUE: the text to show, which may be in label. */
+static const char *shown_text(const struct log_field *field,
+			      char label[TRACE_LABEL_SIZE])
+{
+	return strcmp(field->key, LOG_TRACE_KEY) == 0 ?
+		       trace_label(field->text, label) :
+		       field->text;
+}
+
 static void append_json_field(GString *line, const struct log_field *field)
 {
+	char label[TRACE_LABEL_SIZE];
+
 	g_string_append_c(line, ',');
 	append_json_string(line, field->key);
 	g_string_append_c(line, ':');
 	if (field->text)
-		append_json_string(line, field->text);
+		append_json_string(line, shown_text(field, label));
 	else
 		g_string_append_printf(line, "%" G_GINT64_FORMAT, field->number);
 }
 
 static void append_text_field(GString *line, const struct log_field *field)
 {
+	char label[TRACE_LABEL_SIZE];
+
 	g_string_append_printf(line, " %s=", field->key);
 	if (field->text)
-		g_string_append(line, field->text);
+		g_string_append(line, shown_text(field, label));
 	else
 		g_string_append_printf(line, "%" G_GINT64_FORMAT, field->number);
 }
--- a/common/timeline.c
+++ b/common/timeline.c
@@ -44,7 +44,7 @@
 	entry = &timeline->entries[timeline->written++ % timeline->capacity];
 	entry->time = timeline_now(timeline);
 	entry->event = id;
-	g_strlcpy(entry->trace, trace, sizeof(entry->trace));
+	trace_label(trace, entry->trace);
 	va_start(args, format);
 	vsnprintf(entry->note, sizeof(entry->note), format, args);
 	va_end(args);
@@ -99,15 +99,18 @@
 			  const char *process, GString *out)
 {
 	json_object *array = json_object_new_array();
+	char label[TRACE_LABEL_SIZE];
 	uint64_t first = timeline->written > timeline->capacity ?
 				 timeline->written - timeline->capacity :
 				 0;
 
+	if (trace)
+		trace_label(trace, label);
 	for (uint64_t i = first; i < timeline->written; i++) {
 		const struct timeline_entry *entry =
 			&timeline->entries[i % timeline->capacity];
 
-		if (!trace || strcmp(trace, entry->trace) == 0)
+		if (!trace || strcmp(label, entry->trace) == 0)
 			json_object_array_add(array,
 					      entry_to_json(entry, process));
 	}
--- a/include/comfreydockd/caller/call.h
+++ b/include/comfreydockd/caller/call.h
@@ -84,7 +84,7 @@
 	const char *group; /* of the upstreams that it goes to */
 	uint64_t content_key; /* see content.h */
 	struct service *service;
-	char trace[TIMELINE_TRACE_MAX];
+	char *trace;
 	uint32_t depth;
 	int64_t began_us;
 	int64_t waited_us; /* in its connection, since began_us */
--- a/include/comfreydockd/caller/call_internal.h
+++ b/include/comfreydockd/caller/call_internal.h
@@ -25,9 +25,8 @@
 void entry_refuse(const struct entry *entry, const struct entry_refusal *refusal,
 		  const struct call_sink *sink, void *data);
 
-/* Copies the request's trace, or creates one. */
-void entry_copy_trace(const struct daemon *daemon, const struct fields *fields,
-		      char trace[TIMELINE_TRACE_MAX]);
+/* RETURN VALUE: the request's trace as its caller sent it, or a new one; free it. */
+char *entry_dup_trace(const struct daemon *daemon, const struct fields *fields);
 
 /* call.c */
 
--- a/include/comfreydockd/upstream/crash.h
+++ b/include/comfreydockd/upstream/crash.h
@@ -24,7 +24,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "common/timeline.h"
+#include "common/trace.h"
 
 struct owner;
 struct owner_attempt;
@@ -38,7 +38,7 @@
 #define CRASH_CONFIRM_MS 10000
 
 struct crash_run {
-	char trace[TIMELINE_TRACE_MAX];
+	char trace[TRACE_LABEL_SIZE]; /* the label of its id */
 	uint64_t content; /* hash of the request's content; 0: not known */
 	int64_t started_us;
 };
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -76,7 +76,8 @@
 #define LOG_STR(k, s) ((struct log_field){.key = (k), .text = log_text(s)})
 #define LOG_INT(k, n) ((struct log_field){.key = (k), .number = (int64_t)(n)})
 
-/* The field that identifies the lines of one request. */
+/* The field that identifies the lines of one request. Lines show the label of the id,
+ * see common/trace.h. */
 #define LOG_TRACE_KEY "trace"
 #define LOG_TRACE(s) LOG_STR(LOG_TRACE_KEY, s)
 
--- a/include/common/timeline.h
+++ b/include/common/timeline.h
@@ -21,14 +21,14 @@
 #include <stdint.h>
 
 #include "common/log.h"
+#include "common/trace.h"
 
-#define TIMELINE_TRACE_MAX 40
 #define TIMELINE_NOTE_MAX 96
 
 struct timeline_entry {
 	uint64_t time; /* hybrid time: wall clock microseconds, or later */
 	enum event event;
-	char trace[TIMELINE_TRACE_MAX];
+	char trace[TRACE_LABEL_SIZE]; /* the label of its id */
 	char note[TIMELINE_NOTE_MAX];
 };
 
@@ -68,7 +68,8 @@
 
 /*
  * Appends the entries of a trace, oldest first, as a JSON array of {time, event,
- * name, trace, note, process}. If trace is NULL, appends all entries.
+ * name, trace, note, process}, with the trace's label. trace is an id or its label;
+ * if it is NULL, appends all entries.
  */
 void timeline_append_json(const struct timeline *timeline, const char *trace,
 			  const char *process, GString *out);
--- a/tests/system/test_edges.c
+++ b/tests/system/test_edges.c
@@ -200,6 +200,37 @@
 	g_free(filler);
 }
 
+static void check_id(const char *id)
+{
+	char *request = g_strconcat(
+		"GET /s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+		"Comfreydock-Trace: ",
+		id, "\r\n\r\n", NULL);
+	char *echo = g_strconcat("\r\nComfreydock-Trace: ", id, "\r\n", NULL);
+	bool closed;
+	GString *answer = exchange(request, &closed);
+
+	g_test_message("%.60s: %s", id, answer->str);
+	g_assert_true(closed);
+	g_assert_true(g_str_has_prefix(answer->str, "HTTP/1.1 200"));
+	g_assert_nonnull(strstr(answer->str, echo));
+	g_string_free(answer, TRUE);
+	g_free(echo);
+	g_free(request);
+}
+
+/* Guards against a request that runs under another id than its caller sent. */
+static void test_ids_of_callers(void)
+{
+	char *longest = g_strnfill(12000, '7');
+
+	check_id("0000000000000001.0000000000000002.0000000000000003");
+	check_id("urn:uuid:f81d4fae-7dec-11d0-a765-00a0c91e6bf6");
+	check_id("a+b/c==; with \"quotes\", a\ttab, \\ and caf\xc3\xa9 \xff");
+	check_id(longest);
+	g_free(longest);
+}
+
 /* The first request takes longest. Answers are sent in the order of the
  * requests all the same, and each carries the id of its request. */
 static void test_pipelining(void)
@@ -354,6 +385,7 @@
 static void add_other_edges(void)
 {
 	g_test_add_func("/edges/oversize-head", test_oversize_head);
+	g_test_add_func("/edges/ids", test_ids_of_callers);
 	g_test_add_func("/edges/pipelining", test_pipelining);
 	g_test_add_func("/edges/continue", test_continue);
 	g_test_add_func("/edges/continue-refused", test_continue_refused);
