common: refuse an answer whose status is outside 100 to 599

Other operators saw a status of 000 reach a client. Here 000 to 099 became 502 already, but 999 was passed on as 999: an answer that isn't one in the protocol.

Cause: the check was for a leading 0 only. Change: the range of RFC 9110, section 15, with a fault of its own.

--- a/common/http_head.c
+++ b/common/http_head.c
@@ -11,6 +11,9 @@
 #define CODE_OFFSET 9
 #define STATUS_SWITCHING 101
 #define STATUS_FINAL_MIN 200
+/* RFC 9110, section 15: other values are invalid. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 #define LENGTH "Content-Length"
 #define CODING "Transfer-Encoding"
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~"
@@ -92,12 +95,14 @@
 {
 	if (head->status)
 		return head_fail(head, "a second status line");
-	if (!begins_with_status(line) || line[CODE_OFFSET] == '0')
+	if (!begins_with_status(line))
 		return head_fail(head, "no status line");
 	if (contains_status(line + 1))
 		return head_fail(head, "a status line within a line");
 	head->status =
 		(unsigned int)g_ascii_strtoull(line + CODE_OFFSET, NULL, 10);
+	if (head->status < STATUS_MIN || head->status > STATUS_MAX)
+		return head_fail(head, "an invalid status");
 	/* Upgrade isn't forwarded. libcurl takes what follows for a body. */
 	if (head->status == STATUS_SWITCHING)
 		return head_fail(head, "a switch of protocols");
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -386,6 +386,27 @@
 	fixture_stop(&fixture);
 }
 
+/* Guards against an answer that is passed on with a status that is none. */
+static void test_invalid_statuses(void)
+{
+	static const char *const invalid[] = {
+		ANSWER("000 OK", FIRST, "first."),
+		ANSWER("099 OK", FIRST, "first."),
+		ANSWER("600 OK", FIRST, "first."),
+		ANSWER("999 OK", FIRST, "first."),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		const char *const answers[] = {invalid[i], NULL};
+		struct fixture fixture;
+
+		fixture_start(&fixture, &platform_headers, answers);
+		g_assert_cmpint(run_once(&fixture, "GET", FIRST), ==, RUN_BROKEN);
+		g_assert_cmpuint(fixture.outcome.status, ==, 0);
+		fixture_stop(&fixture);
+	}
+}
+
 /* Guards against an answer of another request where a late second answer begins in
  * the same read as the end of the first, and the rest of it comes later. */
 static void test_late_bytes_in_the_same_read(void)
@@ -579,6 +600,7 @@
 			test_calls_of_one_trace_share_connections);
 	g_test_add_func("/run/cut", test_cut_answers);
 	g_test_add_func("/run/switch", test_a_switch_of_protocols);
+	g_test_add_func("/run/invalid-status", test_invalid_statuses);
 	g_test_add_func("/run/late-bytes/same-read",
 			test_late_bytes_in_the_same_read);
 	g_test_add_func("/run/sections-without-end", test_sections_without_end);
