tests: odd rows among those of the hosts

Other operators saw machines end, or stop following the list of upstreams, at one odd entry of another writer: deeply nested, a number too large, a port out of range.

--- a/tests/rows_fixture.c
+++ b/tests/rows_fixture.c
@@ -132,16 +132,22 @@
 	member_table_update(fixture.table, &member, clock_mono_us());
 }
 
-void rows_put_row_with(const char *host, uint64_t incarnation,
-		       const struct quarantine *quarantine)
+void rows_put_text(const char *host, const char *value)
 {
-	struct member member = record(host, incarnation, MEMBER_ALIVE);
 	char *key = g_strconcat(ROWS_PREFIX, host, NULL);
-	char *value = rows_encode(&member, incarnation, quarantine);
 	struct stored *old = g_tree_lookup(fixture.store.rows, key);
 
 	store_write(key, value, old ? old->version : 0);
 	g_free(key);
+}
+
+void rows_put_row_with(const char *host, uint64_t incarnation,
+		       const struct quarantine *quarantine)
+{
+	struct member member = record(host, incarnation, MEMBER_ALIVE);
+	char *value = rows_encode(&member, incarnation, quarantine);
+
+	rows_put_text(host, value);
 	g_free(value);
 }
 
--- a/tests/rows_fixture.h
+++ b/tests/rows_fixture.h
@@ -62,6 +62,9 @@
 		     enum member_state state);
 void rows_put_row(const char *host, uint64_t incarnation);
 
+/* The same with any value. */
+void rows_put_text(const char *host, const char *value);
+
 /* Like rows_put_row(), with the records of the host's quarantine. */
 void rows_put_row_with(const char *host, uint64_t incarnation,
 		       const struct quarantine *quarantine);
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -236,6 +236,50 @@
 	g_assert_true(rows_decode(good, strlen(good), &member));
 }
 
+#define ODD_ROW(incarnation, port, more)                     \
+	"{\"host\":\"surco-5\",\"incarnation\":" incarnation \
+	",\"address\":\"10.0.0.9\",\"peer_port\":" port more "}"
+
+/* Guards against a daemon that ends, or stops following the table, at a row of
+ * another writer. */
+static void test_odd_row_among_others(void)
+{
+	char *nested = g_strnfill(100000, '[');
+	char *nested_row =
+		g_strconcat("{\"host\":\"surco-5\",\"more\":", nested, NULL);
+	const char *const odd[] = {
+		nested,
+		nested_row,
+		ODD_ROW("1e400", "7000", ""),
+		ODD_ROW("18446744073709551616", "7000", ""),
+		ODD_ROW("-9223372036854775809", "7000", ""),
+		ODD_ROW("5", "65536", ""),
+		ODD_ROW("5", "-1", ""),
+		ODD_ROW("5", "1e400", ""),
+		ODD_ROW("5", "7000", ",\"quarantine\":[[],{\"key\":1e400},7]"),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		rows_begin(STORE_UP);
+		rows_put_row("surco-4", 5);
+		rows_put_text("surco-5", odd[i]);
+		rows_put_row("surco-6", 5);
+		rows_run(60);
+		/* The good rows of a page, and the odd one where it is no worse
+		 * than that of an unknown host. */
+		g_assert_cmpuint(fixture.joined->len, >=,
+				 2 * strlen("10.0.0.9:7000 "));
+		g_string_truncate(fixture.joined, 0);
+		rows_put_row("surco-7", 5);
+		rows_run(60);
+		g_assert_cmpuint(fixture.joined->len, >=,
+				 3 * strlen("10.0.0.9:7000 "));
+		rows_finish();
+	}
+	g_free(nested_row);
+	g_free(nested);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -255,5 +299,6 @@
 	g_test_add_func("/rows/restored", test_row_is_rewritten_after_restore);
 	g_test_add_func("/rows/late-answer", test_late_answer_is_dropped);
 	g_test_add_func("/rows/malformed", test_malformed_rows_are_rejected);
+	g_test_add_func("/rows/odd", test_odd_row_among_others);
 	return g_test_run();
 }
