caller: let callers pause for longer than five seconds

Cause: the user timeout of links between daemons was set on callers' connections too, and the kernel counts a closed window like a lost host.

Change: callers' connections get 60 s, the time that the daemon itself allows. So that a stop isn't held up by a caller that reads nothing, a stopping daemon closes its connection after 10 s and ends runs whose answers stand still for so long.

--- a/comfreydockd/caller/listener.c
+++ b/comfreydockd/caller/listener.c
@@ -32,7 +32,7 @@
 	uint32_t limit = listener->daemon->settings->max_connections;
 	char address[ADDRESS_TEXT_SIZE] = "";
 
-	socket_set_options(fd);
+	socket_set_options(fd, SOCKET_CALLER_STALL_MS);
 	address_to_text(from, address);
 	connection_create(listener, fd, address, listener->count >= limit);
 }
--- a/comfreydockd/peer/peers.c
+++ b/comfreydockd/peer/peers.c
@@ -129,7 +129,7 @@
 	       0) {
 		struct peer *peer = peer_new(peers, false);
 
-		socket_set_options(fd);
+		socket_set_options(fd, SOCKET_LINK_STALL_MS);
 		counters.peer_links_accepted++;
 		callbacks.data = peer;
 		peer->link = link_create(&peers->links, fd, &callbacks);
--- a/comfreydockd/stop.c
+++ b/comfreydockd/stop.c
@@ -155,6 +155,7 @@
 	(void)events;
 	advance_steps(stop, elapsed_us);
 	stop->is_being_read = listener_is_being_read(stop->listener);
+	listener_end_stalled(stop->listener);
 	if (stop->step < STOP_REFUSING_CONNECTIONS || !is_idle(stop))
 		stop->last_busy_us = now;
 	if (has_timed_out)
--- a/comfreydockd/upstream/sweep.c
+++ b/comfreydockd/upstream/sweep.c
@@ -13,6 +13,8 @@
 #define ANSWER_PAUSE_US (5 * US_PER_S)
 /* A run whose caller reads no byte of its answer for this long is aborted. */
 #define STALL_US (60 * US_PER_S)
+/* The same while the daemon stops. */
+#define STOPPING_STALL_US (10 * US_PER_S)
 /* A loop without an iteration for this long was stopped or starved. */
 #define FREEZE_US (300 * US_PER_MS)
 /* After a freeze no attempt starts for this long. Frames that entries sent
@@ -46,6 +48,9 @@
 static const char *find_abort_reason(const struct owner_attempt *attempt,
 				     int64_t now)
 {
+	int64_t stall_us =
+		attempt->owner->is_stopping ? STOPPING_STALL_US : STALL_US;
+
 	if (!attempt->head_us)
 		return now > attempt->item.deadline_us + DEADLINE_GRACE_US ?
 			       "no answer long after deadline" :
@@ -53,7 +58,7 @@
 	if (!attempt->peer && now > attempt->item.deadline_us + DEADLINE_GRACE_US)
 		return "no caller waits for the rest of the answer";
 	if (attempt->stalled_since_us)
-		return now - attempt->stalled_since_us > STALL_US ?
+		return now - attempt->stalled_since_us > stall_us ?
 			       "the caller takes nothing" :
 			       NULL;
 	if (now > attempt->item.deadline_us + DEADLINE_GRACE_US &&
--- a/common/socket.c
+++ b/common/socket.c
@@ -8,16 +8,13 @@
 
 #define LISTEN_BACKLOG 1024
 #define PORT_TRIES 16
-/* How long sent bytes may stay unacknowledged before the connection is lost. */
-#define USER_TIMEOUT_MS 5000
 
-void socket_set_options(int fd)
+void socket_set_options(int fd, unsigned int stall_ms)
 {
 	int one = 1;
 	int idle_s = 5;
 	int interval_s = 1;
 	int count = 3;
-	unsigned int timeout_ms = USER_TIMEOUT_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	/* A host that loses power sends no FIN. Without keepalive and the user
@@ -28,8 +25,8 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
 		   sizeof(interval_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-		   sizeof(timeout_ms));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &stall_ms,
+		   sizeof(stall_ms));
 }
 
 /* RETURN VALUE: -1, with errno unchanged. */
@@ -113,7 +110,7 @@
 
 	if (fd < 0)
 		return -1;
-	socket_set_options(fd);
+	socket_set_options(fd, SOCKET_LINK_STALL_MS);
 	if (connect(fd, &address.any, size) < 0 && errno != EINPROGRESS)
 		return close_failed(fd);
 	return fd;
--- a/include/comfreydockd/caller/listener.h
+++ b/include/comfreydockd/caller/listener.h
@@ -44,6 +44,10 @@
  * the kernel. */
 bool listener_is_being_read(struct listener *listener);
 
+/* Closes the connections of callers that have read nothing for some seconds, as of
+ * the last call of listener_is_being_read(). A stop would wait for them. */
+void listener_end_stalled(struct listener *listener);
+
 /* Called when a connection has closed: there is room for another. */
 void listener_note_closed(struct listener *listener);
 
--- a/include/common/socket.h
+++ b/include/common/socket.h
@@ -21,10 +21,17 @@
  * well. */
 int socket_listen_udp_free(const char *text, uint16_t port, uint16_t *bound);
 
-/* Starts a non-blocking connect. */
+/* How long sent bytes may stay unacknowledged, or the receiver's window closed, before
+ * the kernel resets a connection. A daemon always reads its links. A caller may
+ * pause; that no byte of its answer moves for longer ends its connection anyway. */
+#define SOCKET_LINK_STALL_MS 5000
+#define SOCKET_CALLER_STALL_MS 60000
+
+/* Starts a non-blocking connect, for a link. */
 int socket_connect(const char *text, uint16_t port);
 
-/* Sets the options of a connection; to be called for accepted sockets. */
-void socket_set_options(int fd);
+/* Sets the options of a connection; to be called for accepted sockets. stall_ms: one
+ * of the above. */
+void socket_set_options(int fd, unsigned int stall_ms);
 
 #endif
--- a/tests/system/test_slow_readers.c
+++ b/tests/system/test_slow_readers.c
@@ -14,6 +14,7 @@
 #define STEP_BYTES 7500 /* read every STEP_MS */
 #define STEP_MS 50
 #define WAIT_MS 10000
+#define PAUSE_MS 6000 /* longer than a link may stall */
 #define STOP_WAIT_MS 30000 /* half of the time that a stop may take */
 
 static const struct cluster_options options = {
@@ -114,10 +115,32 @@
 	cluster_stop(&cluster);
 }
 
+/* Guards against the reset of an answer whose caller reads nothing for some
+ * seconds. */
+static void test_paused_reader(void)
+{
+	struct cluster cluster;
+	GString *got = g_string_new(NULL);
+	int fd;
+
+	cluster_start(&cluster, &options);
+	cluster_wait_up(&cluster, 1, WAIT_MS);
+	fd = begin_download(&cluster, got);
+	rig_sleep_ms(PAUSE_MS);
+	while (!has_whole_answer(got)) {
+		if (!raw_read_some(fd, got, STEP_BYTES, WAIT_MS))
+			g_error("cut after %zu bytes", got->len);
+	}
+	close(fd);
+	g_string_free(got, TRUE);
+	cluster_stop(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/slow-readers/stop", test_stop_waits_for_slow_readers);
+	g_test_add_func("/slow-readers/paused", test_paused_reader);
 	g_test_add_func("/slow-readers/stalled",
 			test_stop_ends_beside_stalled_reader);
 	return g_test_run();
