upstream: accept a start whose clock was set back

Cause: starts are ordered by born alone, so each of its reports counted as a late one of an earlier start, for good; late reports are acknowledged.

Change: a start that is taken for an earlier one becomes the current one with three reports in 3 s, if the current one sends none between them. Its request to drain isn't acknowledged until then. The same holds for a new id with an earlier born, and for an id without born that counts as replaced.

--- a/comfreydockd/upstream/report.c
+++ b/comfreydockd/upstream/report.c
@@ -8,12 +8,13 @@
 #include "comfreydockd/upstream/health_call.h"
 #include "comfreydockd/upstream/owner.h"
 #include "comfreydockd/upstream/owner_internal.h"
+#include "common/clock.h"
 #include "common/log.h"
 
 static const char *const verdict_names[] = {
-	[REPORT_NEWS] = "news",	      [REPORT_NEW_START] = "new-start",
-	[REPORT_LATE] = "late",	      [REPORT_GONE] = "gone",
-	[REPORT_FOREIGN] = "foreign",
+	[REPORT_NEWS] = "news", [REPORT_NEW_START] = "new-start",
+	[REPORT_LATE] = "late", [REPORT_UNCERTAIN] = "uncertain",
+	[REPORT_GONE] = "gone", [REPORT_FOREIGN] = "foreign",
 };
 
 const char *report_verdict_name(enum report_verdict verdict)
@@ -65,10 +66,35 @@
 	history->born_ms = report->born_ms;
 	history->sequence = report->sequence;
 	history->has_left = false;
+	history->challenger.reports = 0;
+}
+
+/* Counts a report of a start that is taken for an earlier one.
+ * RETURN VALUE: whether that start is the current one after all. */
+static bool challenger_takes_over(struct report_challenger *challenger,
+				  const struct report *report, int64_t now_us)
+{
+	bool is_known = challenger->reports > 0 &&
+			challenger->born_ms == report->born_ms &&
+			strcmp(challenger->instance, report->instance) == 0;
+
+	if (is_known && report->sequence <= challenger->sequence)
+		return false;
+	if (!is_known) {
+		g_strlcpy(challenger->instance, report->instance,
+			  sizeof(challenger->instance));
+		challenger->born_ms = report->born_ms;
+		challenger->reports = 0;
+		challenger->since_us = now_us;
+	}
+	challenger->sequence = report->sequence;
+	challenger->reports++;
+	return challenger->reports >= REPORT_TAKEOVER_COUNT &&
+	       now_us - challenger->since_us >= REPORT_TAKEOVER_US;
 }
 
 enum report_verdict report_classify(struct report_history *history,
-				    const struct report *report)
+				    const struct report *report, int64_t now_us)
 {
 	bool is_first = !history->instance[0];
 
@@ -78,10 +104,12 @@
 		if (report->sequence <= history->sequence)
 			return REPORT_LATE;
 		history->sequence = report->sequence;
+		history->challenger.reports = 0;
 		return REPORT_NEWS;
 	}
-	if (!is_first && !is_later_start(history, report))
-		return REPORT_LATE;
+	if (!is_first && !is_later_start(history, report) &&
+	    !challenger_takes_over(&history->challenger, report, now_us))
+		return report->is_draining ? REPORT_UNCERTAIN : REPORT_LATE;
 	history_set_current_start(history, report);
 	return REPORT_NEW_START;
 }
@@ -316,7 +344,8 @@
 
 	if (is_configured_upstream(owner, report) &&
 	    names_known_service(owner, report))
-		verdict = report_classify(&owner->history, report);
+		verdict = report_classify(&owner->history, report,
+					  clock_mono_us());
 	if (verdict != REPORT_NEWS)
 		log_event(EV_OWNER_REPORT, LOG_STR("instance", report->instance),
 			  LOG_STR("group", report->group),
--- a/include/comfreydockd/upstream/report.h
+++ b/include/comfreydockd/upstream/report.h
@@ -17,8 +17,13 @@
  *	start. Upstreams that don't report a start time have a new instance id
  *	with each start: an id that was replaced by another is outdated.
  *
+ *	The time of a start comes from a clock that may be set back, so the
+ *	current start can seem to be an earlier one. It shows in that it goes on
+ *	reporting, while the start that is taken for the current one is silent:
+ *	late reports are few, and come beside those of the current start.
+ *
  *	report_classify() decides whether a report applies. It depends on the
- *	history and the report alone, and changes only the history.
+ *	history, the report and the time alone, and changes only the history.
  */
 #ifndef COMFREYDOCKD_UPSTREAM_REPORT_H
 #define COMFREYDOCKD_UPSTREAM_REPORT_H
@@ -46,6 +51,21 @@
 	int64_t born_ms; /* time of the start, Unix time; 0: not reported */
 };
 
+/* A start that is taken for an earlier one becomes the current one with this many
+ * reports in such a time, if the current one sends none between them. */
+#define REPORT_TAKEOVER_COUNT 3
+#define REPORT_TAKEOVER_US INT64_C(3000000)
+
+/* The start taken for an earlier one that reported last; reports is 0 if the current
+ * one has reported since. */
+struct report_challenger {
+	char instance[REPORT_INSTANCE_MAX];
+	int64_t born_ms;
+	uint64_t sequence;
+	unsigned int reports;
+	int64_t since_us; /* the first of them */
+};
+
 /* The upstream's current start; all zero before the first report. */
 struct report_history {
 	char instance[REPORT_INSTANCE_MAX];
@@ -55,12 +75,16 @@
 	/* The most recent instance ids that were replaced, as a ring. */
 	char past[REPORT_PAST_MAX][REPORT_INSTANCE_MAX];
 	unsigned int past_count; /* all that were ever replaced */
+	struct report_challenger challenger;
 };
 
 enum report_verdict {
 	REPORT_NEWS, /* from the current start, and newer than the last one */
 	REPORT_NEW_START, /* from a later start, which is now the current one */
 	REPORT_LATE, /* older than what is known; ignored */
+	/* A start that is taken for an earlier one asks to drain; ignored. If it
+	 * is the current one, it asks again as it gets no acknowledgement. */
+	REPORT_UNCERTAIN,
 	REPORT_GONE, /* from an instance that has left; ignored */
 	/* From an upstream of another daemon, or of a service that is neither
 	 * configured nor in the settings; ignored. */
@@ -69,7 +93,7 @@
 
 /* Classifies a report, and records it in the history unless it is ignored. */
 enum report_verdict report_classify(struct report_history *history,
-				    const struct report *report);
+				    const struct report *report, int64_t now_us);
 
 /* RETURN VALUE: false if the instance isn't the current one. */
 bool report_note_leave(struct report_history *history, const char *instance);
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -192,10 +192,12 @@
 	g_assert_cmpint(ask(f, port, "POST", path, GOOD), ==, 200);
 	f->verdict = REPORT_LATE;
 	g_assert_cmpint(ask(f, port, "POST", path, GOOD), ==, 200);
+	f->verdict = REPORT_UNCERTAIN;
+	g_assert_cmpint(ask(f, port, "POST", path, GOOD), ==, 503);
 	f->verdict = REPORT_FOREIGN;
 	g_assert_cmpint(ask(f, port, "POST", path, GOOD), ==, 400);
 	g_assert_cmpint(ask(f, port, "POST", path, "{}"), ==, 400);
-	g_assert_cmpuint(f->reports, ==, 3);
+	g_assert_cmpuint(f->reports, ==, 4);
 	g_assert_cmpint(ask(f, port, "POST",
 			    "/comfreydock/instances/i-1/deregister", ""),
 			==, 200);
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -4,6 +4,19 @@
 
 #include "comfreydockd/upstream/report.h"
 
+#define BEAT_US INT64_C(1500000)
+/* Between reports that a test submits without a time. They come in a burst. */
+#define BURST_STEP_US 50000
+
+static int64_t now_us;
+
+static enum report_verdict submit_at(struct report_history *history,
+				     const struct report *report, int64_t at_us)
+{
+	now_us = at_us;
+	return report_classify(history, report, now_us);
+}
+
 static enum report_verdict submit(struct report_history *history,
 				  const char *instance, int64_t born_ms,
 				  uint64_t sequence)
@@ -14,7 +27,7 @@
 		.sequence = sequence,
 	};
 
-	return report_classify(history, &report);
+	return submit_at(history, &report, now_us + BURST_STEP_US);
 }
 
 static void test_reports_in_order_are_news(void)
@@ -112,6 +125,77 @@
 	}
 }
 
+/* Guards against an upstream whose reports are acknowledged and ignored for good: the
+ * clock was set back before it started, under its former id or a new one. */
+static void check_start_of_earlier_time(const char *id)
+{
+	struct report_history history = {0};
+	struct report report = {.instance = id, .born_ms = 1000};
+	int64_t at_us = now_us;
+
+	submit(&history, "i-1", 2000, 1);
+	submit(&history, "i-1", 2000, 2);
+	for (report.sequence = 1; report.sequence <= 2; report.sequence++) {
+		at_us += BEAT_US;
+		g_assert_cmpint(submit_at(&history, &report, at_us), ==,
+				REPORT_LATE);
+	}
+	g_assert_cmpint(submit_at(&history, &report, at_us + BEAT_US), ==,
+			REPORT_NEW_START);
+	report.sequence++;
+	report.is_draining = true;
+	g_assert_cmpint(submit_at(&history, &report, at_us + 2 * BEAT_US), ==,
+			REPORT_NEWS);
+}
+
+static void test_clock_was_set_back(void)
+{
+	check_start_of_earlier_time("i-1");
+	check_start_of_earlier_time("i-2");
+}
+
+/* Guards against a return to the earlier start by reports of it that come late, one
+ * by one, beside those of the current start. */
+static void test_late_reports_among_new_ones(void)
+{
+	struct report_history history = {0};
+	struct report late = {.instance = "i-1", .born_ms = 1000};
+	struct report current = {.instance = "i-1", .born_ms = 2000};
+	int64_t at_us = now_us;
+
+	for (int i = 0; i < 20; i++) {
+		at_us += BEAT_US / 2;
+		current.sequence++;
+		g_assert_cmpint(submit_at(&history, &current, at_us), ==,
+				i ? REPORT_NEWS : REPORT_NEW_START);
+		at_us += BEAT_US / 2;
+		late.sequence++;
+		g_assert_cmpint(submit_at(&history, &late, at_us), ==,
+				REPORT_LATE);
+	}
+}
+
+/* Guards against an acknowledgement of a request to drain that isn't followed. */
+static void test_drain_of_an_uncertain_start(void)
+{
+	struct report_history history = {0};
+	struct report report = {
+		.instance = "i-1",
+		.born_ms = 1000,
+		.is_draining = true,
+	};
+	int64_t at_us = now_us;
+
+	submit(&history, "i-1", 2000, 1);
+	for (report.sequence = 1; report.sequence <= 2; report.sequence++) {
+		at_us += BEAT_US;
+		g_assert_cmpint(submit_at(&history, &report, at_us), ==,
+				REPORT_UNCERTAIN);
+	}
+	g_assert_cmpint(submit_at(&history, &report, at_us + BEAT_US), ==,
+			REPORT_NEW_START);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -122,6 +206,11 @@
 			test_report_of_earlier_start_is_late);
 	g_test_add_func("/report/same-id",
 			test_same_id_with_later_start_is_new_start);
+	g_test_add_func("/report/clock-set-back", test_clock_was_set_back);
+	g_test_add_func("/report/late-among-new",
+			test_late_reports_among_new_ones);
+	g_test_add_func("/report/uncertain-drain",
+			test_drain_of_an_uncertain_start);
 	g_test_add_func("/report/random-order",
 			test_random_order_never_goes_back);
 	return g_test_run();
