--- a/comfreydockd/upstream/attempts.c
+++ b/comfreydockd/upstream/attempts.c
@@ -264,15 +264,14 @@
 	const char *fault = run_fault(attempt->run);
 	const char *verdict =
 		fault ? "malformed" : answer_verdict_name(attempt->verdict);
+	bool head_was_sent = attempt->head_us && attempt->verdict == ANSWER_GOOD;
 
 	counters.owner_malformed_heads += fault != NULL;
 	log_event(EV_OWNER_STRANGE_ANSWER,
 		  LOG_STR("trace", attempt->request->trace),
 		  LOG_STR("verdict", verdict), LOG_STR("fault", fault),
 		  LOG_INT("status", attempt->status));
-	attempt_finish_broken(attempt,
-			      attempt->head_us && attempt->verdict == ANSWER_GOOD,
-			      verdict);
+	attempt_finish_broken(attempt, head_was_sent, verdict);
 }
 
 static void handle_done(void *data, enum run_result result)
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -80,6 +80,7 @@
 
 typedef void (*http_answer_handler)(const struct http_answer *answer, void *data);
 
+/* Above the largest answer of the store. */
 #define HTTP_ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
 
 struct http_call {
--- a/include/common/socket.h
+++ b/include/common/socket.h
@@ -22,8 +22,8 @@
 int socket_listen_udp_free(const char *text, uint16_t port, uint16_t *bound);
 
 /* How long sent bytes may stay unacknowledged, or the receiver's window closed, before
- * the kernel resets a connection. A daemon always reads its links. A caller may
- * pause; that no byte of its answer moves for longer ends its connection anyway. */
+ * the kernel resets a connection. A daemon always reads its links, a caller may pause.
+ * What stalls for longer than the latter, the daemon itself closes. */
 #define SOCKET_LINK_STALL_MS 5000
 #define SOCKET_CALLER_STALL_MS 60000
 
